Serve one request from start to finish through separate processes

Change: workspace of packages by concern, the inner protocol as authenticated frames over tonic, one control instance with a synced data folder, entries that follow its configuration, fake engines and a fake plain service that announce themselves, flamingoctl config apply and show, and a test that runs them all as processes on loopback. Conclusion: the path stands; every part of it is the plainest that works.

--- /dev/null
+++ b/crates/flamingo-ctl/src/lib.rs
@@ -0,0 +1,4 @@
+//! `flamingoctl`, the operators' client.
+
+pub mod client;
+pub mod command;
--- /dev/null
+++ b/crates/flamingo-log/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/flamingo-settings/src/entry.rs
@@ -0,0 +1,34 @@
+//! Settings of an entry instance.
+
+use crate::node::Node;
+use crate::{Error, Reader};
+use std::net::SocketAddr;
+use std::path::Path;
+
+/// Settings of an entry instance.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Settings {
+    /// Identity, place and listeners.
+    pub node: Node,
+    /// Inner addresses of some entries of the same zone.
+    pub seeds: Vec<SocketAddr>,
+}
+
+impl Settings {
+    /// Reads and checks the file at `path`.
+    ///
+    /// # Errors
+    ///
+    /// Returns every problem of the file at once.
+    pub fn open(path: &Path) -> Result<Self, Error> {
+        let mut reader = Reader::open(path)?;
+        let settings = Self::read(&mut reader);
+        reader.finish(settings)
+    }
+
+    fn read(reader: &mut Reader) -> Option<Self> {
+        let node = Node::read(reader);
+        let seeds = reader.list("entry", "seeds", "ip:port, separated by commas");
+        Some(Self { node: node?, seeds })
+    }
+}
--- /dev/null
+++ b/crates/flamingo-settings/src/lib.rs
@@ -0,0 +1,10 @@
+//! Settings of the daemons and the operators' sets, read from INI and checked
+//! whole: every problem is reported at once, with its place and what is allowed.
+
+pub mod control;
+pub mod entry;
+pub mod node;
+pub mod reader;
+pub mod set;
+
+pub use reader::{Error, Problem, Reader};
--- /dev/null
+++ b/crates/flamingo-settings/src/set.rs
@@ -0,0 +1,170 @@
+//! The operators' set of profiles, models and services, as INI.
+//!
+//! Sections are `[profile NAME]`, `[model NAME]`, `[adapter NAME]` (with the
+//! key `model`) and `[service NAME]`.
+
+use crate::{Error, Reader};
+use flamingo_wire::config::{Adapter, Late, Model, Profile, Service, Set};
+use flamingo_wire::id;
+use std::path::Path;
+use std::time::Duration;
+
+const MILLIS: &str = "a whole number of milliseconds from 1 to 86400000";
+const MEBIBYTES: &str = "a whole number of MiB";
+
+/// Reads the set in the file at `path`.
+///
+/// # Errors
+///
+/// Returns every problem of the file at once.
+pub fn open(path: &Path) -> Result<Set, Error> {
+    let text = std::fs::read_to_string(path)
+        .map_err(|error| Error::File(path.to_owned(), error.to_string()))?;
+    parse(path, &text)
+}
+
+/// Reads the set in `text` as if it stood in the file `path`.
+///
+/// # Errors
+///
+/// Returns every problem of the text at once.
+///
+/// ```
+/// use flamingo_settings::set;
+/// use std::path::Path;
+///
+/// let text = "[model notes]\nweights = 8000\ncache = 2000\n";
+/// let set = set::parse(Path::new("set.ini"), text).unwrap();
+/// assert_eq!(set.models[0].footprint(), 10_000);
+/// ```
+pub fn parse(path: &Path, text: &str) -> Result<Set, Error> {
+    let mut reader = Reader::parse(path, text)?;
+    let set = read(&mut reader);
+    reader.finish(Some(set))
+}
+
+fn read(reader: &mut Reader) -> Set {
+    let profiles = reader.sections("profile ");
+    let profiles = profiles
+        .into_iter()
+        .filter_map(|name| profile(reader, name))
+        .collect();
+    let models = reader.sections("model ");
+    let mut models: Vec<_> = models
+        .into_iter()
+        .filter_map(|name| model(reader, name))
+        .collect();
+    for name in reader.sections("adapter ") {
+        adapter(reader, name, &mut models);
+    }
+    let services = reader.sections("service ");
+    let services = services
+        .into_iter()
+        .filter_map(|name| service(reader, name))
+        .collect();
+    Set {
+        profiles,
+        models,
+        services,
+    }
+}
+
+fn profile(reader: &mut Reader, name: id::Profile) -> Option<Profile> {
+    let section = format!("profile {name}");
+    let rank = reader.need(
+        &section,
+        "rank",
+        "a whole number from 0 (most urgent) to 255",
+    );
+    let first_token = millis(reader, &section, "first_token_ms", None);
+    let between_tokens = millis(reader, &section, "between_tokens_ms", None);
+    let patience = millis(
+        reader,
+        &section,
+        "patience_ms",
+        Some(Duration::from_mins(1)),
+    );
+    let late = reader.or(&section, "late", Late::Serve, "refuse or serve");
+    Some(Profile {
+        name,
+        rank: rank?,
+        first_token: first_token?,
+        between_tokens: between_tokens?,
+        patience: patience?,
+        late,
+    })
+}
+
+fn model(reader: &mut Reader, name: id::Model) -> Option<Model> {
+    let section = format!("model {name}");
+    let version = reader.or(&section, "version", 1, "a whole number");
+    let weights = reader.need(&section, "weights", MEBIBYTES);
+    let cache = reader.need(&section, "cache", MEBIBYTES);
+    let copies = reader.or(&section, "copies", 1, "a whole number from 1");
+    let importance = reader.or(&section, "importance", 1, "a whole number");
+    if copies == 0 {
+        reader.problem(&section, "copies", "'0'", "a whole number from 1");
+    }
+    Some(Model {
+        name,
+        version,
+        weights: weights?,
+        cache: cache?,
+        copies,
+        importance,
+        adapters: Vec::new(),
+    })
+}
+
+fn adapter(reader: &mut Reader, name: id::Adapter, models: &mut [Model]) {
+    let section = format!("adapter {name}");
+    let owner: Option<id::Model> = reader.need(&section, "model", "the name of a model");
+    let memory = reader.need(&section, "memory", MEBIBYTES);
+    let (Some(owner), Some(memory)) = (owner, memory) else {
+        return;
+    };
+    match models.iter_mut().find(|model| model.name == owner) {
+        Some(model) => model.adapters.push(Adapter { name, memory }),
+        None => reader.problem(
+            &section,
+            "model",
+            &format!("'{owner}'"),
+            "a model of this file",
+        ),
+    }
+}
+
+fn service(reader: &mut Reader, name: id::Service) -> Option<Service> {
+    let section = format!("service {name}");
+    let idempotent = reader.list(&section, "idempotent", "path prefixes, separated by commas");
+    let concurrency = reader.or(&section, "concurrency", 8, "a whole number from 1");
+    let patience = millis(
+        reader,
+        &section,
+        "patience_ms",
+        Some(Duration::from_secs(30)),
+    );
+    Some(Service {
+        name,
+        idempotent,
+        concurrency,
+        patience: patience?,
+    })
+}
+
+fn millis(
+    reader: &mut Reader,
+    section: &str,
+    key: &str,
+    default: Option<Duration>,
+) -> Option<Duration> {
+    if default.is_some() && reader.raw(section, key).is_none() {
+        return default;
+    }
+    let value: u64 = reader.need(section, key, MILLIS)?;
+    if !(1..=86_400_000).contains(&value) {
+        reader.problem(section, key, &format!("'{value}'"), MILLIS);
+        return None;
+    }
+    Some(Duration::from_millis(value))
+}
--- /dev/null
+++ b/crates/flamingo-test-support/src/cluster.rs
@@ -0,0 +1,174 @@
+//! A small whole system of real processes on loopback.
+
+use crate::address::{at, host};
+use crate::process::{Process, program};
+use std::fmt::Write;
+use std::net::{IpAddr, SocketAddr};
+use std::path::PathBuf;
+use std::process::{Command, Output};
+use tempfile::TempDir;
+
+const HTTP: u16 = 7400;
+const INNER: u16 = 7401;
+const TARGET: u16 = 8000;
+const KEY: &str = "test-inner-key";
+
+/// One instance of the system or one target.
+#[derive(Debug)]
+pub struct Instance {
+    /// Its name.
+    pub name: String,
+    /// Its IP number.
+    pub host: IpAddr,
+    /// Its process.
+    pub process: Process,
+}
+
+impl Instance {
+    /// Returns where it takes HTTP from callers and operators.
+    #[must_use]
+    pub fn http(&self) -> SocketAddr {
+        at(self.host, HTTP)
+    }
+
+    /// Returns where a target takes requests.
+    #[must_use]
+    pub fn target(&self) -> SocketAddr {
+        at(self.host, TARGET)
+    }
+}
+
+/// A whole system; its processes end with it.
+#[derive(Debug)]
+pub struct Cluster {
+    /// Its folder.
+    pub dir: TempDir,
+    /// Control instances.
+    pub controls: Vec<Instance>,
+    /// Entry instances.
+    pub entries: Vec<Instance>,
+    /// Targets.
+    pub targets: Vec<Instance>,
+    members: Vec<String>,
+}
+
+impl Cluster {
+    /// Starts `controls` control instances and `entries` entries in one zone.
+    ///
+    /// # Panics
+    ///
+    /// Panics where a process can't be started.
+    #[must_use]
+    pub fn start(controls: usize, entries: usize) -> Self {
+        let dir = tempfile::tempdir().expect("a folder can be made");
+        let hosts: Vec<_> = (0..controls).map(|_| host()).collect();
+        let numbered = hosts.iter().enumerate();
+        let members = numbered
+            .map(|(n, host)| format!("control-{n}@{}", at(*host, INNER)))
+            .collect();
+        let mut cluster = Self {
+            dir,
+            controls: Vec::new(),
+            entries: Vec::new(),
+            targets: Vec::new(),
+            members,
+        };
+        for (n, host) in hosts.into_iter().enumerate() {
+            let instance = cluster.daemon("flamingo-control", &format!("control-{n}"), host);
+            cluster.controls.push(instance);
+        }
+        let hosts: Vec<_> = (0..entries).map(|_| host()).collect();
+        for (n, host) in hosts.into_iter().enumerate() {
+            let instance = cluster.daemon("flamingo-entry", &format!("entry-{n}"), host);
+            cluster.entries.push(instance);
+        }
+        cluster
+    }
+
+    /// Starts a fake target; `more` goes to its command line.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the process can't be started.
+    pub fn target(&mut self, kind: &str, name: &str, more: &[&str]) {
+        let host = host();
+        let listen = at(host, TARGET).to_string();
+        let mut args = vec![
+            kind, "--name", name, "--zone", "zone-a", "--listen", &listen,
+        ];
+        let entries: Vec<_> = self
+            .entries
+            .iter()
+            .map(|entry| entry.http().to_string())
+            .collect();
+        for entry in &entries {
+            args.extend(["--entry", entry]);
+        }
+        args.extend(more);
+        let process = Process::start("flamingo-stand-in", &args, &self.log(name));
+        let instance = Instance {
+            name: name.to_owned(),
+            host,
+            process,
+        };
+        self.targets.push(instance);
+    }
+
+    /// Runs `flamingoctl` against the first entry.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the program can't be run.
+    #[must_use]
+    pub fn ctl(&self, args: &[&str]) -> Output {
+        let at = self.entries[0].http().to_string();
+        let mut command = Command::new(program("flamingoctl"));
+        command.args(["--at", &at]).args(args);
+        command.output().expect("flamingoctl can be run")
+    }
+
+    /// Returns the path of the log of the process `name`.
+    #[must_use]
+    pub fn log(&self, name: &str) -> PathBuf {
+        self.dir.path().join(format!("{name}.log"))
+    }
+
+    /// Starts again a daemon that has ended, under its old name and settings.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the process can't be started.
+    #[must_use]
+    pub fn restart(&self, daemon: &str, name: &str) -> Process {
+        let settings = self.dir.path().join(format!("{name}.ini"));
+        let settings = settings.to_str().expect("the path is text");
+        Process::start(daemon, &["--settings", settings], &self.log(name))
+    }
+
+    fn daemon(&self, daemon: &str, name: &str, host: IpAddr) -> Instance {
+        let path = self.dir.path().join(format!("{name}.ini"));
+        std::fs::write(&path, self.settings(daemon, name, host)).expect("settings can be written");
+        let process = self.restart(daemon, name);
+        Instance {
+            name: name.to_owned(),
+            host,
+            process,
+        }
+    }
+
+    fn settings(&self, daemon: &str, name: &str, host: IpAddr) -> String {
+        let mut text = String::new();
+        let members = self.members.join(", ");
+        let http = at(host, HTTP);
+        let inner = at(host, INNER);
+        let _ = writeln!(text, "[node]\nname = {name}\nzone = zone-a");
+        let _ = writeln!(text, "[listen]\nhttp = {http}\ninner = {inner}");
+        let _ = writeln!(text, "[inner]\nkey = {KEY}");
+        let _ = writeln!(text, "[control]\nmembers = {members}");
+        if daemon == "flamingo-control" {
+            let data = self.dir.path().join(name);
+            let _ = writeln!(text, "data = {}", data.display());
+        }
+        text
+    }
+}
--- /dev/null
+++ b/crates/flamingo-test-support/src/process.rs
@@ -0,0 +1,89 @@
+//! A child process that ends with the test.
+
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+
+/// A running program of this workspace; killed when dropped.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+}
+
+impl Process {
+    /// Starts the program `name` with `args`; its standard error goes to `log`.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the program can't be started.
+    #[must_use]
+    pub fn start(name: &str, args: &[&str], log: &Path) -> Self {
+        let log = std::fs::File::options().create(true).append(true).open(log);
+        let child = Command::new(program(name))
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log.expect("the log file can be written"))
+            .spawn()
+            .unwrap_or_else(|error| panic!("can't start {name}: {error}"));
+        Self { child }
+    }
+
+    /// Sends a signal, such as [`libc::SIGSTOP`].
+    ///
+    /// # Panics
+    ///
+    /// Panics where the process is gone.
+    #[allow(unsafe_code)]
+    pub fn signal(&self, signal: libc::c_int) {
+        let pid = libc::pid_t::try_from(self.child.id()).expect("a pid fits");
+        // SAFETY: kill takes two numbers; the child is not reaped while `self` lives.
+        let sent = unsafe { libc::kill(pid, signal) };
+        assert_eq!(sent, 0, "the process is gone");
+    }
+
+    /// Kills the process at once and waits for its end.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the process can't be waited for.
+    pub fn kill(&mut self) {
+        self.child.kill().expect("the process can be killed");
+        self.child.wait().expect("the process can be waited for");
+    }
+
+    /// Waits for the end of the process.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the process can't be waited for.
+    pub fn wait(&mut self) -> ExitStatus {
+        self.child.wait().expect("the process can be waited for")
+    }
+
+    /// Returns the process id.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Returns the path of a program that `cargo test` built beside this test.
+///
+/// # Panics
+///
+/// Panics where the test's own path can't be told.
+#[must_use]
+pub fn program(name: &str) -> PathBuf {
+    let test = std::env::current_exe().expect("a test knows its path");
+    let deps = test.parent().expect("a test stands in a folder");
+    deps.parent()
+        .expect("that folder stands in another")
+        .join(name)
+}
--- /dev/null
+++ b/crates/flamingo-wire/src/control.rs
@@ -0,0 +1,118 @@
+//! What entries and operators ask of the control instances.
+
+use crate::announce::Announcement;
+use crate::config;
+use crate::fault::Fault;
+use crate::id;
+use crate::outcome::Verdict;
+use serde::{Deserialize, Serialize};
+
+/// A question to a control instance.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Request {
+    /// Give the configuration if it is newer than this version.
+    Fetch(Fetch),
+    /// Replace the configuration.
+    Apply(config::Change),
+    /// Record that a non-idempotent call is about to be dispatched.
+    Begin(Call),
+    /// Record how a call ended.
+    Finish(Answer),
+    /// Targets as one zone's entries know them.
+    Report(Report),
+}
+
+/// Asks for a configuration newer than a known one.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Fetch {
+    /// Version that the asker has in force.
+    pub version: id::Version,
+    /// The asker.
+    pub node: id::Node,
+}
+
+/// A non-idempotent call with its caller's key.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Call {
+    /// The service that is called.
+    pub service: id::Service,
+    /// The caller's idempotency key.
+    pub key: id::Key,
+    /// SHA-256 of method, path and body.
+    pub digest: Vec<u8>,
+    /// The attempt that asks; only the one that the ledger names may dispatch.
+    pub request: id::Request,
+}
+
+/// How a call ended, for resends.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Answer {
+    /// The service that was called.
+    pub service: id::Service,
+    /// The caller's idempotency key.
+    pub key: id::Key,
+    /// The attempt that was dispatched.
+    pub request: id::Request,
+    /// Whether it ran.
+    pub verdict: Verdict,
+    /// HTTP status of the answer; 0 where none was seen.
+    pub status: u16,
+    /// Content type of the answer.
+    pub content: String,
+    /// Body of the answer, left out where it is too large to record.
+    pub body: Option<Vec<u8>>,
+}
+
+/// Targets and demand as one entry sees them.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Report {
+    /// The reporting entry.
+    pub node: id::Node,
+    /// Newest announcements that changed since the last report.
+    pub targets: Vec<Announcement>,
+    /// Demand since the last report.
+    pub demand: Vec<Demand>,
+}
+
+/// Demand for one model since the last report.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Demand {
+    /// The model.
+    pub model: id::Model,
+    /// Requests that arrived.
+    pub requests: u32,
+    /// Requests that met their profile's promise.
+    pub met: u32,
+    /// Requests refused for want of room.
+    pub refused: u32,
+    /// Tokens generated.
+    pub tokens: u64,
+}
+
+/// What the ledger says to a call.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Grant {
+    /// Dispatch it: this attempt is the one and only.
+    Dispatch,
+    /// It ended before; this was its answer.
+    Answered(Answer),
+    /// Another attempt was dispatched and has not ended.
+    Pending,
+}
+
+/// An answer of a control instance.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Reply {
+    /// Nothing newer.
+    Current(id::Version),
+    /// A newer configuration.
+    Config(config::Snapshot),
+    /// The change is committed under this version.
+    Accepted(id::Version),
+    /// The ledger's word on a call.
+    Grant(Grant),
+    /// Noted.
+    Noted,
+    /// Refused, with the reason.
+    Refused(Fault),
+}
--- /dev/null
+++ b/crates/flamingolink/src/lib.rs
@@ -0,0 +1,1 @@
+//! A whole local system in one process; see `main.rs`.
