Give shared types to orders, operators and the entry's links

Cause: the packages that follow grow side by side and need one set of types. Change: wire types for operators' queries, orders to engines in the terms of the KServe and LoRA interfaces, news to an entry; the entry's link moves to a package of its own; a macro that names test cases and a seed for properties. Conclusion: behaviour is as before.

--- a/crates/flamingo-control/src/inner.rs
+++ b/crates/flamingo-control/src/inner.rs
@@ -26,6 +26,15 @@
 
 #[tonic::async_trait]
 impl Control for Inner {
+    type WatchStream = tokio_stream::Empty<Result<Frame, Status>>;
+
+    async fn watch(
+        &self,
+        _: tonic::Request<tonic::Streaming<Frame>>,
+    ) -> Result<Response<Self::WatchStream>, Status> {
+        Err(Status::unimplemented("ask with Fetch"))
+    }
+
     async fn ask(&self, frame: tonic::Request<Frame>) -> Result<Response<Frame>, Status> {
         let frame = frame.into_inner();
         let request: Request = self
--- a/crates/flamingo-control/src/keeper.rs
+++ b/crates/flamingo-control/src/keeper.rs
@@ -52,6 +52,7 @@
         let next = Snapshot {
             version: change.base + 1,
             set: change.set,
+            drained: Vec::new(),
         };
         if let Err(error) = self.write(&next) {
             let message = format!("can't write {}: {error}", self.data.display());
@@ -96,7 +97,7 @@
                 "this instance keeps no call ledger yet",
                 "send the call without a key",
             )),
-            Request::Finish(_) | Request::Report(_) => Reply::Noted,
+            Request::Finish(_) | Request::Report(_) | Request::Admin(_) => Reply::Noted,
         };
         actix::MessageResult(reply)
     }
--- a/crates/flamingo-entry/src/daemon.rs
+++ b/crates/flamingo-entry/src/daemon.rs
@@ -1,11 +1,11 @@
 //! Starts and stops the daemon.
 
-use crate::control::Link;
 use crate::http::{self, Shared};
 use crate::table::Table;
 use actix_web::web::Data;
 use actix_web::{App, HttpServer};
 use awc::Client;
+use flamingo_link::Link;
 use flamingo_settings::entry::Settings;
 use flamingo_wire::frame::Seal;
 use slog::{Logger, info};
@@ -23,11 +23,10 @@
     log: Logger,
     stop: impl Future<Output = ()> + 'static,
 ) -> Result<(), Box<dyn Error>> {
-    let node = settings.node;
-    let seal = Seal::new(&node.name, node.key.as_bytes());
-    let link = Link::new(node.name, seal, node.controls);
+    let seal = Seal::new(&settings.node.name, settings.node.key.as_bytes());
     let table = Arc::new(Table::default());
-    actix_rt::spawn(link.clone().follow(table.clone(), log.clone()));
+    let link = Link::start(&settings, seal, table.clone(), log.clone());
+    let node = settings.node;
     let shared = Shared {
         table,
         link,
--- a/crates/flamingo-entry/src/http.rs
+++ b/crates/flamingo-entry/src/http.rs
@@ -1,12 +1,12 @@
 //! The HTTP interface of an entry.
 
-use crate::control::Link;
 use crate::table::Table;
 use actix_web::http::header;
 use actix_web::web::{self, Bytes, Data, Json, Path, ServiceConfig};
 use actix_web::{HttpRequest, HttpResponse};
 use awc::Client;
 use flamingo_daemon::answer;
+use flamingo_link::Link;
 use flamingo_wire::announce::{Announcement, Kind};
 use flamingo_wire::config::Change;
 use flamingo_wire::control::{Reply, Request};
@@ -152,7 +152,7 @@
 }
 
 async fn announce(shared: Data<Shared>, announcement: Json<Announcement>) -> HttpResponse {
-    shared.table.announce(announcement.into_inner());
+    shared.link.announce(announcement.into_inner());
     HttpResponse::NoContent().finish()
 }
 
--- a/crates/flamingo-entry/src/lib.rs
+++ b/crates/flamingo-entry/src/lib.rs
@@ -1,6 +1,5 @@
 //! The entry daemon: takes callers' requests to targets.
 
-pub mod control;
 pub mod daemon;
 pub mod http;
 pub mod table;
--- a/crates/flamingo-entry/src/table.rs
+++ b/crates/flamingo-entry/src/table.rs
@@ -2,6 +2,7 @@
 
 use flamingo_wire::announce::{Announcement, Kind, Standing};
 use flamingo_wire::config::Snapshot;
+use flamingo_wire::event::{Event, Sink};
 use flamingo_wire::id;
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -55,3 +56,13 @@
             .map(|target| (*target).clone())
     }
 }
+
+impl Sink for Table {
+    fn take(&self, event: Event) {
+        match event {
+            Event::Config(snapshot) => self.install(*snapshot),
+            Event::Target(announcement) => self.announce(*announcement),
+            Event::Gone(_) | Event::Suspect(_) | Event::Entries(_) => {}
+        }
+    }
+}
--- a/crates/flamingo-entry/src/control.rs
+++ b/crates/flamingo-link/src/control.rs
@@ -1,8 +1,10 @@
 //! The entry's link to the control instances.
 
-use crate::table::Table;
+use flamingo_settings::entry::Settings;
 use flamingo_settings::node::Peer;
+use flamingo_wire::announce::Announcement;
 use flamingo_wire::control::{Fetch, Reply, Request};
+use flamingo_wire::event::{Event, Sink};
 use flamingo_wire::fault::Reason;
 use flamingo_wire::frame::Seal;
 use flamingo_wire::inner::control_client::ControlClient;
@@ -17,19 +19,35 @@
 /// Time that one question may take.
 const PATIENCE: Duration = Duration::from_secs(2);
 
-/// A link to the control instances.
-#[derive(Clone, Debug)]
+/// A link to the rest of the system.
+#[derive(Clone)]
 pub struct Link {
     seal: Seal,
     node: id::Node,
     peers: Vec<Peer>,
+    sink: Arc<dyn Sink>,
+}
+
+impl std::fmt::Debug for Link {
+    fn fmt(&self, out: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(out, "Link({})", self.node)
+    }
 }
 
 impl Link {
-    /// Builds a link for the entry `node`.
+    /// Starts the links of an entry; news goes to `sink`.
     #[must_use]
-    pub fn new(node: id::Node, seal: Seal, peers: Vec<Peer>) -> Self {
-        Self { seal, node, peers }
+    pub fn start(settings: &Settings, seal: Seal, sink: Arc<dyn Sink>, log: Logger) -> Self {
+        let node = settings.node.name.clone();
+        let peers = settings.node.controls.clone();
+        let link = Self {
+            seal,
+            node,
+            peers,
+            sink,
+        };
+        actix_rt::spawn(link.clone().follow(log));
+        link
     }
 
     /// Asks the control instances in turn until one answers.
@@ -60,17 +78,23 @@
         Ok(self.seal.open(answer.get_ref(), SystemTime::now())?)
     }
 
-    /// Keeps the configuration of `table` current, for ever.
-    pub async fn follow(self, table: Arc<Table>, log: Logger) {
+    /// Takes a target's announcement from the entry's HTTP interface.
+    pub fn announce(&self, announcement: Announcement) {
+        self.sink.take(Event::Target(Box::new(announcement)));
+    }
+
+    /// Keeps the configuration current, for ever.
+    async fn follow(self, log: Logger) {
+        let mut version = 0;
         loop {
-            let version = table.config().version;
             let fetch = Fetch {
                 version,
                 node: self.node.clone(),
             };
             if let Reply::Config(snapshot) = self.ask(&Request::Fetch(fetch)).await {
                 info!(log, "configuration in force"; "version" => snapshot.version);
-                table.install(snapshot);
+                version = snapshot.version;
+                self.sink.take(Event::Config(Box::new(snapshot)));
             }
             actix_rt::time::sleep(POLL).await;
         }
--- a/crates/flamingo-stand-in/src/engine.rs
+++ b/crates/flamingo-stand-in/src/engine.rs
@@ -98,6 +98,7 @@
             memory: settings.memory,
             fenced: true,
             resident: settings.resident.clone(),
+            loading: Vec::new(),
             ended: Vec::new(),
         }),
     }
--- a/crates/flamingo-test-support/src/lib.rs
+++ b/crates/flamingo-test-support/src/lib.rs
@@ -4,4 +4,29 @@
 pub mod address;
 pub mod cluster;
 pub mod process;
+pub mod seed;
 pub mod wait;
+
+/// Names each case of a table: every line becomes a test that calls `check`.
+///
+/// ```
+/// fn doubles(input: u32, output: u32) {
+///     assert_eq!(input * 2, output);
+/// }
+///
+/// flamingo_test_support::cases! { doubles:
+///     zero(0, 0);
+///     one(1, 2);
+/// }
+/// ```
+#[macro_export]
+macro_rules! cases {
+    ($check:ident: $($name:ident($($argument:expr),* $(,)?);)+) => {
+        $(
+            #[test]
+            fn $name() {
+                $check($($argument),*);
+            }
+        )+
+    };
+}
--- a/crates/flamingo-wire/src/announce.rs
+++ b/crates/flamingo-wire/src/announce.rs
@@ -33,6 +33,9 @@
     pub fenced: bool,
     /// Models that are resident and ready.
     pub resident: Vec<Resident>,
+    /// Copies that are being loaded.
+    #[serde(default)]
+    pub loading: Vec<Resident>,
     /// Orders that ended lately, newest last, for the placement's account.
     #[serde(default)]
     pub ended: Vec<place::End>,
--- a/crates/flamingo-wire/src/config.rs
+++ b/crates/flamingo-wire/src/config.rs
@@ -150,6 +150,9 @@
     pub version: id::Version,
     /// The set.
     pub set: Set,
+    /// Targets that operators drain: they get no new work and no new copies.
+    #[serde(default)]
+    pub drained: Vec<id::Target>,
 }
 
 /// An operator's wish to replace the set.
--- a/crates/flamingo-wire/src/control.rs
+++ b/crates/flamingo-wire/src/control.rs
@@ -1,5 +1,6 @@
 //! What entries and operators ask of the control instances.
 
+use crate::admin;
 use crate::announce::Announcement;
 use crate::config;
 use crate::fault::Fault;
@@ -20,6 +21,28 @@
     Finish(Answer),
     /// Targets as one zone's entries know them.
     Report(Report),
+    /// An operator's question or wish.
+    Admin(admin::Query),
+}
+
+/// What a follower of the configuration says, at least once a second.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Beat {
+    /// The follower.
+    pub node: id::Node,
+    /// Its availability zone.
+    pub zone: id::Zone,
+    /// Version that it has in force.
+    pub version: id::Version,
+}
+
+/// What a control instance tells its followers, at least once a second.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Push {
+    /// Nothing newer than this version.
+    Beat(id::Version),
+    /// A newer configuration.
+    Config(config::Snapshot),
 }
 
 /// Asks for a configuration newer than a known one.
@@ -113,6 +136,8 @@
     Grant(Grant),
     /// Noted.
     Noted,
+    /// The answer to an operator.
+    Admin(admin::Answer),
     /// Refused, with the reason.
     Refused(Fault),
 }
--- a/crates/flamingo-wire/src/lib.rs
+++ b/crates/flamingo-wire/src/lib.rs
@@ -4,9 +4,12 @@
 //! Nothing here decides anything: the types carry identity, configuration,
 //! announcements and requests between the packages that do.
 
+pub mod admin;
 pub mod announce;
 pub mod config;
 pub mod control;
+pub mod engine;
+pub mod event;
 pub mod fault;
 pub mod frame;
 pub mod gossip;
