--- a/crates/flamingo-test-support/src/seed.rs
+++ b/crates/flamingo-test-support/src/seed.rs
@@ -22,8 +22,9 @@
 pub fn check<T: Testable>(tests: u64, size: usize, property: T) {
     let seed = seed();
     eprintln!("{VARIABLE}={seed}");
-    let inputs = Gen::from_size_and_seed(size, seed);
-    QuickCheck::with_gen(inputs)
+    let source = Gen::from_size_and_seed(size, seed);
+    QuickCheck::new()
+        .rng(source)
         .tests(tests)
         .max_tests(tests * 10)
         .quickcheck(property);
