Add the memory account, the planner and the state machine of placement

Cause: nothing decided which copies sit where or kept a memory account. Change: flamingo-place has the replicated book of intents, the account of one leadership, the demand estimate, the planning step and the state machine around them.

--- a/crates/flamingo-place/src/lib.rs
+++ b/crates/flamingo-place/src/lib.rs
@@ -1,1 +1,17 @@
-//! Placeholder.
+//! Placement: which model copies sit on which accelerators, and the account of
+//! their memory.
+//!
+//! All of it is pure: reports, the replicated [`book::Book`] and an `Instant` go
+//! in, [`placer::Output`]s come out. See `docs/PLACEMENT.md`.
+
+pub mod account;
+pub mod book;
+pub mod demand;
+pub mod pace;
+pub mod placer;
+pub mod plan;
+mod room;
+mod seat;
+mod tally;
+pub mod view;
+pub mod weights;
--- a/crates/flamingo-settings/src/set.rs
+++ b/crates/flamingo-settings/src/set.rs
@@ -1,10 +1,10 @@
 //! The operators' set of profiles, models and services, as INI.
 //!
 //! Sections are `[profile NAME]`, `[model NAME]`, `[adapter NAME]` (with the
-//! key `model`) and `[service NAME]`.
+//! key `model`), `[service NAME]` and `[placement]`.
 
 use crate::{Error, Reader};
-use flamingo_wire::config::{Adapter, Late, Model, Profile, Service, Set};
+use flamingo_wire::config::{Adapter, Late, Model, Placement, Profile, Service, Set};
 use flamingo_wire::id;
 use std::path::Path;
 use std::time::Duration;
@@ -62,13 +62,36 @@
         .into_iter()
         .filter_map(|name| service(reader, name))
         .collect();
+    let placement = placement(reader);
     Set {
         profiles,
         models,
         services,
+        placement,
     }
 }
 
+fn placement(reader: &mut Reader) -> Placement {
+    let default = Placement::default();
+    Placement {
+        attainment_weight: weight(reader, "attainment_weight", default.attainment_weight, 0),
+        moves_weight: weight(reader, "moves_weight", default.moves_weight, 0),
+        moves_per_hour: weight(reader, "moves_per_hour", default.moves_per_hour, 0),
+        loads_per_second: weight(reader, "loads_per_second", default.loads_per_second, 1),
+        loads_at_once: weight(reader, "loads_at_once", default.loads_at_once, 1),
+        tokens_per_copy: weight(reader, "tokens_per_copy", default.tokens_per_copy, 1),
+    }
+}
+
+fn weight(reader: &mut Reader, key: &str, default: u32, least: u32) -> u32 {
+    let allowed = format!("a whole number from {least} to 1000000");
+    let value = reader.or("placement", key, default, &allowed);
+    if !(least..=1_000_000).contains(&value) {
+        reader.problem("placement", key, &format!("'{value}'"), &allowed);
+    }
+    value
+}
+
 fn profile(reader: &mut Reader, name: id::Profile) -> Option<Profile> {
     let section = format!("profile {name}");
     let rank = reader.need(
--- a/crates/flamingo-wire/src/config.rs
+++ b/crates/flamingo-wire/src/config.rs
@@ -121,6 +121,46 @@
     pub models: Vec<Model>,
     /// Plain services.
     pub services: Vec<Service>,
+    /// How placement weighs what it does.
+    #[serde(default)]
+    pub placement: Placement,
+}
+
+/// How placement weighs attainment against moves, and what the store allows.
+///
+/// ```
+/// use flamingo_wire::config::Placement;
+///
+/// assert_eq!(Placement::default().loads_at_once, 6);
+/// ```
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default)]
+pub struct Placement {
+    /// Weight of one accelerator's work that a copy more would serve.
+    pub attainment_weight: u32,
+    /// Weight of one load or unload.
+    pub moves_weight: u32,
+    /// Loads and unloads an hour for the sake of demand; reachability is not bound by it.
+    pub moves_per_hour: u32,
+    /// Loads that may be started in a second.
+    pub loads_per_second: u32,
+    /// Loads at once at which the store still gives full speed.
+    pub loads_at_once: u32,
+    /// Tokens a second that one copy generates within the promises.
+    pub tokens_per_copy: u32,
+}
+
+impl Default for Placement {
+    fn default() -> Self {
+        Self {
+            attainment_weight: 10,
+            moves_weight: 1,
+            moves_per_hour: 60,
+            loads_per_second: 1,
+            loads_at_once: 6,
+            tokens_per_copy: 400,
+        }
+    }
 }
 
 impl Set {
--- a/crates/flamingo-wire/src/place.rs
+++ b/crates/flamingo-wire/src/place.rs
@@ -56,3 +56,25 @@
     /// How it ended.
     pub outcome: Outcome,
 }
+
+/// Place of a report in the order of one target's reports.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct Mark {
+    /// Incarnation of the target.
+    pub incarnation: id::Incarnation,
+    /// Sequence number of the announcement.
+    pub sequence: id::Sequence,
+}
+
+/// A committed record that an order has ended, with the report that showed it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Settlement {
+    /// The engine.
+    pub target: id::Target,
+    /// The order and how it ended.
+    pub end: End,
+    /// The report that showed it; an older report of this target proves nothing.
+    pub mark: Mark,
+}
