Prove the memory account against lost, late, doubled and reordered orders

Cause: the account has to hold whatever network, engines and leaders do. Seen on the way, each found by the property test and mended: a copy counted from a report older than a settled order (account 13 of 10 MiB); copies of an engine's former incarnation counted after a takeover (the book now takes the restart from the next order); a last copy unloaded for its next version by a leader that knew one engine of three (now only after a minute without room, and only if no known accelerator may have any).

--- a/crates/flamingo-place/src/book.rs
+++ b/crates/flamingo-place/src/book.rs
@@ -13,7 +13,8 @@
 /// What one engine is known to hold by settled orders.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Page {
-    /// The newest report that settled an order; an older one proves nothing.
+    /// The newest report that an order was based on or settled by; an older one proves
+    /// nothing.
     pub mark: Mark,
     /// Memory that settled loads committed in the incarnation of the mark.
     pub held: Vec<Held>,
@@ -57,6 +58,11 @@
             return false;
         }
         self.last = order.id;
+        let page = self.pages.entry(order.target.clone()).or_default();
+        page.reach(Mark {
+            incarnation: order.incarnation,
+            sequence: 0,
+        });
         self.intents.insert(order.id, order);
         true
     }
@@ -67,10 +73,7 @@
             return false;
         };
         let page = self.pages.entry(order.target.clone()).or_default();
-        if settlement.mark.incarnation > page.mark.incarnation {
-            page.held.clear();
-        }
-        page.mark = page.mark.max(settlement.mark);
+        page.reach(settlement.mark);
         if settlement.end.outcome == Outcome::Done {
             page.carry_out(&order);
         }
@@ -79,6 +82,14 @@
 }
 
 impl Page {
+    /// Takes a newer place; a restarted engine holds nothing of before.
+    fn reach(&mut self, mark: Mark) {
+        if mark.incarnation > self.mark.incarnation {
+            self.held.clear();
+        }
+        self.mark = self.mark.max(mark);
+    }
+
     fn carry_out(&mut self, order: &Order) {
         let (Action::Load(copy) | Action::Unload(copy)) = &order.action;
         let weights = Weights::of(copy);
--- a/crates/flamingo-place/src/placer.rs
+++ b/crates/flamingo-place/src/placer.rs
@@ -49,9 +49,9 @@
     Send(Dispatch),
     /// Commit that an order has ended.
     Settle(Settlement),
-    /// Tell operators that a model has no copy and no room.
+    /// Tell operators that a model has no copy of its version and no room for one.
     Alarm(Missing),
-    /// Tell operators that a model has a copy again.
+    /// Tell operators that this is over.
     Clear(id::Model),
 }
 
--- a/crates/flamingo-place/src/plan.rs
+++ b/crates/flamingo-place/src/plan.rs
@@ -8,7 +8,7 @@
 use crate::demand::Wanted;
 use crate::room::{Found, Search};
 use crate::tally::Tally;
-use crate::view::{Copy, State, View};
+use crate::view::{Copy, Reach, State, View};
 use crate::weights::Weights;
 use flamingo_wire::config::{Model, Set};
 use flamingo_wire::id;
@@ -36,7 +36,7 @@
     pub spends: bool,
 }
 
-/// A model without any copy for which there is no room.
+/// A model without any copy of the wanted version, for which there is no room.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Missing {
     /// The model.
@@ -138,15 +138,19 @@
         for model in bare {
             let why = "first copy: no reachable replica holds the model";
             match Search::urgent(self, model).find() {
-                Found::Nothing(reason) => self.plan.missing.push(Missing {
-                    model: set.models[model].name.clone(),
-                    reason,
-                }),
+                Found::Nothing(reason) => self.miss(model, reason),
                 found => self.act(model, found, why, false),
             }
         }
     }
 
+    fn miss(&mut self, model: usize, reason: String) {
+        self.plan.missing.push(Missing {
+            model: self.input.set.models[model].name.clone(),
+            reason,
+        });
+    }
+
     /// Brings models to the version that the set names.
     fn roll(&mut self) {
         for model in 0..self.input.set.models.len() {
@@ -159,7 +163,8 @@
                 let name = &self.input.set.models[model];
                 let why = format!("roll to version {}", name.version);
                 match Search::urgent(self, model).find() {
-                    Found::Nothing(_) => {
+                    Found::Nothing(reason) => {
+                        self.miss(model, reason);
                         self.retire(model, "no room for both versions");
                     }
                     found => self.act(model, found, &why, false),
@@ -179,7 +184,8 @@
         let needed = self.input.set.models[model].footprint();
         let count = self.tally.models[model];
         let last = count.stays <= 1;
-        if last && (count.current > 0 || count.coming > 0) {
+        let waits = count.current > 0 || count.coming > 0 || !self.input.desperate[model];
+        if last && (waits || self.may_fit(model)) {
             return;
         }
         let places = self.input.view.places.iter().enumerate();
@@ -202,6 +208,23 @@
         self.unload(place, copy, why, false);
     }
 
+    /// Returns whether `model` may fit beside the copies that have to stay, now or
+    /// once what is in doubt is known.
+    fn may_fit(&self, model: usize) -> bool {
+        let needed = self.input.set.models[model].footprint();
+        let places = self.input.view.places.iter();
+        let mut places = places.filter(|place| place.reach != Reach::Gone && !place.drained);
+        places.any(|place| {
+            let stays = |copy: &&Copy| {
+                let model = copy.model.map(|model| self.tally.models[model]);
+                copy.state != State::Stray && model.is_some_and(|count| count.stays <= 1)
+            };
+            let fixed = place.copies.iter().filter(stays);
+            let fixed: id::Mebibytes = fixed.map(|copy| copy.memory).sum();
+            !place.stays() || place.size >= fixed + needed
+        })
+    }
+
     /// Gives models the copies that the set and their demand ask for.
     fn multiply(&mut self) {
         let set = self.input.set;
--- a/crates/flamingo-place/src/seat.rs
+++ b/crates/flamingo-place/src/seat.rs
@@ -215,7 +215,11 @@
         now: Instant,
     ) -> Vec<Held> {
         let mut copies: Vec<Held> = Vec::new();
-        let engine = self.engine();
+        // A report older than a settled order proves nothing: settled orders count.
+        let engine = self.engine().filter(|_| self.current());
+        if engine.is_none() {
+            copies.clone_from(&self.held);
+        }
         let shown = engine.map_or(&[][..], |engine| &engine.resident[..]);
         let loading = engine.map_or(&[][..], |engine| &engine.loading[..]);
         for copy in shown.iter().chain(loading) {
@@ -262,6 +266,20 @@
             .saturating_sub(self.committed(footprints, now))
     }
 
+    /// Returns whether `weights` are in memory, as far as that is known.
+    pub(crate) fn resident(&self, weights: &Weights) -> bool {
+        match self.engine().filter(|_| self.current()) {
+            Some(engine) => has(&engine.resident, weights),
+            None => self.held.iter().any(|held| held.weights == *weights),
+        }
+    }
+
+    /// Returns whether the engine says that it loads `weights`.
+    pub(crate) fn loading(&self, weights: &Weights) -> bool {
+        let engine = self.engine().filter(|_| self.current());
+        engine.is_some_and(|engine| has(&engine.loading, weights))
+    }
+
     /// Returns whether an order for `weights` may race another one.
     pub(crate) fn busy(&self, weights: &Weights, now: Instant) -> bool {
         let mut open = self.open.values();
@@ -327,6 +345,10 @@
     }
 }
 
+fn has(copies: &[Resident], weights: &Weights) -> bool {
+    copies.iter().any(|copy| Weights::of(copy) == *weights)
+}
+
 /// Returns the place of `report` among the reports of its target.
 pub(crate) fn place(report: &Announcement) -> Mark {
     Mark {
--- a/crates/flamingo-place/src/view.rs
+++ b/crates/flamingo-place/src/view.rs
@@ -13,6 +13,9 @@
 /// Silence after which a target's copies no longer count as reachable.
 pub const LOST: Duration = Duration::from_secs(15);
 
+/// Silence after which a target is no longer waited for.
+pub const GONE: Duration = Duration::from_mins(10);
+
 /// What a copy is doing.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, strum::Display)]
 #[strum(serialize_all = "kebab-case")]
@@ -31,6 +34,8 @@
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, strum::Display)]
 #[strum(serialize_all = "kebab-case")]
 pub enum Reach {
+    /// It has been silent for so long that it is not waited for.
+    Gone,
     /// It has been silent for too long.
     Lost,
     /// It reports, and is leaving or drained.
@@ -149,6 +154,7 @@
         let serving = report.is_none_or(|report| report.standing == Standing::Serving);
         let drained = self.drained.contains(target);
         let reach = match (alive, serving && !drained, seat.current()) {
+            _ if seat.heard + GONE <= self.now => Reach::Gone,
             (false, ..) => Reach::Lost,
             (true, false, _) => Reach::Aside,
             (true, true, false) => Reach::Likely,
@@ -172,11 +178,7 @@
     }
 
     fn copies(&self, seat: &Seat) -> SmallVec<[Copy; 6]> {
-        let held = if seat.report.is_some() {
-            seat.copies(&self.account.footprints, self.now)
-        } else {
-            seat.held.clone()
-        };
+        let held = seat.copies(&self.account.footprints, self.now);
         let copies = held.into_iter().map(|held| {
             let known = self.numbers.get(held.weights.model.as_str());
             Copy {
@@ -203,14 +205,10 @@
     if open.clone().any(ordered(true)) {
         return State::Unloading;
     }
-    let Some(engine) = seat.engine() else {
-        return State::Resident;
-    };
-    let is = |copy: &flamingo_wire::announce::Resident| Weights::of(copy) == *weights;
-    if engine.resident.iter().any(is) {
+    if seat.resident(weights) {
         return State::Resident;
     }
-    if open.any(ordered(false)) || engine.loading.iter().any(is) {
+    if open.any(ordered(false)) || seat.loading(weights) {
         return State::Loading;
     }
     State::Stray
