Route by a pure state machine and carry it out in the entry

Cause: the entry picked targets in turn, retried nothing, told every failure as 'may have run', and passed truncated answers off as whole.

Change: flamingo-route holds admission, queues, selection, attempts and limits as a state machine without clock, socket or task. The entry is an actor around it; each exchange with a target has a connection of its own; a stream is whole only with [DONE] and goes on at another engine or ends by an error event; calls with an idempotency key ask the ledger before they are dispatched.

Found on the way: the client library gives 'Connect(Disconnected)' for a connection that ended after the request was sent, follows redirects (a second send), and takes a closed connection for the end of a chunked body. Each is handled where it is seen.

Ruled out: reuse of connections, as a duplicated answer that comes after the next request was sent is read as that request's answer.

--- a/crates/flamingo-entry/src/daemon.rs
+++ b/crates/flamingo-entry/src/daemon.rs
@@ -1,17 +1,30 @@
 //! Starts and stops the daemon.
 
+use crate::desk::{Close, Desk, Inbox};
+use crate::exchange;
 use crate::http::{self, Shared};
-use crate::table::Table;
+use crate::known::Known;
+use crate::metric::Metric;
+use actix::{Actor, Arbiter, Context};
+use actix_web::dev::{ServerHandle, Service};
+use actix_web::http::ConnectionType;
 use actix_web::web::Data;
 use actix_web::{App, HttpServer};
-use awc::Client;
 use flamingo_link::Link;
+use flamingo_route::Limit;
 use flamingo_settings::entry::Settings;
+use flamingo_settings::serve::Serve;
 use flamingo_wire::frame::Seal;
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use std::error::Error;
 use std::future::Future;
 use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Time in which a caller must have sent a request's head.
+const HEAD: Duration = Duration::from_secs(5);
+/// Time for which an idle connection of a caller is kept.
+const IDLE: Duration = Duration::from_secs(15);
 
 /// Runs an entry instance until `stop` ends.
 ///
@@ -24,31 +37,99 @@
     stop: impl Future<Output = ()> + 'static,
 ) -> Result<(), Box<dyn Error>> {
     let seal = Seal::new(&settings.node.name, settings.node.key.as_bytes());
-    let table = Arc::new(Table::default());
-    let link = Link::start(&settings, seal, table.clone(), log.clone());
+    let known = Arc::new(Known::default());
+    let metric = Metric::new()?;
+    let serve = settings.serve.clone();
+    let arbiter = Arbiter::new();
+    let desk = start_desk(&arbiter, &settings, &metric, &log);
+    let inbox = Inbox {
+        desk: desk.clone(),
+        known: Arc::clone(&known),
+    };
+    let link = Link::start(&settings, seal, Arc::new(inbox), log.clone());
     let node = settings.node;
     let shared = Shared {
-        table,
+        desk: desk.clone(),
+        known: Arc::clone(&known),
         link,
+        metric,
+        serve: serve.clone(),
         log: log.clone(),
     };
     let server = HttpServer::new(move || {
+        let known = Arc::clone(&shared.known);
         App::new()
             .app_data(Data::new(shared.clone()))
-            .app_data(Data::new(Client::default()))
+            .app_data(Data::new(exchange::client()))
+            .wrap_fn(move |request, next| {
+                let known = Arc::clone(&known);
+                let answer = next.call(request);
+                async move {
+                    let mut answer = answer.await?;
+                    if known.stopping() {
+                        // An idle connection would hold up the stop.
+                        let head = answer.response_mut().head_mut();
+                        head.set_connection_type(ConnectionType::Close);
+                    }
+                    Ok(answer)
+                }
+            })
             .configure(http::routes)
     })
-    .workers(1)
+    .workers(serve.workers)
+    .max_connections(serve.connections)
+    .client_request_timeout(HEAD)
+    .keep_alive(IDLE)
+    .h1_allow_half_closed(false)
+    .shutdown_timeout(serve.bound.as_secs().max(1))
     .disable_signals()
     .bind(node.http)?
     .run();
     info!(log, "entry ready"; "http" => %node.http, "zone" => &node.zone);
-    let handle = server.handle();
-    actix_rt::spawn(async move {
-        stop.await;
-        handle.stop(true).await;
-    });
+    actix_rt::spawn(end(stop, known, serve, server.handle(), log.clone()));
     server.await?;
-    info!(log, "entry stopped");
+    let left = desk.send(Close).await.unwrap_or_default();
+    arbiter.stop();
+    if left > 0 {
+        warn!(log, "entry stopped with requests unfinished"; "requests" => left);
+    } else {
+        info!(log, "entry stopped"; "requests" => left);
+    }
     Ok(())
 }
+
+fn start_desk(
+    arbiter: &Arbiter,
+    settings: &Settings,
+    metric: &Metric,
+    log: &Logger,
+) -> actix::Addr<Desk> {
+    let mut seed = [0; 8];
+    // Without entropy all entries choose alike, which is only a worse spread.
+    let _ = getrandom::fill(&mut seed);
+    let limit = Limit {
+        adapter_loads: settings.serve.adapter_loads,
+        ..Limit::default()
+    };
+    let seed = u64::from_le_bytes(seed);
+    let zone = settings.node.zone.clone();
+    let desk = Desk::new(zone, limit, seed, metric.clone(), log.clone());
+    Desk::start_in_arbiter(&arbiter.handle(), move |_: &mut Context<Desk>| desk)
+}
+
+/// Stops in steps: not ready, then no new connections, then the end of what runs.
+async fn end(
+    stop: impl Future<Output = ()>,
+    known: Arc<Known>,
+    serve: Serve,
+    server: ServerHandle,
+    log: Logger,
+) {
+    stop.await;
+    known.stop();
+    let deadline = Instant::now() + serve.linger;
+    info!(log, "stopping: not ready any more, still accepting");
+    tokio::time::sleep_until(deadline.into()).await;
+    info!(log, "stopping: no new connections, running requests end");
+    server.stop(true).await;
+}
--- a/crates/flamingo-entry/src/http.rs
+++ b/crates/flamingo-entry/src/http.rs
@@ -1,175 +1,196 @@
 //! The HTTP interface of an entry.
 
-use crate::table::Table;
-use actix_web::http::header;
-use actix_web::web::{self, Bytes, Data, Json, Path, ServiceConfig};
+use crate::desk::Desk;
+use crate::known::Known;
+use crate::metric::Metric;
+use crate::{call, completion};
+use actix::Addr;
+use actix_web::web::{self, Data, Json, JsonConfig, ServiceConfig};
 use actix_web::{HttpRequest, HttpResponse};
-use awc::Client;
 use flamingo_daemon::answer;
 use flamingo_link::Link;
+use flamingo_settings::serve::Serve;
+use flamingo_wire::admin::Query;
 use flamingo_wire::announce::{Announcement, Kind};
 use flamingo_wire::config::Change;
 use flamingo_wire::control::{Reply, Request};
 use flamingo_wire::fault::Reason;
-use flamingo_wire::{Fault, Verdict, id};
-use serde::Deserialize;
+use flamingo_wire::{Fault, id};
 use serde_json::json;
-use slog::{Logger, info};
+use slog::{Logger, warn};
 use std::sync::Arc;
 
+/// Largest announcement of a target, in bytes.
+const ANNOUNCEMENT: usize = 1 << 20;
+/// Largest wish of an operator, in bytes.
+const CHANGE: usize = 16 << 20;
+/// Longest name that a target may announce, in bytes.
+const NAME: usize = 256;
+/// Model copies that a target may announce.
+const COPIES: usize = 1_024;
+
 /// What the handlers share.
 #[derive(Clone, Debug)]
 pub struct Shared {
-    /// What the entry last knew.
-    pub table: Arc<Table>,
-    /// The link to the control instances.
+    /// The actor that decides.
+    pub desk: Addr<Desk>,
+    /// What every worker knows.
+    pub known: Arc<Known>,
+    /// The link to the rest of the system.
     pub link: Link,
+    /// The metrics.
+    pub metric: Metric,
+    /// Bounds of the service to callers.
+    pub serve: Serve,
     /// The log.
     pub log: Logger,
 }
 
 /// Adds the routes.
 pub fn routes(config: &mut ServiceConfig) {
+    let announcement = web::resource("/targets/announce")
+        .app_data(json_limit(ANNOUNCEMENT))
+        .route(web::post().to(announce));
+    let change = web::resource("/admin/config")
+        .app_data(json_limit(CHANGE))
+        .route(web::get().to(show))
+        .route(web::post().to(apply));
+    let query = web::resource("/admin/query")
+        .app_data(json_limit(CHANGE))
+        .route(web::post().to(query));
     config
-        .route("/v1/chat/completions", web::post().to(complete))
-        .route("/v1/completions", web::post().to(complete))
+        .route("/v1/chat/completions", web::post().to(completion::serve))
+        .route("/v1/completions", web::post().to(completion::serve))
         .route("/v1/models", web::get().to(models))
-        .route("/services/{service}/{path:.*}", web::to(service))
-        .route("/targets/announce", web::post().to(announce))
-        .route("/admin/config", web::get().to(show))
-        .route("/admin/config", web::post().to(apply))
-        .route("/healthz", web::get().to(HttpResponse::Ok));
+        .route("/services/{service}/{path:.*}", web::to(call::serve))
+        .service(announcement)
+        .service(change)
+        .service(query)
+        .route("/healthz", web::get().to(HttpResponse::Ok))
+        .route("/readyz", web::get().to(ready))
+        .route("/metrics", web::get().to(metrics))
+        .default_service(web::to(unknown));
 }
 
-#[derive(Debug, Deserialize)]
-struct Ask {
-    model: id::Model,
+fn json_limit(bytes: usize) -> JsonConfig {
+    JsonConfig::default()
+        .limit(bytes)
+        .error_handler(|error, _| {
+            let message = format!("the body can't be read: {error}");
+            let fault = Fault::not_run(Reason::Invalid, message, "send JSON as docs/API.md says");
+            let answer = answer::refuse(&fault, &request_id());
+            actix_web::error::InternalError::from_response(error, answer).into()
+        })
 }
 
-async fn complete(
-    shared: Data<Shared>,
-    client: Data<Client>,
-    request: HttpRequest,
-    body: Bytes,
-) -> HttpResponse {
-    let id = request_id();
-    let Ok(ask) = serde_json::from_slice::<Ask>(&body) else {
-        let fault = Fault::not_run(
-            Reason::Invalid,
-            "the body is not JSON with a 'model'",
-            "see API",
-        );
-        return answer::refuse(&fault, &id);
-    };
-    let wanted = |kind: &Kind| match kind {
-        Kind::Engine(engine) => engine.resident.iter().any(|copy| copy.model == ask.model),
-        Kind::Service(_) => false,
-    };
-    let Some(target) = shared.table.pick(wanted) else {
-        let message = format!("no target holds model '{}'", ask.model);
-        let fault = Fault::not_run(Reason::Unknown, message, "see GET /v1/models");
-        return answer::refuse(&fault.retry_after(1), &id);
-    };
-    info!(shared.log, "routed"; "request" => &id, "model" => &ask.model, "target" => &target.target);
-    forward(&client, &request, request.path(), body, &target, &id).await
+async fn unknown(request: HttpRequest) -> HttpResponse {
+    let message = format!("no {} {}", request.method(), request.path());
+    let fault = Fault::not_run(Reason::Unknown, message, "see docs/API.md");
+    answer::refuse(&fault, &request_id())
 }
 
-async fn service(
-    shared: Data<Shared>,
-    client: Data<Client>,
-    request: HttpRequest,
-    path: Path<Call>,
-    body: Bytes,
-) -> HttpResponse {
-    let id = request_id();
-    let wanted = |kind: &Kind| match kind {
-        Kind::Service(service) => service.name == path.service,
-        Kind::Engine(_) => false,
+async fn ready(shared: Data<Shared>) -> HttpResponse {
+    let fault = if shared.known.stopping() {
+        Fault::not_run(Reason::Stopping, "the entry is stopping", "use another")
+    } else if shared.known.config().version == 0 {
+        let message = "no configuration is in force yet";
+        Fault::not_run(Reason::Leaderless, message, "ask again").retry_after(1)
+    } else {
+        return HttpResponse::Ok().finish();
     };
-    let Some(target) = shared.table.pick(wanted) else {
-        let message = format!("no target serves '{}'", path.service);
-        let fault = Fault::not_run(Reason::Unknown, message, "see flamingoctl target");
-        return answer::refuse(&fault.retry_after(1), &id);
-    };
-    info!(shared.log, "routed"; "request" => &id, "service" => &path.service, "target" => &target.target);
-    forward(
-        &client,
-        &request,
-        &format!("/{}", path.path),
-        body,
-        &target,
-        &id,
-    )
-    .await
+    answer::refuse(&fault, &request_id())
 }
 
-#[derive(Debug, Deserialize)]
-struct Call {
-    service: id::Service,
-    path: String,
-}
-
-async fn forward(
-    client: &Client,
-    request: &HttpRequest,
-    path: &str,
-    body: Bytes,
-    target: &Announcement,
-    id: &str,
-) -> HttpResponse {
-    let url = format!("http://{}{path}", target.address);
-    let mut sent = client
-        .request(request.method().clone(), url)
-        .insert_header(("x-request-id", id));
-    if let Some(content) = request.headers().get(header::CONTENT_TYPE) {
-        sent = sent.insert_header((header::CONTENT_TYPE, content));
-    }
-    match sent.send_body(body).await {
-        Ok(reply) => {
-            let mut answer = HttpResponse::build(reply.status());
-            if let Some(content) = reply.headers().get(header::CONTENT_TYPE) {
-                answer.insert_header((header::CONTENT_TYPE, content));
-            }
-            answer.insert_header(("x-request-id", id));
-            answer.streaming(reply)
-        }
-        Err(error) => {
-            let message = format!("target '{}': {error}", target.target);
-            let help = "the call may have run; repeat it only if it is idempotent";
-            let fault = Fault::not_run(Reason::Target, message, help);
-            answer::refuse(&fault.verdict(Verdict::MayHaveRun), id)
-        }
-    }
+async fn metrics(shared: Data<Shared>) -> HttpResponse {
+    HttpResponse::Ok()
+        .content_type("text/plain; version=0.0.4")
+        .body(shared.metric.text())
 }
 
 async fn models(shared: Data<Shared>) -> HttpResponse {
-    let models = shared.table.config().set.models;
-    let list: Vec<_> = models
-        .iter()
-        .map(|model| json!({"id": model.name, "object": "model"}))
+    let config = shared.known.config();
+    let models = config.set.models.iter();
+    let names = models.flat_map(|model| {
+        let adapters = model.adapters.iter().map(|adapter| &adapter.name);
+        std::iter::once(&model.name).chain(adapters)
+    });
+    let list: Vec<_> = names
+        .map(|name| json!({"id": name, "object": "model"}))
         .collect();
-    HttpResponse::Ok().json(json!({"object": "list", "data": list}))
+    HttpResponse::Ok()
+        .insert_header(("x-request-id", request_id()))
+        .json(json!({"object": "list", "data": list}))
 }
 
 async fn announce(shared: Data<Shared>, announcement: Json<Announcement>) -> HttpResponse {
-    shared.link.announce(announcement.into_inner());
+    let announcement = announcement.into_inner();
+    if let Some(message) = problem(&announcement) {
+        warn!(shared.log, "announcement refused"; "message" => message);
+        let help = "see docs/API.md for the bounds of an announcement";
+        let fault = Fault::not_run(Reason::Invalid, message, help);
+        return answer::refuse(&fault, &request_id());
+    }
+    shared.link.announce(announcement);
     HttpResponse::NoContent().finish()
 }
 
+/// Returns what is wrong with an announcement.
+fn problem(announcement: &Announcement) -> Option<&'static str> {
+    let names = [&announcement.target, &announcement.zone];
+    let fits = |name: &String| !name.is_empty() && name.len() <= NAME;
+    if !names.into_iter().all(fits) {
+        return Some("'target' and 'zone' must have 1 to 256 bytes");
+    }
+    match &announcement.kind {
+        Kind::Service(service) if !fits(&service.name) => {
+            Some("the service's name must have 1 to 256 bytes")
+        }
+        Kind::Engine(engine) if engine.resident.len() > COPIES => {
+            Some("more than 1024 resident copies")
+        }
+        Kind::Engine(engine) if !engine.resident.iter().all(|copy| fits(&copy.model)) => {
+            Some("a model's name must have 1 to 256 bytes")
+        }
+        _ => None,
+    }
+}
+
 async fn show(shared: Data<Shared>) -> HttpResponse {
-    HttpResponse::Ok().json(Reply::Config(shared.table.config()))
+    let config = shared.known.config();
+    HttpResponse::Ok().json(Reply::Config(config.as_ref().clone()))
 }
 
 async fn apply(shared: Data<Shared>, change: Json<Change>) -> HttpResponse {
-    match shared.link.ask(&Request::Apply(change.into_inner())).await {
-        Reply::Refused(fault) => answer::refuse(&fault, ""),
+    ask(&shared, &Request::Apply(change.into_inner())).await
+}
+
+async fn query(shared: Data<Shared>, query: Json<Query>) -> HttpResponse {
+    ask(&shared, &Request::Admin(query.into_inner())).await
+}
+
+async fn ask(shared: &Shared, request: &Request) -> HttpResponse {
+    match shared.link.ask(request).await {
+        Reply::Refused(fault) => answer::refuse(&fault, &request_id()),
         reply => HttpResponse::Ok().json(reply),
     }
 }
 
-fn request_id() -> id::Request {
-    let mut bytes = [0; 8];
-    // Without entropy the id is all zeros, which only makes the logs harder to read.
-    let _ = getrandom::fill(&mut bytes);
-    format!("req-{:016x}", u64::from_le_bytes(bytes))
+/// Gives an identity to a request.
+#[must_use]
+pub fn request_id() -> id::Request {
+    let mut bytes = [0; 16];
+    if getrandom::fill(&mut bytes).is_err() {
+        // Without entropy the clock and a counter still tell requests apart.
+        return fallback_id();
+    }
+    format!("req-{:032x}", u128::from_le_bytes(bytes))
+}
+
+fn fallback_id() -> id::Request {
+    use std::sync::atomic::{AtomicU64, Ordering};
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    let nanos = now.map_or(0, |now| now.as_nanos());
+    let next = NEXT.fetch_add(1, Ordering::Relaxed);
+    format!("req-{}-{nanos}-{next}", std::process::id())
 }
--- /dev/null
+++ b/crates/flamingo-route/src/target.rs
@@ -0,0 +1,168 @@
+//! A target as the decisions see it.
+
+use crate::health::Health;
+use crate::limit::Limit;
+use crate::request::{Chain, Live, Pool};
+use crate::slot::{Count, Slot};
+use flamingo_wire::announce::{Announcement, Kind, Standing};
+use flamingo_wire::id;
+use std::collections::{BTreeMap, VecDeque};
+use std::time::{Duration, Instant};
+
+/// Prefixes remembered per target; a hint of what its prefix cache holds.
+const PREFIXES: usize = 512;
+/// Time for which an own adapter load counts before a report must show it.
+const OWN_LOAD: Duration = Duration::from_secs(3);
+/// Time from a request's arrival at an idle engine to its first token.
+const BASE: Duration = Duration::from_millis(10);
+
+/// One target.
+#[derive(Debug)]
+pub struct Target {
+    /// Its newest announcement.
+    pub known: Announcement,
+    /// Its failure memory.
+    pub health: Health,
+    /// Whether it is silent.
+    pub suspect: bool,
+    /// Whether operators drain it.
+    pub drained: bool,
+    /// Requests of others that its last report counts.
+    others: u32,
+    slots: Count,
+    loaded: BTreeMap<id::Adapter, Instant>,
+    prefixes: BTreeMap<u64, u32>,
+    recent: VecDeque<u64>,
+}
+
+impl Target {
+    /// Builds a target from its first announcement.
+    #[must_use]
+    pub fn new(known: Announcement, drained: bool) -> Self {
+        let others = known.load.running + known.load.waiting;
+        Self {
+            known,
+            health: Health::default(),
+            suspect: false,
+            drained,
+            others,
+            slots: Count::default(),
+            loaded: BTreeMap::new(),
+            prefixes: BTreeMap::new(),
+            recent: VecDeque::new(),
+        }
+    }
+
+    /// Takes a newer announcement.
+    pub fn update(&mut self, known: Announcement) {
+        if known.incarnation != self.known.incarnation {
+            self.health = Health::default();
+            self.loaded.clear();
+            self.prefixes.clear();
+            self.recent.clear();
+        }
+        let counted = known.load.running + known.load.waiting;
+        self.others = counted.saturating_sub(self.slots.taken());
+        self.suspect = false;
+        self.known = known;
+    }
+
+    /// Returns the pools that it serves.
+    pub fn pools(&self) -> Vec<Pool> {
+        match &self.known.kind {
+            Kind::Engine(engine) => {
+                let models = engine.resident.iter().map(|copy| copy.model.clone());
+                let mut models: Vec<_> = models.map(Pool::Model).collect();
+                models.sort();
+                models.dedup();
+                models
+            }
+            Kind::Service(service) => vec![Pool::Service(service.name.clone())],
+        }
+    }
+
+    /// Returns whether it takes new work now.
+    #[must_use]
+    pub fn takes(&self, now: Instant) -> bool {
+        self.known.standing == Standing::Serving
+            && !self.suspect
+            && !self.drained
+            && self.health.open(now)
+    }
+
+    /// Returns the estimate of requests at it: own ones, and others' by its last report.
+    #[must_use]
+    pub fn busy(&self) -> u32 {
+        self.others + self.slots.taken()
+    }
+
+    /// Returns the own requests at it.
+    #[must_use]
+    pub fn own(&self) -> u32 {
+        self.slots.taken()
+    }
+
+    /// Takes a slot.
+    pub fn take(&mut self) -> Slot {
+        self.slots.take()
+    }
+
+    /// Gives a slot back.
+    pub fn release(&mut self, slot: Slot) {
+        self.slots.release(slot);
+    }
+
+    /// Returns whether `adapter` is loaded with `model`.
+    #[must_use]
+    pub fn adapted(&self, model: &str, adapter: &str, now: Instant) -> bool {
+        let own = self.loaded.get(adapter);
+        if own.is_some_and(|loaded| now < *loaded + OWN_LOAD) {
+            return true;
+        }
+        let engine = self.known.engine();
+        engine.is_some_and(|engine| {
+            let mut copies = engine.resident.iter();
+            copies.any(|copy| copy.model == model && copy.adapters.iter().any(|one| one == adapter))
+        })
+    }
+
+    /// Notes an own load of `adapter`.
+    pub fn loaded(&mut self, adapter: &str, now: Instant) {
+        self.loaded.insert(adapter.to_owned(), now);
+    }
+
+    /// Notes that a prompt went to it, so that its prefixes are likely cached.
+    pub fn prompted(&mut self, chain: &Chain) {
+        for prefix in chain {
+            if self.prefixes.insert(prefix.hash, prefix.tokens).is_none() {
+                self.recent.push_back(prefix.hash);
+            }
+        }
+        while self.recent.len() > PREFIXES {
+            if let Some(oldest) = self.recent.pop_front() {
+                self.prefixes.remove(&oldest);
+            }
+        }
+    }
+
+    /// Predicts the time to the first token of `live` if it were sent now.
+    #[must_use]
+    pub fn predict(&self, live: &Live, zone: &str, limit: &Limit, now: Instant) -> Duration {
+        let mut time = BASE;
+        let cached = live.prefix.iter().rev();
+        let mut cached = cached.filter_map(|prefix| self.prefixes.get(&prefix.hash));
+        let uncached = live.tokens() - cached.next().copied().unwrap_or(0).min(live.tokens());
+        let prefill = Duration::from_millis(u64::from(uncached / limit.prefill_rate.max(1)));
+        let slots = limit.engine_slots.max(1);
+        time += prefill + (prefill + BASE) * self.busy() / slots;
+        if let (Pool::Model(model), Some(adapter)) = (&live.pool, &live.adapter)
+            && !self.adapted(model, adapter, now)
+        {
+            time += limit.adapter_load;
+        }
+        if self.known.zone != zone {
+            time += limit.zone_distance;
+        }
+        time
+    }
+}
--- a/crates/flamingo-settings/src/entry.rs
+++ b/crates/flamingo-settings/src/entry.rs
@@ -1,6 +1,7 @@
 //! Settings of an entry instance.
 
 use crate::node::Node;
+use crate::serve::Serve;
 use crate::{Error, Reader};
 use std::net::SocketAddr;
 use std::path::Path;
@@ -12,6 +13,8 @@
     pub node: Node,
     /// Inner addresses of some entries of the same zone.
     pub seeds: Vec<SocketAddr>,
+    /// Bounds of its service to callers.
+    pub serve: Serve,
 }
 
 impl Settings {
@@ -29,6 +32,11 @@
     fn read(reader: &mut Reader) -> Option<Self> {
         let node = Node::read(reader);
         let seeds = reader.list("entry", "seeds", "ip:port, separated by commas");
-        Some(Self { node: node?, seeds })
+        let serve = Serve::read(reader);
+        Some(Self {
+            node: node?,
+            seeds,
+            serve,
+        })
     }
 }
--- a/crates/flamingo-settings/src/lib.rs
+++ b/crates/flamingo-settings/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod entry;
 pub mod node;
 pub mod reader;
+pub mod serve;
 pub mod set;
 
 pub use reader::{Error, Problem, Reader};
--- a/crates/flamingolink/src/main.rs
+++ b/crates/flamingolink/src/main.rs
@@ -49,6 +49,7 @@
     let entry = entry::Settings {
         node: node("entry-1", ENTRY, ENTRY_INNER)?,
         seeds: Vec::new(),
+        serve: flamingo_settings::serve::Serve::default(),
     };
     let http: SocketAddr = ENTRY.parse()?;
     let resident: Vec<_> = set
