--- a/crates/flamingo-settings/src/lib.rs
+++ b/crates/flamingo-settings/src/lib.rs
@@ -3,8 +3,10 @@
 
 pub mod control;
 pub mod entry;
+pub mod keys;
 pub mod node;
 pub mod reader;
 pub mod set;
+pub mod tls;
 
 pub use reader::{Error, Problem, Reader};
--- a/crates/flamingo-settings/src/node.rs
+++ b/crates/flamingo-settings/src/node.rs
@@ -1,9 +1,13 @@
 //! What both daemons are told of themselves.
 
 use crate::Reader;
+use crate::keys::Keys;
+use crate::tls::Tls;
 use flamingo_wire::id;
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::str::FromStr;
+use std::time::Duration;
 
 /// A process of this system that is named in settings, as `name@ip:port`.
 ///
@@ -42,6 +46,8 @@
     pub name: id::Node,
     /// Its availability zone.
     pub zone: id::Zone,
+    /// Its region.
+    pub region: id::Region,
     /// Where it takes HTTP from callers, targets and operators.
     pub http: SocketAddr,
     /// Where it takes the inner protocol.
@@ -52,35 +58,95 @@
     pub controls: Vec<Peer>,
     /// Level of the log.
     pub level: String,
+    /// Keys of callers, operators and targets.
+    pub keys: Keys,
+    /// Certificate and key of the outer listener.
+    pub tls: Option<Tls>,
+    /// Longest time that a planned stop waits for running requests.
+    pub grace: Duration,
 }
 
-const NAME: &str = "letters, digits and '-'";
 const ADDRESS: &str = "ip:port";
 const PEERS: &str = "name@ip:port, separated by commas";
 
+const LEVELS: [&str; 4] = ["error", "warning", "info", "debug"];
+const KEY: &str = "a secret of at least 8 characters, the same on every instance";
+const KEY_LEN: usize = 8;
+/// Longest planned stop, in milliseconds.
+const GRACE_MAX: u64 = 3_600_000;
+/// Planned stop where the settings name none, in milliseconds.
+const GRACE: u64 = 60_000;
+
 impl Node {
     /// Reads the sections that both daemons have.
     pub fn read(reader: &mut Reader) -> Option<Self> {
-        let name = reader.need("node", "name", NAME);
-        let zone = reader.need("node", "zone", NAME);
+        let name = reader.name("node", "name");
+        let zone = reader.name("node", "zone");
+        let region = reader.or("node", "region", "local".to_owned(), "a name");
         let http = reader.need("listen", "http", ADDRESS);
         let inner = reader.need("listen", "inner", ADDRESS);
-        let key = reader.need("inner", "key", "a secret text, the same on every instance");
+        let key = secret(reader);
         let controls = reader.list("control", "members", PEERS);
-        let level = reader.or(
-            "log",
-            "level",
-            "info".to_owned(),
-            "error, warning, info or debug",
-        );
+        let level = level(reader);
+        let keys = Keys::read(reader);
+        let tls = Tls::read(reader);
+        let grace = reader.within("stop", "grace_ms", GRACE, 0..=GRACE_MAX);
         Some(Self {
             name: name?,
             zone: zone?,
+            region,
             http: http?,
             inner: inner?,
             key: key?,
             controls,
             level,
+            keys,
+            tls,
+            grace: Duration::from_millis(grace),
         })
     }
 }
+
+fn level(reader: &mut Reader) -> String {
+    let allowed = LEVELS.join(", ");
+    let level = reader.or("log", "level", "info".to_owned(), &allowed);
+    if !LEVELS.contains(&level.as_str()) {
+        reader.problem("log", "level", &format!("'{level}'"), &allowed);
+    }
+    level
+}
+
+/// Reads the inner key, from the settings or from a file of its own.
+fn secret(reader: &mut Reader) -> Option<String> {
+    let inline = reader.raw("inner", "key");
+    let file = reader.raw("inner", "key_file").map(PathBuf::from);
+    let secret = match (inline, file) {
+        (Some(_), Some(_)) => {
+            reader.problem(
+                "inner",
+                "key_file",
+                "given beside 'key'",
+                "only one of the two",
+            );
+            return None;
+        }
+        (None, None) => {
+            reader.problem("inner", "key", "missing", KEY);
+            return None;
+        }
+        (Some(secret), None) => secret,
+        (None, Some(path)) => from_file(reader, &path)?,
+    };
+    if secret.len() < KEY_LEN {
+        // The value itself stays out of the message: it is a secret.
+        reader.problem("inner", "key", "a shorter text", KEY);
+        return None;
+    }
+    Some(secret)
+}
+
+fn from_file(reader: &mut Reader, path: &Path) -> Option<String> {
+    reader.readable("inner", "key_file", path, "a file that holds the key");
+    let text = std::fs::read_to_string(path).ok()?;
+    Some(text.trim().to_owned())
+}
--- a/crates/flamingo-settings/src/reader.rs
+++ b/crates/flamingo-settings/src/reader.rs
@@ -51,6 +51,23 @@
     }
 }
 
+/// What a name may hold.
+pub const NAME: &str = "1 to 64 letters, digits, '-', '_' and '.'";
+/// Longest name, in bytes.
+const NAME_LEN: usize = 64;
+
+/// Returns whether `text` can name an instance, a zone, a model and so on.
+///
+/// ```
+/// assert!(flamingo_settings::reader::is_name("seq-a"));
+/// assert!(!flamingo_settings::reader::is_name("seq a"));
+/// ```
+#[must_use]
+pub fn is_name(text: &str) -> bool {
+    let fits = |letter: char| letter.is_ascii_alphanumeric() || "-_.".contains(letter);
+    !text.is_empty() && text.len() <= NAME_LEN && text.chars().all(fits)
+}
+
 /// A key that was asked for.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct Place {
@@ -87,12 +104,43 @@
     pub fn parse(path: &Path, text: &str) -> Result<Self, Error> {
         let ini = Ini::load_from_str(text)
             .map_err(|error| Error::File(path.to_owned(), error.to_string()))?;
-        Ok(Self {
+        let mut reader = Self {
             file: path.to_owned(),
             ini,
             asked: BTreeSet::new(),
             problems: Vec::new(),
-        })
+        };
+        reader.refuse_repeats(text);
+        Ok(reader)
+    }
+
+    /// Notes sections and keys that stand twice: the INI library would merge them.
+    fn refuse_repeats(&mut self, text: &str) {
+        let mut sections = BTreeSet::new();
+        let mut keys = BTreeSet::new();
+        let mut section = String::new();
+        for line in text.lines().map(str::trim) {
+            if let Some(name) = line
+                .strip_prefix('[')
+                .and_then(|rest| rest.strip_suffix(']'))
+            {
+                name.trim().clone_into(&mut section);
+                keys.clear();
+                if !sections.insert(section.clone()) {
+                    self.problem(
+                        &section,
+                        "",
+                        "a section that stands twice",
+                        "one of each name",
+                    );
+                }
+            } else if let Some((key, _)) = line.split_once('=').filter(|_| !is_comment(line)) {
+                let key = key.trim().to_owned();
+                if !keys.insert(key.clone()) {
+                    self.problem(&section, &key, "a key that stands twice", "one of each key");
+                }
+            }
+        }
     }
 
     /// Returns the names of the sections that start with `prefix`, without it.
@@ -148,6 +196,41 @@
             .collect()
     }
 
+    /// Notes a problem where the file at `path` can't be read.
+    pub fn readable(&mut self, section: &str, key: &str, path: &Path, allowed: &str) {
+        if let Err(error) = std::fs::File::open(path) {
+            let seen = format!("'{}': {error}", path.display());
+            self.problem(section, key, &seen, allowed);
+        }
+    }
+
+    /// Returns a number that must lie in `range`, or `default` where the key is missing.
+    pub fn within(
+        &mut self,
+        section: &str,
+        key: &str,
+        default: u64,
+        range: std::ops::RangeInclusive<u64>,
+    ) -> u64 {
+        let allowed = format!("a whole number from {} to {}", range.start(), range.end());
+        let value = self.or(section, key, default, &allowed);
+        if range.contains(&value) {
+            return value;
+        }
+        self.problem(section, key, &format!("'{value}'"), &allowed);
+        default
+    }
+
+    /// Returns a name of letters, digits, '-', '_' and '.' that must be there.
+    pub fn name(&mut self, section: &str, key: &str) -> Option<String> {
+        let value: String = self.need(section, key, NAME)?;
+        if is_name(&value) {
+            return Some(value);
+        }
+        self.problem(section, key, &format!("'{value}'"), NAME);
+        None
+    }
+
     /// Notes a problem.
     pub fn problem(&mut self, section: &str, key: &str, seen: &str, allowed: &str) {
         self.problems.push(Problem {
@@ -188,8 +271,15 @@
 
     fn refuse_unknown(&mut self) {
         let mut unknown = Vec::new();
-        for (section, properties) in &self.ini {
-            let section = section.unwrap_or_default();
+        for (name, properties) in &self.ini {
+            let section = name.unwrap_or_default();
+            let asked = self.asked.iter().any(|place| place.section == section);
+            if properties.is_empty() && name.is_some() && !asked {
+                unknown.push(Place {
+                    section: section.to_owned(),
+                    key: String::new(),
+                });
+            }
             for (key, _) in properties {
                 let place = Place {
                     section: section.to_owned(),
@@ -202,7 +292,12 @@
         }
         for place in unknown {
             let known = self.known(&place.section);
-            self.problem(&place.section, &place.key, "unknown key", &known);
+            let seen = if place.key.is_empty() {
+                "unknown section"
+            } else {
+                "unknown key"
+            };
+            self.problem(&place.section, &place.key, seen, &known);
         }
     }
 
@@ -215,3 +310,7 @@
         format!("one of {}", keys.join(", "))
     }
 }
+
+fn is_comment(line: &str) -> bool {
+    line.starts_with([';', '#'])
+}
--- a/crates/flamingo-settings/src/set.rs
+++ b/crates/flamingo-settings/src/set.rs
@@ -3,12 +3,18 @@
 //! Sections are `[profile NAME]`, `[model NAME]`, `[adapter NAME]` (with the
 //! key `model`) and `[service NAME]`.
 
+use crate::reader::{NAME, is_name};
 use crate::{Error, Reader};
 use flamingo_wire::config::{Adapter, Late, Model, Profile, Service, Set};
 use flamingo_wire::id;
+use std::fmt::Write;
 use std::path::Path;
 use std::time::Duration;
 
+/// Requests that one replica of a service takes at once, where the set names none.
+const CONCURRENCY: u64 = 8;
+const CONCURRENCY_MAX: u64 = 65_536;
+const PREFIXES: [&str; 4] = ["profile ", "model ", "adapter ", "service "];
 const MILLIS: &str = "a whole number of milliseconds from 1 to 86400000";
 const MEBIBYTES: &str = "a whole number of MiB";
 
@@ -44,6 +50,7 @@
 }
 
 fn read(reader: &mut Reader) -> Set {
+    refuse_odd_names(reader);
     let profiles = reader.sections("profile ");
     let profiles = profiles
         .into_iter()
@@ -69,6 +76,81 @@
     }
 }
 
+/// Notes names that are not names.
+fn refuse_odd_names(reader: &mut Reader) {
+    for prefix in PREFIXES {
+        for name in reader.sections(prefix) {
+            if !is_name(&name) {
+                reader.problem(&format!("{prefix}{name}"), "", "an odd name", NAME);
+            }
+        }
+    }
+}
+
+/// Writes a set as INI; [`parse`] reads it back.
+///
+/// ```
+/// use flamingo_settings::set;
+/// use std::path::Path;
+///
+/// let text = "[model notes]\nweights = 8000\ncache = 2000\n";
+/// let set = set::parse(Path::new("set.ini"), text).unwrap();
+/// let again = set::parse(Path::new("set.ini"), &set::format(&set)).unwrap();
+/// assert_eq!(set, again);
+/// ```
+#[must_use]
+pub fn format(set: &Set) -> String {
+    let mut text = String::new();
+    for profile in &set.profiles {
+        // Writing to a String can't fail.
+        let _ = write_profile(&mut text, profile);
+    }
+    for model in &set.models {
+        let _ = write_model(&mut text, model);
+    }
+    for service in &set.services {
+        let _ = write_service(&mut text, service);
+    }
+    text
+}
+
+fn write_profile(out: &mut String, profile: &Profile) -> std::fmt::Result {
+    writeln!(out, "[profile {}]", profile.name)?;
+    writeln!(out, "rank = {}", profile.rank)?;
+    writeln!(out, "first_token_ms = {}", profile.first_token.as_millis())?;
+    writeln!(
+        out,
+        "between_tokens_ms = {}",
+        profile.between_tokens.as_millis()
+    )?;
+    writeln!(out, "patience_ms = {}", profile.patience.as_millis())?;
+    writeln!(out, "late = {}\n", profile.late)
+}
+
+fn write_model(out: &mut String, model: &Model) -> std::fmt::Result {
+    writeln!(out, "[model {}]", model.name)?;
+    writeln!(out, "version = {}", model.version)?;
+    writeln!(out, "weights = {}", model.weights)?;
+    writeln!(out, "cache = {}", model.cache)?;
+    writeln!(out, "copies = {}", model.copies)?;
+    writeln!(out, "importance = {}\n", model.importance)?;
+    for adapter in &model.adapters {
+        writeln!(out, "[adapter {}]", adapter.name)?;
+        writeln!(out, "model = {}", model.name)?;
+        writeln!(out, "memory = {}\n", adapter.memory)?;
+    }
+    Ok(())
+}
+
+fn write_service(out: &mut String, service: &Service) -> std::fmt::Result {
+    writeln!(out, "[service {}]", service.name)?;
+    if !service.idempotent.is_empty() {
+        writeln!(out, "idempotent = {}", service.idempotent.join(", "))?;
+    }
+    writeln!(out, "concurrency = {}", service.concurrency)?;
+    writeln!(out, "patience_ms = {}\n", service.patience.as_millis())
+}
+
 fn profile(reader: &mut Reader, name: id::Profile) -> Option<Profile> {
     let section = format!("profile {name}");
     let rank = reader.need(
@@ -123,6 +205,10 @@
     let (Some(owner), Some(memory)) = (owner, memory) else {
         return;
     };
+    if models.iter().any(|model| model.name == name) {
+        let allowed = "a name that no model has, since callers ask for both by name";
+        reader.problem(&section, "", "an adapter with a model's name", allowed);
+    }
     match models.iter_mut().find(|model| model.name == owner) {
         Some(model) => model.adapters.push(Adapter { name, memory }),
         None => reader.problem(
@@ -137,7 +223,19 @@
 fn service(reader: &mut Reader, name: id::Service) -> Option<Service> {
     let section = format!("service {name}");
     let idempotent = reader.list(&section, "idempotent", "path prefixes, separated by commas");
-    let concurrency = reader.or(&section, "concurrency", 8, "a whole number from 1");
+    let concurrency = reader.within(&section, "concurrency", CONCURRENCY, 1..=CONCURRENCY_MAX);
+    let concurrency = u32::try_from(concurrency).ok()?;
+    for path in &idempotent {
+        let path: &String = path;
+        if !path.starts_with('/') {
+            reader.problem(
+                &section,
+                "idempotent",
+                &format!("'{path}'"),
+                "paths that start with '/'",
+            );
+        }
+    }
     let patience = millis(
         reader,
         &section,
--- a/crates/flamingolink/src/main.rs
+++ b/crates/flamingolink/src/main.rs
@@ -1,6 +1,7 @@
 //! Starts a whole local system in one process.
 
 use flamingo_daemon::{log, stop};
+use flamingo_settings::keys::Keys;
 use flamingo_settings::node::{Node, Peer};
 use flamingo_settings::{control, entry, set};
 use flamingo_stand_in::{engine, service};
@@ -138,14 +139,18 @@
     Ok(Node {
         name: name.to_owned(),
         zone: ZONE.to_owned(),
+        region: "local".to_owned(),
         http: http.parse()?,
         inner: inner.parse()?,
-        key: "local".to_owned(),
+        key: "local-inner-key".to_owned(),
         controls: vec![Peer {
             node: "control-1".to_owned(),
             address: CONTROL_INNER.parse()?,
         }],
         level: "warning".to_owned(),
+        keys: Keys::default(),
+        tls: None,
+        grace: Duration::from_secs(5),
     })
 }
 
