Relay links between real processes in tests

Cause: cuts and silent connections need something between two processes that the test owns. Cluster::relayed places one relay per pair of entry and control instance; the entries also get each other as seeds.

--- a/crates/flamingo-test-support/src/cluster.rs
+++ b/crates/flamingo-test-support/src/cluster.rs
@@ -2,6 +2,8 @@
 
 use crate::address::{at, host};
 use crate::process::{Process, program};
+use crate::relay::Relay;
+use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
@@ -50,6 +52,9 @@
     /// Targets.
     pub targets: Vec<Instance>,
     members: Vec<String>,
+    seeds: Vec<SocketAddr>,
+    /// Relays by the name of the caller and of the control instance it reaches.
+    relays: BTreeMap<(String, String), Relay>,
 }
 
 impl Cluster {
@@ -60,6 +65,33 @@
     /// Panics where a process can't be started.
     #[must_use]
     pub fn start(controls: usize, entries: usize) -> Self {
+        Self::launch(controls, entries, false)
+    }
+
+    /// Starts a system whose entries reach each control instance through a
+    /// [`Relay`] of their own.
+    ///
+    /// # Panics
+    ///
+    /// Panics where a process can't be started.
+    #[must_use]
+    pub fn relayed(controls: usize, entries: usize) -> Self {
+        Self::launch(controls, entries, true)
+    }
+
+    /// Returns the relay by which the entry `from` reaches the control `to`.
+    ///
+    /// # Panics
+    ///
+    /// Panics where there is none: the system was not started by
+    /// [`Cluster::relayed`].
+    #[must_use]
+    pub fn relay(&self, from: &str, to: &str) -> &Relay {
+        let key = (from.to_owned(), to.to_owned());
+        self.relays.get(&key).expect("a relayed system")
+    }
+
+    fn launch(controls: usize, entries: usize, relayed: bool) -> Self {
         let dir = tempfile::tempdir().expect("a folder can be made");
         let hosts: Vec<_> = (0..controls).map(|_| host()).collect();
         let numbered = hosts.iter().enumerate();
@@ -72,12 +104,18 @@
             entries: Vec::new(),
             targets: Vec::new(),
             members,
+            seeds: Vec::new(),
+            relays: BTreeMap::new(),
         };
         for (n, host) in hosts.into_iter().enumerate() {
             let instance = cluster.daemon("flamingo-control", &format!("control-{n}"), host);
             cluster.controls.push(instance);
         }
         let hosts: Vec<_> = (0..entries).map(|_| host()).collect();
+        cluster.seeds = hosts.iter().map(|host| at(*host, INNER)).collect();
+        if relayed {
+            cluster.place_relays(entries);
+        }
         for (n, host) in hosts.into_iter().enumerate() {
             let instance = cluster.daemon("flamingo-entry", &format!("entry-{n}"), host);
             cluster.entries.push(instance);
@@ -145,6 +183,30 @@
         Process::start(daemon, &["--settings", settings], &self.log(name))
     }
 
+    fn place_relays(&mut self, entries: usize) {
+        for n in 0..entries {
+            for control in &self.controls {
+                let key = (format!("entry-{n}"), control.name.clone());
+                let relay = Relay::start(at(control.host, INNER));
+                self.relays.insert(key, relay);
+            }
+        }
+    }
+
+    /// Returns the control instances as the process `name` is told of them.
+    fn members(&self, name: &str) -> String {
+        let relays: Vec<_> = self
+            .relays
+            .iter()
+            .filter(|((from, _), _)| from == name)
+            .map(|((_, to), relay)| format!("{to}@{}", relay.address()))
+            .collect();
+        if relays.is_empty() {
+            return self.members.join(", ");
+        }
+        relays.join(", ")
+    }
+
     fn daemon(&self, daemon: &str, name: &str, host: IpAddr) -> Instance {
         let path = self.dir.path().join(format!("{name}.ini"));
         std::fs::write(&path, self.settings(daemon, name, host)).expect("settings can be written");
@@ -158,7 +220,7 @@
 
     fn settings(&self, daemon: &str, name: &str, host: IpAddr) -> String {
         let mut text = String::new();
-        let members = self.members.join(", ");
+        let members = self.members(name);
         let http = at(host, HTTP);
         let inner = at(host, INNER);
         let _ = writeln!(text, "[node]\nname = {name}\nzone = zone-a");
@@ -168,6 +230,9 @@
         if daemon == "flamingo-control" {
             let data = self.dir.path().join(name);
             let _ = writeln!(text, "data = {}", data.display());
+        } else {
+            let seeds: Vec<_> = self.seeds.iter().map(ToString::to_string).collect();
+            let _ = writeln!(text, "[entry]\nseeds = {}", seeds.join(", "));
         }
         text
     }
--- a/crates/flamingo-test-support/src/lib.rs
+++ b/crates/flamingo-test-support/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod address;
 pub mod cluster;
 pub mod process;
+pub mod relay;
 pub mod seed;
 pub mod wait;
 
