--- a/crates/flamingo-entry/src/call.rs
+++ b/crates/flamingo-entry/src/call.rs
@@ -128,7 +128,8 @@
     let query = request.uri().query();
     let path = query.map_or_else(|| inner.to_owned(), |query| format!("{inner}?{query}"));
     let headers = request.headers().iter();
-    let headers = headers.filter(|(name, _)| passes(name));
+    let secret = |name: &HeaderName| shared.guarded && name == header::AUTHORIZATION;
+    let headers = headers.filter(|(name, _)| passes(name) && !secret(name));
     let headers = headers.map(|(name, value)| (name.clone(), value.clone()));
     let outgoing = Outgoing {
         request: id.to_owned(),
--- a/crates/flamingo-entry/src/daemon.rs
+++ b/crates/flamingo-entry/src/daemon.rs
@@ -8,8 +8,11 @@
 use actix::{Actor, Arbiter, Context};
 use actix_web::dev::{ServerHandle, Service};
 use actix_web::http::ConnectionType;
+use actix_web::middleware::from_fn;
 use actix_web::web::Data;
 use actix_web::{App, HttpServer};
+use flamingo_daemon::guard::{self, Guard};
+use flamingo_daemon::tls;
 use flamingo_link::Link;
 use flamingo_route::Limit;
 use flamingo_settings::entry::Settings;
@@ -48,12 +51,14 @@
     };
     let link = Link::start(&settings, seal, Arc::new(inbox), log.clone());
     let node = settings.node;
+    let guard = Data::new(Guard::open(&node.keys, Instant::now())?);
     let shared = Shared {
         desk: desk.clone(),
         known: Arc::clone(&known),
         link,
         metric,
         serve: serve.clone(),
+        guarded: node.keys.callers.is_some(),
         log: log.clone(),
     };
     let server = HttpServer::new(move || {
@@ -61,6 +66,8 @@
         App::new()
             .app_data(Data::new(shared.clone()))
             .app_data(Data::new(exchange::client()))
+            .app_data(guard.clone())
+            .wrap(from_fn(guard::check))
             .wrap_fn(move |request, next| {
                 let known = Arc::clone(&known);
                 let answer = next.call(request);
@@ -81,10 +88,13 @@
     .client_request_timeout(HEAD)
     .keep_alive(IDLE)
     .h1_allow_half_closed(false)
-    .shutdown_timeout(serve.bound.as_secs().max(1))
-    .disable_signals()
-    .bind(node.http)?
-    .run();
+    .shutdown_timeout(node.grace.as_secs().max(1))
+    .disable_signals();
+    let server = match &node.tls {
+        Some(files) => server.bind_rustls_0_23(node.http, tls::config(files)?)?,
+        None => server.bind(node.http)?,
+    };
+    let server = server.run();
     info!(log, "entry ready"; "http" => %node.http, "zone" => &node.zone);
     actix_rt::spawn(end(stop, known, serve, server.handle(), log.clone()));
     server.await?;
--- a/crates/flamingo-entry/src/http.rs
+++ b/crates/flamingo-entry/src/http.rs
@@ -42,6 +42,8 @@
     pub metric: Metric,
     /// Bounds of the service to callers.
     pub serve: Serve,
+    /// Whether callers show keys of this system, which no target may see.
+    pub guarded: bool,
     /// The log.
     pub log: Logger,
 }
@@ -171,6 +173,7 @@
 async fn ask(shared: &Shared, request: &Request) -> HttpResponse {
     match shared.link.ask(request).await {
         Reply::Refused(fault) => answer::refuse(&fault, &request_id()),
+        Reply::Admin(answer) => HttpResponse::Ok().json(answer),
         reply => HttpResponse::Ok().json(reply),
     }
 }
--- a/crates/flamingo-settings/src/serve.rs
+++ b/crates/flamingo-settings/src/serve.rs
@@ -16,8 +16,6 @@
     pub answer: usize,
     /// Time for which a stopping entry still accepts, until the balancer has seen it.
     pub linger: Duration,
-    /// Time after which a stopping entry ends what still runs.
-    pub bound: Duration,
     /// Adapter loads in flight over all entries.
     pub adapter_loads: u32,
 }
@@ -30,7 +28,6 @@
             body: 4 << 20,
             answer: 16 << 20,
             linger: Duration::from_secs(3),
-            bound: Duration::from_mins(1),
             adapter_loads: 50,
         }
     }
@@ -49,20 +46,15 @@
         let connections = count("connections", base.connections).max(1);
         let body = reader.or("serve", "body_bytes", base.body, BYTES);
         let answer = reader.or("serve", "answer_bytes", base.answer, BYTES);
-        let mut millis = |key, value: Duration| {
-            let value = u64::try_from(value.as_millis()).unwrap_or(u64::MAX);
-            Duration::from_millis(reader.or("serve", key, value, MILLIS))
-        };
-        let linger = millis("linger_ms", base.linger);
-        let bound = millis("stop_ms", base.bound);
+        let linger = u64::try_from(base.linger.as_millis()).unwrap_or(u64::MAX);
+        let linger = reader.or("serve", "linger_ms", linger, MILLIS);
         let adapter_loads = reader.or("serve", "adapter_loads", base.adapter_loads, COUNT);
         Self {
             workers,
             connections,
             body,
             answer,
-            linger,
-            bound,
+            linger: Duration::from_millis(linger),
             adapter_loads: adapter_loads.max(1),
         }
     }
