Check the router's invariants for any history

The check found a rank inversion: a request that backed off was placed by its timer before the queue of another pool was filled, on a target whose cool-down had just ended. Cause: room can come with time alone, which only a tick told the queues. Change: before a dispatch the target's queues are asked for a better rank.

--- a/crates/flamingo-route/src/router.rs
+++ b/crates/flamingo-route/src/router.rs
@@ -8,6 +8,7 @@
 use crate::queue::{Place, Queue};
 use crate::request::{Ask, Live, Pool, Stage};
 use crate::slot::Slot;
+use crate::target::Target;
 use flamingo_wire::config::{Late, Profile, Snapshot};
 use flamingo_wire::control::Demand;
 use flamingo_wire::event::Event;
@@ -56,6 +57,7 @@
     timers: BTreeSet<(Instant, id::Request)>,
     entries: usize,
     loading: u32,
+    waiting: usize,
     next: u64,
     actions: Vec<Action>,
 }
@@ -77,6 +79,7 @@
             timers: BTreeSet::new(),
             entries: 1,
             loading: 0,
+            waiting: 0,
             next: 0,
             actions: Vec::new(),
         }
@@ -124,7 +127,7 @@
     /// Returns the number of requests that wait in queues.
     #[must_use]
     pub fn queued(&self) -> usize {
-        self.queues.values().map(Queue::len).sum()
+        self.waiting
     }
 
     /// Returns the number of own adapter loads in flight.
@@ -270,11 +273,28 @@
             Some(selection) if self.misses(now + selection.predicted, live) => {
                 self.refuse_late(now, request);
             }
+            Some(selection) if self.outranked(now, selection.number, live.rank) => {
+                self.enqueue(now, request);
+                self.fill(now, selection.number);
+            }
             Some(selection) => self.dispatch(now, request, selection),
             None => self.enqueue(now, request),
         }
     }
 
+    /// Returns whether a request of a better rank waits for the numbered target.
+    ///
+    /// It may do so for another pool of the target, whose room came with time alone.
+    fn outranked(&self, now: Instant, number: usize, rank: u8) -> bool {
+        if self.waiting == 0 {
+            return false;
+        }
+        let pools = self.fleet.get(number).map(Target::pools);
+        let head = pools.and_then(|pools| self.head(now, number, &pools));
+        let live = head.and_then(|(_, request)| self.live.get(&request));
+        live.is_some_and(|live| live.rank < rank)
+    }
+
     /// Returns whether a first token at `first_token` breaks a promise that is to be refused.
     fn misses(&self, first_token: Instant, live: &Live) -> bool {
         let patience_over = first_token > live.give_up;
@@ -363,6 +383,7 @@
         live.stage = Stage::Queued(turn);
         let queue = self.queues.entry(live.pool.clone()).or_default();
         queue.push(place, request.clone());
+        self.waiting += 1;
         if live.late == Late::Refuse && self.limit.admission {
             self.timers.insert((live.promise, request.clone()));
         }
@@ -435,7 +456,8 @@
         match live.stage {
             Stage::Queued(turn) => {
                 if let Some(queue) = self.queues.get_mut(&live.pool) {
-                    queue.remove(&place(&live, turn));
+                    let removed = queue.remove(&place(&live, turn));
+                    self.waiting -= usize::from(removed.is_some());
                 }
             }
             Stage::Delayed(until) => {
@@ -488,7 +510,8 @@
                 continue;
             }
             if let (Stage::Queued(turn), Some(queue)) = (live.stage, self.queues.get_mut(&pool)) {
-                queue.remove(&place(live, turn));
+                let removed = queue.remove(&place(live, turn));
+                self.waiting -= usize::from(removed.is_some());
                 queue.served += 1;
             }
             let selection = Selection {
--- /dev/null
+++ b/crates/flamingo-route/tests/world/mod.rs
@@ -0,0 +1,544 @@
+//! A world around the router that knows the truth and checks each action against it.
+
+use flamingo_route::action::{Action, Attempt, Choice, Dispatch, Failure, Input};
+use flamingo_route::request::{Chain, Prefix};
+use flamingo_route::{Ask, Limit, Pool, Router};
+use flamingo_wire::announce::{Announcement, Engine, Kind, Load, Resident, Service, Standing};
+use flamingo_wire::config::{self, Late, Profile, Set, Snapshot};
+use flamingo_wire::gossip::{Peer, Role};
+use flamingo_wire::{Verdict, event};
+use quickcheck::{Arbitrary, Gen};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+const TARGETS: u8 = 5;
+const MODELS: u8 = 3;
+const QUEUE: usize = 4;
+const SLOTS: u32 = 2;
+const LOADS: u32 = 3;
+const SHARE: u32 = 200;
+const BURST: u32 = 2;
+
+/// One thing that happens.
+#[derive(Clone, Debug)]
+pub enum Event {
+    Arrive {
+        model: u8,
+        rank: u8,
+        adapter: bool,
+        refuse: bool,
+    },
+    Call {
+        idempotent: bool,
+    },
+    Announce {
+        target: u8,
+        leaving: bool,
+        load: u8,
+    },
+    Gone(u8),
+    Suspect(u8),
+    Drain(u8),
+    Entries(u8),
+    Begin(u8),
+    End(u8),
+    Load(u8),
+    Fail {
+        which: u8,
+        verdict: u8,
+        rest: bool,
+        resumable: bool,
+    },
+    Leave(u8),
+    Pass(u16),
+}
+
+impl Arbitrary for Event {
+    fn arbitrary(source: &mut Gen) -> Self {
+        let byte = u8::arbitrary(source);
+        let flag = bool::arbitrary(source);
+        match u8::arbitrary(source) % 24 {
+            0..=5 => Self::Arrive {
+                model: byte % MODELS,
+                rank: byte / 16 % 3,
+                adapter: byte.is_multiple_of(5),
+                refuse: flag,
+            },
+            6..=8 => Self::Call { idempotent: flag },
+            9..=11 => Self::Announce {
+                target: byte % TARGETS,
+                leaving: byte / 8 % 8 == 0,
+                load: byte / 64,
+            },
+            12 => Self::Gone(byte % TARGETS),
+            13 => Self::Suspect(byte % TARGETS),
+            14 => Self::Drain(byte % (2 * TARGETS)),
+            15 => Self::Entries(byte % 4 + 1),
+            16 => Self::Begin(byte),
+            17..=18 => Self::End(byte),
+            19 => Self::Load(byte),
+            20..=21 => Self::Fail {
+                which: byte,
+                verdict: byte / 4 % 3,
+                rest: byte.is_multiple_of(7),
+                resumable: flag || byte.is_multiple_of(3),
+            },
+            22 => Self::Leave(byte),
+            _ => Self::Pass(u16::arbitrary(source) % 3_000),
+        }
+    }
+}
+
+/// What is true of one request.
+#[derive(Debug)]
+struct Truth {
+    pool: Pool,
+    rank: u8,
+    adapter: bool,
+    idempotent: bool,
+    /// The worst that truly happened at targets.
+    worst: Verdict,
+    dispatches: u32,
+    queued: bool,
+}
+
+/// The world.
+pub struct World {
+    now: Instant,
+    router: Router,
+    next: u64,
+    requests: BTreeMap<String, Truth>,
+    flying: BTreeMap<Attempt, Dispatch>,
+    loading: BTreeSet<Attempt>,
+    takes: BTreeMap<String, bool>,
+    entries: usize,
+    version: u64,
+    arrived: BTreeMap<Pool, u32>,
+    retries: BTreeMap<Pool, u32>,
+}
+
+impl World {
+    pub fn new() -> Self {
+        let limit = Limit {
+            queue: QUEUE,
+            engine_slots: SLOTS,
+            adapter_loads: LOADS,
+            retry_share: SHARE,
+            retry_burst: BURST,
+            ..Limit::default()
+        };
+        let mut world = Self {
+            now: Instant::now(),
+            router: Router::new("zone-a".into(), limit, 7),
+            next: 0,
+            requests: BTreeMap::new(),
+            flying: BTreeMap::new(),
+            loading: BTreeSet::new(),
+            takes: BTreeMap::new(),
+            entries: 1,
+            version: 0,
+            arrived: BTreeMap::new(),
+            retries: BTreeMap::new(),
+        };
+        world.configure(Vec::new());
+        for target in 0..TARGETS {
+            world.announce(target, false, 0);
+        }
+        world
+    }
+
+    pub fn take(&mut self, event: Event) {
+        match event {
+            Event::Arrive {
+                model,
+                rank,
+                adapter,
+                refuse,
+            } => self.arrive(model, rank, adapter, refuse),
+            Event::Call { idempotent } => self.call(idempotent),
+            Event::Announce {
+                target,
+                leaving,
+                load,
+            } => self.announce(target, leaving, load),
+            Event::Gone(target) => {
+                self.takes.remove(&name(target));
+                self.news(event::Event::Gone(name(target)));
+            }
+            Event::Suspect(target) => {
+                self.takes.insert(name(target), false);
+                self.news(event::Event::Suspect(name(target)));
+            }
+            Event::Drain(target) => self.configure(vec![name(target)]),
+            Event::Entries(count) => self.entries(usize::from(count)),
+            Event::Begin(which) => self.with(which, Input::Begun),
+            Event::End(which) => {
+                if let Some(dispatch) = self.land(which) {
+                    self.requests.remove(&dispatch.request);
+                    self.step(Input::Ended(dispatch.attempt));
+                }
+            }
+            Event::Load(which) => self.load(which),
+            Event::Fail {
+                which,
+                verdict,
+                rest,
+                resumable,
+            } => self.fail(which, verdict, rest, resumable),
+            Event::Leave(which) => self.leave(which),
+            Event::Pass(millis) => {
+                self.now += Duration::from_millis(u64::from(millis));
+                self.step(Input::Tick);
+            }
+        }
+        self.check();
+    }
+
+    /// Ends what runs and lets all patience run out: nothing may be left.
+    pub fn settle(&mut self) {
+        for _ in 0..100 {
+            while !self.flying.is_empty() {
+                self.take(Event::End(0));
+            }
+            self.take(Event::Pass(2_999));
+        }
+        assert_eq!(self.router.live(), 0, "a request was forgotten");
+        assert_eq!(self.router.in_flight(), 0, "an attempt was forgotten");
+        assert_eq!(self.router.queued(), 0, "a queue kept a request");
+        assert_eq!(self.router.loading(), 0, "an adapter load was leaked");
+        assert!(self.requests.is_empty(), "no final answer for a request");
+        for target in self.router.fleet().iter() {
+            assert_eq!(target.own(), 0, "a slot was leaked");
+        }
+    }
+
+    fn arrive(&mut self, model: u8, rank: u8, adapter: bool, refuse: bool) {
+        let name = if adapter {
+            format!("adapter-{model}")
+        } else {
+            format!("model-{model}")
+        };
+        let profile = format!("{}-{rank}", if refuse { "refuse" } else { "serve" });
+        let truth = Truth {
+            pool: Pool::Model(format!("model-{model}")),
+            rank,
+            adapter,
+            idempotent: true,
+            worst: Verdict::NotRun,
+            dispatches: 0,
+            queued: false,
+        };
+        let prefix = Prefix {
+            hash: u64::from(rank),
+            tokens: 800,
+        };
+        self.ask(
+            truth,
+            Pool::Model(name),
+            Some(profile),
+            [prefix].into_iter().collect(),
+        );
+    }
+
+    fn call(&mut self, idempotent: bool) {
+        let pool = Pool::Service("rota".into());
+        let truth = Truth {
+            pool: pool.clone(),
+            rank: 128,
+            adapter: false,
+            idempotent,
+            worst: Verdict::NotRun,
+            dispatches: 0,
+            queued: false,
+        };
+        self.ask(truth, pool, None, Chain::new());
+    }
+
+    fn ask(&mut self, truth: Truth, pool: Pool, profile: Option<String>, prefix: Chain) {
+        self.next += 1;
+        let id = format!("r{}", self.next);
+        let idempotent = truth.idempotent;
+        *self.arrived.entry(truth.pool.clone()).or_default() += 1;
+        self.requests.insert(id.clone(), truth);
+        self.step(Input::Arrive(Ask {
+            id,
+            pool,
+            profile,
+            prefix,
+            idempotent,
+        }));
+    }
+
+    fn announce(&mut self, target: u8, leaving: bool, load: u8) {
+        self.next += 1;
+        let standing = if leaving {
+            Standing::Leaving
+        } else {
+            Standing::Serving
+        };
+        self.takes.insert(name(target), !leaving);
+        let kind = if target == 4 || target == 3 {
+            Kind::Service(Service {
+                name: "rota".into(),
+            })
+        } else {
+            let models = [target, (target + 1) % MODELS];
+            Kind::Engine(Engine {
+                memory: 80_000,
+                fenced: true,
+                resident: models.into_iter().map(resident).collect(),
+                loading: Vec::new(),
+                ended: Vec::new(),
+            })
+        };
+        self.news(event::Event::Target(Box::new(Announcement {
+            target: name(target),
+            incarnation: 1,
+            sequence: self.next,
+            zone: "zone-a".into(),
+            address: "127.0.0.1:1".parse().unwrap(),
+            standing,
+            load: Load {
+                running: u32::from(load),
+                ..Load::default()
+            },
+            kind,
+        })));
+    }
+
+    fn configure(&mut self, drained: Vec<String>) {
+        self.version += 1;
+        let set = set();
+        self.news(event::Event::Config(Box::new(Snapshot {
+            version: self.version,
+            set,
+            drained,
+        })));
+    }
+
+    fn entries(&mut self, count: usize) {
+        self.entries = count;
+        let peer = |number| Peer {
+            node: format!("entry-{number}"),
+            role: Role::Entry,
+            zone: "zone-a".into(),
+            address: "127.0.0.1:1".parse().unwrap(),
+            incarnation: 1,
+            version: 1,
+        };
+        self.news(event::Event::Entries((0..count).map(peer).collect()));
+    }
+
+    fn pick(&self, which: u8) -> Option<Dispatch> {
+        let count = self.flying.len();
+        let nth = usize::from(which) % count.max(1);
+        self.flying.values().nth(nth).cloned()
+    }
+
+    fn land(&mut self, which: u8) -> Option<Dispatch> {
+        let dispatch = self.pick(which)?;
+        self.flying.remove(&dispatch.attempt);
+        self.loading.remove(&dispatch.attempt);
+        Some(dispatch)
+    }
+
+    fn with(&mut self, which: u8, input: fn(Attempt) -> Input) {
+        if let Some(dispatch) = self.pick(which) {
+            self.step(input(dispatch.attempt));
+        }
+    }
+
+    fn load(&mut self, which: u8) {
+        if let Some(dispatch) = self.pick(which)
+            && self.loading.remove(&dispatch.attempt)
+        {
+            self.step(Input::Loaded(dispatch.attempt));
+        }
+    }
+
+    fn fail(&mut self, which: u8, verdict: u8, rest: bool, resumable: bool) {
+        let Some(dispatch) = self.land(which) else {
+            return;
+        };
+        let verdict = [Verdict::NotRun, Verdict::MayHaveRun, Verdict::Ran][usize::from(verdict)];
+        if let Some(truth) = self.requests.get_mut(&dispatch.request) {
+            truth.worst = truth.worst.worse(verdict);
+        }
+        self.step(Input::Failed(Failure {
+            attempt: dispatch.attempt,
+            verdict,
+            blame: !rest,
+            rest: rest.then_some(Duration::from_secs(1)),
+            resumable,
+            message: "broken".into(),
+        }));
+    }
+
+    fn leave(&mut self, which: u8) {
+        let count = self.requests.len();
+        let nth = usize::from(which) % count.max(1);
+        let Some(request) = self.requests.keys().nth(nth).cloned() else {
+            return;
+        };
+        self.requests.remove(&request);
+        self.step(Input::CallerGone(request));
+    }
+
+    fn news(&mut self, event: event::Event) {
+        self.step(Input::News(event));
+    }
+
+    fn step(&mut self, input: Input) {
+        for action in self.router.step(self.now, input) {
+            match action {
+                Action::Dispatch(dispatch) => self.dispatched(dispatch),
+                Action::Refuse { request, fault } => {
+                    let truth = self.requests.remove(&request);
+                    let truth = truth.expect("one final answer for each request");
+                    assert!(
+                        fault.verdict >= truth.worst,
+                        "the verdict is better than the truth"
+                    );
+                }
+                Action::Cancel { request, attempt } => {
+                    let dispatch = self.flying.remove(&attempt).expect("it flew");
+                    assert_eq!(dispatch.request, request);
+                    self.loading.remove(&attempt);
+                    if let Some(truth) = self.requests.get_mut(&request) {
+                        truth.worst = truth.worst.worse(Verdict::MayHaveRun);
+                    }
+                }
+                Action::Note(decision) => {
+                    if let Some(truth) = self.requests.get_mut(&decision.request) {
+                        truth.queued = decision.choice == Choice::Queue;
+                    }
+                }
+            }
+        }
+    }
+
+    fn dispatched(&mut self, dispatch: Dispatch) {
+        let truth = self.requests.get_mut(&dispatch.request);
+        let truth = truth.expect("no dispatch after the final answer");
+        truth.dispatches += 1;
+        if truth.dispatches > 1 {
+            *self.retries.entry(truth.pool.clone()).or_default() += 1;
+            let repeatable = truth.idempotent || truth.worst == Verdict::NotRun;
+            assert!(repeatable, "a call that may have run was sent again");
+        }
+        assert!(
+            self.takes[&dispatch.target],
+            "work for a target that takes none"
+        );
+        let other = self
+            .flying
+            .values()
+            .any(|one| one.request == dispatch.request);
+        assert!(!other, "two attempts of one request at once");
+        let rank = truth.rank;
+        let target = dispatch.target.clone();
+        if dispatch.load.is_some() {
+            self.loading.insert(dispatch.attempt);
+            let share = (LOADS / u32::try_from(self.entries).unwrap()).max(1);
+            let loading = u32::try_from(self.loading.len()).unwrap();
+            // A share that shrank lets earlier loads end.
+            assert!(
+                loading <= share || loading <= LOADS,
+                "more adapter loads than allowed"
+            );
+            assert!(
+                self.router.loading() <= LOADS,
+                "more adapter loads than allowed"
+            );
+        }
+        self.flying.insert(dispatch.attempt, dispatch);
+        self.no_inversion(rank, &target);
+    }
+
+    /// No request of a better rank may wait that the target could have taken.
+    fn no_inversion(&self, rank: u8, target: &str) {
+        let serves = |pool: &Pool| {
+            let mut targets = self.router.fleet().iter();
+            targets.any(|one| one.known.target == target && one.pools().contains(pool))
+        };
+        for (id, truth) in &self.requests {
+            let better = truth.queued && !truth.adapter && truth.rank < rank;
+            assert!(
+                !better || !serves(&truth.pool),
+                "{id} of a better rank waits"
+            );
+        }
+    }
+
+    fn check(&self) {
+        assert_eq!(
+            self.router.in_flight(),
+            self.flying.len(),
+            "attempts differ"
+        );
+        assert!(
+            self.router.queued() <= QUEUE * 4,
+            "a queue grew past its bound"
+        );
+        for target in self.router.fleet().iter() {
+            let engine = target.known.engine().is_some();
+            let room = if engine { SLOTS } else { 2 };
+            assert!(target.own() <= room, "more slots than room");
+            let name = &target.known.target;
+            let flying = self.flying.values().filter(|one| one.target == *name);
+            // Attempts at an earlier life of the target hold slots of that life.
+            assert!(usize::try_from(target.own()).unwrap() <= flying.count());
+        }
+        for (pool, retries) in &self.retries {
+            let earned = self.arrived[pool] * SHARE / 1_000;
+            assert!(*retries <= BURST + earned, "the retry budget was exceeded");
+        }
+    }
+}
+
+fn name(target: u8) -> String {
+    format!("target-{target}")
+}
+
+fn resident(model: u8) -> Resident {
+    Resident {
+        model: format!("model-{model}"),
+        version: 1,
+        adapters: Vec::new(),
+    }
+}
+
+fn set() -> Set {
+    let profiles = (0..3).flat_map(|rank| {
+        [Late::Refuse, Late::Serve].map(|late| Profile {
+            name: format!("{late}-{rank}"),
+            rank,
+            first_token: Duration::from_millis(500),
+            between_tokens: Duration::from_millis(50),
+            patience: Duration::from_secs(5),
+            late,
+        })
+    });
+    let models = (0..MODELS).map(|model| config::Model {
+        name: format!("model-{model}"),
+        version: 1,
+        weights: 1_000,
+        cache: 100,
+        copies: 1,
+        importance: 1,
+        adapters: vec![config::Adapter {
+            name: format!("adapter-{model}"),
+            memory: 10,
+        }],
+    });
+    Set {
+        profiles: profiles.collect(),
+        models: models.collect(),
+        services: vec![config::Service {
+            name: "rota".into(),
+            idempotent: Vec::new(),
+            concurrency: 2,
+            patience: Duration::from_secs(5),
+        }],
+    }
+}
