--- /dev/null
+++ b/crates/flamingo-entry/tests/bench/mod.rs
@@ -0,0 +1,292 @@
+//! An entry in this process, and raw TCP fakes of targets that misbehave.
+
+use awc::Client;
+use awc::http::StatusCode;
+use flamingo_entry::daemon;
+use flamingo_settings::entry::Settings;
+use flamingo_settings::keys::Keys;
+use flamingo_settings::node::Node;
+use flamingo_settings::serve::Serve;
+use flamingo_test_support::address::{at, host};
+use flamingo_test_support::wait;
+use flamingo_wire::announce::{Announcement, Engine, Kind, Load, Resident, Service, Standing};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+/// Largest body and answer of the entry under test, in bytes.
+pub const LIMIT: usize = 100_000;
+
+/// One request as a fake target saw it.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    pub head: String,
+    pub body: String,
+}
+
+impl Seen {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let mut lines = self.head.lines();
+        lines.find_map(|line| {
+            let (key, value) = line.split_once(": ")?;
+            key.eq_ignore_ascii_case(name).then_some(value)
+        })
+    }
+}
+
+/// A fake target: `behave` gets the connection after each request, with its number.
+pub struct Fake {
+    pub address: SocketAddr,
+    seen: Arc<Mutex<Vec<Seen>>>,
+}
+
+impl Fake {
+    pub fn start(behave: impl Fn(usize, &Seen, &mut TcpStream) + Send + Sync + 'static) -> Self {
+        let listener = TcpListener::bind(at(host(), 8000)).unwrap();
+        let address = listener.local_addr().unwrap();
+        let seen = Arc::new(Mutex::new(Vec::new()));
+        let shared = Arc::clone(&seen);
+        let behave = Arc::new(behave);
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let seen = Arc::clone(&shared);
+                let behave = Arc::clone(&behave);
+                std::thread::spawn(move || serve(stream, &seen, behave.as_ref()));
+            }
+        });
+        Self { address, seen }
+    }
+
+    pub fn seen(&self) -> Vec<Seen> {
+        self.seen.lock().unwrap().clone()
+    }
+}
+
+fn serve(
+    mut stream: TcpStream,
+    seen: &Mutex<Vec<Seen>>,
+    behave: &dyn Fn(usize, &Seen, &mut TcpStream),
+) {
+    let mut number = 0;
+    while let Some(request) = request(&mut stream) {
+        seen.lock().unwrap().push(request.clone());
+        behave(number, &request, &mut stream);
+        number += 1;
+    }
+}
+
+fn request(stream: &mut TcpStream) -> Option<Seen> {
+    let mut bytes = Vec::new();
+    let mut byte = [0];
+    while !bytes.ends_with(b"\r\n\r\n") {
+        stream.read_exact(&mut byte).ok()?;
+        bytes.push(byte[0]);
+    }
+    let head = String::from_utf8(bytes).ok()?;
+    let mut seen = Seen {
+        head,
+        body: String::new(),
+    };
+    let length = seen.header("content-length");
+    let length = length.map_or(0, |length| length.parse().unwrap());
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).ok()?;
+    seen.body = String::from_utf8(body).ok()?;
+    Some(seen)
+}
+
+/// Writes an answer with a length.
+pub fn answer(stream: &mut TcpStream, status: &str, headers: &str, body: &str) {
+    let length = body.len();
+    let text = format!("HTTP/1.1 {status}\r\ncontent-length: {length}\r\n{headers}\r\n{body}");
+    let _ = stream.write_all(text.as_bytes());
+}
+
+/// Writes the head of a streamed answer.
+pub fn stream_head(stream: &mut TcpStream, headers: &str) {
+    let text = format!(
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\
+         content-type: text/event-stream\r\n{headers}\r\n"
+    );
+    let _ = stream.write_all(text.as_bytes());
+}
+
+/// Writes one chunk.
+pub fn chunk(stream: &mut TcpStream, text: &str) {
+    let text = format!("{:x}\r\n{text}\r\n", text.len());
+    let _ = stream.write_all(text.as_bytes());
+}
+
+/// Writes the last chunk.
+pub fn last_chunk(stream: &mut TcpStream) {
+    let _ = stream.write_all(b"0\r\n\r\n");
+}
+
+/// Closes the connection, now.
+pub fn close(stream: &TcpStream) {
+    let _ = stream.shutdown(std::net::Shutdown::Both);
+}
+
+/// An entry in this process; it stops with the bench.
+pub struct Bench {
+    pub entry: SocketAddr,
+    stop: Option<oneshot::Sender<()>>,
+}
+
+impl Bench {
+    pub async fn start() -> Self {
+        let host = host();
+        let entry = at(host, 7400);
+        let settings = Settings {
+            node: Node {
+                name: "entry-1".into(),
+                zone: "zone-a".into(),
+                region: "local".into(),
+                http: entry,
+                inner: at(host, 7401),
+                key: "test-inner-key".into(),
+                controls: Vec::new(),
+                level: "error".into(),
+                keys: Keys::default(),
+                tls: None,
+                grace: Duration::from_secs(2),
+            },
+            seeds: Vec::new(),
+            serve: Serve {
+                workers: 1,
+                body: LIMIT,
+                answer: LIMIT,
+                linger: Duration::ZERO,
+                ..Serve::default()
+            },
+        };
+        let (stop, stopped) = oneshot::channel();
+        let log = flamingo_daemon::log::to("entry-1", slog::Level::Error, std::io::sink());
+        actix_rt::spawn(async move {
+            let stopped = async {
+                let _ = stopped.await;
+            };
+            daemon::run(settings, log, stopped).await.unwrap();
+        });
+        let bench = Self {
+            entry,
+            stop: Some(stop),
+        };
+        wait::until("the entry", || bench.get("/healthz")).await;
+        bench
+    }
+
+    async fn get(&self, path: &str) -> Option<()> {
+        let url = format!("http://{}{path}", self.entry);
+        let answer = Client::default().get(url).send().await.ok()?;
+        (answer.status() == StatusCode::OK).then_some(())
+    }
+
+    /// Announces a fake engine that holds the model `notes`.
+    pub async fn engine(&self, name: &str, fake: SocketAddr) {
+        let resident = Resident {
+            model: "notes".into(),
+            version: 1,
+            adapters: Vec::new(),
+        };
+        let kind = Kind::Engine(Engine {
+            memory: 80_000,
+            fenced: true,
+            resident: vec![resident],
+            loading: Vec::new(),
+            ended: Vec::new(),
+        });
+        self.announce(name, fake, kind).await;
+    }
+
+    /// Announces a fake replica of the service `rota`.
+    pub async fn service(&self, name: &str, fake: SocketAddr) {
+        let kind = Kind::Service(Service {
+            name: "rota".into(),
+        });
+        self.announce(name, fake, kind).await;
+    }
+
+    async fn announce(&self, name: &str, fake: SocketAddr, kind: Kind) {
+        let announcement = Announcement {
+            target: name.into(),
+            incarnation: 1,
+            sequence: 1,
+            zone: "zone-a".into(),
+            address: fake,
+            standing: Standing::Serving,
+            load: Load::default(),
+            kind,
+        };
+        let url = format!("http://{}/targets/announce", self.entry);
+        let sent = Client::default().post(url).send_json(&announcement).await;
+        assert_eq!(sent.unwrap().status(), StatusCode::NO_CONTENT);
+    }
+
+    /// Posts `body`; returns status, request id and the answer's text.
+    pub async fn post(&self, path: &str, body: impl Into<Vec<u8>>) -> Reply {
+        let url = format!("http://{}{path}", self.entry);
+        let client = Client::builder().disable_timeout().disable_redirects();
+        let request = client.finish().post(url);
+        let request = request.insert_header(("content-type", "application/json"));
+        let mut answer = request.send_body(body.into()).await.unwrap();
+        let id = answer.headers().get("x-request-id");
+        let id = id.map(|id| id.to_str().unwrap().to_owned());
+        let body = answer.body().limit(10 * LIMIT).await.unwrap();
+        Reply {
+            status: answer.status().as_u16(),
+            id,
+            text: String::from_utf8(body.to_vec()).unwrap(),
+        }
+    }
+
+    /// Asks for a streamed completion.
+    pub async fn stream(&self) -> Reply {
+        self.post("/v1/completions", r#"{"model": "notes", "stream": true}"#)
+            .await
+    }
+
+    /// Asks for a whole completion with a marker of its own.
+    pub async fn complete(&self, marker: &str) -> Reply {
+        let body = format!(r#"{{"model": "notes", "prompt": "{marker}"}}"#);
+        self.post("/v1/completions", body).await
+    }
+
+    /// Makes a call that may not be repeated.
+    pub async fn confirm(&self) -> Reply {
+        self.post("/services/rota/confirm", r#"{"shift": 17}"#)
+            .await
+    }
+}
+
+impl Drop for Bench {
+    fn drop(&mut self) {
+        if let Some(stop) = self.stop.take() {
+            let _ = stop.send(());
+        }
+    }
+}
+
+/// An answer of the entry.
+#[derive(Debug)]
+pub struct Reply {
+    pub status: u16,
+    pub id: Option<String>,
+    pub text: String,
+}
+
+impl Reply {
+    /// Returns the verdict of a refusal, which must be a JSON error with all its parts.
+    pub fn verdict(&self) -> String {
+        let text = self.text.split("event: error\ndata: ").last().unwrap();
+        let body: serde_json::Value = serde_json::from_str(text).unwrap();
+        let error = &body["error"];
+        for part in ["message", "reason", "help", "request"] {
+            assert!(error[part].is_string(), "no '{part}' in {body}");
+        }
+        assert_eq!(error["request"].as_str(), self.id.as_deref(), "{body}");
+        error["verdict"].as_str().unwrap().to_owned()
+    }
+}
--- a/crates/flamingo-route/tests/world/mod.rs
+++ b/crates/flamingo-route/tests/world/mod.rs
@@ -147,6 +147,7 @@
         world
     }
 
+    #[allow(clippy::needless_pass_by_value)] // An event happens once.
     pub fn take(&mut self, event: Event) {
         match event {
             Event::Arrive {
