--- a/crates/flamingo-ctl/src/command/config_apply.rs
+++ b/crates/flamingo-ctl/src/command/config_apply.rs
@@ -1,38 +1,51 @@
-//! `flamingoctl config apply FILE`: replaces the set.
+//! `flamingoctl config apply FILE`.
 
-use crate::client::{Client, Error};
+use crate::client::Client;
+use crate::command::{Command, Example, Run, author, change_id};
+use crate::output::Output;
 use flamingo_settings::set;
 use flamingo_wire::config::Change;
-use flamingo_wire::control::Reply;
 use std::path::Path;
 
-/// Applies the set in the file `path` to the version in force.
-///
-/// # Errors
-///
-/// Returns an error where the file has problems or the change is refused.
-pub async fn run(client: &Client, path: &Path) -> Result<String, Error> {
-    let set = set::open(path)?;
-    let base = client.config().await?.version;
-    let change = Change {
-        id: change_id(),
-        base,
-        author: author(),
-        set,
-    };
-    match client.apply(&change).await? {
-        Reply::Accepted(version) => Ok(format!("accepted as version {version}")),
-        other => Err(Error::Refused(format!("unexpected answer: {other:?}"))),
+/// Replace the set in force by that of a file
+#[derive(Clone, Copy, Debug)]
+pub struct Apply;
+
+impl Command for Apply {
+    fn name(&self) -> &'static str {
+        "config apply"
     }
-}
 
-fn author() -> String {
-    std::env::var("USER").unwrap_or_else(|_| "unknown".to_owned())
-}
+    fn arguments(&self) -> &'static [&'static str] {
+        &["FILE"]
+    }
 
-fn change_id() -> String {
-    let mut bytes = [0; 16];
-    // An id of zeros would only make this change look like an earlier resend.
-    let _ = getrandom::fill(&mut bytes);
-    format!("{:032x}", u128::from_le_bytes(bytes))
+    fn description(&self) -> &'static str {
+        "Replace the set in force by that of a file"
+    }
+
+    fn examples(&self) -> &'static [Example] {
+        &[Example {
+            line: "config apply samples/local-set.ini",
+            description: "Check the file, then apply it to the version in force",
+        }]
+    }
+
+    fn run<'a>(&'a self, client: &'a Client, arguments: &'a [String]) -> Run<'a> {
+        Box::pin(async move {
+            let set = set::open(Path::new(&arguments[0]))?;
+            let base = client.config().await?.version;
+            let change = Change {
+                id: change_id()?,
+                base,
+                author: author(),
+                set,
+            };
+            let version = client.apply(&change).await?;
+            Ok(Output::text(
+                format!("accepted as version {version}"),
+                &version,
+            ))
+        })
+    }
 }
--- /dev/null
+++ b/crates/flamingo-ctl/src/command/config_diff.rs
@@ -0,0 +1,46 @@
+//! `flamingoctl config diff FILE`.
+
+use crate::client::Client;
+use crate::command::{Command, Example, Run};
+use crate::diff;
+use crate::output::Output;
+use flamingo_settings::set;
+use std::path::Path;
+
+/// List what a set file changes against the set in force
+#[derive(Clone, Copy, Debug)]
+pub struct Diff;
+
+impl Command for Diff {
+    fn name(&self) -> &'static str {
+        "config diff"
+    }
+
+    fn arguments(&self) -> &'static [&'static str] {
+        &["FILE"]
+    }
+
+    fn description(&self) -> &'static str {
+        "List what a set file changes against the set in force"
+    }
+
+    fn examples(&self) -> &'static [Example] {
+        &[Example {
+            line: "config diff samples/local-set.ini",
+            description: "What applying this file would change",
+        }]
+    }
+
+    fn run<'a>(&'a self, client: &'a Client, arguments: &'a [String]) -> Run<'a> {
+        Box::pin(async move {
+            let set = set::open(Path::new(&arguments[0]))?;
+            let snapshot = client.config().await?;
+            let lines = diff::lines(&snapshot.set, &set);
+            if lines.is_empty() {
+                let text = format!("no change against version {}", snapshot.version);
+                return Ok(Output::text(text, &lines));
+            }
+            Ok(Output::text(lines.join("\n"), &lines))
+        })
+    }
+}
--- a/crates/flamingo-ctl/src/command/config_show.rs
+++ b/crates/flamingo-ctl/src/command/config_show.rs
@@ -1,13 +1,40 @@
-//! `flamingoctl config show`: prints the set in force.
-
-use crate::client::{Client, Error};
-
-/// Prints the configuration in force as JSON.
-///
-/// # Errors
-///
-/// Returns an error where the instance can't be reached.
-pub async fn run(client: &Client) -> Result<String, Error> {
-    let snapshot = client.config().await?;
-    serde_json::to_string_pretty(&snapshot).map_err(|error| Error::Refused(error.to_string()))
+//! `flamingoctl config show`.
+
+use crate::client::Client;
+use crate::command::{Command, Example, Run};
+use crate::output::Output;
+use flamingo_settings::set;
+
+/// Print the set in force as INI
+#[derive(Clone, Copy, Debug)]
+pub struct Show;
+
+impl Command for Show {
+    fn name(&self) -> &'static str {
+        "config show"
+    }
+
+    fn arguments(&self) -> &'static [&'static str] {
+        &[]
+    }
+
+    fn description(&self) -> &'static str {
+        "Print the set in force as INI"
+    }
+
+    fn examples(&self) -> &'static [Example] {
+        &[Example {
+            line: "config show",
+            description: "The set in force, ready to be edited",
+        }]
+    }
+
+    fn run<'a>(&'a self, client: &'a Client, _: &'a [String]) -> Run<'a> {
+        Box::pin(async move {
+            let snapshot = client.config().await?;
+            let head = format!("; version {}\n\n", snapshot.version);
+            let text = head + &set::format(&snapshot.set);
+            Ok(Output::text(text, &snapshot))
+        })
+    }
 }
--- /dev/null
+++ b/crates/flamingo-ctl/src/command/service.rs
@@ -0,0 +1,44 @@
+//! `flamingoctl service`.
+
+use crate::client::Client;
+use crate::command::{Command, Example, Run};
+use crate::output::{Output, Table};
+
+/// List the services in force
+#[derive(Clone, Copy, Debug)]
+pub struct Service;
+
+impl Command for Service {
+    fn name(&self) -> &'static str {
+        "service"
+    }
+
+    fn arguments(&self) -> &'static [&'static str] {
+        &[]
+    }
+
+    fn description(&self) -> &'static str {
+        "List the services in force"
+    }
+
+    fn examples(&self) -> &'static [Example] {
+        &[Example {
+            line: "service",
+            description: "All services",
+        }]
+    }
+
+    fn run<'a>(&'a self, client: &'a Client, _: &'a [String]) -> Run<'a> {
+        Box::pin(async move {
+            let list = client.config().await?.set.services;
+            let mut table = Table::new(&["SERVICE", "CONCURRENCY", "PATIENCE", "IDEMPOTENT"]);
+            for item in &list {
+                let patience = format!("{} ms", item.patience.as_millis());
+                let paths = item.idempotent.join(", ");
+                let cells: [&dyn ToString; 4] = [&item.name, &item.concurrency, &patience, &paths];
+                table = table.row(&cells);
+            }
+            Ok(Output::table(&table, &list))
+        })
+    }
+}
--- /dev/null
+++ b/crates/flamingo-ctl/src/output.rs
@@ -0,0 +1,103 @@
+//! What a command prints: a readable table, or JSON.
+
+use serde::Serialize;
+use serde_json::Value;
+use std::fmt::Write;
+
+/// Rows under headings.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Table {
+    headings: Vec<&'static str>,
+    rows: Vec<Vec<String>>,
+}
+
+impl Table {
+    /// Builds an empty table.
+    #[must_use]
+    pub fn new(headings: &[&'static str]) -> Self {
+        Self {
+            headings: headings.to_vec(),
+            rows: Vec::new(),
+        }
+    }
+
+    /// Adds a row, with a cell for each heading.
+    #[must_use]
+    pub fn row(mut self, cells: &[&dyn ToString]) -> Self {
+        self.rows
+            .push(cells.iter().map(|cell| cell.to_string()).collect());
+        self
+    }
+
+    fn widths(&self) -> Vec<usize> {
+        let mut widths: Vec<_> = self.headings.iter().map(|text| text.len()).collect();
+        for row in &self.rows {
+            for (width, cell) in widths.iter_mut().zip(row) {
+                *width = (*width).max(cell.chars().count());
+            }
+        }
+        widths
+    }
+
+    fn print(&self) -> String {
+        let widths = self.widths();
+        let mut text = String::new();
+        let headings: Vec<_> = self
+            .headings
+            .iter()
+            .map(|text| (*text).to_owned())
+            .collect();
+        for row in std::iter::once(&headings).chain(&self.rows) {
+            let mut line = String::new();
+            for (cell, width) in row.iter().zip(&widths) {
+                // Writing to a String can't fail.
+                let _ = write!(line, "{cell:<width$}  ");
+            }
+            text.push_str(line.trim_end());
+            text.push('\n');
+        }
+        text
+    }
+}
+
+/// The result of a command.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Output {
+    json: Value,
+    text: String,
+}
+
+impl Output {
+    /// Builds a result that is a table for people and `value` for programs.
+    #[must_use]
+    pub fn table(table: &Table, value: &impl Serialize) -> Self {
+        Self {
+            json: json(value),
+            text: table.print(),
+        }
+    }
+
+    /// Builds a result that is a text for people and `value` for programs.
+    #[must_use]
+    pub fn text(text: impl Into<String>, value: &impl Serialize) -> Self {
+        Self {
+            json: json(value),
+            text: text.into(),
+        }
+    }
+
+    /// Prints the result.
+    #[must_use]
+    pub fn print(&self, as_json: bool) -> String {
+        let text = if as_json {
+            format!("{:#}", self.json)
+        } else {
+            self.text.clone()
+        };
+        text.trim_end().to_owned()
+    }
+}
+
+fn json(value: &impl Serialize) -> Value {
+    serde_json::to_value(value).unwrap_or(Value::Null)
+}
--- /dev/null
+++ b/crates/flamingo-ctl/tests/examples.rs
@@ -0,0 +1,237 @@
+//! Every command's examples run as written, against an instance that answers.
+
+use actix_web::web::{Json, Path};
+use actix_web::{App, HttpResponse, HttpServer, web};
+use flamingo_ctl::{cli, command};
+use flamingo_wire::admin::{
+    Accepted, Answer, Candidate, Copy, Explanation, Follower, Member, Move, Query, Status, Target,
+};
+use flamingo_wire::announce::{Resident, Standing};
+use flamingo_wire::config::{Change, Set, Snapshot};
+use flamingo_wire::control::Reply;
+use flamingo_wire::gossip::Belief;
+use flamingo_wire::place::{Action, Order, Outcome};
+use std::ffi::OsString;
+use std::net::SocketAddr;
+use std::time::{Duration, UNIX_EPOCH};
+
+fn set() -> Set {
+    let path = std::path::Path::new("set.ini");
+    let text = "[model care-notes]\nweights = 1\ncache = 1\n[service rota]\n\
+                [profile urgent]\nrank = 0\nfirst_token_ms = 1\nbetween_tokens_ms = 1\n";
+    flamingo_settings::set::parse(path, text).unwrap()
+}
+
+fn copy() -> Copy {
+    Copy {
+        model: "care-notes".into(),
+        version: 1,
+        target: "engine-7".into(),
+        zone: "seq-a".into(),
+        state: "resident".into(),
+    }
+}
+
+fn resident() -> Resident {
+    Resident {
+        model: "care-notes".into(),
+        version: 1,
+        adapters: Vec::new(),
+    }
+}
+
+fn moves() -> Vec<Move> {
+    let order = Order {
+        id: 5,
+        fence: 2,
+        target: "engine-7".into(),
+        incarnation: 1,
+        action: Action::Load(resident()),
+        memory: 2,
+        reason: "first copy".into(),
+    };
+    vec![Move {
+        order,
+        outcome: Some(Outcome::Done),
+        at: UNIX_EPOCH,
+    }]
+}
+
+fn status() -> Status {
+    let member = Member {
+        node: "control-1".into(),
+        votes: true,
+        matched: 9,
+    };
+    let follower = Follower {
+        node: "entry-1".into(),
+        zone: "seq-a".into(),
+        version: 3,
+        belief: Belief::Alive,
+    };
+    Status {
+        node: "control-1".into(),
+        leader: Some("control-1".into()),
+        term: 2,
+        committed: 9,
+        version: 3,
+        members: vec![member],
+        followers: vec![follower],
+    }
+}
+
+fn answer(query: Query) -> Answer {
+    match query {
+        Query::Status => Answer::Status(status()),
+        Query::History => Answer::History(vec![Accepted {
+            version: 3,
+            change: "c".into(),
+            author: "me".into(),
+            at: UNIX_EPOCH + Duration::from_secs(7),
+            summary: "1 model".into(),
+        }]),
+        Query::Version(version) => {
+            let snapshot = Snapshot {
+                version,
+                set: set(),
+                drained: Vec::new(),
+            };
+            Answer::Version(Box::new(snapshot))
+        }
+        Query::Targets => Answer::Targets(vec![Target {
+            target: "engine-7".into(),
+            zone: "seq-a".into(),
+            kind: "engine".into(),
+            standing: Standing::Serving,
+            drained: false,
+            memory: 80,
+            committed: 2,
+            resident: vec![resident()],
+        }]),
+        Query::Placement => Answer::Placement(vec![copy()]),
+        Query::Explain(model) => Answer::Explain(Explanation {
+            model,
+            wanted: 1,
+            reason: "configured copies".into(),
+            copies: vec![copy()],
+            candidates: vec![Candidate {
+                target: "engine-8".into(),
+                free: 40,
+                reason: "fits".into(),
+            }],
+        }),
+        Query::Moves | Query::DryRun(_) => Answer::Moves(moves()),
+        Query::Drain(wish) => Answer::Drained(if wish.on { 4 } else { 5 }),
+        Query::Snapshot => Answer::Snapshot(9),
+    }
+}
+
+fn instance() -> SocketAddr {
+    let server = HttpServer::new(|| {
+        App::new()
+            .route(
+                "/admin/config",
+                web::get().to(|| async {
+                    let snapshot = Snapshot {
+                        version: 3,
+                        set: set(),
+                        drained: Vec::new(),
+                    };
+                    HttpResponse::Ok().json(Reply::Config(snapshot))
+                }),
+            )
+            .route(
+                "/admin/config",
+                web::post().to(|change: Json<Change>| async move {
+                    HttpResponse::Ok().json(Reply::Accepted(change.base + 1))
+                }),
+            )
+            .route(
+                "/admin/query",
+                web::post().to(|query: Json<Query>| async move {
+                    HttpResponse::Ok().json(answer(query.into_inner()))
+                }),
+            )
+            .route(
+                "/{any}",
+                web::get().to(|_: Path<String>| HttpResponse::Ok()),
+            )
+    })
+    .workers(1)
+    .disable_signals()
+    .bind("127.0.0.1:0")
+    .unwrap();
+    let address = server.addrs()[0];
+    actix_rt::spawn(server.run());
+    address
+}
+
+async fn run(line: &str, more: &[&str]) -> String {
+    let at = instance().to_string();
+    let root = concat!(env!("CARGO_MANIFEST_DIR"), "/../../");
+    let words = line
+        .split(' ')
+        .map(|word| match word.strip_prefix("samples/") {
+            Some(_) => OsString::from(format!("{root}{word}")),
+            None => OsString::from(word),
+        });
+    let flags = ["--at", &at]
+        .into_iter()
+        .chain(more.iter().copied())
+        .map(OsString::from);
+    cli::run(words.chain(flags).collect())
+        .await
+        .unwrap_or_else(|error| panic!("{line}: {error}"))
+}
+
+#[actix_rt::test]
+async fn examples_run_as_written() {
+    for command in command::all() {
+        assert!(
+            !command.examples().is_empty(),
+            "{} has no example",
+            command.name()
+        );
+        for example in command.examples() {
+            let text = run(example.line, &[]).await;
+            assert!(!text.is_empty(), "{}", example.line);
+            let text = run(example.line, &["--json"]).await;
+            serde_json::from_str::<serde_json::Value>(&text).expect(example.line);
+        }
+    }
+}
+
+#[actix_rt::test]
+async fn tables_show_what_was_answered() {
+    for (line, expected) in [
+        ("status", "leader control-1, term 2, committed 9, version 3"),
+        ("model", "care-notes  1        2    1"),
+        ("target", "engine-7  seq-a  engine  serving  2"),
+        (
+            "moves",
+            "5      engine-7  load    care-notes v1  2    done     first copy",
+        ),
+        ("drain engine-7", "accepted as version 4"),
+        ("config history", "3        7          me"),
+        (
+            "config apply samples/local-set.ini",
+            "accepted as version 4",
+        ),
+        ("config diff samples/local-set.ini", "+ model tablet-steps"),
+        (
+            "placement explain care-notes",
+            "1 copies wanted, configured copies",
+        ),
+    ] {
+        let text = run(line, &[]).await;
+        assert!(text.contains(expected), "{line}: {text}");
+    }
+}
+
+#[actix_rt::test]
+async fn the_next_instance_is_asked_when_one_is_gone() {
+    let at = instance().to_string();
+    let words = ["status", "--at", "127.0.0.1:1", "--at", &at].map(OsString::from);
+    let text = cli::run(words.to_vec()).await.unwrap();
+    assert!(text.contains("leader control-1"), "{text}");
+}
--- a/crates/flamingolink/src/main.rs
+++ b/crates/flamingolink/src/main.rs
@@ -95,7 +95,7 @@
 
 /// Applies the set where the data folder holds none yet.
 async fn apply(set: Set) -> Result<(), Box<dyn Error>> {
-    let client = flamingo_ctl::client::Client::new(CONTROL.parse()?);
+    let client = flamingo_ctl::client::Client::new(vec![CONTROL.parse()?]);
     for _ in 0..100 {
         if let Ok(snapshot) = client.config().await {
             if snapshot.version == 0 {
