--- a/crates/flamingo-settings/src/lib.rs
+++ b/crates/flamingo-settings/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod keys;
 pub mod node;
 pub mod reader;
+pub mod serve;
 pub mod set;
 pub mod tls;
 
