Bound the settings of an entry's service and name them on the page

Cause: [serve] took any number and stood on no page. Change: bounds; rows of the settings page; the page test reads the section. Measured: cargo test -p flamingo-settings passes. Conclusion: as the other sections.

--- a/crates/flamingo-settings/src/serve.rs
+++ b/crates/flamingo-settings/src/serve.rs
@@ -33,29 +33,32 @@
     }
 }
 
-const COUNT: &str = "a whole number from 1";
-const BYTES: &str = "a whole number of bytes";
-const MILLIS: &str = "a whole number of milliseconds";
+const KIB: u64 = 1 << 10;
+const GIB: u64 = 1 << 30;
 
 impl Serve {
     /// Reads the section `[serve]`.
     pub fn read(reader: &mut Reader) -> Self {
         let base = Self::default();
-        let mut count = |key, value| reader.or("serve", key, value, COUNT);
-        let workers = count("workers", base.workers).max(1);
-        let connections = count("connections", base.connections).max(1);
-        let body = reader.or("serve", "body_bytes", base.body, BYTES);
-        let answer = reader.or("serve", "answer_bytes", base.answer, BYTES);
         let linger = u64::try_from(base.linger.as_millis()).unwrap_or(u64::MAX);
-        let linger = reader.or("serve", "linger_ms", linger, MILLIS);
-        let adapter_loads = reader.or("serve", "adapter_loads", base.adapter_loads, COUNT);
+        let mut size = |key, value: usize, range| {
+            let default = u64::try_from(value).unwrap_or(u64::MAX);
+            usize::try_from(reader.within("serve", key, default, range)).unwrap_or(value)
+        };
+        let workers = size("workers", base.workers, 1..=64);
+        let connections = size("connections", base.connections, 1..=1_000_000);
+        let body = size("body_bytes", base.body, KIB..=GIB);
+        let answer = size("answer_bytes", base.answer, KIB..=GIB);
+        let linger = reader.within("serve", "linger_ms", linger, 0..=60_000);
+        let loads = u64::from(base.adapter_loads);
+        let loads = reader.within("serve", "adapter_loads", loads, 1..=100_000);
         Self {
             workers,
             connections,
             body,
             answer,
             linger: Duration::from_millis(linger),
-            adapter_loads: adapter_loads.max(1),
+            adapter_loads: u32::try_from(loads).unwrap_or(base.adapter_loads),
         }
     }
 }
--- a/crates/flamingo-settings/tests/page.rs
+++ b/crates/flamingo-settings/tests/page.rs
@@ -36,7 +36,7 @@
         }
     };
     for section in [
-        "node", "listen", "inner", "control", "entry", "log", "keys", "tls", "stop",
+        "node", "listen", "inner", "control", "entry", "log", "keys", "tls", "stop", "serve",
     ] {
         stands(section, known(section, entry::Settings::open));
     }
