--- a/crates/flamingo-stand-in/src/announcer.rs
+++ b/crates/flamingo-stand-in/src/announcer.rs
@@ -2,23 +2,38 @@
 
 use flamingo_wire::announce::Announcement;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::Notify;
 
 /// Time between two announcements.
 pub const INTERVAL: Duration = Duration::from_millis(500);
+/// Time after which an entry that does not answer is passed over.
+const TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Sends what `next` gives to the first of `entries` that takes it, for ever.
-pub async fn run(entries: Vec<SocketAddr>, next: impl Fn() -> Announcement) {
-    let client = awc::Client::default();
+/// Sends what `next` gives to the first of `entries` that takes it, for ever:
+/// every [`INTERVAL`], and at once on `changed`. Nothing is sent while `next`
+/// gives nothing.
+pub async fn run(
+    entries: Vec<SocketAddr>,
+    changed: Arc<Notify>,
+    next: impl Fn() -> Option<Announcement>,
+) {
+    let client = awc::Client::builder().timeout(TIMEOUT).finish();
     loop {
-        let announcement = next();
-        for entry in &entries {
-            let url = format!("http://{entry}/targets/announce");
-            let sent = client.post(url).send_json(&announcement).await;
-            if sent.is_ok_and(|answer| answer.status().is_success()) {
-                break;
-            }
+        if let Some(announcement) = next() {
+            send(&client, &entries, &announcement).await;
+        }
+        let _ = tokio::time::timeout(INTERVAL, changed.notified()).await;
+    }
+}
+
+async fn send(client: &awc::Client, entries: &[SocketAddr], announcement: &Announcement) {
+    for entry in entries {
+        let url = format!("http://{entry}/targets/announce");
+        let sent = client.post(url).send_json(announcement).await;
+        if sent.is_ok_and(|answer| answer.status().is_success()) {
+            return;
         }
-        actix_rt::time::sleep(INTERVAL).await;
     }
 }
--- /dev/null
+++ b/crates/flamingo-stand-in/src/engine/account.rs
@@ -0,0 +1,294 @@
+//! The engine's own account of its memory and of the orders that it was given.
+//!
+//! A pure state machine: an order begins, takes its time elsewhere, and ends.
+
+use flamingo_wire::announce::Resident;
+use flamingo_wire::engine::Parameters;
+use flamingo_wire::id;
+use flamingo_wire::place::{End, Outcome};
+use quick_error::quick_error;
+use serde::Serialize;
+use std::collections::{HashMap, VecDeque};
+
+/// Ended orders that are announced.
+const ENDED: usize = 64;
+
+quick_error! {
+    /// Why an order is not carried out.
+    #[derive(Clone, Debug, Eq, PartialEq)]
+    pub enum Refusal {
+        /// A newer leader has given an order.
+        Fence(highest: id::Fence) {
+            display("fencing number is old, {highest} was seen")
+        }
+        /// Meant for an earlier or later start of this engine.
+        Incarnation(own: id::Incarnation) {
+            display("order is for another incarnation, this is {own}")
+        }
+        /// The same order is being carried out.
+        UnderWay {
+            display("the order is being carried out")
+        }
+        /// The same order has ended.
+        Ended(outcome: Outcome) {
+            display("the order has ended: {outcome}")
+        }
+        /// Another order for this copy is being carried out.
+        Busy {
+            display("another order for this copy is being carried out")
+        }
+        /// The copy is not there.
+        Absent {
+            display("the copy is not resident")
+        }
+        /// Requests for the copy run.
+        InUse(running: u32) {
+            display("{running} requests of the copy run")
+        }
+        /// The copy does not fit.
+        Room(free: id::Mebibytes) {
+            display("only {free} MiB are free")
+        }
+    }
+}
+
+/// Where a copy stands.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub enum Stage {
+    /// Being loaded.
+    Loading,
+    /// Ready.
+    Resident,
+    /// Being unloaded.
+    Unloading,
+}
+
+/// One copy in memory.
+#[derive(Clone, Debug, Serialize)]
+pub struct Copy {
+    /// Which.
+    pub resident: Resident,
+    /// Memory that it takes, in mebibytes.
+    pub memory: id::Mebibytes,
+    /// Where it stands.
+    pub stage: Stage,
+    /// Requests of it that run.
+    pub running: u32,
+}
+
+/// The account.
+#[derive(Clone, Debug, Serialize)]
+pub struct Account {
+    size: id::Mebibytes,
+    fenced: bool,
+    incarnation: id::Incarnation,
+    highest: id::Fence,
+    copies: Vec<Copy>,
+    #[serde(skip)]
+    orders: HashMap<id::Order, Option<Outcome>>,
+    ended: VecDeque<End>,
+    peak: id::Mebibytes,
+    over_commits: u32,
+    loads: u32,
+    unloads: u32,
+    refused: u32,
+}
+
+impl Account {
+    /// Builds the account of an engine that has just started with `copies`.
+    #[must_use]
+    pub fn new(
+        size: id::Mebibytes,
+        fenced: bool,
+        incarnation: id::Incarnation,
+        copies: Vec<Copy>,
+    ) -> Self {
+        let mut account = Self {
+            size,
+            fenced,
+            incarnation,
+            highest: 0,
+            copies,
+            orders: HashMap::new(),
+            ended: VecDeque::new(),
+            peak: 0,
+            over_commits: 0,
+            loads: 0,
+            unloads: 0,
+            refused: 0,
+        };
+        account.peak = account.committed();
+        account
+    }
+
+    /// Returns the memory in use and promised, in mebibytes.
+    #[must_use]
+    pub fn committed(&self) -> id::Mebibytes {
+        self.copies.iter().map(|copy| copy.memory).sum()
+    }
+
+    /// Returns the largest memory that was ever asked of the engine at once.
+    #[must_use]
+    pub fn peak(&self) -> id::Mebibytes {
+        self.peak
+    }
+
+    /// Returns how many loads would have gone beyond the size.
+    #[must_use]
+    pub fn over_commits(&self) -> u32 {
+        self.over_commits
+    }
+
+    /// Returns the copies in a stage.
+    #[must_use]
+    pub fn at(&self, stage: Stage) -> Vec<Resident> {
+        let copies = self.copies.iter().filter(|copy| copy.stage == stage);
+        copies.map(|copy| copy.resident.clone()).collect()
+    }
+
+    /// Returns the orders that ended lately, newest last.
+    #[must_use]
+    pub fn ended(&self) -> Vec<End> {
+        self.ended.iter().copied().collect()
+    }
+
+    /// Returns the resident copy that serves `name`: a model, or an adapter of one.
+    pub fn serving(&mut self, name: &str) -> Option<&mut Copy> {
+        self.copies.iter_mut().find(|copy| {
+            let adapters = &copy.resident.adapters;
+            let named = copy.resident.model == name || adapters.iter().any(|own| own == name);
+            copy.stage == Stage::Resident && named
+        })
+    }
+
+    /// Counts a request of a copy in or out.
+    pub fn count(&mut self, resident: &Resident, change: i32) {
+        if let Some(copy) = self.find(&resident.model, resident.version) {
+            copy.running = copy.running.saturating_add_signed(change);
+        }
+    }
+
+    /// Begins a load.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the load is not carried out.
+    pub fn load(&mut self, model: &str, order: &Parameters) -> Result<(), Refusal> {
+        self.check(order)?;
+        let present = self.find(model, order.version).map(|copy| copy.stage);
+        let begun = match present {
+            // An engine that ignores order numbers takes a repeated load as done.
+            Some(Stage::Resident) => Ok(()),
+            Some(_) => Err(Refusal::Busy),
+            None => self.reserve(model, order),
+        };
+        self.begin(order, begun)
+    }
+
+    /// Begins an unload.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the unload is not carried out.
+    pub fn unload(&mut self, model: &str, order: &Parameters) -> Result<(), Refusal> {
+        self.check(order)?;
+        let begun = match self.find(model, order.version) {
+            None => Err(Refusal::Absent),
+            Some(copy) if copy.running > 0 => Err(Refusal::InUse(copy.running)),
+            Some(copy) if copy.stage != Stage::Resident => Err(Refusal::Busy),
+            Some(copy) => {
+                copy.stage = Stage::Unloading;
+                Ok(())
+            }
+        };
+        self.begin(order, begun)
+    }
+
+    /// Ends an order that began.
+    pub fn end(&mut self, model: &str, order: &Parameters, load: bool, outcome: Outcome) {
+        let keep = load == (outcome == Outcome::Done);
+        let version = order.version;
+        if keep {
+            if let Some(copy) = self.find(model, version) {
+                copy.stage = Stage::Resident;
+            }
+        } else {
+            self.copies
+                .retain(|copy| copy.resident.model != model || copy.resident.version != version);
+        }
+        if outcome == Outcome::Done && load {
+            self.loads += 1;
+        } else if outcome == Outcome::Done {
+            self.unloads += 1;
+        }
+        self.note(order.order, outcome);
+    }
+
+    fn check(&mut self, order: &Parameters) -> Result<(), Refusal> {
+        if !self.fenced {
+            return Ok(());
+        }
+        let refusal = if order.incarnation != self.incarnation {
+            Some(Refusal::Incarnation(self.incarnation))
+        } else if order.fence < self.highest {
+            Some(Refusal::Fence(self.highest))
+        } else {
+            match self.orders.get(&order.order) {
+                Some(Some(outcome)) => return Err(Refusal::Ended(*outcome)),
+                Some(None) => return Err(Refusal::UnderWay),
+                None => None,
+            }
+        };
+        if let Some(refusal) = refusal {
+            self.refused += 1;
+            self.note(order.order, Outcome::Failed);
+            return Err(refusal);
+        }
+        self.highest = order.fence;
+        Ok(())
+    }
+
+    fn begin(&mut self, order: &Parameters, begun: Result<(), Refusal>) -> Result<(), Refusal> {
+        if begun.is_ok() {
+            self.orders.insert(order.order, None);
+        } else {
+            self.refused += 1;
+            self.note(order.order, Outcome::Failed);
+        }
+        begun
+    }
+
+    fn note(&mut self, order: id::Order, outcome: Outcome) {
+        self.orders.insert(order, Some(outcome));
+        self.ended.push_back(End { order, outcome });
+        if self.ended.len() > ENDED {
+            self.ended.pop_front();
+        }
+    }
+
+    fn reserve(&mut self, model: &str, order: &Parameters) -> Result<(), Refusal> {
+        let committed = self.committed();
+        self.peak = self.peak.max(committed + order.memory);
+        if committed + order.memory > self.size {
+            self.over_commits += 1;
+            return Err(Refusal::Room(self.size.saturating_sub(committed)));
+        }
+        self.copies.push(Copy {
+            resident: Resident {
+                model: model.to_owned(),
+                version: order.version,
+                adapters: Vec::new(),
+            },
+            memory: order.memory,
+            stage: Stage::Loading,
+            running: 0,
+        });
+        Ok(())
+    }
+
+    fn find(&mut self, model: &str, version: u32) -> Option<&mut Copy> {
+        self.copies
+            .iter_mut()
+            .find(|copy| copy.resident.model == model && copy.resident.version == version)
+    }
+}
--- a/crates/flamingo-stand-in/src/service.rs
+++ b/crates/flamingo-stand-in/src/service.rs
@@ -1,15 +1,23 @@
 //! A fake plain service that logs what it truly ran.
 
 use crate::announcer;
-use actix_web::dev::Server;
-use actix_web::web::{Bytes, Data};
+use crate::fault::{Faults, Source};
+use actix_web::dev::{Server, ServerHandle};
+use actix_web::web::{Bytes, Data, Json, Query};
 use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
 use flamingo_wire::announce::{Announcement, Kind, Load, Service, Standing};
 use flamingo_wire::id;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
-use std::sync::Mutex;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::sync::Notify;
+
+/// Time that a leaving replica stays reachable, so that its word spreads.
+const LINGER: Duration = Duration::from_secs(3);
+/// Time between two looks.
+const LOOK: Duration = Duration::from_millis(50);
 
 /// Settings of one fake service replica.
 #[derive(Clone, Debug)]
@@ -35,73 +43,188 @@
     pub path: String,
     /// Body, as text.
     pub body: String,
+    /// Value of `x-request-id`, or empty.
+    #[serde(default)]
+    pub request: id::Request,
+    /// Value of `idempotency-key`, or empty.
+    #[serde(default)]
+    pub key: id::Key,
+    /// Time since the replica said that it leaves, in milliseconds.
+    #[serde(default)]
+    pub after_leave_ms: Option<u64>,
 }
 
 #[derive(Debug)]
 struct State {
     settings: Settings,
+    incarnation: id::Incarnation,
     sequence: AtomicU64,
+    running: AtomicU32,
     ran: Mutex<Vec<Run>>,
+    faults: Mutex<Source>,
+    leaving: Mutex<Option<Instant>>,
+    changed: Arc<Notify>,
+    handle: OnceLock<ServerHandle>,
 }
 
 /// Starts the service and returns its server and the address that it took.
 ///
-/// What ran is listed at `GET /stand-in/ran`.
+/// What ran is listed at `GET /stand-in/ran`; `POST /stand-in/faults` sets
+/// faults and `POST /stand-in/leave` lets it leave. A call takes the time in
+/// its query `?ms=N`, else none.
 ///
 /// # Errors
 ///
 /// Returns an error where the address can't be taken.
 pub fn start(settings: Settings) -> std::io::Result<(Server, SocketAddr)> {
     let listen = settings.listen;
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
     let state = Data::new(State {
         settings,
+        incarnation: u64::try_from(since.unwrap_or_default().as_millis()).unwrap_or(u64::MAX),
         sequence: AtomicU64::new(0),
-        ran: Mutex::new(Vec::new()),
+        running: AtomicU32::new(0),
+        ran: Mutex::default(),
+        faults: Mutex::default(),
+        leaving: Mutex::default(),
+        changed: Arc::default(),
+        handle: OnceLock::new(),
     });
     let shared = state.clone();
     let server = HttpServer::new(move || {
         App::new()
             .app_data(shared.clone())
             .route("/stand-in/ran", web::get().to(ran))
+            .route("/stand-in/faults", web::post().to(faults))
+            .route("/stand-in/leave", web::post().to(leave))
             .default_service(web::to(run))
     })
     .workers(1)
     .disable_signals()
+    .shutdown_timeout(3_600)
     .bind(listen)?;
     let address = server.addrs()[0];
+    let server = server.run();
+    let _ = state.handle.set(server.handle());
     let entries = state.settings.entries.clone();
-    actix_rt::spawn(announcer::run(entries, move || announce(&state, address)));
-    Ok((server.run(), address))
+    let changed = state.changed.clone();
+    actix_rt::spawn(announcer::run(entries, changed, move || {
+        announce(&state, address)
+    }));
+    Ok((server, address))
+}
+
+fn held<T>(value: &Mutex<T>) -> MutexGuard<'_, T> {
+    value.lock().expect("no panic while the value is held")
 }
 
-fn announce(state: &State, address: SocketAddr) -> Announcement {
+fn announce(state: &State, address: SocketAddr) -> Option<Announcement> {
     let settings = &state.settings;
-    Announcement {
+    let faults = held(&state.faults).faults().clone();
+    if faults.mute {
+        return None;
+    }
+    let running = state.running.load(Ordering::Relaxed);
+    let running = if faults.wrong_load { 0 } else { running };
+    let standing = match *held(&state.leaving) {
+        Some(_) => Standing::Leaving,
+        None => Standing::Serving,
+    };
+    Some(Announcement {
         target: settings.name.clone(),
-        incarnation: u64::from(std::process::id()),
-        sequence: state.sequence.fetch_add(1, Ordering::Relaxed),
+        incarnation: state.incarnation,
+        sequence: state.sequence.fetch_add(1, Ordering::Relaxed) + 1,
         zone: settings.zone.clone(),
         address,
-        standing: Standing::Serving,
-        load: Load::default(),
+        standing,
+        load: Load {
+            running,
+            ..Load::default()
+        },
         kind: Kind::Service(Service {
             name: settings.service.clone(),
         }),
-    }
+    })
 }
 
 async fn ran(state: Data<State>) -> HttpResponse {
-    HttpResponse::Ok().json(&*state.ran.lock().expect("no panic while the list is held"))
+    HttpResponse::Ok().json(&*held(&state.ran))
+}
+
+async fn faults(state: Data<State>, faults: Json<Faults>) -> HttpResponse {
+    *held(&state.faults) = Source::new(faults.into_inner());
+    HttpResponse::NoContent().finish()
+}
+
+async fn leave(state: Data<State>) -> HttpResponse {
+    let since = *held(&state.leaving).get_or_insert_with(Instant::now);
+    state.changed.notify_one();
+    actix_rt::spawn(async move {
+        while since.elapsed() < LINGER || state.running.load(Ordering::Relaxed) > 0 {
+            actix_rt::time::sleep(LOOK).await;
+        }
+        if let Some(handle) = state.handle.get() {
+            handle.stop(true).await;
+        }
+    });
+    HttpResponse::NoContent().finish()
 }
 
-async fn run(state: Data<State>, request: HttpRequest, body: Bytes) -> HttpResponse {
+/// Counts a call out when dropped.
+struct Running<'a>(&'a State);
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.0.running.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+#[derive(Debug, Deserialize)]
+struct Wanted {
+    #[serde(default)]
+    ms: u64,
+}
+
+async fn run(
+    state: Data<State>,
+    request: HttpRequest,
+    wanted: Query<Wanted>,
+    body: Bytes,
+) -> HttpResponse {
+    while held(&state.faults).faults().silent {
+        actix_rt::time::sleep(LOOK).await;
+    }
+    let (refused, _) = held(&state.faults).request();
+    if let Some(seconds) = refused {
+        return HttpResponse::ServiceUnavailable()
+            .insert_header(("retry-after", seconds.to_string()))
+            .json(serde_json::json!({"error": {"message": "the service refuses work"}}));
+    }
+    state.running.fetch_add(1, Ordering::Relaxed);
+    let _running = Running(&state);
+    let after_leave_ms = held(&state.leaving).map(|since| since.elapsed().as_millis());
     let run = Run {
         method: request.method().to_string(),
         path: request.path().to_owned(),
         body: String::from_utf8_lossy(&body).into_owned(),
+        request: header(&request, "x-request-id"),
+        key: header(&request, "idempotency-key"),
+        after_leave_ms: after_leave_ms.map(|ms| u64::try_from(ms).unwrap_or(u64::MAX)),
+    };
+    let count = {
+        let mut list = held(&state.ran);
+        list.push(run.clone());
+        list.len()
     };
-    let mut list = state.ran.lock().expect("no panic while the list is held");
-    list.push(run.clone());
-    let count = list.len();
+    actix_rt::time::sleep(Duration::from_millis(wanted.ms)).await;
+    if held(&state.faults).order().unanswered {
+        std::future::pending::<()>().await;
+    }
     HttpResponse::Ok().json(serde_json::json!({"ran": run, "count": count}))
 }
+
+fn header(request: &HttpRequest, name: &str) -> String {
+    let value = request.headers().get(name);
+    let text = value.and_then(|value| value.to_str().ok());
+    text.unwrap_or_default().to_owned()
+}
