--- a/crates/flamingolink/src/main.rs
+++ b/crates/flamingolink/src/main.rs
@@ -1,6 +1,7 @@
 //! Starts a whole local system in one process.
 
 use flamingo_daemon::{log, stop};
+use flamingo_settings::keys::Keys;
 use flamingo_settings::node::{Node, Peer};
 use flamingo_settings::{control, entry, set};
 use flamingo_stand_in::{engine, service};
@@ -49,6 +50,7 @@
     let entry = entry::Settings {
         node: node("entry-1", ENTRY, ENTRY_INNER)?,
         seeds: Vec::new(),
+        serve: flamingo_settings::serve::Serve::default(),
     };
     let http: SocketAddr = ENTRY.parse()?;
     let resident: Vec<_> = set
@@ -94,7 +96,7 @@
 
 /// Applies the set where the data folder holds none yet.
 async fn apply(set: Set) -> Result<(), Box<dyn Error>> {
-    let client = flamingo_ctl::client::Client::new(CONTROL.parse()?);
+    let client = flamingo_ctl::client::Client::new(vec![CONTROL.parse()?]);
     for _ in 0..100 {
         if let Ok(snapshot) = client.config().await {
             if snapshot.version == 0 {
@@ -138,14 +140,18 @@
     Ok(Node {
         name: name.to_owned(),
         zone: ZONE.to_owned(),
+        region: "local".to_owned(),
         http: http.parse()?,
         inner: inner.parse()?,
-        key: "local".to_owned(),
+        key: "local-inner-key".to_owned(),
         controls: vec![Peer {
             node: "control-1".to_owned(),
             address: CONTROL_INNER.parse()?,
         }],
         level: "warning".to_owned(),
+        keys: Keys::default(),
+        tls: None,
+        grace: Duration::from_secs(5),
     })
 }
 
