Replicate the control's state over three instances

Cause: control kept its configuration in one file of one instance, so a lost disk or a stopped process lost what was accepted, and calls had no ledger.

Duties of the leader are added by the trait duty::Duty.

Seen: tests/members.rs passes: a change outlives its killed leader, a wiped member returns as a learner, gets its vote and carries on when the leader is lost right after.

--- a/crates/flamingo-control/src/keeper.rs
+++ b/crates/flamingo-control/src/keeper.rs
@@ -1,104 +1,393 @@
-//! The actor that owns the durable state.
+//! The actor that owns the replicated log and the state that it builds.
+//!
+//! It runs the pure [`Raft`] with the clock, the disk thread and the streams to
+//! the other control instances, and applies what is committed to the [`State`].
 
-use actix::{Actor, Context, Handler, Message};
-use flamingo_wire::Fault;
-use flamingo_wire::config::{Change, Snapshot};
-use flamingo_wire::control::{Reply, Request};
-use flamingo_wire::fault::Reason;
-use slog::{Logger, info};
-use std::fs::File;
-use std::io::{self, Write};
-use std::path::PathBuf;
+mod answer;
+mod forward;
+mod pump;
+mod waiting;
 
-const FILE: &str = "config.json";
+use crate::duty::{Duty, Leadership};
+use crate::link::Link;
+use crate::metrics::Metrics;
+use crate::watch::Published;
+use crate::writer::{self, Writer};
+use actix::{Actor, AsyncContext, Context, Handler, Message, MessageResult, ResponseFuture};
+use flamingo_log::raft::{Change, Refusal, Seed};
+use flamingo_log::{Disk, Raft};
+use flamingo_state::{Command, State};
+use flamingo_wire::config::Snapshot;
+use flamingo_wire::control::{Beat, Reply, Request};
+use flamingo_wire::frame::Seal;
+use flamingo_wire::{Fault, id};
+use forward::Forwarder;
+use slog::{Logger, error, info};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::sync::watch;
+use waiting::Waiting;
 
-/// Owns the configuration of a single control instance.
+/// Time between two looks at the clock.
+const TICK: Duration = Duration::from_millis(20);
+/// Time after which a follower that sent no beat is taken to be gone.
+const FOLLOWER: Duration = Duration::from_secs(5);
+
+/// A follower of the configuration on this instance.
 #[derive(Debug)]
+struct Watched {
+    beat: Beat,
+    until: Instant,
+}
+
+/// What a keeper is started with.
+pub struct Start {
+    /// The log, as its disk held it.
+    pub raft: Raft,
+    /// The state of the log's snapshot.
+    pub state: State,
+    /// The disk.
+    pub disk: Box<dyn Disk>,
+    /// This instance's name.
+    pub node: id::Node,
+    /// The control instances that the settings name.
+    pub seeds: Vec<Seed>,
+    /// Seals the inner protocol.
+    pub seal: Seal,
+    /// What only the leader does.
+    pub duties: Vec<Box<dyn Duty>>,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Log lines.
+    pub log: Logger,
+}
+
+/// Owns the replicated log and the state.
 pub struct Keeper {
-    data: PathBuf,
-    snapshot: Snapshot,
+    raft: Raft,
+    state: State,
+    disk: Option<Box<dyn Disk>>,
+    writer: Option<Writer>,
+    node: id::Node,
+    seeds: Vec<Seed>,
+    seal: Seal,
+    duties: Vec<Box<dyn Duty>>,
+    metrics: Metrics,
     log: Logger,
+    links: BTreeMap<id::Node, Link>,
+    forwarder: Forwarder,
+    waiting: Waiting,
+    followers: BTreeMap<id::Node, Watched>,
+    published: watch::Sender<Published>,
+    /// Term of which the state holds the leader's first command.
+    led: id::Term,
+    /// Term in which this instance proposed its first command.
+    begun: id::Term,
+    flushing: bool,
+    stopping: bool,
+    /// Bytes of commands since the last snapshot.
+    grown: usize,
+}
+
+impl std::fmt::Debug for Keeper {
+    fn fmt(&self, out: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(out, "Keeper({})", self.node)
+    }
 }
 
 impl Keeper {
-    /// Opens the data folder, and makes it where it is missing.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error where the folder can't be read.
-    pub fn open(data: PathBuf, log: Logger) -> io::Result<Self> {
-        std::fs::create_dir_all(&data)?;
-        let snapshot = match std::fs::read(data.join(FILE)) {
-            Ok(bytes) => serde_json::from_slice(&bytes)?,
-            Err(error) if error.kind() == io::ErrorKind::NotFound => Snapshot::default(),
-            Err(error) => return Err(error),
-        };
-        Ok(Self {
-            data,
-            snapshot,
-            log,
+    /// Builds the actor; it works once it is started.
+    #[must_use]
+    pub fn new(start: Start) -> Self {
+        let snapshot = start.state.configuration.snapshot();
+        let (published, _) = watch::channel(Arc::new(snapshot));
+        Self {
+            raft: start.raft,
+            state: start.state,
+            disk: Some(start.disk),
+            writer: None,
+            node: start.node.clone(),
+            seeds: start.seeds,
+            seal: start.seal.clone(),
+            duties: start.duties,
+            metrics: start.metrics,
+            log: start.log,
+            links: BTreeMap::new(),
+            forwarder: Forwarder::new(start.node, start.seal),
+            waiting: Waiting::default(),
+            followers: BTreeMap::new(),
+            published,
+            led: 0,
+            begun: 0,
+            flushing: false,
+            stopping: false,
+            grown: 0,
+        }
+    }
+
+    /// Returns where the newest committed configuration is published.
+    #[must_use]
+    pub fn published(&self) -> watch::Receiver<Published> {
+        self.published.subscribe()
+    }
+
+    /// Returns the leadership of this instance, if it holds at `now`.
+    fn leadership(&self, now: Instant) -> Option<Leadership> {
+        let term = self.raft.term();
+        let leads = self.raft.leads(now) && self.led == term;
+        leads.then(|| Leadership {
+            term,
+            fence: self.state.fence(),
         })
     }
 
-    fn apply(&mut self, change: Change) -> Reply {
-        if change.base != self.snapshot.version {
-            let message = format!(
-                "version {} is in force, not {}",
-                self.snapshot.version, change.base
-            );
-            let help = "fetch the set again and repeat the edit";
-            return Reply::Refused(Fault::not_run(Reason::Conflict, message, help));
+    fn publish(&self) {
+        let version = self.state.configuration.version();
+        if version > self.published.borrow().version {
+            let snapshot: Snapshot = self.state.configuration.snapshot();
+            self.published.send_replace(Arc::new(snapshot));
         }
-        let next = Snapshot {
-            version: change.base + 1,
-            set: change.set,
-            drained: Vec::new(),
+    }
+
+    fn tick(&mut self, ctx: &mut Context<Self>) {
+        let now = Instant::now();
+        self.raft.tick(now);
+        self.pump(now);
+        self.waiting.expire(now);
+        self.followers.retain(|_, watched| now < watched.until);
+        self.connect();
+        self.work(now, ctx);
+        self.measure(now);
+    }
+
+    /// Lets the duties run, while this instance leads.
+    fn work(&mut self, now: Instant, ctx: &mut Context<Self>) {
+        let Some(leadership) = self.leadership(now) else {
+            return;
         };
-        if let Err(error) = self.write(&next) {
-            let message = format!("can't write {}: {error}", self.data.display());
-            return Reply::Refused(Fault::not_run(Reason::Storage, message, "see the disk"));
+        let mut commands = Vec::new();
+        for duty in &mut self.duties {
+            commands.extend(duty.run(&self.state, &leadership, now));
+        }
+        for command in commands {
+            // The reply comes to the duty when the command is committed.
+            let _ = self.submit(now, command);
+        }
+        self.flush_soon(ctx);
+    }
+
+    fn flush_soon(&mut self, ctx: &mut Context<Self>) {
+        if !self.flushing {
+            self.flushing = true;
+            ctx.notify(Flush);
         }
-        info!(self.log, "configuration accepted"; "version" => next.version, "change" => change.id);
-        self.snapshot = next;
-        Reply::Accepted(self.snapshot.version)
     }
 
-    fn write(&self, snapshot: &Snapshot) -> io::Result<()> {
-        let fresh = self.data.join("config.new");
-        let mut file = File::create(&fresh)?;
-        file.write_all(&serde_json::to_vec(snapshot)?)?;
-        file.sync_all()?;
-        std::fs::rename(&fresh, self.data.join(FILE))?;
-        File::open(&self.data)?.sync_all()
+    fn measure(&self, now: Instant) {
+        let metrics = &self.metrics;
+        let number = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
+        metrics.leads.set(i64::from(self.raft.leads(now)));
+        metrics.term.set(number(self.raft.term()));
+        metrics.committed.set(number(self.raft.committed()));
+        metrics
+            .version
+            .set(number(self.state.configuration.version()));
+        metrics
+            .records
+            .set(number(self.state.calls.records() as u64));
+        let outstanding = self.state.orders.outstanding().count();
+        metrics.outstanding.set(number(outstanding as u64));
+        metrics.followers.set(number(self.followers.len() as u64));
+        metrics.broken.set(i64::from(self.raft.broken()));
     }
 }
 
 impl Actor for Keeper {
     type Context = Context<Self>;
+
+    fn started(&mut self, ctx: &mut Self::Context) {
+        ctx.set_mailbox_capacity(1024);
+        let keeper = ctx.address();
+        if let Some(disk) = self.disk.take() {
+            let report = move |event| keeper.do_send(Written(event));
+            match Writer::start(disk, report) {
+                Ok(writer) => self.writer = Some(writer),
+                Err(error) => {
+                    error!(self.log, "no writer thread"; "error" => %error);
+                    self.raft.failed(Instant::now());
+                }
+            }
+        }
+        ctx.run_interval(TICK, Self::tick);
+    }
 }
 
-/// A question to the keeper.
+/// A message of another member.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct Incoming(pub flamingo_log::Message);
+
+/// A report of the disk thread.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+struct Written(writer::Event);
+
+/// Sends what was proposed since the last one.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+struct Flush;
+
+/// A beat of a follower of the configuration.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct Followed(pub Beat);
+
+/// A question of an entry, an operator or another control instance.
+///
+/// One that this instance can't answer is passed to the leader, but never
+/// twice: a question of another control instance is redirected.
 #[derive(Debug, Message)]
 #[rtype(result = "Reply")]
-pub struct Ask(pub Request);
+pub struct Ask {
+    /// The question.
+    pub request: Request,
+    /// Who asks; empty for an operator.
+    pub from: id::Node,
+}
 
-impl Handler<Ask> for Keeper {
-    type Result = actix::MessageResult<Ask>;
+/// Proposes a command; answers once it is committed.
+#[derive(Debug, Message)]
+#[rtype(result = "Reply")]
+pub struct Propose(pub Command);
+
+/// Changes the member list by one member.
+#[derive(Debug, Message)]
+#[rtype(result = "Result<(), Fault>")]
+pub struct Enlist(pub Change);
+
+/// Looks at the committed state and at the leadership, if it holds right now.
+#[derive(Message)]
+#[rtype(result = "T")]
+pub struct Look<T: 'static>(pub Glance<T>);
+
+/// What [`Look`] calls.
+pub type Glance<T> = Box<dyn FnOnce(&State, Option<&Leadership>) -> T + Send>;
+
+/// Whether this instance can serve: it has a member list and knows a leader.
+#[derive(Debug, Message)]
+#[rtype(result = "bool")]
+pub struct Ready;
+
+/// Gives up leadership and takes no more proposals.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct Stop;
 
-    fn handle(&mut self, Ask(request): Ask, _: &mut Self::Context) -> Self::Result {
-        let reply = match request {
-            Request::Fetch(fetch) if fetch.version >= self.snapshot.version => {
-                Reply::Current(self.snapshot.version)
+impl Handler<Incoming> for Keeper {
+    type Result = ();
+
+    fn handle(&mut self, Incoming(message): Incoming, _: &mut Self::Context) {
+        let now = Instant::now();
+        self.raft.receive(now, message);
+        self.pump(now);
+    }
+}
+
+impl Handler<Written> for Keeper {
+    type Result = ();
+
+    fn handle(&mut self, Written(event): Written, _: &mut Self::Context) {
+        let now = Instant::now();
+        match event {
+            writer::Event::Synced(count) => self.raft.synced(now, count),
+            writer::Event::Failed(error) => {
+                error!(self.log, "the disk failed; nothing is acknowledged from now on";
+                    "error" => %error);
+                self.raft.failed(now);
             }
-            Request::Fetch(_) => Reply::Config(self.snapshot.clone()),
-            Request::Apply(change) => self.apply(change),
-            Request::Begin(_) => Reply::Refused(Fault::not_run(
-                Reason::Leaderless,
-                "this instance keeps no call ledger yet",
-                "send the call without a key",
-            )),
-            Request::Finish(_) | Request::Report(_) | Request::Admin(_) => Reply::Noted,
-        };
-        actix::MessageResult(reply)
+        }
+        self.pump(now);
+    }
+}
+
+impl Handler<Flush> for Keeper {
+    type Result = ();
+
+    fn handle(&mut self, _: Flush, _: &mut Self::Context) {
+        let now = Instant::now();
+        self.flushing = false;
+        self.raft.flush(now);
+        self.pump(now);
+    }
+}
+
+impl Handler<Followed> for Keeper {
+    type Result = ();
+
+    fn handle(&mut self, Followed(beat): Followed, _: &mut Self::Context) {
+        let until = Instant::now() + FOLLOWER;
+        let watched = Watched { beat, until };
+        self.followers.insert(watched.beat.node.clone(), watched);
+    }
+}
+
+impl Handler<Propose> for Keeper {
+    type Result = ResponseFuture<Reply>;
+
+    fn handle(&mut self, Propose(command): Propose, ctx: &mut Self::Context) -> Self::Result {
+        let now = Instant::now();
+        let waited = self.await_reply(now, command);
+        self.flush_soon(ctx);
+        waited
+    }
+}
+
+impl Handler<Ask> for Keeper {
+    type Result = ResponseFuture<Reply>;
+
+    fn handle(&mut self, ask: Ask, ctx: &mut Self::Context) -> Self::Result {
+        self.ask(Instant::now(), ask, ctx)
+    }
+}
+
+impl Handler<Enlist> for Keeper {
+    type Result = MessageResult<Enlist>;
+
+    fn handle(&mut self, Enlist(change): Enlist, _: &mut Self::Context) -> Self::Result {
+        let now = Instant::now();
+        let changed = self.raft.change(now, change);
+        self.pump(now);
+        MessageResult(changed.map_err(|refusal: Refusal| answer::refused(&refusal)))
+    }
+}
+
+impl<T: Send + 'static> Handler<Look<T>> for Keeper {
+    type Result = MessageResult<Look<T>>;
+
+    fn handle(&mut self, Look(glance): Look<T>, _: &mut Self::Context) -> Self::Result {
+        let leadership = self.leadership(Instant::now());
+        MessageResult(glance(&self.state, leadership.as_ref()))
+    }
+}
+
+impl Handler<Ready> for Keeper {
+    type Result = bool;
+
+    fn handle(&mut self, _: Ready, _: &mut Self::Context) -> bool {
+        let led = self.raft.leader().is_some() && !self.raft.members().is_empty();
+        led && !self.stopping
+    }
+}
+
+impl Handler<Stop> for Keeper {
+    type Result = ();
+
+    fn handle(&mut self, _: Stop, _: &mut Self::Context) {
+        info!(self.log, "leadership given up to stop");
+        let now = Instant::now();
+        self.stopping = true;
+        self.raft.resign(now);
+        self.pump(now);
     }
 }
--- a/crates/flamingo-control/src/lib.rs
+++ b/crates/flamingo-control/src/lib.rs
@@ -1,6 +1,15 @@
 //! The control daemon: keeps durable state and gives orders to engines.
+//!
+//! The [`keeper::Keeper`] actor owns the replicated log and the state that it
+//! builds. What only the leader does is a [`duty::Duty`].
 
 pub mod daemon;
+pub mod duty;
 pub mod http;
 pub mod inner;
 pub mod keeper;
+pub mod link;
+pub mod metrics;
+pub mod packet;
+pub mod watch;
+pub mod writer;
--- /dev/null
+++ b/crates/flamingo-control/src/watch.rs
@@ -0,0 +1,136 @@
+//! Serves the configuration to those that follow it.
+//!
+//! A follower sends its beats; it gets a newer configuration at once, and a
+//! beat at least every [`BEAT`] otherwise. The bytes that one follower gets are
+//! bounded by [`RATE`], and so is the number of followers that are sent a whole
+//! configuration at a time.
+
+use crate::keeper::{Followed, Keeper};
+use crate::packet::{BEAT, SILENCE};
+use actix::Addr;
+use flamingo_wire::config::Snapshot;
+use flamingo_wire::control::{Beat, Push};
+use flamingo_wire::frame::Seal;
+use flamingo_wire::{Frame, id};
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime};
+use tokio::sync::Semaphore;
+use tokio::sync::mpsc::Sender;
+use tokio::sync::watch::Receiver;
+use tonic::{Status, Streaming};
+
+/// Bytes of configuration a second for one follower, over a long run.
+pub const RATE: u64 = 1024 * 1024;
+/// Followers that are sent a whole configuration at a time.
+pub const CATCH_UPS: usize = 16;
+
+/// The configuration as the keeper publishes it.
+pub type Published = Arc<Snapshot>;
+
+/// What all followers of this instance share.
+#[derive(Clone, Debug)]
+pub struct Source {
+    /// Seals what is sent.
+    pub seal: Seal,
+    /// Takes the followers' beats.
+    pub keeper: Addr<Keeper>,
+    /// The newest configuration.
+    pub published: Receiver<Published>,
+    /// Permits for whole configurations.
+    pub permits: Arc<Semaphore>,
+}
+
+/// One follower's stream.
+#[derive(Debug)]
+struct Stream {
+    node: id::Node,
+    version: id::Version,
+    /// When the next whole configuration may be sent.
+    due: Instant,
+    out: Sender<Result<Frame, Status>>,
+}
+
+impl Source {
+    /// Serves one follower until its stream ends or falls silent.
+    pub async fn serve(mut self, mut beats: Streaming<Frame>, out: Sender<Result<Frame, Status>>) {
+        let Ok(Some(first)) = beats.message().await else {
+            return;
+        };
+        let Some(beat) = self.beat(&first) else {
+            let _ = out.send(Err(Status::unauthenticated("not a beat"))).await;
+            return;
+        };
+        let mut stream = Stream {
+            node: beat.node.clone(),
+            version: beat.version,
+            due: Instant::now(),
+            out,
+        };
+        self.keeper.do_send(Followed(beat));
+        let mut deadline = Instant::now() + SILENCE;
+        let mut tick = tokio::time::interval(BEAT);
+        loop {
+            tokio::select! {
+                frame = beats.message() => {
+                    let Ok(Some(frame)) = frame else {
+                        return;
+                    };
+                    if let Some(beat) = self.beat(&frame) {
+                        deadline = Instant::now() + SILENCE;
+                        stream.version = stream.version.max(beat.version);
+                        self.keeper.do_send(Followed(beat));
+                    }
+                }
+                changed = self.published.changed() => {
+                    if changed.is_err() || self.push(&mut stream, false).await.is_none() {
+                        return;
+                    }
+                }
+                _ = tick.tick() => {
+                    let silent = Instant::now() >= deadline;
+                    if silent || self.push(&mut stream, true).await.is_none() {
+                        return;
+                    }
+                }
+            }
+        }
+    }
+
+    fn beat(&self, frame: &Frame) -> Option<Beat> {
+        let beat: Beat = self.seal.open(frame, SystemTime::now()).ok()?;
+        (beat.node == frame.from).then_some(beat)
+    }
+
+    /// Sends what is newer, or a beat; nothing where the stream has ended.
+    async fn push(&mut self, stream: &mut Stream, beat: bool) -> Option<()> {
+        let newest = Arc::clone(&self.published.borrow_and_update());
+        let now = Instant::now();
+        if newest.version > stream.version && now >= stream.due {
+            let permit = self.permits.acquire().await.ok()?;
+            let push = Push::Config(Snapshot::clone(&newest));
+            let frame = self.frame(&stream.node, &push)?;
+            let cost = frame.body.len() as u64 * 1_000 / RATE;
+            stream.due = now + Duration::from_millis(cost);
+            send(&stream.out, frame).await?;
+            drop(permit);
+            stream.version = newest.version;
+            return Some(());
+        }
+        if beat {
+            let push = Push::Beat(stream.version);
+            let frame = self.frame(&stream.node, &push)?;
+            send(&stream.out, frame).await?;
+        }
+        Some(())
+    }
+
+    fn frame(&self, to: &str, push: &Push) -> Option<Frame> {
+        self.seal.seal(to, push, SystemTime::now()).ok()
+    }
+}
+
+/// Sends a frame; a stream that takes none within [`SILENCE`] has ended.
+async fn send(out: &Sender<Result<Frame, Status>>, frame: Frame) -> Option<()> {
+    let sent = tokio::time::timeout(SILENCE, out.send(Ok(frame))).await;
+    sent.ok()?.ok()
+}
--- /dev/null
+++ b/crates/flamingo-control/tests/members.rs
@@ -0,0 +1,86 @@
+//! Three control instances as processes.
+
+use flamingo_test_support::cluster::Cluster;
+use flamingo_test_support::operator::{Applied, Operator, change};
+use flamingo_test_support::wait;
+use flamingo_wire::admin::Status;
+use flamingo_wire::id;
+
+fn operators(cluster: &Cluster) -> Vec<Operator> {
+    cluster.controls.iter().map(Operator::new).collect()
+}
+
+async fn accepted(operator: &Operator, id: &str, base: id::Version) -> id::Version {
+    wait::until("a change to be accepted", || async {
+        match operator.apply(&change(id, base)).await {
+            Applied::Accepted(version) => Some(version),
+            _ => None,
+        }
+    })
+    .await
+}
+
+async fn status_with(operator: &Operator, what: &str, fits: impl Fn(&Status) -> bool) -> Status {
+    wait::until(what, || async { operator.status().await.filter(&fits) }).await
+}
+
+fn voters(status: &Status) -> usize {
+    status.members.iter().filter(|member| member.votes).count()
+}
+
+fn number(cluster: &Cluster, node: &str) -> usize {
+    let mut numbers = 0..cluster.controls.len();
+    numbers.find(|n| cluster.controls[*n].name == node).unwrap()
+}
+
+#[actix_rt::test]
+async fn a_change_outlives_its_leader() {
+    let mut cluster = Cluster::start(3, 0);
+    let operators = operators(&cluster);
+    assert_eq!(accepted(&operators[0], "first", 0).await, 1);
+    let status = status_with(&operators[0], "a leader", |status| status.leader.is_some()).await;
+    let leader = number(&cluster, &status.leader.unwrap());
+    cluster.controls[leader].process.kill();
+    let other = &operators[(leader + 1) % 3];
+    assert_eq!(accepted(other, "second", 1).await, 2);
+    // A resend of the first change gets its first answer.
+    assert_eq!(other.apply(&change("first", 0)).await, Applied::Accepted(1));
+    let name = cluster.controls[leader].name.clone();
+    cluster.controls[leader].process = cluster.restart("flamingo-control", &name);
+    status_with(
+        &operators[leader],
+        "the restarted one to catch up",
+        |status| status.version == 2,
+    )
+    .await;
+}
+
+#[actix_rt::test]
+async fn a_wiped_member_returns_and_a_second_loss_does_no_harm() {
+    let mut cluster = Cluster::start(3, 0);
+    let operators = operators(&cluster);
+    accepted(&operators[0], "first", 0).await;
+    let status = status_with(&operators[0], "a leader", |status| status.leader.is_some()).await;
+    let leader = number(&cluster, &status.leader.unwrap());
+    let wiped = (leader + 1) % 3;
+    let name = cluster.controls[wiped].name.clone();
+    cluster.controls[wiped].process.kill();
+    std::fs::remove_dir_all(cluster.dir.path().join(&name)).unwrap();
+    accepted(&operators[leader], "second", 1).await;
+    cluster.controls[wiped].process = cluster.restart("flamingo-control", &name);
+    status_with(
+        &operators[leader],
+        "the wiped one to vote again",
+        |status| {
+            let known = status.members.iter().find(|member| member.node == name);
+            known.is_some_and(|member| member.votes && member.matched == status.committed)
+                && voters(status) == 3
+        },
+    )
+    .await;
+    // The second loss, right after the repair: the leader itself.
+    cluster.controls[leader].process.kill();
+    assert_eq!(accepted(&operators[wiped], "third", 2).await, 3);
+    let snapshot = wait::until("a read", || operators[wiped].config()).await;
+    assert_eq!(snapshot.version, 3);
+}
--- /dev/null
+++ b/crates/flamingo-log/src/file.rs
@@ -0,0 +1,265 @@
+//! A data folder: identity, snapshot and one segment of records.
+//!
+//! - `identity`: the storage identity, written once before anything else;
+//! - `snapshot`: the newest snapshot, replaced as a whole;
+//! - `log`: votes and entries after the snapshot, appended and synced in batches.
+
+use crate::disk::{Disk, Error, Stored};
+use crate::entry::{Entry, Record, Snapshot, Storage, Vote};
+use crate::segment;
+use serde::de::DeserializeOwned;
+use std::fs::{File, OpenOptions};
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+const IDENTITY: &str = "identity";
+const SNAPSHOT: &str = "snapshot";
+const LOG: &str = "log";
+
+/// A data folder.
+#[derive(Debug)]
+pub struct Folder {
+    path: PathBuf,
+    log: File,
+    vote: Vote,
+    entries: Vec<Entry>,
+    failed: bool,
+}
+
+/// A folder with what it held.
+#[derive(Debug)]
+pub struct Opened {
+    /// The folder.
+    pub folder: Folder,
+    /// What it held.
+    pub stored: Stored,
+}
+
+impl Folder {
+    /// Opens a folder, and makes it under the identity `fresh` where it holds none.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the disk fails or holds corrupt records.
+    pub fn open(path: &Path, fresh: Storage) -> Result<Opened, Error> {
+        let failed = |error| Error::Disk(path.to_owned(), error);
+        std::fs::create_dir_all(path).map_err(failed)?;
+        let Some(storage) = whole::<Storage>(&path.join(IDENTITY))? else {
+            return Self::create(path, fresh).map_err(failed);
+        };
+        let snapshot = whole::<Snapshot>(&path.join(SNAPSHOT))?.unwrap_or_default();
+        Self::load(path, storage, snapshot)
+    }
+
+    /// Moves a corrupt folder's files aside, so that it can be opened as new.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the files can't be moved.
+    pub fn set_aside(path: &Path) -> Result<(), Error> {
+        let failed = |error| Error::Disk(path.to_owned(), error);
+        for name in [IDENTITY, SNAPSHOT, LOG] {
+            let from = path.join(name);
+            if from.exists() {
+                std::fs::rename(&from, path.join(format!("{name}.corrupt"))).map_err(failed)?;
+            }
+        }
+        sync_folder(path).map_err(failed)
+    }
+
+    fn create(path: &Path, storage: Storage) -> io::Result<Opened> {
+        // Left over from a folder whose identity is gone: not to be trusted.
+        for name in [SNAPSHOT, LOG] {
+            match std::fs::remove_file(path.join(name)) {
+                Err(error) if error.kind() != io::ErrorKind::NotFound => return Err(error),
+                _ => {}
+            }
+        }
+        replace(path, LOG, &[])?;
+        let mut bytes = Vec::new();
+        segment::push(&mut bytes, &storage).map_err(io::Error::other)?;
+        replace(path, IDENTITY, &bytes)?;
+        let folder = Self {
+            path: path.to_owned(),
+            log: append(path)?,
+            vote: Vote::default(),
+            entries: Vec::new(),
+            failed: false,
+        };
+        let stored = Stored {
+            storage,
+            ..Stored::default()
+        };
+        Ok(Opened { folder, stored })
+    }
+
+    fn load(path: &Path, storage: Storage, snapshot: Snapshot) -> Result<Opened, Error> {
+        let file = path.join(LOG);
+        let bytes = std::fs::read(&file).map_err(|error| lost(&file, error))?;
+        let scan = segment::scan::<Record>(&bytes);
+        if scan.corrupt {
+            let what = "a bad record stands before a good one";
+            return Err(corrupt(&file, scan.good, what));
+        }
+        let failed = |error| Error::Disk(path.to_owned(), error);
+        let log = append(path).map_err(failed)?;
+        let torn = bytes.len() - scan.good;
+        if torn > 0 {
+            log.set_len(scan.good as u64).map_err(failed)?;
+            log.sync_all().map_err(failed)?;
+        }
+        let mut folder = Self {
+            path: path.to_owned(),
+            log,
+            vote: Vote::default(),
+            entries: Vec::new(),
+            failed: false,
+        };
+        for record in scan.records {
+            folder.note(&record);
+        }
+        folder.entries.retain(|entry| entry.index > snapshot.index);
+        // A crash between the two files of an installed snapshot leaves entries
+        // of a leader that lost; they were never committed.
+        if folder
+            .entries
+            .first()
+            .is_some_and(|entry| entry.term < snapshot.term)
+        {
+            folder.entries.clear();
+        }
+        let first = folder.entries.first();
+        if first.is_some_and(|entry| entry.index != snapshot.index + 1) {
+            return Err(corrupt(&file, 0, "entries do not follow the snapshot"));
+        }
+        let stored = Stored {
+            storage,
+            vote: folder.vote.clone(),
+            snapshot: Arc::new(snapshot),
+            entries: folder.entries.clone(),
+            torn: torn as u64,
+        };
+        Ok(Opened { folder, stored })
+    }
+
+    /// Takes a record into the mirror of the file.
+    fn note(&mut self, record: &Record) {
+        match record {
+            Record::Vote(vote) => self.vote = vote.clone(),
+            Record::Entry(entry) => {
+                let keep = self
+                    .entries
+                    .partition_point(|kept| kept.index < entry.index);
+                self.entries.truncate(keep);
+                self.entries.push(entry.clone());
+            }
+            Record::Snapshot(snapshot) => {
+                let at = self
+                    .entries
+                    .iter()
+                    .find(|kept| kept.index == snapshot.index);
+                let fits = at.is_some_and(|kept| kept.term == snapshot.term);
+                let behind = self
+                    .entries
+                    .first()
+                    .is_some_and(|kept| kept.index > snapshot.index);
+                if !fits && !behind {
+                    self.entries.clear();
+                }
+                self.entries.retain(|kept| kept.index > snapshot.index);
+            }
+        }
+    }
+
+    fn try_write(&mut self, records: &[Record]) -> io::Result<()> {
+        let mut bytes = Vec::new();
+        for record in records {
+            self.note(record);
+            if let Record::Snapshot(snapshot) = record {
+                bytes.clear();
+                self.rewrite(snapshot)?;
+            } else {
+                segment::push(&mut bytes, record).map_err(io::Error::other)?;
+            }
+        }
+        if bytes.is_empty() {
+            return Ok(());
+        }
+        self.log.write_all(&bytes)?;
+        self.log.sync_data()
+    }
+
+    /// Replaces the snapshot, then the segment by what stands after it.
+    fn rewrite(&mut self, snapshot: &Snapshot) -> io::Result<()> {
+        let mut bytes = Vec::new();
+        segment::push(&mut bytes, snapshot).map_err(io::Error::other)?;
+        replace(&self.path, SNAPSHOT, &bytes)?;
+        let mut bytes = Vec::new();
+        let vote = Record::Vote(self.vote.clone());
+        segment::push(&mut bytes, &vote).map_err(io::Error::other)?;
+        for entry in &self.entries {
+            let record = Record::Entry(entry.clone());
+            segment::push(&mut bytes, &record).map_err(io::Error::other)?;
+        }
+        replace(&self.path, LOG, &bytes)?;
+        self.log = append(&self.path)?;
+        Ok(())
+    }
+}
+
+impl Disk for Folder {
+    fn write(&mut self, records: &[Record]) -> Result<(), Error> {
+        if self.failed {
+            let error = io::Error::other("an earlier write failed");
+            return Err(Error::Disk(self.path.clone(), error));
+        }
+        self.try_write(records).map_err(|error| {
+            self.failed = true;
+            Error::Disk(self.path.clone(), error)
+        })
+    }
+}
+
+/// Reads a file that holds one whole record; nothing where there is no file.
+fn whole<T: DeserializeOwned>(file: &Path) -> Result<Option<T>, Error> {
+    let bytes = match std::fs::read(file) {
+        Ok(bytes) => bytes,
+        Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(None),
+        Err(error) => return Err(Error::Disk(file.to_owned(), error)),
+    };
+    let mut scan = segment::scan::<T>(&bytes);
+    if scan.good != bytes.len() || scan.records.len() != 1 {
+        return Err(corrupt(file, scan.good, "the file is not one whole record"));
+    }
+    Ok(scan.records.pop())
+}
+
+/// Replaces a file so that a crash leaves the old one or the new one.
+fn replace(folder: &Path, name: &str, bytes: &[u8]) -> io::Result<()> {
+    let fresh = folder.join(format!("{name}.new"));
+    let mut file = File::create(&fresh)?;
+    file.write_all(bytes)?;
+    file.sync_all()?;
+    std::fs::rename(&fresh, folder.join(name))?;
+    sync_folder(folder)
+}
+
+fn sync_folder(folder: &Path) -> io::Result<()> {
+    File::open(folder)?.sync_all()
+}
+
+fn append(folder: &Path) -> io::Result<File> {
+    OpenOptions::new().append(true).open(folder.join(LOG))
+}
+
+fn lost(file: &Path, error: io::Error) -> Error {
+    if error.kind() == io::ErrorKind::NotFound {
+        return corrupt(file, 0, "the file is gone while the identity stands");
+    }
+    Error::Disk(file.to_owned(), error)
+}
+
+fn corrupt(file: &Path, offset: usize, what: &str) -> Error {
+    Error::Corrupt(file.to_owned(), offset as u64, what.to_owned())
+}
--- /dev/null
+++ b/crates/flamingo-log/src/raft.rs
@@ -0,0 +1,523 @@
+//! The protocol as a pure state machine.
+//!
+//! Every input carries the `Instant` at which it is taken. Outputs gather and
+//! are fetched with [`Raft::take`], in order. Messages that promise something
+//! (votes, acknowledgements) are held back until the records that they rest on
+//! are synced: the caller counts the [`Action::Write`]s and reports with
+//! [`Raft::synced`] how many of them are durable.
+
+mod election;
+mod formation;
+mod journal;
+mod leader;
+mod membership;
+mod replication;
+
+use crate::disk::Stored;
+use crate::entry::{Entry, Member, Payload, Record, Snapshot, Storage, Vote};
+use crate::message::{Body, Message};
+use crate::timing::Timing;
+use flamingo_wire::id;
+use journal::Journal;
+use leader::Leader;
+pub use membership::Change;
+use quick_error::quick_error;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Instant;
+use strum::{Display, IntoStaticStr};
+
+/// What the caller must do.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Action {
+    /// Write the record; see [`Raft::synced`].
+    Write(Record),
+    /// Send the message.
+    Send(Message),
+    /// Apply the entries to the state: they are committed.
+    Commit(Vec<Entry>),
+    /// Replace the state by this snapshot.
+    Restore(Arc<Snapshot>),
+    /// The role has changed.
+    Became(Role),
+}
+
+/// What a member is.
+#[derive(Clone, Copy, Debug, Display, Eq, Hash, IntoStaticStr, PartialEq)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Role {
+    /// Has no member list yet.
+    Unformed,
+    /// Receives the log.
+    Follower,
+    /// Asks for votes.
+    Candidate,
+    /// Makes the log.
+    Leader,
+}
+
+quick_error! {
+    /// Why a proposal was not taken.
+    #[derive(Clone, Debug, Eq, PartialEq)]
+    pub enum Refusal {
+        /// Another member leads, if one is known.
+        Follower(leader: Option<id::Node>) {
+            display("this instance does not lead")
+        }
+        /// No change of members can be made now.
+        Busy {
+            display("another change of members is under way; ask again")
+        }
+        /// The member list does not allow it.
+        Invalid(message: String) {
+            display("{message}")
+        }
+        /// The disk failed.
+        Disk {
+            display("the disk failed; this instance acknowledges nothing until it is restarted")
+        }
+    }
+}
+
+/// Where an entry was put.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Slot {
+    /// Its index.
+    pub index: id::Index,
+    /// Its term; another entry at this index means that it was not accepted.
+    pub term: id::Term,
+}
+
+/// Another control instance as the settings name it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Seed {
+    /// Its name.
+    pub node: id::Node,
+    /// Where it takes the inner protocol.
+    pub address: SocketAddr,
+}
+
+/// What a member is told at its start.
+#[derive(Clone, Debug)]
+pub struct Start {
+    /// Its name.
+    pub node: id::Node,
+    /// Where it takes the inner protocol.
+    pub address: SocketAddr,
+    /// All control instances that the settings name, this one included.
+    pub seeds: Vec<Seed>,
+    /// Times.
+    pub timing: Timing,
+    /// Seed of the jitter.
+    pub seed: u64,
+    /// What the disk held.
+    pub stored: Stored,
+}
+
+/// The member's part beside the journal.
+#[derive(Debug)]
+enum Standing {
+    Follower,
+    Candidate {
+        pre: bool,
+        transfer: bool,
+        granted: BTreeSet<id::Node>,
+    },
+    Leader(Box<Leader>),
+}
+
+/// A message that waits until a number of records are synced.
+#[derive(Debug)]
+struct Held {
+    after: u64,
+    message: Message,
+}
+
+/// A snapshot that arrives in chunks.
+#[derive(Debug)]
+struct Partial {
+    index: id::Index,
+    term: id::Term,
+    data: Vec<u8>,
+}
+
+/// One member of the log.
+#[derive(Debug)]
+pub struct Raft {
+    node: id::Node,
+    address: SocketAddr,
+    storage: Storage,
+    seeds: Vec<Seed>,
+    timing: Timing,
+    jitter: u64,
+    vote: Vote,
+    journal: Journal,
+    commit: id::Index,
+    standing: Standing,
+    leader: Option<id::Node>,
+    /// Until when no vote is given: a leader was heard.
+    loyal: Instant,
+    /// When the next election, heartbeat or question is due.
+    deadline: Instant,
+    unformed: BTreeMap<id::Node, Storage>,
+    partial: Option<Partial>,
+    held: VecDeque<Held>,
+    written: u64,
+    synced: u64,
+    broken: bool,
+    out: Vec<Action>,
+}
+
+impl Raft {
+    /// Starts a member with what its disk held.
+    #[must_use]
+    pub fn new(start: Start, now: Instant) -> Self {
+        let stored = start.stored;
+        let commit = stored.snapshot.index;
+        let mut raft = Self {
+            node: start.node,
+            address: start.address,
+            storage: stored.storage,
+            seeds: start.seeds,
+            timing: start.timing,
+            jitter: start.seed,
+            vote: stored.vote,
+            journal: Journal::new(stored.snapshot, stored.entries),
+            commit,
+            standing: Standing::Follower,
+            leader: None,
+            // It may have heard a leader just before it stopped.
+            loyal: now + start.timing.election,
+            deadline: now,
+            unformed: BTreeMap::new(),
+            partial: None,
+            held: VecDeque::new(),
+            written: 0,
+            synced: 0,
+            broken: false,
+            out: Vec::new(),
+        };
+        if raft.formed() {
+            raft.rest(now);
+        }
+        raft
+    }
+
+    /// Takes the actions since the last call.
+    pub fn take(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.out)
+    }
+
+    /// Lets time pass; to be called a few times in a heartbeat.
+    pub fn tick(&mut self, now: Instant) {
+        self.expire(now);
+        if now < self.deadline {
+            return;
+        }
+        if !self.formed() {
+            self.seek(now);
+        } else if matches!(self.standing, Standing::Leader(_)) {
+            self.beat(now);
+        } else {
+            self.campaign(now, true, false);
+        }
+    }
+
+    /// Takes a message.
+    pub fn receive(&mut self, now: Instant, message: Message) {
+        self.expire(now);
+        if message.to != self.node || self.foreign(&message) {
+            return;
+        }
+        if !self.adopt(now, &message) {
+            return;
+        }
+        let Message {
+            from,
+            from_storage,
+            to_storage,
+            term,
+            cluster,
+            body,
+            ..
+        } = message;
+        let addressed = to_storage == self.storage;
+        match body {
+            Body::Ask(ask) if addressed => self.answer(now, &from, from_storage, term, &ask),
+            Body::Voted { pre, granted } if addressed => {
+                self.count(now, &from, from_storage, term, pre, granted);
+            }
+            Body::Append(append) if addressed => {
+                self.append(now, &from, from_storage, term, append);
+            }
+            Body::Install(chunk) if addressed => {
+                self.install(now, &from, from_storage, cluster, term, chunk);
+            }
+            Body::Appended { round, fit } => {
+                self.appended(now, &from, from_storage, term, round, fit);
+            }
+            Body::Installed {
+                round,
+                index,
+                offset,
+                done,
+            } => self.installed(now, &from, from_storage, round, index, offset, done),
+            Body::Inquire => self.inquired(&from, from_storage),
+            Body::Unformed if addressed => self.gather(now, from, from_storage),
+            Body::Found(members) if addressed => self.found(now, cluster, members),
+            Body::Join { address } => self.joined(now, &from, from_storage, address),
+            Body::Transfer if addressed && term == self.vote.term => {
+                self.campaign(now, false, true);
+            }
+            _ => {}
+        }
+    }
+
+    /// Takes the word that the first `count` written records are durable.
+    pub fn synced(&mut self, now: Instant, count: u64) {
+        self.expire(now);
+        self.synced = self.synced.max(count);
+        while self
+            .held
+            .front()
+            .is_some_and(|held| held.after <= self.synced)
+        {
+            if let Some(held) = self.held.pop_front() {
+                self.out.push(Action::Send(held.message));
+            }
+        }
+        if let Standing::Leader(leader) = &mut self.standing {
+            leader.synced(self.synced);
+            self.advance(now);
+        } else {
+            self.elect(now);
+        }
+    }
+
+    /// Takes the word that the disk failed: nothing is acknowledged any more.
+    ///
+    /// The member goes on to hear of commits, so that its reads stay true.
+    pub fn failed(&mut self, now: Instant) {
+        self.broken = true;
+        self.held.clear();
+        if self.role() != Role::Follower {
+            self.follow(now, None);
+        }
+    }
+
+    /// Proposes a command.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal where this member doesn't lead or its disk failed.
+    pub fn propose(&mut self, now: Instant, command: Vec<u8>) -> Result<Slot, Refusal> {
+        self.expire(now);
+        self.leading()?;
+        let slot = self.push(Payload::Command(command));
+        Ok(slot)
+    }
+
+    /// Sends what was proposed since the last flush.
+    pub fn flush(&mut self, now: Instant) {
+        self.expire(now);
+        self.spread(now, false);
+    }
+
+    /// Puts `data`, the state up to the committed `index`, in place of the entries.
+    pub fn compact(&mut self, index: id::Index, data: Vec<u8>) {
+        if index <= self.journal.base() || index > self.commit {
+            return;
+        }
+        let snapshot = self.journal.compact(index, data);
+        self.write(Record::Snapshot(snapshot));
+    }
+
+    /// Returns whether this member leads, by its own deadline, at `now`.
+    #[must_use]
+    pub fn leads(&self, now: Instant) -> bool {
+        match &self.standing {
+            Standing::Leader(leader) => !self.broken && now < leader.until(&self.timing),
+            _ => false,
+        }
+    }
+
+    /// Returns whether the committed state may answer reads at `now`.
+    ///
+    /// That is the case while no other member can have been elected, and all
+    /// that earlier leaders committed is known.
+    #[must_use]
+    pub fn lease(&self, now: Instant) -> bool {
+        match &self.standing {
+            Standing::Leader(leader) => {
+                self.journal.term(self.commit) == Some(self.vote.term)
+                    && leader.lease(&self.timing).is_some_and(|until| now < until)
+            }
+            _ => false,
+        }
+    }
+
+    /// Returns what this member is.
+    #[must_use]
+    pub fn role(&self) -> Role {
+        match &self.standing {
+            _ if !self.formed() => Role::Unformed,
+            Standing::Follower => Role::Follower,
+            Standing::Candidate { .. } => Role::Candidate,
+            Standing::Leader(_) => Role::Leader,
+        }
+    }
+
+    /// Returns who leads, as far as this member knows.
+    #[must_use]
+    pub fn leader(&self) -> Option<&id::Node> {
+        self.leader.as_ref()
+    }
+
+    /// Returns the term.
+    #[must_use]
+    pub fn term(&self) -> id::Term {
+        self.vote.term
+    }
+
+    /// Returns the last committed index that is known here.
+    #[must_use]
+    pub fn committed(&self) -> id::Index {
+        self.commit
+    }
+
+    /// Returns the last index.
+    #[must_use]
+    pub fn last(&self) -> id::Index {
+        self.journal.last()
+    }
+
+    /// Returns the last index that the snapshot covers.
+    #[must_use]
+    pub fn base(&self) -> id::Index {
+        self.journal.base()
+    }
+
+    /// Returns the member list in force.
+    #[must_use]
+    pub fn members(&self) -> &[Member] {
+        self.journal.members()
+    }
+
+    /// Returns the last index that `node` is known to hold.
+    #[must_use]
+    pub fn matched(&self, node: &str) -> id::Index {
+        match &self.standing {
+            Standing::Leader(leader) if node != self.node => leader.matched(node),
+            _ if node == self.node => self.journal.last(),
+            _ => 0,
+        }
+    }
+
+    /// Returns whether the disk failed.
+    #[must_use]
+    pub fn broken(&self) -> bool {
+        self.broken
+    }
+
+    /// Returns the identity of this member's data folder.
+    #[must_use]
+    pub fn storage(&self) -> Storage {
+        self.storage
+    }
+
+    fn formed(&self) -> bool {
+        self.journal.cluster() != 0
+    }
+
+    /// Returns whether a message belongs to another group of members.
+    fn foreign(&self, message: &Message) -> bool {
+        let seeking = matches!(
+            message.body,
+            Body::Inquire | Body::Unformed | Body::Join { .. }
+        );
+        self.formed() && !seeking && message.cluster != self.journal.cluster()
+    }
+
+    fn leading(&self) -> Result<(), Refusal> {
+        if self.broken {
+            return Err(Refusal::Disk);
+        }
+        match &self.standing {
+            Standing::Leader(_) => Ok(()),
+            _ => Err(Refusal::Follower(self.leader.clone())),
+        }
+    }
+
+    fn write(&mut self, record: Record) {
+        if self.broken {
+            return;
+        }
+        self.written += 1;
+        self.out.push(Action::Write(record));
+    }
+
+    fn message(&self, to: &str, to_storage: Storage, term: id::Term, body: Body) -> Message {
+        Message {
+            from: self.node.clone(),
+            from_storage: self.storage,
+            to: to.to_owned(),
+            to_storage,
+            cluster: self.journal.cluster(),
+            term,
+            body,
+        }
+    }
+
+    /// Sends a message that promises nothing.
+    fn send(&mut self, to: &str, to_storage: Storage, body: Body) {
+        let message = self.message(to, to_storage, self.vote.term, body);
+        self.out.push(Action::Send(message));
+    }
+
+    /// Sends a message once all that was written so far is synced.
+    fn promise(&mut self, to: &str, to_storage: Storage, body: Body) {
+        let message = self.message(to, to_storage, self.vote.term, body);
+        self.hold(message);
+    }
+
+    fn hold(&mut self, message: Message) {
+        if self.broken {
+            return;
+        }
+        if self.synced >= self.written {
+            self.out.push(Action::Send(message));
+            return;
+        }
+        let after = self.written;
+        self.held.push_back(Held { after, message });
+    }
+
+    fn push(&mut self, payload: Payload) -> Slot {
+        let index = self.journal.last() + 1;
+        let term = self.vote.term;
+        let entry = Entry {
+            index,
+            term,
+            payload,
+        };
+        self.journal.push(entry.clone());
+        self.write(Record::Entry(entry));
+        let written = self.written;
+        if let Standing::Leader(leader) = &mut self.standing {
+            leader.wrote(written, index);
+        }
+        Slot { index, term }
+    }
+
+    /// Hands on what is committed up to `index`.
+    fn commit_to(&mut self, index: id::Index) {
+        let index = index.min(self.journal.last());
+        if index <= self.commit {
+            return;
+        }
+        let entries = self.journal.range(self.commit + 1, index);
+        self.commit = index;
+        self.out.push(Action::Commit(entries));
+    }
+}
--- /dev/null
+++ b/crates/flamingo-log/src/timing.rs
@@ -0,0 +1,27 @@
+//! Times of the protocol.
+
+use std::time::Duration;
+
+/// Times of the protocol; the same on every member.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Timing {
+    /// Time between two heartbeats of a leader.
+    pub heartbeat: Duration,
+    /// Silence after which a follower asks for an election, before jitter;
+    /// it votes for nobody for as long after it last heard a leader.
+    pub election: Duration,
+    /// Time for which a leader may answer reads after a majority heard it.
+    ///
+    /// Shorter than [`Timing::election`] by the drift that clocks may have.
+    pub lease: Duration,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Self {
+            heartbeat: Duration::from_millis(100),
+            election: Duration::from_secs(1),
+            lease: Duration::from_millis(800),
+        }
+    }
+}
--- a/crates/flamingo-test-support/src/cluster.rs
+++ b/crates/flamingo-test-support/src/cluster.rs
@@ -11,7 +11,8 @@
 const HTTP: u16 = 7400;
 const INNER: u16 = 7401;
 const TARGET: u16 = 8000;
-const KEY: &str = "test-inner-key";
+/// Key of the inner protocol.
+pub const KEY: &str = "test-inner-key";
 
 /// One instance of the system or one target.
 #[derive(Debug)]
@@ -31,6 +32,12 @@
         at(self.host, HTTP)
     }
 
+    /// Returns where it takes the inner protocol.
+    #[must_use]
+    pub fn inner(&self) -> SocketAddr {
+        at(self.host, INNER)
+    }
+
     /// Returns where a target takes requests.
     #[must_use]
     pub fn target(&self) -> SocketAddr {
