Let the fakes keep the contract of routing and placement

Cause: routing needs resumable streams that say so, refusals that say not run and a record that outlives a kill; placement needs orders that are answered when they begin and end in the announcement. Ruled out: an answer after the load's end (a caller's timeout would then decide how long a load may take) and a refusal to unload a copy in use (a busy copy could never be moved).

--- a/crates/flamingo-stand-in/src/answer.rs
+++ b/crates/flamingo-stand-in/src/answer.rs
@@ -19,16 +19,23 @@
     })
 }
 
-/// Returns token number `step` (from 0) of the answer to `prompt`.
+/// Returns token number `step` (from 0) of the answer to `prompt`; a last line
+/// `echo:WORD ...` gives the tokens `WORD.0 WORD.1 ...`.
 ///
 /// ```
 /// use flamingo_stand_in::answer;
 ///
 /// assert!(answer::token("hello", 3).starts_with("t3-"));
+/// assert_eq!(answer::token("echo:q17", 3), "q17.3 ");
 /// assert_ne!(answer::token("hello", 3), answer::token("other", 3));
 /// ```
 #[must_use]
 pub fn token(prompt: &str, step: u32) -> String {
+    let last = prompt.lines().last().unwrap_or_default();
+    let echo = last.strip_prefix("echo:");
+    if let Some(word) = echo.and_then(|rest| rest.split_whitespace().next()) {
+        return format!("{word}.{step} ");
+    }
     format!("t{step}-{:08x} ", hash(0, prompt.as_bytes()) >> 32)
 }
 
--- a/crates/flamingo-stand-in/src/engine/account.rs
+++ b/crates/flamingo-stand-in/src/engine/account.rs
@@ -41,10 +41,6 @@
         Absent {
             display("the copy is not resident")
         }
-        /// Requests for the copy run.
-        InUse(running: u32) {
-            display("{running} requests of the copy run")
-        }
         /// The copy does not fit.
         Room(free: id::Mebibytes) {
             display("only {free} MiB are free")
@@ -146,6 +142,15 @@
         copies.map(|copy| copy.resident.clone()).collect()
     }
 
+    /// Returns whether requests of a copy run.
+    #[must_use]
+    pub fn in_use(&self, model: &str, version: u32) -> bool {
+        self.copies.iter().any(|copy| {
+            let same = copy.resident.model == model && copy.resident.version == version;
+            same && copy.running > 0
+        })
+    }
+
     /// Returns the orders that ended lately, newest last.
     #[must_use]
     pub fn ended(&self) -> Vec<End> {
@@ -168,7 +173,7 @@
         }
     }
 
-    /// Begins a load.
+    /// Begins a load; a load of a copy that is there has ended without effect.
     ///
     /// # Errors
     ///
@@ -177,15 +182,15 @@
         self.check(order)?;
         let present = self.find(model, order.version).map(|copy| copy.stage);
         let begun = match present {
-            // An engine that ignores order numbers takes a repeated load as done.
-            Some(Stage::Resident) => Ok(()),
+            Some(Stage::Resident) => Err(Refusal::Ended(Outcome::Done)),
             Some(_) => Err(Refusal::Busy),
             None => self.reserve(model, order),
         };
         self.begin(order, begun)
     }
 
-    /// Begins an unload.
+    /// Begins an unload: the copy takes no new request, and its memory comes
+    /// back at the end. An unload of an absent copy has ended without effect.
     ///
     /// # Errors
     ///
@@ -193,8 +198,7 @@
     pub fn unload(&mut self, model: &str, order: &Parameters) -> Result<(), Refusal> {
         self.check(order)?;
         let begun = match self.find(model, order.version) {
-            None => Err(Refusal::Absent),
-            Some(copy) if copy.running > 0 => Err(Refusal::InUse(copy.running)),
+            None => Err(Refusal::Ended(Outcome::Done)),
             Some(copy) if copy.stage != Stage::Resident => Err(Refusal::Busy),
             Some(copy) => {
                 copy.stage = Stage::Unloading;
@@ -241,7 +245,6 @@
         };
         if let Some(refusal) = refusal {
             self.refused += 1;
-            self.note(order.order, Outcome::Failed);
             return Err(refusal);
         }
         self.highest = order.fence;
@@ -249,11 +252,15 @@
     }
 
     fn begin(&mut self, order: &Parameters, begun: Result<(), Refusal>) -> Result<(), Refusal> {
-        if begun.is_ok() {
-            self.orders.insert(order.order, None);
-        } else {
-            self.refused += 1;
-            self.note(order.order, Outcome::Failed);
+        match begun {
+            Ok(()) => {
+                self.orders.insert(order.order, None);
+            }
+            Err(Refusal::Ended(outcome)) => self.note(order.order, outcome),
+            Err(_) => {
+                self.refused += 1;
+                self.note(order.order, Outcome::Failed);
+            }
         }
         begun
     }
--- a/crates/flamingo-stand-in/src/engine/complete.rs
+++ b/crates/flamingo-stand-in/src/engine/complete.rs
@@ -4,6 +4,7 @@
 use super::prefix::{self, BLOCK};
 use super::state::{Run, State};
 use crate::answer::{self, CHARACTERS};
+use crate::record::Line;
 use actix_web::web::{Bytes, Data, Json};
 use actix_web::{HttpRequest, HttpResponse};
 use flamingo_wire::announce::Resident;
@@ -13,8 +14,12 @@
 
 /// Header that says which token to go on from.
 pub const RESUME: &str = "x-flamingo-resume-from";
+/// Header with the priority of a request; 0, the most urgent, where it is left out.
+pub const PRIORITY: &str = "x-flamingo-priority";
 /// Tokens generated where the request does not say.
 const TOKENS: u64 = 8;
+/// Header of an answer to a request that did not run.
+const NOT_RUN: (&str, &str) = ("x-flamingo-verdict", "not-run");
 
 /// The shape of the answer.
 #[derive(Clone, Copy, Debug)]
@@ -69,18 +74,26 @@
     if let Some(seconds) = refused {
         return HttpResponse::ServiceUnavailable()
             .insert_header(("retry-after", seconds.to_string()))
+            .insert_header(NOT_RUN)
             .json(json!({"error": {"message": "the engine refuses work"}}));
     }
     let Some((mut sequence, admitted)) = enter(&state, request, body, shape) else {
         let message = format!("{} is not loaded", body["model"]);
-        return HttpResponse::NotFound().json(json!({"error": {"message": message}}));
+        return HttpResponse::NotFound()
+            .insert_header(NOT_RUN)
+            .json(json!({"error": {"message": message}}));
     };
     // The sender lives in the batch as long as the sequence does.
     let _ = admitted.await;
     sequence.truncate = truncate;
     sequence.prefill().await;
     if body["stream"].as_bool().unwrap_or(false) {
-        return HttpResponse::Ok()
+        let mut answer = HttpResponse::Ok();
+        if sequence.state.behaviour.resumes {
+            answer.insert_header(("x-flamingo-resumable", "1"));
+            answer.insert_header(("x-flamingo-resumed-from", sequence.step.to_string()));
+        }
+        return answer
             .content_type("text/event-stream")
             .streaming(stream::unfold(Some(sequence), next));
     }
@@ -105,9 +118,9 @@
     let prompt = answer::prompt(body);
     let total = body["max_tokens"].as_u64().unwrap_or(TOKENS);
     let total = u32::try_from(total).unwrap_or(u32::MAX);
-    let step = header(request, RESUME).parse().unwrap_or(0);
-    let priority = body["priority"].as_i64().unwrap_or(0);
-    let priority = i32::try_from(priority).unwrap_or(i32::MAX);
+    let resume = header(request, RESUME).parse().unwrap_or(0);
+    let step = if state.behaviour.resumes { resume } else { 0 };
+    let priority = header(request, PRIORITY).parse().unwrap_or(0);
     let mut inner = state.lock();
     let resident = inner.account.serving(&model)?.resident.clone();
     inner.account.count(&resident, 1);
@@ -120,6 +133,13 @@
         end: "running".to_owned(),
         after_leave_ms: None,
     });
+    state.record.write(&Line {
+        request: header(request, "x-request-id"),
+        key: "",
+        method: request.method().as_str(),
+        path: request.path(),
+        body: &body.to_string(),
+    });
     let tokens = answer::tokens(&prompt) + total as usize;
     let (key, admitted) = inner.batch.enter(priority, tokens);
     let sequence = Sequence {
--- a/crates/flamingo-stand-in/src/engine/mod.rs
+++ b/crates/flamingo-stand-in/src/engine/mod.rs
@@ -17,6 +17,7 @@
 use flamingo_wire::id;
 use state::State;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::time::Duration;
 
 pub use state::Run;
@@ -63,6 +64,10 @@
     pub footprint: id::Mebibytes,
     /// Where it fetches weights.
     pub store: Source,
+    /// Whether it continues a stream from a later token.
+    pub resumes: bool,
+    /// File that records what ran.
+    pub record: Option<PathBuf>,
 }
 
 impl Default for Behaviour {
@@ -81,6 +86,8 @@
             prefix: 4_096,
             footprint: 0,
             store: Source::Local(Store::new(Limits::default())),
+            resumes: true,
+            record: None,
         }
     }
 }
@@ -102,14 +109,14 @@
 ///
 /// # Errors
 ///
-/// Returns an error where the address can't be taken.
+/// Returns an error where the address can't be taken or the record not opened.
 pub fn start_with(
     settings: Settings,
     behaviour: Behaviour,
 ) -> std::io::Result<(Server, SocketAddr)> {
     let listen = settings.listen;
     let entries = settings.entries.clone();
-    let state = Data::new(State::new(settings, behaviour));
+    let state = Data::new(State::new(settings, behaviour)?);
     let shared = state.clone();
     let server = HttpServer::new(move || App::new().app_data(shared.clone()).configure(routes))
         .workers(1)
@@ -146,6 +153,7 @@
         )
         .route("/stand-in/ran", web::get().to(state::ran))
         .route("/stand-in/state", web::get().to(state::show))
+        .route("/stand-in/orders", web::get().to(state::orders))
         .route("/stand-in/faults", web::post().to(state::faults))
         .route("/stand-in/leave", web::post().to(state::leave))
         .route("/stand-in/cache-events", web::get().to(state::events));
--- a/crates/flamingo-stand-in/src/engine/order.rs
+++ b/crates/flamingo-stand-in/src/engine/order.rs
@@ -11,9 +11,12 @@
 use flamingo_wire::place::Outcome;
 use serde_json::json;
 use std::time::Duration;
+use tokio::sync::oneshot;
 
 /// Least adapter load times in the longest one.
 const ADAPTER_SPREAD: u64 = 3;
+/// Time between two looks at whether a copy is still in use.
+const LOOK: Duration = Duration::from_millis(10);
 
 pub async fn load(state: Data<State>, model: Path<id::Model>, body: Json<Body>) -> HttpResponse {
     take(state, model.into_inner(), body.parameters, true).await
@@ -23,40 +26,39 @@
     take(state, model.into_inner(), body.parameters, false).await
 }
 
-/// Carries an order out under the faults in force. The work goes on where the
-/// asker's connection closes meanwhile.
+/// Carries an order out under the faults in force. The answer comes when the
+/// order has begun or is refused; the work goes on without the asker.
 async fn take(state: Data<State>, model: id::Model, order: Parameters, load: bool) -> HttpResponse {
     state.silence().await;
     let fault = state.lock().faults.order();
     if fault.lost {
         std::future::pending::<()>().await;
     }
-    let work = actix_rt::spawn(async move {
+    let (say, said) = oneshot::channel();
+    actix_rt::spawn(async move {
         actix_rt::time::sleep(Duration::from_millis(fault.delay_ms)).await;
-        let first = carry_out(&state, &model, &order, load).await;
+        let begun = begin(&state, &model, &order, load);
+        let _ = say.send(begun.clone());
+        carry_out(&state, &model, &order, load, begun).await;
         if fault.doubled {
-            let _ = carry_out(&state, &model, &order, load).await;
+            let begun = begin(&state, &model, &order, load);
+            carry_out(&state, &model, &order, load, begun).await;
         }
-        first
     });
-    let ended = work.await;
+    let begun = said.await;
     if fault.unanswered {
         std::future::pending::<()>().await;
     }
-    match ended {
-        Ok(Ok(Outcome::Done)) => HttpResponse::Ok().json(json!({})),
-        Ok(Ok(Outcome::Failed)) => refuse(&"the load failed"),
+    match begun {
+        Ok(Ok(()) | Err(Refusal::Ended(Outcome::Done) | Refusal::UnderWay)) => {
+            HttpResponse::Ok().json(json!({}))
+        }
         Ok(Err(refusal)) => refuse(&refusal),
         Err(error) => refuse(&error),
     }
 }
 
-async fn carry_out(
-    state: &State,
-    model: &str,
-    order: &Parameters,
-    load: bool,
-) -> Result<Outcome, Refusal> {
+fn begin(state: &State, model: &str, order: &Parameters, load: bool) -> Result<(), Refusal> {
     let begun = {
         let mut inner = state.lock();
         if load {
@@ -66,22 +68,33 @@
         }
     };
     state.changed.notify_one();
-    if let Err(Refusal::Ended(outcome)) = begun {
-        return Ok(outcome);
-    }
     if let Err(refusal) = &begun {
         eprintln!("{}: order {}: {refusal}", state.settings.name, order.order);
     }
-    begun?;
+    begun
+}
+
+async fn carry_out(
+    state: &State,
+    model: &str,
+    order: &Parameters,
+    load: bool,
+    begun: Result<(), Refusal>,
+) {
+    if begun.is_err() {
+        return;
+    }
     let outcome = if load {
         fetch(state).await
     } else {
         actix_rt::time::sleep(state.slowed(state.behaviour.unload)).await;
+        while state.lock().account.in_use(model, order.version) {
+            actix_rt::time::sleep(LOOK).await;
+        }
         Outcome::Done
     };
     state.lock().account.end(model, order, load, outcome);
     state.changed.notify_one();
-    Ok(outcome)
 }
 
 async fn fetch(state: &State) -> Outcome {
--- a/crates/flamingo-stand-in/src/engine/state.rs
+++ b/crates/flamingo-stand-in/src/engine/state.rs
@@ -5,6 +5,7 @@
 use super::prefix::Cache;
 use super::{Behaviour, Settings};
 use crate::fault::{Faults, Source};
+use crate::record::Record;
 use actix_web::HttpResponse;
 use actix_web::dev::ServerHandle;
 use actix_web::web::{Data, Json, Query};
@@ -64,12 +65,13 @@
     pub behaviour: Behaviour,
     pub incarnation: id::Incarnation,
     pub changed: Arc<Notify>,
+    pub record: Record,
     inner: Mutex<Inner>,
     served: OnceLock<(SocketAddr, ServerHandle)>,
 }
 
 impl State {
-    pub fn new(settings: Settings, behaviour: Behaviour) -> Self {
+    pub fn new(settings: Settings, behaviour: Behaviour) -> std::io::Result<Self> {
         let incarnation = millis();
         let copies = settings.resident.iter().map(|resident| Copy {
             resident: resident.clone(),
@@ -95,14 +97,15 @@
             reports: VecDeque::new(),
             second: (Instant::now(), 0, 0),
         };
-        Self {
+        Ok(Self {
+            record: Record::open(behaviour.record.as_deref())?,
             settings,
             behaviour,
             incarnation,
             changed: Arc::default(),
             inner: Mutex::new(inner),
             served: OnceLock::new(),
-        }
+        })
     }
 
     pub fn serve(&self, address: SocketAddr, handle: ServerHandle) {
@@ -221,6 +224,19 @@
         "waiting": inner.batch.waiting(),
         "cancelled": inner.cancelled,
         "leaving": inner.leaving.is_some(),
+        "faults": inner.faults.faults(),
+    }))
+}
+
+/// The promise on memory, for tests.
+pub async fn orders(state: Data<State>) -> HttpResponse {
+    let inner = state.lock();
+    HttpResponse::Ok().json(serde_json::json!({
+        "memory": state.settings.memory,
+        "committed": inner.account.committed(),
+        "committed_peak": inner.account.peak(),
+        "over_commits": inner.account.over_commits(),
+        "ran": inner.account.ended(),
     }))
 }
 
--- a/crates/flamingo-stand-in/src/lib.rs
+++ b/crates/flamingo-stand-in/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod answer;
 pub mod engine;
 pub mod fault;
+pub mod record;
 pub mod service;
 pub mod store;
--- a/crates/flamingo-stand-in/src/main.rs
+++ b/crates/flamingo-stand-in/src/main.rs
@@ -13,7 +13,8 @@
 engine and service: --name NAME --zone ZONE --entry IP:PORT... [--service NAME]
 engine: [--model NAME]... [--footprint MIB] [--memory MIB] [--pace MS] [--prefill-us US]
         [--unfenced] [--lag-ms MS] [--load-ms MS] [--adapter-ms MS] [--store IP:PORT]
-        [--sequences N] [--cache-tokens N] [--prefix-blocks N]
+        [--sequences N] [--cache-tokens N] [--prefix-blocks N] [--no-resume]
+engine and service: [--ran-log FILE]
 store, and an engine without --store: [--spacing-ms MS] [--full-speed N] [--adapters N]";
 
 #[derive(Debug, Default)]
@@ -65,6 +66,8 @@
             Long("prefix-blocks") => behaviour.prefix = parser.value()?.parse()?,
             Long("store") => options.store = Some(parser.value()?.parse()?),
             Long("spacing-ms") => options.limits.spacing = millis(&mut parser)?,
+            Long("no-resume") => behaviour.resumes = false,
+            Long("ran-log") => behaviour.record = Some(parser.value()?.into()),
             Long("full-speed") => options.limits.models = parser.value()?.parse()?,
             Long("adapters") => options.limits.adapters = parser.value()?.parse()?,
             Long("help") => return Err(USAGE.into()),
@@ -122,13 +125,16 @@
             };
             engine::start_with(settings, options.behaviour)?
         }
-        "service" => service::start(service::Settings {
-            name: options.name,
-            service: options.service,
-            zone: options.zone,
-            listen,
-            entries: options.entries,
-        })?,
+        "service" => {
+            let settings = service::Settings {
+                name: options.name,
+                service: options.service,
+                zone: options.zone,
+                listen,
+                entries: options.entries,
+            };
+            service::start_with(settings, options.behaviour.record.as_deref())?
+        }
         "store" => {
             let (server, address) = store::start(listen, options.limits)?;
             println!("listening on {address}");
--- a/crates/flamingo-stand-in/src/service.rs
+++ b/crates/flamingo-stand-in/src/service.rs
@@ -2,6 +2,7 @@
 
 use crate::announcer;
 use crate::fault::{Faults, Source};
+use crate::record::{Line, Record};
 use actix_web::dev::{Server, ServerHandle};
 use actix_web::web::{Bytes, Data, Json, Query};
 use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
@@ -9,6 +10,7 @@
 use flamingo_wire::id;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
+use std::path::Path;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -65,18 +67,31 @@
     leaving: Mutex<Option<Instant>>,
     changed: Arc<Notify>,
     handle: OnceLock<ServerHandle>,
+    record: Record,
 }
 
 /// Starts the service and returns its server and the address that it took.
 ///
 /// What ran is listed at `GET /stand-in/ran`; `POST /stand-in/faults` sets
 /// faults and `POST /stand-in/leave` lets it leave. A call takes the time in
-/// its query `?ms=N`, else none.
+/// its query `?delay_ms=N`, else none.
 ///
 /// # Errors
 ///
 /// Returns an error where the address can't be taken.
 pub fn start(settings: Settings) -> std::io::Result<(Server, SocketAddr)> {
+    start_with(settings, None)
+}
+
+/// Starts the service with a file that records what ran.
+///
+/// # Errors
+///
+/// Returns an error where the address can't be taken or the record not opened.
+pub fn start_with(
+    settings: Settings,
+    record: Option<&Path>,
+) -> std::io::Result<(Server, SocketAddr)> {
     let listen = settings.listen;
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     let state = Data::new(State {
@@ -89,6 +104,7 @@
         leaving: Mutex::default(),
         changed: Arc::default(),
         handle: OnceLock::new(),
+        record: Record::open(record)?,
     });
     let shared = state.clone();
     let server = HttpServer::new(move || {
@@ -182,7 +198,7 @@
 #[derive(Debug, Deserialize)]
 struct Wanted {
     #[serde(default)]
-    ms: u64,
+    delay_ms: u64,
 }
 
 async fn run(
@@ -198,6 +214,7 @@
     if let Some(seconds) = refused {
         return HttpResponse::ServiceUnavailable()
             .insert_header(("retry-after", seconds.to_string()))
+            .insert_header(("x-flamingo-verdict", "not-run"))
             .json(serde_json::json!({"error": {"message": "the service refuses work"}}));
     }
     state.running.fetch_add(1, Ordering::Relaxed);
@@ -216,7 +233,14 @@
         list.push(run.clone());
         list.len()
     };
-    actix_rt::time::sleep(Duration::from_millis(wanted.ms)).await;
+    state.record.write(&Line {
+        request: &run.request,
+        key: &run.key,
+        method: &run.method,
+        path: &run.path,
+        body: &run.body,
+    });
+    actix_rt::time::sleep(Duration::from_millis(wanted.delay_ms)).await;
     if held(&state.faults).order().unanswered {
         std::future::pending::<()>().await;
     }
