--- a/crates/flamingo-entry/src/daemon.rs
+++ b/crates/flamingo-entry/src/daemon.rs
@@ -119,6 +119,8 @@
     let _ = getrandom::fill(&mut seed);
     let limit = Limit {
         adapter_loads: settings.serve.adapter_loads,
+        admission: settings.serve.admission,
+        policy: settings.serve.policy.parse().unwrap_or_default(),
         ..Limit::default()
     };
     let seed = u64::from_le_bytes(seed);
--- a/crates/flamingo-entry/tests/input.rs
+++ b/crates/flamingo-entry/tests/outer/input.rs
@@ -1,8 +1,6 @@
 //! Callers' bad input: a clear JSON error, and the entry lives.
 
-mod bench;
-
-use bench::{Bench, Fake, LIMIT, answer};
+use crate::bench::{Bench, Fake, LIMIT, answer};
 
 fn refused(path: &str, body: Vec<u8>, part: &str) {
     actix_rt::System::new().block_on(async {
--- /dev/null
+++ b/crates/flamingo-entry/tests/outer/main.rs
@@ -0,0 +1,5 @@
+//! An entry between callers and raw TCP targets.
+
+mod bench;
+mod input;
+mod upstream;
--- a/crates/flamingo-entry/tests/upstream.rs
+++ b/crates/flamingo-entry/tests/outer/upstream.rs
@@ -1,8 +1,6 @@
 //! Targets that misbehave: no caller gets another's answer or part of one as the whole.
 
-mod bench;
-
-use bench::{Bench, Fake, LIMIT, answer, chunk, close, last_chunk, stream_head};
+use crate::bench::{Bench, Fake, LIMIT, answer, chunk, close, last_chunk, stream_head};
 use flamingo_test_support::address::{at, host};
 
 fn event(number: usize) -> String {
@@ -50,7 +48,7 @@
 }
 
 /// An engine that breaks in the middle of its third event, and can resume.
-fn breaking(_: usize, request: &bench::Seen, stream: &mut std::net::TcpStream) {
+fn breaking(_: usize, request: &crate::bench::Seen, stream: &mut std::net::TcpStream) {
     match request.header("x-flamingo-resume-from") {
         None => {
             stream_head(stream, "x-flamingo-resumable: 1\r\n");
--- a/crates/flamingo-settings/src/serve.rs
+++ b/crates/flamingo-settings/src/serve.rs
@@ -18,6 +18,10 @@
     pub linger: Duration,
     /// Adapter loads in flight over all entries.
     pub adapter_loads: u32,
+    /// How a target is chosen, one of [`POLICIES`].
+    pub policy: String,
+    /// Whether requests are refused when their promise can't be met.
+    pub admission: bool,
 }
 
 impl Default for Serve {
@@ -29,10 +33,15 @@
             answer: 16 << 20,
             linger: Duration::from_secs(3),
             adapter_loads: 50,
+            policy: POLICIES[0].to_owned(),
+            admission: true,
         }
     }
 }
 
+/// How a target can be chosen; all but the first are baselines to compare with.
+pub const POLICIES: [&str; 4] = ["affine", "two-choices", "least-in-flight", "round-robin"];
+
 const KIB: u64 = 1 << 10;
 const GIB: u64 = 1 << 30;
 
@@ -59,6 +68,17 @@
             answer,
             linger: Duration::from_millis(linger),
             adapter_loads: u32::try_from(loads).unwrap_or(base.adapter_loads),
+            policy: policy(reader, base.policy),
+            admission: reader.or("route", "admission", base.admission, "true or false"),
         }
     }
 }
+
+fn policy(reader: &mut Reader, default: String) -> String {
+    let allowed = POLICIES.join(", ");
+    let policy = reader.or("route", "policy", default, &allowed);
+    if !POLICIES.contains(&policy.as_str()) {
+        reader.problem("route", "policy", &format!("'{policy}'"), &allowed);
+    }
+    policy
+}
