--- /dev/null
+++ b/crates/flamingo-link/src/gossip.rs
@@ -0,0 +1,130 @@
+//! Exchanges with other entries.
+
+use crate::pool::{HEARTBEAT, MESSAGE, SILENCE};
+use crate::shared::Shared;
+use crate::status::Counters;
+use flamingo_member::machine::{PATIENCE, Parcel, TICK};
+use flamingo_wire::Frame;
+use flamingo_wire::gossip::Message;
+use flamingo_wire::inner::gossip_client::GossipClient;
+use flamingo_wire::inner::gossip_server::{Gossip, GossipServer};
+use slog::{debug, error};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime};
+use tokio::net::TcpListener;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::time::{MissedTickBehavior, interval, timeout_at};
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::transport::Server;
+use tonic::{Request, Response, Status};
+
+/// Time between two tries to open the listener.
+const REOPEN: Duration = Duration::from_secs(1);
+
+/// Answers exchanges.
+#[derive(Debug)]
+struct Answerer {
+    shared: Arc<Shared>,
+}
+
+#[tonic::async_trait]
+impl Gossip for Answerer {
+    async fn exchange(&self, request: Request<Frame>) -> Result<Response<Frame>, Status> {
+        let frame = request.into_inner();
+        let shared = &self.shared;
+        let message: Message = shared
+            .seal
+            .open(&frame, SystemTime::now())
+            .map_err(|error| Status::unauthenticated(error.to_string()))?;
+        let sender = message.rumours.first().map(|rumour| &rumour.peer.node);
+        if sender != Some(&frame.from) {
+            return Err(Status::invalid_argument(
+                "the first rumour must be the sender's own",
+            ));
+        }
+        Counters::add(&shared.counters.received, size(&frame));
+        let answer = shared.step(|machine, now| machine.request(now, &message));
+        let frame = shared
+            .seal
+            .seal(&frame.from, &answer, SystemTime::now())
+            .map_err(|error| Status::internal(error.to_string()))?;
+        Counters::add(&shared.counters.sent, size(&frame));
+        Ok(Response::new(frame))
+    }
+}
+
+/// Serves exchanges on `address`, for ever.
+pub async fn serve(shared: Arc<Shared>, address: SocketAddr) {
+    loop {
+        let error = match TcpListener::bind(address).await {
+            Ok(listener) => listen(shared.clone(), listener).await,
+            Err(error) => error.to_string(),
+        };
+        error!(shared.log, "the inner listener is down, it is opened again"; "address" => %address, "error" => error);
+        actix_rt::time::sleep(REOPEN).await;
+    }
+}
+
+async fn listen(shared: Arc<Shared>, listener: TcpListener) -> String {
+    let service = GossipServer::new(Answerer { shared }).max_decoding_message_size(MESSAGE);
+    let server = Server::builder()
+        .tcp_nodelay(true)
+        .http2_keepalive_interval(Some(HEARTBEAT))
+        .http2_keepalive_timeout(Some(SILENCE))
+        .add_service(service);
+    match server
+        .serve_with_incoming(TcpListenerStream::new(listener))
+        .await
+    {
+        Ok(()) => "it ended".to_owned(),
+        Err(error) => error.to_string(),
+    }
+}
+
+/// Drives the machine: gives it ticks and sends what it wants sent, for ever.
+pub async fn drive(shared: Arc<Shared>, mut outgoing: UnboundedReceiver<Parcel>) {
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => shared.tell(flamingo_member::Machine::tick),
+            parcel = outgoing.recv() => {
+                let Some(parcel) = parcel else { return };
+                actix_rt::spawn(exchange(shared.clone(), parcel));
+            }
+        }
+    }
+}
+
+/// Makes one exchange, within its deadline.
+async fn exchange(shared: Arc<Shared>, parcel: Parcel) {
+    Counters::add(&shared.counters.exchanges, 1);
+    let answer = send(&shared, &parcel).await;
+    if let Some(message) = answer {
+        shared.tell(|machine, now| machine.answer(now, parcel.ticket, &message));
+        return;
+    }
+    Counters::add(&shared.counters.failures, 1);
+    debug!(shared.log, "exchange failed"; "to" => &parcel.to, "address" => %parcel.address);
+    shared.pool.drop(parcel.address);
+    shared.tell(|machine, now| machine.failed(now, parcel.ticket));
+}
+
+async fn send(shared: &Shared, parcel: &Parcel) -> Option<Message> {
+    let deadline = Instant::now() + PATIENCE;
+    let channel = shared.pool.get(parcel.address, deadline).await?;
+    let now = SystemTime::now();
+    let frame = shared.seal.seal(&parcel.to, &parcel.message, now).ok()?;
+    Counters::add(&shared.counters.sent, size(&frame));
+    let mut client = GossipClient::new(channel).max_decoding_message_size(MESSAGE);
+    let answer = timeout_at(deadline.into(), client.exchange(frame)).await;
+    let frame = answer.ok()?.ok()?.into_inner();
+    Counters::add(&shared.counters.received, size(&frame));
+    shared.seal.open(&frame, SystemTime::now()).ok()
+}
+
+/// Returns the bytes of a frame without its transport.
+fn size(frame: &Frame) -> usize {
+    frame.body.len() + frame.tag.len() + frame.from.len() + frame.to.len()
+}
--- a/crates/flamingo-member/src/lib.rs
+++ b/crates/flamingo-member/src/lib.rs
@@ -8,7 +8,7 @@
 //! ticks with a given `Instant`; its outputs are [`machine::Action`]s. It holds
 //! no clock, socket, task or random source.
 
-pub mod line;
+pub mod bucket;
 pub mod machine;
 pub mod outbox;
 pub mod roster;
--- a/crates/flamingo-member/src/machine.rs
+++ b/crates/flamingo-member/src/machine.rs
@@ -1,17 +1,16 @@
 //! One entry's view of the system, as one state machine.
 
 use crate::exchange::{Flight, Flights, Purpose};
-use crate::line::Queue;
-use crate::outbox::Outbox;
+use crate::outbox::{GATHER, Outbox};
 use crate::roster::Roster;
 use crate::round::{FOREIGN, HEAL};
 use crate::source::Source;
-use crate::table::{Change, Record, Table, Turn, tag};
+use crate::table::{Change, Record, Table, Turn};
 use crate::zone::Zones;
 use flamingo_wire::announce::{Announcement, Standing};
 use flamingo_wire::config::Snapshot;
 use flamingo_wire::event::Event;
-use flamingo_wire::gossip::{Line, Message, Peer};
+use flamingo_wire::gossip::{Message, Peer};
 use flamingo_wire::id;
 use rand_chacha::ChaCha8Rng;
 use rand_core::{Rng, SeedableRng};
@@ -67,7 +66,6 @@
 pub struct Machine {
     pub(crate) roster: Roster,
     pub(crate) table: Table,
-    pub(crate) lines: Queue,
     pub(crate) outbox: Outbox,
     pub(crate) source: Source,
     pub(crate) zones: Zones,
@@ -83,6 +81,8 @@
     pub(crate) next_foreign: Instant,
     pub(crate) next_heal: Instant,
     pub(crate) fast: u32,
+    /// Grows with each answer that tells marks, to walk over all of them.
+    pub(crate) walk: usize,
     pub(crate) actions: Vec<Action>,
 }
 
@@ -116,7 +116,6 @@
             seeds: seeds.collect(),
             roster: Roster::new(me),
             table: Table::default(),
-            lines: Queue::default(),
             outbox: Outbox::default(),
             source: Source::new(now),
             zones: Zones::default(),
@@ -130,6 +129,7 @@
             next_foreign: now + FOREIGN,
             next_heal: now + HEAL,
             fast: FAST_ROUNDS,
+            walk: 0,
             actions: Vec::new(),
         }
     }
@@ -187,10 +187,7 @@
         let target = announcement.target.clone();
         match self.table.take(now, announcement, Duration::ZERO) {
             Change::Old => {}
-            Change::Load => {
-                self.emit_target(&target);
-                self.start_line(now, &target);
-            }
+            Change::Load => self.emit_target(&target),
             Change::State => {
                 self.emit_target(&target);
                 self.tell_all(now, &target);
@@ -219,7 +216,7 @@
         self.wake(now);
         self.roster.leave();
         for peer in self.live() {
-            let message = self.compose(now);
+            let message = self.compose();
             self.send(now, &peer, Purpose::Plain, message);
         }
         std::mem::take(&mut self.actions)
@@ -238,7 +235,6 @@
         self.table.rebase(gap);
         self.flights.clear();
         self.awaited.clear();
-        self.lines.clear();
         self.outbox.clear();
         self.fast = FAST_ROUNDS;
         self.next_round = now;
@@ -260,7 +256,7 @@
         let mut helpers = self.live();
         helpers.retain(|peer| peer.node != node);
         for helper in self.choose(helpers, HELPERS) {
-            let mut message = self.compose(now);
+            let mut message = self.compose();
             message.probe = Some(node.to_owned());
             self.send(now, &helper, Purpose::Plain, message);
         }
@@ -280,10 +276,7 @@
         for turn in self.table.tick(now) {
             let event = match turn {
                 Turn::Silent(target) => Event::Suspect(target),
-                Turn::Gone(target) => {
-                    self.lines.forget(&target);
-                    Event::Gone(target)
-                }
+                Turn::Gone(target) => Event::Gone(target),
             };
             self.actions.push(Action::Emit(event));
         }
@@ -292,12 +285,9 @@
     /// Sends news that is due; a leaving target's goes first.
     pub(crate) fn flush(&mut self, now: Instant) {
         let table = &self.table;
-        let leaving = |target: &id::Target| {
-            let record = table.get(target);
-            record.is_none_or(|record| record.announcement.standing == Standing::Serving)
-        };
-        for parcel in self.outbox.due(now, ITEMS, leaving) {
-            let mut message = self.compose(now);
+        let later = |target: &id::Target| !table.get(target).is_some_and(is_leaving);
+        for parcel in self.outbox.due(now, ITEMS, later) {
+            let mut message = self.compose();
             message.targets = self.items(now, &parcel.targets);
             let purpose = Purpose::Push(parcel.targets);
             self.send(now, &parcel.to, purpose, message);
@@ -308,35 +298,35 @@
     pub(crate) fn tell_all(&mut self, now: Instant, target: &str) {
         let mut peers = self.live();
         peers.extend(self.contacts());
-        for peer in peers {
-            self.outbox.add(now, &peer, target);
-        }
+        self.tell(now, target, &peers);
     }
 
     /// Passes on a target's state that another process told.
+    ///
+    /// What another zone told goes to every member. What a member told goes to
+    /// all members from there already; only that a target leaves is passed on to
+    /// some, in case the teller fails.
     pub(crate) fn tell_some(&mut self, now: Instant, target: &str, teller: &Peer) {
-        let age = self
-            .table
-            .get(target)
-            .map(|record| now.saturating_duration_since(record.heard));
-        if age.is_none_or(|age| age > FRESH) {
+        let Some(record) = self.table.get(target) else {
+            return;
+        };
+        let old = now.saturating_duration_since(record.heard) > FRESH;
+        let foreign = teller.zone != self.roster.me().zone;
+        if old || !(foreign || is_leaving(record)) {
             return;
         }
         let mut peers = self.live();
         peers.retain(|peer| peer.node != teller.node);
-        let limit = if teller.zone == self.roster.me().zone {
-            FORWARD
-        } else {
-            usize::MAX
-        };
-        for peer in self.choose(peers, limit) {
-            self.outbox.add(now, &peer, target);
-        }
+        let limit = if foreign { usize::MAX } else { FORWARD };
+        let peers = self.choose(peers, limit);
+        self.tell(now, target, &peers);
     }
 
-    fn start_line(&mut self, now: Instant, target: &str) {
-        if let Some(line) = self.table.get(target).map(line) {
-            self.lines.start(now, target, line);
+    fn tell(&mut self, now: Instant, target: &str, peers: &[Peer]) {
+        let leaving = self.table.get(target).is_some_and(is_leaving);
+        let due = if leaving { now } else { now + GATHER };
+        for peer in peers {
+            self.outbox.add(due, peer, target);
         }
     }
 
@@ -408,12 +398,6 @@
     usize::try_from(random.next_u64() % len).unwrap_or(0)
 }
 
-/// Returns the load of a target as it is passed on.
-pub(crate) fn line(record: &Record) -> Line {
-    Line {
-        tag: tag(&record.announcement),
-        sequence: record.announcement.sequence,
-        age: 0,
-        load: record.announcement.load,
-    }
+fn is_leaving(record: &Record) -> bool {
+    record.announcement.standing == Standing::Leaving
 }
--- a/crates/flamingo-member/src/outbox.rs
+++ b/crates/flamingo-member/src/outbox.rs
@@ -7,6 +7,8 @@
 
 /// Time between two messages to one member.
 pub const RESEND: Duration = Duration::from_millis(250);
+/// Time for which news that can wait gathers before it is sent.
+pub const GATHER: Duration = Duration::from_millis(200);
 /// Messages without an answer after which a member is left to the repair.
 const TRIES: u32 = 8;
 
@@ -35,15 +37,16 @@
 }
 
 impl Outbox {
-    /// Adds news of a target for a member.
-    pub fn add(&mut self, now: Instant, to: &Peer, target: &str) {
+    /// Adds news of a target for a member, to be sent at `due` at the latest.
+    pub fn add(&mut self, due: Instant, to: &Peer, target: &str) {
         let mail = self.mails.entry(to.node.clone()).or_insert_with(|| Mail {
             to: to.clone(),
             targets: BTreeSet::new(),
-            due: now,
+            due,
             tries: 0,
         });
         mail.to = to.clone();
+        mail.due = mail.due.min(due);
         mail.tries = 0;
         mail.targets.insert(target.to_owned());
     }
--- a/crates/flamingo-member/src/round.rs
+++ b/crates/flamingo-member/src/round.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 /// Time between two regular exchanges.
-pub const ROUND: Duration = Duration::from_secs(1);
+pub const ROUND: Duration = Duration::from_millis(500);
 /// Time between two regular exchanges while differences are being repaired.
 const FAST: Duration = Duration::from_millis(250);
 /// Time between two exchanges with another zone.
@@ -48,7 +48,7 @@
             }
             return;
         };
-        let message = self.compose(now);
+        let message = self.compose_asking();
         self.send(now, &peer, Purpose::Probe, message);
     }
 
@@ -70,7 +70,7 @@
     fn exchange_foreign(&mut self, now: Instant) {
         let contacts = self.contacts();
         for peer in self.choose(contacts, 1) {
-            let mut message = self.compose(now);
+            let mut message = self.compose_asking();
             message.zones = self.summaries(now);
             self.send(now, &peer, Purpose::Sync, message);
         }
@@ -92,7 +92,7 @@
     }
 
     fn sync(&mut self, now: Instant, to: id::Node, address: SocketAddr) {
-        let mut message = self.compose(now);
+        let mut message = self.compose_asking();
         message.zones = self.summaries(now);
         self.send_to(now, to, address, Purpose::Sync, message);
     }
@@ -110,7 +110,7 @@
             self.source.rest();
         }
         for holder in self.choose(holders, 1) {
-            let mut message = self.compose(now);
+            let mut message = self.compose();
             message.fetch = Some(version);
             self.send(now, &holder, Purpose::Plain, message);
         }
@@ -127,7 +127,7 @@
         let mut behind = self.live();
         behind.retain(|peer| peer.version < snapshot.version);
         for peer in self.choose(behind, NOTICE) {
-            let message = self.compose(now);
+            let message = self.compose();
             self.send(now, &peer, Purpose::Plain, message);
         }
     }
--- a/crates/flamingo-member/src/table.rs
+++ b/crates/flamingo-member/src/table.rs
@@ -12,17 +12,15 @@
 use std::time::{Duration, Instant};
 
 /// Silence after which a target gets no new work.
-pub const SUSPECT: Duration = Duration::from_secs(5);
+pub const SUSPECT: Duration = Duration::from_secs(8);
 /// Further silence after which a target is gone.
-pub const GRACE: Duration = Duration::from_secs(10);
+pub const GRACE: Duration = Duration::from_secs(12);
 /// Silence after which a target is gone.
 pub const LEASE: Duration = SUSPECT.saturating_add(GRACE);
 /// Time for which a gone target's last state is remembered.
 pub const TOMBSTONE: Duration = Duration::from_mins(10);
 /// Targets known at most, gone ones included; more are refused.
 pub const TARGETS: usize = 4_096;
-/// Targets told in one message where two tables differ.
-pub const WINDOW: usize = 24;
 
 /// How far a target has fallen silent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -87,8 +85,6 @@
 pub struct Table {
     known: BTreeMap<id::Target, Record>,
     tags: HashMap<u32, id::Target>,
-    sum: u32,
-    cursor: id::Target,
 }
 
 /// Returns the checksum of an announcement without its sequence and load.
@@ -114,12 +110,6 @@
         known.filter(|record| record.presence != Presence::Gone)
     }
 
-    /// Returns the checksum of the targets that are not gone.
-    #[must_use]
-    pub fn checksum(&self) -> u32 {
-        self.sum
-    }
-
     /// Takes an announcement that the target gave `age` ago.
     pub fn take(&mut self, now: Instant, mut announcement: Announcement, age: Duration) -> Change {
         let known = self.known.get(&announcement.target);
@@ -165,21 +155,16 @@
 
     fn put(&mut self, record: Record) {
         self.drop_tag(&record.announcement.target);
-        self.sum ^= record.tag;
         let target = record.announcement.target.clone();
         self.tags.insert(record.tag, target.clone());
         self.known.insert(target, record);
     }
 
-    /// Takes a target's tag out of the checksum.
+    /// Forgets a target's tag, so that no load matches it.
     fn drop_tag(&mut self, target: &str) {
-        let Some(record) = self.known.get(target) else {
-            return;
-        };
-        if record.presence != Presence::Gone {
-            self.sum ^= record.tag;
+        if let Some(record) = self.known.get(target) {
+            self.tags.remove(&record.tag);
         }
-        self.tags.remove(&record.tag);
     }
 
     /// Turns the presence of targets whose deadline has passed.
@@ -225,24 +210,6 @@
         }
     }
 
-    /// Returns the next targets of a walk over all, to repair a difference.
-    pub fn window(&mut self) -> Vec<Mark> {
-        let after = (
-            std::ops::Bound::Excluded(&self.cursor),
-            std::ops::Bound::Unbounded,
-        );
-        let records = self
-            .known
-            .range::<id::Target, _>(after)
-            .map(|(_, record)| record);
-        let present = records.filter(|record| record.presence != Presence::Gone);
-        let marks: Vec<_> = present.take(WINDOW).map(mark).collect();
-        let full = marks.len() == WINDOW;
-        let last = marks.last().filter(|_| full);
-        self.cursor = last.map(|mark| mark.target.clone()).unwrap_or_default();
-        marks
-    }
-
     /// Returns whether another knows a newer state than this table.
     #[must_use]
     pub fn wants(&self, mark: &Mark) -> bool {
@@ -266,15 +233,6 @@
     }
 }
 
-fn mark(record: &Record) -> Mark {
-    Mark {
-        target: record.announcement.target.clone(),
-        tag: record.tag,
-        incarnation: record.announcement.incarnation,
-        sequence: record.announcement.sequence,
-    }
-}
-
 /// Keeps a target that said that it leaves from serving again in one incarnation.
 fn stay_leaving(known: &Announcement, next: &mut Announcement) {
     if known.standing == Standing::Leaving && known.incarnation == next.incarnation {
--- a/crates/flamingo-member/src/talk.rs
+++ b/crates/flamingo-member/src/talk.rs
@@ -1,7 +1,8 @@
 //! How a machine builds and takes messages.
 
+use crate::bucket::{self, MARKS};
 use crate::exchange::{Purpose, Ticket};
-use crate::machine::{Action, ITEMS, Machine, line};
+use crate::machine::{Action, ITEMS, Machine};
 use crate::table::Change;
 use flamingo_wire::gossip::{Belief, Item, Line, Mark, Message, Peer};
 use flamingo_wire::id;
@@ -12,9 +13,9 @@
     pub fn request(&mut self, now: Instant, message: &Message) -> (Message, Vec<Action>) {
         self.wake(now);
         self.absorb(now, message);
-        let mut answer = self.compose(now);
+        let mut answer = self.compose();
         if let Some(sender) = sender(message) {
-            self.repair(&mut answer, message, &sender);
+            self.repair(now, &mut answer, message, &sender);
             if let Some(node) = &message.probe {
                 self.try_for(now, node, sender);
             }
@@ -53,7 +54,7 @@
                 }
             }
             Purpose::Indirect(asker) => {
-                let mut news = self.compose(now);
+                let mut news = self.compose();
                 news.reached = Some(sender.node.clone());
                 self.send(now, asker, Purpose::Plain, news);
             }
@@ -62,7 +63,7 @@
     }
 
     /// Adds to an answer what mends a difference between two views.
-    fn repair(&mut self, answer: &mut Message, message: &Message, sender: &Peer) {
+    fn repair(&mut self, now: Instant, answer: &mut Message, message: &Message, sender: &Peer) {
         let same_zone = sender.zone == self.roster.me().zone;
         if same_zone && message.members != self.roster.checksum() {
             answer.rumours.extend(self.roster.window());
@@ -72,9 +73,10 @@
         answer
             .rumours
             .extend(believed.filter(|rumour| rumour.belief != Belief::Alive));
-        let settled = message.wants.is_empty() && message.targets.is_empty();
-        if settled && message.digest != self.table.checksum() {
-            answer.marks = self.table.window();
+        answer.lines = bucket::newer(&self.table, &message.buckets, now);
+        answer.marks = bucket::differing(&self.table, &message.buckets, self.walk);
+        if !answer.marks.is_empty() {
+            self.walk += MARKS;
         }
     }
 
@@ -90,7 +92,7 @@
             return;
         }
         self.fast = self.fast.max(1);
-        let mut news = self.compose(now);
+        let mut news = self.compose();
         news.targets = self.items(now, &offers);
         news.wants = wants;
         self.send(now, sender, Purpose::Plain, news);
@@ -101,17 +103,15 @@
         let Some(peer) = self.roster.get(node).map(|record| record.peer.clone()) else {
             return;
         };
-        let message = self.compose(now);
+        let message = self.compose();
         self.send(now, &peer, Purpose::Indirect(asker), message);
     }
 
     /// Builds the part that all messages have.
-    pub(crate) fn compose(&mut self, now: Instant) -> Message {
+    pub(crate) fn compose(&mut self) -> Message {
         Message {
             rumours: self.roster.rumours(),
-            lines: self.lines.take(now),
             members: self.roster.checksum(),
-            digest: self.table.checksum(),
             ..Message::default()
         }
     }
@@ -185,15 +185,18 @@
         }
     }
 
-    fn absorb_line(&mut self, now: Instant, told: &Line) {
-        let Some(record) = self.table.load(now, told) else {
-            self.lines.known(told);
-            return;
-        };
-        let (heard, next) = (record.heard, line(record));
-        let target = record.announcement.target.clone();
-        self.lines.put(heard, &target, next);
-        self.emit_target(&target);
+    fn absorb_line(&mut self, now: Instant, line: &Line) {
+        if let Some(record) = self.table.load(now, line) {
+            let target = record.announcement.target.clone();
+            self.emit_target(&target);
+        }
+    }
+
+    /// Builds a message that asks for whatever is newer.
+    pub(crate) fn compose_asking(&mut self) -> Message {
+        let mut message = self.compose();
+        message.buckets = bucket::all(&self.table);
+        message
     }
 }
 
--- a/crates/flamingo-member/tests/properties.rs
+++ b/crates/flamingo-member/tests/properties.rs
@@ -2,6 +2,7 @@
 
 mod sim;
 
+use flamingo_member::bucket;
 use flamingo_test_support::seed;
 use flamingo_wire::announce::Standing;
 use flamingo_wire::event::Event;
@@ -133,7 +134,10 @@
             only_forward(node);
             let dead: Vec<_> = node.machine.roster().dead().collect();
             assert!(dead.is_empty(), "a live entry is believed dead: {dead:?}");
-            let sums = |node: &Node| node.machine.table().checksum();
+            let sums = |node: &Node| {
+                let buckets = bucket::all(node.machine.table());
+                buckets.iter().map(|bucket| bucket.sum).collect::<Vec<_>>()
+            };
             assert_eq!(sums(node), sums(&sim.nodes[0]), "the tables differ");
         }
         assert!(sim.agreed(), "the entries differ");
--- a/crates/flamingo-wire/src/gossip.rs
+++ b/crates/flamingo-wire/src/gossip.rs
@@ -132,6 +132,30 @@
     }
 }
 
+/// What a process knows of one part of the targets.
+///
+/// On the wire it is an array without field names.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(from = "(u32, Vec<u8>)", into = "(u32, Vec<u8>)")]
+pub struct Bucket {
+    /// Checksum of the tags of the targets.
+    pub sum: u32,
+    /// Low bits of the sequence of each target, in the order of their tags.
+    pub heads: Vec<u8>,
+}
+
+impl From<(u32, Vec<u8>)> for Bucket {
+    fn from((sum, heads): (u32, Vec<u8>)) -> Self {
+        Self { sum, heads }
+    }
+}
+
+impl From<Bucket> for (u32, Vec<u8>) {
+    fn from(bucket: Bucket) -> Self {
+        (bucket.sum, bucket.heads)
+    }
+}
+
 /// What the teller knows of a target, for the repair of differences.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Mark {
@@ -178,9 +202,9 @@
     /// Checksum of the live members that the sender knows.
     #[serde(default)]
     pub members: u32,
-    /// Checksum of the targets that the sender knows.
-    #[serde(default)]
-    pub digest: u32,
+    /// What the sender knows of targets; only where it asks for what is newer.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub buckets: Vec<Bucket>,
     /// Some targets that the sender knows, told where the checksums differ.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub marks: Vec<Mark>,
