--- /dev/null
+++ b/crates/flamingo-settings/src/serve.rs
@@ -0,0 +1,64 @@
+//! How an entry takes callers and stops.
+
+use crate::Reader;
+use std::time::Duration;
+
+/// Bounds of an entry's service to callers.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Serve {
+    /// Threads that take callers.
+    pub workers: usize,
+    /// Connections that one worker holds at once.
+    pub connections: usize,
+    /// Largest body of a request, in bytes.
+    pub body: usize,
+    /// Largest whole answer of a target that is held in memory, in bytes.
+    pub answer: usize,
+    /// Time for which a stopping entry still accepts, until the balancer has seen it.
+    pub linger: Duration,
+    /// Adapter loads in flight over all entries.
+    pub adapter_loads: u32,
+}
+
+impl Default for Serve {
+    fn default() -> Self {
+        Self {
+            workers: 2,
+            connections: 4_096,
+            body: 4 << 20,
+            answer: 16 << 20,
+            linger: Duration::from_secs(3),
+            adapter_loads: 50,
+        }
+    }
+}
+
+const KIB: u64 = 1 << 10;
+const GIB: u64 = 1 << 30;
+
+impl Serve {
+    /// Reads the section `[serve]`.
+    pub fn read(reader: &mut Reader) -> Self {
+        let base = Self::default();
+        let linger = u64::try_from(base.linger.as_millis()).unwrap_or(u64::MAX);
+        let mut size = |key, value: usize, range| {
+            let default = u64::try_from(value).unwrap_or(u64::MAX);
+            usize::try_from(reader.within("serve", key, default, range)).unwrap_or(value)
+        };
+        let workers = size("workers", base.workers, 1..=64);
+        let connections = size("connections", base.connections, 1..=1_000_000);
+        let body = size("body_bytes", base.body, KIB..=GIB);
+        let answer = size("answer_bytes", base.answer, KIB..=GIB);
+        let linger = reader.within("serve", "linger_ms", linger, 0..=60_000);
+        let loads = u64::from(base.adapter_loads);
+        let loads = reader.within("serve", "adapter_loads", loads, 1..=100_000);
+        Self {
+            workers,
+            connections,
+            body,
+            answer,
+            linger: Duration::from_millis(linger),
+            adapter_loads: u32::try_from(loads).unwrap_or(base.adapter_loads),
+        }
+    }
+}
