--- a/crates/flamingo-link/src/shared.rs
+++ b/crates/flamingo-link/src/shared.rs
@@ -6,10 +6,10 @@
 use flamingo_member::Machine;
 use flamingo_member::machine::{Action, Parcel};
 use flamingo_settings::node::Peer;
-use flamingo_wire::event::Sink;
+use flamingo_wire::event::{Event, Sink};
 use flamingo_wire::frame::Seal;
 use flamingo_wire::id;
-use slog::Logger;
+use slog::{Logger, info};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 use tokio::sync::mpsc::UnboundedSender;
@@ -46,7 +46,10 @@
         let (output, actions) = input(&mut machine, Instant::now());
         for action in actions {
             match action {
-                Action::Emit(event) => self.sink.take(event),
+                Action::Emit(event) => {
+                    self.note(&event);
+                    self.sink.take(event);
+                }
                 // The receiver lives as long as the link's tasks; after them
                 // there is nothing left to send.
                 Action::Send(parcel) => drop(self.outgoing.send(*parcel)),
@@ -60,6 +63,22 @@
         self.step(|machine, now| ((), input(machine, now)));
     }
 
+    /// Logs what operators ask about later.
+    fn note(&self, event: &Event) {
+        match event {
+            Event::Entries(peers) => {
+                let live: Vec<_> = peers.iter().map(|peer| peer.node.as_str()).collect();
+                info!(self.log, "entries of the zone"; "live" => live.join(" "));
+            }
+            Event::Suspect(target) => info!(self.log, "target is silent"; "target" => target),
+            Event::Gone(target) => info!(self.log, "target is gone"; "target" => target),
+            Event::Config(snapshot) => {
+                info!(self.log, "configuration in force"; "version" => snapshot.version);
+            }
+            Event::Target(_) => {}
+        }
+    }
+
     pub fn machine(&self) -> MutexGuard<'_, Machine> {
         self.machine.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/flamingo-link/src/watch.rs
+++ b/crates/flamingo-link/src/watch.rs
@@ -14,7 +14,7 @@
 use flamingo_wire::config::Snapshot;
 use flamingo_wire::control::{Beat, Fetch, Push, Reply, Request};
 use flamingo_wire::inner::control_client::ControlClient;
-use slog::{info, warn};
+use slog::warn;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 use tokio::sync::mpsc::{self, Sender};
@@ -134,9 +134,6 @@
 }
 
 fn install(shared: &Shared, snapshot: &Snapshot) {
-    if snapshot.version > shared.machine().version() {
-        info!(shared.log, "configuration in force"; "version" => snapshot.version);
-    }
     shared.tell(|machine, now| machine.config(now, snapshot));
 }
 
--- a/crates/flamingo-member/src/round.rs
+++ b/crates/flamingo-member/src/round.rs
@@ -20,7 +20,8 @@
 pub(crate) const HEAL: Duration = Duration::from_secs(10);
 /// Seeds that are tried at once while no member is known.
 const SEEDS: usize = 3;
-/// Members to which a newer configuration version is told at once.
+/// Members to which a newer configuration version is told at once, besides one
+/// contact in another zone.
 const NOTICE: usize = 3;
 
 impl Machine {
@@ -126,7 +127,11 @@
         self.actions.push(Action::Emit(event));
         let mut behind = self.live();
         behind.retain(|peer| peer.version < snapshot.version);
-        for peer in self.choose(behind, NOTICE) {
+        let mut chosen = self.choose(behind, NOTICE);
+        let mut abroad = self.contacts();
+        abroad.retain(|peer| peer.version < snapshot.version);
+        chosen.extend(self.choose(abroad, 1));
+        for peer in chosen {
             let message = self.compose();
             self.send(now, &peer, Purpose::Plain, message);
         }
