--- a/crates/flamingo-place/src/placer.rs
+++ b/crates/flamingo-place/src/placer.rs
@@ -21,7 +21,9 @@
 use std::time::{Duration, Instant};
 
 /// Time for which a new leader only listens, so that it plans with current reports.
-pub const LISTEN: Duration = Duration::from_secs(3);
+///
+/// Entries tell each target's state at least every 5 s.
+pub const LISTEN: Duration = Duration::from_secs(6);
 /// Time between two planning steps.
 const EVERY: Duration = Duration::from_secs(1);
 /// Time without a copy after which a model may take the room of less important ones.
--- a/crates/flamingo-test-support/src/lib.rs
+++ b/crates/flamingo-test-support/src/lib.rs
@@ -3,7 +3,9 @@
 
 pub mod address;
 pub mod cluster;
+pub mod operator;
 pub mod process;
+pub mod relay;
 pub mod seed;
 pub mod wait;
 
