Order copies from the leader and load every model onto empty engines

Cause: orders were only planned; nothing committed, sent or settled them in the daemon. Change: the control's duty 'orders' proposes intents, sends what is committed while the leadership holds (checked right before the bytes leave, each order on a connection of its own), and settles on the engines' reports; the state keeps the placement's book; a set that can't be resident is refused with the arithmetic; explain, placement, targets and dry run answer. The engines' own peak stayed within their memory.

--- a/crates/flamingo-control/src/daemon.rs
+++ b/crates/flamingo-control/src/daemon.rs
@@ -5,6 +5,7 @@
 use crate::inner::Inner;
 use crate::keeper::{Keeper, Start, Stop};
 use crate::metrics::Metrics;
+use crate::orders::Orders;
 use crate::watch::{CATCH_UPS, Source};
 use actix::Actor;
 use actix_web::web::Data;
@@ -44,7 +45,8 @@
     log: Logger,
     stop: impl Future<Output = ()> + 'static,
 ) -> Result<(), Box<dyn Error>> {
-    run_with(settings, log, Vec::new(), stop).await
+    let orders = Orders::new(log.clone(), Instant::now());
+    run_with(settings, log, vec![Box::new(orders)], stop).await
 }
 
 /// Runs a control instance with duties until `stop` ends.
--- a/crates/flamingo-control/src/duty.rs
+++ b/crates/flamingo-control/src/duty.rs
@@ -9,8 +9,9 @@
 
 use flamingo_state::{Command, State};
 use flamingo_wire::admin::{Answer, Query};
+use flamingo_wire::config::Set;
 use flamingo_wire::control::{Reply, Report};
-use flamingo_wire::id;
+use flamingo_wire::{Fault, id};
 use std::time::Instant;
 
 /// The leadership of this instance, checked just now.
@@ -20,6 +21,9 @@
     pub term: id::Term,
     /// Its fencing number, committed.
     pub fence: id::Fence,
+    /// When it ends, unless a majority is heard before; checked again right before
+    /// an effect.
+    pub until: Instant,
 }
 
 /// Something that only the leader does.
@@ -32,7 +36,8 @@
     /// Takes the word that this instance no longer leads: nothing may be sent.
     fn deposed(&mut self) {}
 
-    /// Takes the reply to a committed command, on the leader alone.
+    /// Takes the reply to a committed command, on the leader alone, or the refusal of
+    /// a command of its own that was not taken.
     fn replied(&mut self, command: &Command, reply: &Reply) {
         let _ = (command, reply);
     }
@@ -42,6 +47,12 @@
         let _ = (report, now);
     }
 
+    /// Returns why a set must not be accepted.
+    fn objection(&self, set: &Set, now: Instant) -> Option<Fault> {
+        let _ = (set, now);
+        None
+    }
+
     /// Answers an operator's question that it knows of.
     fn answer(&self, query: &Query, state: &State) -> Option<Answer> {
         let _ = (query, state);
--- a/crates/flamingo-control/src/keeper.rs
+++ b/crates/flamingo-control/src/keeper.rs
@@ -139,6 +139,7 @@
         leads.then(|| Leadership {
             term,
             fence: self.state.fence(),
+            until: self.raft.until().unwrap_or(now),
         })
     }
 
@@ -172,7 +173,12 @@
         }
         for command in commands {
             // The reply comes to the duty when the command is committed.
-            let _ = self.submit(now, command);
+            if let Err(refusal) = self.submit(now, command.clone()) {
+                let reply = Reply::Refused(answer::refused(&refusal));
+                for duty in &mut self.duties {
+                    duty.replied(&command, &reply);
+                }
+            }
         }
         self.flush_soon(ctx);
     }
--- a/crates/flamingo-control/src/keeper/answer.rs
+++ b/crates/flamingo-control/src/keeper/answer.rs
@@ -33,7 +33,14 @@
             return self.pass(ask);
         }
         match ask.request {
-            Request::Apply(change) => self.commit(now, Command::Apply(change), ctx),
+            Request::Apply(change) => {
+                let duties = self.duties.iter();
+                let mut objections = duties.filter_map(|duty| duty.objection(&change.set, now));
+                match objections.next() {
+                    Some(fault) => ready(Reply::Refused(fault)),
+                    None => self.commit(now, Command::Apply(change), ctx),
+                }
+            }
             Request::Begin(call) => self.commit(now, Command::Begin(call), ctx),
             Request::Finish(answer) => self.commit(now, Command::Finish(answer), ctx),
             Request::Admin(Query::Drain(drain)) => self.commit(now, Command::Drain(drain), ctx),
--- a/crates/flamingo-control/src/lib.rs
+++ b/crates/flamingo-control/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod keeper;
 pub mod link;
 pub mod metrics;
+pub mod orders;
 pub mod packet;
 pub mod watch;
 pub mod writer;
--- /dev/null
+++ b/crates/flamingo-control/tests/placement.rs
@@ -0,0 +1,163 @@
+//! Placement through real processes: engines start empty and are given orders.
+
+use awc::Client;
+use awc::http::StatusCode;
+use flamingo_test_support::cluster::Cluster;
+use flamingo_test_support::wait;
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+
+const MODELS: [&str; 5] = ["notes", "roster", "tablet", "prices", "fleet"];
+
+const SET: &str = "\
+[profile counter]
+rank = 0
+first_token_ms = 1700
+between_tokens_ms = 54
+
+[model notes]
+weights = 8000
+cache = 2000
+copies = 2
+
+[model roster]
+weights = 7000
+cache = 1000
+
+[model tablet]
+weights = 5000
+cache = 1000
+
+[model prices]
+weights = 4000
+cache = 1000
+
+[model fleet]
+weights = 9000
+cache = 1000
+
+[placement]
+loads_per_second = 4
+";
+
+/// Memory of one engine: three hold all of the set, none holds half of it.
+const MEMORY: u64 = 20_000;
+
+async fn answers(entry: SocketAddr, model: &str) -> Option<()> {
+    let url = format!("http://{entry}/v1/chat/completions");
+    let ask = json!({"model": model, "max_tokens": 2,
+        "messages": [{"role": "user", "content": "hello"}]});
+    let request = Client::default()
+        .post(url)
+        .insert_header(("x-flamingo-profile", "counter"));
+    let answer = request.send_json(&ask).await.ok()?;
+    (answer.status() == StatusCode::OK).then_some(())
+}
+
+async fn get(address: SocketAddr, path: &str) -> Option<Value> {
+    let url = format!("http://{address}{path}");
+    let mut answer = Client::default().get(url).send().await.ok()?;
+    answer.json().await.ok()
+}
+
+fn start(controls: usize, more: &[&str]) -> Cluster {
+    let mut cluster = Cluster::start(controls, 2);
+    let memory = MEMORY.to_string();
+    for name in ["engine-1", "engine-2", "engine-3"] {
+        let mut args = vec!["--memory", &memory];
+        args.extend(more);
+        cluster.target("engine", name, &args);
+    }
+    cluster
+}
+
+async fn apply(cluster: &Cluster, set: &str) {
+    let path = cluster.dir.path().join("set.ini");
+    std::fs::write(&path, set).unwrap();
+    let path = path.to_str().unwrap();
+    wait::until("the change to be accepted", || async {
+        let applied = cluster.ctl(&["config", "apply", path]);
+        applied.status.success().then_some(())
+    })
+    .await;
+}
+
+async fn every_model_answers(cluster: &Cluster) {
+    let entry = cluster.entries[0].http();
+    for model in MODELS {
+        wait::until(model, || answers(entry, model)).await;
+    }
+}
+
+async fn no_engine_was_over_committed(cluster: &Cluster) {
+    for target in &cluster.targets {
+        let seen = wait::until("the engine's own account", || {
+            get(target.target(), "/stand-in/orders")
+        })
+        .await;
+        let peak = seen["committed_peak"].as_u64().unwrap();
+        assert!(peak > 0, "{seen}");
+        assert!(peak <= MEMORY, "{}: {seen}", target.name);
+    }
+}
+
+fn logged(cluster: &Cluster, name: &str, what: &str) -> usize {
+    let log = std::fs::read_to_string(cluster.log(name)).unwrap_or_default();
+    log.lines().filter(|line| line.contains(what)).count()
+}
+
+#[actix_rt::test]
+async fn empty_engines_are_given_every_model() {
+    let cluster = start(1, &["--load-ms", "100"]);
+    apply(&cluster, SET).await;
+    every_model_answers(&cluster).await;
+    no_engine_was_over_committed(&cluster).await;
+}
+
+#[actix_rt::test]
+async fn engines_that_check_nothing_are_given_every_model() {
+    let cluster = start(1, &["--load-ms", "100", "--unfenced"]);
+    apply(&cluster, SET).await;
+    every_model_answers(&cluster).await;
+    no_engine_was_over_committed(&cluster).await;
+}
+
+#[actix_rt::test]
+async fn a_set_that_cannot_be_resident_is_refused_with_the_arithmetic() {
+    let cluster = start(1, &["--load-ms", "100"]);
+    apply(&cluster, SET).await;
+    every_model_answers(&cluster).await;
+    let set = SET.replace("weights = 9000", "weights = 19500");
+    let path = cluster.dir.path().join("large.ini");
+    std::fs::write(&path, set).unwrap();
+    let refused = cluster.ctl(&["config", "apply", path.to_str().unwrap()]);
+    assert!(!refused.status.success());
+    let said = String::from_utf8_lossy(&refused.stderr).into_owned();
+    let wanted = "model 'fleet' needs 20500 MiB on one accelerator; the largest has 20000 MiB";
+    assert!(said.contains(wanted), "{said}");
+}
+
+#[actix_rt::test]
+async fn a_leader_frozen_while_loads_are_under_way_does_no_harm() {
+    let cluster = start(3, &["--load-ms", "2000"]);
+    apply(&cluster, SET).await;
+    let leader = wait::until("an order to be sent", || async {
+        let controls = cluster.controls.iter();
+        controls
+            .filter(|control| logged(&cluster, &control.name, "order sent") > 0)
+            .max_by_key(|control| logged(&cluster, &control.name, "order sent"))
+    })
+    .await;
+    leader.process.signal(libc::SIGSTOP);
+    every_model_answers(&cluster).await;
+    leader.process.signal(libc::SIGCONT);
+    wait::until("the frozen leader to step down", || async {
+        (logged(&cluster, &leader.name, "\"role\"") >= 2).then_some(())
+    })
+    .await;
+    every_model_answers(&cluster).await;
+    no_engine_was_over_committed(&cluster).await;
+    let others = cluster.controls.iter().filter(|other| other.name != leader.name);
+    let ended: usize = others.map(|other| logged(&cluster, &other.name, "order ended")).sum();
+    assert!(ended > 0, "another leader settled orders");
+}
--- a/crates/flamingo-log/src/raft.rs
+++ b/crates/flamingo-log/src/raft.rs
@@ -342,6 +342,15 @@
         }
     }
 
+    /// Returns when this member's leadership ends unless a majority is heard before.
+    #[must_use]
+    pub fn until(&self) -> Option<Instant> {
+        match &self.standing {
+            Standing::Leader(leader) => Some(leader.until(&self.timing)),
+            _ => None,
+        }
+    }
+
     /// Returns whether the committed state may answer reads at `now`.
     ///
     /// That is the case while no other member can have been elected, and all
--- a/crates/flamingo-place/src/account.rs
+++ b/crates/flamingo-place/src/account.rs
@@ -36,7 +36,8 @@
 pub const STRAY: Duration = Duration::from_mins(1);
 
 /// What became of one exchange in which an order was sent.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
 pub enum Exchange {
     /// The engine took the order; its report will say how it ends.
     Answered,
--- a/crates/flamingo-place/src/lib.rs
+++ b/crates/flamingo-place/src/lib.rs
@@ -7,6 +7,8 @@
 pub mod account;
 pub mod book;
 pub mod demand;
+mod explain;
+pub mod fit;
 pub mod pace;
 pub mod placer;
 pub mod plan;
--- a/crates/flamingo-place/src/placer.rs
+++ b/crates/flamingo-place/src/placer.rs
@@ -72,6 +72,8 @@
     pace: Pace,
     /// While it leads: when it may plan next.
     next: Option<Instant>,
+    /// While it leads: when it has heard of every target.
+    heard: Option<Instant>,
     failures: BTreeMap<Avoided, Failure>,
     missing: BTreeMap<id::Model, Instant>,
 }
@@ -86,6 +88,7 @@
             snapshot: Snapshot::default(),
             pace: Pace::default(),
             next: None,
+            heard: None,
             failures: BTreeMap::new(),
             missing: BTreeMap::new(),
         }
@@ -95,12 +98,20 @@
     pub fn lead(&mut self, fence: id::Fence, book: &Book, now: Instant) {
         self.account.lead(fence, book, now);
         self.next = Some(now + LISTEN);
+        self.heard = self.next;
         self.missing.clear();
     }
 
     /// Gives up leadership: nothing is planned or sent until the next.
     pub fn follow(&mut self) {
         self.next = None;
+        self.heard = None;
+    }
+
+    /// Returns whether it has led for long enough to know the targets.
+    #[must_use]
+    pub fn settled(&self, now: Instant) -> bool {
+        self.heard.is_some_and(|heard| heard <= now)
     }
 
     /// Returns whether it leads.
--- a/crates/flamingo-state/src/command.rs
+++ b/crates/flamingo-state/src/command.rs
@@ -23,7 +23,7 @@
     /// Records an order before it is sent.
     Intend(place::Order),
     /// Records how an order ended.
-    Settle(place::End),
+    Settle(place::Settlement),
 }
 
 /// A command with the time at which the leader took it.
--- a/crates/flamingo-state/src/orders.rs
+++ b/crates/flamingo-state/src/orders.rs
@@ -1,9 +1,10 @@
 //! Orders to engines: committed as intents before they are sent.
 
+use flamingo_place::book::Book;
 use flamingo_wire::admin::Move;
 use flamingo_wire::control::Reply;
 use flamingo_wire::fault::Reason;
-use flamingo_wire::place::{End, Order};
+use flamingo_wire::place::{Order, Settlement};
 use flamingo_wire::{Fault, id};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
@@ -17,7 +18,7 @@
 pub struct Orders {
     fence: id::Fence,
     leader: id::Node,
-    last: id::Order,
+    book: Book,
     outstanding: BTreeMap<id::Order, Move>,
     ended: VecDeque<Move>,
 }
@@ -47,7 +48,7 @@
     /// A leader that proposes several at once counts on from it itself.
     #[must_use]
     pub fn next(&self) -> id::Order {
-        self.last + 1
+        self.book.last + 1
     }
 
     /// Records an order; only the newest leader's, and each identity once.
@@ -60,12 +61,11 @@
             let help = "another instance leads now; drop the order";
             return Reply::Refused(Fault::not_run(Reason::Conflict, message, help));
         }
-        if order.id <= self.last {
-            let message = format!("order {} is not above {}", order.id, self.last);
+        if !self.book.intend(order.clone()) {
+            let message = format!("order {} is not above {}", order.id, self.book.last);
             let help = "give the order a new identity";
             return Reply::Refused(Fault::not_run(Reason::Reused, message, help));
         }
-        self.last = order.id;
         let id = order.id;
         let intent = Move {
             order,
@@ -77,7 +77,9 @@
     }
 
     /// Records how an order ended; an order that is not outstanding stays as it is.
-    pub fn settle(&mut self, end: End) -> Reply {
+    pub fn settle(&mut self, settlement: &Settlement) -> Reply {
+        self.book.settle(settlement);
+        let end = &settlement.end;
         if let Some(mut intent) = self.outstanding.remove(&end.order) {
             intent.outcome = Some(end.outcome);
             self.ended.push_back(intent);
@@ -88,6 +90,12 @@
         Reply::Noted
     }
 
+    /// Returns what a leader's account of accelerator memory rests on.
+    #[must_use]
+    pub fn book(&self) -> &Book {
+        &self.book
+    }
+
     /// Returns the orders that may still be under way, by identity.
     pub fn outstanding(&self) -> impl Iterator<Item = &Move> {
         self.outstanding.values()
--- a/crates/flamingo-state/src/state.rs
+++ b/crates/flamingo-state/src/state.rs
@@ -56,7 +56,7 @@
             Command::Begin(call) => self.calls.begin(call, now),
             Command::Finish(answer) => self.calls.finish(answer),
             Command::Intend(order) => self.orders.intend(order, now),
-            Command::Settle(end) => self.orders.settle(end),
+            Command::Settle(settlement) => self.orders.settle(&settlement),
         }
     }
 
