--- a/crates/flamingo-control/tests/placement.rs
+++ b/crates/flamingo-control/tests/placement.rs
@@ -157,7 +157,12 @@
     .await;
     every_model_answers(&cluster).await;
     no_engine_was_over_committed(&cluster).await;
-    let others = cluster.controls.iter().filter(|other| other.name != leader.name);
-    let ended: usize = others.map(|other| logged(&cluster, &other.name, "order ended")).sum();
+    let others = cluster
+        .controls
+        .iter()
+        .filter(|other| other.name != leader.name);
+    let ended: usize = others
+        .map(|other| logged(&cluster, &other.name, "order ended"))
+        .sum();
     assert!(ended > 0, "another leader settled orders");
 }
--- a/crates/flamingo-route/tests/world/mod.rs
+++ b/crates/flamingo-route/tests/world/mod.rs
@@ -541,5 +541,6 @@
             concurrency: 2,
             patience: Duration::from_secs(5),
         }],
+        placement: config::Placement::default(),
     }
 }
--- a/crates/flamingo-settings/tests/page.rs
+++ b/crates/flamingo-settings/tests/page.rs
@@ -45,4 +45,5 @@
         let keys = known(&format!("{kind} x"), set::open);
         stands(&format!("{kind} NAME"), keys);
     }
+    stands("placement", known("placement", set::open));
 }
--- a/crates/flamingo-settings/tests/problems.rs
+++ b/crates/flamingo-settings/tests/problems.rs
@@ -2,7 +2,7 @@
 
 use flamingo_settings::{Error, Problem, entry, set};
 use flamingo_test_support::{cases, seed};
-use flamingo_wire::config::{Adapter, Late, Model, Profile, Service, Set};
+use flamingo_wire::config::{Adapter, Late, Model, Placement, Profile, Service, Set};
 use quickcheck::{Arbitrary, Gen};
 use std::path::Path;
 use std::time::Duration;
@@ -130,10 +130,19 @@
             patience: millis(g),
         });
         let services = services.collect();
+        let placement = Placement {
+            attainment_weight: u32::from(u16::arbitrary(g)),
+            moves_weight: u32::from(u16::arbitrary(g)),
+            moves_per_hour: u32::from(u16::arbitrary(g)),
+            loads_per_second: 1 + u32::from(u8::arbitrary(g)),
+            loads_at_once: 1 + u32::from(u8::arbitrary(g)),
+            tokens_per_copy: 1 + u32::from(u16::arbitrary(g)),
+        };
         Self(Set {
             profiles,
             models,
             services,
+            placement,
         })
     }
 }
