--- a/crates/flamingo-load/examples/experiment.rs
+++ b/crates/flamingo-load/examples/experiment.rs
@@ -2,7 +2,8 @@
 //! workload through it while faults strike, and prints the report.
 //!
 //! `cargo build --bins && cargo run -p flamingo-load --example experiment -- --workload FILE
-//! [--seed N] [--seconds N] [--scale X] [--fault NAME[:N]]... [--empty] [--out FILE]`
+//! [--seed N] [--seconds N] [--scale X] [--fault NAME[:N]]... [--empty] [--settings "[route];policy = round-robin"]
+//! [--variant NAME] [--entries N] [--controls N] [--pace MS] [--out FILE]`
 
 mod harness;
 
--- a/crates/flamingo-load/examples/harness/mod.rs
+++ b/crates/flamingo-load/examples/harness/mod.rs
@@ -34,7 +34,7 @@
     pub pace: u64,
     /// Whether engines start empty, so that placement loads them.
     pub empty: bool,
-    /// Lines added to the settings of entries.
+    /// Lines added to the settings of entries, such as `[route]` and its keys.
     pub settings: String,
 }
 
@@ -48,7 +48,7 @@
 impl Deployment {
     /// Starts the deployment of `workload` and waits until each model is served.
     pub async fn start(workload: &Workload, shape: &Shape) -> Self {
-        let mut cluster = Cluster::start(shape.controls, shape.entries);
+        let mut cluster = Cluster::with(shape.controls, shape.entries, &shape.settings);
         let mut records = Vec::new();
         let placed = place(workload, shape.empty);
         let pace = shape.pace.to_string();
--- a/crates/flamingo-test-support/src/cluster.rs
+++ b/crates/flamingo-test-support/src/cluster.rs
@@ -60,6 +60,8 @@
     pub targets: Vec<Instance>,
     members: Vec<String>,
     seeds: Vec<SocketAddr>,
+    /// Lines added to the settings of each entry.
+    more: String,
     /// Relays by the name of the caller and of the control instance it reaches.
     relays: BTreeMap<(String, String), Relay>,
 }
@@ -72,7 +74,7 @@
     /// Panics where a process can't be started.
     #[must_use]
     pub fn start(controls: usize, entries: usize) -> Self {
-        Self::launch(controls, entries, false)
+        Self::launch(controls, entries, false, "")
     }
 
     /// Starts a system whose entries reach each control instance through a
@@ -83,7 +85,17 @@
     /// Panics where a process can't be started.
     #[must_use]
     pub fn relayed(controls: usize, entries: usize) -> Self {
-        Self::launch(controls, entries, true)
+        Self::launch(controls, entries, true, "")
+    }
+
+    /// Starts a system whose entries have the lines `more` in their settings.
+    ///
+    /// # Panics
+    ///
+    /// Panics where a process can't be started.
+    #[must_use]
+    pub fn with(controls: usize, entries: usize, more: &str) -> Self {
+        Self::launch(controls, entries, false, more)
     }
 
     /// Returns the relay by which the entry `from` reaches the control `to`.
@@ -98,7 +110,7 @@
         self.relays.get(&key).expect("a relayed system")
     }
 
-    fn launch(controls: usize, entries: usize, relayed: bool) -> Self {
+    fn launch(controls: usize, entries: usize, relayed: bool, more: &str) -> Self {
         let dir = tempfile::tempdir().expect("a folder can be made");
         let hosts: Vec<_> = (0..controls).map(|_| host()).collect();
         let numbered = hosts.iter().enumerate();
@@ -112,6 +124,7 @@
             targets: Vec::new(),
             members,
             seeds: Vec::new(),
+            more: more.to_owned(),
             relays: BTreeMap::new(),
         };
         for (n, host) in hosts.into_iter().enumerate() {
@@ -240,6 +253,7 @@
         } else {
             let seeds: Vec<_> = self.seeds.iter().map(ToString::to_string).collect();
             let _ = writeln!(text, "[entry]\nseeds = {}", seeds.join(", "));
+            text.push_str(&self.more);
         }
         text
     }
