Refuse strangers on the log's stream and show that none gets in

Cause: a stream of the replicated log that opened with a frame under another key was dropped in silence, and its peer got a sealed heartbeat first: a valid frame in a stranger's hands. Ruled out: an effect of the stranger's frame; it was never taken. Change: the stream ends with 'unauthenticated'; nothing is sealed for a peer before it has shown the key. A test with real processes under TLS and keys tries callers', operators' and inner routes as a stranger and looks for every secret in the logs. Before: the test failed, the stranger's stream got Ok. After: it passes.

--- a/crates/flamingo-control/src/inner.rs
+++ b/crates/flamingo-control/src/inner.rs
@@ -103,8 +103,14 @@
                     let Ok(Some(frame)) = frame else {
                         return;
                     };
-                    let Ok(packet) = self.seal.open::<Packet>(&frame, SystemTime::now()) else {
-                        return;
+                    let packet = match self.seal.open::<Packet>(&frame, SystemTime::now()) {
+                        Ok(packet) => packet,
+                        Err(error) => {
+                            let refusal = Status::unauthenticated(error.to_string());
+                            // The stranger may be gone already.
+                            let _ = out.try_send(Err(refusal));
+                            return;
+                        }
                     };
                     deadline = Instant::now() + SILENCE;
                     from = frame.from;
@@ -118,6 +124,10 @@
                     if Instant::now() >= deadline {
                         return;
                     }
+                    // Nothing is sealed for a peer that has not shown the key.
+                    if from.is_empty() {
+                        continue;
+                    }
                     let Ok(beat) = self.seal.seal(&from, &Packet::Beat, SystemTime::now()) else {
                         return;
                     };
