Prove the log in virtual time, and mend two faults that this found

Cause: the property check of tests/safety.rs showed two ways in which a wiped member never came back: (1) its demotion was lost with the leader that made it, and as it held a member list it no longer asked to join; (2) where the log had been compacted, its first answers carried no group and were dropped as foreign. Ruled out: a stuck change of members (the newest leader was settled).

Change: a member that doesn't vote asks to join at every election deadline; an answer of a member without a group counts by its listed storage identity.

Before: shrunk counter-examples [Crash, Crash, Pass, Fill, Wipe, Pass] with five members and [Pass, Compact x4, Wipe], 'the members do not agree in time'.

--- a/crates/flamingo-log/src/raft.rs
+++ b/crates/flamingo-log/src/raft.rs
@@ -436,7 +436,10 @@
             message.body,
             Body::Inquire | Body::Unformed | Body::Join { .. }
         );
-        self.formed() && !seeking && message.cluster != self.journal.cluster()
+        // A learner that waits for its first snapshot belongs to none yet.
+        let fresh = message.cluster == 0
+            && matches!(message.body, Body::Appended { .. } | Body::Installed { .. });
+        self.formed() && !seeking && !fresh && message.cluster != self.journal.cluster()
     }
 
     fn leading(&self) -> Result<(), Refusal> {
--- a/crates/flamingo-log/src/raft/election.rs
+++ b/crates/flamingo-log/src/raft/election.rs
@@ -112,7 +112,12 @@
     /// Asks for votes; first for pre-votes, which change nothing.
     pub(super) fn campaign(&mut self, now: Instant, pre: bool, transfer: bool) {
         self.rest(now);
-        if self.broken || !self.votes() {
+        if !self.votes() {
+            // A leader may never have heard of this folder's identity.
+            self.ask_to_join();
+            return;
+        }
+        if self.broken {
             return;
         }
         if !pre {
--- a/crates/flamingo-log/src/raft/formation.rs
+++ b/crates/flamingo-log/src/raft/formation.rs
@@ -9,6 +9,7 @@
 use crate::entry::{Cluster, Member, Record, Snapshot, Storage};
 use crate::message::Body;
 use flamingo_wire::id;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -16,25 +17,31 @@
     /// Asks the others what they know; while there is no member list.
     pub(super) fn seek(&mut self, now: Instant) {
         self.deadline = now + self.timing.heartbeat * 2;
-        let founder = self.founder();
-        let others: Vec<_> = self
-            .seeds
-            .iter()
-            .filter(|seed| seed.node != self.node)
-            .map(|seed| seed.node.clone())
-            .collect();
-        for node in others {
-            let address = self.address;
-            self.send(&node, 0, Body::Join { address });
-            if founder {
+        self.ask_to_join();
+        if self.founder() {
+            for node in self.others() {
                 self.send(&node, 0, Body::Inquire);
             }
-        }
-        if founder {
             self.form(now);
         }
     }
 
+    /// Asks every member that is known to be let in under this identity.
+    pub(super) fn ask_to_join(&mut self) {
+        for node in self.others() {
+            let address = self.address;
+            self.send(&node, 0, Body::Join { address });
+        }
+    }
+
+    /// Returns the other members, listed or named in the settings.
+    fn others(&self) -> BTreeSet<id::Node> {
+        let seeds = self.seeds.iter().map(|seed| &seed.node);
+        let peers = self.peers().map(|peer| &peer.node);
+        let others = seeds.chain(peers).filter(|node| **node != self.node);
+        others.cloned().collect()
+    }
+
     /// Returns whether this member makes the first list.
     fn founder(&self) -> bool {
         let first = self.seeds.iter().map(|seed| &seed.node).min();
--- /dev/null
+++ b/crates/flamingo-log/tests/safety.rs
@@ -0,0 +1,101 @@
+//! The log under loss, duplication, reordering, restarts, freezes, cuts and
+//! lost disks, in virtual time.
+
+use flamingo_test_support::group::{Group, Weather};
+use flamingo_test_support::seed;
+use quickcheck::{Arbitrary, Gen};
+use std::time::Duration;
+
+/// One thing that happens to the group.
+#[derive(Clone, Copy, Debug)]
+enum Op {
+    Propose(u8),
+    Pass(u8),
+    Crash(u8),
+    Start(u8),
+    Wipe(u8),
+    Cut(u8, u8),
+    Isolate(u8),
+    Heal,
+    Freeze(u8),
+    Thaw(u8),
+    Weather(u8),
+    Compact(u8),
+    Resign(u8),
+    Fill(u8),
+}
+
+impl Arbitrary for Op {
+    fn arbitrary(source: &mut Gen) -> Self {
+        let n = u8::arbitrary(source);
+        match u8::arbitrary(source) % 32 {
+            0..=7 => Self::Propose(n),
+            8..=15 => Self::Pass(n),
+            16 | 17 => Self::Crash(n),
+            18 | 19 => Self::Start(n),
+            20 | 21 => Self::Wipe(n),
+            22 => Self::Cut(n, u8::arbitrary(source)),
+            23 => Self::Isolate(n),
+            24 => Self::Heal,
+            25 => Self::Freeze(n),
+            26 => Self::Thaw(n),
+            27 => Self::Weather(n),
+            28 | 29 => Self::Compact(n),
+            30 => Self::Resign(n),
+            _ => Self::Fill(n),
+        }
+    }
+}
+
+fn run(count: usize, ops: &[Op], random: u64) {
+    let mut group = Group::new(count, random);
+    group.until(Duration::from_secs(10), |group| group.leader().is_some());
+    let mut proposed = 0u32;
+    for op in ops {
+        let at = |n: u8| usize::from(n) % count;
+        match *op {
+            Op::Propose(n) => {
+                proposed += 1;
+                let to = group.leader().unwrap_or(at(n));
+                group.propose(to, &proposed.to_le_bytes());
+                // Two that believe they lead both take proposals.
+                group.propose(at(n), &(proposed + 1_000_000).to_le_bytes());
+            }
+            Op::Pass(n) => group.pass(Duration::from_millis(u64::from(n) * 10)),
+            Op::Crash(n) => group.crash(at(n)),
+            Op::Start(n) => group.start(at(n)),
+            Op::Wipe(n) => {
+                group.wipe(at(n));
+                group.start(at(n));
+            }
+            Op::Cut(a, b) if at(a) != at(b) => group.cut(at(a), at(b)),
+            Op::Cut(..) | Op::Heal => group.heal(),
+            Op::Isolate(n) => group.isolate(at(n)),
+            Op::Freeze(n) => group.nodes[at(n)].frozen = true,
+            Op::Thaw(n) => group.nodes[at(n)].frozen = false,
+            Op::Weather(n) => {
+                group.weather = Weather {
+                    loss: u64::from(n % 4) * 10,
+                    twice: u64::from(n % 3) * 10,
+                    delay: u64::from(n % 5) * 60,
+                }
+            }
+            Op::Compact(n) => group.compact(at(n)),
+            Op::Resign(n) => group.act(at(n), flamingo_log::Raft::resign),
+            Op::Fill(n) => group.nodes[at(n)].full = true,
+        }
+    }
+    group.recover();
+}
+
+#[test]
+fn three_members_agree_whatever_happens() {
+    let property = |ops: Vec<Op>, random: u64| run(3, &ops, random);
+    seed::check(400, 120, property as fn(Vec<Op>, u64));
+}
+
+#[test]
+fn five_members_agree_whatever_happens() {
+    let property = |ops: Vec<Op>, random: u64| run(5, &ops, random);
+    seed::check(150, 120, property as fn(Vec<Op>, u64));
+}
--- /dev/null
+++ b/crates/flamingo-test-support/src/group.rs
@@ -0,0 +1,540 @@
+//! A group of log members in virtual time, with faults.
+//!
+//! Nothing here runs by itself: [`Group::pass`] lets time go by. After every
+//! step the group checks what must always hold, and panics where it does not:
+//! no two members commit different entries at one index, no term has two
+//! leaders, and who may answer reads knows all that was committed.
+
+use flamingo_log::disk::Stored;
+use flamingo_log::raft::{Seed, Slot, Start};
+use flamingo_log::{Action, Entry, Member, Message, Payload, Raft, Record, Role, Timing};
+use flamingo_wire::id;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// Virtual time between two looks at the members.
+pub const STEP: Duration = Duration::from_millis(10);
+
+/// A committed command.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Applied {
+    /// Its index.
+    pub index: id::Index,
+    /// Its term.
+    pub term: id::Term,
+    /// Its bytes.
+    pub bytes: Vec<u8>,
+}
+
+/// What the network does to messages.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Weather {
+    /// Messages lost, in percent.
+    pub loss: u64,
+    /// Messages that arrive twice, in percent.
+    pub twice: u64,
+    /// Longest delay, in milliseconds; unequal delays reorder.
+    pub delay: u64,
+}
+
+/// One member.
+#[derive(Debug)]
+pub struct Node {
+    /// Its name.
+    pub name: id::Node,
+    /// The state machine, while it runs.
+    pub raft: Option<Raft>,
+    /// The committed commands, in order.
+    pub applied: Vec<Applied>,
+    /// Whether it is frozen: nothing happens in it.
+    pub frozen: bool,
+    /// Whether its disk takes no more.
+    pub full: bool,
+    stored: Stored,
+    pending: Vec<Record>,
+    synced: u64,
+}
+
+/// A group of members.
+#[derive(Debug)]
+pub struct Group {
+    /// Virtual time.
+    pub now: Instant,
+    /// The members.
+    pub nodes: Vec<Node>,
+    /// What the network does.
+    pub weather: Weather,
+    flying: BTreeMap<(Instant, u64), Message>,
+    cuts: BTreeSet<(usize, usize)>,
+    sent: u64,
+    random: u64,
+    storages: u64,
+    committed: BTreeMap<id::Index, Entry>,
+    leaders: BTreeMap<id::Term, id::Node>,
+    wiped: BTreeMap<id::Node, u64>,
+}
+
+impl Group {
+    /// Starts `count` members with empty disks.
+    #[must_use]
+    pub fn new(count: usize, seed: u64) -> Self {
+        let mut group = Self {
+            now: Instant::now(),
+            nodes: Vec::new(),
+            weather: Weather::default(),
+            flying: BTreeMap::new(),
+            cuts: BTreeSet::new(),
+            sent: 0,
+            random: seed,
+            storages: 0,
+            committed: BTreeMap::new(),
+            leaders: BTreeMap::new(),
+            wiped: BTreeMap::new(),
+        };
+        for n in 0..count {
+            let storage = group.storage();
+            group.nodes.push(Node {
+                name: name(n),
+                raft: None,
+                applied: Vec::new(),
+                frozen: false,
+                full: false,
+                stored: Stored {
+                    storage,
+                    ..Stored::default()
+                },
+                pending: Vec::new(),
+                synced: 0,
+            });
+        }
+        for n in 0..count {
+            group.start(n);
+        }
+        group
+    }
+
+    fn storage(&mut self) -> u64 {
+        self.storages += 1;
+        self.storages
+    }
+
+    /// Returns a number of the group's own sequence.
+    pub fn random(&mut self) -> u64 {
+        self.random = self.random.wrapping_mul(6_364_136_223_846_793_005);
+        self.random = self.random.wrapping_add(1_442_695_040_888_963_407);
+        self.random >> 33
+    }
+
+    /// Starts a member that does not run, with what its disk holds.
+    ///
+    /// # Panics
+    ///
+    /// Panics where its snapshot was not made by this group.
+    pub fn start(&mut self, n: usize) {
+        if self.nodes[n].raft.is_some() {
+            return;
+        }
+        let count = self.nodes.len();
+        let seeds = (0..count).map(|n| Seed {
+            node: name(n),
+            address: address(n),
+        });
+        let seeds = seeds.collect();
+        let seed = self.random();
+        let node = &mut self.nodes[n];
+        let start = Start {
+            node: node.name.clone(),
+            address: address(n),
+            seeds,
+            timing: Timing::default(),
+            seed,
+            stored: node.stored.clone(),
+        };
+        node.pending.clear();
+        node.synced = 0;
+        node.frozen = false;
+        node.full = false;
+        node.applied = decode(&node.stored.snapshot.data);
+        node.raft = Some(Raft::new(start, self.now));
+    }
+
+    /// Stops a member at once; some of what it had not synced may be lost.
+    pub fn crash(&mut self, n: usize) {
+        let kept = self.random();
+        let node = &mut self.nodes[n];
+        if node.raft.take().is_none() {
+            return;
+        }
+        let pending = std::mem::take(&mut node.pending);
+        let kept = usize::try_from(kept).unwrap_or(0) % (pending.len() + 1);
+        for record in pending.into_iter().take(kept) {
+            keep(&mut node.stored, record);
+        }
+    }
+
+    /// Stops a member and wipes its disk.
+    ///
+    /// Does nothing where another member has not yet got its vote back after
+    /// its own wipe: more lost disks at once than that no log survives.
+    pub fn wipe(&mut self, n: usize) -> bool {
+        self.forget_repaired();
+        if !self.wiped.is_empty() || self.voters().len() < self.nodes.len() {
+            return false;
+        }
+        self.crash(n);
+        let storage = self.storage();
+        self.nodes[n].stored = Stored {
+            storage,
+            ..Stored::default()
+        };
+        self.wiped.insert(name(n), storage);
+        true
+    }
+
+    /// Returns the newest committed member list's voters.
+    #[must_use]
+    pub fn voters(&self) -> Vec<Member> {
+        let listed = self.committed.values().rev();
+        let mut lists = listed.filter_map(|entry| match &entry.payload {
+            Payload::Members(members) => Some(members.clone()),
+            _ => None,
+        });
+        let first = || {
+            let mut running = self.nodes.iter().filter_map(|node| node.raft.as_ref());
+            let formed = running.find(|raft| raft.committed() > 0);
+            formed.map_or_else(Vec::new, |raft| raft.members().to_vec())
+        };
+        let members = lists.next().unwrap_or_else(first);
+        members.into_iter().filter(|member| member.votes).collect()
+    }
+
+    fn forget_repaired(&mut self) {
+        let voters = self.voters();
+        let votes = |node: &str, storage: u64| {
+            voters
+                .iter()
+                .any(|member| member.node == node && member.storage == storage)
+        };
+        self.wiped.retain(|node, storage| !votes(node, *storage));
+    }
+
+    /// Cuts two members from each other, silently.
+    pub fn cut(&mut self, a: usize, b: usize) {
+        self.cuts.insert((a.min(b), a.max(b)));
+    }
+
+    /// Cuts a member from all others.
+    pub fn isolate(&mut self, n: usize) {
+        for other in 0..self.nodes.len() {
+            if other != n {
+                self.cut(n, other);
+            }
+        }
+    }
+
+    /// Ends all cuts.
+    pub fn heal(&mut self) {
+        self.cuts.clear();
+    }
+
+    /// Returns the member that may propose now, the newest term's if there are two.
+    #[must_use]
+    pub fn leader(&self) -> Option<usize> {
+        let running = (0..self.nodes.len()).filter(|n| !self.nodes[*n].frozen);
+        let leads = |n: &usize| {
+            let raft = self.nodes[*n].raft.as_ref();
+            raft.is_some_and(|raft| raft.leads(self.now))
+        };
+        running
+            .filter(leads)
+            .max_by_key(|n| self.nodes[*n].raft.as_ref().map(Raft::term))
+    }
+
+    /// Proposes a command to a member.
+    pub fn propose(&mut self, n: usize, bytes: &[u8]) -> Option<Slot> {
+        let now = self.now;
+        let node = &mut self.nodes[n];
+        if node.frozen {
+            return None;
+        }
+        let raft = node.raft.as_mut()?;
+        let slot = raft.propose(now, bytes.to_vec()).ok();
+        raft.flush(now);
+        self.drain(n);
+        slot
+    }
+
+    /// Does something with a member's state machine.
+    pub fn act(&mut self, n: usize, act: impl FnOnce(&mut Raft, Instant)) {
+        let now = self.now;
+        if let Some(raft) = self.nodes[n].raft.as_mut() {
+            act(raft, now);
+            self.drain(n);
+        }
+    }
+
+    /// Puts a snapshot in place of a member's committed entries.
+    ///
+    /// # Panics
+    ///
+    /// Never: the commands can always be encoded.
+    pub fn compact(&mut self, n: usize) {
+        let node = &mut self.nodes[n];
+        let data = rmp_serde::to_vec(&node.applied).expect("commands can be encoded");
+        self.act(n, |raft, _| raft.compact(raft.committed(), data));
+    }
+
+    /// Lets time go by.
+    pub fn pass(&mut self, time: Duration) {
+        let until = self.now + time;
+        while self.now < until {
+            self.now += STEP;
+            self.deliver();
+            for n in 0..self.nodes.len() {
+                self.sync(n);
+                if !self.nodes[n].frozen {
+                    self.act(n, Raft::tick);
+                }
+            }
+            self.check();
+        }
+    }
+
+    /// Lets time go by until `done`; returns whether that came within `limit`.
+    pub fn until(&mut self, limit: Duration, done: impl Fn(&Self) -> bool) -> bool {
+        let until = self.now + limit;
+        while self.now < until {
+            if done(self) {
+                return true;
+            }
+            self.pass(STEP);
+        }
+        done(self)
+    }
+
+    fn deliver(&mut self) {
+        let later = self.flying.split_off(&(self.now, u64::MAX));
+        let due = std::mem::replace(&mut self.flying, later);
+        for (key, message) in due {
+            let to = number(&message.to);
+            let from = number(&message.from);
+            if self.cuts.contains(&(from.min(to), from.max(to))) {
+                continue;
+            }
+            if self.nodes[to].frozen {
+                // Waits in the socket's buffer.
+                self.flying.insert((self.now + STEP, key.1), message);
+                continue;
+            }
+            self.act(to, |raft, now| raft.receive(now, message));
+        }
+    }
+
+    /// Syncs what is pending, most of the time.
+    fn sync(&mut self, n: usize) {
+        let late = self.random().is_multiple_of(4);
+        let node = &mut self.nodes[n];
+        if late || node.frozen || node.raft.is_none() || node.pending.is_empty() {
+            return;
+        }
+        if node.full {
+            node.pending.clear();
+            self.act(n, Raft::failed);
+            return;
+        }
+        for record in std::mem::take(&mut node.pending) {
+            keep(&mut node.stored, record);
+            node.synced += 1;
+        }
+        let synced = node.synced;
+        self.act(n, |raft, now| raft.synced(now, synced));
+    }
+
+    fn drain(&mut self, n: usize) {
+        let Some(raft) = self.nodes[n].raft.as_mut() else {
+            return;
+        };
+        for action in raft.take() {
+            match action {
+                Action::Write(record) => self.nodes[n].pending.push(record),
+                Action::Send(message) => self.send(&message),
+                Action::Commit(entries) => self.commit(n, entries),
+                Action::Restore(snapshot) => self.nodes[n].applied = decode(&snapshot.data),
+                Action::Became(Role::Leader) => self.note_leader(n),
+                Action::Became(_) => {}
+            }
+        }
+    }
+
+    fn send(&mut self, message: &Message) {
+        let weather = self.weather;
+        let copies = if self.random() % 100 < weather.twice {
+            2
+        } else {
+            1
+        };
+        for _ in 0..copies {
+            if self.random() % 100 < weather.loss {
+                continue;
+            }
+            let delay = Duration::from_millis(1 + self.random() % (weather.delay + 1));
+            self.sent += 1;
+            self.flying
+                .insert((self.now + delay, self.sent), message.clone());
+        }
+    }
+
+    fn commit(&mut self, n: usize, entries: Vec<Entry>) {
+        for entry in entries {
+            let known = self
+                .committed
+                .entry(entry.index)
+                .or_insert_with(|| entry.clone());
+            assert_eq!(known, &entry, "two entries are committed at one index");
+            let node = &mut self.nodes[n];
+            if let Payload::Command(bytes) = entry.payload {
+                node.applied.push(Applied {
+                    index: entry.index,
+                    term: entry.term,
+                    bytes,
+                });
+            }
+        }
+    }
+
+    fn note_leader(&mut self, n: usize) {
+        let Some(raft) = &self.nodes[n].raft else {
+            return;
+        };
+        let name = self.nodes[n].name.clone();
+        let known = self
+            .leaders
+            .entry(raft.term())
+            .or_insert_with(|| name.clone());
+        assert_eq!(known, &name, "one term has two leaders");
+    }
+
+    /// Checks that who may answer reads knows all that was committed.
+    fn check(&self) {
+        let newest = self
+            .committed
+            .keys()
+            .next_back()
+            .copied()
+            .unwrap_or_default();
+        for node in self.nodes.iter().filter(|node| !node.frozen) {
+            if let Some(raft) = &node.raft
+                && raft.lease(self.now)
+            {
+                let name = &node.name;
+                assert_eq!(
+                    raft.committed(),
+                    newest,
+                    "{name} may answer reads and is behind"
+                );
+            }
+        }
+    }
+
+    /// Returns the last index that any member committed.
+    #[must_use]
+    pub fn newest(&self) -> id::Index {
+        self.committed
+            .keys()
+            .next_back()
+            .copied()
+            .unwrap_or_default()
+    }
+
+    /// Ends all faults and waits until every member holds the same commands,
+    /// a new one among them.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the group does not come back within two minutes.
+    pub fn recover(&mut self) {
+        const LIMIT: Duration = Duration::from_mins(2);
+        self.weather = Weather::default();
+        self.heal();
+        for n in 0..self.nodes.len() {
+            if self.nodes[n].full {
+                self.crash(n);
+            }
+            self.nodes[n].frozen = false;
+            self.start(n);
+        }
+        assert!(
+            self.until(LIMIT, |group| group.leader().is_some()),
+            "no leader"
+        );
+        let marker = b"recovered".to_vec();
+        let holds = |node: &Node| node.applied.last().is_some_and(|last| last.bytes == marker);
+        let deadline = self.now + LIMIT;
+        while !self.nodes.iter().all(holds) {
+            assert!(self.now < deadline, "the members do not agree in time");
+            if let Some(leader) = self.leader() {
+                self.propose(leader, &marker);
+            }
+            self.pass(Duration::from_millis(500));
+        }
+        let all = self
+            .committed
+            .values()
+            .filter_map(|entry| match &entry.payload {
+                Payload::Command(bytes) => Some(bytes.clone()),
+                _ => None,
+            });
+        let all: Vec<_> = all.collect();
+        for node in &self.nodes {
+            let held: Vec<_> = node.applied.iter().map(|held| held.bytes.clone()).collect();
+            assert_eq!(held[..], all[..held.len()], "{} lost commands", node.name);
+        }
+    }
+}
+
+/// Returns the name of member `n`.
+#[must_use]
+pub fn name(n: usize) -> id::Node {
+    format!("control-{n}")
+}
+
+fn number(node: &str) -> usize {
+    let number = node.trim_start_matches("control-").parse();
+    number.expect("a member of the group")
+}
+
+fn address(n: usize) -> SocketAddr {
+    let port = u16::try_from(7_000 + n).expect("few members");
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn decode(data: &[u8]) -> Vec<Applied> {
+    if data.is_empty() {
+        return Vec::new();
+    }
+    rmp_serde::from_slice(data).expect("a snapshot of this group")
+}
+
+/// Keeps a record as a disk does.
+fn keep(stored: &mut Stored, record: Record) {
+    match record {
+        Record::Vote(vote) => stored.vote = vote,
+        Record::Entry(entry) => {
+            stored.entries.retain(|kept| kept.index < entry.index);
+            stored.entries.push(entry);
+        }
+        Record::Snapshot(snapshot) => {
+            let at = stored
+                .entries
+                .iter()
+                .find(|kept| kept.index == snapshot.index);
+            if at.is_none_or(|kept| kept.term != snapshot.term) {
+                stored.entries.clear();
+            }
+            stored.entries.retain(|kept| kept.index > snapshot.index);
+            stored.snapshot = snapshot;
+        }
+    }
+}
--- a/crates/flamingo-test-support/src/lib.rs
+++ b/crates/flamingo-test-support/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod address;
 pub mod cluster;
+pub mod group;
 pub mod operator;
 pub mod process;
 pub mod relay;
