--- a/crates/flamingo-test-support/src/group.rs
+++ b/crates/flamingo-test-support/src/group.rs
@@ -212,12 +212,12 @@
 
     fn forget_repaired(&mut self) {
         let voters = self.voters();
-        let votes = |node: &str, storage: u64| {
+        let repaired = |node: &str, storage: u64| {
             voters
                 .iter()
                 .any(|member| member.node == node && member.storage == storage)
         };
-        self.wiped.retain(|node, storage| !votes(node, *storage));
+        self.wiped.retain(|node, storage| !repaired(node, *storage));
     }
 
     /// Cuts two members from each other, silently.
