--- a/crates/flamingolink/src/lib.rs
+++ b/crates/flamingolink/src/lib.rs
@@ -1,1 +1,3 @@
-//! A whole local system in one process; see `main.rs`.
+//! A whole local system in one process.
+
+pub mod local;
