Leave the placement of measured sets at its default

Change: the example takes the default. Conclusion: examples that build sets take defaults for what they don't vary.

--- a/crates/flamingo-load/examples/slopes.rs
+++ b/crates/flamingo-load/examples/slopes.rs
@@ -128,6 +128,7 @@
             profiles: vec![profile; 6],
             models: (0..models).map(model).collect(),
             services: Vec::new(),
+            ..Set::default()
         },
         drained: Vec::new(),
     }
