--- /dev/null
+++ b/crates/flamingo-state/tests/configuration.rs
@@ -0,0 +1,109 @@
+//! Compare-and-set with change ids.
+
+use flamingo_state::{Command, Stamped, State};
+use flamingo_test_support::operator::change;
+use flamingo_test_support::seed;
+use flamingo_wire::admin::{Answer, Drain};
+use flamingo_wire::control::Reply;
+use flamingo_wire::fault::Reason;
+use std::collections::BTreeMap;
+use std::time::SystemTime;
+
+fn apply(state: &mut State, id: &str, base: u64) -> Reply {
+    let command = Command::Apply(change(id, base));
+    state.apply(Stamped {
+        at: SystemTime::now(),
+        command,
+    })
+}
+
+#[test]
+fn of_equal_versions_one_wins_and_the_loser_is_told_who() {
+    let mut state = State::default();
+    assert_eq!(apply(&mut state, "alice", 0), Reply::Accepted(1));
+    let Reply::Refused(fault) = apply(&mut state, "bob", 0) else {
+        panic!("both won");
+    };
+    assert_eq!(fault.reason, Reason::Conflict);
+    let winner = "version 1 was made by alice (change alice)";
+    assert!(fault.message.contains(winner), "{fault}");
+    assert_eq!(state.configuration.version(), 1);
+}
+
+#[test]
+fn a_resend_gets_the_first_answer_after_hundreds_of_changes() {
+    let mut state = State::default();
+    apply(&mut state, "first", 0);
+    let lost = apply(&mut state, "loser", 0);
+    for version in 1..500 {
+        let id = format!("change-{version}");
+        let reply = apply(&mut state, &id, version);
+        assert_eq!(reply, Reply::Accepted(version + 1));
+    }
+    let mut state = State::decode(&state.encode().unwrap()).unwrap();
+    assert_eq!(apply(&mut state, "first", 0), Reply::Accepted(1));
+    assert_eq!(apply(&mut state, "loser", 0), lost);
+    assert_eq!(state.configuration.version(), 500);
+}
+
+#[test]
+fn a_change_id_that_is_used_for_another_change_is_refused() {
+    let mut state = State::default();
+    apply(&mut state, "first", 0);
+    let Reply::Refused(fault) = apply(&mut state, "first", 1) else {
+        panic!("it was taken");
+    };
+    assert_eq!(fault.reason, Reason::Reused);
+}
+
+#[test]
+fn a_drain_makes_a_version_once() {
+    let mut state = State::default();
+    let drain = Drain {
+        id: "drain".into(),
+        target: "engine-1".into(),
+        on: true,
+        author: "alice".into(),
+    };
+    for _ in 0..2 {
+        let reply = state.apply(Stamped {
+            at: SystemTime::now(),
+            command: Command::Drain(drain.clone()),
+        });
+        assert_eq!(reply, Reply::Admin(Answer::Drained(1)));
+    }
+    assert_eq!(state.configuration.snapshot().drained, ["engine-1"]);
+}
+
+/// Any mix of changes, resends and restarts from a snapshot.
+fn holds(wishes: &[(u8, u8)]) -> bool {
+    let mut state = State::default();
+    let mut first = BTreeMap::new();
+    let mut made = BTreeMap::new();
+    for (n, (id, base)) in wishes.iter().enumerate() {
+        let before = state.configuration.version();
+        let name = format!("{}-{}", id % 32, base % 8);
+        let reply = apply(&mut state, &name, u64::from(base % 8));
+        if first.entry(name.clone()).or_insert_with(|| reply.clone()) != &reply {
+            return false;
+        }
+        if let Reply::Accepted(version) = reply
+            && made.entry(version).or_insert(name.clone()) != &name
+        {
+            return false;
+        }
+        if state.configuration.version() < before {
+            return false;
+        }
+        if n % 5 == 0 {
+            state = State::decode(&state.encode().unwrap()).unwrap();
+        }
+    }
+    true
+}
+
+#[test]
+fn any_mix_of_changes_and_resends_makes_each_version_once() {
+    let property = |wishes: Vec<(u8, u8)>| holds(&wishes);
+    seed::check(1_000, 100, property as fn(Vec<(u8, u8)>) -> bool);
+}
