--- a/crates/flamingo-settings/src/serve.rs
+++ b/crates/flamingo-settings/src/serve.rs
@@ -18,6 +18,10 @@
     pub linger: Duration,
     /// Adapter loads in flight over all entries.
     pub adapter_loads: u32,
+    /// How a target is chosen, one of [`POLICIES`].
+    pub policy: String,
+    /// Whether requests are refused when their promise can't be met.
+    pub admission: bool,
 }
 
 impl Default for Serve {
@@ -29,33 +33,52 @@
             answer: 16 << 20,
             linger: Duration::from_secs(3),
             adapter_loads: 50,
+            policy: POLICIES[0].to_owned(),
+            admission: true,
         }
     }
 }
 
-const COUNT: &str = "a whole number from 1";
-const BYTES: &str = "a whole number of bytes";
-const MILLIS: &str = "a whole number of milliseconds";
+/// How a target can be chosen; all but the first are baselines to compare with.
+pub const POLICIES: [&str; 4] = ["affine", "two-choices", "least-in-flight", "round-robin"];
+
+const KIB: u64 = 1 << 10;
+const GIB: u64 = 1 << 30;
 
 impl Serve {
     /// Reads the section `[serve]`.
     pub fn read(reader: &mut Reader) -> Self {
         let base = Self::default();
-        let mut count = |key, value| reader.or("serve", key, value, COUNT);
-        let workers = count("workers", base.workers).max(1);
-        let connections = count("connections", base.connections).max(1);
-        let body = reader.or("serve", "body_bytes", base.body, BYTES);
-        let answer = reader.or("serve", "answer_bytes", base.answer, BYTES);
         let linger = u64::try_from(base.linger.as_millis()).unwrap_or(u64::MAX);
-        let linger = reader.or("serve", "linger_ms", linger, MILLIS);
-        let adapter_loads = reader.or("serve", "adapter_loads", base.adapter_loads, COUNT);
+        let mut size = |key, value: usize, range| {
+            let default = u64::try_from(value).unwrap_or(u64::MAX);
+            usize::try_from(reader.within("serve", key, default, range)).unwrap_or(value)
+        };
+        let workers = size("workers", base.workers, 1..=64);
+        let connections = size("connections", base.connections, 1..=1_000_000);
+        let body = size("body_bytes", base.body, KIB..=GIB);
+        let answer = size("answer_bytes", base.answer, KIB..=GIB);
+        let linger = reader.within("serve", "linger_ms", linger, 0..=60_000);
+        let loads = u64::from(base.adapter_loads);
+        let loads = reader.within("serve", "adapter_loads", loads, 1..=100_000);
         Self {
             workers,
             connections,
             body,
             answer,
             linger: Duration::from_millis(linger),
-            adapter_loads: adapter_loads.max(1),
+            adapter_loads: u32::try_from(loads).unwrap_or(base.adapter_loads),
+            policy: policy(reader, base.policy),
+            admission: reader.or("route", "admission", base.admission, "true or false"),
         }
     }
 }
+
+fn policy(reader: &mut Reader, default: String) -> String {
+    let allowed = POLICIES.join(", ");
+    let policy = reader.or("route", "policy", default, &allowed);
+    if !POLICIES.contains(&policy.as_str()) {
+        reader.problem("route", "policy", &format!("'{policy}'"), &allowed);
+    }
+    policy
+}
--- a/crates/flamingo-settings/tests/page.rs
+++ b/crates/flamingo-settings/tests/page.rs
@@ -36,7 +36,7 @@
         }
     };
     for section in [
-        "node", "listen", "inner", "control", "entry", "log", "keys", "tls", "stop",
+        "node", "listen", "inner", "control", "entry", "log", "keys", "tls", "stop", "serve",
     ] {
         stands(section, known(section, entry::Settings::open));
     }
@@ -45,4 +45,5 @@
         let keys = known(&format!("{kind} x"), set::open);
         stands(&format!("{kind} NAME"), keys);
     }
+    stands("placement", known("placement", set::open));
 }
