--- a/crates/flamingo-log/src/raft.rs
+++ b/crates/flamingo-log/src/raft.rs
@@ -262,7 +262,7 @@
                 index,
                 offset,
                 done,
-            } => self.installed(now, &from, from_storage, round, index, offset, done),
+            } => self.installed(now, &from, from_storage, term, round, index, offset, done),
             Body::Inquire => self.inquired(&from, from_storage),
             Body::Unformed if addressed => self.gather(now, from, from_storage),
             Body::Found(members) if addressed => self.found(now, cluster, members),
@@ -435,6 +435,12 @@
         self.storage
     }
 
+    /// Returns the identity of this member's group; 0 while it has none.
+    #[must_use]
+    pub fn cluster(&self) -> crate::entry::Cluster {
+        self.journal.cluster()
+    }
+
     fn formed(&self) -> bool {
         self.journal.cluster() != 0
     }
--- a/crates/flamingo-log/src/raft/replication.rs
+++ b/crates/flamingo-log/src/raft/replication.rs
@@ -299,11 +299,16 @@
         now: Instant,
         from: &str,
         storage: Storage,
+        term: id::Term,
         round: Round,
         index: id::Index,
         offset: u64,
         done: bool,
     ) {
+        // Rounds begin anew with each leadership.
+        if term != self.vote.term {
+            return;
+        }
         let Some(leader) = self.peer_of(from, storage) else {
             return;
         };
