Do not lose a call whose begin had no clear answer

Cause: an entry that saw no answer to a call's begin refused the call, while the ledger had it open: every resend of the caller was told 'pending' until the key expired, so a shift confirmation was lost. Found by reading the ledger. Ruled out: dispatching on the lost answer, which could run it twice. Change: the entry tells the ledger that this request was given up on, until that is noted; the ledger takes that word even before the begin, which then finds it. The same telling records a late answer that did not get through. Conclusion: at most once, and not lost while the caller resends.

--- a/crates/flamingo-entry/src/call.rs
+++ b/crates/flamingo-entry/src/call.rs
@@ -19,7 +19,7 @@
 use flamingo_wire::fault::Reason;
 use flamingo_wire::{Fault, Verdict, id};
 use sha2::{Digest, Sha256};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Header that carries the caller's idempotency key.
 pub const KEY: &str = "idempotency-key";
@@ -29,6 +29,10 @@
 const RECORDED: usize = 64 << 10;
 /// Time between two parts of an answer after which the target is given up.
 const SILENCE: Duration = Duration::from_secs(30);
+/// Time for which the ledger is told that a call was given up on.
+const TELL: Duration = Duration::from_mins(5);
+/// Time between two tries of that.
+const PAUSE: Duration = Duration::from_millis(500);
 /// Headers that concern one connection only.
 const HOP: [&str; 10] = [
     "connection",
@@ -208,13 +212,30 @@
             Reply::Grant(Grant::Pending) => Fault::not_run(Reason::Conflict, pending, "ask again")
                 .verdict(Verdict::MayHaveRun)
                 .retry_after(1),
-            Reply::Refused(fault) => fault,
+            Reply::Refused(fault) => {
+                self.give_up(&fault);
+                fault
+            }
             _ => Fault::not_run(Reason::Leaderless, "the ledger gave no word", "ask again")
                 .retry_after(1),
         };
         Some(answer::refuse(&fault, id))
     }
 
+    /// Tells the ledger that this request will never be dispatched, where its
+    /// begin may stand there: else the key would wait for an end that never
+    /// comes, and the caller's resend would not run.
+    fn give_up(&self, fault: &Fault) {
+        let unclear = matches!(
+            fault.reason,
+            Reason::Leaderless | Reason::Redirect | Reason::Stopping | Reason::Storage
+        );
+        if let Some(key) = self.key.clone().filter(|_| unclear) {
+            let record = self.record(key, Verdict::NotRun, None);
+            actix_rt::spawn(tell(self.shared.clone(), record));
+        }
+    }
+
     /// SHA-256 of method, path and body, each with its length before it.
     fn digest(&self) -> Vec<u8> {
         let mut digest = Sha256::new();
@@ -248,10 +269,19 @@
         let Some(key) = self.key.clone().filter(|_| self.granted) else {
             return;
         };
+        let record = self.record(key, verdict, whole);
+        // Until this gets through, a resend is told that the call may have run.
+        let word = Request::Finish(record.clone());
+        if let Reply::Refused(_) = self.shared.link.ask(&word).await {
+            actix_rt::spawn(tell(self.shared.clone(), record));
+        }
+    }
+
+    fn record(&self, key: id::Key, verdict: Verdict, whole: Option<&Whole>) -> Answer {
         let content = whole.and_then(|whole| whole.headers.get(header::CONTENT_TYPE));
         let content = content.and_then(|content| content.to_str().ok());
         let body = whole.map(|whole| whole.body.to_vec());
-        let record = Answer {
+        Answer {
             service: self.service.clone(),
             key,
             request: self.outgoing.request.clone(),
@@ -259,9 +289,7 @@
             status: whole.map_or(0, |whole| whole.status.as_u16()),
             content: content.unwrap_or_default().to_owned(),
             body: body.filter(|body| body.len() <= RECORDED),
-        };
-        // Where this fails, a resend is told that the call may have run.
-        let _ = self.shared.link.ask(&Request::Finish(record)).await;
+        }
     }
 
     async fn refused(&self, ticket: &Ticket, fault: &Fault) -> HttpResponse {
@@ -302,3 +330,17 @@
         reply.body(whole.body)
     }
 }
+
+/// Tells the ledger how a call ended, until it has noted that or a deadline passes.
+async fn tell(shared: Data<Shared>, record: Answer) {
+    let deadline = Instant::now() + TELL;
+    let request = Request::Finish(record);
+    while Instant::now() < deadline {
+        match shared.link.ask(&request).await {
+            Reply::Refused(fault) if fault.reason == Reason::Leaderless => {
+                actix_rt::time::sleep(PAUSE).await;
+            }
+            _ => return,
+        }
+    }
+}
--- a/crates/flamingo-state/src/calls.rs
+++ b/crates/flamingo-state/src/calls.rs
@@ -131,21 +131,45 @@
             stage: Stage::Open,
             body: None,
         };
-        self.records.insert(print, record);
-        self.shrink.push_back(Due {
-            at: now + ANSWER,
-            print,
-        });
+        self.insert(print, record);
         Reply::Grant(Grant::Dispatch)
     }
 
+    fn insert(&mut self, print: Print, record: Record) {
+        let at = record.at + ANSWER;
+        self.records.insert(print, record);
+        self.shrink.push_back(Due { at, print });
+    }
+
+    /// Notes that a request was given up on before its begin came: the begin
+    /// may still come, and must not keep the key from the caller's resend.
+    fn forestall(&mut self, print: Print, answer: Answer, now: SystemTime) -> Reply {
+        let old = stamp(&answer.key).is_some_and(|at| at + ANSWER < now);
+        if old || self.marks.contains_key(&print) || self.full() {
+            return Reply::Noted;
+        }
+        let record = Record {
+            // Not known yet: the first begin of another request brings it.
+            digest: Vec::new(),
+            request: answer.request.clone(),
+            at: now,
+            stage: Stage::Ended(answer),
+            body: None,
+        };
+        self.insert(print, record);
+        Reply::Noted
+    }
+
     fn full(&self) -> bool {
         self.records.len() >= RECORDS || self.marks.len() + self.records.len() >= MARKS
     }
 
     /// Records how a call ended.
-    pub fn finish(&mut self, mut answer: Answer) -> Reply {
+    pub fn finish(&mut self, mut answer: Answer, now: SystemTime) -> Reply {
         let print = print(&answer.service, &answer.key);
+        if answer.verdict == Verdict::NotRun && !self.records.contains_key(&print) {
+            return self.forestall(print, answer, now);
+        }
         let room = BODIES - self.bodies.min(BODIES);
         let Some(record) = self.records.get_mut(&print) else {
             let help = "the call was never begun, or its record has expired";
@@ -198,7 +222,7 @@
 impl Record {
     /// Answers another attempt, or the same one again.
     fn again(&mut self, call: Call) -> Reply {
-        if self.digest != call.digest {
+        if !self.digest.is_empty() && self.digest != call.digest {
             let message = "the key was used for another request";
             return refuse(Reason::Reused, message, "choose another key");
         }
@@ -209,6 +233,7 @@
                 if answer.verdict == Verdict::NotRun && self.request != call.request =>
             {
                 self.request = call.request;
+                self.digest = call.digest;
                 self.stage = Stage::Open;
                 Reply::Grant(Grant::Dispatch)
             }
--- a/crates/flamingo-state/src/state.rs
+++ b/crates/flamingo-state/src/state.rs
@@ -54,7 +54,7 @@
             Command::Apply(change) => self.configuration.apply(change, now),
             Command::Drain(drain) => self.configuration.drain(drain, now),
             Command::Begin(call) => self.calls.begin(call, now),
-            Command::Finish(answer) => self.calls.finish(answer),
+            Command::Finish(answer) => self.calls.finish(answer, now),
             Command::Intend(order) => self.orders.intend(order, now),
             Command::Settle(settlement) => self.orders.settle(&settlement),
         }
--- /dev/null
+++ b/crates/flamingolink/tests/unclear_begin.rs
@@ -0,0 +1,70 @@
+//! A call whose begin had no clear answer: the caller's resend runs, once.
+
+use awc::Client;
+use awc::http::StatusCode;
+use flamingo_test_support::cluster::Cluster;
+use flamingo_test_support::wait;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const SET: &str = "[service rota]\nidempotent = /availability\n";
+const PATIENCE: Duration = Duration::from_secs(30);
+/// Longer than an entry waits for one answer of the ledger.
+const LATE: Duration = Duration::from_secs(2);
+
+/// Confirms a shift under `key`; returns the status and the answer.
+async fn confirm(entry: SocketAddr, key: &str) -> Option<(StatusCode, Value)> {
+    let url = format!("http://{entry}/services/rota/confirm");
+    let client = Client::builder().timeout(PATIENCE).finish();
+    let request = client.post(url).insert_header(("idempotency-key", key));
+    let mut answer = request.send_body("shift 17").await.ok()?;
+    let body = answer.json().await.ok()?;
+    Some((answer.status(), body))
+}
+
+async fn confirmed(entry: SocketAddr, key: &str) -> Option<()> {
+    let (status, _) = confirm(entry, key).await?;
+    (status == StatusCode::OK).then_some(())
+}
+
+async fn runs(cluster: &Cluster, key: &str) -> usize {
+    let url = format!("http://{}/stand-in/ran", cluster.targets[0].target());
+    let mut answer = Client::default().get(url).send().await.unwrap();
+    let list: Value = answer.json().await.unwrap();
+    let list = list.as_array().unwrap();
+    list.iter().filter(|run| run["key"] == key).count()
+}
+
+#[actix_rt::test]
+async fn a_resend_runs_once_after_the_ledger_fell_silent() {
+    let mut cluster = Cluster::relayed(1, 2);
+    cluster.target("service", "rota-1", &["--service", "rota"]);
+    let set = cluster.dir.path().join("set.ini");
+    std::fs::write(&set, SET).unwrap();
+    let set = set.to_str().unwrap();
+    wait::until("the change to be accepted", || async {
+        cluster
+            .ctl(&["config", "apply", set])
+            .status
+            .success()
+            .then_some(())
+    })
+    .await;
+    let [first, second] = [0, 1].map(|n| cluster.entries[n].http());
+    for (entry, key) in [(first, "warm-1"), (second, "warm-2")] {
+        wait::until("a confirmed shift", || confirmed(entry, key)).await;
+    }
+
+    let relay = cluster.relay("entry-0", "control-0");
+    relay.delay(LATE);
+    let (status, refusal) = confirm(first, "shift-17").await.unwrap();
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE, "{refusal}");
+    assert_ne!(refusal["error"]["verdict"], "ran", "{refusal}");
+    assert_eq!(runs(&cluster, "shift-17").await, 0);
+    // The begin arrived, or arrives now; its answer was never seen.
+    relay.delay(Duration::ZERO);
+    wait::until("the resend to run", || confirmed(second, "shift-17")).await;
+    wait::until("its repeat to be answered", || confirmed(first, "shift-17")).await;
+    assert_eq!(runs(&cluster, "shift-17").await, 1);
+}
