Check histories of operators and callers under kills, freezes and wipes

Three processes, three operators with compare-and-set and resends through other instances, two pairs of callers that race for each key, eight seeded faults; the configuration's history is checked by todc-utils as a register with compare-and-set, each key is dispatched by one attempt and answered from the ledger afterwards.

The log line of a change now says what it was answered: the old one was written for refused changes too, where several were committed in one batch.

--- a/crates/flamingo-control/src/keeper/pump.rs
+++ b/crates/flamingo-control/src/keeper/pump.rs
@@ -5,6 +5,7 @@
 use flamingo_log::raft::Slot;
 use flamingo_log::{Action, Entry, Payload, Role, Snapshot};
 use flamingo_state::{Command, Stamped, State};
+use flamingo_wire::control::Reply;
 use flamingo_wire::id;
 use slog::{error, info, warn};
 use std::net::SocketAddr;
@@ -93,8 +94,7 @@
                     term: entry.term,
                 };
                 // No caller waits for it; one may wait for what it overwrote.
-                self.waiting
-                    .reply(slot, flamingo_wire::control::Reply::Noted, now);
+                self.waiting.reply(slot, Reply::Noted, now);
             }
         }
         self.publish();
@@ -117,7 +117,7 @@
         let reply = self.state.apply(stamped);
         let kind: &str = (&command).into();
         slog::debug!(self.log, "applied"; "index" => entry.index, "command" => kind);
-        self.announce(&command);
+        self.announce(&command, &reply);
         if let Command::Lead(node) = &command
             && node == &self.node
             && entry.term == self.raft.term()
@@ -135,12 +135,11 @@
         }
     }
 
-    fn announce(&self, command: &Command) {
-        let version = self.state.configuration.version();
+    fn announce(&self, command: &Command, reply: &Reply) {
         if let Command::Apply(change) = command
-            && version > self.published.borrow().version
+            && let Reply::Accepted(version) = reply
         {
-            info!(self.log, "configuration accepted"; "version" => version,
+            info!(self.log, "change answered"; "version" => version,
                 "change" => &change.id, "author" => &change.author);
         }
     }
--- a/crates/flamingo-test-support/src/lib.rs
+++ b/crates/flamingo-test-support/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod address;
 pub mod cluster;
 pub mod group;
+pub mod history;
 pub mod operator;
 pub mod process;
 pub mod relay;
