Scenarios of membership, targets and configuration

Each case of the subsystem as a story in virtual time. Entries that no other zone speaks to now hear of the zones from their own: seen missing in the scenario of three zones.

--- a/crates/flamingo-member/src/machine.rs
+++ b/crates/flamingo-member/src/machine.rs
@@ -81,6 +81,8 @@
     pub(crate) next_foreign: Instant,
     pub(crate) next_heal: Instant,
     pub(crate) fast: u32,
+    /// The next regular exchange tells of the other zones.
+    pub(crate) tell_zones: bool,
     /// Grows with each answer that tells marks, to walk over all of them.
     pub(crate) walk: usize,
     pub(crate) actions: Vec<Action>,
@@ -130,6 +132,7 @@
             next_heal: now + HEAL,
             fast: FAST_ROUNDS,
             walk: 0,
+            tell_zones: false,
             actions: Vec::new(),
         }
     }
--- a/crates/flamingo-member/src/round.rs
+++ b/crates/flamingo-member/src/round.rs
@@ -38,6 +38,7 @@
         }
         if self.next_heal <= now {
             self.next_heal = now + HEAL;
+            self.tell_zones = true;
             self.exchange_lost(now);
         }
     }
@@ -49,7 +50,10 @@
             }
             return;
         };
-        let message = self.compose_asking();
+        let mut message = self.compose_asking();
+        if std::mem::take(&mut self.tell_zones) {
+            message.zones = self.zones.tell();
+        }
         self.send(now, &peer, Purpose::Probe, message);
     }
 
@@ -138,7 +142,7 @@
     }
 
     /// Returns what this zone says of itself, and what it knows of others.
-    fn summaries(&mut self, now: Instant) -> Vec<Summary> {
+    pub(crate) fn summaries(&mut self, now: Instant) -> Vec<Summary> {
         let me = self.roster.me().clone();
         let elapsed = now.saturating_duration_since(self.started).as_millis();
         let own = self
--- a/crates/flamingo-member/src/talk.rs
+++ b/crates/flamingo-member/src/talk.rs
@@ -21,6 +21,9 @@
             }
         }
         answer.targets = self.items(now, &message.wants);
+        if !message.zones.is_empty() {
+            answer.zones = self.summaries(now);
+        }
         if let Some(version) = message.fetch {
             answer.config = self.source.serve(now, version);
         }
--- a/crates/flamingo-member/tests/properties.rs
+++ b/crates/flamingo-member/tests/properties.rs
@@ -23,6 +23,8 @@
     Heal,
     Loss(u64),
     Leave(usize),
+    Return(usize),
+    Reborn(usize),
     Config(usize),
     Pause(u64),
 }
@@ -30,7 +32,7 @@
 impl Arbitrary for Fault {
     fn arbitrary(source: &mut Gen) -> Self {
         let number = usize::arbitrary(source);
-        match u8::arbitrary(source) % 14 {
+        match u8::arbitrary(source) % 16 {
             0 => Self::Kill(number),
             1 => Self::Restart(number),
             2 => Self::Freeze(number),
@@ -40,6 +42,8 @@
             6 => Self::Loss(u64::arbitrary(source) % 300),
             7 => Self::Leave(number),
             8 => Self::Config(number),
+            9 => Self::Return(number),
+            10 => Self::Reborn(number),
             _ => Self::Pause(u64::arbitrary(source) % 12_000),
         }
     }
@@ -66,6 +70,18 @@
             sim.targets[n % TARGETS].announcement.standing = Standing::Leaving;
             sim.announce(n % TARGETS);
         }
+        // Against the rules: a target that left says that it serves.
+        Fault::Return(n) => {
+            sim.targets[n % TARGETS].announcement.standing = Standing::Serving;
+            sim.announce(n % TARGETS);
+        }
+        Fault::Reborn(n) => {
+            let announcement = &mut sim.targets[n % TARGETS].announcement;
+            announcement.incarnation += 1;
+            announcement.sequence = 0;
+            announcement.standing = Standing::Serving;
+            sim.announce(n % TARGETS);
+        }
         Fault::Config(n) if sim.nodes[n % ENTRIES].up && !sim.nodes[n % ENTRIES].frozen => {
             *version += 1;
             sim.config(n % ENTRIES, *version);
--- /dev/null
+++ b/crates/flamingo-member/tests/scenarios.rs
@@ -0,0 +1,164 @@
+//! Scenarios of membership as stories; see `tests/scenarios/`.
+//!
+//! `zone` builds a world, with entries in one or more zones. `do` carries out
+//! one step a line and prints what the entries then know, those who know the
+//! same on one line.
+
+mod sim;
+
+use datadriven::{TestCase, walk};
+use flamingo_member::table::Presence;
+use flamingo_wire::announce::{Announcement, Standing};
+use flamingo_wire::gossip::Belief;
+use sim::{Node, Sim, name};
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::time::Duration;
+
+/// A world with the announcements that its targets gave earlier.
+struct World {
+    sim: Sim,
+    kept: Vec<Announcement>,
+}
+
+#[test]
+fn scenarios() {
+    walk("tests/scenarios", |file| {
+        let mut world = None;
+        file.run(|case| match case.directive.as_str() {
+            "zone" => {
+                world = Some(build(case));
+                String::new()
+            }
+            "do" => {
+                let world = world.as_mut().expect("a zone comes first");
+                for line in case.input.lines() {
+                    step(world, line);
+                }
+                show(&world.sim)
+            }
+            other => panic!("no directive '{other}'"),
+        });
+    });
+}
+
+fn number(case: &TestCase, key: &str, default: usize) -> usize {
+    let values = case.args.get(key);
+    let value = values.and_then(|values| values.first());
+    value.map_or(default, |value| value.parse().expect("a number"))
+}
+
+fn build(case: &TestCase) -> World {
+    let zones = vec![number(case, "entries", 3); number(case, "zones", 1)];
+    let mut sim = Sim::new(20_261_203, &zones);
+    for _ in 0..number(case, "targets", 0) {
+        sim.target(0);
+    }
+    let kept = Vec::new();
+    World { sim, kept }
+}
+
+fn step(world: &mut World, line: &str) {
+    let words: Vec<_> = line.split_whitespace().collect();
+    let numbers = words.iter().skip(1).filter_map(|word| word.parse().ok());
+    let numbers: Vec<usize> = numbers.collect();
+    let first = numbers.first().copied().unwrap_or_default();
+    let sim = &mut world.sim;
+    match words[0] {
+        "run" => sim.run(Duration::from_secs(first as u64)),
+        "kill" => sim.kill(first),
+        "restart" => sim.restart(first),
+        "freeze" => sim.freeze(first),
+        "wake" => sim.wake(first),
+        "cut" => numbers.iter().for_each(|n| sim.part[*n] = 1),
+        "heal" => sim.part.fill(0),
+        "lose" => sim.loss = first as u64,
+        "config" => sim.config(first, numbers[1] as u64),
+        "leave" => say(sim, first, Standing::Leaving),
+        "return" => say(sim, first, Standing::Serving),
+        "silence" => sim.targets[first].up = false,
+        "keep" => world.kept.push(sim.targets[first].announcement.clone()),
+        "replay" => replay(world, first),
+        "stop" => sim.leave(first),
+        "reborn" => {
+            let target = &mut sim.targets[first];
+            target.announcement.incarnation += 1;
+            target.announcement.sequence = 0;
+            target.announcement.standing = Standing::Serving;
+            target.up = true;
+            sim.announce(first);
+        }
+        other => panic!("no step '{other}'"),
+    }
+}
+
+fn say(sim: &mut Sim, target: usize, standing: Standing) {
+    sim.targets[target].announcement.standing = standing;
+    sim.announce(target);
+}
+
+/// Brings the kept announcements to an entry again.
+fn replay(world: &mut World, entry: usize) {
+    for announcement in world.kept.clone() {
+        world.sim.hand(entry, announcement);
+    }
+}
+
+/// Prints what the live entries know.
+fn show(sim: &Sim) -> String {
+    let mut views: BTreeMap<String, Vec<String>> = BTreeMap::new();
+    for (n, node) in sim.nodes.iter().enumerate() {
+        if node.up && !node.frozen {
+            views.entry(view(node)).or_default().push(name(n));
+        }
+    }
+    let mut lines: Vec<_> = views
+        .into_iter()
+        .map(|(view, nodes)| format!("{}: {view}\n", nodes.join(" ")))
+        .collect();
+    lines.sort();
+    lines.concat()
+}
+
+fn view(node: &Node) -> String {
+    let machine = &node.machine;
+    let entries: Vec<_> = machine
+        .entries()
+        .into_iter()
+        .map(|peer| peer.node)
+        .collect();
+    let mut text = format!("live {}", entries.join(","));
+    let live = machine.roster().live();
+    let suspects: Vec<_> = live
+        .filter(|record| record.belief == Belief::Suspect)
+        .map(|record| record.peer.node.as_str())
+        .collect();
+    if !suspects.is_empty() {
+        let _ = write!(text, "; suspect {}", suspects.join(","));
+    }
+    let dead: Vec<_> = machine
+        .roster()
+        .dead()
+        .map(|record| record.peer.node.as_str())
+        .collect();
+    if !dead.is_empty() {
+        let _ = write!(text, "; dead {}", dead.join(","));
+    }
+    for record in machine.table().present() {
+        let silent = if record.presence == Presence::Silent {
+            " silent"
+        } else {
+            ""
+        };
+        let announcement = &record.announcement;
+        let _ = write!(
+            text,
+            "; {} {}{silent}",
+            announcement.target, announcement.standing
+        );
+    }
+    for summary in machine.zones().summaries() {
+        let _ = write!(text, "; {} has {} entries", summary.zone, summary.entries);
+    }
+    format!("{text}; version {}", machine.version())
+}
--- a/crates/flamingo-member/tests/sim/mod.rs
+++ b/crates/flamingo-member/tests/sim/mod.rs
@@ -342,6 +342,22 @@
         }
     }
 
+    /// Brings an announcement to an entry, as a target does.
+    pub fn hand(&mut self, n: usize, announcement: Announcement) {
+        let now = self.now;
+        let actions = self.nodes[n].machine.announce(now, announcement);
+        self.act(n, actions);
+    }
+
+    /// Stops an entry as planned.
+    pub fn leave(&mut self, n: usize) {
+        let now = self.now;
+        let actions = self.nodes[n].machine.leave(now);
+        self.act(n, actions);
+        self.run(Duration::from_millis(100));
+        self.kill(n);
+    }
+
     pub fn kill(&mut self, n: usize) {
         self.nodes[n].up = false;
     }
