--- a/crates/flamingo-place/src/plan.rs
+++ b/crates/flamingo-place/src/plan.rs
@@ -297,7 +297,8 @@
             Found::Evict(place, copies) => {
                 let name = self.input.set.models[model].name.clone();
                 for copy in copies {
-                    self.unload(place, copy, format!("makes room for {name}; {why}"), spends);
+                    let why = self.cost(place, copy, &format!("makes room for {name}; {why}"));
+                    self.unload(place, copy, why, spends);
                 }
                 self.reserve(model, place);
             }
@@ -312,6 +313,22 @@
         }
     }
 
+    /// Says where a model loses its last copy.
+    fn cost(&self, place: usize, copy: usize, why: &str) -> String {
+        let models = &self.input.set.models;
+        let victim = self.input.view.places[place].copies[copy].model;
+        let last = victim.filter(|model| self.tally.models[*model].stays <= 1);
+        last.map_or_else(
+            || why.to_owned(),
+            |model| {
+                format!(
+                    "last copy of importance {}, {why}",
+                    models[model].importance
+                )
+            },
+        )
+    }
+
     /// Keeps room that is coming back on `place` for `model`.
     fn reserve(&mut self, model: usize, place: usize) {
         let needed = self.input.set.models[model].footprint();
--- a/crates/flamingo-place/tests/account.rs
+++ b/crates/flamingo-place/tests/account.rs
@@ -43,7 +43,7 @@
     }
     for model in &world.set.models {
         let mut engines = world.engines.iter();
-        let wanted = |engine: &world::Fake| {
+        let wanted = |engine: &world::fake::Fake| {
             let mut copies = engine.resident.keys();
             copies.any(|copy| copy.model == model.name && copy.version == model.version)
         };
