--- a/crates/flamingo-control/tests/placement.rs
+++ b/crates/flamingo-control/tests/placement.rs
@@ -101,6 +101,19 @@
     }
 }
 
+/// Returns the copies that the engines say they hold, as `model version target`.
+async fn held(cluster: &Cluster) -> Vec<String> {
+    let said = cluster.ctl(&["--json", "placement"]);
+    let copies: Value = serde_json::from_slice(&said.stdout).unwrap_or_default();
+    let copies = copies.as_array().cloned().unwrap_or_default();
+    let resident = copies.iter().filter(|copy| copy["state"] == "resident");
+    let texts = resident.map(|copy| {
+        let text = |key: &str| copy[key].as_str().unwrap_or_default().to_owned();
+        format!("{} {} {}", text("model"), copy["version"], text("target"))
+    });
+    texts.collect()
+}
+
 fn logged(cluster: &Cluster, name: &str, what: &str) -> usize {
     let log = std::fs::read_to_string(cluster.log(name)).unwrap_or_default();
     log.lines().filter(|line| line.contains(what)).count()
@@ -166,3 +179,50 @@
         .sum();
     assert!(ended > 0, "another leader settled orders");
 }
+
+#[actix_rt::test]
+async fn a_version_is_rolled_while_every_request_is_answered() {
+    let cluster = start(1, &["--load-ms", "100"]);
+    apply(&cluster, SET).await;
+    every_model_answers(&cluster).await;
+    let entry = cluster.entries[0].http();
+    apply(
+        &cluster,
+        &SET.replace("weights = 5000", "version = 2\nweights = 5000"),
+    )
+    .await;
+    let mut asked = 0;
+    loop {
+        asked += 1;
+        assert!(
+            answers(entry, "tablet").await.is_some(),
+            "request {asked} was not answered"
+        );
+        let held = held(&cluster).await;
+        let rolled = held.iter().any(|copy| copy.starts_with("tablet 2"));
+        if rolled && !held.iter().any(|copy| copy.starts_with("tablet 1")) {
+            break;
+        }
+    }
+    assert!(answers(entry, "tablet").await.is_some());
+    no_engine_was_over_committed(&cluster).await;
+}
+
+#[actix_rt::test]
+async fn a_drained_target_is_relieved_of_its_models() {
+    let cluster = start(1, &["--load-ms", "100"]);
+    apply(&cluster, SET).await;
+    every_model_answers(&cluster).await;
+    assert!(cluster.ctl(&["drain", "engine-1"]).status.success());
+    wait::until("every model on the other engines", || async {
+        let held = held(&cluster).await;
+        let elsewhere = |model: &&str| {
+            let mut held = held.iter();
+            held.any(|copy| copy.starts_with(*model) && !copy.ends_with("engine-1"))
+        };
+        MODELS.iter().all(|model| elsewhere(&model)).then_some(())
+    })
+    .await;
+    every_model_answers(&cluster).await;
+    no_engine_was_over_committed(&cluster).await;
+}
--- a/crates/flamingo-place/examples/day.rs
+++ b/crates/flamingo-place/examples/day.rs
@@ -8,6 +8,10 @@
 //! by what they have left, in several rounds. Demand beyond that misses its promise.
 //! Attainment per accelerator is the share of the day's tokens that were served,
 //! divided by the share of accelerators used (all here, so the share itself).
+//!
+//! Static: the placement for the day's mean demand. Greedy: copies for the demand of
+//! this moment, moves cost nothing. Oracle: the planner with the most that the next
+//! hour will ask for, moves cost nothing. The last row is what no placement passes.
 
 // Figures of a simulation: counts are far below what the conversions lose.
 #![allow(
@@ -261,6 +265,14 @@
     }
 }
 
+/// Returns the attainment if every accelerator could serve every model.
+fn bound(shape: &Shape, days: &[Vec<f64>]) -> f64 {
+    let capacity = shape.engines as f64 * CAPACITY;
+    let asked: f64 = days.iter().flatten().sum();
+    let rows = days.iter().map(|row| row.iter().sum::<f64>().min(capacity));
+    100.0 * rows.sum::<f64>() / asked
+}
+
 struct Run<'a> {
     shape: &'a Shape,
     days: &'a [Vec<f64>],
@@ -381,10 +393,7 @@
             (Policy::Greedy, Some(_)) => row.to_vec(),
             _ => Vec::new(),
         };
-        for (model, rate) in self.models.iter().zip(&known) {
-            self.placer.estimates().set(&model.name, *rate);
-        }
-        if known.is_empty() {
+        if self.policy != Policy::Greedy || known.is_empty() {
             let counts = self.models.iter().enumerate().map(|(n, model)| Demand {
                 model: model.name.clone(),
                 requests: (row[n] * STEP as f64 / 100.0) as u32,
@@ -398,6 +407,9 @@
             };
             self.placer.report(&report, now);
         }
+        for (model, rate) in self.models.iter().zip(&known) {
+            self.placer.estimates().set(&model.name, *rate);
+        }
     }
 
     /// Lets the placer act; the log commits at once.
@@ -454,6 +466,7 @@
             result.attained, result.moves, result.recovery
         );
     }
+    println!("| any model anywhere | {:.2} | | |", bound(&shape, &days));
     if args.next().is_some() {
         return;
     }
--- a/crates/flamingo-place/src/demand.rs
+++ b/crates/flamingo-place/src/demand.rs
@@ -91,11 +91,7 @@
 
     /// Sets the estimate of a model, in tokens a second, as an oracle would know it.
     pub fn set(&mut self, model: &str, rate: f64) {
-        let estimate = Estimate {
-            rate,
-            ..Estimate::default()
-        };
-        self.models.insert(model.to_owned(), estimate);
+        self.models.entry(model.to_owned()).or_default().rate = rate;
     }
 
     /// Returns how many copies `model` should have where it has `now` ready.
