--- a/crates/flamingo-control/tests/placement.rs
+++ b/crates/flamingo-control/tests/placement.rs
@@ -102,7 +102,7 @@
 }
 
 /// Returns the copies that the engines say they hold, as `model version target`.
-async fn held(cluster: &Cluster) -> Vec<String> {
+fn held(cluster: &Cluster) -> Vec<String> {
     let said = cluster.ctl(&["--json", "placement"]);
     let copies: Value = serde_json::from_slice(&said.stdout).unwrap_or_default();
     let copies = copies.as_array().cloned().unwrap_or_default();
@@ -198,7 +198,7 @@
             answers(entry, "tablet").await.is_some(),
             "request {asked} was not answered"
         );
-        let held = held(&cluster).await;
+        let held = held(&cluster);
         let rolled = held.iter().any(|copy| copy.starts_with("tablet 2"));
         if rolled && !held.iter().any(|copy| copy.starts_with("tablet 1")) {
             break;
@@ -215,12 +215,12 @@
     every_model_answers(&cluster).await;
     assert!(cluster.ctl(&["drain", "engine-1"]).status.success());
     wait::until("every model on the other engines", || async {
-        let held = held(&cluster).await;
-        let elsewhere = |model: &&str| {
+        let held = held(&cluster);
+        let elsewhere = |model: &str| {
             let mut held = held.iter();
-            held.any(|copy| copy.starts_with(*model) && !copy.ends_with("engine-1"))
+            held.any(|copy| copy.starts_with(model) && !copy.ends_with("engine-1"))
         };
-        MODELS.iter().all(|model| elsewhere(&model)).then_some(())
+        MODELS.iter().all(|model| elsewhere(model)).then_some(())
     })
     .await;
     every_model_answers(&cluster).await;
