Let a stopped entry end by itself, and count contradictions in order

A resend that was answered after a true 'not run' counted as a contradiction. Change: a stopped entry is left to its end; only a 'not run' after another answer contradicts. A named case was added.

--- a/crates/flamingo-load/examples/harness/fault.rs
+++ b/crates/flamingo-load/examples/harness/fault.rs
@@ -81,7 +81,7 @@
         let entry = self.at % cluster.entries.len();
         let control = self.at % cluster.controls.len();
         match self.fault {
-            Fault::KillEntry | Fault::StopEntry => {
+            Fault::KillEntry => {
                 let name = cluster.entries[entry].name.clone();
                 cluster.entries[entry].process = cluster.restart("flamingo-entry", &name);
                 None
@@ -98,9 +98,12 @@
             | Fault::TruncateStreams
             | Fault::RefuseRequests
             | Fault::WrongLoad => Some((cluster.targets[engine].target(), json!({}))),
-            Fault::KillTarget | Fault::KillReplica | Fault::LeaveTarget | Fault::LoseAnswers => {
-                None
-            }
+            // What stops by itself is left to its end.
+            Fault::KillTarget
+            | Fault::KillReplica
+            | Fault::LeaveTarget
+            | Fault::StopEntry
+            | Fault::LoseAnswers => None,
         }
     }
 }
--- a/crates/flamingo-load/src/truth.rs
+++ b/crates/flamingo-load/src/truth.rs
@@ -98,7 +98,12 @@
         truth.doubled += u32::from(doubled);
         truth.foreign += u32::from(foreign);
         truth.falsely_not_run += u32::from(falsely);
-        truth.contradicted += u32::from(runs > 0 && any(not_run) && !all_not_run);
+        let mut after = sent
+            .answers
+            .iter()
+            .skip_while(|answer| answer.end == not_run);
+        let contradicted = after.any(|answer| answer.end == not_run);
+        truth.contradicted += u32::from(runs > 0 && contradicted);
         if (lost || doubled || foreign || falsely) && truth.examples.len() < 5 {
             truth.examples.push(sent.item.word.clone());
         }
--- a/crates/flamingo-load/tests/truth.rs
+++ b/crates/flamingo-load/tests/truth.rs
@@ -64,6 +64,7 @@
     refused_as_not_run_and_ran(&[NOT_RUN], 1, [0, 0, 0, 1, 0]);
     may_have_run_and_ran(&[MAY, MAY], 1, [0; 5]);
     resend_refused_after_the_call_ran(&[End::Whole, NOT_RUN], 1, [0, 0, 0, 0, 1]);
+    resent_after_not_run_and_ran(&[NOT_RUN, End::Whole], 1, [0; 5]);
     broken_off_and_ran(&[End::Broken], 1, [0; 5]);
 }
 
