--- a/crates/flamingo-member/tests/properties.rs
+++ b/crates/flamingo-member/tests/properties.rs
@@ -3,7 +3,6 @@
 mod sim;
 
 use flamingo_member::bucket;
-use flamingo_member::table::Presence;
 use flamingo_test_support::seed;
 use flamingo_wire::announce::Standing;
 use flamingo_wire::event::Event;
