--- /dev/null
+++ b/crates/flamingo-route/examples/decision_cost.rs
@@ -0,0 +1,83 @@
+//! Cost of one routing decision against the size of the fleet.
+//!
+//! `cargo run --release -p flamingo-route --example decision_cost`
+
+use flamingo_route::action::{Action, Input};
+use flamingo_route::request::Prefix;
+use flamingo_route::{Ask, Limit, Pool, Router};
+use flamingo_wire::announce::{Announcement, Engine, Kind, Load, Resident, Standing};
+use flamingo_wire::event::Event;
+use std::time::Instant;
+
+/// Decisions measured at each size.
+const DECISIONS: u32 = 200_000;
+/// Fleets: targets, and models spread over them.
+const FLEETS: [(usize, usize); 3] = [(10, 13), (87, 60), (1_300, 370)];
+/// Model copies on each target.
+const COPIES: usize = 2;
+
+fn main() {
+    println!("{:>8} {:>8} {:>12}", "targets", "models", "ns/request");
+    for (targets, models) in FLEETS {
+        let mut router = fleet(targets, models);
+        let begun = Instant::now();
+        for number in 0..DECISIONS {
+            let now = Instant::now();
+            let model = number as usize % models;
+            let actions = router.step(now, Input::Arrive(ask(number, model)));
+            let dispatch = actions.iter().find_map(|action| match action {
+                Action::Dispatch(dispatch) => Some(dispatch.attempt),
+                _ => None,
+            });
+            let attempt = dispatch.expect("every target has room");
+            router.step(now, Input::Ended(attempt));
+        }
+        let nanos = begun.elapsed().as_nanos() / u128::from(DECISIONS);
+        println!("{targets:>8} {models:>8} {nanos:>12}");
+    }
+}
+
+fn fleet(targets: usize, models: usize) -> Router {
+    let mut router = Router::new("zone-a".into(), Limit::default(), 1);
+    let now = Instant::now();
+    for target in 0..targets {
+        let first = target * COPIES;
+        let resident = (first..first + COPIES).map(|copy| Resident {
+            model: format!("model-{}", copy % models),
+            version: 1,
+            adapters: Vec::new(),
+        });
+        let known = Announcement {
+            target: format!("engine-{target}"),
+            incarnation: 1,
+            sequence: 1,
+            zone: "zone-a".into(),
+            address: ([127, 0, 0, 1], 8_000).into(),
+            standing: Standing::Serving,
+            load: Load::default(),
+            kind: Kind::Engine(Engine {
+                memory: 80_000,
+                fenced: true,
+                resident: resident.collect(),
+                loading: Vec::new(),
+                ended: Vec::new(),
+            }),
+        };
+        router.step(now, Input::News(Event::Target(Box::new(known))));
+    }
+    router
+}
+
+fn ask(number: u32, model: usize) -> Ask {
+    let prefixes = (0..4).map(|step| Prefix {
+        hash: u64::from(number % 50) * 10 + step,
+        tokens: 64 << step,
+    });
+    Ask {
+        id: format!("req-{number:032x}"),
+        pool: Pool::Model(format!("model-{model}")),
+        profile: None,
+        prefix: prefixes.collect(),
+        idempotent: true,
+    }
+}
