--- a/crates/flamingo-entry/src/call.rs
+++ b/crates/flamingo-entry/src/call.rs
@@ -19,7 +19,7 @@
 use flamingo_wire::fault::Reason;
 use flamingo_wire::{Fault, Verdict, id};
 use sha2::{Digest, Sha256};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Header that carries the caller's idempotency key.
 pub const KEY: &str = "idempotency-key";
@@ -29,6 +29,10 @@
 const RECORDED: usize = 64 << 10;
 /// Time between two parts of an answer after which the target is given up.
 const SILENCE: Duration = Duration::from_secs(30);
+/// Time for which the ledger is told of a call that was never dispatched.
+const WITHDRAW: Duration = Duration::from_mins(1);
+/// Time between two such tries.
+const RETRY: Duration = Duration::from_millis(500);
 /// Headers that concern one connection only.
 const HOP: [&str; 10] = [
     "connection",
@@ -208,13 +212,54 @@
             Reply::Grant(Grant::Pending) => Fault::not_run(Reason::Conflict, pending, "ask again")
                 .verdict(Verdict::MayHaveRun)
                 .retry_after(1),
-            Reply::Refused(fault) => fault,
+            Reply::Refused(fault) => {
+                if !matches!(fault.reason, Reason::Reused) {
+                    self.withdraw();
+                }
+                // Nothing was dispatched, whatever became of the record.
+                fault.verdict(Verdict::NotRun)
+            }
             _ => Fault::not_run(Reason::Leaderless, "the ledger gave no word", "ask again")
                 .retry_after(1),
         };
         Some(answer::refuse(&fault, id))
     }
 
+    /// Tells the ledger, until it takes it, that a call without a clear grant was never
+    /// dispatched, so that a resend is not held up by its record.
+    fn withdraw(&self) {
+        let Some(key) = self.key.clone() else {
+            return;
+        };
+        let record = Answer {
+            service: self.service.clone(),
+            key,
+            request: self.outgoing.request.clone(),
+            verdict: Verdict::NotRun,
+            status: 0,
+            content: String::new(),
+            body: None,
+        };
+        let link = self.shared.link.clone();
+        let deadline = Instant::now() + WITHDRAW;
+        actix_rt::spawn(async move {
+            let finish = Request::Finish(record);
+            while Instant::now() < deadline {
+                let answer = link.ask(&finish).await;
+                let again = match &answer {
+                    Reply::Refused(fault) => {
+                        matches!(fault.reason, Reason::Leaderless | Reason::Redirect)
+                    }
+                    _ => false,
+                };
+                if !again {
+                    return;
+                }
+                actix_rt::time::sleep(RETRY).await;
+            }
+        });
+    }
+
     /// SHA-256 of method, path and body, each with its length before it.
     fn digest(&self) -> Vec<u8> {
         let mut digest = Sha256::new();
--- a/crates/flamingo-entry/src/daemon.rs
+++ b/crates/flamingo-entry/src/daemon.rs
@@ -1,6 +1,6 @@
 //! Starts and stops the daemon.
 
-use crate::desk::{Close, Desk, Inbox};
+use crate::desk::{Close, Count, Desk, Inbox};
 use crate::exchange;
 use crate::http::{self, Shared};
 use crate::known::Known;
@@ -26,6 +26,8 @@
 
 /// Time in which a caller must have sent a request's head.
 const HEAD: Duration = Duration::from_secs(5);
+/// Time between two reports of demand.
+const COUNT: Duration = Duration::from_secs(1);
 /// Time for which an idle connection of a caller is kept.
 const IDLE: Duration = Duration::from_secs(15);
 
@@ -50,6 +52,8 @@
         known: Arc::clone(&known),
     };
     let link = Link::start(&settings, seal, Arc::new(inbox), log.clone());
+    actix_rt::spawn(count(desk.clone(), link.clone()));
+    let farewell = link.clone();
     let node = settings.node;
     let guard = Data::new(Guard::open(&node.keys, Instant::now())?);
     let shared = Shared {
@@ -96,7 +100,14 @@
     };
     let server = server.run();
     info!(log, "entry ready"; "http" => %node.http, "zone" => &node.zone);
-    actix_rt::spawn(end(stop, known, serve, server.handle(), log.clone()));
+    actix_rt::spawn(end(
+        stop,
+        known,
+        serve,
+        farewell,
+        server.handle(),
+        log.clone(),
+    ));
     server.await?;
     let left = desk.send(Close).await.unwrap_or_default();
     arbiter.stop();
@@ -129,11 +140,22 @@
     Desk::start_in_arbiter(&arbiter.handle(), move |_: &mut Context<Desk>| desk)
 }
 
+/// Passes the demand for models on, for ever.
+async fn count(desk: actix::Addr<Desk>, link: Link) {
+    while let Ok(demand) = desk.send(Count).await {
+        if !demand.is_empty() {
+            link.demand(demand);
+        }
+        actix_rt::time::sleep(COUNT).await;
+    }
+}
+
 /// Stops in steps: not ready, then no new connections, then the end of what runs.
 async fn end(
     stop: impl Future<Output = ()>,
     known: Arc<Known>,
     serve: Serve,
+    link: Link,
     server: ServerHandle,
     log: Logger,
 ) {
@@ -141,6 +163,7 @@
     known.stop();
     let deadline = Instant::now() + serve.linger;
     info!(log, "stopping: not ready any more, still accepting");
+    link.leave().await;
     tokio::time::sleep_until(deadline.into()).await;
     info!(log, "stopping: no new connections, running requests end");
     server.stop(true).await;
--- a/crates/flamingo-log/src/raft.rs
+++ b/crates/flamingo-log/src/raft.rs
@@ -342,6 +342,15 @@
         }
     }
 
+    /// Returns when this member's leadership ends unless a majority is heard before.
+    #[must_use]
+    pub fn until(&self) -> Option<Instant> {
+        match &self.standing {
+            Standing::Leader(leader) => Some(leader.until(&self.timing)),
+            _ => None,
+        }
+    }
+
     /// Returns whether the committed state may answer reads at `now`.
     ///
     /// That is the case while no other member can have been elected, and all
@@ -436,7 +445,10 @@
             message.body,
             Body::Inquire | Body::Unformed | Body::Join { .. }
         );
-        self.formed() && !seeking && message.cluster != self.journal.cluster()
+        // A learner that waits for its first snapshot belongs to none yet.
+        let fresh = message.cluster == 0
+            && matches!(message.body, Body::Appended { .. } | Body::Installed { .. });
+        self.formed() && !seeking && !fresh && message.cluster != self.journal.cluster()
     }
 
     fn leading(&self) -> Result<(), Refusal> {
--- a/crates/flamingo-route/examples/goodput.rs
+++ b/crates/flamingo-route/examples/goodput.rs
@@ -15,6 +15,7 @@
 use flamingo_wire::announce::{Announcement, Engine, Kind, Load, Resident, Standing};
 use flamingo_wire::config::{Late, Profile, Set, Snapshot};
 use flamingo_wire::event::Event;
+use flamingo_wire::gossip::{Peer, Role};
 use rand_chacha::ChaCha8Rng;
 use rand_core::{Rng, SeedableRng};
 use std::cmp::Reverse;
@@ -31,7 +32,7 @@
 const DECODE: Duration = Duration::from_millis(640);
 const REPORT: Duration = Duration::from_millis(500);
 const TICK: Duration = Duration::from_millis(10);
-const LENGTH: Duration = Duration::from_secs(60);
+const LENGTH: Duration = Duration::from_mins(1);
 const RANKS: [u8; 3] = [0, 5, 9];
 
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -139,6 +140,8 @@
         for entry in 0..ENTRIES {
             let news = Event::Config(Box::new(snapshot.clone()));
             simulation.step(entry, Input::News(news));
+            let peers = (0..ENTRIES).map(peer).collect();
+            simulation.step(entry, Input::News(Event::Entries(peers)));
         }
         simulation
     }
@@ -156,7 +159,7 @@
             match happening {
                 Happening::Arrival => {
                     self.arrive();
-                    let uniform = (self.random.next_u32() as f64 + 1.0) / 4_294_967_297.0;
+                    let uniform = (f64::from(self.random.next_u32()) + 1.0) / 4_294_967_297.0;
                     self.after(Duration::from_secs_f64(-uniform.ln() / rate), happening);
                 }
                 Happening::Report => {
@@ -319,6 +322,17 @@
     }
 }
 
+fn peer(number: usize) -> Peer {
+    Peer {
+        node: format!("entry-{number}"),
+        role: Role::Entry,
+        zone: "zone-a".into(),
+        address: ([127, 0, 0, 1], 7_401).into(),
+        incarnation: 1,
+        version: 1,
+    }
+}
+
 fn promise(rank: u8) -> Duration {
     match rank {
         0 => Duration::from_millis(1_700),
--- a/crates/flamingo-settings/src/set.rs
+++ b/crates/flamingo-settings/src/set.rs
@@ -1,11 +1,11 @@
 //! The operators' set of profiles, models and services, as INI.
 //!
 //! Sections are `[profile NAME]`, `[model NAME]`, `[adapter NAME]` (with the
-//! key `model`) and `[service NAME]`.
+//! key `model`), `[service NAME]` and `[placement]`.
 
 use crate::reader::{NAME, is_name};
 use crate::{Error, Reader};
-use flamingo_wire::config::{Adapter, Late, Model, Profile, Service, Set};
+use flamingo_wire::config::{Adapter, Late, Model, Placement, Profile, Service, Set};
 use flamingo_wire::id;
 use std::fmt::Write;
 use std::path::Path;
@@ -69,13 +69,36 @@
         .into_iter()
         .filter_map(|name| service(reader, name))
         .collect();
+    let placement = placement(reader);
     Set {
         profiles,
         models,
         services,
+        placement,
     }
 }
 
+fn placement(reader: &mut Reader) -> Placement {
+    let default = Placement::default();
+    Placement {
+        attainment_weight: weight(reader, "attainment_weight", default.attainment_weight, 0),
+        moves_weight: weight(reader, "moves_weight", default.moves_weight, 0),
+        moves_per_hour: weight(reader, "moves_per_hour", default.moves_per_hour, 0),
+        loads_per_second: weight(reader, "loads_per_second", default.loads_per_second, 1),
+        loads_at_once: weight(reader, "loads_at_once", default.loads_at_once, 1),
+        tokens_per_copy: weight(reader, "tokens_per_copy", default.tokens_per_copy, 1),
+    }
+}
+
+fn weight(reader: &mut Reader, key: &str, default: u32, least: u32) -> u32 {
+    let allowed = format!("a whole number from {least} to 1000000");
+    let value = reader.or("placement", key, default, &allowed);
+    if !(least..=1_000_000).contains(&value) {
+        reader.problem("placement", key, &format!("'{value}'"), &allowed);
+    }
+    value
+}
+
 /// Notes names that are not names.
 fn refuse_odd_names(reader: &mut Reader) {
     for prefix in PREFIXES {
@@ -111,6 +134,7 @@
     for service in &set.services {
         let _ = write_service(&mut text, service);
     }
+    let _ = write_placement(&mut text, &set.placement);
     text
 }
 
@@ -151,6 +175,16 @@
     writeln!(out, "patience_ms = {}\n", service.patience.as_millis())
 }
 
+fn write_placement(out: &mut String, placement: &Placement) -> std::fmt::Result {
+    writeln!(out, "[placement]")?;
+    writeln!(out, "attainment_weight = {}", placement.attainment_weight)?;
+    writeln!(out, "moves_weight = {}", placement.moves_weight)?;
+    writeln!(out, "moves_per_hour = {}", placement.moves_per_hour)?;
+    writeln!(out, "loads_per_second = {}", placement.loads_per_second)?;
+    writeln!(out, "loads_at_once = {}", placement.loads_at_once)?;
+    writeln!(out, "tokens_per_copy = {}", placement.tokens_per_copy)
+}
+
 fn profile(reader: &mut Reader, name: id::Profile) -> Option<Profile> {
     let section = format!("profile {name}");
     let rank = reader.need(
