--- a/crates/flamingo-route/src/target.rs
+++ b/crates/flamingo-route/src/target.rs
@@ -27,8 +27,10 @@
     pub suspect: bool,
     /// Whether operators drain it.
     pub drained: bool,
-    /// Requests of others that its last report counts.
-    others: u32,
+    /// Requests at it by its last report, or own ones where these are more.
+    reported: u32,
+    /// Own requests at it when the last report came.
+    own_then: u32,
     slots: Count,
     loaded: BTreeMap<id::Adapter, Instant>,
     prefixes: BTreeMap<u64, u32>,
@@ -39,13 +41,14 @@
     /// Builds a target from its first announcement.
     #[must_use]
     pub fn new(known: Announcement, drained: bool) -> Self {
-        let others = known.load.running + known.load.waiting;
+        let reported = known.load.running + known.load.waiting;
         Self {
             known,
             health: Health::default(),
             suspect: false,
             drained,
-            others,
+            reported,
+            own_then: 0,
             slots: Count::default(),
             loaded: BTreeMap::new(),
             prefixes: BTreeMap::new(),
@@ -61,8 +64,8 @@
             self.prefixes.clear();
             self.recent.clear();
         }
-        let counted = known.load.running + known.load.waiting;
-        self.others = counted.saturating_sub(self.slots.taken());
+        self.own_then = self.slots.taken();
+        self.reported = (known.load.running + known.load.waiting).max(self.own_then);
         self.suspect = false;
         self.known = known;
     }
@@ -93,7 +96,20 @@
     /// Returns the estimate of requests at it: own ones, and others' by its last report.
     #[must_use]
     pub fn busy(&self) -> u32 {
-        self.others + self.slots.taken()
+        self.reported - self.own_then + self.slots.taken()
+    }
+
+    /// Returns how many own requests it may be given when `entries` share `room` slots.
+    ///
+    /// Each entry has its share for sure. Of what the last report showed free, each may
+    /// take as much as all others, so that together they don't overfill the target
+    /// before the next report.
+    #[must_use]
+    pub fn allowance(&self, room: u32, entries: usize) -> u32 {
+        let entries = u32::try_from(entries.max(1)).unwrap_or(u32::MAX);
+        let share = room.div_ceil(entries);
+        let free = room.saturating_sub(self.reported);
+        share.max(self.own_then + free / entries)
     }
 
     /// Returns the own requests at it.
