--- a/crates/flamingolink/tests/history/mod.rs
+++ b/crates/flamingolink/tests/history/mod.rs
@@ -1,7 +1,7 @@
 //! A whole system under faults, and a history of its callers.
 
 use awc::Client;
-use flamingo_test_support::cluster::Cluster;
+use flamingo_test_support::cluster::{Cluster, Instance};
 use flamingo_test_support::seed::seed;
 use flamingo_test_support::wait;
 use serde_json::{Value, json};
@@ -78,7 +78,7 @@
 
     pub fn entries(&self) -> Vec<SocketAddr> {
         let entries = self.cluster.entries.iter();
-        entries.map(|entry| entry.http()).collect()
+        entries.map(Instance::http).collect()
     }
 
     fn target(&mut self, kind: &str) {
