--- a/crates/flamingo-route/src/fleet.rs
+++ b/crates/flamingo-route/src/fleet.rs
@@ -42,6 +42,8 @@
     pub limit: &'a Limit,
     /// The configuration.
     pub set: &'a Set,
+    /// Live entries that share the targets.
+    pub entries: usize,
     /// Whether another adapter load may begin.
     pub may_load: bool,
 }
@@ -211,7 +213,8 @@
             Pool::Model(_) => view.limit.engine_slots,
             Pool::Service(name) => view.set.service(name).map_or(1, |one| one.concurrency),
         };
-        if !target.takes(view.now) || target.busy() >= room {
+        let allowed = target.allowance(room, view.entries);
+        if !target.takes(view.now) || target.own() >= allowed {
             return false;
         }
         match (&live.pool, &live.adapter) {
--- a/crates/flamingo-route/src/queue.rs
+++ b/crates/flamingo-route/src/queue.rs
@@ -2,7 +2,7 @@
 
 use flamingo_wire::id;
 use std::collections::BTreeMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Place in a queue: rank, then promise, then order of arrival.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -21,14 +21,45 @@
     waiting: BTreeMap<Place, id::Request>,
     /// Virtual time: grows with each request served, for fairness between pools.
     pub served: u64,
+    /// When the last request left for a target, or the first came, while any waits.
+    moved: Option<Instant>,
+    /// Mean time between two requests that leave for targets.
+    interval: Duration,
 }
 
+/// Weight of the newest interval, as one part in this many.
+const WEIGHT: u32 = 8;
+
 impl Queue {
     /// Adds a request.
-    pub fn push(&mut self, place: Place, request: id::Request) {
+    pub fn push(&mut self, now: Instant, place: Place, request: id::Request) {
+        if self.waiting.is_empty() {
+            self.moved = Some(now);
+        }
         self.waiting.insert(place, request);
     }
 
+    /// Removes the request at `place`, which leaves for a target.
+    pub fn serve(&mut self, now: Instant, place: &Place) -> Option<id::Request> {
+        let request = self.waiting.remove(place)?;
+        self.served += 1;
+        if let Some(moved) = self.moved.replace(now) {
+            let newest = now.saturating_duration_since(moved);
+            self.interval = (self.interval * (WEIGHT - 1) + newest) / WEIGHT;
+        }
+        Some(request)
+    }
+
+    /// Predicts how long a request waits that has `before` others before it.
+    #[must_use]
+    pub fn wait(&self, now: Instant, before: usize) -> Duration {
+        let before = u32::try_from(before).unwrap_or(u32::MAX).saturating_add(1);
+        // A queue that stands still is slower than it was.
+        let still = self.moved.filter(|_| !self.waiting.is_empty());
+        let still = still.map_or(Duration::ZERO, |moved| now.saturating_duration_since(moved));
+        self.interval.max(still / 2).saturating_mul(before)
+    }
+
     /// Removes the request at `place`.
     pub fn remove(&mut self, place: &Place) -> Option<id::Request> {
         self.waiting.remove(place)
