--- a/crates/flamingo-control/tests/members.rs
+++ b/crates/flamingo-control/tests/members.rs
@@ -84,3 +84,50 @@
     let snapshot = wait::until("a read", || operators[wiped].config()).await;
     assert_eq!(snapshot.version, 3);
 }
+
+#[actix_rt::test]
+async fn a_leader_without_a_majority_answers_no_reads() {
+    let mut cluster = Cluster::start(3, 0);
+    let operators = operators(&cluster);
+    accepted(&operators[0], "first", 0).await;
+    let status = status_with(&operators[0], "a leader", |status| status.leader.is_some()).await;
+    let leader = number(&cluster, &status.leader.unwrap());
+    wait::until("a read", || operators[leader].config()).await;
+    for other in [1, 2] {
+        cluster.controls[(leader + other) % 3].process.kill();
+    }
+    wait::until("reads to be refused", || async {
+        operators[leader].config().await.is_none().then_some(())
+    })
+    .await;
+    // It still tells followers what was committed, and takes no change.
+    let stepped_down = |status: &Status| status.leader.is_none();
+    let status = status_with(&operators[leader], "it to step down", stepped_down).await;
+    assert_eq!(status.version, 1);
+    let refused = operators[leader].apply(&change("second", 1)).await;
+    assert!(matches!(refused, Applied::Refused(_)), "{refused:?}");
+}
+
+#[actix_rt::test]
+async fn a_corrupt_folder_is_set_aside_and_its_member_joins_again() {
+    let mut cluster = Cluster::start(3, 0);
+    let operators = operators(&cluster);
+    for version in 0..4 {
+        accepted(&operators[0], &format!("change-{version}"), version).await;
+    }
+    let status = status_with(&operators[0], "a leader", |status| status.leader.is_some()).await;
+    let leader = number(&cluster, &status.leader.unwrap());
+    let harmed = (leader + 1) % 3;
+    let name = cluster.controls[harmed].name.clone();
+    cluster.controls[harmed].process.kill();
+    let file = cluster.dir.path().join(&name).join("log");
+    let mut bytes = std::fs::read(&file).unwrap();
+    bytes[20] ^= 1;
+    std::fs::write(&file, bytes).unwrap();
+    cluster.controls[harmed].process = cluster.restart("flamingo-control", &name);
+    status_with(&operators[harmed], "the harmed one to catch up", |status| {
+        status.version == 4 && voters(status) == 3
+    })
+    .await;
+    assert!(file.with_file_name("log.corrupt").exists());
+}
--- /dev/null
+++ b/crates/flamingo-control/tests/watch.rs
@@ -0,0 +1,92 @@
+//! Following the configuration over `Control.Watch`.
+
+use flamingo_test_support::cluster::{Cluster, KEY};
+use flamingo_test_support::operator::{Applied, Operator, change};
+use flamingo_test_support::wait;
+use flamingo_wire::Frame;
+use flamingo_wire::control::{Beat, Push};
+use flamingo_wire::frame::Seal;
+use flamingo_wire::inner::control_client::ControlClient;
+use std::time::SystemTime;
+use tokio::sync::mpsc::{Sender, channel};
+use tokio_stream::wrappers::ReceiverStream;
+use tonic::Streaming;
+
+const NODE: &str = "entry-1";
+
+struct Follower {
+    seal: Seal,
+    beats: Sender<Frame>,
+    pushes: Streaming<Frame>,
+}
+
+impl Follower {
+    async fn start(cluster: &Cluster, n: usize) -> Self {
+        let at = &cluster.controls[n];
+        let seal = Seal::new(NODE, KEY.as_bytes());
+        let address = format!("http://{}", at.inner());
+        let mut client = ControlClient::connect(address).await.unwrap();
+        let (beats, upward) = channel(4);
+        beats.send(beat(&seal, &at.name, 0)).await.unwrap();
+        let pushes = client.watch(ReceiverStream::new(upward)).await.unwrap();
+        let pushes = pushes.into_inner();
+        Self {
+            seal,
+            beats,
+            pushes,
+        }
+    }
+
+    async fn next(&mut self) -> Push {
+        let frame = self.pushes.message().await.unwrap().unwrap();
+        self.seal.open(&frame, SystemTime::now()).unwrap()
+    }
+
+    /// Reads until a configuration comes.
+    async fn config(&mut self) -> u64 {
+        loop {
+            if let Push::Config(snapshot) = self.next().await {
+                return snapshot.version;
+            }
+        }
+    }
+}
+
+fn beat(seal: &Seal, to: &str, version: u64) -> Frame {
+    let beat = Beat {
+        node: NODE.into(),
+        zone: "zone-a".into(),
+        version,
+    };
+    seal.seal(to, &beat, SystemTime::now()).unwrap()
+}
+
+#[actix_rt::test]
+async fn a_change_is_pushed_and_its_follower_is_shown() {
+    let cluster = Cluster::start(3, 0);
+    let operators: Vec<_> = cluster.controls.iter().map(Operator::new).collect();
+    wait::until("a change to be accepted", || async {
+        let applied = operators[0].apply(&change("first", 0)).await;
+        (applied == Applied::Accepted(1)).then_some(())
+    })
+    .await;
+    let mut follower = Follower::start(&cluster, 1).await;
+    assert_eq!(follower.config().await, 1);
+    let applied = operators[2].apply(&change("second", 1)).await;
+    assert_eq!(applied, Applied::Accepted(2));
+    assert_eq!(follower.config().await, 2);
+    let name = &cluster.controls[1].name;
+    let told = beat(&follower.seal, name, 2);
+    follower.beats.send(told).await.unwrap();
+    assert_eq!(follower.next().await, Push::Beat(2));
+    // Every instance shows it, also those that it does not follow.
+    for operator in &operators {
+        wait::until("the follower to be shown", || async {
+            let status = operator.status().await?;
+            let shown = status.followers.iter();
+            let mut shown = shown.filter(|shown| shown.node == NODE && shown.version == 2);
+            shown.next().map(|_| ())
+        })
+        .await;
+    }
+}
--- a/crates/flamingo-log/src/raft.rs
+++ b/crates/flamingo-log/src/raft.rs
@@ -12,9 +12,10 @@
 mod leader;
 mod membership;
 mod replication;
+mod view;
 
 use crate::disk::Stored;
-use crate::entry::{Entry, Member, Payload, Record, Snapshot, Storage, Vote};
+use crate::entry::{Entry, Payload, Record, Snapshot, Storage, Vote};
 use crate::message::{Body, Message};
 use crate::timing::Timing;
 use flamingo_wire::id;
@@ -333,108 +334,7 @@
         self.write(Record::Snapshot(snapshot));
     }
 
-    /// Returns whether this member leads, by its own deadline, at `now`.
-    #[must_use]
-    pub fn leads(&self, now: Instant) -> bool {
-        match &self.standing {
-            Standing::Leader(leader) => !self.broken && now < leader.until(&self.timing),
-            _ => false,
-        }
-    }
-
-    /// Returns when this member's leadership ends unless a majority is heard before.
-    #[must_use]
-    pub fn until(&self) -> Option<Instant> {
-        match &self.standing {
-            Standing::Leader(leader) => Some(leader.until(&self.timing)),
-            _ => None,
-        }
-    }
-
-    /// Returns whether the committed state may answer reads at `now`.
-    ///
-    /// That is the case while no other member can have been elected, and all
-    /// that earlier leaders committed is known.
-    #[must_use]
-    pub fn lease(&self, now: Instant) -> bool {
-        match &self.standing {
-            Standing::Leader(leader) => {
-                self.journal.term(self.commit) == Some(self.vote.term)
-                    && leader.lease(&self.timing).is_some_and(|until| now < until)
-            }
-            _ => false,
-        }
-    }
-
-    /// Returns what this member is.
-    #[must_use]
-    pub fn role(&self) -> Role {
-        match &self.standing {
-            _ if !self.formed() => Role::Unformed,
-            Standing::Follower => Role::Follower,
-            Standing::Candidate { .. } => Role::Candidate,
-            Standing::Leader(_) => Role::Leader,
-        }
-    }
-
-    /// Returns who leads, as far as this member knows.
-    #[must_use]
-    pub fn leader(&self) -> Option<&id::Node> {
-        self.leader.as_ref()
-    }
-
-    /// Returns the term.
-    #[must_use]
-    pub fn term(&self) -> id::Term {
-        self.vote.term
-    }
-
-    /// Returns the last committed index that is known here.
-    #[must_use]
-    pub fn committed(&self) -> id::Index {
-        self.commit
-    }
-
-    /// Returns the last index.
-    #[must_use]
-    pub fn last(&self) -> id::Index {
-        self.journal.last()
-    }
-
-    /// Returns the last index that the snapshot covers.
-    #[must_use]
-    pub fn base(&self) -> id::Index {
-        self.journal.base()
-    }
-
-    /// Returns the member list in force.
-    #[must_use]
-    pub fn members(&self) -> &[Member] {
-        self.journal.members()
-    }
-
-    /// Returns the last index that `node` is known to hold.
-    #[must_use]
-    pub fn matched(&self, node: &str) -> id::Index {
-        match &self.standing {
-            Standing::Leader(leader) if node != self.node => leader.matched(node),
-            _ if node == self.node => self.journal.last(),
-            _ => 0,
-        }
-    }
-
-    /// Returns whether the disk failed.
-    #[must_use]
-    pub fn broken(&self) -> bool {
-        self.broken
-    }
-
-    /// Returns the identity of this member's data folder.
-    #[must_use]
-    pub fn storage(&self) -> Storage {
-        self.storage
-    }
-
+    /// Returns whether a member list is known.
     fn formed(&self) -> bool {
         self.journal.cluster() != 0
     }
