--- a/crates/flamingo-log/src/raft.rs
+++ b/crates/flamingo-log/src/raft.rs
@@ -263,7 +263,7 @@
                 index,
                 offset,
                 done,
-            } => self.installed(now, &from, from_storage, round, index, offset, done),
+            } => self.installed(now, &from, from_storage, term, round, index, offset, done),
             Body::Inquire => self.inquired(&from, from_storage),
             Body::Unformed if addressed => self.gather(now, from, from_storage),
             Body::Found(members) if addressed => self.found(now, cluster, members),
--- a/crates/flamingo-log/src/raft/view.rs
+++ b/crates/flamingo-log/src/raft/view.rs
@@ -1,7 +1,7 @@
 //! What the caller may see of a member.
 
 use super::{Raft, Role, Standing};
-use crate::entry::{Member, Storage};
+use crate::entry::{Cluster, Member, Storage};
 use flamingo_wire::id;
 use std::time::Instant;
 
@@ -107,4 +107,10 @@
     pub fn storage(&self) -> Storage {
         self.storage
     }
+
+    /// Returns the identity of this member's group; 0 while it has none.
+    #[must_use]
+    pub fn cluster(&self) -> Cluster {
+        self.journal.cluster()
+    }
 }
