--- a/crates/flamingo-entry/src/desk.rs
+++ b/crates/flamingo-entry/src/desk.rs
@@ -5,6 +5,7 @@
 use actix::{Actor, ActorContext, Addr, AsyncContext, Context, Handler, Message};
 use flamingo_route::action::{Decision, Dispatch, Input};
 use flamingo_route::{Action, Ask, Limit, Router};
+use flamingo_wire::control::Demand;
 use flamingo_wire::event::{Event, Sink};
 use flamingo_wire::{Fault, id};
 use slog::{Logger, info};
@@ -55,7 +56,12 @@
 #[rtype(result = "()")]
 pub struct News(pub Event);
 
-/// Asks for the names of requests without a final answer, and ends the actor.
+/// Asks for the demand since the last such question.
+#[derive(Debug, Message)]
+#[rtype(result = "Vec<Demand>")]
+pub struct Count;
+
+/// Asks for the number of requests without a final answer, and ends the actor.
 #[derive(Debug, Message)]
 #[rtype(result = "usize")]
 pub struct Close;
@@ -183,6 +189,14 @@
     }
 }
 
+impl Handler<Count> for Desk {
+    type Result = Vec<Demand>;
+
+    fn handle(&mut self, _: Count, _: &mut Self::Context) -> Vec<Demand> {
+        self.router.demand()
+    }
+}
+
 impl Handler<Close> for Desk {
     type Result = usize;
 
--- a/crates/flamingo-route/src/router.rs
+++ b/crates/flamingo-route/src/router.rs
@@ -262,6 +262,7 @@
             zone: &self.zone,
             limit: &self.limit,
             set: &self.config.set,
+            entries: self.entries,
             may_load,
         };
         let selection = if first {
@@ -370,7 +371,14 @@
         let place = place(live, turn);
         let queue = self.queues.entry(live.pool.clone()).or_default();
         let before = queue.before(&place);
-        let wait = wait(&self.fleet, &self.paces, &self.limit, &live.pool, before);
+        let wait = queue.wait(now, before);
+        let wait = wait.max(wait_at_least(
+            &self.fleet,
+            &self.paces,
+            &self.limit,
+            &live.pool,
+            before,
+        ));
         if self.misses(now + wait, live) {
             return self.refuse_late(now, request);
         }
@@ -382,7 +390,7 @@
         };
         live.stage = Stage::Queued(turn);
         let queue = self.queues.entry(live.pool.clone()).or_default();
-        queue.push(place, request.clone());
+        queue.push(now, place, request.clone());
         self.waiting += 1;
         if live.late == Late::Refuse && self.limit.admission {
             self.timers.insert((live.promise, request.clone()));
@@ -423,8 +431,8 @@
         let Some(live) = self.live.get(request) else {
             return;
         };
-        let waiting = self.queues.get(&live.pool).map_or(0, Queue::len);
-        let wait = wait(&self.fleet, &self.paces, &self.limit, &live.pool, waiting);
+        let queue = self.queues.get(&live.pool);
+        let wait = queue.map_or(Duration::ZERO, |queue| queue.wait(now, queue.len()));
         let seconds = wait.as_secs().clamp(1, RETRY_AFTER_MAX);
         let message = format!("{}: {message}", live.pool);
         let help = match live.verdict {
@@ -510,9 +518,8 @@
                 continue;
             }
             if let (Stage::Queued(turn), Some(queue)) = (live.stage, self.queues.get_mut(&pool)) {
-                let removed = queue.remove(&place(live, turn));
+                let removed = queue.serve(now, &place(live, turn));
                 self.waiting -= usize::from(removed.is_some());
-                queue.served += 1;
             }
             let selection = Selection {
                 number,
@@ -532,6 +539,7 @@
             zone: &self.zone,
             limit: &self.limit,
             set: &self.config.set,
+            entries: self.entries,
             may_load: self.loading < self.limit.adapter_share(self.entries),
         };
         let heads = pools.iter().filter_map(|pool| {
@@ -750,8 +758,9 @@
     }
 }
 
-/// Predicts how long the request waits that has `before` others before it.
-fn wait(
+/// Predicts the least time that a request waits that has `before` others before it,
+/// were all slots of its targets its pool's own.
+fn wait_at_least(
     fleet: &Fleet,
     paces: &HashMap<Pool, Pace>,
     limit: &Limit,
