Tell routing as scenarios and obey reports of others above their share

The failures scenario showed that a lone entry sent work to an engine whose report was full: its own share was granted whatever others held. Change: the share is lessened by what others hold above theirs, and borrowers of a full target give back.

--- a/crates/flamingo-route/src/target.rs
+++ b/crates/flamingo-route/src/target.rs
@@ -101,15 +101,22 @@
 
     /// Returns how many own requests it may be given when `entries` share `room` slots.
     ///
-    /// Each entry has its share for sure. Of what the last report showed free, each may
-    /// take as much as all others, so that together they don't overfill the target
-    /// before the next report.
+    /// Each entry has its share, less what others were seen to hold above theirs. Of
+    /// what the last report showed free, each may take as much as all others, so that
+    /// together they don't overfill the target before the next report. Of a full
+    /// target, who holds more than its share gives some back.
     #[must_use]
     pub fn allowance(&self, room: u32, entries: usize) -> u32 {
         let entries = u32::try_from(entries.max(1)).unwrap_or(u32::MAX);
         let share = room.div_ceil(entries);
-        let free = room.saturating_sub(self.reported);
-        share.max(self.own_then + free / entries)
+        let others = self.reported - self.own_then;
+        let above = others.saturating_sub(room - share.min(room));
+        let least = u32::from(entries > 1);
+        let sure = share.saturating_sub(above).max(least);
+        if self.reported >= room {
+            return sure.max(self.own_then.saturating_sub(1));
+        }
+        sure.max(self.own_then + (room - self.reported) / entries)
     }
 
     /// Returns the own requests at it.
--- /dev/null
+++ b/crates/flamingo-route/tests/scenarios.rs
@@ -0,0 +1,225 @@
+//! Scenarios of routing, told in a small language.
+//!
+//! `engine NAME [slots-busy=N] [zone=Z] [leaving] [adapter=A]`, `replica NAME`,
+//! `arrive ID model|adapter|service profile`, `begun ID`, `ended ID`,
+//! `failed ID not-run|may-have-run [rest=MS]`, `gone ID`, `suspect NAME`,
+//! `pass MS`; each directive's output is what the router wants done.
+
+use flamingo_route::action::{Action, Attempt, Failure, Input};
+use flamingo_route::{Ask, Limit, Pool, Router};
+use flamingo_wire::Verdict;
+use flamingo_wire::announce::{Announcement, Engine, Kind, Load, Resident, Service, Standing};
+use flamingo_wire::config::{Adapter, Late, Model, Profile, Set, Snapshot};
+use flamingo_wire::event::Event;
+use std::collections::HashMap;
+use std::fmt::Write;
+use std::time::{Duration, Instant};
+
+struct Story {
+    now: Instant,
+    router: Router,
+    sequence: u64,
+    attempts: HashMap<String, Attempt>,
+}
+
+impl Story {
+    fn new() -> Self {
+        let limit = Limit {
+            engine_slots: 1,
+            queue: 2,
+            ..Limit::default()
+        };
+        let mut story = Self {
+            now: Instant::now(),
+            router: Router::new("zone-a".into(), limit, 1),
+            sequence: 0,
+            attempts: HashMap::new(),
+        };
+        let snapshot = Snapshot {
+            version: 1,
+            set: set(),
+            drained: Vec::new(),
+        };
+        story.step(Input::News(Event::Config(Box::new(snapshot))));
+        story
+    }
+
+    fn line(&mut self, line: &str) -> String {
+        let words: Vec<_> = line.split_whitespace().collect();
+        let [directive, name, rest @ ..] = words.as_slice() else {
+            panic!("'{line}' lacks a name");
+        };
+        let value = |key: &str| rest.iter().find_map(|word| word.strip_prefix(key));
+        match *directive {
+            "engine" | "replica" => {
+                let known = self.announcement(directive, name, rest);
+                self.step(Input::News(Event::Target(Box::new(known))))
+            }
+            "suspect" => self.step(Input::News(Event::Suspect((*name).into()))),
+            "arrive" => self.arrive(name, rest),
+            "begun" => self.step(Input::Begun(self.attempts[*name])),
+            "ended" => self.step(Input::Ended(self.attempts[*name])),
+            "gone" => self.step(Input::CallerGone((*name).into())),
+            "pass" => {
+                self.now += Duration::from_millis(name.parse().unwrap());
+                self.step(Input::Tick)
+            }
+            "failed" => {
+                let rest_time = value("rest=").map(|ms| Duration::from_millis(ms.parse().unwrap()));
+                self.step(Input::Failed(Failure {
+                    attempt: self.attempts[*name],
+                    verdict: rest[0].parse::<Verdict>().unwrap(),
+                    blame: rest_time.is_none(),
+                    rest: rest_time,
+                    resumable: true,
+                    message: "broken".into(),
+                }))
+            }
+            other => panic!("no directive '{other}'"),
+        }
+    }
+
+    fn arrive(&mut self, id: &str, rest: &[&str]) -> String {
+        let pool = match rest[0] {
+            "rota" => Pool::Service("rota".into()),
+            model => Pool::Model(model.into()),
+        };
+        let idempotent = matches!(pool, Pool::Model(_));
+        self.step(Input::Arrive(Ask {
+            id: id.into(),
+            pool,
+            profile: rest.get(1).map(|profile| (*profile).into()),
+            prefix: flamingo_route::request::Chain::new(),
+            idempotent,
+        }))
+    }
+
+    fn announcement(&mut self, kind: &str, name: &str, rest: &[&str]) -> Announcement {
+        let value = |key: &str| rest.iter().find_map(|word| word.strip_prefix(key));
+        self.sequence += 1;
+        let adapters = value("adapter=").map(ToOwned::to_owned);
+        let resident = Resident {
+            model: "notes".into(),
+            version: 1,
+            adapters: adapters.into_iter().collect(),
+        };
+        let other = Resident {
+            model: "steps".into(),
+            version: 1,
+            adapters: Vec::new(),
+        };
+        let kind = if kind == "engine" {
+            Kind::Engine(Engine {
+                memory: 80_000,
+                fenced: true,
+                resident: vec![resident, other],
+                loading: Vec::new(),
+                ended: Vec::new(),
+            })
+        } else {
+            Kind::Service(Service {
+                name: "rota".into(),
+            })
+        };
+        Announcement {
+            target: name.into(),
+            incarnation: 1,
+            sequence: self.sequence,
+            zone: value("zone=").unwrap_or("zone-a").into(),
+            address: ([127, 0, 0, 1], 8_000).into(),
+            standing: if rest.contains(&"leaving") {
+                Standing::Leaving
+            } else {
+                Standing::Serving
+            },
+            load: Load {
+                running: value("busy=").map_or(0, |busy| busy.parse().unwrap()),
+                ..Load::default()
+            },
+            kind,
+        }
+    }
+
+    fn step(&mut self, input: Input) -> String {
+        let mut out = String::new();
+        for action in self.router.step(self.now, input) {
+            match action {
+                Action::Dispatch(dispatch) => {
+                    let load = dispatch
+                        .load
+                        .map_or(String::new(), |(_, adapter)| format!(", loading {adapter}"));
+                    let _ = writeln!(out, "{} -> {}{load}", dispatch.request, dispatch.target);
+                    self.attempts.insert(dispatch.request, dispatch.attempt);
+                }
+                Action::Refuse { request, fault } => {
+                    let after = fault.retry_after.unwrap_or(0);
+                    let _ = writeln!(
+                        out,
+                        "{request} refused: {}, {}, come back in {after} s",
+                        fault.reason, fault.verdict
+                    );
+                }
+                Action::Cancel { request, .. } => {
+                    let _ = writeln!(out, "{request} cancelled");
+                }
+                Action::Note(decision) => {
+                    if !matches!(decision.choice.to_string().as_str(), "dispatch" | "refuse") {
+                        let _ = writeln!(out, "{}: {}", decision.request, decision.choice);
+                    }
+                }
+            }
+        }
+        out
+    }
+}
+
+fn set() -> Set {
+    let profile = |name: &str, rank, late| Profile {
+        name: name.into(),
+        rank,
+        first_token: Duration::from_secs(1),
+        between_tokens: Duration::from_millis(54),
+        patience: Duration::from_secs(5),
+        late,
+    };
+    let model = |name: &str, adapters: &[&str]| Model {
+        name: name.into(),
+        version: 1,
+        weights: 1_000,
+        cache: 100,
+        copies: 1,
+        importance: 1,
+        adapters: adapters
+            .iter()
+            .map(|adapter| Adapter {
+                name: (*adapter).into(),
+                memory: 10,
+            })
+            .collect(),
+    };
+    Set {
+        profiles: vec![
+            profile("urgent", 0, Late::Refuse),
+            profile("routine", 5, Late::Serve),
+        ],
+        models: vec![model("notes", &["koala"]), model("steps", &[])],
+        ..Set::default()
+    }
+}
+
+#[test]
+fn the_scenarios_play_as_written() {
+    datadriven::walk("tests/scenarios", |file| {
+        let mut story = Story::new();
+        file.run(|case| {
+            assert_eq!(case.directive, "play");
+            let lines = case.input.lines();
+            let out: String = lines.map(|line| story.line(line)).collect();
+            if out.is_empty() {
+                "nothing\n".into()
+            } else {
+                out
+            }
+        });
+    });
+}
