--- a/crates/flamingo-entry/src/call.rs
+++ b/crates/flamingo-entry/src/call.rs
@@ -29,10 +29,10 @@
 const RECORDED: usize = 64 << 10;
 /// Time between two parts of an answer after which the target is given up.
 const SILENCE: Duration = Duration::from_secs(30);
-/// Time for which the ledger is told of a call that was never dispatched.
-const WITHDRAW: Duration = Duration::from_mins(1);
-/// Time between two such tries.
-const RETRY: Duration = Duration::from_millis(500);
+/// Time for which the ledger is told that a call was given up on.
+const TELL: Duration = Duration::from_mins(5);
+/// Time between two tries of that.
+const PAUSE: Duration = Duration::from_millis(500);
 /// Headers that concern one connection only.
 const HOP: [&str; 10] = [
     "connection",
@@ -213,11 +213,13 @@
                 .verdict(Verdict::MayHaveRun)
                 .retry_after(1),
             Reply::Refused(fault) => {
-                if !matches!(fault.reason, Reason::Reused) {
-                    self.withdraw();
+                if is_unclear(&fault) {
+                    self.give_up();
+                    // Nothing was dispatched, whatever becomes of the record.
+                    fault.verdict(Verdict::NotRun)
+                } else {
+                    fault
                 }
-                // Nothing was dispatched, whatever became of the record.
-                fault.verdict(Verdict::NotRun)
             }
             _ => Fault::not_run(Reason::Leaderless, "the ledger gave no word", "ask again")
                 .retry_after(1),
@@ -225,39 +227,14 @@
         Some(answer::refuse(&fault, id))
     }
 
-    /// Tells the ledger, until it takes it, that a call without a clear grant was never
-    /// dispatched, so that a resend is not held up by its record.
-    fn withdraw(&self) {
-        let Some(key) = self.key.clone() else {
-            return;
-        };
-        let record = Answer {
-            service: self.service.clone(),
-            key,
-            request: self.outgoing.request.clone(),
-            verdict: Verdict::NotRun,
-            status: 0,
-            content: String::new(),
-            body: None,
-        };
-        let link = self.shared.link.clone();
-        let deadline = Instant::now() + WITHDRAW;
-        actix_rt::spawn(async move {
-            let finish = Request::Finish(record);
-            while Instant::now() < deadline {
-                let answer = link.ask(&finish).await;
-                let again = match &answer {
-                    Reply::Refused(fault) => {
-                        matches!(fault.reason, Reason::Leaderless | Reason::Redirect)
-                    }
-                    _ => false,
-                };
-                if !again {
-                    return;
-                }
-                actix_rt::time::sleep(RETRY).await;
-            }
-        });
+    /// Tells the ledger that this request will never be dispatched, where its
+    /// begin may stand there: else the key would wait for an end that never
+    /// comes, and the caller's resend would not run.
+    fn give_up(&self) {
+        if let Some(key) = self.key.clone() {
+            let record = self.record(key, Verdict::NotRun, None);
+            actix_rt::spawn(tell(self.shared.clone(), record));
+        }
     }
 
     /// SHA-256 of method, path and body, each with its length before it.
@@ -293,10 +270,19 @@
         let Some(key) = self.key.clone().filter(|_| self.granted) else {
             return;
         };
+        let record = self.record(key, verdict, whole);
+        // Until this gets through, a resend is told that the call may have run.
+        let word = Request::Finish(record.clone());
+        if let Reply::Refused(_) = self.shared.link.ask(&word).await {
+            actix_rt::spawn(tell(self.shared.clone(), record));
+        }
+    }
+
+    fn record(&self, key: id::Key, verdict: Verdict, whole: Option<&Whole>) -> Answer {
         let content = whole.and_then(|whole| whole.headers.get(header::CONTENT_TYPE));
         let content = content.and_then(|content| content.to_str().ok());
         let body = whole.map(|whole| whole.body.to_vec());
-        let record = Answer {
+        Answer {
             service: self.service.clone(),
             key,
             request: self.outgoing.request.clone(),
@@ -304,9 +290,7 @@
             status: whole.map_or(0, |whole| whole.status.as_u16()),
             content: content.unwrap_or_default().to_owned(),
             body: body.filter(|body| body.len() <= RECORDED),
-        };
-        // Where this fails, a resend is told that the call may have run.
-        let _ = self.shared.link.ask(&Request::Finish(record)).await;
+        }
     }
 
     async fn refused(&self, ticket: &Ticket, fault: &Fault) -> HttpResponse {
@@ -347,3 +331,25 @@
         reply.body(whole.body)
     }
 }
+
+/// Returns whether a refused begin may stand in the ledger all the same.
+fn is_unclear(fault: &Fault) -> bool {
+    matches!(
+        fault.reason,
+        Reason::Leaderless | Reason::Redirect | Reason::Stopping | Reason::Storage
+    )
+}
+
+/// Tells the ledger how a call ended, until it has noted that or a deadline passes.
+async fn tell(shared: Data<Shared>, record: Answer) {
+    let deadline = Instant::now() + TELL;
+    let request = Request::Finish(record);
+    while Instant::now() < deadline {
+        match shared.link.ask(&request).await {
+            Reply::Refused(fault) if fault.reason == Reason::Leaderless => {
+                actix_rt::time::sleep(PAUSE).await;
+            }
+            _ => return,
+        }
+    }
+}
