--- /dev/null
+++ b/crates/flamingolink/tests/planned_stop.rs
@@ -0,0 +1,130 @@
+//! A planned stop of an entry cuts no stream, and a lost grant loses no call.
+
+use awc::Client;
+use awc::http::StatusCode;
+use flamingo_test_support::cluster::Cluster;
+use flamingo_test_support::wait;
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+
+const SET: &str = "\
+[profile counter]
+rank = 0
+first_token_ms = 5000
+between_tokens_ms = 100
+
+[model notes]
+weights = 8000
+cache = 2000
+
+[service rota]
+idempotent = /availability
+";
+/// Streams under way when the entry is told to stop.
+const STREAMS: usize = 20;
+/// Tokens of each stream, of 20 ms each.
+const TOKENS: usize = 60;
+
+async fn applied(cluster: &Cluster) {
+    let set = cluster.dir.path().join("set.ini");
+    std::fs::write(&set, SET).unwrap();
+    let apply = ["config", "apply", set.to_str().unwrap()];
+    let applied = || async { cluster.ctl(&apply).status.success().then_some(()) };
+    wait::until("the change to be accepted", applied).await;
+}
+
+fn client() -> Client {
+    Client::builder().disable_timeout().finish()
+}
+
+async fn stream(entry: SocketAddr, marker: String, tokens: usize) -> Option<String> {
+    let ask = json!({"model": "notes", "stream": true, "max_tokens": tokens,
+        "prompt": format!("echo:{marker} please")});
+    let request = client().post(format!("http://{entry}/v1/completions"));
+    let request = request.insert_header(("x-flamingo-profile", "counter"));
+    let mut answer = request.send_json(&ask).await.ok()?;
+    let body = answer.body().await.ok()?;
+    let whole = answer.status() == StatusCode::OK;
+    whole.then(|| String::from_utf8(body.to_vec()).unwrap())
+}
+
+async fn status(entry: SocketAddr, path: &str) -> Option<u16> {
+    let request = client().get(format!("http://{entry}{path}"));
+    Some(request.send().await.ok()?.status().as_u16())
+}
+
+#[actix_rt::test]
+async fn streams_under_way_end_whole() {
+    let mut cluster = Cluster::start(1, 1);
+    cluster.target("engine", "engine-1", &["--model", "notes", "--pace", "20"]);
+    applied(&cluster).await;
+    let entry = cluster.entries[0].http();
+    wait::until("the entry to serve", || stream(entry, "warm".into(), 1)).await;
+    let streams: Vec<_> = (0..STREAMS)
+        .map(|number| actix_rt::spawn(stream(entry, format!("s{number}"), TOKENS)))
+        .collect();
+    let engine = cluster.targets[0].target();
+    let running = || async move {
+        let url = format!("http://{engine}/stand-in/ran");
+        let mut answer = client().get(url).send().await.ok()?;
+        let ran: Vec<Value> = answer.json().await.ok()?;
+        let running = ran.iter().filter(|run| run["end"] == "running").count();
+        (running == STREAMS).then_some(())
+    };
+    wait::until("all streams to run", running).await;
+    cluster.entries[0].process.signal(libc::SIGTERM);
+    let unready = || async { (status(entry, "/readyz").await? == 503).then_some(()) };
+    wait::until("ready to go off", unready).await;
+    let late = stream(entry, "late".into(), 1).await;
+    assert!(
+        late.is_some(),
+        "what still comes is served until the balancer has seen it"
+    );
+    for (number, stream) in streams.into_iter().enumerate() {
+        let text = stream.await.unwrap().expect("an answer");
+        let last = format!("s{number}.{} ", TOKENS - 1);
+        assert!(text.contains(&last), "{text}");
+        assert!(text.ends_with("data: [DONE]\n\n"), "{text}");
+    }
+    assert!(cluster.entries[0].process.wait().success());
+}
+
+async fn confirm(entry: SocketAddr, key: &str) -> (u16, Value) {
+    let request = client().post(format!("http://{entry}/services/rota/confirm"));
+    let request = request.insert_header(("idempotency-key", key));
+    let mut answer = request.send_json(&json!({"shift": 17})).await.unwrap();
+    let body = answer.json().await.unwrap();
+    (answer.status().as_u16(), body)
+}
+
+#[actix_rt::test]
+async fn a_call_without_a_clear_grant_is_not_run_and_a_resend_runs_once() {
+    let mut cluster = Cluster::relayed(1, 2);
+    cluster.target("service", "rota-1", &["--service", "rota"]);
+    applied(&cluster).await;
+    let (first, second) = (cluster.entries[0].http(), cluster.entries[1].http());
+    for entry in [first, second] {
+        let warm = || async move { (confirm(entry, "warm").await.0 == 200).then_some(()) };
+        wait::until("the entry to serve", warm).await;
+    }
+    let relay = cluster.relay("entry-0", "control-0");
+    relay.hold();
+    let (status, body) = confirm(first, "shift-17").await;
+    assert_eq!(status, 503, "{body}");
+    assert_eq!(body["error"]["verdict"], "not-run", "{body}");
+    relay.heal();
+    let again = || async move { (confirm(second, "shift-17").await.0 == 200).then_some(()) };
+    wait::until("the resend to run", again).await;
+    assert_eq!(confirm(first, "shift-17").await.0, 200);
+    let url = format!("http://{}/stand-in/ran", cluster.targets[0].target());
+    let ran: Vec<Value> = client()
+        .get(url)
+        .send()
+        .await
+        .unwrap()
+        .json()
+        .await
+        .unwrap();
+    let runs = ran.iter().filter(|run| run["key"] == "shift-17").count();
+    assert_eq!(runs, 1, "{ran:?}");
+}
