--- a/crates/flamingo-entry/src/call.rs
+++ b/crates/flamingo-entry/src/call.rs
@@ -213,8 +213,13 @@
                 .verdict(Verdict::MayHaveRun)
                 .retry_after(1),
             Reply::Refused(fault) => {
-                self.give_up(&fault);
-                fault
+                if is_unclear(&fault) {
+                    self.give_up();
+                    // Nothing was dispatched, whatever becomes of the record.
+                    fault.verdict(Verdict::NotRun)
+                } else {
+                    fault
+                }
             }
             _ => Fault::not_run(Reason::Leaderless, "the ledger gave no word", "ask again")
                 .retry_after(1),
@@ -225,12 +230,8 @@
     /// Tells the ledger that this request will never be dispatched, where its
     /// begin may stand there: else the key would wait for an end that never
     /// comes, and the caller's resend would not run.
-    fn give_up(&self, fault: &Fault) {
-        let unclear = matches!(
-            fault.reason,
-            Reason::Leaderless | Reason::Redirect | Reason::Stopping | Reason::Storage
-        );
-        if let Some(key) = self.key.clone().filter(|_| unclear) {
+    fn give_up(&self) {
+        if let Some(key) = self.key.clone() {
             let record = self.record(key, Verdict::NotRun, None);
             actix_rt::spawn(tell(self.shared.clone(), record));
         }
@@ -331,6 +332,14 @@
     }
 }
 
+/// Returns whether a refused begin may stand in the ledger all the same.
+fn is_unclear(fault: &Fault) -> bool {
+    matches!(
+        fault.reason,
+        Reason::Leaderless | Reason::Redirect | Reason::Stopping | Reason::Storage
+    )
+}
+
 /// Tells the ledger how a call ended, until it has noted that or a deadline passes.
 async fn tell(shared: Data<Shared>, record: Answer) {
     let deadline = Instant::now() + TELL;
