Spread the followers over the control instances, and rest idle connections

Cause: at 27 real entries (docs/CAPACITY.md) all followed the first control instance, and an idle entry sent 5.5 KB/s where bodies and the allowance made 1.6. Each pair of entries kept two connections with a heartbeat a second from each end. The stream to control keeps its beats.

--- a/crates/flamingo-link/src/gossip.rs
+++ b/crates/flamingo-link/src/gossip.rs
@@ -1,6 +1,6 @@
 //! Exchanges with other entries.
 
-use crate::pool::{HEARTBEAT, MESSAGE, SILENCE};
+use crate::pool::{MESSAGE, SILENCE, SWEEP};
 use crate::shared::Shared;
 use crate::status::Counters;
 use flamingo_member::machine::{PATIENCE, Parcel, TICK};
@@ -70,7 +70,7 @@
     let service = GossipServer::new(Answerer { shared }).max_decoding_message_size(MESSAGE);
     let server = Server::builder()
         .tcp_nodelay(true)
-        .http2_keepalive_interval(Some(HEARTBEAT))
+        .http2_keepalive_interval(Some(SWEEP))
         .http2_keepalive_timeout(Some(SILENCE))
         .add_service(service);
     match server
--- a/crates/flamingo-link/src/pool.rs
+++ b/crates/flamingo-link/src/pool.rs
@@ -8,8 +8,13 @@
 use tokio::time::timeout_at;
 use tonic::transport::{Channel, Endpoint};
 
-/// Time between two heartbeats of a connection.
-pub const HEARTBEAT: Duration = Duration::from_secs(1);
+/// Time between two heartbeats of a connection with a request or stream on it.
+///
+/// One without is not kept under watch: the next request on it has a deadline,
+/// and drops it.
+const HEARTBEAT: Duration = Duration::from_secs(1);
+/// Time between two heartbeats by which the serving side finds dead connections.
+pub const SWEEP: Duration = Duration::from_secs(30);
 /// Time that a heartbeat has for its answer.
 pub const SILENCE: Duration = Duration::from_secs(2);
 /// Largest message: a frame with its names, time and tag.
@@ -49,7 +54,7 @@
         .tcp_nodelay(true)
         .http2_keep_alive_interval(HEARTBEAT)
         .keep_alive_timeout(SILENCE)
-        .keep_alive_while_idle(true);
+        .keep_alive_while_idle(false);
     let dialled = timeout_at(deadline.into(), endpoint.connect()).await;
     dialled.ok()?.ok()
 }
--- a/crates/flamingo-link/src/watch.rs
+++ b/crates/flamingo-link/src/watch.rs
@@ -45,7 +45,7 @@
 
 /// Keeps the configuration current, for ever.
 pub async fn follow(shared: Arc<Shared>) {
-    let controls = shared.controls.clone();
+    let controls = in_turn(&shared);
     loop {
         for peer in &controls {
             Counters::add(&shared.counters.redials, 1);
@@ -63,6 +63,16 @@
     }
 }
 
+/// Returns the control instances from one on that differs by entry, so that
+/// not all entries follow the same one.
+fn in_turn(shared: &Shared) -> Vec<Peer> {
+    let mut controls = shared.controls.clone();
+    let sum: usize = shared.node.bytes().map(usize::from).sum();
+    let first = sum % controls.len().max(1);
+    controls.rotate_left(first);
+    controls
+}
+
 /// Follows one control instance until the stream ends.
 async fn watch(shared: &Arc<Shared>, peer: &Peer) -> End {
     let deadline = Instant::now() + PATIENCE;
