--- a/crates/flamingolink/tests/planned_stop.rs
+++ b/crates/flamingolink/tests/planned_stop.rs
@@ -22,8 +22,8 @@
 ";
 /// Streams under way when the entry is told to stop.
 const STREAMS: usize = 20;
-/// Tokens of each stream, of 20 ms each.
-const TOKENS: usize = 60;
+/// Tokens of each stream, of 20 ms each: more than the time for which a stopping entry accepts.
+const TOKENS: usize = 200;
 
 async fn applied(cluster: &Cluster) {
     let set = cluster.dir.path().join("set.ini");
