Tell a wiped folder from the one before it in the histories

Ruled out: the orders duty, and a stall of the log, whose members rightly refused to elect without a majority. Change: changes are committed while the wiped member is down, so that the look (which asks each to hold all that is committed) can't pass on the old folder. The check is stricter than before.

--- a/crates/flamingo-control/tests/histories.rs
+++ b/crates/flamingo-control/tests/histories.rs
@@ -197,6 +197,9 @@
             eprintln!("wipe {name}");
             cluster.controls[n].process.kill();
             std::fs::remove_dir_all(cluster.dir.path().join(&name)).unwrap();
+            // What is committed meanwhile tells the new folder from the old one,
+            // which the leader may still list as voting and up to date.
+            run.progress().await;
         }
     }
     cluster.controls[n].process = cluster.restart("flamingo-control", &name);
