--- a/crates/flamingo-ctl/src/command/drain.rs
+++ b/crates/flamingo-ctl/src/command/drain.rs
@@ -2,6 +2,7 @@
 
 use crate::client::Client;
 use crate::command::{Command, Example, Run, author, change_id, unexpected};
+use crate::fault::Error;
 use crate::output::Output;
 use flamingo_wire::admin::{self, Answer, Query};
 
@@ -30,20 +31,27 @@
     }
 
     fn run<'a>(&'a self, client: &'a Client, arguments: &'a [String]) -> Run<'a> {
-        Box::pin(async move {
-            let wish = admin::Drain {
-                id: change_id()?,
-                target: arguments[0].clone(),
-                on: true,
-                author: author(),
-            };
-            match client.query(&Query::Drain(wish)).await? {
-                Answer::Drained(version) => {
-                    let text = format!("accepted as version {version}");
-                    Ok(Output::text(text, &version))
-                }
-                other => Err(unexpected(&other)),
-            }
-        })
+        Box::pin(wish(client, &arguments[0], true))
+    }
+}
+
+/// Asks that `target` be drained, or that its drain end.
+///
+/// # Errors
+///
+/// Returns an error where the instance can't be reached or refuses.
+pub(super) async fn wish(client: &Client, target: &str, on: bool) -> Result<Output, Error> {
+    let wish = admin::Drain {
+        id: change_id()?,
+        target: target.to_owned(),
+        on,
+        author: author(),
+    };
+    match client.query(&Query::Drain(wish)).await? {
+        Answer::Drained(version) => {
+            let text = format!("accepted as version {version}");
+            Ok(Output::text(text, &version))
+        }
+        other => Err(unexpected(&other)),
     }
 }
--- a/crates/flamingo-ctl/src/command/undrain.rs
+++ b/crates/flamingo-ctl/src/command/undrain.rs
@@ -1,9 +1,7 @@
 //! `flamingoctl undrain TARGET`.
 
 use crate::client::Client;
-use crate::command::{Command, Example, Run, author, change_id, unexpected};
-use crate::output::Output;
-use flamingo_wire::admin::{self, Answer, Query};
+use crate::command::{Command, Example, Run, drain};
 
 /// End the drain of a target
 #[derive(Clone, Copy, Debug)]
@@ -30,20 +28,6 @@
     }
 
     fn run<'a>(&'a self, client: &'a Client, arguments: &'a [String]) -> Run<'a> {
-        Box::pin(async move {
-            let wish = admin::Drain {
-                id: change_id()?,
-                target: arguments[0].clone(),
-                on: false,
-                author: author(),
-            };
-            match client.query(&Query::Drain(wish)).await? {
-                Answer::Drained(version) => {
-                    let text = format!("accepted as version {version}");
-                    Ok(Output::text(text, &version))
-                }
-                other => Err(unexpected(&other)),
-            }
-        })
+        Box::pin(drain::wish(client, &arguments[0], false))
     }
 }
--- a/crates/flamingolink/examples/path_cost.rs
+++ b/crates/flamingolink/examples/path_cost.rs
@@ -37,7 +37,10 @@
             answer.body().await.expect("a whole answer");
             assert!(answer.status().is_success(), "{}", answer.status());
             let micros = u64::try_from(intended.elapsed().as_micros()).unwrap_or(u64::MAX);
-            times.borrow_mut().record(micros).expect("the histogram grows");
+            times
+                .borrow_mut()
+                .record(micros)
+                .expect("the histogram grows");
         }));
     }
     for call in calls {
