Apply a set in one place, and build a wish's order in one

Ruled out: joining the two plots of flamingo-load and the fakes' worlds of two packages, which share their set-up and differ in what they draw and check. Change: Cluster::apply; the dry run calls the placer's order; spread takes no time. No assertion differs. Conclusion: behaviour is as before.

--- a/crates/flamingo-control/tests/placement.rs
+++ b/crates/flamingo-control/tests/placement.rs
@@ -71,17 +71,6 @@
     cluster
 }
 
-async fn apply(cluster: &Cluster, set: &str) {
-    let path = cluster.dir.path().join("set.ini");
-    std::fs::write(&path, set).unwrap();
-    let path = path.to_str().unwrap();
-    wait::until("the change to be accepted", || async {
-        let applied = cluster.ctl(&["config", "apply", path]);
-        applied.status.success().then_some(())
-    })
-    .await;
-}
-
 async fn every_model_answers(cluster: &Cluster) {
     let entry = cluster.entries[0].http();
     for model in MODELS {
@@ -122,7 +111,7 @@
 #[actix_rt::test]
 async fn empty_engines_are_given_every_model() {
     let cluster = start(1, &["--load-ms", "100"]);
-    apply(&cluster, SET).await;
+    cluster.apply(SET).await;
     every_model_answers(&cluster).await;
     no_engine_was_over_committed(&cluster).await;
 }
@@ -130,7 +119,7 @@
 #[actix_rt::test]
 async fn engines_that_check_nothing_are_given_every_model() {
     let cluster = start(1, &["--load-ms", "100", "--unfenced"]);
-    apply(&cluster, SET).await;
+    cluster.apply(SET).await;
     every_model_answers(&cluster).await;
     no_engine_was_over_committed(&cluster).await;
 }
@@ -138,7 +127,7 @@
 #[actix_rt::test]
 async fn a_set_that_cannot_be_resident_is_refused_with_the_arithmetic() {
     let cluster = start(1, &["--load-ms", "100"]);
-    apply(&cluster, SET).await;
+    cluster.apply(SET).await;
     every_model_answers(&cluster).await;
     let set = SET.replace("weights = 9000", "weights = 19500");
     let path = cluster.dir.path().join("large.ini");
@@ -153,7 +142,7 @@
 #[actix_rt::test]
 async fn a_leader_frozen_while_loads_are_under_way_does_no_harm() {
     let cluster = start(3, &["--load-ms", "2000"]);
-    apply(&cluster, SET).await;
+    cluster.apply(SET).await;
     let leader = wait::until("an order to be sent", || async {
         let controls = cluster.controls.iter();
         controls
@@ -183,14 +172,12 @@
 #[actix_rt::test]
 async fn a_version_is_rolled_while_every_request_is_answered() {
     let cluster = start(1, &["--load-ms", "100"]);
-    apply(&cluster, SET).await;
+    cluster.apply(SET).await;
     every_model_answers(&cluster).await;
     let entry = cluster.entries[0].http();
-    apply(
-        &cluster,
-        &SET.replace("weights = 5000", "version = 2\nweights = 5000"),
-    )
-    .await;
+    cluster
+        .apply(&SET.replace("weights = 5000", "version = 2\nweights = 5000"))
+        .await;
     let mut asked = 0;
     loop {
         asked += 1;
@@ -211,7 +198,7 @@
 #[actix_rt::test]
 async fn a_drained_target_is_relieved_of_its_models() {
     let cluster = start(1, &["--load-ms", "100"]);
-    apply(&cluster, SET).await;
+    cluster.apply(SET).await;
     every_model_answers(&cluster).await;
     assert!(cluster.ctl(&["drain", "engine-1"]).status.success());
     wait::until("every model on the other engines", || async {
--- a/crates/flamingo-log/src/raft.rs
+++ b/crates/flamingo-log/src/raft.rs
@@ -322,7 +322,7 @@
     /// Sends what was proposed since the last flush.
     pub fn flush(&mut self, now: Instant) {
         self.expire(now);
-        self.spread(now, false);
+        self.spread(false);
     }
 
     /// Puts `data`, the state up to the committed `index`, in place of the entries.
--- a/crates/flamingo-log/src/raft/membership.rs
+++ b/crates/flamingo-log/src/raft/membership.rs
@@ -139,7 +139,7 @@
                 known.votes = peer.votes;
             }
         }
-        self.spread(now, false);
+        self.spread(false);
         self.advance(now);
     }
 
--- a/crates/flamingo-log/src/raft/replication.rs
+++ b/crates/flamingo-log/src/raft/replication.rs
@@ -21,13 +21,13 @@
         if let Standing::Leader(leader) = &mut self.standing {
             leader.beat(now);
         }
-        self.spread(now, true);
+        self.spread(true);
         self.advance(now);
         self.tend(now);
     }
 
     /// Sends what the others lack; a heartbeat goes to each in any case.
-    pub(super) fn spread(&mut self, now: Instant, beat: bool) {
+    pub(super) fn spread(&mut self, beat: bool) {
         let Standing::Leader(leader) = &self.standing else {
             return;
         };
@@ -35,7 +35,6 @@
         for node in nodes {
             self.feed(&node, beat);
         }
-        let _ = now;
     }
 
     /// Sends to one member what it lacks.
--- a/crates/flamingo-place/src/explain.rs
+++ b/crates/flamingo-place/src/explain.rs
@@ -1,14 +1,13 @@
 //! Answers to operators: what sits where, and why.
 
 use crate::fit;
-use crate::placer::Placer;
+use crate::placer::{Placer, order};
 use crate::view::{Copy as Held, Place, State, View};
 use crate::weights::Weights;
 use flamingo_wire::admin::{Candidate, Copy, Explanation, Move, Target};
 use flamingo_wire::announce::Kind;
 use flamingo_wire::config::{Model, Set};
 use flamingo_wire::id;
-use flamingo_wire::place::Order;
 use std::cmp::Reverse;
 use std::time::{Instant, SystemTime};
 
@@ -92,15 +91,7 @@
     pub fn dry_run(&self, set: &Set, now: Instant) -> Vec<Move> {
         let plan = self.draft(set, now);
         let moves = plan.wishes.into_iter().map(|wish| Move {
-            order: Order {
-                id: 0,
-                fence: 0,
-                target: wish.target,
-                incarnation: wish.incarnation,
-                action: wish.action,
-                memory: wish.memory,
-                reason: wish.reason,
-            },
+            order: order(wish),
             outcome: None,
             at: SystemTime::UNIX_EPOCH,
         });
--- a/crates/flamingo-place/src/placer.rs
+++ b/crates/flamingo-place/src/placer.rs
@@ -308,7 +308,7 @@
 }
 
 /// Returns the order for `wish`; the account gives its identity and fencing number.
-fn order(wish: Wish) -> Order {
+pub(crate) fn order(wish: Wish) -> Order {
     Order {
         id: 0,
         fence: 0,
--- a/crates/flamingo-test-support/src/cluster.rs
+++ b/crates/flamingo-test-support/src/cluster.rs
@@ -3,6 +3,7 @@
 use crate::address::{at, host};
 use crate::process::{Process, program};
 use crate::relay::Relay;
+use crate::wait;
 use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::net::{IpAddr, SocketAddr};
@@ -172,6 +173,22 @@
         self.targets.push(instance);
     }
 
+    /// Applies the set in `text` through the first entry until it is accepted.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the set can't be written, or is not accepted in time.
+    pub async fn apply(&self, text: &str) {
+        let path = self.dir.path().join("set.ini");
+        std::fs::write(&path, text).expect("a set can be written");
+        let path = path.to_str().expect("the path is text");
+        wait::until("the change to be accepted", || async {
+            let applied = self.ctl(&["config", "apply", path]);
+            applied.status.success().then_some(())
+        })
+        .await;
+    }
+
     /// Runs `flamingoctl` against the first entry.
     ///
     /// # Panics
--- a/crates/flamingolink/examples/path_cost.rs
+++ b/crates/flamingolink/examples/path_cost.rs
@@ -83,17 +83,7 @@
 async fn main() {
     let mut cluster = Cluster::start(1, 1);
     cluster.target("service", "rota-1", &["--service", "rota"]);
-    let set = cluster.dir.path().join("set.ini");
-    std::fs::write(&set, SET).expect("a set can be written");
-    let set = set.to_str().expect("the path is text");
-    wait::until("the change to be accepted", || async {
-        cluster
-            .ctl(&["config", "apply", set])
-            .status
-            .success()
-            .then_some(())
-    })
-    .await;
+    cluster.apply(SET).await;
     let direct = url(cluster.targets[0].target(), "/availability");
     let through = url(cluster.entries[0].http(), "/services/rota/availability");
     wait::until("the entry to serve", || serves(&through)).await;
--- a/crates/flamingolink/tests/history/mod.rs
+++ b/crates/flamingolink/tests/history/mod.rs
@@ -65,11 +65,7 @@
             system.target("engine");
             system.target("service");
         }
-        let set = system.cluster.dir.path().join("set.ini");
-        std::fs::write(&set, SET).unwrap();
-        let apply = ["config", "apply", set.to_str().unwrap()];
-        let applied = || async { system.cluster.ctl(&apply).status.success().then_some(()) };
-        wait::until("the change to be accepted", applied).await;
+        system.cluster.apply(SET).await;
         for entry in system.entries() {
             wait::until("the entry to serve", || serves(entry)).await;
         }
--- a/crates/flamingolink/tests/planned_stop.rs
+++ b/crates/flamingolink/tests/planned_stop.rs
@@ -25,14 +25,6 @@
 /// Tokens of each stream, of 20 ms each: more than the time for which a stopping entry accepts.
 const TOKENS: usize = 200;
 
-async fn applied(cluster: &Cluster) {
-    let set = cluster.dir.path().join("set.ini");
-    std::fs::write(&set, SET).unwrap();
-    let apply = ["config", "apply", set.to_str().unwrap()];
-    let applied = || async { cluster.ctl(&apply).status.success().then_some(()) };
-    wait::until("the change to be accepted", applied).await;
-}
-
 fn client() -> Client {
     Client::builder().disable_timeout().finish()
 }
@@ -57,7 +49,7 @@
 async fn streams_under_way_end_whole() {
     let mut cluster = Cluster::start(1, 1);
     cluster.target("engine", "engine-1", &["--model", "notes", "--pace", "20"]);
-    applied(&cluster).await;
+    cluster.apply(SET).await;
     let entry = cluster.entries[0].http();
     wait::until("the entry to serve", || stream(entry, "warm".into(), 1)).await;
     let streams: Vec<_> = (0..STREAMS)
@@ -101,7 +93,7 @@
 async fn a_call_without_a_clear_grant_is_not_run_and_a_resend_runs_once() {
     let mut cluster = Cluster::relayed(1, 2);
     cluster.target("service", "rota-1", &["--service", "rota"]);
-    applied(&cluster).await;
+    cluster.apply(SET).await;
     let (first, second) = (cluster.entries[0].http(), cluster.entries[1].http());
     for entry in [first, second] {
         let warm = || async move { (confirm(entry, "warm").await.0 == 200).then_some(()) };
--- a/crates/flamingolink/tests/unclear_begin.rs
+++ b/crates/flamingolink/tests/unclear_begin.rs
@@ -40,17 +40,7 @@
 async fn a_resend_runs_once_after_the_ledger_fell_silent() {
     let mut cluster = Cluster::relayed(1, 2);
     cluster.target("service", "rota-1", &["--service", "rota"]);
-    let set = cluster.dir.path().join("set.ini");
-    std::fs::write(&set, SET).unwrap();
-    let set = set.to_str().unwrap();
-    wait::until("the change to be accepted", || async {
-        cluster
-            .ctl(&["config", "apply", set])
-            .status
-            .success()
-            .then_some(())
-    })
-    .await;
+    cluster.apply(SET).await;
     let [first, second] = [0, 1].map(|n| cluster.entries[n].http());
     for (entry, key) in [(first, "warm-1"), (second, "warm-2")] {
         wait::until("a confirmed shift", || confirmed(entry, key)).await;
--- a/crates/flamingolink/tests/whole_path.rs
+++ b/crates/flamingolink/tests/whole_path.rs
@@ -52,17 +52,7 @@
     cluster.target("engine", "engine-1", &["--model", "notes"]);
     cluster.target("engine", "engine-2", &["--model", "notes"]);
     cluster.target("service", "rota-1", &["--service", "rota"]);
-    let set = cluster.dir.path().join("set.ini");
-    std::fs::write(&set, SET).unwrap();
-    let set = set.to_str().unwrap();
-    wait::until("the change to be accepted", || async {
-        cluster
-            .ctl(&["config", "apply", set])
-            .status
-            .success()
-            .then_some(())
-    })
-    .await;
+    cluster.apply(SET).await;
 
     let entry = cluster.entries[0].http();
     let body = wait::until("a streamed completion", || served(entry)).await;
