Serve routes through an adapter for the users' platform: the thin path

Cause: the product knew profiles and its own wire only; the platform sends routes, check-ins and streams of its own. Change: routes of the highest version in the log, an open member list formed from seeds, a registry of targets with a feed to entries, a desk that takes requests on routes over pooled connections, and platform/ that translates. An entry loops without end where every target was tried (next change); adapters are not ordered yet.

--- a/crates/flamingo-control/src/daemon.rs
+++ b/crates/flamingo-control/src/daemon.rs
@@ -7,26 +7,31 @@
 use crate::metrics::Metrics;
 use crate::orders::Orders;
 use crate::watch::{CATCH_UPS, Source};
-use actix::Actor;
+use crate::holder::Question;
+use crate::registry::Registry;
+use actix::{Actor, Addr};
 use actix_web::web::Data;
 use actix_web::{App, HttpServer};
+use flamingo_daemon::clock;
 use flamingo_log::file::{Folder, Opened};
-use flamingo_log::raft::{Seed, Start as Begin};
+use flamingo_log::raft::{Growth, Seed, Start as Begin};
 use flamingo_log::{Raft, Timing, disk};
 use flamingo_settings::control::Settings;
 use flamingo_state::State;
 use flamingo_wire::frame::{MAX_BODY, Seal};
+use flamingo_wire::id;
 use flamingo_wire::inner::control_server::ControlServer;
 use flamingo_wire::inner::log_server::LogServer;
 use slog::{Logger, error, info, warn};
 use std::error::Error;
 use std::future::Future;
 use std::io;
-use std::path::Path;
-use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::Semaphore;
+use tokio::sync::{Semaphore, mpsc};
 use tokio_stream::wrappers::TcpListenerStream;
 use tonic::transport::Server;
 
@@ -45,7 +50,7 @@
     log: Logger,
     stop: impl Future<Output = ()> + 'static,
 ) -> Result<(), Box<dyn Error>> {
-    let orders = Orders::new(log.clone(), Instant::now());
+    let orders = Orders::new(log.clone(), clock::now());
     run_with(settings, log, vec![Box::new(orders)], stop).await
 }
 
@@ -60,26 +65,10 @@
     duties: Vec<Box<dyn Duty>>,
     stop: impl Future<Output = ()> + 'static,
 ) -> Result<(), Box<dyn Error>> {
-    let seal = Seal::new(&settings.node.name, settings.node.key.as_bytes());
     let metrics = Metrics::new()?;
-    let keeper = keeper(&settings, &seal, &metrics, duties, &log)?;
-    let published = keeper.published();
-    let keeper = keeper.start();
-    let listener = TcpListener::bind(settings.node.inner).await?;
-    let source = Source {
-        seal: seal.clone(),
-        keeper: keeper.clone(),
-        published,
-        permits: Arc::new(Semaphore::new(CATCH_UPS)),
-    };
-    let inner = Inner::new(seal, keeper.clone(), source);
-    let limit = MAX_BODY + ENVELOPE;
-    let inner = Server::builder()
-        .add_service(ControlServer::new(inner.clone()).max_decoding_message_size(limit))
-        .add_service(LogServer::new(inner).max_decoding_message_size(limit));
-    actix_rt::spawn(inner.serve_with_incoming(TcpListenerStream::new(listener)));
+    let core = Core::start(setup(&settings, &metrics, duties, &log)).await?;
     let shared = Data::new(http::Shared {
-        keeper: keeper.clone(),
+        keeper: core.keeper.clone(),
         metrics,
     });
     let server =
@@ -92,9 +81,7 @@
     let handle = server.handle();
     actix_rt::spawn(async move {
         stop.await;
-        // Without a keeper there is no leadership to give up.
-        let _ = keeper.send(Stop).await;
-        actix_rt::time::sleep(GRACE).await;
+        core.stop().await;
         handle.stop(true).await;
     });
     server.await?;
@@ -102,19 +89,15 @@
     Ok(())
 }
 
-fn keeper(
+fn setup(
     settings: &Settings,
-    seal: &Seal,
     metrics: &Metrics,
     duties: Vec<Box<dyn Duty>>,
     log: &Logger,
-) -> Result<Keeper, Box<dyn Error>> {
-    let Opened { folder, stored } = open(&settings.data, log)?;
-    let state = State::decode(&stored.snapshot.data)?;
+) -> Setup {
     let node = &settings.node;
-    let mut seeds: Vec<_> = node
-        .controls
-        .iter()
+    let controls = node.controls.iter();
+    let mut seeds: Vec<_> = controls
         .map(|peer| Seed {
             node: peer.node.clone(),
             address: peer.address,
@@ -126,24 +109,116 @@
             address: node.inner,
         });
     }
-    let begin = Begin {
+    Setup {
         node: node.name.clone(),
-        address: node.inner,
-        seeds: seeds.clone(),
+        inner: node.inner,
+        seeds,
+        growth: Growth::Closed,
+        data: settings.data.clone(),
+        seal: Seal::new(&node.name, node.key.as_bytes()),
+        metrics: metrics.clone(),
+        duties,
+        holder: None,
+        log: log.clone(),
+    }
+}
+
+/// What the core of a control instance is started with.
+pub struct Setup {
+    /// Its name.
+    pub node: id::Node,
+    /// Where it takes the inner protocol.
+    pub inner: SocketAddr,
+    /// Control instances that it is told of, itself among them where it is one of the first.
+    pub seeds: Vec<Seed>,
+    /// How the member list changes by itself.
+    pub growth: Growth,
+    /// The data folder.
+    pub data: PathBuf,
+    /// Seals the inner protocol.
+    pub seal: Seal,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// What only the leader does.
+    pub duties: Vec<Box<dyn Duty>>,
+    /// Takes what is asked of the holder of orders; none where a duty gives them.
+    pub holder: Option<mpsc::Sender<Question>>,
+    /// Log lines.
+    pub log: Logger,
+}
+
+/// The log, the state and the inner protocol of a running control instance.
+#[derive(Clone, Debug)]
+pub struct Core {
+    /// Owns log and state.
+    pub keeper: Addr<Keeper>,
+    /// The targets that registered here.
+    pub registry: Arc<Mutex<Registry>>,
+}
+
+impl Core {
+    /// Opens the data folder and the inner listener, and starts to work.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the listener or the data folder can't be opened.
+    pub async fn start(setup: Setup) -> Result<Self, Box<dyn Error>> {
+        let seal = setup.seal.clone();
+        let holder = setup.holder.clone();
+        let inner = setup.inner;
+        let keeper = keeper(setup)?;
+        let published = keeper.published();
+        let routes = keeper.routes();
+        let keeper = keeper.start();
+        let listener = TcpListener::bind(inner).await?;
+        let registry = Arc::new(Mutex::new(Registry::default()));
+        let source = Source {
+            seal: seal.clone(),
+            keeper: keeper.clone(),
+            published,
+            permits: Arc::new(Semaphore::new(CATCH_UPS)),
+            routes,
+            registry: Arc::clone(&registry),
+        };
+        let inner = Inner::new(seal, keeper.clone(), source, holder);
+        let limit = MAX_BODY + ENVELOPE;
+        let inner = Server::builder()
+            .add_service(ControlServer::new(inner.clone()).max_decoding_message_size(limit))
+            .add_service(LogServer::new(inner).max_decoding_message_size(limit));
+        actix_rt::spawn(inner.serve_with_incoming(TcpListenerStream::new(listener)));
+        Ok(Self { keeper, registry })
+    }
+
+    /// Gives up leadership, and waits for replies under way.
+    pub async fn stop(&self) {
+        // Without a keeper there is no leadership to give up.
+        let _ = self.keeper.send(Stop).await;
+        actix_rt::time::sleep(GRACE).await;
+    }
+}
+
+fn keeper(setup: Setup) -> Result<Keeper, Box<dyn Error>> {
+    let Opened { folder, stored } = open(&setup.data, &setup.log)?;
+    let state = State::decode(&stored.snapshot.data)?;
+    let begin = Begin {
+        node: setup.node.clone(),
+        address: setup.inner,
+        seeds: setup.seeds.clone(),
         timing: Timing::default(),
+        growth: setup.growth,
         seed: random()?,
         stored,
     };
     Ok(Keeper::new(Start {
-        raft: Raft::new(begin, Instant::now()),
+        raft: Raft::new(begin, clock::now()),
         state,
         disk: Box::new(folder),
-        node: node.name.clone(),
-        seeds,
-        seal: seal.clone(),
-        duties,
-        metrics: metrics.clone(),
-        log: log.clone(),
+        node: setup.node,
+        seeds: setup.seeds,
+        seal: setup.seal,
+        duties: setup.duties,
+        metrics: setup.metrics,
+        log: setup.log,
     }))
 }
 
--- a/crates/flamingo-control/src/inner.rs
+++ b/crates/flamingo-control/src/inner.rs
@@ -1,5 +1,6 @@
 //! The inner protocol's server side.
 
+use crate::holder::{self, Question};
 use crate::keeper::{Ask, Incoming, Keeper};
 use crate::packet::{BEAT, Packet, SILENCE};
 use crate::watch::Source;
@@ -10,7 +11,7 @@
 use flamingo_wire::inner::control_server::Control;
 use flamingo_wire::inner::log_server::Log;
 use std::time::{Instant, SystemTime};
-use tokio::sync::mpsc::{Sender, channel};
+use tokio::sync::mpsc::{self, Sender, channel};
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::{Response, Status, Streaming};
 
@@ -26,16 +27,23 @@
     seal: Seal,
     keeper: Addr<Keeper>,
     source: Source,
+    holder: Option<mpsc::Sender<Question>>,
 }
 
 impl Inner {
     /// Builds the server side.
     #[must_use]
-    pub fn new(seal: Seal, keeper: Addr<Keeper>, source: Source) -> Self {
+    pub fn new(
+        seal: Seal,
+        keeper: Addr<Keeper>,
+        source: Source,
+        holder: Option<mpsc::Sender<Question>>,
+    ) -> Self {
         Self {
             seal,
             keeper,
             source,
+            holder,
         }
     }
 }
@@ -60,15 +68,19 @@
             .open(&frame, SystemTime::now())
             .map_err(|error| Status::unauthenticated(error.to_string()))?;
         let from = frame.from;
-        let ask = Ask {
-            request,
-            from: from.clone(),
+        let reply = match (&self.holder, request) {
+            (Some(holder), request @ (Request::Demand(_) | Request::Adapt(_))) => {
+                holder::ask(holder, &from, request).await
+            }
+            (_, request) => self
+                .keeper
+                .send(Ask {
+                    request,
+                    from: from.clone(),
+                })
+                .await
+                .map_err(|error| Status::unavailable(error.to_string()))?,
         };
-        let reply = self
-            .keeper
-            .send(ask)
-            .await
-            .map_err(|error| Status::unavailable(error.to_string()))?;
         let frame = self
             .seal
             .seal(&from, &reply, SystemTime::now())
--- a/crates/flamingo-control/src/keeper.rs
+++ b/crates/flamingo-control/src/keeper.rs
@@ -11,19 +11,21 @@
 use crate::duty::{Duty, Leadership};
 use crate::link::Link;
 use crate::metrics::Metrics;
-use crate::watch::Published;
+use crate::watch::{Published, Routes};
 use crate::writer::{self, Writer};
 use actix::{Actor, AsyncContext, Context, Handler, Message, MessageResult, ResponseFuture};
+use flamingo_daemon::clock;
 use flamingo_log::raft::{Change, Refusal, Seed};
 use flamingo_log::{Disk, Raft};
 use flamingo_state::{Command, State};
 use flamingo_wire::config::Snapshot;
 use flamingo_wire::control::{Beat, Reply, Request};
 use flamingo_wire::frame::Seal;
-use flamingo_wire::{Fault, id};
+use flamingo_wire::{Fault, id, route};
 use forward::Forwarder;
 use slog::{Logger, error, info};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::watch;
@@ -80,6 +82,7 @@
     waiting: Waiting,
     followers: BTreeMap<id::Node, Watched>,
     published: watch::Sender<Published>,
+    routes: watch::Sender<Routes>,
     /// Term of which the state holds the leader's first command.
     led: id::Term,
     /// Term in which this instance proposed its first command.
@@ -102,6 +105,7 @@
     pub fn new(start: Start) -> Self {
         let snapshot = start.state.configuration.snapshot();
         let (published, _) = watch::channel(Arc::new(snapshot));
+        let (routes, _) = watch::channel(start.state.routes.clone());
         Self {
             raft: start.raft,
             state: start.state,
@@ -118,6 +122,7 @@
             waiting: Waiting::default(),
             followers: BTreeMap::new(),
             published,
+            routes,
             led: 0,
             begun: 0,
             flushing: false,
@@ -132,6 +137,12 @@
         self.published.subscribe()
     }
 
+    /// Returns where the newest committed routes are published.
+    #[must_use]
+    pub fn routes(&self) -> watch::Receiver<Routes> {
+        self.routes.subscribe()
+    }
+
     /// Returns the leadership of this instance, if it holds at `now`.
     fn leadership(&self, now: Instant) -> Option<Leadership> {
         let term = self.raft.term();
@@ -149,10 +160,14 @@
             let snapshot: Snapshot = self.state.configuration.snapshot();
             self.published.send_replace(Arc::new(snapshot));
         }
+        let held = |routes: &Option<Arc<route::Set>>| routes.as_ref().map(|set| set.version);
+        if held(&self.state.routes) != held(&self.routes.borrow()) {
+            self.routes.send_replace(self.state.routes.clone());
+        }
     }
 
     fn tick(&mut self, ctx: &mut Context<Self>) {
-        let now = Instant::now();
+        let now = clock::now();
         self.raft.tick(now);
         self.pump(now);
         self.waiting.expire(now);
@@ -221,7 +236,7 @@
                 Ok(writer) => self.writer = Some(writer),
                 Err(error) => {
                     error!(self.log, "no writer thread"; "error" => %error);
-                    self.raft.failed(Instant::now());
+                    self.raft.failed(clock::now());
                 }
             }
         }
@@ -280,11 +295,27 @@
 /// What [`Look`] calls.
 pub type Glance<T> = Box<dyn FnOnce(&State, Option<&Leadership>) -> T + Send>;
 
+/// What [`Members`] answers.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Group {
+    /// Where the members take the inner protocol.
+    pub addresses: Vec<SocketAddr>,
+    /// Where the leader does, if one is known.
+    pub leader: Option<SocketAddr>,
+    /// Entries that follow the routes on this instance.
+    pub followers: usize,
+}
+
 /// Whether this instance can serve: it has a member list and knows a leader.
 #[derive(Debug, Message)]
 #[rtype(result = "bool")]
 pub struct Ready;
 
+/// The members and the leader of the log, as this instance knows them.
+#[derive(Debug, Message)]
+#[rtype(result = "Group")]
+pub struct Members;
+
 /// Gives up leadership and takes no more proposals.
 #[derive(Debug, Message)]
 #[rtype(result = "()")]
@@ -294,7 +325,7 @@
     type Result = ();
 
     fn handle(&mut self, Incoming(message): Incoming, _: &mut Self::Context) {
-        let now = Instant::now();
+        let now = clock::now();
         self.raft.receive(now, message);
         self.pump(now);
     }
@@ -304,7 +335,7 @@
     type Result = ();
 
     fn handle(&mut self, Written(event): Written, _: &mut Self::Context) {
-        let now = Instant::now();
+        let now = clock::now();
         match event {
             writer::Event::Synced(count) => self.raft.synced(now, count),
             writer::Event::Failed(error) => {
@@ -321,7 +352,7 @@
     type Result = ();
 
     fn handle(&mut self, _: Flush, _: &mut Self::Context) {
-        let now = Instant::now();
+        let now = clock::now();
         self.flushing = false;
         self.raft.flush(now);
         self.pump(now);
@@ -332,7 +363,7 @@
     type Result = ();
 
     fn handle(&mut self, Followed(beat): Followed, _: &mut Self::Context) {
-        let until = Instant::now() + FOLLOWER;
+        let until = clock::now() + FOLLOWER;
         let watched = Watched { beat, until };
         self.followers.insert(watched.beat.node.clone(), watched);
     }
@@ -342,7 +373,7 @@
     type Result = ResponseFuture<Reply>;
 
     fn handle(&mut self, Propose(command): Propose, ctx: &mut Self::Context) -> Self::Result {
-        let now = Instant::now();
+        let now = clock::now();
         let waited = self.await_reply(now, command);
         self.flush_soon(ctx);
         waited
@@ -353,7 +384,7 @@
     type Result = ResponseFuture<Reply>;
 
     fn handle(&mut self, ask: Ask, ctx: &mut Self::Context) -> Self::Result {
-        self.ask(Instant::now(), ask, ctx)
+        self.ask(clock::now(), ask, ctx)
     }
 }
 
@@ -361,7 +392,7 @@
     type Result = MessageResult<Enlist>;
 
     fn handle(&mut self, Enlist(change): Enlist, _: &mut Self::Context) -> Self::Result {
-        let now = Instant::now();
+        let now = clock::now();
         let changed = self.raft.change(now, change);
         self.pump(now);
         MessageResult(changed.map_err(|refusal: Refusal| answer::refused(&refusal)))
@@ -372,7 +403,7 @@
     type Result = MessageResult<Look<T>>;
 
     fn handle(&mut self, Look(glance): Look<T>, _: &mut Self::Context) -> Self::Result {
-        let leadership = self.leadership(Instant::now());
+        let leadership = self.leadership(clock::now());
         MessageResult(glance(&self.state, leadership.as_ref()))
     }
 }
@@ -386,12 +417,36 @@
     }
 }
 
+impl Handler<Members> for Keeper {
+    type Result = MessageResult<Members>;
+
+    fn handle(&mut self, _: Members, _: &mut Self::Context) -> Self::Result {
+        let members = self.raft.members();
+        let leader = self.raft.leader();
+        let leader = members
+            .iter()
+            .find(|member| Some(&member.node) == leader)
+            .map(|member| member.address);
+        let addresses = members.iter().map(|member| member.address).collect();
+        let listed = |node: &str| members.iter().any(|member| member.node == node);
+        let followers = self.followers.values();
+        let followers = followers
+            .filter(|watched| watched.beat.routes.is_some() && !listed(&watched.beat.node))
+            .count();
+        MessageResult(Group {
+            addresses,
+            leader,
+            followers,
+        })
+    }
+}
+
 impl Handler<Stop> for Keeper {
     type Result = ();
 
     fn handle(&mut self, _: Stop, _: &mut Self::Context) {
         info!(self.log, "leadership given up to stop");
-        let now = Instant::now();
+        let now = clock::now();
         self.stopping = true;
         self.raft.resign(now);
         self.pump(now);
--- a/crates/flamingo-control/src/keeper/answer.rs
+++ b/crates/flamingo-control/src/keeper/answer.rs
@@ -46,6 +46,13 @@
             Request::Admin(Query::Drain(drain)) => self.commit(now, Command::Drain(drain), ctx),
             Request::Admin(query) => ready(self.read(now, &query)),
             Request::Report(report) => ready(self.report(&report, now)),
+            Request::Route(set) => self.commit(now, Command::Route(set), ctx),
+            Request::Routes if self.raft.lease(now) => {
+                ready(Reply::Routes(self.state.routes.clone()))
+            }
+            Request::Routes => ready(Reply::Refused(leaderless())),
+            // The holder of orders takes these before they come here.
+            Request::Demand(_) | Request::Adapt(_) => ready(Reply::Refused(leaderless())),
             Request::Fetch(fetch) => ready(self.fetch(&fetch)),
         }
     }
--- a/crates/flamingo-control/src/lib.rs
+++ b/crates/flamingo-control/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod daemon;
 pub mod duty;
+pub mod holder;
 pub mod http;
 pub mod inner;
 pub mod keeper;
@@ -12,5 +13,6 @@
 pub mod metrics;
 pub mod orders;
 pub mod packet;
+pub mod registry;
 pub mod watch;
 pub mod writer;
--- a/crates/flamingo-control/src/watch.rs
+++ b/crates/flamingo-control/src/watch.rs
@@ -7,14 +7,17 @@
 
 use crate::keeper::{Followed, Keeper};
 use crate::packet::{BEAT, SILENCE};
+use crate::registry::Registry;
 use actix::Addr;
 use flamingo_wire::config::Snapshot;
 use flamingo_wire::control::{Beat, Push};
 use flamingo_wire::frame::Seal;
-use flamingo_wire::{Frame, id};
-use std::sync::Arc;
+use flamingo_wire::{Frame, id, route};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime};
 use tokio::sync::Semaphore;
+use tokio::sync::broadcast;
+use tokio::sync::broadcast::error::RecvError;
 use tokio::sync::mpsc::Sender;
 use tokio::sync::watch::Receiver;
 use tonic::{Status, Streaming};
@@ -24,9 +27,15 @@
 /// Followers that are sent a whole configuration at a time.
 pub const CATCH_UPS: usize = 16;
 
+/// What comes after the targets that a follower was sent.
+type News = broadcast::Receiver<Arc<Push>>;
+
 /// The configuration as the keeper publishes it.
 pub type Published = Arc<Snapshot>;
 
+/// The routes as the keeper publishes them; none before the first.
+pub type Routes = Option<Arc<route::Set>>;
+
 /// What all followers of this instance share.
 #[derive(Clone, Debug)]
 pub struct Source {
@@ -38,6 +47,10 @@
     pub published: Receiver<Published>,
     /// Permits for whole configurations.
     pub permits: Arc<Semaphore>,
+    /// The newest routes.
+    pub routes: Receiver<Routes>,
+    /// The targets.
+    pub registry: Arc<Mutex<Registry>>,
 }
 
 /// One follower's stream.
@@ -47,6 +60,8 @@
     version: id::Version,
     /// When the next whole configuration may be sent.
     due: Instant,
+    /// Version of the routes that the follower has; absent where it wants none.
+    routes: Option<id::Version>,
     out: Sender<Result<Frame, Status>>,
 }
 
@@ -64,8 +79,13 @@
             node: beat.node.clone(),
             version: beat.version,
             due: Instant::now(),
+            routes: beat.routes,
             out,
         };
+        let mut news = self.follow(&stream).await;
+        if self.push_routes(&mut stream).await.is_none() {
+            return;
+        }
         self.keeper.do_send(Followed(beat));
         let mut deadline = Instant::now() + SILENCE;
         let mut tick = tokio::time::interval(BEAT);
@@ -78,9 +98,28 @@
                     if let Some(beat) = self.beat(&frame) {
                         deadline = Instant::now() + SILENCE;
                         stream.version = stream.version.max(beat.version);
+                        stream.routes = stream.routes.max(beat.routes);
                         self.keeper.do_send(Followed(beat));
                     }
                 }
+                heard = next(&mut news) => {
+                    let told = match heard {
+                        Ok(push) => self.tell(&stream, &push).await,
+                        Err(RecvError::Lagged(_)) => {
+                            news = self.follow(&stream).await;
+                            Some(())
+                        }
+                        Err(RecvError::Closed) => None,
+                    };
+                    if told.is_none() {
+                        return;
+                    }
+                }
+                changed = self.routes.changed() => {
+                    if changed.is_err() || self.push_routes(&mut stream).await.is_none() {
+                        return;
+                    }
+                }
                 changed = self.published.changed() => {
                     if changed.is_err() || self.push(&mut stream, false).await.is_none() {
                         return;
@@ -101,6 +140,33 @@
         (beat.node == frame.from).then_some(beat)
     }
 
+    /// Sends all known targets to a follower that wants them, and returns what comes after.
+    async fn follow(&self, stream: &Stream) -> Option<News> {
+        stream.routes?;
+        let (all, news) = lock(&self.registry).follow();
+        self.tell(stream, &Push::Targets(all)).await?;
+        Some(news)
+    }
+
+    /// Sends one push.
+    async fn tell(&self, stream: &Stream, push: &Push) -> Option<()> {
+        let frame = self.frame(&stream.node, push)?;
+        send(&stream.out, frame).await
+    }
+
+    /// Sends newer routes to a follower that wants them.
+    async fn push_routes(&mut self, stream: &mut Stream) -> Option<()> {
+        let newest = self.routes.borrow_and_update().clone();
+        let (Some(newest), Some(held)) = (newest, stream.routes) else {
+            return Some(());
+        };
+        if newest.version <= held {
+            return Some(());
+        }
+        stream.routes = Some(newest.version);
+        self.tell(stream, &Push::Routes(newest)).await
+    }
+
     /// Sends what is newer, or a beat; nothing where the stream has ended.
     async fn push(&mut self, stream: &mut Stream, beat: bool) -> Option<()> {
         let newest = Arc::clone(&self.published.borrow_and_update());
@@ -129,6 +195,19 @@
     }
 }
 
+/// Waits for what is new of targets; for ever where the follower wants none.
+async fn next(news: &mut Option<News>) -> Result<Arc<Push>, RecvError> {
+    match news {
+        Some(news) => news.recv().await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Locks the targets; a panic elsewhere leaves them whole.
+pub fn lock(registry: &Mutex<Registry>) -> MutexGuard<'_, Registry> {
+    registry.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Sends a frame; a stream that takes none within [`SILENCE`] has ended.
 async fn send(out: &Sender<Result<Frame, Status>>, frame: Frame) -> Option<()> {
     let sent = tokio::time::timeout(SILENCE, out.send(Ok(frame))).await;
--- a/crates/flamingo-daemon/src/lib.rs
+++ b/crates/flamingo-daemon/src/lib.rs
@@ -1,6 +1,7 @@
 //! What the daemons share: logs, signals, keys, TLS and answers to HTTP callers.
 
 pub mod answer;
+pub mod clock;
 pub mod fresh;
 pub mod guard;
 pub mod key;
--- a/crates/flamingo-link/src/lib.rs
+++ b/crates/flamingo-link/src/lib.rs
@@ -6,6 +6,7 @@
 //! silent connection past a stored deadline.
 
 pub mod ask;
+pub mod feed;
 pub mod link;
 pub mod report;
 pub mod status;
--- a/crates/flamingo-link/src/watch.rs
+++ b/crates/flamingo-link/src/watch.rs
@@ -122,6 +122,7 @@
         node: shared.node.clone(),
         zone: shared.zone.clone(),
         version: shared.machine().version(),
+        routes: None,
     };
     if let Ok(frame) = shared.seal.seal(&peer.node, &beat, SystemTime::now()) {
         let _ = beats.try_send(frame);
@@ -136,6 +137,8 @@
             install(shared, &snapshot);
             true
         }
+        // Said only to those that follow routes.
+        Ok(_) => true,
         Err(error) => {
             warn!(shared.log, "push refused"; "error" => %error);
             false
--- a/crates/flamingo-log/src/raft.rs
+++ b/crates/flamingo-log/src/raft.rs
@@ -99,6 +99,22 @@
     pub address: SocketAddr,
 }
 
+/// How the member list changes without an operator.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Growth {
+    /// It does not.
+    #[default]
+    Closed,
+    /// A member that asks is let in as a learner, and a silent voter is voted out
+    /// while more than `keep` vote.
+    Open {
+        /// Voters that stay, silent or not.
+        keep: usize,
+        /// Whether this member may take part in making the first list.
+        founds: bool,
+    },
+}
+
 /// What a member is told at its start.
 #[derive(Clone, Debug)]
 pub struct Start {
@@ -110,6 +126,8 @@
     pub seeds: Vec<Seed>,
     /// Times.
     pub timing: Timing,
+    /// How the member list changes by itself.
+    pub growth: Growth,
     /// Seed of the jitter.
     pub seed: u64,
     /// What the disk held.
@@ -151,6 +169,7 @@
     storage: Storage,
     seeds: Vec<Seed>,
     timing: Timing,
+    growth: Growth,
     jitter: u64,
     vote: Vote,
     journal: Journal,
@@ -182,6 +201,7 @@
             storage: stored.storage,
             seeds: start.seeds,
             timing: start.timing,
+            growth: start.growth,
             jitter: start.seed,
             vote: stored.vote,
             journal: Journal::new(stored.snapshot, stored.entries),
--- a/crates/flamingo-log/src/raft/election.rs
+++ b/crates/flamingo-log/src/raft/election.rs
@@ -117,6 +117,10 @@
             self.ask_to_join();
             return;
         }
+        if pre && matches!(self.growth, super::Growth::Open { .. }) {
+            // It may have been voted out while it was silent.
+            self.ask_to_join();
+        }
         if self.broken {
             return;
         }
--- a/crates/flamingo-log/src/raft/leader.rs
+++ b/crates/flamingo-log/src/raft/leader.rs
@@ -162,6 +162,14 @@
         self.peers.get(node).map_or(0, |peer| peer.matched)
     }
 
+    /// Returns the voter that has been silent the longest, if for `limit` at `now`.
+    pub fn silent(&self, now: Instant, limit: std::time::Duration) -> Option<id::Node> {
+        let voters = self.peers.iter().filter(|(_, peer)| peer.votes);
+        let heard = voters.map(|(node, peer)| (peer.heard.unwrap_or(self.since), node));
+        let (heard, node) = heard.min()?;
+        (now >= heard + limit).then(|| node.clone())
+    }
+
     /// Returns when the newest heartbeat that a majority answered was sent.
     fn confirmed(&self) -> Option<Instant> {
         if self.alone.is_some() {
--- a/crates/flamingo-log/src/raft/membership.rs
+++ b/crates/flamingo-log/src/raft/membership.rs
@@ -4,7 +4,7 @@
 //! once it holds all that is committed. Before that its old identity loses its
 //! vote, so that no majority rests on what the lost disk once acknowledged.
 
-use super::{Raft, Refusal, Seed, Standing};
+use super::{Growth, Raft, Refusal, Seed, Standing};
 use crate::entry::{Member, Payload, Storage};
 use crate::message::Body;
 use crate::raft::leader::Progress;
@@ -89,6 +89,7 @@
             return;
         }
         let Some(member) = self.member(from).cloned() else {
+            self.admit(now, from, storage, address);
             return;
         };
         if member.storage == storage {
@@ -107,6 +108,43 @@
         self.enlist(now, members);
     }
 
+    /// Lets a stranger in as a learner, where the member list is open.
+    fn admit(&mut self, now: Instant, from: &str, storage: Storage, address: SocketAddr) {
+        let open = matches!(self.growth, Growth::Open { .. });
+        if !open || self.leading().is_err() || !self.settled() {
+            return;
+        }
+        let mut members = self.journal.members().to_vec();
+        members.push(Member {
+            node: from.to_owned(),
+            address,
+            storage,
+            votes: false,
+            replaces: None,
+        });
+        self.enlist(now, members);
+    }
+
+    /// Votes out a voter that stays silent, while enough others vote: it was
+    /// replaced, or asks to be let in again when it comes back.
+    fn dismiss(&mut self, now: Instant) {
+        let Growth::Open { keep, .. } = self.growth else {
+            return;
+        };
+        let Standing::Leader(leader) = &self.standing else {
+            return;
+        };
+        let mut members = self.journal.members().to_vec();
+        let voters = members.iter().filter(|member| member.votes).count();
+        if voters <= keep {
+            return;
+        }
+        if let Some(silent) = leader.silent(now, self.timing.gone) {
+            members.retain(|member| member.node != silent);
+            self.enlist(now, members);
+        }
+    }
+
     /// Tells a listed member the first member list, where the log starts there.
     fn greet(&mut self, to: &str, storage: Storage) {
         if self.journal.base() == 0 {
@@ -163,7 +201,9 @@
             let old = member.replaces.take();
             members.retain(|member| Some(&member.node) != old.as_ref());
             self.enlist(now, members);
+            return;
         }
+        self.dismiss(now);
     }
 
     /// Returns a learner that holds all that is committed.
--- a/crates/flamingo-log/src/timing.rs
+++ b/crates/flamingo-log/src/timing.rs
@@ -14,6 +14,8 @@
     ///
     /// Shorter than [`Timing::election`] by the drift that clocks may have.
     pub lease: Duration,
+    /// Silence after which a voter may be voted out, where the member list is open.
+    pub gone: Duration,
 }
 
 impl Default for Timing {
@@ -22,6 +24,7 @@
             heartbeat: Duration::from_millis(100),
             election: Duration::from_secs(1),
             lease: Duration::from_millis(800),
+            gone: Duration::from_secs(4),
         }
     }
 }
--- /dev/null
+++ b/crates/flamingo-serve/src/lib.rs
@@ -0,0 +1,19 @@
+//! Takes callers' requests on routes to targets that register with control.
+//!
+//! The words of a wire are behind [`wire::Wire`]; what is decided is pure and stands in
+//! [`table`], [`choice`] and [`budget`]; the rest is sockets and tasks around it. All of it
+//! runs on one thread.
+
+pub mod body;
+pub mod budget;
+pub mod choice;
+pub mod desk;
+pub mod events;
+pub mod exchange;
+pub mod front;
+pub mod life;
+pub mod news;
+pub mod pool;
+pub mod relay;
+pub mod table;
+pub mod wire;
--- /dev/null
+++ b/crates/flamingo-serve/src/life.rs
@@ -0,0 +1,56 @@
+//! An entry's readiness, upkeep and end.
+
+use crate::desk::Desk;
+use crate::front::{Drain, Manners};
+use crate::news::News;
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Time between two rounds of upkeep.
+const ROUND: Duration = Duration::from_millis(500);
+/// Time after the wish to stop for which new callers may still come: until whoever sends
+/// them has asked twice whether this entry is ready.
+const LAST: Duration = Duration::from_millis(2_600);
+/// Time before the longest stop at which the process ends whatever it does.
+const SPARE: Duration = Duration::from_millis(400);
+/// Time between two looks at what is still being answered.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// Returns whether the entry can serve callers: it knows routes and a target, and goes on.
+#[must_use]
+pub fn ready(news: &News, drain: &Drain) -> bool {
+    let known = news.routes.borrow().is_some();
+    let target = news.table.borrow().iter().any(crate::table::Target::open);
+    known && target && !drain.begun()
+}
+
+/// Keeps connections and limits current, for ever.
+pub async fn keep(desk: Rc<Desk>, manners: Rc<Cell<Manners>>) {
+    loop {
+        tokio::time::sleep(ROUND).await;
+        let now = Instant::now();
+        let news = desk.news();
+        news.pool.borrow_mut().sweep(now);
+        news.table.borrow_mut().sweep(now);
+        let routes = news.routes.borrow().clone();
+        if let Some(routes) = routes {
+            manners.set(Manners::new(&routes.set.limits));
+        }
+    }
+}
+
+/// Ends what is being answered, `grace` after the wish to stop at the latest.
+pub async fn end(drain: &Drain, grace: Duration) {
+    drain.begin();
+    let begun = Instant::now();
+    let last = begun + grace.saturating_sub(SPARE);
+    let first = last.min(begun + LAST);
+    while Instant::now() < last {
+        let done = drain.busy() == 0 && Instant::now() >= first;
+        if done {
+            return;
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+}
--- /dev/null
+++ b/crates/flamingo-serve/src/table.rs
@@ -0,0 +1,286 @@
+//! The targets as one entry knows them: their words, what they hold, and their load.
+
+use crate::wire::{Load, Part, Piece};
+use flamingo_wire::control::Push;
+use flamingo_wire::id;
+use flamingo_wire::target::{Holding, Registration, Resident};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// Silence after which a target is taken only where no other is left; several check-ins.
+const SILENT: Duration = Duration::from_secs(4);
+/// Silence after which a target is forgotten.
+const FORGET: Duration = Duration::from_secs(30);
+/// Time for which a target that failed is taken only where no other is left.
+const AVOID: Duration = Duration::from_secs(1);
+/// Time for which a target that lacked a model is not asked for it again.
+const LACK: Duration = Duration::from_millis(300);
+/// Part of a target's memory for prompts that is taken to keep what was read last.
+const KEPT: f64 = 0.6;
+/// Prompt parts remembered for one target.
+const PARTS: usize = 4_096;
+
+/// Requests that were sent to a target and have not ended.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Work {
+    /// Requests that were sent.
+    pub running: u32,
+    /// Tokens of prompts of which no first event has come.
+    pub reading: u32,
+}
+
+/// A part of a prompt under a model and adapter.
+type Key = (u64, Part);
+
+/// A target.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// Its newest word.
+    pub word: Registration,
+    /// Models that it holds, by its own word or that of the holder of its orders.
+    pub models: Vec<Resident>,
+    /// Requests of this entry.
+    pub own: Work,
+    /// Requests of the other entries, as control last told.
+    pub others: Work,
+    heard: Instant,
+    avoided: Option<Instant>,
+    lacks: HashMap<id::Model, Instant>,
+    /// Tokens read so far, and their count when a part was last read.
+    read: u64,
+    parts: HashMap<Key, u64>,
+}
+
+impl Target {
+    fn new(word: Registration, now: Instant) -> Self {
+        Self {
+            models: word.models.clone(),
+            word,
+            own: Work::default(),
+            others: Work::default(),
+            heard: now,
+            avoided: None,
+            lacks: HashMap::new(),
+            read: 0,
+            parts: HashMap::new(),
+        }
+    }
+
+    /// Returns whether it may take new requests.
+    #[must_use]
+    pub fn open(&self) -> bool {
+        !self.word.leaving && !self.word.gone
+    }
+
+    /// Returns whether it holds `model`.
+    #[must_use]
+    pub fn holds(&self, model: &str, now: Instant) -> bool {
+        let lacked = self.lacks.get(model).is_some_and(|until| now < *until);
+        !lacked && self.models.iter().any(|held| held.model == model)
+    }
+
+    /// Returns whether it holds `adapter` of `model`.
+    #[must_use]
+    pub fn adapted(&self, model: &str, adapter: &str) -> bool {
+        let held = self.models.iter().find(|held| held.model == model);
+        held.is_some_and(|held| held.adapters.iter().any(|known| known == adapter))
+    }
+
+    /// Returns whether it failed a short time ago.
+    #[must_use]
+    pub fn avoided(&self, now: Instant) -> bool {
+        self.avoided.is_some_and(|until| now < until)
+    }
+
+    /// Returns how many tokens at the beginning of a prompt it is taken to keep.
+    #[must_use]
+    pub fn kept(&self, space: u64, pieces: &[Piece], capacity: u64) -> u32 {
+        #[allow(clippy::cast_precision_loss, reason = "an estimate")]
+        let reach = capacity as f64 * KEPT;
+        let mut kept = 0;
+        for piece in pieces {
+            let Some(read) = self.parts.get(&(space, piece.part)) else {
+                break;
+            };
+            #[allow(clippy::cast_precision_loss, reason = "an estimate")]
+            let since = (self.read - read) as f64;
+            if since > reach {
+                break;
+            }
+            kept += piece.tokens;
+        }
+        kept
+    }
+
+    /// Notes that a prompt was sent to it, of which it has to read `fresh` tokens.
+    pub fn reads(&mut self, space: u64, pieces: &[Piece], fresh: u32) {
+        self.read += u64::from(fresh);
+        if self.parts.len() > PARTS {
+            self.parts.clear();
+        }
+        for piece in pieces {
+            self.parts.insert((space, piece.part), self.read);
+        }
+    }
+}
+
+/// The targets of all services.
+#[derive(Debug, Default)]
+pub struct Table {
+    targets: BTreeMap<id::Target, Target>,
+    /// When any control instance was last heard.
+    fed: Option<Instant>,
+}
+
+impl Table {
+    /// Takes what the control instance `from` tells of targets; returns those whose
+    /// connections are of no more use.
+    pub fn take(&mut self, now: Instant, from: SocketAddr, push: &Push) -> Vec<id::Target> {
+        let _ = from;
+        self.fed = Some(now);
+        let mut ended = Vec::new();
+        match push {
+            Push::Targets(words) => {
+                for word in words {
+                    ended.extend(self.hear(now, word));
+                }
+            }
+            Push::Heard(ids) => {
+                for id in ids {
+                    if let Some(target) = self.targets.get_mut(id) {
+                        target.heard = now;
+                    }
+                }
+            }
+            Push::Holdings(holdings) => {
+                for holding in holdings {
+                    self.hold(holding);
+                }
+            }
+            _ => {}
+        }
+        ended
+    }
+
+    /// Takes a target's word; returns the target where it is a new one under an old name, or
+    /// has gone.
+    fn hear(&mut self, now: Instant, word: &Registration) -> Option<id::Target> {
+        let Some(known) = self.targets.get_mut(&word.id) else {
+            let target = Target::new(word.clone(), now);
+            self.targets.insert(word.id.clone(), target);
+            return None;
+        };
+        if !word.supersedes(&known.word) {
+            return None;
+        }
+        known.heard = now;
+        let restarted = known.word.incarnation != word.incarnation;
+        if restarted {
+            let own = known.own;
+            *known = Target::new(word.clone(), now);
+            known.own = own;
+            return Some(word.id.clone());
+        }
+        if known.word.models != word.models {
+            known.models.clone_from(&word.models);
+        }
+        known.word = word.clone();
+        word.gone.then(|| word.id.clone())
+    }
+
+    fn hold(&mut self, holding: &Holding) {
+        if let Some(target) = self.targets.get_mut(&holding.target)
+            && target.word.incarnation == holding.incarnation
+        {
+            target.models.clone_from(&holding.models);
+            target.lacks.clear();
+        }
+    }
+
+    /// Returns whether a target has fallen silent, while control was heard.
+    #[must_use]
+    pub fn silent(&self, target: &Target) -> bool {
+        self.fed.is_some_and(|fed| fed > target.heard + SILENT)
+    }
+
+    /// Forgets targets that were silent for long, and those that have gone.
+    pub fn sweep(&mut self, now: Instant) {
+        let fed = self.fed.unwrap_or(now);
+        self.targets.retain(|_, target| {
+            let gone = target.word.gone && target.own.running == 0;
+            let silent = fed > target.heard + FORGET;
+            !(gone && now > target.heard + FORGET) && !silent
+        });
+    }
+
+    /// Returns the targets of a service.
+    pub fn of<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Target> {
+        let targets = self.targets.values();
+        targets.filter(move |target| target.word.service == service)
+    }
+
+    /// Returns a target.
+    #[must_use]
+    pub fn get(&self, id: &str) -> Option<&Target> {
+        self.targets.get(id)
+    }
+
+    /// Returns a target, to be changed.
+    pub fn get_mut(&mut self, id: &str) -> Option<&mut Target> {
+        self.targets.get_mut(id)
+    }
+
+    /// Returns all targets.
+    pub fn iter(&self) -> impl Iterator<Item = &Target> {
+        self.targets.values()
+    }
+
+    /// Notes that a target could not be reached or broke off.
+    pub fn failed(&mut self, id: &str, now: Instant) {
+        if let Some(target) = self.targets.get_mut(id) {
+            target.avoided = Some(now + AVOID);
+        }
+    }
+
+    /// Notes that a target said that it lacks `model`.
+    pub fn lacked(&mut self, id: &str, model: &str, now: Instant) {
+        if let Some(target) = self.targets.get_mut(id) {
+            target.lacks.insert(model.to_owned(), now + LACK);
+        }
+    }
+
+    /// Notes that a target holds an adapter.
+    pub fn adapted(&mut self, id: &str, model: &str, adapter: &str) {
+        let Some(target) = self.targets.get_mut(id) else {
+            return;
+        };
+        if target.adapted(model, adapter) {
+            return;
+        }
+        let held = target.models.iter_mut().find(|held| held.model == model);
+        if let Some(held) = held {
+            held.adapters.push(adapter.to_owned());
+        }
+    }
+
+    /// Notes that a target said that it lacks an adapter.
+    pub fn bared(&mut self, id: &str, model: &str, adapter: &str) {
+        let target = self.targets.get_mut(id);
+        let held = target.and_then(|target| {
+            let mut models = target.models.iter_mut();
+            models.find(|held| held.model == model)
+        });
+        if let Some(held) = held {
+            held.adapters.retain(|known| known != adapter);
+        }
+    }
+
+    /// Takes a target's own word on its load.
+    pub fn loaded(&mut self, id: &str, load: Load) {
+        if let Some(target) = self.targets.get_mut(id) {
+            let all = load.running + load.waiting;
+            target.others.running = all.saturating_sub(target.own.running);
+        }
+    }
+}
--- a/crates/flamingo-state/src/command.rs
+++ b/crates/flamingo-state/src/command.rs
@@ -1,8 +1,9 @@
 //! What is committed to the log.
 
 use flamingo_wire::control::{Answer, Call};
-use flamingo_wire::{admin, config, id, place};
+use flamingo_wire::{admin, config, id, place, route};
 use serde::{Deserialize, Serialize};
+use std::sync::Arc;
 use std::time::SystemTime;
 use strum::{Display, IntoStaticStr};
 
@@ -24,6 +25,10 @@
     Intend(place::Order),
     /// Records how an order ended.
     Settle(place::Settlement),
+    /// Puts routes in force, unless a higher version is.
+    Route(Arc<route::Set>),
+    /// Records that so many loads from the weight store are about to begin.
+    Load(u32),
 }
 
 /// A command with the time at which the leader took it.
--- a/crates/flamingo-state/src/state.rs
+++ b/crates/flamingo-state/src/state.rs
@@ -5,9 +5,13 @@
 use crate::configuration::Configuration;
 use crate::orders::Orders;
 use flamingo_wire::control::Reply;
-use flamingo_wire::id;
+use flamingo_wire::{id, route};
 use serde::{Deserialize, Serialize};
-use std::time::SystemTime;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime};
+
+/// Time for which begun loads are remembered; longer than any window of a store's ceiling.
+const LOADS: Duration = Duration::from_secs(60);
 
 /// The whole state.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -20,6 +24,12 @@
     pub orders: Orders,
     /// Newest time of any command; it never goes back.
     pub clock: SystemTime,
+    /// The routes in force.
+    #[serde(default)]
+    pub routes: Option<Arc<route::Set>>,
+    /// When loads from the weight store began, the newest last.
+    #[serde(default)]
+    pub loads: Vec<SystemTime>,
 }
 
 impl Default for State {
@@ -29,6 +39,8 @@
             calls: Calls::default(),
             orders: Orders::default(),
             clock: SystemTime::UNIX_EPOCH,
+            routes: None,
+            loads: Vec::new(),
         }
     }
 }
@@ -57,7 +69,26 @@
             Command::Finish(answer) => self.calls.finish(answer, now),
             Command::Intend(order) => self.orders.intend(order, now),
             Command::Settle(settlement) => self.orders.settle(&settlement),
+            Command::Route(set) => self.route(set),
+            Command::Load(count) => self.load(count, now),
+        }
+    }
+
+    /// Puts routes in force; a version that is not higher changes nothing and is
+    /// acknowledged, so that a resend of what was accepted is never refused.
+    fn route(&mut self, set: Arc<route::Set>) -> Reply {
+        let version = self.routes.as_ref().map_or(0, |set| set.version);
+        if self.routes.is_none() || set.version > version {
+            self.routes = Some(set);
         }
+        Reply::Accepted(self.routes.as_ref().map_or(0, |set| set.version))
+    }
+
+    fn load(&mut self, count: u32, now: SystemTime) -> Reply {
+        self.loads
+            .retain(|begun| now.duration_since(*begun).unwrap_or_default() < LOADS);
+        self.loads.extend((0..count).map(|_| now));
+        Reply::Noted
     }
 
     /// Returns the fencing number of the newest leadership.
--- a/crates/flamingo-test-support/src/group.rs
+++ b/crates/flamingo-test-support/src/group.rs
@@ -6,7 +6,7 @@
 //! leaders, and who may answer reads knows all that was committed.
 
 use flamingo_log::disk::Stored;
-use flamingo_log::raft::{Seed, Slot, Start};
+use flamingo_log::raft::{Growth, Seed, Slot, Start};
 use flamingo_log::{Action, Entry, Member, Message, Payload, Raft, Record, Role, Timing};
 use flamingo_wire::id;
 use serde::{Deserialize, Serialize};
@@ -149,6 +149,7 @@
             address: address(n),
             seeds,
             timing: Timing::default(),
+            growth: Growth::default(),
             seed,
             stored: node.stored.clone(),
         };
--- a/crates/flamingo-wire/src/control.rs
+++ b/crates/flamingo-wire/src/control.rs
@@ -6,7 +6,10 @@
 use crate::fault::Fault;
 use crate::id;
 use crate::outcome::Verdict;
+use crate::{route, target};
 use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::sync::Arc;
 
 /// A question to a control instance.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -23,6 +26,27 @@
     Report(Report),
     /// An operator's question or wish.
     Admin(admin::Query),
+    /// Put routes in force, unless a higher version is.
+    Route(Arc<route::Set>),
+    /// Give the routes in force, as the leader knows them for sure.
+    Routes,
+    /// Demand for models at one entry since its last report.
+    Demand(Vec<target::Demand>),
+    /// Bring an adapter to a target that holds its model.
+    Adapt(Adapt),
+}
+
+/// Asks for an adapter on a target.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Adapt {
+    /// The target.
+    pub target: id::Target,
+    /// Its incarnation, as the asker knows it.
+    pub incarnation: id::Incarnation,
+    /// The model.
+    pub model: id::Model,
+    /// The adapter.
+    pub adapter: id::Adapter,
 }
 
 /// What a follower of the configuration says, at least once a second.
@@ -34,15 +58,40 @@
     pub zone: id::Zone,
     /// Version that it has in force.
     pub version: id::Version,
+    /// Version of the routes that it has in force, 0 for none; absent where it follows
+    /// neither routes nor targets.
+    #[serde(default)]
+    pub routes: Option<id::Version>,
 }
 
 /// What a control instance tells its followers, at least once a second.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Push {
     /// Nothing newer than this version.
     Beat(id::Version),
     /// A newer configuration.
     Config(config::Snapshot),
+    /// Newer routes.
+    Routes(Arc<route::Set>),
+    /// Words of targets that are new to this instance, or all that it knows.
+    Targets(Vec<target::Registration>),
+    /// Targets that were heard, with nothing new to say.
+    Heard(Vec<id::Target>),
+    /// Models of targets, as the holder of their orders knows them.
+    Holdings(Vec<target::Holding>),
+    /// The other processes of the system as this instance knows them.
+    Peers(Peers),
+}
+
+/// The processes of the system.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Peers {
+    /// Where control instances take the inner protocol.
+    pub controls: Vec<SocketAddr>,
+    /// Entries that follow this instance.
+    pub entries: u32,
+    /// The control instance that leads, where one is known.
+    pub leader: Option<SocketAddr>,
 }
 
 /// Asks for a configuration newer than a known one.
@@ -138,6 +187,8 @@
     Noted,
     /// The answer to an operator.
     Admin(admin::Answer),
+    /// The routes in force; none where none were ever accepted.
+    Routes(Option<Arc<route::Set>>),
     /// Refused, with the reason.
     Refused(Fault),
 }
--- a/crates/flamingo-wire/src/lib.rs
+++ b/crates/flamingo-wire/src/lib.rs
@@ -16,6 +16,8 @@
 pub mod id;
 pub mod outcome;
 pub mod place;
+pub mod route;
+pub mod target;
 
 /// Code generated from `proto/inner.proto`; see `flamingo-codegen`.
 #[allow(clippy::pedantic, missing_docs)]
--- /dev/null
+++ b/crates/flamingo-wire/src/target.rs
@@ -0,0 +1,93 @@
+//! Targets that register with control instances, as these tell it to entries.
+
+use crate::id;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// A model that a target holds.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Resident {
+    /// The model.
+    pub model: id::Model,
+    /// Its adapters that the target holds.
+    pub adapters: Vec<id::Adapter>,
+}
+
+/// What a target said of itself last.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Registration {
+    /// Its name.
+    pub id: id::Target,
+    /// When it started; a later start of the same name supersedes.
+    pub incarnation: id::Incarnation,
+    /// Number of the word of this incarnation; a late one has a lower number.
+    pub sequence: id::Sequence,
+    /// The service that it belongs to.
+    pub service: id::Service,
+    /// Where it takes requests.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: id::Zone,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it is about to go: it takes no new request.
+    pub leaving: bool,
+    /// Whether it has gone.
+    pub gone: bool,
+    /// Models that it holds.
+    pub models: Vec<Resident>,
+    /// Models of which its host memory keeps a copy.
+    pub in_memory: Vec<id::Model>,
+    /// Models of which its disk keeps a copy.
+    pub on_disk: Vec<id::Model>,
+}
+
+impl Registration {
+    /// Returns whether this word is newer than `other`, of the same target.
+    #[must_use]
+    pub fn supersedes(&self, other: &Self) -> bool {
+        if self.incarnation != other.incarnation {
+            return self.incarnation > other.incarnation;
+        }
+        if other.gone {
+            return false;
+        }
+        self.gone || self.sequence > other.sequence
+    }
+
+    /// Returns whether only the sequence differs from `other`.
+    #[must_use]
+    pub fn same(&self, other: &Self) -> bool {
+        let mut like = other.clone();
+        like.sequence = self.sequence;
+        &like == self
+    }
+}
+
+/// Models of a target as the holder of its orders knows them.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Holding {
+    /// The target.
+    pub target: id::Target,
+    /// Its incarnation.
+    pub incarnation: id::Incarnation,
+    /// Models that it holds.
+    pub models: Vec<Resident>,
+}
+
+/// Demand for one model since the last report of an entry.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Demand {
+    /// The service.
+    pub service: id::Service,
+    /// The model.
+    pub model: id::Model,
+    /// Tokens of prompts to read, and ten times the tokens to write, that arrived.
+    pub work: f64,
+    /// Requests that arrived.
+    pub requests: u32,
+    /// Requests refused because no target held the model or had room for it.
+    pub refused: u32,
+    /// Requests that wait for room, or for the model.
+    pub waiting: u32,
+}
