--- a/crates/flamingo-control/src/holder/account.rs
+++ b/crates/flamingo-control/src/holder/account.rs
@@ -7,7 +7,10 @@
 use flamingo_wire::id;
 use flamingo_wire::target::{Holding, Registration, Resident};
 use std::collections::BTreeMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+/// Time for which an adapter that was asked for is taken to be in use.
+const FRESH: Duration = Duration::from_millis(400);
 
 /// An adapter that an engine holds or may hold.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -24,7 +27,13 @@
     /// Its newest word.
     pub word: Registration,
     /// Orders that it has taken; unknown until it was asked.
-    pub sequence: Option<u64>,
+    sequence: Option<u64>,
+    /// Whether it has to be asked before the next order.
+    doubt: bool,
+    /// Whether it said that it carries out an order.
+    busy: bool,
+    /// When the next move may begin, after one that failed.
+    pub rest: Option<Instant>,
     /// The models that it holds or may hold, with their adapters.
     models: BTreeMap<id::Model, BTreeMap<id::Adapter, Held>>,
     /// A model that it is about to hold.
@@ -42,6 +51,9 @@
         let mut account = Self {
             word,
             sequence: None,
+            doubt: false,
+            busy: false,
+            rest: None,
             models: BTreeMap::new(),
             loading: None,
             leaving: None,
@@ -65,9 +77,28 @@
         self.models = fresh;
     }
 
-    /// Takes the engine's own account. What was ordered without an answer and has not shown
-    /// can't come any more where other orders were taken since.
+    /// Returns the number of orders that it has taken, where that is known.
+    #[must_use]
+    pub fn sequence(&self) -> Option<u64> {
+        self.sequence.filter(|_| !self.doubt)
+    }
+
+    /// Returns whether it takes no order for a model now.
+    #[must_use]
+    pub fn occupied(&self, now: Instant) -> bool {
+        let rests = self.rest.is_some_and(|rest| now < rest);
+        self.moving || self.busy || rests || self.sequence().is_none()
+    }
+
+    /// Takes the engine's own account, unless it is older than the last order. What was
+    /// ordered without an answer and has not shown can't come any more where other orders
+    /// were taken since.
     pub fn reported(&mut self, report: &Report, now: Instant) {
+        if self.sequence.is_some_and(|known| report.sequence < known) {
+            return;
+        }
+        self.doubt = false;
+        self.busy = report.busy;
         let unclear: Vec<(id::Model, id::Adapter, Held)> = self
             .models
             .iter()
@@ -96,12 +127,16 @@
 
     /// Takes what came of an order.
     pub fn settle(&mut self, order: &Order, outcome: Outcome, now: Instant) {
-        if outcome == Outcome::Begun {
+        // An unused adapter goes at once; what is there already counts for nothing.
+        let gone = outcome == Outcome::Holds && order.operation == Operation::Unload;
+        if outcome == Outcome::Begun || gone {
             self.sequence = Some(order.expected + 1);
         }
-        if matches!(outcome, Outcome::Holds | Outcome::Unclear | Outcome::Conflict) {
-            // Asked before the next order.
-            self.sequence = None;
+        if matches!(outcome, Outcome::Unclear | Outcome::Conflict) {
+            self.doubt = true;
+        }
+        if outcome == Outcome::Begun && order.adapter.is_none() {
+            self.busy = true;
         }
         let taken = matches!(outcome, Outcome::Begun | Outcome::Holds);
         match (&order.adapter, order.operation) {
@@ -149,12 +184,19 @@
         self.models.values().map(BTreeMap::len).sum()
     }
 
-    /// Returns the adapter that was asked for the longest ago.
+    /// Returns the adapter that was asked for the longest ago, among those that no request
+    /// uses.
     #[must_use]
-    pub fn stale(&self) -> Option<(id::Model, id::Adapter)> {
+    pub fn stale(&self, used: &[Resident], now: Instant) -> Option<(id::Model, id::Adapter)> {
+        let in_use = |model: &str, adapter: &id::Adapter| {
+            let mut used = used.iter().filter(|used| used.model == model);
+            used.any(|used| used.adapters.contains(adapter))
+        };
         let all = self.models.iter().flat_map(|(model, adapters)| {
-            let sure = adapters.iter().filter(|(_, held)| held.sure);
-            sure.map(move |(adapter, held)| (held.used, model, adapter))
+            let idle = adapters.iter().filter(|(adapter, held)| {
+                held.sure && now > held.used + FRESH && !in_use(model, adapter)
+            });
+            idle.map(move |(adapter, held)| (held.used, model, adapter))
         });
         let (_, model, adapter) = all.min()?;
         Some((model.clone(), adapter.clone()))
@@ -199,6 +241,7 @@
             target: self.word.id.clone(),
             incarnation: self.word.incarnation,
             models: models.collect(),
+            moving: self.moving || self.busy,
         }
     }
 }
--- a/crates/flamingo-control/src/holder/demand.rs
+++ b/crates/flamingo-control/src/holder/demand.rs
@@ -1,7 +1,7 @@
 //! Demand and load as the entries tell them.
 
 use flamingo_wire::id;
-use flamingo_wire::target::{Load, Tally};
+use flamingo_wire::target::{Load, Resident, Tally};
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
@@ -55,6 +55,14 @@
         self.rates.get(&key).map_or(0.0, |rate| rate.at(now))
     }
 
+    /// Returns the adapters of a target that requests of entries use.
+    #[must_use]
+    pub fn adapters(&self, target: &str) -> Vec<Resident> {
+        let loads = self.entries.values().flat_map(|(_, loads)| loads);
+        let loads = loads.filter(|load| load.target == target);
+        loads.flat_map(|load| load.adapters.clone()).collect()
+    }
+
     /// Returns the requests of all entries together.
     #[must_use]
     pub fn loads(&mut self, now: Instant) -> Vec<Load> {
--- a/crates/flamingo-control/src/holder/mod.rs
+++ b/crates/flamingo-control/src/holder/mod.rs
@@ -266,7 +266,8 @@
         for (id, account) in &term.accounts {
             let asked = term.asked.get(id);
             let due = asked.is_none_or(|asked| {
-                let pause = if account.sequence.is_some() { ASK } else { ROUND * 3 };
+                let known = account.sequence().is_some() && !account.occupied(now);
+                let pause = if known { ASK } else { ROUND * 3 };
                 now >= *asked + pause
             });
             if due && !account.moving {
--- a/crates/flamingo-control/src/holder/moves.rs
+++ b/crates/flamingo-control/src/holder/moves.rs
@@ -18,6 +18,8 @@
 const NOTICE: Duration = Duration::from_millis(30);
 /// Longest time for which an order is waited for.
 const LONGEST: Duration = Duration::from_secs(40);
+/// Time after a move that failed before the engine is given another.
+const REST: Duration = Duration::from_secs(1);
 /// Moves that may be under way at a time.
 const MOVES: usize = 4;
 /// Time added to the window of loads, for clocks that differ.
@@ -50,7 +52,7 @@
                 let adapters = engine.models.iter().map(|model| model.adapter_megabytes);
                 let largest = adapters.fold(0.0, f64::max) * f64::from(engine.adapters);
                 let engines = accounts.iter().filter(|account| !account.word.leaving);
-                let engines = engines.map(|account| seen(account, engine.megabytes - largest));
+                let engines = engines.map(|account| seen(account, engine.megabytes - largest, now));
                 let engines: Vec<_> = engines.collect();
                 spread::next(&models, &engines, store)
             };
@@ -99,6 +101,7 @@
             let mut term = holder.term.borrow_mut();
             if let Some(account) = term.accounts.get_mut(&found.target) {
                 account.moving = false;
+                account.rest = why.map(|_| clock::now() + REST);
                 account.loading = None;
                 account.leaving = None;
             }
@@ -183,14 +186,14 @@
 }
 
 /// Returns an engine as the planner sees it.
-fn seen(account: &Account, megabytes: f64) -> Engine {
+fn seen(account: &Account, megabytes: f64, now: Instant) -> Engine {
     let word = &account.word;
     let copies = word.in_memory.iter().chain(&word.on_disk);
     Engine {
         target: word.id.clone(),
         models: account.models(),
         copies: copies.cloned().collect(),
-        moving: account.moving || account.sequence.is_none(),
+        moving: account.occupied(now),
         megabytes,
     }
 }
--- a/crates/flamingo-control/src/holder/orders.rs
+++ b/crates/flamingo-control/src/holder/orders.rs
@@ -60,7 +60,7 @@
             let term = self.term.borrow();
             term.accounts
                 .get(target)
-                .is_none_or(|account| account.sequence.is_none())
+                .is_none_or(|account| account.sequence().is_none())
         };
         if unknown && self.ask(target).await.is_none() {
             return Outcome::Refused;
@@ -72,7 +72,7 @@
         let order = {
             let term = self.term.borrow();
             let account = term.accounts.get(target);
-            let known = account.and_then(|account| Some((account.sequence?, &account.word)));
+            let known = account.and_then(|account| Some((account.sequence()?, &account.word)));
             let Some((expected, word)) = known else {
                 return Outcome::Refused;
             };
@@ -125,6 +125,9 @@
             if !account.holds(&adapt.model) {
                 return Err("the engine does not hold the model");
             }
+            if account.loading.is_some() || account.leaving.is_some() {
+                return Err("the engine carries out another order");
+            }
             if account.adapted(&adapt.model, &adapt.adapter, clock::now()) {
                 return Ok(());
             }
@@ -163,6 +166,8 @@
         if account.adapters() < most {
             return Ok(None);
         }
-        account.stale().map(Some).ok_or("no adapter may make way")
+        let used = term.demands.adapters(target);
+        let stale = account.stale(&used, clock::now());
+        stale.map(Some).ok_or("no adapter may make way")
     }
 }
--- a/crates/flamingo-serve/src/choice.rs
+++ b/crates/flamingo-serve/src/choice.rs
@@ -86,8 +86,9 @@
         if need.tried.contains(&target.word.id) {
             continue;
         }
-        let doubtful = target.avoided(now) || table.silent(target);
         let pick = rate(target, need);
+        let closed = pick.bare && target.moving;
+        let doubtful = target.avoided(now) || table.silent(target) || closed;
         let rating = Rating {
             doubtful,
             wait: pick.wait,
--- a/crates/flamingo-serve/src/desk.rs
+++ b/crates/flamingo-serve/src/desk.rs
@@ -5,7 +5,7 @@
 use crate::choice::{self, Choice, Need, Pick};
 use crate::events::Event;
 use crate::exchange::{self, Begun, Failure};
-use crate::front::{Drain, Guard, Handler};
+use crate::front::{Drain, Guard, Handler, Stage};
 use crate::news::{News, Routes};
 use crate::pool::Connection;
 use crate::tally::Counts;
@@ -123,18 +123,24 @@
     news: Rc<News>,
     target: id::Target,
     fresh: Cell<u32>,
+    adapter: Option<(id::Model, id::Adapter)>,
 }
 
 impl Slot {
-    fn take(news: &Rc<News>, pick: &Pick) -> Self {
+    fn take(news: &Rc<News>, pick: &Pick, ask: &Ask) -> Self {
+        let adapter = ask.model.clone().zip(ask.adapter.clone());
         if let Some(target) = news.table.borrow_mut().get_mut(&pick.target) {
             target.own.running += 1;
             target.own.reading += pick.fresh;
+            if let Some((model, adapter)) = &adapter {
+                target.begin(model, adapter);
+            }
         }
         Self {
             news: Rc::clone(news),
             target: pick.target.clone(),
             fresh: Cell::new(pick.fresh),
+            adapter,
         }
     }
 
@@ -152,6 +158,9 @@
         self.read();
         if let Some(target) = self.news.table.borrow_mut().get_mut(&self.target) {
             target.own.running = target.own.running.saturating_sub(1);
+            if let Some((model, adapter)) = &self.adapter {
+                target.end(model, adapter);
+            }
         }
     }
 }
@@ -205,7 +214,6 @@
 
     async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Response<Body> {
         let arrived = Instant::now();
-        let guard = self.drain.enter();
         let (head, body) = request.into_parts();
         let ask = match self.wire.ask(&head) {
             Ok(ask) => ask,
@@ -214,6 +222,14 @@
                 return self.refuse(Refusal::new(Cause::Unreadable), None);
             }
         };
+        if self.drain.stage() == Stage::Closing {
+            let refusal = Refusal {
+                cause: Cause::Stopping,
+                back: Some(Duration::ZERO),
+            };
+            return self.refuse(refusal, Some(&ask));
+        }
+        let guard = self.drain.enter();
         let Some(routes) = self.news.routes.borrow().clone() else {
             let refusal = Refusal {
                 cause: Cause::NoRoutes,
@@ -324,7 +340,7 @@
             Choice::NoTarget => return Err(Setback::Stuck(Cause::NoTarget)),
             Choice::NoModel => return Err(Setback::Stuck(Cause::NoModel)),
         };
-        let slot = Slot::take(&self.news, &pick);
+        let slot = Slot::take(&self.news, &pick, &job.ask);
         if pick.bare {
             self.adapt(job, &pick).await?;
         }
@@ -669,7 +685,7 @@
         if pick.bare && desk.adapt(&job, &pick).await.is_err() {
             return false;
         }
-        let slot = Slot::take(&desk.news, &pick);
+        let slot = Slot::take(&desk.news, &pick, &job.ask);
         let Ok(begun) = desk.send(&job, &pick, self.last).await else {
             return false;
         };
--- a/crates/flamingo-serve/src/front.rs
+++ b/crates/flamingo-serve/src/front.rs
@@ -58,10 +58,21 @@
     }
 }
 
+/// How far the process is on its way out.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Stage {
+    /// It is not.
+    Serving,
+    /// Answers close their connections, and all requests are taken.
+    Draining,
+    /// Idle connections are closed, and no request is taken.
+    Closing,
+}
+
 /// Whether the process is on its way out, and what it still does.
 #[derive(Debug)]
 pub struct Drain {
-    asked: watch::Sender<bool>,
+    stage: watch::Sender<Stage>,
     /// Connections that are open.
     open: Cell<usize>,
     /// Requests that are being answered.
@@ -71,7 +82,7 @@
 impl Default for Drain {
     fn default() -> Self {
         Self {
-            asked: watch::channel(false).0,
+            stage: watch::channel(Stage::Serving).0,
             open: Cell::new(0),
             busy: Cell::new(0),
         }
@@ -79,15 +90,15 @@
 }
 
 impl Drain {
-    /// Begins it: answers close their connections from now on.
-    pub fn begin(&self) {
-        self.asked.send_replace(true);
+    /// Goes on to `stage`.
+    pub fn enter_stage(&self, stage: Stage) {
+        self.stage.send_replace(stage);
     }
 
-    /// Returns whether it has begun.
+    /// Returns how far it is.
     #[must_use]
-    pub fn begun(&self) -> bool {
-        *self.asked.borrow()
+    pub fn stage(&self) -> Stage {
+        *self.stage.borrow()
     }
 
     /// Returns how many requests are being answered.
@@ -174,18 +185,26 @@
         let closing = Rc::clone(&closing);
         async move {
             let mut answer = answered.await;
-            if closing.begun() {
+            if closing.stage() > Stage::Serving {
                 let close = http::HeaderValue::from_static("close");
                 answer.headers_mut().insert(http::header::CONNECTION, close);
             }
             Ok::<_, Infallible>(answer)
         }
     });
-    http1::Builder::new()
+    let mut stage = drain.stage.subscribe();
+    let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(manners.idle)
         .max_buf_size(manners.head.max(BUFFER))
         .max_headers(LINES)
-        .serve_connection(io, service)
-        .await
+        .serve_connection(io, service);
+    let mut connection = std::pin::pin!(connection);
+    tokio::select! {
+        ended = connection.as_mut() => return ended,
+        // The sender lives as long as the process.
+        _ = stage.wait_for(|stage| *stage == Stage::Closing) => {}
+    }
+    connection.as_mut().graceful_shutdown();
+    connection.await
 }
--- a/crates/flamingo-serve/src/life.rs
+++ b/crates/flamingo-serve/src/life.rs
@@ -1,7 +1,7 @@
 //! An entry's readiness, upkeep and end.
 
 use crate::desk::Desk;
-use crate::front::{Drain, Manners};
+use crate::front::{Drain, Manners, Stage};
 use crate::news::News;
 use std::cell::Cell;
 use std::rc::Rc;
@@ -11,7 +11,7 @@
 const ROUND: Duration = Duration::from_millis(500);
 /// Time after the wish to stop for which new callers may still come: until whoever sends
 /// them has asked twice whether this entry is ready.
-const LAST: Duration = Duration::from_millis(2_600);
+const LAST: Duration = Duration::from_millis(2_300);
 /// Time before the longest stop at which the process ends whatever it does.
 const SPARE: Duration = Duration::from_millis(400);
 /// Time between two looks at what is still being answered.
@@ -22,7 +22,7 @@
 pub fn ready(news: &News, drain: &Drain) -> bool {
     let known = news.routes.borrow().is_some();
     let target = news.table.borrow().iter().any(crate::table::Target::open);
-    known && target && !drain.begun()
+    known && target && drain.stage() == Stage::Serving
 }
 
 /// Keeps connections and limits current, for ever.
@@ -41,16 +41,18 @@
 }
 
 /// Ends what is being answered, `grace` after the wish to stop at the latest.
+///
+/// New callers may come until whoever sends them has seen that this entry is not ready.
+/// After that idle connections are closed, and the process ends with the last answer.
 pub async fn end(drain: &Drain, grace: Duration) {
-    drain.begin();
+    drain.enter_stage(Stage::Draining);
     let begun = Instant::now();
     let last = begun + grace.saturating_sub(SPARE);
-    let first = last.min(begun + LAST);
-    while Instant::now() < last {
-        let done = drain.busy() == 0 && Instant::now() >= first;
-        if done {
-            return;
-        }
+    tokio::time::sleep(LAST.min(grace / 2)).await;
+    drain.enter_stage(Stage::Closing);
+    // What was written last is still on its way out of the process.
+    tokio::time::sleep(LOOK).await;
+    while Instant::now() < last && drain.open() > 0 {
         tokio::time::sleep(LOOK).await;
     }
 }
--- a/crates/flamingo-serve/src/table.rs
+++ b/crates/flamingo-serve/src/table.rs
@@ -44,6 +44,10 @@
     pub own: Work,
     /// Requests of the other entries, as control last told.
     pub others: Work,
+    /// Whether it carries out an order, and takes no adapter meanwhile.
+    pub moving: bool,
+    /// Adapters that requests of this entry use, with their number.
+    used: BTreeMap<(id::Model, id::Adapter), u32>,
     /// Requests of this entry, as it last told the leader.
     told: Work,
     heard: Instant,
@@ -61,6 +65,8 @@
             word,
             own: Work::default(),
             others: Work::default(),
+            moving: false,
+            used: BTreeMap::new(),
             told: Work::default(),
             heard: now,
             avoided: None,
@@ -90,6 +96,29 @@
         held.is_some_and(|held| held.adapters.iter().any(|known| known == adapter))
     }
 
+    /// Counts a request that uses an adapter of it.
+    pub fn begin(&mut self, model: &str, adapter: &str) {
+        let key = (model.to_owned(), adapter.to_owned());
+        *self.used.entry(key).or_default() += 1;
+    }
+
+    /// Counts a request that used an adapter of it no more.
+    pub fn end(&mut self, model: &str, adapter: &str) {
+        let key = (model.to_owned(), adapter.to_owned());
+        let count = self.used.remove(&key).unwrap_or(0);
+        if count > 1 {
+            self.used.insert(key, count - 1);
+        }
+    }
+
+    fn used(&self) -> Vec<Resident> {
+        let used = self.used.keys().map(|(model, adapter)| Resident {
+            model: model.clone(),
+            adapters: vec![adapter.clone()],
+        });
+        used.collect()
+    }
+
     /// Returns whether it failed a short time ago.
     #[must_use]
     pub fn avoided(&self, now: Instant) -> bool {
@@ -192,6 +221,7 @@
                     target: target.word.id.clone(),
                     running: target.own.running,
                     reading: target.own.reading,
+                    adapters: target.used(),
                 });
             }
         }
@@ -212,9 +242,10 @@
         known.heard = now;
         let restarted = known.word.incarnation != word.incarnation;
         if restarted {
-            let own = known.own;
-            *known = Target::new(word.clone(), now);
-            known.own = own;
+            let fresh = Target::new(word.clone(), now);
+            let old = std::mem::replace(known, fresh);
+            known.own = old.own;
+            known.used = old.used;
             return Some(word.id.clone());
         }
         if known.word.models != word.models {
@@ -229,6 +260,7 @@
             && target.word.incarnation == holding.incarnation
         {
             target.models.clone_from(&holding.models);
+            target.moving = holding.moving;
             target.lacks.clear();
         }
     }
--- a/crates/flamingo-serve/src/wire.rs
+++ b/crates/flamingo-serve/src/wire.rs
@@ -116,6 +116,8 @@
     Broken,
     /// Its time is over and it may have run.
     Late,
+    /// The entry is about to end.
+    Stopping,
 }
 
 /// An answer of the system's own.
--- a/crates/flamingo-wire/src/target.rs
+++ b/crates/flamingo-wire/src/target.rs
@@ -73,6 +73,8 @@
     pub incarnation: id::Incarnation,
     /// Models that it holds.
     pub models: Vec<Resident>,
+    /// Whether it carries out an order, and takes no other meanwhile.
+    pub moving: bool,
 }
 
 /// Demand for one model since the last report of an entry.
@@ -99,6 +101,8 @@
     pub running: u32,
     /// Tokens of prompts of which no first event has come.
     pub reading: u32,
+    /// Adapters that these requests use, with their models.
+    pub adapters: Vec<Resident>,
 }
 
 /// What one entry tells the leader a few times a second.
