Count no report that is older than the last order, nor an unclear order as carried out

Change: the sequence of a report must reach that of the last order; unclear orders are asked after and given again; room is checked once more by the account before a load.

--- a/crates/flamingo-control/src/holder/account.rs
+++ b/crates/flamingo-control/src/holder/account.rs
@@ -92,10 +92,10 @@
 
     /// Takes the engine's own account, unless it is older than the last order. What was
     /// ordered without an answer and has not shown can't come any more where other orders
-    /// were taken since.
-    pub fn reported(&mut self, report: &Report, now: Instant) {
+    /// were taken since. Returns whether it was taken in.
+    pub fn reported(&mut self, report: &Report, now: Instant) -> bool {
         if self.sequence.is_some_and(|known| report.sequence < known) {
-            return;
+            return false;
         }
         self.doubt = false;
         self.busy = report.busy;
@@ -123,6 +123,7 @@
             }
         }
         self.sequence = Some(report.sequence);
+        true
     }
 
     /// Takes what came of an order.
--- a/crates/flamingo-control/src/holder/mod.rs
+++ b/crates/flamingo-control/src/holder/mod.rs
@@ -119,6 +119,7 @@
     lanes: BTreeMap<id::Target, Rc<Mutex<()>>>,
     asked: BTreeMap<id::Target, Instant>,
     demands: Demands,
+    routes: Option<Arc<Set>>,
     /// When this instance began loads from the weight store.
     begun: Vec<Instant>,
     told: Option<Instant>,
@@ -206,6 +207,7 @@
         let Some(routes) = lead.routes.clone() else {
             return;
         };
+        self.term.borrow_mut().routes = Some(Arc::clone(&routes));
         self.survey(&routes, now);
         self.tell(now);
         if self.may_order(now) {
--- a/crates/flamingo-control/src/holder/moves.rs
+++ b/crates/flamingo-control/src/holder/moves.rs
@@ -1,8 +1,8 @@
 //! Moves copies of models to where the demand is.
 
 use super::account::Account;
-use super::wire::{Operation, Outcome};
-use super::{Holder, Lead};
+use super::wire::{Operation, Outcome, Report};
+use super::{Holder, Lead, engine_of};
 use flamingo_daemon::clock;
 use flamingo_place::spread::{self, Engine, Model, Move};
 use flamingo_state::Command;
@@ -20,6 +20,10 @@
 const LONGEST: Duration = Duration::from_secs(40);
 /// Time after a move that failed before the engine is given another.
 const REST: Duration = Duration::from_secs(1);
+/// Times that one order is given while it stays unclear whether it was taken.
+const TRIES: usize = 4;
+/// Time after an unclear order before the engine is asked; its reports lag behind.
+const AGAIN: Duration = Duration::from_millis(300);
 /// Moves that may be under way at a time.
 const MOVES: usize = 4;
 /// Time added to the window of loads, for clocks that differ.
@@ -116,9 +120,10 @@
             self.publish(&found.target);
             tokio::time::sleep(NOTICE).await;
             self.order(&found.target, Operation::Unload, model).await?;
-            self.idle(&found.target, None).await?;
+            self.idle(&found.target, model, false).await?;
             self.change(&found.target, |account| account.leaving = None);
         }
+        self.room(found)?;
         if found.store {
             let load = crate::keeper::Propose(Command::Load(1));
             match self.core.keeper.send(load).await {
@@ -127,11 +132,31 @@
             }
         }
         self.order(&found.target, Operation::Load, &found.load).await?;
-        self.idle(&found.target, Some(&found.load)).await?;
+        self.idle(&found.target, &found.load, true).await?;
         self.change(&found.target, |account| account.loaded(&found.load));
         Ok(())
     }
 
+    /// Checks that an engine has room for a model, by all that it holds or may hold.
+    fn room(&self, found: &Move) -> Result<(), &'static str> {
+        let term = self.term.borrow();
+        let account = term.accounts.get(&found.target).ok_or("the engine has gone")?;
+        let routes = term.routes.as_ref().ok_or("no routes are in force")?;
+        let engine = engine_of(routes, &account.word.service).ok_or("not an engine")?;
+        let size = |model: &str| {
+            let mut models = engine.models.iter();
+            let model = models.find(|known| known.name == model);
+            model.map_or((engine.megabytes, 0.0), |model| {
+                (model.megabytes, model.adapter_megabytes)
+            })
+        };
+        let (weights, _) = size(&found.load);
+        if account.megabytes(size) + weights > engine.megabytes {
+            return Err("the engine has no room");
+        }
+        Ok(())
+    }
+
     fn change(&self, target: &str, change: impl FnOnce(&mut Account)) {
         let mut term = self.term.borrow_mut();
         if let Some(account) = term.accounts.get_mut(target) {
@@ -139,6 +164,7 @@
         }
     }
 
+    /// Gives an order for a model, and again where it stays unclear whether it was taken.
     async fn order(
         &self,
         target: &str,
@@ -149,17 +175,33 @@
             let mut term = self.term.borrow_mut();
             Rc::clone(term.lanes.entry(target.to_owned()).or_default())
         };
-        let _turn = lane.lock().await;
-        match self.give(target, operation, model, None).await {
-            Outcome::Begun | Outcome::Holds | Outcome::Unclear => Ok(()),
-            Outcome::Conflict => Err("another order is under way"),
-            Outcome::Fenced => Err("another holder gives orders"),
-            Outcome::Refused => Err("the order was not given or not taken"),
+        for _ in 0..TRIES {
+            let turn = lane.lock().await;
+            let outcome = self.give(target, operation, model, None).await;
+            drop(turn);
+            match outcome {
+                Outcome::Begun | Outcome::Holds => return Ok(()),
+                Outcome::Fenced => return Err("another holder gives orders"),
+                Outcome::Refused => return Err("the order was not given or not taken"),
+                Outcome::Unclear | Outcome::Conflict => {}
+            }
+            tokio::time::sleep(AGAIN).await;
+            if let Some(report) = self.ask(target).await
+                && (report.busy || holds(&report, model) == (operation == Operation::Load))
+            {
+                return Ok(());
+            }
         }
+        Err("it stays unclear whether the order was taken")
     }
 
-    /// Waits until an engine carries out no order, and holds `model` where one is named.
-    async fn idle(&self, target: &str, model: Option<&id::Model>) -> Result<(), &'static str> {
+    /// Waits until an engine carries out no order, and then holds `model` or not, as `wanted`.
+    async fn idle(
+        &self,
+        target: &str,
+        model: &id::Model,
+        wanted: bool,
+    ) -> Result<(), &'static str> {
         let end = clock::now() + LONGEST;
         while clock::now() < end {
             tokio::time::sleep(POLL).await;
@@ -170,21 +212,23 @@
             let Some(report) = self.ask(target).await else {
                 continue;
             };
-            let held = model.is_none_or(|model| {
-                let mut models = report.models.iter();
-                models.any(|held| &held.model == model)
-            });
-            if !report.busy && held {
-                return Ok(());
+            if report.busy {
+                continue;
             }
-            if !report.busy && model.is_some() {
-                return Err("the engine did not load it");
+            if holds(&report, model) == wanted {
+                return Ok(());
             }
+            return Err("the engine did not carry it out");
         }
         Err("the engine took too long")
     }
 }
 
+/// Returns whether an engine says that it holds a model.
+fn holds(report: &Report, model: &id::Model) -> bool {
+    report.models.iter().any(|held| &held.model == model)
+}
+
 /// Returns an engine as the planner sees it.
 fn seen(account: &Account, megabytes: f64, now: Instant) -> Engine {
     let word = &account.word;
--- a/crates/flamingo-control/src/holder/orders.rs
+++ b/crates/flamingo-control/src/holder/orders.rs
@@ -32,7 +32,7 @@
         }
     }
 
-    /// Asks an engine for its state, while nobody else gives it orders.
+    /// Asks an engine for its state; nothing where its answer is older than the last order.
     pub(super) async fn ask(&self, target: &str) -> Option<Report> {
         let word = {
             let term = self.term.borrow();
@@ -42,10 +42,8 @@
         let report = self.engines.report(&word, deadline).await?;
         let mut term = self.term.borrow_mut();
         let account = term.accounts.get_mut(target)?;
-        if account.word.incarnation == word.incarnation {
-            account.reported(&report, clock::now());
-        }
-        Some(report)
+        let same = account.word.incarnation == word.incarnation;
+        (same && account.reported(&report, clock::now())).then_some(report)
     }
 
     /// Gives one order, while this instance leads; the lane of the engine must be held.
