Let requests in by the wait that is predicted for them

Change: entries tell the leader what they have sent by rank, and get the sum; a request is let in where others' prompts take less than 70% of what is left of its objective, or late where nobody is kept waiting; the rest is refused at once.

--- a/crates/flamingo-control/src/holder/demand.rs
+++ b/crates/flamingo-control/src/holder/demand.rs
@@ -74,7 +74,9 @@
                 ..Load::default()
             });
             sum.running += load.running;
-            sum.reading += load.reading;
+            for (sum, tokens) in sum.reading.iter_mut().zip(load.reading) {
+                *sum += tokens;
+            }
         }
         sums.into_values().collect()
     }
--- a/crates/flamingo-serve/src/choice.rs
+++ b/crates/flamingo-serve/src/choice.rs
@@ -7,7 +7,7 @@
 use crate::table::{Table, Target};
 use crate::wire::{Ask, Piece};
 use flamingo_wire::id;
-use flamingo_wire::route::Engine;
+use flamingo_wire::route::{Engine, Rank};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::{Duration, Instant};
 
@@ -31,6 +31,8 @@
     pub engine: Option<&'a Engine>,
     /// The request.
     pub ask: &'a Ask,
+    /// Its rank.
+    pub rank: Rank,
     /// The entry's zone.
     pub zone: &'a str,
     /// Targets that it must not go to again.
@@ -57,6 +59,8 @@
     pub fresh: u32,
     /// Predicted time to the first event.
     pub wait: Duration,
+    /// The part of it that others' prompts take.
+    pub queue: Duration,
     /// Whether the adapter has to be brought there first.
     pub bare: bool,
 }
@@ -116,6 +120,7 @@
 
 fn rate(target: &Target, need: &Need<'_>) -> Pick {
     let mut wait = 0.0;
+    let mut queue = 0.0;
     let mut fresh = 0;
     let mut bare = false;
     let running = f64::from(target.own.running + target.others.running);
@@ -123,8 +128,9 @@
         let ask = need.ask;
         let kept = target.kept(space(ask), &ask.pieces, engine.tokens);
         fresh = ask.prompt.saturating_sub(kept).max(1);
-        let reading = target.own.reading + target.others.reading;
-        wait += f64::from(reading + fresh) / RATE + running * SHARE_MS;
+        let reading = target.own.before(need.rank) + target.others.before(need.rank);
+        queue = f64::from(reading) / RATE;
+        wait += queue + f64::from(fresh) / RATE + running * SHARE_MS;
         let model = ask.model.as_deref().unwrap_or_default();
         bare = ask
             .adapter
@@ -144,6 +150,7 @@
         target: target.word.id.clone(),
         fresh,
         wait: Duration::from_secs_f64(wait / 1_000.0),
+        queue: Duration::from_secs_f64(queue / 1_000.0),
         bare,
     }
 }
--- a/crates/flamingo-serve/src/desk.rs
+++ b/crates/flamingo-serve/src/desk.rs
@@ -1,5 +1,6 @@
 //! Takes a request from its route to its answer.
 
+use crate::admission::Claim;
 use crate::body::{Body, Broken};
 use crate::budget::{Allowance, Budget};
 use crate::choice::{self, Choice, Need, Pick};
@@ -15,7 +16,7 @@
 use flamingo_link::feed::Asker;
 use flamingo_wire::control::{Adapt, Reply, Request as Question};
 use flamingo_wire::id;
-use flamingo_wire::route::{Kind, Route};
+use flamingo_wire::route::{self, Kind, Rank, Route};
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
 use futures_util::stream;
@@ -76,6 +77,8 @@
     zone: id::Zone,
     allowance: Allowance,
     budgets: RefCell<HashMap<id::Service, Budget>>,
+    /// The longest time for which a caller of a route said to wait: its first try.
+    longest: RefCell<HashMap<route::Name, Duration>>,
     counts: Rc<Counts>,
     drain: Rc<Drain>,
     count: Cell<u64>,
@@ -97,6 +100,8 @@
     service: id::Service,
     routes: Rc<Routes>,
     arrived: Instant,
+    /// Time for which its caller waited in earlier tries.
+    elapsed: Duration,
     /// When the caller or the route gives up.
     deadline: Instant,
     tried: RefCell<SmallVec<[id::Target; 2]>>,
@@ -114,6 +119,8 @@
     NotRun(Cause),
     /// It did not run, and there is no other target to send it to.
     Stuck(Cause),
+    /// It did not run, and would wait so long at the best target.
+    Full(Duration),
     /// It may have run.
     MayHaveRun(Cause),
 }
@@ -122,16 +129,19 @@
 struct Slot {
     news: Rc<News>,
     target: id::Target,
+    rank: Rank,
     fresh: Cell<u32>,
     adapter: Option<(id::Model, id::Adapter)>,
 }
 
 impl Slot {
-    fn take(news: &Rc<News>, pick: &Pick, ask: &Ask) -> Self {
+    fn take(news: &Rc<News>, pick: &Pick, job: &Job) -> Self {
+        let rank = job.route.rank;
+        let ask = &job.ask;
         let adapter = ask.model.clone().zip(ask.adapter.clone());
         if let Some(target) = news.table.borrow_mut().get_mut(&pick.target) {
             target.own.running += 1;
-            target.own.reading += pick.fresh;
+            target.own.wait(rank, pick.fresh);
             if let Some((model, adapter)) = &adapter {
                 target.begin(model, adapter);
             }
@@ -139,6 +149,7 @@
         Self {
             news: Rc::clone(news),
             target: pick.target.clone(),
+            rank,
             fresh: Cell::new(pick.fresh),
             adapter,
         }
@@ -148,7 +159,7 @@
     fn read(&self) {
         let fresh = self.fresh.take();
         if let Some(target) = self.news.table.borrow_mut().get_mut(&self.target) {
-            target.own.reading = target.own.reading.saturating_sub(fresh);
+            target.own.read(self.rank, fresh);
         }
     }
 }
@@ -199,6 +210,7 @@
             zone: start.zone,
             allowance: start.allowance,
             budgets: RefCell::default(),
+            longest: RefCell::default(),
             counts: start.counts,
             drain: start.drain,
             count: Cell::new(0),
@@ -249,6 +261,7 @@
             Ok(Err(cause)) => return self.refuse(Refusal::new(cause), Some(&ask)),
             Err(_) => return self.refuse(Refusal::new(Cause::Unreadable), Some(&ask)),
         };
+        let elapsed = self.elapsed(&route, patience);
         let service = share(&route, &ask);
         let job = Job {
             head,
@@ -257,6 +270,7 @@
             route,
             routes,
             arrived,
+            elapsed,
             deadline,
             ask,
             tried: RefCell::default(),
@@ -282,6 +296,11 @@
             let cause = match setback {
                 Setback::NotRun(cause) => cause,
                 Setback::Stuck(cause) => return self.give_up(&job, cause),
+                Setback::Full(wait) => {
+                    info!(self.log, "no room"; "request" => &job.ask.attempt,
+                        "wait_ms" => wait.as_millis());
+                    return self.give_up(&job, Cause::NoRoom);
+                }
                 Setback::MayHaveRun(cause) => {
                     job.ran.set(true);
                     cause
@@ -325,6 +344,7 @@
             service: &job.service,
             engine: service.and_then(|service| service.engine.as_ref()),
             ask: &job.ask,
+            rank: job.route.rank,
             zone: &self.zone,
             tried: &tried,
         };
@@ -332,6 +352,34 @@
         choice::choose(&self.news.table.borrow(), &need, self.count.get(), now)
     }
 
+    /// Returns whether a job may wait at its target.
+    fn admits(&self, job: &Job, pick: &Pick) -> bool {
+        if job.ask.model.is_none() || job.sent.get() > 0 {
+            return true;
+        }
+        let now = Instant::now();
+        let claim = Claim {
+            elapsed: job.elapsed + now.saturating_duration_since(job.arrived),
+            objective: Duration::from_millis(job.route.objective_ms),
+            left: job.deadline.saturating_duration_since(now),
+            wait: pick.queue,
+        };
+        claim.admitted()
+    }
+
+    /// Returns for how long the caller of a request has waited in earlier tries.
+    fn elapsed(&self, route: &Route, patience: Duration) -> Duration {
+        let mut longest = self.longest.borrow_mut();
+        if !longest.contains_key(&route.name) {
+            longest.insert(route.name.clone(), patience);
+        }
+        let Some(longest) = longest.get_mut(&route.name) else {
+            return Duration::ZERO;
+        };
+        *longest = patience.max(*longest);
+        *longest - patience
+    }
+
     /// Sends a job once.
     async fn attempt(self: &Rc<Self>, job: &Rc<Job>) -> Result<Response<Body>, Setback> {
         let now = Instant::now();
@@ -340,7 +388,10 @@
             Choice::NoTarget => return Err(Setback::Stuck(Cause::NoTarget)),
             Choice::NoModel => return Err(Setback::Stuck(Cause::NoModel)),
         };
-        let slot = Slot::take(&self.news, &pick, &job.ask);
+        if !self.admits(job, &pick) {
+            return Err(Setback::Full(pick.queue));
+        }
+        let slot = Slot::take(&self.news, &pick, job);
         if pick.bare {
             self.adapt(job, &pick).await?;
         }
@@ -420,9 +471,12 @@
         match sent {
             Ok(begun) => {
                 job.sent.set(job.sent.get() + 1);
+                let mut table = self.news.table.borrow_mut();
+                table.answered(&pick.target);
                 if let Some(load) = begun.answer.load {
-                    self.news.table.borrow_mut().loaded(&pick.target, load);
+                    table.loaded(&pick.target, load);
                 }
+                drop(table);
                 Ok(begun)
             }
             Err(failure) => Err(self.failed(job, pick, failure)),
@@ -685,7 +739,7 @@
         if pick.bare && desk.adapt(&job, &pick).await.is_err() {
             return false;
         }
-        let slot = Slot::take(&desk.news, &pick, &job.ask);
+        let slot = Slot::take(&desk.news, &pick, &job);
         let Ok(begun) = desk.send(&job, &pick, self.last).await else {
             return false;
         };
--- a/crates/flamingo-serve/src/lib.rs
+++ b/crates/flamingo-serve/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`table`], [`choice`] and [`budget`]; the rest is sockets and tasks around it. All of it
 //! runs on one thread.
 
+pub mod admission;
 pub mod body;
 pub mod budget;
 pub mod choice;
--- a/crates/flamingo-serve/src/table.rs
+++ b/crates/flamingo-serve/src/table.rs
@@ -3,7 +3,8 @@
 use crate::wire::{Load, Part, Piece};
 use flamingo_wire::control::Push;
 use flamingo_wire::id;
-use flamingo_wire::target::{self, Holding, Registration, Resident};
+use flamingo_wire::route::Rank;
+use flamingo_wire::target::{self, Holding, RANKS, Reading, Registration, Resident};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -12,8 +13,11 @@
 const SILENT: Duration = Duration::from_secs(4);
 /// Silence after which a target is forgotten.
 const FORGET: Duration = Duration::from_secs(30);
-/// Time for which a target that failed is taken only where no other is left.
-const AVOID: Duration = Duration::from_secs(1);
+/// Time for which a target that failed once is taken only where no other is left; it
+/// doubles with each further failure.
+const AVOID: Duration = Duration::from_millis(500);
+/// Doublings of that time at most.
+const DOUBLINGS: u32 = 4;
 /// Time for which a target that lacked a model is not asked for it again.
 const LACK: Duration = Duration::from_millis(300);
 /// Part of a target's memory for prompts that is taken to keep what was read last.
@@ -26,8 +30,32 @@
 pub struct Work {
     /// Requests that were sent.
     pub running: u32,
-    /// Tokens of prompts of which no first event has come.
-    pub reading: u32,
+    /// Tokens of prompts of which no first event has come, by rank.
+    pub reading: Reading,
+}
+
+impl Work {
+    /// Returns the tokens that are read before those of a request of `rank`.
+    #[must_use]
+    pub fn before(&self, rank: Rank) -> u32 {
+        self.reading[..=bucket(rank)].iter().sum()
+    }
+
+    /// Counts tokens of a prompt that waits.
+    pub fn wait(&mut self, rank: Rank, tokens: u32) {
+        self.reading[bucket(rank)] += tokens;
+    }
+
+    /// Counts tokens of a prompt that waits no more.
+    pub fn read(&mut self, rank: Rank, tokens: u32) {
+        let waiting = &mut self.reading[bucket(rank)];
+        *waiting = waiting.saturating_sub(tokens);
+    }
+}
+
+/// Returns the place of a rank among those that are told apart.
+fn bucket(rank: Rank) -> usize {
+    usize::from(rank).min(RANKS - 1)
 }
 
 /// A part of a prompt under a model and adapter.
@@ -52,6 +80,8 @@
     told: Work,
     heard: Instant,
     avoided: Option<Instant>,
+    /// Failures since it last answered.
+    failures: u32,
     lacks: HashMap<id::Model, Instant>,
     /// Tokens read so far, and their count when a part was last read.
     read: u64,
@@ -70,6 +100,7 @@
             told: Work::default(),
             heard: now,
             avoided: None,
+            failures: 0,
             lacks: HashMap::new(),
             read: 0,
             parts: HashMap::new(),
@@ -204,10 +235,14 @@
                 running: load.running,
                 reading: load.reading,
             });
-            target.others = Work {
+            let mut others = Work {
                 running: all.running.saturating_sub(target.told.running),
-                reading: all.reading.saturating_sub(target.told.reading),
+                reading: all.reading,
             };
+            for (tokens, told) in others.reading.iter_mut().zip(target.told.reading) {
+                *tokens = tokens.saturating_sub(told);
+            }
+            target.others = others;
         }
     }
 
@@ -306,7 +341,17 @@
     /// Notes that a target could not be reached or broke off.
     pub fn failed(&mut self, id: &str, now: Instant) {
         if let Some(target) = self.targets.get_mut(id) {
-            target.avoided = Some(now + AVOID);
+            let doublings = target.failures.min(DOUBLINGS);
+            target.failures += 1;
+            target.avoided = Some(now + AVOID * 2u32.pow(doublings));
+        }
+    }
+
+    /// Notes that a target answered.
+    pub fn answered(&mut self, id: &str) {
+        if let Some(target) = self.targets.get_mut(id) {
+            target.failures = 0;
+            target.avoided = None;
         }
     }
 
--- a/crates/flamingo-wire/src/target.rs
+++ b/crates/flamingo-wire/src/target.rs
@@ -92,6 +92,12 @@
     pub refused: u32,
 }
 
+/// Ranks that are told apart; less urgent ones count as the last.
+pub const RANKS: usize = 4;
+
+/// Tokens of prompts that wait to be read, by rank.
+pub type Reading = [u32; RANKS];
+
 /// Requests at one target.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Load {
@@ -99,8 +105,8 @@
     pub target: id::Target,
     /// Requests that were sent and have not ended.
     pub running: u32,
-    /// Tokens of prompts of which no first event has come.
-    pub reading: u32,
+    /// Tokens of prompts of which no first event has come, by rank.
+    pub reading: Reading,
     /// Adapters that these requests use, with their models.
     pub adapters: Vec<Resident>,
 }
