Place copies by evened strain, with the trend of demand, and ahead of it

Cause: copies came after demand had moved (5.8 s a load), and were moved back and forth, since each model was judged by the mean of its engines alone. Change: demand is spread by water-filling over the copies; a move must lower what is left of strain (squares, steeper beyond 0.6); demand is forecast from two rates; where nothing is strained, copies are made on engines that do not keep the model yet.

--- a/crates/flamingo-control/src/holder/demand.rs
+++ b/crates/flamingo-control/src/holder/demand.rs
@@ -5,23 +5,53 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-/// Time constant of the demand that placement follows.
-const MEMORY: Duration = Duration::from_millis(1_500);
+/// Time constant of the demand of the moment.
+const FAST: Duration = Duration::from_millis(800);
+/// Time constant of the demand that it is compared with, to see where it goes.
+const SLOW: Duration = Duration::from_millis(3_000);
+/// How far a rise goes on, against the difference of the two.
+const TREND: f64 = 1.5;
 /// Time after which what an entry said of its requests no longer counts.
 const STALE: Duration = Duration::from_secs(2);
 
-/// A rate that forgets.
+/// A rate over two times, each of which forgets.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Rate {
-    /// Engines kept busy.
-    value: f64,
+    /// Engines kept busy, lately.
+    fast: f64,
+    /// The same over a longer time.
+    slow: f64,
     at: Instant,
 }
 
 impl Rate {
-    fn at(&self, now: Instant) -> f64 {
+    fn new(at: Instant) -> Self {
+        Self {
+            fast: 0.0,
+            slow: 0.0,
+            at,
+        }
+    }
+
+    /// Returns the rate at a later time, when nothing more arrives until then.
+    fn later(&self, now: Instant) -> Self {
         let age = now.saturating_duration_since(self.at).as_secs_f64();
-        self.value * (-age / MEMORY.as_secs_f64()).exp()
+        Self {
+            fast: self.fast * (-age / FAST.as_secs_f64()).exp(),
+            slow: self.slow * (-age / SLOW.as_secs_f64()).exp(),
+            at: now,
+        }
+    }
+
+    fn add(&mut self, work: f64) {
+        self.fast += work / FAST.as_secs_f64();
+        self.slow += work / SLOW.as_secs_f64();
+    }
+
+    /// Returns what is about to arrive: the higher of the two, and more where it rises.
+    fn forecast(&self) -> f64 {
+        let rise = (self.fast - self.slow).max(0.0);
+        self.fast.max(self.slow) + rise * TREND
     }
 }
 
@@ -40,19 +70,21 @@
     pub fn take(&mut self, now: Instant, from: &str, tally: Tally) {
         for demand in tally.demand {
             let key = (demand.service, demand.model);
-            let old = self.rates.get(&key).map_or(0.0, |rate| rate.at(now));
-            let added = demand.work_ms / 1_000.0 / MEMORY.as_secs_f64();
-            let value = old + added;
-            self.rates.insert(key, Rate { value, at: now });
+            let old = self.rates.get(&key).copied();
+            let mut rate = old.unwrap_or(Rate::new(now)).later(now);
+            rate.add(demand.work_ms / 1_000.0);
+            self.rates.insert(key, rate);
         }
         self.entries.insert(from.to_owned(), (now, tally.loads));
     }
 
-    /// Returns the engines that the demand for a model keeps busy.
+    /// Returns the engines that the demand for a model is about to keep busy.
     #[must_use]
     pub fn rate(&self, service: &str, model: &str, now: Instant) -> f64 {
         let key = (service.to_owned(), model.to_owned());
-        self.rates.get(&key).map_or(0.0, |rate| rate.at(now))
+        self.rates
+            .get(&key)
+            .map_or(0.0, |rate| rate.later(now).forecast())
     }
 
     /// Returns the adapters of a target that requests of entries use.
--- a/crates/flamingo-control/src/holder/moves.rs
+++ b/crates/flamingo-control/src/holder/moves.rs
@@ -25,7 +25,11 @@
 /// Time after an unclear order before the engine is asked; its reports lag behind.
 const AGAIN: Duration = Duration::from_millis(300);
 /// Moves that may be under way at a time.
-const MOVES: usize = 4;
+const MOVES: usize = 8;
+/// Moves under way at which no copy is made ahead of demand.
+const AHEAD: usize = 3;
+/// Loads from the weight store that are left to demand.
+const SPARE: f64 = 3.0;
 /// Time added to the window of loads, for clocks that differ.
 const DRIFT: Duration = Duration::from_secs(1);
 
@@ -36,7 +40,9 @@
             let Some(engine) = &service.engine else {
                 continue;
             };
-            let store = self.store(lead, engine, now);
+            let left = self.store(lead, engine, now);
+            let store = left >= 1.0;
+            let spare = left >= SPARE;
             let found = {
                 let term = self.term.borrow();
                 let accounts = term.accounts.values();
@@ -51,6 +57,7 @@
                     name: model.name.clone(),
                     megabytes: model.megabytes,
                     demand: term.demands.rate(&service.name, &model.name, now),
+                    adapted: model.adapters > 0,
                 });
                 let models: Vec<_> = models.collect();
                 let adapters = engine.models.iter().map(|model| model.adapter_megabytes);
@@ -58,7 +65,11 @@
                 let engines = accounts.iter().filter(|account| !account.word.leaving);
                 let engines = engines.map(|account| seen(account, engine.megabytes - largest, now));
                 let engines: Vec<_> = engines.collect();
-                spread::next(&models, &engines, store)
+                let ahead = || {
+                    let may = spare && moving < AHEAD;
+                    may.then(|| spread::ahead(&models, &engines)).flatten()
+                };
+                spread::next(&models, &engines, store).or_else(ahead)
             };
             if let Some(found) = found {
                 self.begin(found);
@@ -66,8 +77,8 @@
         }
     }
 
-    /// Returns whether a load from the weight store may begin.
-    fn store(&self, lead: &Lead, engine: &flamingo_wire::route::Engine, now: Instant) -> bool {
+    /// Returns how many loads from the weight store may begin now.
+    fn store(&self, lead: &Lead, engine: &flamingo_wire::route::Engine, now: Instant) -> f64 {
         let window = self.bounds.window + DRIFT;
         let most = engine.loads_per_s * self.bounds.window.as_secs_f64();
         let wall = SystemTime::now();
@@ -80,7 +91,7 @@
         term.begun.retain(|begun| now < *begun + window);
         let begun = logged.max(term.begun.len());
         let begun = u32::try_from(begun).unwrap_or(u32::MAX);
-        f64::from(begun) + 1.0 <= most
+        most - f64::from(begun)
     }
 
     fn begin(self: &Rc<Self>, found: Move) {
--- a/crates/flamingo-place/src/spread.rs
+++ b/crates/flamingo-place/src/spread.rs
@@ -1,20 +1,35 @@
 //! Which engine takes another copy of a model next, and what makes way for it.
 //!
-//! Answers demand that moves between models within seconds: it relieves the model whose
-//! copies are the busiest, on the engine that can hold one more with the least to do, and
-//! never takes away a last copy. All of it is pure.
+//! Answers demand that moves between models within seconds. The demand of each model is
+//! spread over its copies so that engines are evenly busy (water-filling); a move is worth it
+//! where it lowers the strain that remains. No last copy is ever taken away. All of it is
+//! pure.
 
 use flamingo_wire::id;
 use std::collections::BTreeMap;
 
-/// Busy share of a model's engines from which another copy is worth a load.
-const BUSY: f64 = 0.55;
-/// Least difference in busy share between where a model is and where a copy would go.
-const GAIN: f64 = 0.15;
+/// Busy share of an engine from which requests begin to wait.
+const EASY: f64 = 0.6;
+/// Weight of what lies beyond it, against the square of the busy share.
+const STEEP: f64 = 6.0;
 /// Demand below which a model needs no second copy, in engines.
-const SLIGHT: f64 = 0.05;
-/// Busy share that a load from the store costs against one from the engine's own copies.
-const STORE: f64 = 0.2;
+const SLIGHT: f64 = 0.03;
+/// Strain that a load from the engine's own copies must take away.
+const OWN: f64 = 0.04;
+/// Strain that a load from the weight store must take away.
+const STORE: f64 = 0.08;
+/// Strain of an engine above which no copy is made ahead of demand.
+const CALM: f64 = 0.6;
+/// Models that are looked at for one move.
+const MODELS: usize = 5;
+/// Engines that are looked at for one model.
+const ENGINES: usize = 8;
+/// Rounds of spreading demand.
+const ROUNDS: usize = 4;
+/// How much more likely a model with adapters is to be asked for next.
+const ADAPTED: f64 = 3.0;
+/// Copies of a model that stay where copies are made ahead of demand.
+const STAY: usize = 3;
 
 /// A model as placement sees it.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -23,8 +38,10 @@
     pub name: id::Model,
     /// Size of its weights.
     pub megabytes: f64,
-    /// Work that arrives for it, in engines kept busy.
+    /// Work that is about to arrive for it, in engines kept busy.
     pub demand: f64,
+    /// Whether it has adapters.
+    pub adapted: bool,
 }
 
 /// An engine as placement sees it.
@@ -55,98 +72,176 @@
     pub store: bool,
 }
 
-/// The engines, and how busy each one is.
-struct View<'a> {
-    models: BTreeMap<&'a str, &'a Model>,
+/// Place of a model or an engine in its list.
+type Place = usize;
+
+/// Models and engines by place.
+#[derive(Clone, Debug)]
+struct Board<'a> {
+    models: &'a [Model],
     engines: &'a [Engine],
-    copies: BTreeMap<&'a str, usize>,
-    busy: Vec<f64>,
+    /// The models of each engine.
+    held: Vec<Vec<Place>>,
+    /// The engines of each model.
+    holders: Vec<Vec<Place>>,
 }
 
-impl<'a> View<'a> {
+impl<'a> Board<'a> {
     fn new(models: &'a [Model], engines: &'a [Engine]) -> Self {
-        let by_name: BTreeMap<_, _> = models
-            .iter()
-            .map(|model| (model.name.as_str(), model))
+        let names = models.iter().enumerate();
+        let names: BTreeMap<&str, Place> = names
+            .map(|(place, model)| (model.name.as_str(), place))
             .collect();
-        let mut copies: BTreeMap<&str, usize> = BTreeMap::new();
-        for name in engines.iter().flat_map(|engine| &engine.models) {
-            *copies.entry(name).or_default() += 1;
+        let mut holders = vec![Vec::new(); models.len()];
+        let mut held = Vec::with_capacity(engines.len());
+        for (engine, seen) in engines.iter().enumerate() {
+            let places = seen.models.iter().filter_map(|name| names.get(name.as_str()));
+            let places: Vec<Place> = places.copied().collect();
+            for model in &places {
+                holders[*model].push(engine);
+            }
+            held.push(places);
         }
-        let mut view = Self {
-            models: by_name,
+        Self {
+            models,
             engines,
-            copies,
-            busy: Vec::new(),
-        };
-        let busy = engines.iter().map(|engine| {
-            let shares = engine.models.iter().map(|name| view.share(name));
-            shares.sum()
-        });
-        view.busy = busy.collect();
-        view
-    }
-
-    fn count(&self, model: &str) -> usize {
-        self.copies.get(model).copied().unwrap_or(0)
-    }
-
-    fn demand(&self, model: &str) -> f64 {
-        self.models.get(model).map_or(0.0, |model| model.demand)
-    }
-
-    /// Returns the part of a model's demand that one of its copies carries.
-    fn share(&self, model: &str) -> f64 {
-        self.demand(model) / count(self.count(model).max(1))
+            held,
+            holders,
+        }
     }
 
-    /// Returns how busy the engines of a model are on average.
-    fn pressure(&self, model: &str) -> f64 {
-        let held = self.engines.iter().zip(&self.busy);
-        let held = held.filter(|(engine, _)| engine.models.iter().any(|name| name == model));
-        let sum: f64 = held.map(|(_, busy)| *busy).sum();
-        sum / count(self.count(model).max(1))
+    /// Returns how busy each engine is once the demand of each model is spread evenly.
+    fn busy(&self) -> Vec<f64> {
+        let mut busy = vec![0.0; self.engines.len()];
+        let mut shares: Vec<Vec<f64>> = self
+            .holders
+            .iter()
+            .map(|holders| vec![0.0; holders.len()])
+            .collect();
+        for _ in 0..ROUNDS {
+            for (model, holders) in self.holders.iter().enumerate() {
+                let demand = self.models[model].demand;
+                if demand <= 0.0 || holders.is_empty() {
+                    continue;
+                }
+                for (holder, share) in holders.iter().zip(&shares[model]) {
+                    busy[*holder] -= share;
+                }
+                let others: Vec<f64> = holders.iter().map(|holder| busy[*holder]).collect();
+                shares[model] = fill(&others, demand);
+                for (holder, share) in holders.iter().zip(&shares[model]) {
+                    busy[*holder] += share;
+                }
+            }
+        }
+        busy
     }
 
-    /// Returns what has to make way for `model` on an engine; nothing where it can't.
-    fn room(&self, engine: &Engine, model: &Model) -> Option<Vec<id::Model>> {
-        let size = |name: &id::Model| self.models.get(name.as_str()).map_or(0.0, |m| m.megabytes);
-        let used: f64 = engine.models.iter().map(size).sum();
-        let mut missing = used + model.megabytes - engine.megabytes;
-        let mut spare: Vec<&id::Model> = engine
-            .models
-            .iter()
-            .filter(|name| self.count(name) > 1 && **name != model.name)
+    /// Returns what has to make way for `model` on an engine, the least missed first; nothing
+    /// where it can't, or where fewer than `stay` copies of something would be left.
+    fn room(&self, engine: Place, model: Place, stay: usize) -> Option<Vec<Place>> {
+        let size = |place: &Place| self.models[*place].megabytes;
+        let used: f64 = self.held[engine].iter().map(size).sum();
+        let mut missing = used + size(&model) - self.engines[engine].megabytes;
+        let spare = self.held[engine].iter().copied();
+        let mut spare: Vec<Place> = spare
+            .filter(|place| self.holders[*place].len() > stay)
             .collect();
-        spare.sort_by(|a, b| self.loss(a).total_cmp(&self.loss(b)));
+        spare.sort_by(|a, b| self.missed(*a).total_cmp(&self.missed(*b)));
         let mut unload = Vec::new();
-        for name in spare {
+        for place in spare {
             if missing <= 0.0 {
                 break;
             }
-            missing -= size(name);
-            unload.push(name.clone());
+            missing -= size(&place);
+            unload.push(place);
         }
         (missing <= 0.0).then_some(unload)
     }
 
-    /// Returns what each other copy of a model has to carry more once one is taken away.
-    fn loss(&self, model: &str) -> f64 {
-        let copies = self.count(model);
-        if copies < 2 {
-            return f64::INFINITY;
+    /// Returns what each other copy of a model has to carry once one is taken away.
+    fn missed(&self, model: Place) -> f64 {
+        let left = self.holders[model].len().saturating_sub(1);
+        self.models[model].demand / count(left.max(1))
+    }
+
+    /// Returns the board after a move.
+    fn after(&self, engine: Place, model: Place, unload: &[Place]) -> Self {
+        let mut board = self.clone();
+        for place in unload {
+            board.held[engine].retain(|held| held != place);
+            board.holders[*place].retain(|holder| *holder != engine);
+        }
+        board.held[engine].push(model);
+        board.holders[model].push(engine);
+        board
+    }
+
+    /// Returns whether an engine may take an order: none is under way there, and each model
+    /// with adapters in demand has another engine that may take orders for adapters.
+    fn free(&self, engine: Place) -> bool {
+        let needed = self.held[engine].iter().any(|model| {
+            let wanted = self.models[*model].adapted && self.models[*model].demand > SLIGHT;
+            let mut holders = self.holders[*model].iter();
+            wanted && !holders.any(|other| *other != engine && !self.engines[*other].moving)
+        });
+        !self.engines[engine].moving && !needed
+    }
+
+    fn keeps(&self, engine: Place, model: Place) -> bool {
+        self.engines[engine].copies.contains(&self.models[model].name)
+    }
+
+    fn found(&self, engine: Place, model: Place, unload: &[Place]) -> Move {
+        let name = |place: &Place| self.models[*place].name.clone();
+        Move {
+            target: self.engines[engine].target.clone(),
+            load: name(&model),
+            unload: unload.iter().map(name).collect(),
+            store: !self.keeps(engine, model),
         }
-        self.demand(model) / count(copies - 1)
     }
 }
 
+/// Spreads `demand` over places that are busy already, so that the busiest is least busy.
+fn fill(others: &[f64], demand: f64) -> Vec<f64> {
+    let mut sorted = others.to_vec();
+    sorted.sort_by(f64::total_cmp);
+    let mut level = 0.0;
+    let mut sum = 0.0;
+    for (place, busy) in sorted.iter().enumerate() {
+        sum += busy;
+        level = (sum + demand) / count(place + 1);
+        let next = sorted.get(place + 1);
+        if next.is_none_or(|next| level <= *next) {
+            break;
+        }
+    }
+    let share = |busy: &f64| (level - busy).max(0.0);
+    others.iter().map(share).collect()
+}
+
+/// Returns the strain of engines that are so busy.
+fn strain(busy: &[f64]) -> f64 {
+    let each = busy.iter().map(|busy| {
+        let beyond = (busy - EASY).max(0.0);
+        busy * busy + STEEP * beyond * beyond
+    });
+    each.sum()
+}
+
 /// Returns the next move, where one is worth it; `store` says whether the weight store may
 /// be asked now.
 ///
 /// ```
 /// use flamingo_place::spread::{Engine, Model, next};
 ///
-/// let model = |name: &str, demand| Model { name: name.into(), megabytes: 1.0, demand };
+/// let model = |name: &str, demand| Model {
+///     name: name.into(),
+///     megabytes: 1.0,
+///     demand,
+///     adapted: false,
+/// };
 /// let engine = |target: &str, models: &[&str]| Engine {
 ///     target: target.into(),
 ///     models: models.iter().map(|name| (*name).into()).collect(),
@@ -159,61 +254,97 @@
 /// ```
 #[must_use]
 pub fn next(models: &[Model], engines: &[Engine], store: bool) -> Option<Move> {
-    let view = View::new(models, engines);
-    let missing = models.iter().filter(|model| view.count(&model.name) == 0);
-    let mut missing: Vec<_> = missing.collect();
-    missing.sort_by(|a, b| b.demand.total_cmp(&a.demand));
-    for model in missing {
-        if let Some(found) = place(&view, model, f64::INFINITY, store) {
-            return Some(found);
-        }
+    let board = Board::new(models, engines);
+    let busy = board.busy();
+    if let Some(found) = missing(&board, &busy, store) {
+        return Some(found);
     }
-    let mut pressed: Vec<_> = models
-        .iter()
-        .filter(|model| model.demand > SLIGHT && view.count(&model.name) > 0)
-        .map(|model| (view.pressure(&model.name), model))
-        .filter(|(pressure, _)| *pressure > BUSY)
+    relief(&board, &busy, store)
+}
+
+/// Places a model that no engine holds, the most wanted first.
+fn missing(board: &Board<'_>, busy: &[f64], store: bool) -> Option<Move> {
+    let mut missing: Vec<Place> = (0..board.models.len())
+        .filter(|model| board.holders[*model].is_empty())
         .collect();
-    // The one that asks most of each of its copies first.
-    pressed.sort_by(|(_, a), (_, b)| view.share(&b.name).total_cmp(&view.share(&a.name)));
-    pressed
-        .into_iter()
-        .find_map(|(pressure, model)| place(&view, model, pressure - GAIN, store))
+    missing.sort_by(|a, b| board.models[*b].demand.total_cmp(&board.models[*a].demand));
+    missing.into_iter().find_map(|model| {
+        let free = |engine: &Place| {
+            !board.engines[*engine].moving && (store || board.keeps(*engine, model))
+        };
+        let engines = (0..board.engines.len()).filter(free);
+        let rooms = engines.filter_map(|engine| {
+            let unload = board.room(engine, model, 1)?;
+            let missed: f64 = unload.iter().map(|place| board.missed(*place)).sum();
+            let far = if board.keeps(engine, model) { 0.0 } else { 1.0 };
+            Some((busy[engine] + missed + far, engine, unload))
+        });
+        let best = rooms.min_by(|(a, _, _), (b, _, _)| a.total_cmp(b));
+        best.map(|(_, engine, unload)| board.found(engine, model, &unload))
+    })
 }
 
-/// Returns the best engine for one more copy that would be less busy than `most` with it.
-fn place(view: &View<'_>, model: &Model, most: f64, store: bool) -> Option<Move> {
-    let after = model.demand / count(view.count(&model.name) + 1);
+/// Returns the move that takes away the most strain.
+fn relief(board: &Board<'_>, busy: &[f64], store: bool) -> Option<Move> {
+    let before = strain(busy);
+    let pressed = |model: &Place| {
+        let holders = &board.holders[*model];
+        let least = holders.iter().map(|holder| busy[*holder]);
+        least.fold(f64::INFINITY, f64::min)
+    };
+    let mut wanted: Vec<Place> = (0..board.models.len())
+        .filter(|model| board.models[*model].demand > SLIGHT)
+        .collect();
+    wanted.sort_by(|a, b| pressed(b).total_cmp(&pressed(a)));
     let mut best: Option<(f64, Move)> = None;
-    for (engine, busy) in view.engines.iter().zip(&view.busy) {
-        if engine.moving || engine.models.contains(&model.name) {
-            continue;
-        }
-        let far = !engine.copies.contains(&model.name);
-        if far && !store {
-            continue;
-        }
-        let Some(unload) = view.room(engine, model) else {
-            continue;
-        };
-        let freed: f64 = unload.iter().map(|name| view.share(name)).sum();
-        let moved: f64 = unload
-            .iter()
-            .map(|name| view.loss(name) - view.share(name))
-            .sum();
-        let busy = busy - freed + after;
-        if busy + moved >= most {
-            continue;
+    for model in wanted.into_iter().take(MODELS) {
+        let mut engines: Vec<Place> = (0..board.engines.len())
+            .filter(|engine| !board.held[*engine].contains(&model) && board.free(*engine))
+            .filter(|engine| store || board.keeps(*engine, model))
+            .collect();
+        engines.sort_by(|a, b| busy[*a].total_cmp(&busy[*b]));
+        for engine in engines.into_iter().take(ENGINES) {
+            let Some(unload) = board.room(engine, model, 1) else {
+                continue;
+            };
+            let after = strain(&board.after(engine, model, &unload).busy());
+            let price = if board.keeps(engine, model) { OWN } else { STORE };
+            let gain = before - after - price;
+            if gain > 0.0 && best.as_ref().is_none_or(|(known, _)| gain > *known) {
+                best = Some((gain, board.found(engine, model, &unload)));
+            }
         }
-        let cost = busy + moved + if far { STORE } else { 0.0 };
-        if best.as_ref().is_none_or(|(known, _)| cost < *known) {
-            let found = Move {
-                target: engine.target.clone(),
-                load: model.name.clone(),
-                unload,
-                store: far,
+    }
+    best.map(|(_, found)| found)
+}
+
+/// Returns a copy to make ahead of demand, so that an engine has it at hand later: of the
+/// model that the fewest engines keep, on an engine that is not busy.
+#[must_use]
+pub fn ahead(models: &[Model], engines: &[Engine]) -> Option<Move> {
+    let board = Board::new(models, engines);
+    let busy = board.busy();
+    let mut best: Option<(f64, Move)> = None;
+    for model in 0..models.len() {
+        let kept = (0..engines.len()).filter(|engine| board.keeps(*engine, model));
+        let kept = count(kept.count() + 1);
+        let likely = if models[model].adapted { ADAPTED } else { 1.0 };
+        for engine in 0..engines.len() {
+            let wrong = board.keeps(engine, model)
+                || board.held[engine].contains(&model)
+                || busy[engine] > CALM
+                || !board.free(engine);
+            if wrong {
+                continue;
+            }
+            let Some(unload) = board.room(engine, model, STAY) else {
+                continue;
             };
-            best = Some((cost, found));
+            let missed: f64 = unload.iter().map(|place| board.missed(*place)).sum();
+            let worth = likely / kept - missed - busy[engine];
+            if worth > 0.0 && best.as_ref().is_none_or(|(known, _)| worth > *known) {
+                best = Some((worth, board.found(engine, model, &unload)));
+            }
         }
     }
     best.map(|(_, found)| found)
