Share loads each 100 ms, part equal targets by prefix

Change: loads go round within 200 ms; targets whose waits differ by under 25 ms are parted by the prompt's shared part; another zone counts 10 ms; a line for each stream that begins has the predicted and the real wait.

--- a/crates/flamingo-control/src/holder/mod.rs
+++ b/crates/flamingo-control/src/holder/mod.rs
@@ -33,7 +33,7 @@
 /// Time between two looks at demand and engines.
 const ROUND: Duration = Duration::from_millis(100);
 /// Time between two words to the entries on each other's requests.
-const LOADS: Duration = Duration::from_millis(200);
+const LOADS: Duration = Duration::from_millis(100);
 /// Time between two questions to an engine that nothing is known to go on at.
 const ASK: Duration = Duration::from_secs(2);
 /// Silence after which an engine's copies are not counted on.
--- a/crates/flamingo-serve/src/choice.rs
+++ b/crates/flamingo-serve/src/choice.rs
@@ -18,10 +18,13 @@
 /// Time for bringing an adapter to a target, in milliseconds.
 const ADAPTER_MS: f64 = 12.0;
 /// Time added for a target in another zone, in milliseconds.
-const ZONE_MS: f64 = 4.0;
+const ZONE_MS: f64 = 10.0;
 /// Time of a request to a plain service, in milliseconds, before any was observed.
 const PLAIN_MS: f64 = 60.0;
 
+/// Waits that differ by less are equal, in milliseconds.
+const STEP_MS: u128 = 25;
+
 /// What a request needs of a target.
 #[derive(Clone, Copy, Debug)]
 pub struct Need<'a> {
@@ -74,6 +77,13 @@
     hasher.finish()
 }
 
+/// Returns what parts equal targets for a request: prompts that share a part go the same way.
+#[must_use]
+pub fn salt(ask: &Ask, count: u64) -> u64 {
+    let shared = ask.pieces.iter().rev().nth(1);
+    shared.map_or(count, |piece| piece.part)
+}
+
 /// Chooses a target; `salt` parts equal ones.
 #[must_use]
 pub fn choose(table: &Table, need: &Need<'_>, salt: u64, now: Instant) -> Choice {
@@ -95,7 +105,7 @@
         let doubtful = target.avoided(now) || table.silent(target) || closed;
         let rating = Rating {
             doubtful,
-            wait: pick.wait,
+            step: pick.wait.as_millis() / STEP_MS,
             salt: salted(salt, &target.word.id),
         };
         if best.as_ref().is_none_or(|(known, _)| rating < *known) {
@@ -114,7 +124,8 @@
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct Rating {
     doubtful: bool,
-    wait: Duration,
+    /// The predicted wait, in steps: what others send meanwhile blurs it anyway.
+    step: u128,
     salt: u64,
 }
 
--- a/crates/flamingo-serve/src/desk.rs
+++ b/crates/flamingo-serve/src/desk.rs
@@ -349,7 +349,8 @@
             tried: &tried,
         };
         self.count.set(self.count.get() + 1);
-        choice::choose(&self.news.table.borrow(), &need, self.count.get(), now)
+        let salt = choice::salt(&job.ask, self.count.get());
+        choice::choose(&self.news.table.borrow(), &need, salt, now)
     }
 
     /// Returns whether a job may wait at its target.
@@ -396,7 +397,7 @@
             self.adapt(job, &pick).await?;
         }
         let begun = self.send(job, &pick, job.ask.after).await?;
-        self.pass(job, slot, begun).await
+        self.pass(job, slot, begun, &pick).await
     }
 
     /// Has the adapter of a job brought to its target.
@@ -512,6 +513,7 @@
         job: &Rc<Job>,
         slot: Slot,
         begun: Begun,
+        pick: &Pick,
     ) -> Result<Response<Body>, Setback> {
         let answer = &begun.answer;
         let status = begun.head.status;
@@ -524,7 +526,7 @@
             return Err(Setback::MayHaveRun(Cause::Broken));
         }
         if job.route.kind == Kind::Stream && status.is_success() {
-            return self.stream(job, slot, begun).await;
+            return self.stream(job, slot, begun, pick).await;
         }
         self.whole(job, slot, begun).await
     }
@@ -584,6 +586,7 @@
         job: &Rc<Job>,
         slot: Slot,
         begun: Begun,
+        pick: &Pick,
     ) -> Result<Response<Body>, Setback> {
         let mut head = clone(&begun.head);
         self.wire.back(&mut head);
@@ -597,6 +600,10 @@
             Step::Late => return Err(Setback::MayHaveRun(Cause::Late)),
         };
         slot.read();
+        info!(self.log, "stream begun"; "request" => &job.ask.attempt, "target" => &slot.target,
+            "route" => &job.route.name, "sent" => job.sent.get(), "fresh" => pick.fresh,
+            "queue_ms" => pick.queue.as_millis(), "wait_ms" => pick.wait.as_millis(),
+            "took_ms" => job.arrived.elapsed().as_millis());
         let stream = Stream {
             desk: Rc::clone(self),
             job: Rc::clone(job),
--- a/crates/flamingo-serve/src/tally.rs
+++ b/crates/flamingo-serve/src/tally.rs
@@ -12,7 +12,7 @@
 use std::time::{Duration, Instant};
 
 /// Time between two reports.
-const PAUSE: Duration = Duration::from_millis(200);
+const PAUSE: Duration = Duration::from_millis(100);
 /// Time that the leader has to take a report.
 const PATIENCE: Duration = Duration::from_millis(500);
 /// Time of an engine for a token that it reads, in milliseconds.
