Give the first order 300 ms after an election where fences are checked; copy ahead sparingly

Cause: after a leader froze no order was given for 4 s (3 s of them the lease, though engines refuse the old holder's fence); copies made ahead of demand kept engines from taking urgent orders for up to 5.8 s. Change: the wait is 300 ms where fences are checked; one copy ahead at a time under demand, one an engine before any; 7 loads from the store in 5.5 s; a line a second on demand and copies.

--- a/crates/flamingo-control/src/holder/account.rs
+++ b/crates/flamingo-control/src/holder/account.rs
@@ -42,6 +42,8 @@
     pub leaving: Option<id::Model>,
     /// Whether a move is under way.
     pub moving: bool,
+    /// Whether it has moved before: while nobody asks, it makes one copy ahead at most.
+    pub ahead: bool,
 }
 
 impl Account {
@@ -58,6 +60,7 @@
             loading: None,
             leaving: None,
             moving: false,
+            ahead: false,
         };
         let models = account.word.models.clone();
         account.adopt(&models, now);
--- a/crates/flamingo-control/src/holder/mod.rs
+++ b/crates/flamingo-control/src/holder/mod.rs
@@ -36,6 +36,9 @@
 const LOADS: Duration = Duration::from_millis(100);
 /// Time between two questions to an engine that nothing is known to go on at.
 const ASK: Duration = Duration::from_secs(2);
+/// Time after an election for which a holder hears of engines before its first order, where
+/// fencing numbers are checked.
+const SETTLE: Duration = Duration::from_millis(300);
 /// Silence after which an engine's copies are not counted on.
 const SILENT: Duration = Duration::from_secs(4);
 
@@ -77,6 +80,10 @@
 pub struct Bounds {
     /// Time between the last order of one holder and the first of the next.
     pub lease: Duration,
+    /// Whether engines refuse orders with a fencing number below one that they have seen.
+    pub fenced: bool,
+    /// Loads from the weight store that may begin in a window beside its rate.
+    pub spare: f64,
     /// Window over which loads from the weight store are counted.
     pub window: Duration,
 }
@@ -125,6 +132,23 @@
     told: Option<Instant>,
 }
 
+/// Lets something happen once a second at most.
+#[derive(Debug, Default)]
+struct Pace {
+    next: Option<Instant>,
+}
+
+impl Pace {
+    /// Returns whether it is time again.
+    fn due(&mut self, now: Instant) -> bool {
+        let due = self.next.is_none_or(|next| now >= next);
+        if due {
+            self.next = Some(now + Duration::from_secs(1));
+        }
+        due
+    }
+}
+
 /// Gives orders while this instance leads.
 struct Holder {
     node: id::Node,
@@ -132,6 +156,7 @@
     engines: Rc<dyn Engines>,
     bounds: Bounds,
     term: RefCell<Term>,
+    noted: RefCell<Pace>,
     log: Logger,
 }
 
@@ -143,6 +168,7 @@
         engines: start.engines,
         bounds: start.bounds,
         term: RefCell::default(),
+        noted: RefCell::default(),
         log: start.log,
     });
     let mut questions = start.questions;
@@ -221,11 +247,12 @@
         if term.fence == lead.fence {
             return;
         }
-        // Before the first leadership of all nobody gave orders.
-        let wait = if lead.fence <= 1 {
-            Duration::ZERO
-        } else {
-            self.bounds.lease
+        // Before the first leadership of all nobody gave orders; where engines check fencing
+        // numbers, those of the holder before are refused from the first order on.
+        let wait = match (lead.fence, self.bounds.fenced) {
+            (0 | 1, _) => Duration::ZERO,
+            (_, true) => SETTLE,
+            (_, false) => self.bounds.lease,
         };
         info!(self.log, "holder of orders"; "fence" => lead.fence, "wait_ms" => wait.as_millis());
         let demands = std::mem::take(&mut term.demands);
--- a/crates/flamingo-control/src/holder/moves.rs
+++ b/crates/flamingo-control/src/holder/moves.rs
@@ -26,12 +26,16 @@
 const AGAIN: Duration = Duration::from_millis(300);
 /// Moves that may be under way at a time.
 const MOVES: usize = 8;
+/// Demand from which a model is named in the log, in engines.
+const NOTED: f64 = 0.05;
 /// Moves under way at which no copy is made ahead of demand.
-const AHEAD: usize = 3;
+const AHEAD: usize = 1;
+/// Demand below which nobody asks for anything yet, in engines.
+const IDLE: f64 = 0.05;
 /// Loads from the weight store that are left to demand.
 const SPARE: f64 = 3.0;
 /// Time added to the window of loads, for clocks that differ.
-const DRIFT: Duration = Duration::from_secs(1);
+const DRIFT: Duration = Duration::from_millis(500);
 
 impl Holder {
     /// Begins the next move of each service, where one is worth it.
@@ -65,9 +69,17 @@
                 let engines = accounts.iter().filter(|account| !account.word.leaving);
                 let engines = engines.map(|account| seen(account, engine.megabytes - largest, now));
                 let engines: Vec<_> = engines.collect();
+                self.note(&service.name, &models, &engines, now);
                 let ahead = || {
-                    let may = spare && moving < AHEAD;
-                    may.then(|| spread::ahead(&models, &engines)).flatten()
+                    let asked: f64 = models.iter().map(|model| model.demand).sum();
+                    let most = if asked < IDLE { accounts.len() } else { AHEAD };
+                    let may = spare && moving < most;
+                    let fresh = engines.iter().filter(|engine| {
+                        let account = term.accounts.get(&engine.target);
+                        asked >= IDLE || account.is_some_and(|account| !account.ahead)
+                    });
+                    let fresh: Vec<_> = fresh.cloned().collect();
+                    may.then(|| spread::ahead(&models, &engines, &fresh)).flatten()
                 };
                 spread::next(&models, &engines, store).or_else(ahead)
             };
@@ -77,10 +89,31 @@
         }
     }
 
+    /// Writes once a second which models are asked for, and how many copies they have.
+    fn note(&self, service: &str, models: &[Model], engines: &[Engine], now: Instant) {
+        if !self.noted.borrow_mut().due(now) {
+            return;
+        }
+        let mut asked: Vec<_> = models.iter().filter(|model| model.demand > NOTED).collect();
+        asked.sort_by(|a, b| b.demand.total_cmp(&a.demand));
+        let copies = |model: &Model| {
+            let mut count = 0;
+            let mut coming = 0;
+            for engine in engines.iter().filter(|engine| engine.models.contains(&model.name)) {
+                count += 1;
+                coming += usize::from(engine.moving);
+            }
+            format!("{}:{:.2}/{count}-{coming}", model.name, model.demand)
+        };
+        let asked: Vec<_> = asked.into_iter().take(6).map(copies).collect();
+        info!(self.log, "demand"; "service" => service, "models" => asked.join(" "),
+            "engines" => engines.len());
+    }
+
     /// Returns how many loads from the weight store may begin now.
     fn store(&self, lead: &Lead, engine: &flamingo_wire::route::Engine, now: Instant) -> f64 {
         let window = self.bounds.window + DRIFT;
-        let most = engine.loads_per_s * self.bounds.window.as_secs_f64();
+        let most = engine.loads_per_s * self.bounds.window.as_secs_f64() + self.bounds.spare;
         let wall = SystemTime::now();
         let recent = |begun: &&SystemTime| {
             // One that lies ahead of this clock has just begun.
@@ -106,6 +139,7 @@
                 return;
             };
             account.moving = true;
+            account.ahead = true;
             account.loading = Some(found.load.clone());
         }
         let holder = Rc::clone(self);
--- a/crates/flamingo-place/src/spread.rs
+++ b/crates/flamingo-place/src/spread.rs
@@ -319,9 +319,9 @@
 }
 
 /// Returns a copy to make ahead of demand, so that an engine has it at hand later: of the
-/// model that the fewest engines keep, on an engine that is not busy.
+/// model that the fewest engines keep, on an engine of `may` that is not busy.
 #[must_use]
-pub fn ahead(models: &[Model], engines: &[Engine]) -> Option<Move> {
+pub fn ahead(models: &[Model], engines: &[Engine], may: &[Engine]) -> Option<Move> {
     let board = Board::new(models, engines);
     let busy = board.busy();
     let mut best: Option<(f64, Move)> = None;
@@ -330,7 +330,9 @@
         let kept = count(kept.count() + 1);
         let likely = if models[model].adapted { ADAPTED } else { 1.0 };
         for engine in 0..engines.len() {
+            let target = &engines[engine].target;
             let wrong = board.keeps(engine, model)
+                || !may.iter().any(|engine| &engine.target == target)
                 || board.held[engine].contains(&model)
                 || busy[engine] > CALM
                 || !board.free(engine);
