Prepare the second most wanted model for 0.6 of the first's demand

Cause: a shift makes the second model the first within 5 s, and a copy takes as long to load. Change: placement counts the second model with 0.6 of the first's demand at least.

--- a/crates/flamingo-control/src/holder/moves.rs
+++ b/crates/flamingo-control/src/holder/moves.rs
@@ -63,7 +63,8 @@
                     demand: term.demands.rate(&service.name, &model.name, now),
                     adapted: model.adapters > 0,
                 });
-                let models: Vec<_> = models.collect();
+                let mut models: Vec<_> = models.collect();
+                spread::hedge(&mut models);
                 let adapters = engine.models.iter().map(|model| model.adapter_megabytes);
                 let largest = adapters.fold(0.0, f64::max) * f64::from(engine.adapters);
                 let engines = accounts.iter().filter(|account| !account.word.leaving);
--- a/crates/flamingo-place/src/spread.rs
+++ b/crates/flamingo-place/src/spread.rs
@@ -28,6 +28,8 @@
 const ROUNDS: usize = 4;
 /// How much more likely a model with adapters is to be asked for next.
 const ADAPTED: f64 = 3.0;
+/// Part of the demand of the most wanted model that the second one is prepared for.
+const HEDGE: f64 = 0.6;
 /// Copies of a model that stay where copies are made ahead of demand.
 const STAY: usize = 3;
 
@@ -230,6 +232,19 @@
     each.sum()
 }
 
+/// Raises the demand of the model that is asked for second most to a part of the first: the
+/// ranks may change before a copy could be made.
+pub fn hedge(models: &mut [Model]) {
+    let mut ranks: Vec<Place> = (0..models.len()).collect();
+    ranks.sort_by(|a, b| models[*b].demand.total_cmp(&models[*a].demand));
+    if let [first, second, ..] = ranks[..]
+        && models[second].demand > SLIGHT
+    {
+        let least = models[first].demand * HEDGE;
+        models[second].demand = models[second].demand.max(least);
+    }
+}
+
 /// Returns the next move, where one is worth it; `store` says whether the weight store may
 /// be asked now.
 ///
