Never let the last copy that is there make way for one that is coming

Forecasts beyond what all engines carry made each swap look worth it. Change: only a copy that another engine holds now may make way; demand counts up to 0.8 of all engines; a model that has to make way has a price, since its runs end first.

--- a/crates/flamingo-control/src/holder/moves.rs
+++ b/crates/flamingo-control/src/holder/moves.rs
@@ -282,6 +282,7 @@
     Engine {
         target: word.id.clone(),
         models: account.models(),
+        coming: account.loading.clone(),
         copies: copies.cloned().collect(),
         moving: account.occupied(now),
         megabytes,
--- a/crates/flamingo-place/src/spread.rs
+++ b/crates/flamingo-place/src/spread.rs
@@ -30,6 +30,11 @@
 const ADAPTED: f64 = 3.0;
 /// Part of the demand of the most wanted model that the second one is prepared for.
 const HEDGE: f64 = 0.6;
+/// Busy share of all engines beyond which demand is not planned for.
+const FULL: f64 = 0.8;
+/// Strain that a move must take away more for each model that has to make way: its runs end
+/// first.
+const WAY: f64 = 0.05;
 /// Copies of a model that stay where copies are made ahead of demand.
 const STAY: usize = 3;
 
@@ -53,6 +58,8 @@
     pub target: id::Target,
     /// Models that it holds, or is about to hold.
     pub models: Vec<id::Model>,
+    /// The one of them that it does not hold yet.
+    pub coming: Option<id::Model>,
     /// Models of which it keeps copies in memory or on disk.
     pub copies: Vec<id::Model>,
     /// Whether an order is being carried out.
@@ -86,6 +93,10 @@
     held: Vec<Vec<Place>>,
     /// The engines of each model.
     holders: Vec<Vec<Place>>,
+    /// Engines that hold each model now.
+    present: Vec<usize>,
+    /// Part of the demand that the engines can carry at all.
+    scale: f64,
 }
 
 impl<'a> Board<'a> {
@@ -96,11 +107,15 @@
             .collect();
         let mut holders = vec![Vec::new(); models.len()];
         let mut held = Vec::with_capacity(engines.len());
+        let mut present = vec![0; models.len()];
+        let demand: f64 = models.iter().map(|model| model.demand).sum();
+        let most = count(engines.len()) * FULL;
         for (engine, seen) in engines.iter().enumerate() {
             let places = seen.models.iter().filter_map(|name| names.get(name.as_str()));
             let places: Vec<Place> = places.copied().collect();
             for model in &places {
                 holders[*model].push(engine);
+                present[*model] += usize::from(seen.coming.as_ref() != Some(&models[*model].name));
             }
             held.push(places);
         }
@@ -109,9 +124,16 @@
             engines,
             held,
             holders,
+            present,
+            scale: (most / demand.max(most)).min(1.0),
         }
     }
 
+    /// Returns the demand for a model, as far as the engines can carry all of it.
+    fn demand(&self, model: Place) -> f64 {
+        self.models[model].demand * self.scale
+    }
+
     /// Returns how busy each engine is once the demand of each model is spread evenly.
     fn busy(&self) -> Vec<f64> {
         let mut busy = vec![0.0; self.engines.len()];
@@ -122,7 +144,7 @@
             .collect();
         for _ in 0..ROUNDS {
             for (model, holders) in self.holders.iter().enumerate() {
-                let demand = self.models[model].demand;
+                let demand = self.demand(model);
                 if demand <= 0.0 || holders.is_empty() {
                     continue;
                 }
@@ -140,14 +162,14 @@
     }
 
     /// Returns what has to make way for `model` on an engine, the least missed first; nothing
-    /// where it can't, or where fewer than `stay` copies of something would be left.
+    /// where it can't, or where fewer than `stay` engines would still hold something.
     fn room(&self, engine: Place, model: Place, stay: usize) -> Option<Vec<Place>> {
         let size = |place: &Place| self.models[*place].megabytes;
         let used: f64 = self.held[engine].iter().map(size).sum();
         let mut missing = used + size(&model) - self.engines[engine].megabytes;
         let spare = self.held[engine].iter().copied();
         let mut spare: Vec<Place> = spare
-            .filter(|place| self.holders[*place].len() > stay)
+            .filter(|place| self.present[*place] > stay)
             .collect();
         spare.sort_by(|a, b| self.missed(*a).total_cmp(&self.missed(*b)));
         let mut unload = Vec::new();
@@ -164,7 +186,7 @@
     /// Returns what each other copy of a model has to carry once one is taken away.
     fn missed(&self, model: Place) -> f64 {
         let left = self.holders[model].len().saturating_sub(1);
-        self.models[model].demand / count(left.max(1))
+        self.demand(model) / count(left.max(1))
     }
 
     /// Returns the board after a move.
@@ -173,6 +195,7 @@
         for place in unload {
             board.held[engine].retain(|held| held != place);
             board.holders[*place].retain(|holder| *holder != engine);
+            board.present[*place] -= 1;
         }
         board.held[engine].push(model);
         board.holders[model].push(engine);
@@ -324,6 +347,7 @@
             };
             let after = strain(&board.after(engine, model, &unload).busy());
             let price = if board.keeps(engine, model) { OWN } else { STORE };
+            let price = price + count(unload.len()) * WAY;
             let gain = before - after - price;
             if gain > 0.0 && best.as_ref().is_none_or(|(known, _)| gain > *known) {
                 best = Some((gain, board.found(engine, model, &unload)));
