--- a/crates/flamingo-control/src/daemon.rs
+++ b/crates/flamingo-control/src/daemon.rs
@@ -1,14 +1,14 @@
 //! Starts and stops the daemon.
 
 use crate::duty::Duty;
+use crate::holder::Question;
 use crate::http;
 use crate::inner::Inner;
 use crate::keeper::{Keeper, Start, Stop};
 use crate::metrics::Metrics;
 use crate::orders::Orders;
-use crate::watch::{CATCH_UPS, Source};
-use crate::holder::Question;
 use crate::registry::Registry;
+use crate::watch::{CATCH_UPS, Source};
 use actix::{Actor, Addr};
 use actix_web::web::Data;
 use actix_web::{App, HttpServer};
--- a/crates/flamingo-control/src/holder/account.rs
+++ b/crates/flamingo-control/src/holder/account.rs
@@ -72,7 +72,9 @@
         for resident in models {
             let old = self.models.get(&resident.model);
             let adapters = resident.adapters.iter().map(|adapter| {
-                let used = old.and_then(|old| old.get(adapter)).map_or(now, |held| held.used);
+                let used = old
+                    .and_then(|old| old.get(adapter))
+                    .map_or(now, |held| held.used);
                 (adapter.clone(), Held { used, sure: true })
             });
             fresh.insert(resident.model.clone(), adapters.collect());
@@ -115,7 +117,10 @@
         for resident in &report.coming {
             let adapters = self.models.entry(resident.model.clone()).or_default();
             for adapter in &resident.adapters {
-                let held = Held { used: now, sure: true };
+                let held = Held {
+                    used: now,
+                    sure: true,
+                };
                 adapters.entry(adapter.clone()).or_insert(held);
             }
         }
@@ -145,7 +150,10 @@
         let taken = matches!(outcome, Outcome::Begun | Outcome::Holds);
         match (&order.adapter, order.operation) {
             (Some(adapter), Operation::Load) if taken || outcome == Outcome::Unclear => {
-                let held = Held { used: now, sure: taken };
+                let held = Held {
+                    used: now,
+                    sure: taken,
+                };
                 let adapters = self.models.entry(order.model.clone()).or_default();
                 adapters.insert(adapter.clone(), held);
             }
--- a/crates/flamingo-control/src/holder/mod.rs
+++ b/crates/flamingo-control/src/holder/mod.rs
@@ -278,9 +278,8 @@
             engine_of(routes, &word.service).is_some() && !word.gone
         };
         let words: Vec<_> = words.into_iter().filter(engine).collect();
-        term.accounts.retain(|id, account| {
-            account.moving || words.iter().any(|word| &word.id == id)
-        });
+        term.accounts
+            .retain(|id, account| account.moving || words.iter().any(|word| &word.id == id));
         for word in words {
             let known = term.accounts.get_mut(&word.id);
             match known {
--- a/crates/flamingo-control/src/holder/moves.rs
+++ b/crates/flamingo-control/src/holder/moves.rs
@@ -80,7 +80,8 @@
                         asked >= IDLE || account.is_some_and(|account| !account.ahead)
                     });
                     let fresh: Vec<_> = fresh.cloned().collect();
-                    may.then(|| spread::ahead(&models, &engines, &fresh)).flatten()
+                    may.then(|| spread::ahead(&models, &engines, &fresh))
+                        .flatten()
                 };
                 spread::next(&models, &engines, store).or_else(ahead)
             };
@@ -100,7 +101,10 @@
         let copies = |model: &Model| {
             let mut count = 0;
             let mut coming = 0;
-            for engine in engines.iter().filter(|engine| engine.models.contains(&model.name)) {
+            for engine in engines
+                .iter()
+                .filter(|engine| engine.models.contains(&model.name))
+            {
                 count += 1;
                 coming += usize::from(engine.moving);
             }
@@ -162,7 +166,9 @@
 
     async fn carry(&self, found: &Move) -> Result<(), &'static str> {
         for model in &found.unload {
-            self.change(&found.target, |account| account.leaving = Some(model.clone()));
+            self.change(&found.target, |account| {
+                account.leaving = Some(model.clone())
+            });
             self.publish(&found.target);
             tokio::time::sleep(NOTICE).await;
             self.order(&found.target, Operation::Unload, model).await?;
@@ -177,7 +183,8 @@
                 _ => return Err("the load could not be recorded"),
             }
         }
-        self.order(&found.target, Operation::Load, &found.load).await?;
+        self.order(&found.target, Operation::Load, &found.load)
+            .await?;
         self.idle(&found.target, &found.load, true).await?;
         self.change(&found.target, |account| account.loaded(&found.load));
         Ok(())
@@ -186,7 +193,10 @@
     /// Checks that an engine has room for a model, by all that it holds or may hold.
     fn room(&self, found: &Move) -> Result<(), &'static str> {
         let term = self.term.borrow();
-        let account = term.accounts.get(&found.target).ok_or("the engine has gone")?;
+        let account = term
+            .accounts
+            .get(&found.target)
+            .ok_or("the engine has gone")?;
         let routes = term.routes.as_ref().ok_or("no routes are in force")?;
         let engine = engine_of(routes, &account.word.service).ok_or("not an engine")?;
         let size = |model: &str| {
--- a/crates/flamingo-control/src/holder/orders.rs
+++ b/crates/flamingo-control/src/holder/orders.rs
@@ -116,7 +116,10 @@
         let routes = lead.routes.ok_or("no routes are in force")?;
         {
             let mut term = self.term.borrow_mut();
-            let account = term.accounts.get_mut(&adapt.target).ok_or("no such engine")?;
+            let account = term
+                .accounts
+                .get_mut(&adapt.target)
+                .ok_or("no such engine")?;
             if account.word.incarnation != adapt.incarnation {
                 return Err("the engine has started again");
             }
@@ -133,7 +136,9 @@
         for _ in 0..2 {
             if let Some((model, adapter)) = self.crowded(&adapt.target, &routes)? {
                 let operation = Operation::Unload;
-                let outcome = self.give(&adapt.target, operation, &model, Some(&adapter)).await;
+                let outcome = self
+                    .give(&adapt.target, operation, &model, Some(&adapter))
+                    .await;
                 if !matches!(outcome, Outcome::Begun | Outcome::Holds) {
                     return Err("no adapter could make way");
                 }
--- a/crates/flamingo-place/src/spread.rs
+++ b/crates/flamingo-place/src/spread.rs
@@ -111,7 +111,10 @@
         let demand: f64 = models.iter().map(|model| model.demand).sum();
         let most = count(engines.len()) * FULL;
         for (engine, seen) in engines.iter().enumerate() {
-            let places = seen.models.iter().filter_map(|name| names.get(name.as_str()));
+            let places = seen
+                .models
+                .iter()
+                .filter_map(|name| names.get(name.as_str()));
             let places: Vec<Place> = places.copied().collect();
             for model in &places {
                 holders[*model].push(engine);
@@ -168,9 +171,7 @@
         let used: f64 = self.held[engine].iter().map(size).sum();
         let mut missing = used + size(&model) - self.engines[engine].megabytes;
         let spare = self.held[engine].iter().copied();
-        let mut spare: Vec<Place> = spare
-            .filter(|place| self.present[*place] > stay)
-            .collect();
+        let mut spare: Vec<Place> = spare.filter(|place| self.present[*place] > stay).collect();
         spare.sort_by(|a, b| self.missed(*a).total_cmp(&self.missed(*b)));
         let mut unload = Vec::new();
         for place in spare {
@@ -214,7 +215,9 @@
     }
 
     fn keeps(&self, engine: Place, model: Place) -> bool {
-        self.engines[engine].copies.contains(&self.models[model].name)
+        self.engines[engine]
+            .copies
+            .contains(&self.models[model].name)
     }
 
     fn found(&self, engine: Place, model: Place, unload: &[Place]) -> Move {
@@ -346,7 +349,11 @@
                 continue;
             };
             let after = strain(&board.after(engine, model, &unload).busy());
-            let price = if board.keeps(engine, model) { OWN } else { STORE };
+            let price = if board.keeps(engine, model) {
+                OWN
+            } else {
+                STORE
+            };
             let price = price + count(unload.len()) * WAY;
             let gain = before - after - price;
             if gain > 0.0 && best.as_ref().is_none_or(|(known, _)| gain > *known) {
@@ -364,10 +371,10 @@
     let board = Board::new(models, engines);
     let busy = board.busy();
     let mut best: Option<(f64, Move)> = None;
-    for model in 0..models.len() {
+    for (model, wanted) in models.iter().enumerate() {
         let kept = (0..engines.len()).filter(|engine| board.keeps(*engine, model));
         let kept = count(kept.count() + 1);
-        let likely = if models[model].adapted { ADAPTED } else { 1.0 };
+        let likely = if wanted.adapted { ADAPTED } else { 1.0 };
         for engine in 0..engines.len() {
             let target = &engines[engine].target;
             let wrong = board.keeps(engine, model)
--- /dev/null
+++ b/crates/flamingo-place/tests/spread.rs
@@ -0,0 +1,133 @@
+//! Copies of models under demand that moves.
+
+use flamingo_place::spread::{Engine, Model, Move, ahead, hedge, next};
+
+fn model(name: &str, demand: f64) -> Model {
+    Model {
+        name: name.into(),
+        megabytes: 70.0,
+        demand,
+        adapted: true,
+    }
+}
+
+fn engine(target: &str, models: &[&str]) -> Engine {
+    Engine {
+        target: target.into(),
+        models: models.iter().map(|name| (*name).into()).collect(),
+        megabytes: 150.0,
+        ..Engine::default()
+    }
+}
+
+fn carry_out(engines: &mut [Engine], found: &Move) {
+    let engine = engines
+        .iter_mut()
+        .find(|engine| engine.target == found.target);
+    let engine = engine.expect("an engine");
+    engine.models.retain(|model| !found.unload.contains(model));
+    engine.models.push(found.load.clone());
+    assert!(engine.models.len() <= 2, "{engine:?}");
+}
+
+fn copies(engines: &[Engine], model: &str) -> usize {
+    let held = engines
+        .iter()
+        .filter(|engine| engine.models.iter().any(|held| held == model));
+    held.count()
+}
+
+/// Four engines of two models each: `a` was wanted, `b` now is.
+fn shifted() -> (Vec<Model>, Vec<Engine>) {
+    let models = vec![model("a", 0.0), model("b", 2.0), model("c", 0.05)];
+    let engines = vec![
+        engine("1", &["a", "b"]),
+        engine("2", &["a", "c"]),
+        engine("3", &["a"]),
+        engine("4", &["a"]),
+    ];
+    (models, engines)
+}
+
+#[test]
+fn a_shift_of_demand_moves_copies_until_nothing_is_strained() {
+    let (models, mut engines) = shifted();
+    let mut moves = 0;
+    while let Some(found) = next(&models, &engines, true) {
+        carry_out(&mut engines, &found);
+        moves += 1;
+        assert!(moves < 10, "it goes on for ever");
+    }
+    assert!(copies(&engines, "b") >= 3, "{engines:?}");
+    for name in ["a", "c"] {
+        assert!(copies(&engines, name) >= 1, "{name} has gone");
+    }
+}
+
+#[test]
+fn without_the_store_only_kept_copies_are_loaded() {
+    let (models, mut engines) = shifted();
+    assert_eq!(next(&models, &engines, false), None);
+    engines[3].copies.push("b".into());
+    let found = next(&models, &engines, false).expect("a move");
+    assert_eq!((found.target.as_str(), found.store), ("4", false));
+}
+
+#[test]
+fn the_last_copy_that_is_there_makes_way_for_nothing() {
+    let models = [model("a", 0.3), model("b", 2.0), model("c", 0.0)];
+    let mut engines = [
+        engine("1", &["b", "c"]),
+        engine("2", &["a", "c"]),
+        engine("3", &["a", "c"]),
+    ];
+    // The copy of 'a' on the third is only coming: that on the second is the last one.
+    engines[2].coming = Some("a".into());
+    engines[2].moving = true;
+    let found = next(&models, &engines, true);
+    let safe = found.is_none_or(|found| !found.unload.contains(&"a".to_owned()));
+    assert!(safe);
+}
+
+#[test]
+fn a_model_without_a_copy_is_placed_first() {
+    let models = [model("a", 3.0), model("lost", 0.0)];
+    let engines = [engine("1", &["a"]), engine("2", &["a"])];
+    let found = next(&models, &engines, true).expect("a move");
+    assert_eq!(found.load, "lost");
+}
+
+#[test]
+fn calm_demand_moves_nothing() {
+    let models = [model("a", 0.3), model("b", 0.2)];
+    let engines = [engine("1", &["a"]), engine("2", &["b"])];
+    assert_eq!(next(&models, &engines, true), None);
+}
+
+#[test]
+fn an_engine_that_carries_out_an_order_is_left_alone() {
+    let (models, mut engines) = shifted();
+    for engine in &mut engines {
+        engine.moving = true;
+    }
+    assert_eq!(next(&models, &engines, true), None);
+    assert_eq!(ahead(&models, &engines, &engines), None);
+}
+
+#[test]
+fn the_second_model_is_prepared_for_part_of_the_first() {
+    let mut models = [model("a", 2.0), model("b", 0.1), model("c", 0.0)];
+    hedge(&mut models);
+    assert!(models[1].demand > 1.0);
+    assert!(models[2].demand < 0.01);
+}
+
+#[test]
+fn a_copy_ahead_goes_where_none_is_kept() {
+    let models = [model("a", 0.0), model("b", 0.0)];
+    let mut engines = [engine("1", &["a"]), engine("2", &["b"])];
+    engines[0].copies.push("a".into());
+    engines[1].copies.push("b".into());
+    let found = ahead(&models, &engines, &engines).expect("a move");
+    assert!(found.store && found.unload.is_empty());
+}
--- a/crates/flamingo-serve/src/body.rs
+++ b/crates/flamingo-serve/src/body.rs
@@ -73,9 +73,7 @@
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Whole(bytes) => {
-                SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64)
-            }
+            Self::Whole(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
             Self::Chunks(_) => SizeHint::default(),
         }
     }
--- a/crates/flamingo-serve/src/budget.rs
+++ b/crates/flamingo-serve/src/budget.rs
@@ -83,11 +83,18 @@
     fn step(&mut self, now: Instant) -> &mut Step {
         // One step longer than the window: what is at its edge still counts.
         let window = self.allowance.window * (STEPS + 1) / STEPS;
-        while self.steps.front().is_some_and(|step| now >= step.begun + window) {
+        while self
+            .steps
+            .front()
+            .is_some_and(|step| now >= step.begun + window)
+        {
             self.steps.pop_front();
         }
         let length = self.allowance.window / STEPS;
-        let fresh = self.steps.back().is_none_or(|step| now >= step.begun + length);
+        let fresh = self
+            .steps
+            .back()
+            .is_none_or(|step| now >= step.begun + length);
         if fresh {
             self.steps.push_back(Step {
                 begun: now,
--- a/crates/flamingo-serve/src/desk.rs
+++ b/crates/flamingo-serve/src/desk.rs
@@ -9,8 +9,8 @@
 use crate::front::{Drain, Guard, Handler, Stage};
 use crate::news::{News, Routes};
 use crate::pool::Connection;
-use crate::tally::Counts;
 use crate::relay::{Relay, Step};
+use crate::tally::Counts;
 use crate::wire::{Ask, Cause, Hop, Refusal, Try, Wire};
 use bytes::{Bytes, BytesMut};
 use flamingo_link::feed::Asker;
@@ -436,12 +436,7 @@
     }
 
     /// Sends a job to its target and waits for the head of the answer.
-    async fn send(
-        &self,
-        job: &Job,
-        pick: &Pick,
-        after: Option<u64>,
-    ) -> Result<Begun, Setback> {
+    async fn send(&self, job: &Job, pick: &Pick, after: Option<u64>) -> Result<Begun, Setback> {
         let now = Instant::now();
         let address = {
             let mut table = self.news.table.borrow_mut();
@@ -665,7 +660,12 @@
     }
 
     /// Keeps a connection whose answer has been read to its end.
-    fn reuse(self: &Rc<Self>, target: &str, mut connection: Connection, answer: &crate::wire::Answer) {
+    fn reuse(
+        self: &Rc<Self>,
+        target: &str,
+        mut connection: Connection,
+        answer: &crate::wire::Answer,
+    ) {
         if answer.closes {
             return;
         }
@@ -785,7 +785,11 @@
 
 /// Returns the service that a request goes to, by the route's shares.
 fn share(route: &Route, ask: &Ask) -> id::Service {
-    let total: u64 = route.shares.iter().map(|share| u64::from(share.weight)).sum();
+    let total: u64 = route
+        .shares
+        .iter()
+        .map(|share| u64::from(share.weight))
+        .sum();
     let mut hasher = DefaultHasher::new();
     let attempt: Option<&Try> = ask.attempt.as_ref();
     attempt.hash(&mut hasher);
--- a/crates/flamingo-serve/src/events.rs
+++ b/crates/flamingo-serve/src/events.rs
@@ -38,7 +38,10 @@
     }
 
     /// Returns the next whole event.
-    #[allow(clippy::should_implement_trait, reason = "more may be pushed after a none")]
+    #[allow(
+        clippy::should_implement_trait,
+        reason = "more may be pushed after a none"
+    )]
     pub fn next(&mut self) -> Option<Event> {
         let end = self.end()?;
         self.seen = 0;
--- a/crates/flamingo-serve/src/front.rs
+++ b/crates/flamingo-serve/src/front.rs
@@ -29,7 +29,10 @@
 /// Answers requests.
 pub trait Handler {
     /// Answers one request; it is dropped where the caller leaves.
-    fn handle(self: Rc<Self>, request: Request<Incoming>) -> LocalBoxFuture<'static, Response<Body>>;
+    fn handle(
+        self: Rc<Self>,
+        request: Request<Incoming>,
+    ) -> LocalBoxFuture<'static, Response<Body>>;
 }
 
 /// How connections are treated.
--- a/crates/flamingo-test-support/src/group.rs
+++ b/crates/flamingo-test-support/src/group.rs
@@ -74,13 +74,29 @@
     committed: BTreeMap<id::Index, Entry>,
     leaders: BTreeMap<id::Term, id::Node>,
     wiped: BTreeMap<id::Node, u64>,
+    seeded: usize,
+    growth: Growth,
 }
 
 impl Group {
     /// Starts `count` members with empty disks.
     #[must_use]
     pub fn new(count: usize, seed: u64) -> Self {
+        Self::build(count, count, Growth::default(), seed)
+    }
+
+    /// Starts `count` members with an open member list, all of which are told of the first
+    /// `seeded` alone; `keep` voters stay where others fall silent.
+    #[must_use]
+    pub fn open(count: usize, seeded: usize, keep: usize, seed: u64) -> Self {
+        let founds = true;
+        Self::build(count, seeded, Growth::Open { keep, founds }, seed)
+    }
+
+    fn build(count: usize, seeded: usize, growth: Growth, seed: u64) -> Self {
         let mut group = Self {
+            seeded,
+            growth,
             now: Instant::now(),
             nodes: Vec::new(),
             weather: Weather::default(),
@@ -136,8 +152,7 @@
         if self.nodes[n].raft.is_some() {
             return;
         }
-        let count = self.nodes.len();
-        let seeds = (0..count).map(|n| Seed {
+        let seeds = (0..self.seeded).map(|n| Seed {
             node: name(n),
             address: address(n),
         });
@@ -149,7 +164,7 @@
             address: address(n),
             seeds,
             timing: Timing::default(),
-            growth: Growth::default(),
+            growth: self.growth,
             seed,
             stored: node.stored.clone(),
         };
