--- a/crates/flamingo-control/src/holder/account.rs
+++ b/crates/flamingo-control/src/holder/account.rs
@@ -42,8 +42,8 @@
     pub leaving: Option<id::Model>,
     /// Whether a move is under way.
     pub moving: bool,
-    /// Whether it has moved before: while nobody asks, it makes one copy ahead at most.
-    pub ahead: bool,
+    /// Moves that it has begun: while nobody asks, it makes one copy ahead at most.
+    pub moves: u32,
 }
 
 impl Account {
@@ -60,7 +60,7 @@
             loading: None,
             leaving: None,
             moving: false,
-            ahead: false,
+            moves: 0,
         };
         let models = account.word.models.clone();
         account.adopt(&models, now);
--- a/crates/flamingo-control/src/holder/demand.rs
+++ b/crates/flamingo-control/src/holder/demand.rs
@@ -8,7 +8,7 @@
 /// Time constant of the demand of the moment.
 const FAST: Duration = Duration::from_millis(800);
 /// Time constant of the demand that it is compared with, to see where it goes.
-const SLOW: Duration = Duration::from_millis(3_000);
+const SLOW: Duration = Duration::from_secs(3);
 /// How far a rise goes on, against the difference of the two.
 const TREND: f64 = 1.5;
 /// Time after which what an entry said of its requests no longer counts.
--- a/crates/flamingo-control/src/holder/moves.rs
+++ b/crates/flamingo-control/src/holder/moves.rs
@@ -77,7 +77,7 @@
                     let may = spare && moving < most;
                     let fresh = engines.iter().filter(|engine| {
                         let account = term.accounts.get(&engine.target);
-                        asked >= IDLE || account.is_some_and(|account| !account.ahead)
+                        asked >= IDLE || account.is_some_and(|account| account.moves == 0)
                     });
                     let fresh: Vec<_> = fresh.cloned().collect();
                     may.then(|| spread::ahead(&models, &engines, &fresh))
@@ -144,7 +144,7 @@
                 return;
             };
             account.moving = true;
-            account.ahead = true;
+            account.moves += 1;
             account.loading = Some(found.load.clone());
         }
         let holder = Rc::clone(self);
@@ -167,7 +167,7 @@
     async fn carry(&self, found: &Move) -> Result<(), &'static str> {
         for model in &found.unload {
             self.change(&found.target, |account| {
-                account.leaving = Some(model.clone())
+                account.leaving = Some(model.clone());
             });
             self.publish(&found.target);
             tokio::time::sleep(NOTICE).await;
--- a/crates/flamingo-control/src/keeper/answer.rs
+++ b/crates/flamingo-control/src/keeper/answer.rs
@@ -50,9 +50,10 @@
             Request::Routes if self.raft.lease(now) => {
                 ready(Reply::Routes(self.state.routes.clone()))
             }
-            Request::Routes => ready(Reply::Refused(leaderless())),
-            // The holder of orders takes these before they come here.
-            Request::Tally(_) | Request::Adapt(_) => ready(Reply::Refused(leaderless())),
+            // What is asked of the holder of orders comes here only where there is none.
+            Request::Routes | Request::Tally(_) | Request::Adapt(_) => {
+                ready(Reply::Refused(leaderless()))
+            }
             Request::Fetch(fetch) => ready(self.fetch(&fetch)),
         }
     }
--- a/crates/flamingo-control/tests/registry.rs
+++ b/crates/flamingo-control/tests/registry.rs
@@ -91,7 +91,7 @@
         1
     );
     assert!(registry.fresh(now + silence, silence).is_empty());
-    registry.flush(now + Duration::from_secs(60));
+    registry.flush(now + Duration::from_mins(1));
     assert!(registry.get("t").is_none());
 }
 
--- a/crates/flamingo-control/tests/watch.rs
+++ b/crates/flamingo-control/tests/watch.rs
@@ -57,6 +57,7 @@
         node: NODE.into(),
         zone: "zone-a".into(),
         version,
+        routes: None,
     };
     seal.seal(to, &beat, SystemTime::now()).unwrap()
 }
--- a/crates/flamingo-link/src/watch.rs
+++ b/crates/flamingo-link/src/watch.rs
@@ -132,12 +132,11 @@
 /// Takes one push; returns whether it was genuine.
 fn take(shared: &Shared, frame: &Frame) -> bool {
     match shared.seal.open(frame, SystemTime::now()) {
-        Ok(Push::Beat(_)) => true,
         Ok(Push::Config(snapshot)) => {
             install(shared, &snapshot);
             true
         }
-        // Said only to those that follow routes.
+        // A beat; the rest is said only to those that follow routes.
         Ok(_) => true,
         Err(error) => {
             warn!(shared.log, "push refused"; "error" => %error);
--- a/crates/flamingo-serve/src/body.rs
+++ b/crates/flamingo-serve/src/body.rs
@@ -1,8 +1,11 @@
 //! Bodies of answers: whole, or a stream of chunks.
 
-use bytes::Bytes;
+use crate::wire::Cause;
+use bytes::{Bytes, BytesMut};
 use futures_util::Stream;
 use http_body::{Frame, SizeHint};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use quick_error::quick_error;
 use std::pin::Pin;
 use std::task::{Context, Poll};
@@ -78,3 +81,22 @@
         }
     }
 }
+
+/// Gathers a body of `most` bytes at most.
+///
+/// # Errors
+///
+/// Returns why it can't be gathered.
+pub async fn gather(mut body: Incoming, most: usize) -> Result<Bytes, Cause> {
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| Cause::Unreadable)?;
+        if let Ok(data) = frame.into_data() {
+            if bytes.len() + data.len() > most {
+                return Err(Cause::TooLarge);
+            }
+            bytes.extend_from_slice(&data);
+        }
+    }
+    Ok(bytes.freeze())
+}
--- a/crates/flamingo-serve/src/desk.rs
+++ b/crates/flamingo-serve/src/desk.rs
@@ -1,30 +1,28 @@
 //! Takes a request from its route to its answer.
 
+mod job;
+mod sending;
+mod slot;
+mod stream;
+
 use crate::admission::Claim;
-use crate::body::{Body, Broken};
+use crate::body::{Body, gather};
 use crate::budget::{Allowance, Budget};
 use crate::choice::{self, Choice, Need, Pick};
-use crate::events::Event;
-use crate::exchange::{self, Begun, Failure};
-use crate::front::{Drain, Guard, Handler, Stage};
-use crate::news::{News, Routes};
-use crate::pool::Connection;
-use crate::relay::{Relay, Step};
+use crate::front::{Drain, Handler, Stage};
+use crate::news::News;
 use crate::tally::Counts;
-use crate::wire::{Ask, Cause, Hop, Refusal, Try, Wire};
-use bytes::{Bytes, BytesMut};
+use crate::wire::{Ask, Cause, Refusal, Try, Wire};
+use bytes::Bytes;
 use flamingo_link::feed::Asker;
-use flamingo_wire::control::{Adapt, Reply, Request as Question};
 use flamingo_wire::id;
-use flamingo_wire::route::{self, Kind, Rank, Route};
+use flamingo_wire::route::{self, Route};
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
-use futures_util::stream;
-use http::{Request, Response, request};
-use http_body_util::{BodyExt, Full};
+use http::{Request, Response};
 use hyper::body::Incoming;
+use job::{Job, Setback};
 use slog::{Logger, info};
-use smallvec::SmallVec;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -36,12 +34,8 @@
 const FINAL: Duration = Duration::from_millis(60);
 /// Time for which a caller is taken to wait where it names none.
 const PATIENCE: Duration = Duration::from_secs(30);
-/// Largest answer that is gathered before it is passed on, in bytes.
-const GATHER: usize = 256 * 1024;
 /// Targets that may turn out to be out of reach before a request is given up.
 const UNREACHED: usize = 4;
-/// Time that the holder of orders has to bring an adapter.
-const ADAPT: Duration = Duration::from_millis(700);
 /// Shortest time after which a refused caller is asked to come back.
 const BACK: Duration = Duration::from_millis(300);
 /// Time over which returns of refused callers are spread.
@@ -91,105 +85,6 @@
     }
 }
 
-/// A request with what was decided of it once.
-struct Job {
-    head: request::Parts,
-    body: Bytes,
-    ask: Ask,
-    route: Route,
-    service: id::Service,
-    routes: Rc<Routes>,
-    arrived: Instant,
-    /// Time for which its caller waited in earlier tries.
-    elapsed: Duration,
-    /// When the caller or the route gives up.
-    deadline: Instant,
-    tried: RefCell<SmallVec<[id::Target; 2]>>,
-    /// Times that it was sent.
-    sent: Cell<u32>,
-    unreached: Cell<usize>,
-    /// Whether it may have run.
-    ran: Cell<bool>,
-    _guard: Guard,
-}
-
-/// How one sending ended without an answer for the caller.
-enum Setback {
-    /// It did not run.
-    NotRun(Cause),
-    /// It did not run, and there is no other target to send it to.
-    Stuck(Cause),
-    /// It did not run, and would wait so long at the best target.
-    Full(Duration),
-    /// It may have run.
-    MayHaveRun(Cause),
-}
-
-/// Counts a request at its target until it is dropped.
-struct Slot {
-    news: Rc<News>,
-    target: id::Target,
-    rank: Rank,
-    fresh: Cell<u32>,
-    adapter: Option<(id::Model, id::Adapter)>,
-}
-
-impl Slot {
-    fn take(news: &Rc<News>, pick: &Pick, job: &Job) -> Self {
-        let rank = job.route.rank;
-        let ask = &job.ask;
-        let adapter = ask.model.clone().zip(ask.adapter.clone());
-        if let Some(target) = news.table.borrow_mut().get_mut(&pick.target) {
-            target.own.running += 1;
-            target.own.wait(rank, pick.fresh);
-            if let Some((model, adapter)) = &adapter {
-                target.begin(model, adapter);
-            }
-        }
-        Self {
-            news: Rc::clone(news),
-            target: pick.target.clone(),
-            rank,
-            fresh: Cell::new(pick.fresh),
-            adapter,
-        }
-    }
-
-    /// Notes that the prompt has been read.
-    fn read(&self) {
-        let fresh = self.fresh.take();
-        if let Some(target) = self.news.table.borrow_mut().get_mut(&self.target) {
-            target.own.read(self.rank, fresh);
-        }
-    }
-}
-
-impl Drop for Slot {
-    fn drop(&mut self) {
-        self.read();
-        if let Some(target) = self.news.table.borrow_mut().get_mut(&self.target) {
-            target.own.running = target.own.running.saturating_sub(1);
-            if let Some((model, adapter)) = &self.adapter {
-                target.end(model, adapter);
-            }
-        }
-    }
-}
-
-/// The stream of a job on its way to the caller.
-struct Stream {
-    desk: Rc<Desk>,
-    job: Rc<Job>,
-    relay: Relay,
-    slot: Slot,
-    /// The first event, until it is passed on.
-    first: Option<Event>,
-    /// The number of the last event that was passed on.
-    last: Option<u64>,
-    /// Nothing follows.
-    done: bool,
-}
-
 impl Handler for Desk {
     fn handle(
         self: Rc<Self>,
@@ -277,7 +172,7 @@
             sent: Cell::new(0),
             unreached: Cell::new(0),
             ran: Cell::new(false),
-            _guard: guard,
+            guard,
         };
         self.budget(&job.service, |budget| budget.request(arrived));
         self.counts.arrived(&job.service, &job.ask);
@@ -354,7 +249,7 @@
     }
 
     /// Returns whether a job may wait at its target.
-    fn admits(&self, job: &Job, pick: &Pick) -> bool {
+    fn admits(job: &Job, pick: &Pick) -> bool {
         if job.ask.model.is_none() || job.sent.get() > 0 {
             return true;
         }
@@ -378,238 +273,7 @@
             return Duration::ZERO;
         };
         *longest = patience.max(*longest);
-        *longest - patience
-    }
-
-    /// Sends a job once.
-    async fn attempt(self: &Rc<Self>, job: &Rc<Job>) -> Result<Response<Body>, Setback> {
-        let now = Instant::now();
-        let pick = match self.choose(job, now) {
-            Choice::Send(pick) => pick,
-            Choice::NoTarget => return Err(Setback::Stuck(Cause::NoTarget)),
-            Choice::NoModel => return Err(Setback::Stuck(Cause::NoModel)),
-        };
-        if !self.admits(job, &pick) {
-            return Err(Setback::Full(pick.queue));
-        }
-        let slot = Slot::take(&self.news, &pick, job);
-        if pick.bare {
-            self.adapt(job, &pick).await?;
-        }
-        let begun = self.send(job, &pick, job.ask.after).await?;
-        self.pass(job, slot, begun, &pick).await
-    }
-
-    /// Has the adapter of a job brought to its target.
-    async fn adapt(&self, job: &Job, pick: &Pick) -> Result<(), Setback> {
-        let lacking = || Setback::NotRun(Cause::NoModel);
-        let leader = self.news.peers.borrow().leader.ok_or_else(lacking)?;
-        let (Some(model), Some(adapter)) = (job.ask.model.clone(), job.ask.adapter.clone()) else {
-            return Ok(());
-        };
-        let incarnation = {
-            let table = self.news.table.borrow();
-            let target = table.get(&pick.target).ok_or_else(lacking)?;
-            target.word.incarnation
-        };
-        let question = Question::Adapt(Adapt {
-            target: pick.target.clone(),
-            incarnation,
-            model: model.clone(),
-            adapter: adapter.clone(),
-        });
-        let deadline = job.deadline.min(Instant::now() + ADAPT);
-        match self.asker.ask(leader, &question, deadline).await {
-            Reply::Noted => {
-                let mut table = self.news.table.borrow_mut();
-                table.adapted(&pick.target, &model, &adapter);
-                Ok(())
-            }
-            other => {
-                info!(self.log, "adapter not brought"; "request" => &job.ask.attempt,
-                    "target" => &pick.target, "reply" => ?other);
-                job.tried.borrow_mut().push(pick.target.clone());
-                job.unreached.set(job.unreached.get() + 1);
-                Err(lacking())
-            }
-        }
-    }
-
-    /// Sends a job to its target and waits for the head of the answer.
-    async fn send(&self, job: &Job, pick: &Pick, after: Option<u64>) -> Result<Begun, Setback> {
-        let now = Instant::now();
-        let address = {
-            let mut table = self.news.table.borrow_mut();
-            let Some(target) = table.get_mut(&pick.target).filter(|target| target.open()) else {
-                job.tried.borrow_mut().push(pick.target.clone());
-                job.unreached.set(job.unreached.get() + 1);
-                return Err(Setback::NotRun(Cause::NoTarget));
-            };
-            target.reads(choice::space(&job.ask), &job.ask.pieces, pick.fresh);
-            target.word.address
-        };
-        let hop = Hop {
-            target: &pick.target,
-            deadline: job.deadline,
-            now,
-            rank: job.ask.model.is_some().then_some(job.route.rank),
-            after,
-        };
-        let mut request = Request::new(Full::new(job.body.clone()));
-        *request.method_mut() = job.head.method.clone();
-        *request.uri_mut() = job.head.uri.clone();
-        *request.headers_mut() = self.wire.forward(&job.head, &hop);
-        let kept = self.news.pool.borrow_mut().take(&pick.target, now);
-        let attempt = job.ask.attempt.as_deref();
-        let wire = self.wire.as_ref();
-        let sent = exchange::send(kept, address, request, attempt, wire, job.deadline).await;
-        job.tried.borrow_mut().push(pick.target.clone());
-        match sent {
-            Ok(begun) => {
-                job.sent.set(job.sent.get() + 1);
-                let mut table = self.news.table.borrow_mut();
-                table.answered(&pick.target);
-                if let Some(load) = begun.answer.load {
-                    table.loaded(&pick.target, load);
-                }
-                drop(table);
-                Ok(begun)
-            }
-            Err(failure) => Err(self.failed(job, pick, failure)),
-        }
-    }
-
-    fn failed(&self, job: &Job, pick: &Pick, failure: Failure) -> Setback {
-        let now = Instant::now();
-        let name: &str = failure.into();
-        info!(self.log, "sending failed"; "request" => &job.ask.attempt,
-            "target" => &pick.target, "failure" => name);
-        match failure {
-            Failure::Unreached | Failure::Unsent => {
-                self.news.table.borrow_mut().failed(&pick.target, now);
-                job.unreached.set(job.unreached.get() + 1);
-                Setback::NotRun(Cause::NoTarget)
-            }
-            Failure::Broken | Failure::Foreign => {
-                self.news.table.borrow_mut().failed(&pick.target, now);
-                job.sent.set(job.sent.get() + 1);
-                Setback::MayHaveRun(Cause::Broken)
-            }
-            Failure::Late => {
-                job.sent.set(job.sent.get() + 1);
-                Setback::MayHaveRun(Cause::Late)
-            }
-        }
-    }
-
-    /// Passes the answer of a job on, or says why it does not count.
-    async fn pass(
-        self: &Rc<Self>,
-        job: &Rc<Job>,
-        slot: Slot,
-        begun: Begun,
-        pick: &Pick,
-    ) -> Result<Response<Body>, Setback> {
-        let answer = &begun.answer;
-        let status = begun.head.status;
-        if answer.not_run || answer.misdirected {
-            self.turned_away(job, &slot.target, &begun);
-            self.keep(&slot.target, begun);
-            return Err(Setback::NotRun(Cause::NoRoom));
-        }
-        if !answer.sealed && status.is_success() {
-            return Err(Setback::MayHaveRun(Cause::Broken));
-        }
-        if job.route.kind == Kind::Stream && status.is_success() {
-            return self.stream(job, slot, begun, pick).await;
-        }
-        self.whole(job, slot, begun).await
-    }
-
-    /// Notes why a target did not run a job.
-    fn turned_away(&self, job: &Job, target: &str, begun: &Begun) {
-        info!(self.log, "turned away"; "request" => &job.ask.attempt, "target" => target,
-            "status" => begun.head.status.as_u16());
-        if !begun.answer.misdirected {
-            return;
-        }
-        let mut table = self.news.table.borrow_mut();
-        if let (Some(model), Some(adapter)) = (&job.ask.model, &job.ask.adapter) {
-            table.bared(target, model, adapter);
-        } else if let Some(model) = &job.ask.model {
-            table.lacked(target, model, Instant::now());
-        }
-    }
-
-    /// Gathers a plain answer and passes it on.
-    async fn whole(
-        self: &Rc<Self>,
-        job: &Rc<Job>,
-        slot: Slot,
-        begun: Begun,
-    ) -> Result<Response<Body>, Setback> {
-        let Begun {
-            mut head,
-            answer,
-            body,
-            connection,
-        } = begun;
-        let gathered = timeout_at(job.deadline.into(), gather(body, GATHER)).await;
-        let bytes = match gathered {
-            Ok(Ok(bytes)) => bytes,
-            Ok(Err(_)) => return Err(Setback::MayHaveRun(Cause::Broken)),
-            Err(_) => return Err(Setback::MayHaveRun(Cause::Late)),
-        };
-        self.reuse(&slot.target, connection, &answer);
-        let now = Instant::now();
-        if head.status.is_server_error() && job.route.repeatable() && self.again(job, now) {
-            info!(self.log, "answer replaced"; "request" => &job.ask.attempt,
-                "target" => &slot.target, "status" => head.status.as_u16());
-            drop(slot);
-            // The failure is passed on where the next try does no better.
-            if let Ok(better) = Box::pin(self.attempt(job)).await {
-                return Ok(better);
-            }
-        }
-        self.wire.back(&mut head);
-        Ok(Response::from_parts(head, Body::whole(bytes)))
-    }
-
-    /// Waits for the first event of a stream, and passes the stream on.
-    async fn stream(
-        self: &Rc<Self>,
-        job: &Rc<Job>,
-        slot: Slot,
-        begun: Begun,
-        pick: &Pick,
-    ) -> Result<Response<Body>, Setback> {
-        let mut head = clone(&begun.head);
-        self.wire.back(&mut head);
-        head.headers.remove(http::header::CONTENT_LENGTH);
-        let mut relay = Relay::new(begun);
-        let (first, done) = match relay.next(job.deadline).await {
-            Step::Event(event) => (Some(event), false),
-            Step::Rest(event) => (Some(event), true),
-            Step::End => (None, true),
-            Step::Broken => return Err(Setback::MayHaveRun(Cause::Broken)),
-            Step::Late => return Err(Setback::MayHaveRun(Cause::Late)),
-        };
-        slot.read();
-        info!(self.log, "stream begun"; "request" => &job.ask.attempt, "target" => &slot.target,
-            "route" => &job.route.name, "sent" => job.sent.get(), "fresh" => pick.fresh,
-            "queue_ms" => pick.queue.as_millis(), "wait_ms" => pick.wait.as_millis(),
-            "took_ms" => job.arrived.elapsed().as_millis());
-        let stream = Stream {
-            desk: Rc::clone(self),
-            job: Rc::clone(job),
-            relay,
-            slot,
-            first,
-            last: job.ask.after,
-            done,
-        };
-        let chunks = stream::unfold(Some(stream), |stream| async move { stream?.step().await });
-        Ok(Response::from_parts(head, Body::Chunks(Box::pin(chunks))))
+        longest.saturating_sub(patience)
     }
 
     /// Returns what is final for a job that is given up.
@@ -645,142 +309,6 @@
         let name: &str = refusal.cause.into();
         Response::from_parts(head, Body::whole(Bytes::from(name)))
     }
-
-    /// Reads what is left of an answer that does not count, to keep its connection.
-    fn keep(self: &Rc<Self>, target: &str, begun: Begun) {
-        let desk = Rc::clone(self);
-        let target = target.to_owned();
-        tokio::task::spawn_local(async move {
-            let deadline = Instant::now() + Duration::from_secs(1);
-            let rest = timeout_at(deadline.into(), gather(begun.body, GATHER)).await;
-            if matches!(rest, Ok(Ok(_))) {
-                desk.reuse(&target, begun.connection, &begun.answer);
-            }
-        });
-    }
-
-    /// Keeps a connection whose answer has been read to its end.
-    fn reuse(
-        self: &Rc<Self>,
-        target: &str,
-        mut connection: Connection,
-        answer: &crate::wire::Answer,
-    ) {
-        if answer.closes {
-            return;
-        }
-        let idle = answer.idle;
-        let news = Rc::clone(&self.news);
-        let target = target.to_owned();
-        tokio::task::spawn_local(async move {
-            let deadline = Instant::now() + Duration::from_secs(1);
-            let ready = timeout_at(deadline.into(), connection.sender.ready()).await;
-            if matches!(ready, Ok(Ok(()))) {
-                let mut pool = news.pool.borrow_mut();
-                pool.put(&target, connection, idle, Instant::now());
-            }
-        });
-    }
-}
-
-impl Stream {
-    /// Returns the next chunk for the caller.
-    async fn step(mut self) -> Option<(Result<Bytes, Broken>, Option<Self>)> {
-        if let Some(first) = self.first.take() {
-            self.last = first.id.or(self.last);
-            return Some((Ok(first.bytes), Some(self)));
-        }
-        loop {
-            if self.done {
-                self.end();
-                return None;
-            }
-            match self.relay.next(self.job.deadline).await {
-                Step::Event(event) => {
-                    if !self.follows(&event) {
-                        return self.broken("an event out of order");
-                    }
-                    self.last = event.id.or(self.last);
-                    return Some((Ok(event.bytes), Some(self)));
-                }
-                Step::Rest(event) => {
-                    self.done = true;
-                    return Some((Ok(event.bytes), Some(self)));
-                }
-                Step::End => self.done = true,
-                Step::Late => return Some((Err(Broken::Late), None)),
-                Step::Broken => {
-                    if !self.resume().await {
-                        return self.broken("the target broke off");
-                    }
-                }
-            }
-        }
-    }
-
-    /// Returns whether an event comes right after the last one.
-    fn follows(&self, event: &Event) -> bool {
-        match (self.last, event.id) {
-            (Some(last), Some(id)) => id == last + 1,
-            _ => true,
-        }
-    }
-
-    fn broken(self, why: &str) -> Option<(Result<Bytes, Broken>, Option<Self>)> {
-        info!(self.desk.log, "stream broken"; "request" => &self.job.ask.attempt,
-            "target" => &self.slot.target, "why" => why, "last" => self.last);
-        Some((Err(Broken::Target), None))
-    }
-
-    /// Goes on at another target, after the last event that was passed on.
-    async fn resume(&mut self) -> bool {
-        let desk = Rc::clone(&self.desk);
-        let job = Rc::clone(&self.job);
-        let resumable = job.route.resumable && self.last.is_some();
-        if !resumable || !desk.again(&job, Instant::now()) {
-            return false;
-        }
-        let Choice::Send(pick) = desk.choose(&job, Instant::now()) else {
-            return false;
-        };
-        if pick.bare && desk.adapt(&job, &pick).await.is_err() {
-            return false;
-        }
-        let slot = Slot::take(&desk.news, &pick, &job);
-        let Ok(begun) = desk.send(&job, &pick, self.last).await else {
-            return false;
-        };
-        let good = begun.head.status.is_success() && begun.answer.sealed;
-        if good {
-            info!(desk.log, "stream resumed"; "request" => &job.ask.attempt,
-                "target" => &pick.target, "after" => self.last);
-            self.relay = Relay::new(begun);
-            self.slot = slot;
-        }
-        good
-    }
-
-    /// Keeps the connection of a stream that has ended in order.
-    fn end(self) {
-        let begun = self.relay.begun;
-        self.desk
-            .reuse(&self.slot.target, begun.connection, &begun.answer);
-    }
-}
-
-/// Gathers a body.
-async fn gather(mut body: Incoming, most: usize) -> Result<Bytes, Cause> {
-    let mut bytes = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| Cause::Unreadable)?;
-        if let Ok(data) = frame.into_data() {
-            if bytes.len() + data.len() > most {
-                return Err(Cause::TooLarge);
-            }
-            bytes.extend_from_slice(&data);
-        }
-    }
-    Ok(bytes.freeze())
 }
 
 /// Returns the service that a request goes to, by the route's shares.
@@ -803,11 +331,3 @@
     }
     id::Service::new()
 }
-
-fn clone(head: &http::response::Parts) -> http::response::Parts {
-    let mut response = Response::new(());
-    *response.status_mut() = head.status;
-    *response.version_mut() = head.version;
-    response.headers_mut().clone_from(&head.headers);
-    response.into_parts().0
-}
--- /dev/null
+++ b/crates/flamingo-serve/src/desk/sending.rs
@@ -0,0 +1,310 @@
+//! Sends a job to a target, and passes its answer on.
+
+use super::Desk;
+use super::job::{Job, Setback};
+use super::slot::Slot;
+use super::stream::Stream;
+use crate::body::{Body, gather};
+use crate::choice::{self, Choice, Pick};
+use crate::exchange::{self, Begun, Failure};
+use crate::pool::Connection;
+use crate::relay::{Relay, Step};
+use crate::wire::{Answer, Away, Cause, Hop};
+use flamingo_wire::control::{Adapt, Reply, Request as Question};
+use flamingo_wire::route::Kind;
+use futures_util::stream;
+use http::{Request, Response, response};
+use http_body_util::Full;
+use slog::info;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::time::timeout_at;
+
+/// Largest answer that is gathered before it is passed on, in bytes.
+const GATHER: usize = 256 * 1024;
+/// Time that the holder of orders has to bring an adapter.
+const ADAPT: Duration = Duration::from_millis(700);
+/// Time for reading what is left of an answer, so that its connection can be kept.
+const REST: Duration = Duration::from_secs(1);
+
+impl Desk {
+    /// Sends a job once.
+    pub(super) async fn attempt(self: &Rc<Self>, job: &Rc<Job>) -> Result<Response<Body>, Setback> {
+        let now = Instant::now();
+        let pick = match self.choose(job, now) {
+            Choice::Send(pick) => pick,
+            Choice::NoTarget => return Err(Setback::Stuck(Cause::NoTarget)),
+            Choice::NoModel => return Err(Setback::Stuck(Cause::NoModel)),
+        };
+        if !Self::admits(job, &pick) {
+            return Err(Setback::Full(pick.queue));
+        }
+        let slot = Slot::take(&self.news, &pick, job);
+        if pick.bare {
+            self.adapt(job, &pick).await?;
+        }
+        let begun = self.send(job, &pick, job.ask.after).await?;
+        self.pass(job, slot, begun, &pick).await
+    }
+
+    /// Has the adapter of a job brought to its target.
+    pub(super) async fn adapt(&self, job: &Job, pick: &Pick) -> Result<(), Setback> {
+        let lacking = || Setback::NotRun(Cause::NoModel);
+        let leader = self.news.peers.borrow().leader.ok_or_else(lacking)?;
+        let (Some(model), Some(adapter)) = (job.ask.model.clone(), job.ask.adapter.clone()) else {
+            return Ok(());
+        };
+        let incarnation = {
+            let table = self.news.table.borrow();
+            let target = table.get(&pick.target).ok_or_else(lacking)?;
+            target.word.incarnation
+        };
+        let question = Question::Adapt(Adapt {
+            target: pick.target.clone(),
+            incarnation,
+            model: model.clone(),
+            adapter: adapter.clone(),
+        });
+        let deadline = job.deadline.min(Instant::now() + ADAPT);
+        match self.asker.ask(leader, &question, deadline).await {
+            Reply::Noted => {
+                let mut table = self.news.table.borrow_mut();
+                table.adapted(&pick.target, &model, &adapter);
+                Ok(())
+            }
+            other => {
+                info!(self.log, "adapter not brought"; "request" => &job.ask.attempt,
+                    "target" => &pick.target, "reply" => ?other);
+                job.tried.borrow_mut().push(pick.target.clone());
+                job.unreached.set(job.unreached.get() + 1);
+                Err(lacking())
+            }
+        }
+    }
+
+    /// Sends a job to its target and waits for the head of the answer.
+    pub(super) async fn send(
+        &self,
+        job: &Job,
+        pick: &Pick,
+        after: Option<u64>,
+    ) -> Result<Begun, Setback> {
+        let now = Instant::now();
+        let address = {
+            let mut table = self.news.table.borrow_mut();
+            let Some(target) = table.get_mut(&pick.target).filter(|target| target.open()) else {
+                job.tried.borrow_mut().push(pick.target.clone());
+                job.unreached.set(job.unreached.get() + 1);
+                return Err(Setback::NotRun(Cause::NoTarget));
+            };
+            target.reads(choice::space(&job.ask), &job.ask.pieces, pick.fresh);
+            target.word.address
+        };
+        let hop = Hop {
+            target: &pick.target,
+            deadline: job.deadline,
+            now,
+            rank: job.ask.model.is_some().then_some(job.route.rank),
+            after,
+        };
+        let mut request = Request::new(Full::new(job.body.clone()));
+        *request.method_mut() = job.head.method.clone();
+        *request.uri_mut() = job.head.uri.clone();
+        *request.headers_mut() = self.wire.forward(&job.head, &hop);
+        let kept = self.news.pool.borrow_mut().take(&pick.target, now);
+        let attempt = job.ask.attempt.as_deref();
+        let wire = self.wire.as_ref();
+        let sent = exchange::send(kept, address, request, attempt, wire, job.deadline).await;
+        job.tried.borrow_mut().push(pick.target.clone());
+        match sent {
+            Ok(begun) => {
+                job.sent.set(job.sent.get() + 1);
+                let mut table = self.news.table.borrow_mut();
+                table.answered(&pick.target);
+                if let Some(load) = begun.answer.load {
+                    table.loaded(&pick.target, load);
+                }
+                drop(table);
+                Ok(begun)
+            }
+            Err(failure) => Err(self.failed(job, pick, failure)),
+        }
+    }
+
+    fn failed(&self, job: &Job, pick: &Pick, failure: Failure) -> Setback {
+        let now = Instant::now();
+        let name: &str = failure.into();
+        info!(self.log, "sending failed"; "request" => &job.ask.attempt,
+            "target" => &pick.target, "failure" => name);
+        match failure {
+            Failure::Unreached | Failure::Unsent => {
+                self.news.table.borrow_mut().failed(&pick.target, now);
+                job.unreached.set(job.unreached.get() + 1);
+                Setback::NotRun(Cause::NoTarget)
+            }
+            Failure::Broken | Failure::Foreign => {
+                self.news.table.borrow_mut().failed(&pick.target, now);
+                job.sent.set(job.sent.get() + 1);
+                Setback::MayHaveRun(Cause::Broken)
+            }
+            Failure::Late => {
+                job.sent.set(job.sent.get() + 1);
+                Setback::MayHaveRun(Cause::Late)
+            }
+        }
+    }
+
+    /// Passes the answer of a job on, or says why it does not count.
+    async fn pass(
+        self: &Rc<Self>,
+        job: &Rc<Job>,
+        slot: Slot,
+        begun: Begun,
+        pick: &Pick,
+    ) -> Result<Response<Body>, Setback> {
+        let answer = &begun.answer;
+        let status = begun.head.status;
+        if answer.away.is_some() {
+            self.turned_away(job, &slot.target, &begun);
+            self.keep(&slot.target, begun);
+            return Err(Setback::NotRun(Cause::NoRoom));
+        }
+        if !answer.sealed && status.is_success() {
+            return Err(Setback::MayHaveRun(Cause::Broken));
+        }
+        if job.route.kind == Kind::Stream && status.is_success() {
+            return self.stream(job, slot, begun, pick).await;
+        }
+        self.whole(job, slot, begun).await
+    }
+
+    /// Notes why a target did not run a job.
+    fn turned_away(&self, job: &Job, target: &str, begun: &Begun) {
+        info!(self.log, "turned away"; "request" => &job.ask.attempt, "target" => target,
+            "status" => begun.head.status.as_u16());
+        if begun.answer.away != Some(Away::Misdirected) {
+            return;
+        }
+        let mut table = self.news.table.borrow_mut();
+        if let (Some(model), Some(adapter)) = (&job.ask.model, &job.ask.adapter) {
+            table.bared(target, model, adapter);
+        } else if let Some(model) = &job.ask.model {
+            table.lacked(target, model, Instant::now());
+        }
+    }
+
+    /// Gathers a plain answer and passes it on.
+    async fn whole(
+        self: &Rc<Self>,
+        job: &Rc<Job>,
+        slot: Slot,
+        begun: Begun,
+    ) -> Result<Response<Body>, Setback> {
+        let Begun {
+            mut head,
+            answer,
+            body,
+            connection,
+        } = begun;
+        let gathered = timeout_at(job.deadline.into(), gather(body, GATHER)).await;
+        let bytes = match gathered {
+            Ok(Ok(bytes)) => bytes,
+            Ok(Err(_)) => return Err(Setback::MayHaveRun(Cause::Broken)),
+            Err(_) => return Err(Setback::MayHaveRun(Cause::Late)),
+        };
+        self.reuse(&slot.target, connection, &answer);
+        let now = Instant::now();
+        if head.status.is_server_error() && job.route.repeatable() && self.again(job, now) {
+            info!(self.log, "answer replaced"; "request" => &job.ask.attempt,
+                "target" => &slot.target, "status" => head.status.as_u16());
+            drop(slot);
+            // The failure is passed on where the next try does no better.
+            if let Ok(better) = Box::pin(self.attempt(job)).await {
+                return Ok(better);
+            }
+        }
+        self.wire.back(&mut head);
+        Ok(Response::from_parts(head, Body::whole(bytes)))
+    }
+
+    /// Waits for the first event of a stream, and passes the stream on.
+    async fn stream(
+        self: &Rc<Self>,
+        job: &Rc<Job>,
+        slot: Slot,
+        begun: Begun,
+        pick: &Pick,
+    ) -> Result<Response<Body>, Setback> {
+        let mut head = clone(&begun.head);
+        self.wire.back(&mut head);
+        head.headers.remove(http::header::CONTENT_LENGTH);
+        let mut relay = Relay::new(begun);
+        let (first, done) = match relay.next(job.deadline).await {
+            Step::Event(event) => (Some(event), false),
+            Step::Rest(event) => (Some(event), true),
+            Step::End => (None, true),
+            Step::Broken => return Err(Setback::MayHaveRun(Cause::Broken)),
+            Step::Late => return Err(Setback::MayHaveRun(Cause::Late)),
+        };
+        slot.read();
+        info!(self.log, "stream begun"; "request" => &job.ask.attempt, "target" => &slot.target,
+            "route" => &job.route.name, "sent" => job.sent.get(), "fresh" => pick.fresh,
+            "queue_ms" => pick.queue.as_millis(), "wait_ms" => pick.wait.as_millis(),
+            "took_ms" => job.arrived.elapsed().as_millis());
+        let stream = Stream {
+            desk: Rc::clone(self),
+            job: Rc::clone(job),
+            relay,
+            slot,
+            first,
+            last: job.ask.after,
+            done,
+        };
+        let chunks = stream::unfold(Some(stream), |stream| async move { stream?.step().await });
+        Ok(Response::from_parts(head, Body::Chunks(Box::pin(chunks))))
+    }
+
+    /// Reads what is left of an answer that does not count, to keep its connection.
+    fn keep(self: &Rc<Self>, target: &str, begun: Begun) {
+        let desk = Rc::clone(self);
+        let target = target.to_owned();
+        tokio::task::spawn_local(async move {
+            let deadline = Instant::now() + REST;
+            let rest = timeout_at(deadline.into(), gather(begun.body, GATHER)).await;
+            if matches!(rest, Ok(Ok(_))) {
+                desk.reuse(&target, begun.connection, &begun.answer);
+            }
+        });
+    }
+
+    /// Keeps a connection whose answer has been read to its end.
+    pub(super) fn reuse(
+        self: &Rc<Self>,
+        target: &str,
+        mut connection: Connection,
+        answer: &Answer,
+    ) {
+        if answer.closes {
+            return;
+        }
+        let idle = answer.idle;
+        let news = Rc::clone(&self.news);
+        let target = target.to_owned();
+        tokio::task::spawn_local(async move {
+            let deadline = Instant::now() + REST;
+            let ready = timeout_at(deadline.into(), connection.sender.ready()).await;
+            if matches!(ready, Ok(Ok(()))) {
+                let mut pool = news.pool.borrow_mut();
+                pool.put(&target, connection, idle, Instant::now());
+            }
+        });
+    }
+}
+
+fn clone(head: &response::Parts) -> response::Parts {
+    let mut response = Response::new(());
+    *response.status_mut() = head.status;
+    *response.version_mut() = head.version;
+    response.headers_mut().clone_from(&head.headers);
+    response.into_parts().0
+}
--- /dev/null
+++ b/crates/flamingo-serve/src/desk/slot.rs
@@ -0,0 +1,62 @@
+//! What a request takes up at its target.
+
+use super::job::Job;
+use crate::choice::Pick;
+use crate::news::News;
+use flamingo_wire::id;
+use flamingo_wire::route::Rank;
+use std::cell::Cell;
+use std::rc::Rc;
+
+/// Counts a request at its target until it is dropped.
+pub struct Slot {
+    news: Rc<News>,
+    /// The target.
+    pub target: id::Target,
+    rank: Rank,
+    fresh: Cell<u32>,
+    adapter: Option<(id::Model, id::Adapter)>,
+}
+
+impl Slot {
+    /// Counts a job at the target that was picked.
+    pub fn take(news: &Rc<News>, pick: &Pick, job: &Job) -> Self {
+        let rank = job.route.rank;
+        let ask = &job.ask;
+        let adapter = ask.model.clone().zip(ask.adapter.clone());
+        if let Some(target) = news.table.borrow_mut().get_mut(&pick.target) {
+            target.own.running += 1;
+            target.own.wait(rank, pick.fresh);
+            if let Some((model, adapter)) = &adapter {
+                target.begin(model, adapter);
+            }
+        }
+        Self {
+            news: Rc::clone(news),
+            target: pick.target.clone(),
+            rank,
+            fresh: Cell::new(pick.fresh),
+            adapter,
+        }
+    }
+
+    /// Notes that the prompt has been read.
+    pub fn read(&self) {
+        let fresh = self.fresh.take();
+        if let Some(target) = self.news.table.borrow_mut().get_mut(&self.target) {
+            target.own.read(self.rank, fresh);
+        }
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.read();
+        if let Some(target) = self.news.table.borrow_mut().get_mut(&self.target) {
+            target.own.running = target.own.running.saturating_sub(1);
+            if let Some((model, adapter)) = &self.adapter {
+                target.end(model, adapter);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/flamingo-serve/src/desk/stream.rs
@@ -0,0 +1,117 @@
+//! A stream on its way to the caller, and how it goes on where its target breaks off.
+
+use super::Desk;
+use super::job::Job;
+use super::slot::Slot;
+use crate::body::Broken;
+use crate::choice::Choice;
+use crate::events::Event;
+use crate::relay::{Relay, Step};
+use bytes::Bytes;
+use slog::info;
+use std::rc::Rc;
+use std::time::Instant;
+
+/// The stream of a job on its way to the caller.
+pub struct Stream {
+    /// The desk.
+    pub desk: Rc<Desk>,
+    /// The job.
+    pub job: Rc<Job>,
+    /// What is left to be read.
+    pub relay: Relay,
+    /// Its place at the target.
+    pub slot: Slot,
+    /// The first event, until it is passed on.
+    pub first: Option<Event>,
+    /// The number of the last event that was passed on.
+    pub last: Option<u64>,
+    /// Nothing follows.
+    pub done: bool,
+}
+
+impl Stream {
+    /// Returns the next chunk for the caller.
+    pub async fn step(mut self) -> Option<(Result<Bytes, Broken>, Option<Self>)> {
+        if let Some(first) = self.first.take() {
+            self.last = first.id.or(self.last);
+            return Some((Ok(first.bytes), Some(self)));
+        }
+        loop {
+            if self.done {
+                self.end();
+                return None;
+            }
+            match self.relay.next(self.job.deadline).await {
+                Step::Event(event) => {
+                    if !self.follows(&event) {
+                        return Some(self.broken("an event out of order"));
+                    }
+                    self.last = event.id.or(self.last);
+                    return Some((Ok(event.bytes), Some(self)));
+                }
+                Step::Rest(event) => {
+                    self.done = true;
+                    return Some((Ok(event.bytes), Some(self)));
+                }
+                Step::End => self.done = true,
+                Step::Late => return Some((Err(Broken::Late), None)),
+                Step::Broken => {
+                    if !self.resume().await {
+                        return Some(self.broken("the target broke off"));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Returns whether an event comes right after the last one.
+    fn follows(&self, event: &Event) -> bool {
+        match (self.last, event.id) {
+            (Some(last), Some(id)) => id == last + 1,
+            _ => true,
+        }
+    }
+
+    /// Ends the answer so that it does not look whole.
+    fn broken(self, why: &str) -> (Result<Bytes, Broken>, Option<Self>) {
+        info!(self.desk.log, "stream broken"; "request" => &self.job.ask.attempt,
+            "target" => &self.slot.target, "why" => why, "last" => self.last);
+        (Err(Broken::Target), None)
+    }
+
+    /// Goes on at another target, after the last event that was passed on.
+    async fn resume(&mut self) -> bool {
+        let desk = Rc::clone(&self.desk);
+        let job = Rc::clone(&self.job);
+        let resumable = job.route.resumable && self.last.is_some();
+        if !resumable || !desk.again(&job, Instant::now()) {
+            return false;
+        }
+        let Choice::Send(pick) = desk.choose(&job, Instant::now()) else {
+            return false;
+        };
+        if pick.bare && desk.adapt(&job, &pick).await.is_err() {
+            return false;
+        }
+        let slot = Slot::take(&desk.news, &pick, &job);
+        let Ok(begun) = desk.send(&job, &pick, self.last).await else {
+            return false;
+        };
+        let good = begun.head.status.is_success() && begun.answer.sealed;
+        if good {
+            info!(desk.log, "stream resumed"; "request" => &job.ask.attempt,
+                "target" => &pick.target, "after" => self.last);
+            self.relay = Relay::new(begun);
+            self.slot = slot;
+        }
+        good
+    }
+
+    /// Keeps the connection of a stream that has ended in order.
+    fn end(self) {
+        let begun = self.relay.begun;
+        self.desk
+            .reuse(&self.slot.target, begun.connection, &begun.answer);
+    }
+}
--- a/crates/flamingo-serve/src/table.rs
+++ b/crates/flamingo-serve/src/table.rs
@@ -312,7 +312,8 @@
         self.targets.retain(|_, target| {
             let gone = target.word.gone && target.own.running == 0;
             let silent = fed > target.heard + FORGET;
-            !(gone && now > target.heard + FORGET) && !silent
+            let past = gone && now > target.heard + FORGET;
+            !past && !silent
         });
     }
 
--- a/crates/flamingo-serve/src/wire.rs
+++ b/crates/flamingo-serve/src/wire.rs
@@ -73,15 +73,22 @@
     pub slots: u32,
 }
 
+/// Why a target turned a request away without running it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Away {
+    /// It has no room, or says no more than that it did not run it.
+    Full,
+    /// It is not the one that was meant, or lacks the model.
+    Misdirected,
+}
+
 /// The head of a target's answer as far as routing needs it.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Answer {
     /// Identity of the try that it answers.
     pub attempt: Option<Try>,
-    /// The target says that it did not run the request and never will.
-    pub not_run: bool,
-    /// The target is not the one that was meant, or lacks the model.
-    pub misdirected: bool,
+    /// Why the target did not run the request and never will; none where it may have.
+    pub away: Option<Away>,
     /// The target's proof that the answer is its own.
     pub sealed: bool,
     /// Its load.
--- a/crates/flamingo-state/src/state.rs
+++ b/crates/flamingo-state/src/state.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, SystemTime};
 
 /// Time for which begun loads are remembered; longer than any window of a store's ceiling.
-const LOADS: Duration = Duration::from_secs(60);
+const LOADS: Duration = Duration::from_mins(1);
 
 /// The whole state.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
