Show metrics, trace a request, end a process whose disk failed

flamingoctl trace joins the lines of several processes and marks the deciding one; lines that can't be read are counted and named. Counters and histograms of entry and control at a port of the command line. A control instance whose disk failed ends after 2 s, and opens its folder anew when it is started again: until now it acknowledged nothing for the rest of its life.

--- a/crates/flamingo-control/src/daemon.rs
+++ b/crates/flamingo-control/src/daemon.rs
@@ -4,7 +4,7 @@
 use crate::holder::Question;
 use crate::http;
 use crate::inner::Inner;
-use crate::keeper::{Keeper, Start, Stop};
+use crate::keeper::{Keeper, Members, Start, Stop};
 use crate::metrics::Metrics;
 use crate::orders::Orders;
 use crate::registry::Registry;
@@ -37,6 +37,10 @@
 
 /// Time for which replies under way are waited for after leadership is given up.
 const GRACE: Duration = Duration::from_millis(500);
+/// Time between two looks whether the disk has failed.
+const LOOK: Duration = Duration::from_millis(500);
+/// Time for which a failed disk may recover before the log is opened again.
+const PASS: Duration = Duration::from_secs(2);
 /// Bytes of a frame beside its body.
 const ENVELOPE: usize = 4 * 1024;
 
@@ -189,6 +193,21 @@
         Ok(Self { keeper, registry })
     }
 
+    /// Waits until the disk has failed, and a while longer.
+    ///
+    /// The log takes no more until it is opened again; what fails may pass meanwhile.
+    pub async fn disk_failed(&self) {
+        while !self.broken().await {
+            actix_rt::time::sleep(LOOK).await;
+        }
+        actix_rt::time::sleep(PASS).await;
+    }
+
+    async fn broken(&self) -> bool {
+        let group = self.keeper.send(Members).await;
+        group.is_ok_and(|group| group.broken)
+    }
+
     /// Gives up leadership, and waits for replies under way.
     pub async fn stop(&self) {
         // Without a keeper there is no leadership to give up.
--- a/crates/flamingo-control/src/keeper.rs
+++ b/crates/flamingo-control/src/keeper.rs
@@ -304,6 +304,8 @@
     pub leader: Option<SocketAddr>,
     /// Entries that follow the routes on this instance.
     pub followers: usize,
+    /// Whether the disk failed: this instance acknowledges nothing.
+    pub broken: bool,
 }
 
 /// Whether this instance can serve: it has a member list and knows a leader.
@@ -437,6 +439,7 @@
             addresses,
             leader,
             followers,
+            broken: self.raft.broken(),
         })
     }
 }
--- a/crates/flamingo-ctl/src/cli.rs
+++ b/crates/flamingo-ctl/src/cli.rs
@@ -61,7 +61,9 @@
     }
     let skip = command.name().split(' ').count();
     let given = &line.words[skip..];
-    if given.len() != command.arguments().len() {
+    let wanted = command.arguments();
+    let open = wanted.last().is_some_and(|last| last.ends_with("..."));
+    if given.len() < wanted.len() || given.len() > wanted.len() && !open {
         let usage = usage(command);
         return Err(Error::Usage(format!("usage: {usage}")));
     }
--- a/crates/flamingo-ctl/src/command/mod.rs
+++ b/crates/flamingo-ctl/src/command/mod.rs
@@ -17,6 +17,7 @@
 mod snapshot;
 mod status;
 mod target;
+mod trace;
 mod undrain;
 
 use crate::client::Client;
@@ -41,7 +42,8 @@
 pub trait Command {
     /// Its name, of one word or two.
     fn name(&self) -> &'static str;
-    /// Its arguments, for the help; each must be given.
+    /// Its arguments, for the help; each must be given, and the last one as often as wanted
+    /// where its name ends in `...`.
     fn arguments(&self) -> &'static [&'static str];
     /// What it does, in one line.
     fn description(&self) -> &'static str;
@@ -73,6 +75,7 @@
         Box::new(config_history::History),
         Box::new(config_rollback::Rollback),
         Box::new(snapshot::Snapshot),
+        Box::new(trace::Trace),
     ]
 }
 
--- a/crates/flamingo-ctl/src/lib.rs
+++ b/crates/flamingo-ctl/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod diff;
 pub mod fault;
 pub mod output;
+pub mod trace;
 
 pub use fault::Error;
--- a/crates/flamingo-serve/src/desk.rs
+++ b/crates/flamingo-serve/src/desk.rs
@@ -10,6 +10,7 @@
 use crate::budget::{Allowance, Budget};
 use crate::choice::{self, Choice, Need, Pick};
 use crate::front::{Drain, Handler, Stage};
+use crate::metrics::Metrics;
 use crate::news::News;
 use crate::tally::Counts;
 use crate::wire::{Ask, Cause, Refusal, Try, Wire};
@@ -57,6 +58,8 @@
     pub allowance: Allowance,
     /// Counts demand for the leader.
     pub counts: Rc<Counts>,
+    /// Counters.
+    pub metrics: Metrics,
     /// Whether the process is on its way out.
     pub drain: Rc<Drain>,
     /// Log lines.
@@ -74,6 +77,7 @@
     /// The longest time for which a caller of a route said to wait: its first try.
     longest: RefCell<HashMap<route::Name, Duration>>,
     counts: Rc<Counts>,
+    metrics: Metrics,
     drain: Rc<Drain>,
     count: Cell<u64>,
     log: Logger,
@@ -107,6 +111,7 @@
             budgets: RefCell::default(),
             longest: RefCell::default(),
             counts: start.counts,
+            metrics: start.metrics,
             drain: start.drain,
             count: Cell::new(0),
             log: start.log,
@@ -217,7 +222,11 @@
             return false;
         }
         let entries = self.news.peers.borrow().entries().unwrap_or(ENTRIES);
-        self.budget(&job.service, |budget| budget.repeat(now, entries))
+        let affordable = self.budget(&job.service, |budget| budget.repeat(now, entries));
+        if !affordable {
+            self.metrics.unaffordable.inc();
+        }
+        affordable
     }
 
     fn budget<T>(&self, service: &str, change: impl FnOnce(&mut Budget) -> T) -> T {
@@ -292,6 +301,7 @@
         info!(self.log, "given up"; "request" => &job.ask.attempt, "route" => &job.route.name,
             "cause" => name, "not_run" => not_run, "sent" => job.sent.get(),
             "model" => &job.ask.model, "after_ms" => (now - job.arrived).as_millis());
+        self.metrics.ended(&job.route.name, name);
         self.refuse(Refusal { cause, back }, Some(&job.ask))
     }
 
--- a/crates/flamingo-serve/src/desk/sending.rs
+++ b/crates/flamingo-serve/src/desk/sending.rs
@@ -112,6 +112,12 @@
         *request.uri_mut() = job.head.uri.clone();
         *request.headers_mut() = self.wire.forward(&job.head, &hop);
         let kept = self.news.pool.borrow_mut().take(&pick.target, now);
+        let how = if kept.is_some() {
+            "used_again"
+        } else {
+            "dialled"
+        };
+        self.metrics.connections.with_label_values(&[how]).inc();
         let attempt = job.ask.attempt.as_deref();
         let wire = self.wire.as_ref();
         let sent = exchange::send(kept, address, request, attempt, wire, job.deadline).await;
@@ -120,6 +126,7 @@
             Ok(begun) => {
                 job.sent.set(job.sent.get() + 1);
                 let mut table = self.news.table.borrow_mut();
+                self.metrics.sendings.with_label_values(&["answered"]).inc();
                 table.answered(&pick.target);
                 if let Some(load) = begun.answer.load {
                     table.loaded(&pick.target, load);
@@ -134,6 +141,7 @@
     fn failed(&self, job: &Job, pick: &Pick, failure: Failure) -> Setback {
         let now = Instant::now();
         let name: &str = failure.into();
+        self.metrics.sendings.with_label_values(&[name]).inc();
         info!(self.log, "sending failed"; "request" => &job.ask.attempt,
             "target" => &pick.target, "failure" => name);
         match failure {
@@ -223,6 +231,8 @@
                 return Ok(better);
             }
         }
+        self.metrics.begun(&job.route.name, job.arrived.elapsed());
+        self.metrics.ended(&job.route.name, "answered");
         self.wire.back(&mut head);
         Ok(Response::from_parts(head, Body::whole(bytes)))
     }
@@ -251,6 +261,7 @@
             "route" => &job.route.name, "sent" => job.sent.get(), "fresh" => pick.fresh,
             "queue_ms" => pick.queue.as_millis(), "wait_ms" => pick.wait.as_millis(),
             "took_ms" => job.arrived.elapsed().as_millis());
+        self.metrics.begun(&job.route.name, job.arrived.elapsed());
         let stream = Stream {
             desk: Rc::clone(self),
             job: Rc::clone(job),
--- a/crates/flamingo-serve/src/desk/stream.rs
+++ b/crates/flamingo-serve/src/desk/stream.rs
@@ -55,7 +55,10 @@
                     return Some((Ok(event.bytes), Some(self)));
                 }
                 Step::End => self.done = true,
-                Step::Late => return Some((Err(Broken::Late), None)),
+                Step::Late => {
+                    self.ended("late");
+                    return Some((Err(Broken::Late), None));
+                }
                 Step::Broken => {
                     if !self.resume().await {
                         return Some(self.broken("the target broke off"));
@@ -77,6 +80,7 @@
     fn broken(self, why: &str) -> (Result<Bytes, Broken>, Option<Self>) {
         info!(self.desk.log, "stream broken"; "request" => &self.job.ask.attempt,
             "target" => &self.slot.target, "why" => why, "last" => self.last);
+        self.ended("broken");
         (Err(Broken::Target), None)
     }
 
@@ -108,8 +112,13 @@
         good
     }
 
+    fn ended(&self, outcome: &str) {
+        self.desk.metrics.ended(&self.job.route.name, outcome);
+    }
+
     /// Keeps the connection of a stream that has ended in order.
     fn end(self) {
+        self.ended("answered");
         let begun = self.relay.begun;
         self.desk
             .reuse(&self.slot.target, begun.connection, &begun.answer);
--- a/crates/flamingo-serve/src/lib.rs
+++ b/crates/flamingo-serve/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod exchange;
 pub mod front;
 pub mod life;
+pub mod metrics;
 pub mod news;
 pub mod pool;
 pub mod relay;
