--- /dev/null
+++ b/crates/flamingo-serve/tests/load.rs
@@ -0,0 +1,237 @@
+//! Admission and choice under load, in virtual time: what callers get.
+
+use flamingo_serve::admission::Claim;
+use flamingo_serve::choice::{Choice, Need, Pick, choose};
+use flamingo_serve::table::Table;
+use flamingo_serve::wire::{Ask, Piece};
+use flamingo_wire::control::Push;
+use flamingo_wire::route::Engine;
+use flamingo_wire::target::{Registration, Resident};
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+/// Tokens that an engine reads in a millisecond.
+const RATE: u32 = 20;
+const OBJECTIVE: Duration = Duration::from_millis(800);
+const PATIENCE: Duration = Duration::from_secs(4);
+
+fn word(id: &str) -> Registration {
+    Registration {
+        id: id.into(),
+        incarnation: 1,
+        sequence: 1,
+        service: "s".into(),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        zone: "z".into(),
+        slots: 64,
+        leaving: false,
+        gone: false,
+        models: vec![Resident {
+            model: "m".into(),
+            adapters: Vec::new(),
+        }],
+        in_memory: Vec::new(),
+        on_disk: Vec::new(),
+    }
+}
+
+fn table(now: Instant, targets: &[&str]) -> Table {
+    let mut table = Table::default();
+    let words = targets.iter().map(|id| word(id)).collect();
+    let from = "127.0.0.1:9".parse().expect("an address");
+    table.take(now, from, &Push::Targets(words));
+    table
+}
+
+fn ask(prompt: u32) -> Ask {
+    Ask {
+        model: Some("m".into()),
+        prompt,
+        ..Ask::default()
+    }
+}
+
+fn need<'a>(ask: &'a Ask, engine: &'a Engine, tried: &'a [String]) -> Need<'a> {
+    Need {
+        service: "s",
+        engine: Some(engine),
+        ask,
+        rank: 1,
+        zone: "z",
+        tried,
+    }
+}
+
+fn pick(table: &Table, ask: &Ask, now: Instant) -> Pick {
+    let engine = Engine {
+        tokens: 100_000,
+        ..Engine::default()
+    };
+    match choose(table, &need(ask, &engine, &[]), 1, now) {
+        Choice::Send(pick) => pick,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// What callers got.
+#[derive(Debug, Default)]
+struct Tally {
+    asked: u32,
+    prompt: u32,
+    late: u32,
+    refused: u32,
+}
+
+/// Plays requests that arrive each `pause` at three engines for 20 s; `size` gives the tokens
+/// of the n-th.
+fn play(pause: Duration, size: fn(u32) -> u32, admit: bool) -> (Tally, HashMap<u32, Tally>) {
+    let start = Instant::now();
+    let targets = ["1", "2", "3"];
+    let mut table = table(start, &targets);
+    let mut free = HashMap::from(targets.map(|target| (target.to_owned(), start)));
+    let mut reading: Vec<(Instant, String, u32)> = Vec::new();
+    let mut all = Tally::default();
+    let mut sizes: HashMap<u32, Tally> = HashMap::new();
+    let mut now = start;
+    while now < start + Duration::from_secs(20) {
+        reading.retain(|(end, target, tokens)| {
+            if *end <= now {
+                table.get_mut(target).expect("known").own.read(1, *tokens);
+            }
+            *end > now
+        });
+        let tokens = size(all.asked);
+        let pick = pick(&table, &ask(tokens), now);
+        let claim = Claim {
+            elapsed: Duration::ZERO,
+            objective: OBJECTIVE,
+            left: PATIENCE,
+            wait: pick.queue,
+        };
+        let of_size = sizes.entry(tokens).or_default();
+        for tally in [&mut all, &mut *of_size] {
+            tally.asked += 1;
+        }
+        if admit && !claim.admitted() {
+            all.refused += 1;
+            of_size.refused += 1;
+        } else {
+            let begin = free[&pick.target].max(now);
+            let end = begin + Duration::from_millis(u64::from(tokens / RATE));
+            free.insert(pick.target.clone(), end);
+            table
+                .get_mut(&pick.target)
+                .expect("known")
+                .own
+                .wait(1, tokens);
+            reading.push((end, pick.target, tokens));
+            for tally in [&mut all, of_size] {
+                if end - now <= OBJECTIVE {
+                    tally.prompt += 1;
+                } else {
+                    tally.late += 1;
+                }
+            }
+        }
+        now += pause;
+    }
+    (all, sizes)
+}
+
+#[test]
+fn within_capacity_nobody_is_refused_or_late() {
+    let (all, _) = play(Duration::from_millis(30), |_| 1_500, true);
+    assert_eq!((all.refused, all.late), (0, 0), "{all:?}");
+}
+
+#[test]
+fn twice_the_capacity_leaves_what_is_let_in_prompt() {
+    let pause = Duration::from_millis(13);
+    let (with, _) = play(pause, |_| 1_500, true);
+    let (without, _) = play(pause, |_| 1_500, false);
+    // Half of it is all that three engines can read.
+    assert!(with.prompt * 100 >= with.asked * 48, "{with:?}");
+    assert!(with.late * 20 <= with.prompt, "{with:?}");
+    assert!(without.prompt * 4 < with.prompt, "{without:?}");
+}
+
+#[test]
+fn large_requests_are_not_the_ones_that_are_refused() {
+    let size = |n| if n % 10 == 0 { 6_000 } else { 1_200 };
+    let (all, sizes) = play(Duration::from_millis(16), size, true);
+    let served = |tally: &Tally| tally.asked - tally.refused;
+    assert!(all.refused > 0);
+    let (large, all_served) = (&sizes[&6_000], served(&all));
+    // The bound is that of the users: half as often as the whole kind at least.
+    assert!(
+        served(large) * all.asked * 2 >= all_served * large.asked,
+        "{sizes:?}"
+    );
+}
+
+#[test]
+fn a_prompt_goes_where_its_parts_are_kept() {
+    let now = Instant::now();
+    let mut table = table(now, &["1", "2", "3"]);
+    let mut asked = ask(1_500);
+    asked.pieces = [
+        Piece {
+            part: 1,
+            tokens: 800,
+        },
+        Piece {
+            part: 2,
+            tokens: 700,
+        },
+    ]
+    .into_iter()
+    .collect();
+    let first = pick(&table, &asked, now);
+    let space = flamingo_serve::choice::space(&asked);
+    let target = table.get_mut(&first.target).expect("known");
+    target.reads(space, &asked.pieces, first.fresh);
+    let again = pick(&table, &asked, now);
+    assert_eq!((again.target, again.fresh), (first.target, 1));
+}
+
+#[test]
+fn a_target_that_failed_is_taken_only_where_no_other_is_left() {
+    let now = Instant::now();
+    let mut table = table(now, &["1", "2"]);
+    table.failed("1", now);
+    for _ in 0..5 {
+        assert_eq!(pick(&table, &ask(100), now).target, "2");
+    }
+    table.failed("2", now);
+    let later = now + Duration::from_secs(1);
+    pick(&table, &ask(100), later);
+    table.answered("1");
+    assert_eq!(pick(&table, &ask(100), now).target, "1");
+}
+
+#[test]
+fn a_target_that_lacks_the_model_is_passed_over_for_a_while() {
+    let now = Instant::now();
+    let mut table = table(now, &["1"]);
+    table.lacked("1", "m", now);
+    let engine = Engine::default();
+    let asked = ask(100);
+    assert_eq!(
+        choose(&table, &need(&asked, &engine, &[]), 1, now),
+        Choice::NoModel
+    );
+    pick(&table, &asked, now + Duration::from_secs(1));
+}
+
+#[test]
+fn more_urgent_prompts_count_before_less_urgent_ones() {
+    let now = Instant::now();
+    let mut table = table(now, &["1"]);
+    table.get_mut("1").expect("known").own.wait(2, 10_000);
+    assert_eq!(pick(&table, &ask(100), now).queue, Duration::ZERO);
+    table.get_mut("1").expect("known").own.wait(0, 2_000);
+    assert_eq!(
+        pick(&table, &ask(100), now).queue,
+        Duration::from_millis(100)
+    );
+}
