--- a/crates/flamingo-control/src/daemon.rs
+++ b/crates/flamingo-control/src/daemon.rs
@@ -117,6 +117,7 @@
         node: node.name.clone(),
         inner: node.inner,
         seeds,
+        timing: Timing::default(),
         growth: Growth::Closed,
         data: settings.data.clone(),
         seal: Seal::new(&node.name, node.key.as_bytes()),
@@ -135,6 +136,8 @@
     pub inner: SocketAddr,
     /// Control instances that it is told of, itself among them where it is one of the first.
     pub seeds: Vec<Seed>,
+    /// Times of the log.
+    pub timing: Timing,
     /// How the member list changes by itself.
     pub growth: Growth,
     /// The data folder.
@@ -223,7 +226,7 @@
         node: setup.node.clone(),
         address: setup.inner,
         seeds: setup.seeds.clone(),
-        timing: Timing::default(),
+        timing: setup.timing,
         growth: setup.growth,
         seed: random()?,
         stored,
--- a/crates/flamingo-link/src/feed.rs
+++ b/crates/flamingo-link/src/feed.rs
@@ -26,7 +26,7 @@
 /// Time that dialling a stream may take.
 const PATIENCE: Duration = Duration::from_secs(1);
 /// Time between two tries to dial an instance.
-const PAUSE: Duration = Duration::from_millis(300);
+const PAUSE: Duration = Duration::from_millis(150);
 /// Beats that may wait to be sent.
 const QUEUE: usize = 4;
 
--- a/crates/flamingo-log/src/timing.rs
+++ b/crates/flamingo-log/src/timing.rs
@@ -18,6 +18,26 @@
     pub gone: Duration,
 }
 
+impl Timing {
+    /// Returns times for members that are a few milliseconds apart, where a leader that is
+    /// lost must be followed soon.
+    ///
+    /// ```
+    /// use flamingo_log::Timing;
+    ///
+    /// assert!(Timing::near().election < Timing::default().election);
+    /// ```
+    #[must_use]
+    pub fn near() -> Self {
+        Self {
+            heartbeat: Duration::from_millis(80),
+            election: Duration::from_millis(600),
+            lease: Duration::from_millis(450),
+            ..Self::default()
+        }
+    }
+}
+
 impl Default for Timing {
     fn default() -> Self {
         Self {
--- a/crates/flamingo-serve/src/desk/sending.rs
+++ b/crates/flamingo-serve/src/desk/sending.rs
@@ -24,6 +24,8 @@
 const GATHER: usize = 256 * 1024;
 /// Time that the holder of orders has to bring an adapter.
 const ADAPT: Duration = Duration::from_millis(700);
+/// Shortest time past the objective after which a target without an answer is given up.
+const SILENCE: Duration = Duration::from_millis(600);
 /// Time for reading what is left of an answer, so that its connection can be kept.
 const REST: Duration = Duration::from_secs(1);
 
@@ -120,7 +122,8 @@
         self.metrics.connections.with_label_values(&[how]).inc();
         let attempt = job.ask.attempt.as_deref();
         let wire = self.wire.as_ref();
-        let sent = exchange::send(kept, address, request, attempt, wire, job.deadline).await;
+        let patient = job.deadline.min(now + Self::patience(job, pick));
+        let sent = exchange::send(kept, address, request, attempt, wire, patient).await;
         job.tried.borrow_mut().push(pick.target.clone());
         match sent {
             Ok(begun) => {
@@ -138,6 +141,17 @@
         }
     }
 
+    /// Returns for how long a target may keep a job waiting before it is tried elsewhere: as
+    /// long as the job has, where it may not run twice or can't be sent again.
+    fn patience(job: &Job, pick: &Pick) -> Duration {
+        let another = job.sent.get() + 1 < job.route.attempts;
+        if job.ask.model.is_none() || !job.route.repeatable() || !another {
+            return job.deadline.saturating_duration_since(job.arrived);
+        }
+        let objective = Duration::from_millis(job.route.objective_ms);
+        objective + pick.wait.max(SILENCE)
+    }
+
     fn failed(&self, job: &Job, pick: &Pick, failure: Failure) -> Setback {
         let now = Instant::now();
         let name: &str = failure.into();
@@ -155,6 +169,12 @@
                 job.sent.set(job.sent.get() + 1);
                 Setback::MayHaveRun(Cause::Broken)
             }
+            Failure::Late if now < job.deadline => {
+                // It is silent, or far busier than was known.
+                self.news.table.borrow_mut().failed(&pick.target, now);
+                job.sent.set(job.sent.get() + 1);
+                Setback::MayHaveRun(Cause::Broken)
+            }
             Failure::Late => {
                 job.sent.set(job.sent.get() + 1);
                 Setback::MayHaveRun(Cause::Late)
@@ -265,11 +285,12 @@
         let stream = Stream {
             desk: Rc::clone(self),
             job: Rc::clone(job),
-            relay,
+            relay: Some(relay),
             slot,
             first,
             last: job.ask.after,
             done,
+            stalled: false,
         };
         let chunks = stream::unfold(Some(stream), |stream| async move { stream?.step().await });
         Ok(Response::from_parts(head, Body::Chunks(Box::pin(chunks))))
--- a/crates/flamingo-serve/src/desk/stream.rs
+++ b/crates/flamingo-serve/src/desk/stream.rs
@@ -10,7 +10,12 @@
 use bytes::Bytes;
 use slog::info;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+/// Longest pauses of a prompt stream after which a silent target is left.
+const PAUSES: u32 = 3;
+/// Shortest silence after which a target is left.
+const SILENCE: Duration = Duration::from_millis(1_200);
 
 /// The stream of a job on its way to the caller.
 pub struct Stream {
@@ -18,8 +23,8 @@
     pub desk: Rc<Desk>,
     /// The job.
     pub job: Rc<Job>,
-    /// What is left to be read.
-    pub relay: Relay,
+    /// What is left to be read; none while it goes on elsewhere.
+    pub relay: Option<Relay>,
     /// Its place at the target.
     pub slot: Slot,
     /// The first event, until it is passed on.
@@ -28,6 +33,8 @@
     pub last: Option<u64>,
     /// Nothing follows.
     pub done: bool,
+    /// It was once found silent: it is not left a second time.
+    pub stalled: bool,
 }
 
 impl Stream {
@@ -42,7 +49,11 @@
                 self.end();
                 return None;
             }
-            match self.relay.next(self.job.deadline).await {
+            let deadline = self.patience();
+            let Some(relay) = &mut self.relay else {
+                return Some(self.broken("no other target took it"));
+            };
+            match relay.next(deadline).await {
                 Step::Event(event) => {
                     if !self.follows(&event) {
                         return Some(self.broken("an event out of order"));
@@ -55,6 +66,10 @@
                     return Some((Ok(event.bytes), Some(self)));
                 }
                 Step::End => self.done = true,
+                Step::Late if Instant::now() < self.job.deadline => {
+                    self.stalled = true;
+                    self.leave().await;
+                }
                 Step::Late => {
                     self.ended("late");
                     return Some((Err(Broken::Late), None));
@@ -84,21 +99,59 @@
         (Err(Broken::Target), None)
     }
 
-    /// Goes on at another target, after the last event that was passed on.
+    /// Returns until when the target may be silent.
+    fn patience(&self) -> Instant {
+        let pause = Duration::from_millis(self.job.route.pause_ms) * PAUSES;
+        if self.stalled || !self.resumable() {
+            return self.job.deadline;
+        }
+        let limit = Instant::now() + pause.max(SILENCE);
+        limit.min(self.job.deadline)
+    }
+
+    fn resumable(&self) -> bool {
+        self.job.route.resumable && self.last.is_some()
+    }
+
+    /// Leaves a target that has been silent for long, where another could take the stream.
+    async fn leave(&mut self) {
+        let now = Instant::now();
+        if !matches!(self.desk.choose(&self.job, now), Choice::Send(_)) {
+            return;
+        }
+        if !self.desk.again(&self.job, now) {
+            return;
+        }
+        info!(self.desk.log, "stream stalled"; "request" => &self.job.ask.attempt,
+            "target" => &self.slot.target, "last" => self.last);
+        let mut table = self.desk.news().table.borrow_mut();
+        table.failed(&self.slot.target, now);
+        drop(table);
+        // The target must stop before another goes on.
+        self.relay = None;
+        self.go_on().await;
+    }
+
+    /// Goes on at another target where the budget allows it; returns whether one took it.
     async fn resume(&mut self) -> bool {
-        let desk = Rc::clone(&self.desk);
-        let job = Rc::clone(&self.job);
-        let resumable = job.route.resumable && self.last.is_some();
-        if !resumable || !desk.again(&job, Instant::now()) {
+        if !self.resumable() || !self.desk.again(&self.job, Instant::now()) {
             return false;
         }
+        self.relay = None;
+        self.go_on().await
+    }
+
+    /// Goes on at another target, after the last event that was passed on.
+    async fn go_on(&mut self) -> bool {
+        let desk = Rc::clone(&self.desk);
+        let job = Rc::clone(&self.job);
         let Choice::Send(pick) = desk.choose(&job, Instant::now()) else {
             return false;
         };
         if pick.bare && desk.adapt(&job, &pick).await.is_err() {
             return false;
         }
-        let slot = Slot::take(&desk.news, &pick, &job);
+        let slot = Slot::take(desk.news(), &pick, &job);
         let Ok(begun) = desk.send(&job, &pick, self.last).await else {
             return false;
         };
@@ -106,7 +159,7 @@
         if good {
             info!(desk.log, "stream resumed"; "request" => &job.ask.attempt,
                 "target" => &pick.target, "after" => self.last);
-            self.relay = Relay::new(begun);
+            self.relay = Some(Relay::new(begun));
             self.slot = slot;
         }
         good
@@ -119,8 +172,9 @@
     /// Keeps the connection of a stream that has ended in order.
     fn end(self) {
         self.ended("answered");
-        let begun = self.relay.begun;
-        self.desk
-            .reuse(&self.slot.target, begun.connection, &begun.answer);
+        if let Some(Relay { begun, .. }) = self.relay {
+            let target = &self.slot.target;
+            self.desk.reuse(target, begun.connection, &begun.answer);
+        }
     }
 }
--- a/crates/flamingolink/tests/proofs.rs
+++ b/crates/flamingolink/tests/proofs.rs
@@ -6,10 +6,12 @@
     Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
 }
 
-/// Returns the names of the form `crates/…/tests/FILE::TEST` in back quotes.
+/// Returns the names of the form `FOLDER/…/tests/FILE::TEST` in back quotes.
 fn named(page: &str) -> Vec<(String, String)> {
     let quoted = page.split('`').skip(1).step_by(2);
-    let tests = quoted.filter(|text| text.starts_with("crates/") && text.contains("::"));
+    let sources = ["crates/", "platform/"];
+    let source = |text: &&str| sources.iter().any(|folder| text.starts_with(folder));
+    let tests = quoted.filter(source).filter(|text| text.contains("::"));
     let parts = tests.filter_map(|text| text.split_once("::"));
     parts
         .map(|(file, test)| (file.to_owned(), test.to_owned()))
@@ -24,9 +26,9 @@
     for (file, test) in named {
         let text = std::fs::read_to_string(root().join(&file)).unwrap_or_default();
         let function = text.contains(&format!("fn {test}("));
-        let case = text
-            .lines()
-            .any(|line| line.trim_start().starts_with(&format!("{test}(")));
+        let case = text.lines().map(str::trim_start).any(|line| {
+            line.starts_with(&format!("{test}(")) || line.starts_with(&format!("{test}:"))
+        });
         assert!(function || case, "{file} has no test {test}");
     }
 }
