--- a/crates/flamingo-control/src/holder/mod.rs
+++ b/crates/flamingo-control/src/holder/mod.rs
@@ -126,6 +126,8 @@
     lanes: BTreeMap<id::Target, Rc<Mutex<()>>>,
     asked: BTreeMap<id::Target, Instant>,
     demands: Demands,
+    /// Since when no engine holds a model, by service and model.
+    missing: BTreeMap<(id::Service, id::Model), Instant>,
     routes: Option<Arc<Set>>,
     /// When this instance began loads from the weight store.
     begun: Vec<Instant>,
--- a/crates/flamingo-control/src/holder/moves.rs
+++ b/crates/flamingo-control/src/holder/moves.rs
@@ -2,12 +2,12 @@
 
 use super::account::Account;
 use super::wire::{Operation, Outcome, Report};
-use super::{Holder, Lead, engine_of};
+use super::{Holder, Lead, Term, engine_of};
 use flamingo_daemon::clock;
 use flamingo_place::spread::{self, Engine, Model, Move};
 use flamingo_state::Command;
 use flamingo_wire::id;
-use flamingo_wire::route::Set;
+use flamingo_wire::route::{self, Service, Set};
 use slog::info;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime};
@@ -24,6 +24,8 @@
 const TRIES: usize = 4;
 /// Time after an unclear order before the engine is asked; its reports lag behind.
 const AGAIN: Duration = Duration::from_millis(300);
+/// Time after which a model that no engine holds is placed before those that are wanted.
+const OVERDUE: Duration = Duration::from_secs(15);
 /// Moves that may be under way at a time.
 const MOVES: usize = 8;
 /// Demand from which a model is named in the log, in engines.
@@ -47,6 +49,7 @@
             let left = self.store(lead, engine, now);
             let store = left >= 1.0;
             let spare = left >= SPARE;
+            self.miss(service, engine, now);
             let found = {
                 let term = self.term.borrow();
                 let accounts = term.accounts.values();
@@ -62,6 +65,7 @@
                     megabytes: model.megabytes,
                     demand: term.demands.rate(&service.name, &model.name, now),
                     adapted: model.adapters > 0,
+                    overdue: term.overdue(&service.name, &model.name, now),
                 });
                 let mut models: Vec<_> = models.collect();
                 spread::hedge(&mut models);
@@ -91,6 +95,22 @@
         }
     }
 
+    /// Notes since when no engine holds a model.
+    fn miss(&self, service: &Service, engine: &route::Engine, now: Instant) {
+        let mut term = self.term.borrow_mut();
+        let term = &mut *term;
+        for model in &engine.models {
+            let mut accounts = term.accounts.values();
+            let held = accounts.any(|account| account.models().contains(&model.name));
+            let key = (service.name.clone(), model.name.clone());
+            if held {
+                term.missing.remove(&key);
+            } else {
+                term.missing.entry(key).or_insert(now);
+            }
+        }
+    }
+
     /// Writes once a second which models are asked for, and how many copies they have.
     fn note(&self, service: &str, models: &[Model], engines: &[Engine], now: Instant) {
         if !self.noted.borrow_mut().due(now) {
@@ -116,7 +136,7 @@
     }
 
     /// Returns how many loads from the weight store may begin now.
-    fn store(&self, lead: &Lead, engine: &flamingo_wire::route::Engine, now: Instant) -> f64 {
+    fn store(&self, lead: &Lead, engine: &route::Engine, now: Instant) -> f64 {
         let window = self.bounds.window + DRIFT;
         let most = engine.loads_per_s * self.bounds.window.as_secs_f64() + self.bounds.spare;
         let wall = SystemTime::now();
@@ -280,6 +300,15 @@
     }
 }
 
+impl Term {
+    /// Returns whether no engine has held a model for long.
+    fn overdue(&self, service: &str, model: &str, now: Instant) -> bool {
+        let key = (service.to_owned(), model.to_owned());
+        let since = self.missing.get(&key);
+        since.is_some_and(|since| now >= *since + OVERDUE)
+    }
+}
+
 /// Returns whether an engine says that it holds a model.
 fn holds(report: &Report, model: &id::Model) -> bool {
     report.models.iter().any(|held| &held.model == model)
--- a/crates/flamingo-place/src/spread.rs
+++ b/crates/flamingo-place/src/spread.rs
@@ -49,6 +49,8 @@
     pub demand: f64,
     /// Whether it has adapters.
     pub adapted: bool,
+    /// Whether no engine has held it for so long that it goes before what is wanted.
+    pub overdue: bool,
 }
 
 /// An engine as placement sees it.
@@ -281,7 +283,7 @@
 ///     name: name.into(),
 ///     megabytes: 1.0,
 ///     demand,
-///     adapted: false,
+///     ..Model::default()
 /// };
 /// let engine = |target: &str, models: &[&str]| Engine {
 ///     target: target.into(),
@@ -303,7 +305,8 @@
     relief(&board, &busy, store)
 }
 
-/// Places a model that no engine holds, the most wanted first.
+/// Places a model that no engine holds, the most wanted first. One that nobody asks for takes
+/// no copy away from those that are wanted, until it is overdue: its engine may come back.
 fn missing(board: &Board<'_>, busy: &[f64], store: bool) -> Option<Move> {
     let mut missing: Vec<Place> = (0..board.models.len())
         .filter(|model| board.holders[*model].is_empty())
@@ -317,6 +320,10 @@
         let rooms = engines.filter_map(|engine| {
             let unload = board.room(engine, model, 1)?;
             let missed: f64 = unload.iter().map(|place| board.missed(*place)).sum();
+            let urgent = board.models[model].overdue || board.demand(model) > 0.0;
+            if !urgent && missed > SLIGHT {
+                return None;
+            }
             let far = if board.keeps(engine, model) { 0.0 } else { 1.0 };
             Some((busy[engine] + missed + far, engine, unload))
         });
--- a/crates/flamingo-place/tests/spread.rs
+++ b/crates/flamingo-place/tests/spread.rs
@@ -8,6 +8,7 @@
         megabytes: 70.0,
         demand,
         adapted: true,
+        overdue: false,
     }
 }
 
@@ -97,6 +98,23 @@
     assert_eq!(found.load, "lost");
 }
 
+#[test]
+fn a_lost_model_takes_a_wanted_copy_only_where_it_is_asked_for_or_overdue() {
+    let full = |lost: Model| {
+        let models = [model("a", 2.0), model("b", 2.0), lost];
+        let engines = [engine("1", &["a", "b"]), engine("2", &["a", "b"])];
+        next(&models, &engines, true)
+    };
+    assert_eq!(full(model("lost", 0.0)), None);
+    let asked = full(model("lost", 0.01)).expect("a move");
+    assert_eq!(asked.load, "lost");
+    let overdue = Model {
+        overdue: true,
+        ..model("lost", 0.0)
+    };
+    assert_eq!(full(overdue).expect("a move").load, "lost");
+}
+
 #[test]
 fn calm_demand_moves_nothing() {
     let models = [model("a", 0.3), model("b", 0.2)];
