--- a/crates/flamingo-control/src/keeper.rs
+++ b/crates/flamingo-control/src/keeper.rs
@@ -240,6 +240,8 @@
                 }
             }
         }
+        // What the disk knew to be committed is applied before anything is asked.
+        self.pump(clock::now());
         ctx.run_interval(TICK, Self::tick);
     }
 }
--- a/crates/flamingo-log/src/disk.rs
+++ b/crates/flamingo-log/src/disk.rs
@@ -1,6 +1,7 @@
 //! The border to the disk.
 
 use crate::entry::{Entry, Record, Snapshot, Storage, Vote};
+use flamingo_wire::id;
 use quick_error::quick_error;
 use std::fmt;
 use std::io;
@@ -37,6 +38,8 @@
     pub snapshot: Arc<Snapshot>,
     /// Entries after it.
     pub entries: Vec<Entry>,
+    /// Last index that was known to be committed; 0 for none.
+    pub commit: id::Index,
     /// Bytes that were cut off as a torn tail.
     pub torn: u64,
 }
--- a/crates/flamingo-log/src/entry.rs
+++ b/crates/flamingo-log/src/entry.rs
@@ -80,4 +80,6 @@
     Entry(Entry),
     /// A snapshot with the entries that stay behind it.
     Snapshot(Arc<Snapshot>),
+    /// All entries up to this index are committed; a restart may apply them at once.
+    Commit(id::Index),
 }
--- a/crates/flamingo-log/src/file.rs
+++ b/crates/flamingo-log/src/file.rs
@@ -7,6 +7,7 @@
 use crate::disk::{Disk, Error, Stored};
 use crate::entry::{Entry, Record, Snapshot, Storage, Vote};
 use crate::segment;
+use flamingo_wire::id;
 use serde::de::DeserializeOwned;
 use std::fs::{File, OpenOptions};
 use std::io::{self, Write};
@@ -24,6 +25,7 @@
     log: File,
     vote: Vote,
     entries: Vec<Entry>,
+    commit: id::Index,
     failed: bool,
 }
 
@@ -85,6 +87,7 @@
             log: append(path)?,
             vote: Vote::default(),
             entries: Vec::new(),
+            commit: 0,
             failed: false,
         };
         let stored = Stored {
@@ -114,6 +117,7 @@
             log,
             vote: Vote::default(),
             entries: Vec::new(),
+            commit: 0,
             failed: false,
         };
         for record in scan.records {
@@ -138,6 +142,7 @@
             vote: folder.vote.clone(),
             snapshot: Arc::new(snapshot),
             entries: folder.entries.clone(),
+            commit: folder.commit,
             torn: torn as u64,
         };
         Ok(Opened { folder, stored })
@@ -147,6 +152,7 @@
     fn note(&mut self, record: &Record) {
         match record {
             Record::Vote(vote) => self.vote = vote.clone(),
+            Record::Commit(index) => self.commit = self.commit.max(*index),
             Record::Entry(entry) => {
                 let keep = self
                     .entries
@@ -198,6 +204,8 @@
         let mut bytes = Vec::new();
         let vote = Record::Vote(self.vote.clone());
         segment::push(&mut bytes, &vote).map_err(io::Error::other)?;
+        let commit = Record::Commit(self.commit);
+        segment::push(&mut bytes, &commit).map_err(io::Error::other)?;
         for entry in &self.entries {
             let record = Record::Entry(entry.clone());
             segment::push(&mut bytes, &record).map_err(io::Error::other)?;
--- a/crates/flamingo-log/src/raft.rs
+++ b/crates/flamingo-log/src/raft.rs
@@ -174,6 +174,8 @@
     vote: Vote,
     journal: Journal,
     commit: id::Index,
+    /// Last index that the disk knows to be committed.
+    recorded: id::Index,
     standing: Standing,
     leader: Option<id::Node>,
     /// Until when no vote is given: a leader was heard.
@@ -206,6 +208,7 @@
             vote: stored.vote,
             journal: Journal::new(stored.snapshot, stored.entries),
             commit,
+            recorded: stored.commit,
             standing: Standing::Follower,
             leader: None,
             // It may have heard a leader just before it stopped.
@@ -220,6 +223,7 @@
             out: Vec::new(),
         };
         if raft.formed() {
+            raft.commit_to(stored.commit);
             raft.rest(now);
         }
         raft
@@ -233,6 +237,7 @@
     /// Lets time pass; to be called a few times in a heartbeat.
     pub fn tick(&mut self, now: Instant) {
         self.expire(now);
+        self.record();
         if now < self.deadline {
             return;
         }
@@ -442,6 +447,15 @@
         Slot { index, term }
     }
 
+    /// Notes on the disk what is committed, so that a restart need not wait for a leader to
+    /// apply it.
+    fn record(&mut self) {
+        if self.commit > self.recorded {
+            self.recorded = self.commit;
+            self.write(Record::Commit(self.commit));
+        }
+    }
+
     /// Hands on what is committed up to `index`.
     fn commit_to(&mut self, index: id::Index) {
         let index = index.min(self.journal.last());
--- a/crates/flamingo-log/tests/growth.rs
+++ b/crates/flamingo-log/tests/growth.rs
@@ -69,4 +69,17 @@
         let applied = &group.nodes[leader].applied;
         assert!(applied.iter().any(|applied| applied.bytes == b"kept"));
     };
+    what_was_known_to_be_committed_is_applied_before_a_leader_is_heard: 6 => |seed| {
+        let mut group = grown(3, seed);
+        let leader = group.leader().expect("a leader");
+        group.propose(leader, b"kept").expect("taken");
+        group.pass(Duration::from_secs(2));
+        for n in 0..3 {
+            group.crash(n);
+        }
+        let n = (leader + 1) % 3;
+        group.start(n);
+        group.pass(Duration::from_millis(200));
+        assert!(group.nodes[n].applied.iter().any(|applied| applied.bytes == b"kept"));
+    };
 }
--- a/crates/flamingo-test-support/src/group.rs
+++ b/crates/flamingo-test-support/src/group.rs
@@ -174,6 +174,8 @@
         node.full = false;
         node.applied = decode(&node.stored.snapshot.data);
         node.raft = Some(Raft::new(start, self.now));
+        // What the disk knew to be committed is applied before anything else.
+        self.drain(n);
     }
 
     /// Stops a member at once; some of what it had not synced may be lost.
@@ -537,6 +539,7 @@
 fn keep(stored: &mut Stored, record: Record) {
     match record {
         Record::Vote(vote) => stored.vote = vote,
+        Record::Commit(index) => stored.commit = stored.commit.max(index),
         Record::Entry(entry) => {
             stored.entries.retain(|kept| kept.index < entry.index);
             stored.entries.push(entry);
