--- a/crates/flamingo-control/tests/account.rs
+++ b/crates/flamingo-control/tests/account.rs
@@ -2,26 +2,10 @@
 
 use flamingo_control::holder::account::Account;
 use flamingo_control::holder::wire::{Operation, Order, Outcome, Report};
-use flamingo_wire::target::{Registration, Resident};
+use flamingo_test_support::registration::registration;
+use flamingo_wire::target::Resident;
 use std::time::{Duration, Instant};
 
-fn word() -> Registration {
-    Registration {
-        id: "e".into(),
-        incarnation: 1,
-        sequence: 1,
-        service: "s".into(),
-        address: "127.0.0.1:1".parse().expect("an address"),
-        zone: "z".into(),
-        slots: 4,
-        leaving: false,
-        gone: false,
-        models: vec![resident("m", &["x"])],
-        in_memory: Vec::new(),
-        on_disk: Vec::new(),
-    }
-}
-
 fn resident(model: &str, adapters: &[&str]) -> Resident {
     Resident {
         model: model.into(),
@@ -51,7 +35,7 @@
 }
 
 fn account(now: Instant) -> Account {
-    let mut account = Account::new(word(), now);
+    let mut account = Account::new(registration("e"), now);
     assert!(account.reported(&report(4, &["x"]), now));
     account
 }
@@ -59,7 +43,7 @@
 #[test]
 fn nothing_is_ordered_before_the_engine_was_asked() {
     let now = Instant::now();
-    let account = Account::new(word(), now);
+    let account = Account::new(registration("e"), now);
     assert_eq!(account.sequence(), None);
     assert!(account.occupied(now));
 }
--- a/crates/flamingo-control/tests/registry.rs
+++ b/crates/flamingo-control/tests/registry.rs
@@ -1,24 +1,16 @@
 //! Which word of a target is the newest.
 
 use flamingo_control::registry::Registry;
+use flamingo_test_support::registration::registration;
 use flamingo_wire::control::Push;
 use flamingo_wire::target::Registration;
 use std::time::{Duration, Instant};
 
 fn word(id: &str, incarnation: u64, sequence: u64) -> Registration {
     Registration {
-        id: id.into(),
         incarnation,
         sequence,
-        service: "s".into(),
-        address: "127.0.0.1:1".parse().expect("an address"),
-        zone: "z".into(),
-        slots: 4,
-        leaving: false,
-        gone: false,
-        models: Vec::new(),
-        in_memory: Vec::new(),
-        on_disk: Vec::new(),
+        ..registration(id)
     }
 }
 
--- a/crates/flamingo-serve/src/desk/sending.rs
+++ b/crates/flamingo-serve/src/desk/sending.rs
@@ -160,18 +160,18 @@
             "target" => &pick.target, "failure" => name);
         match failure {
             Failure::Unreached | Failure::Unsent => {
-                self.news.table.borrow_mut().failed(&pick.target, now);
+                self.shun(&pick.target, now);
                 job.unreached.set(job.unreached.get() + 1);
                 Setback::NotRun(Cause::NoTarget)
             }
             Failure::Broken | Failure::Foreign => {
-                self.news.table.borrow_mut().failed(&pick.target, now);
+                self.shun(&pick.target, now);
                 job.sent.set(job.sent.get() + 1);
                 Setback::MayHaveRun(Cause::Broken)
             }
             Failure::Late if now < job.deadline => {
                 // It is silent, or far busier than was known.
-                self.news.table.borrow_mut().failed(&pick.target, now);
+                self.shun(&pick.target, now);
                 job.sent.set(job.sent.get() + 1);
                 Setback::MayHaveRun(Cause::Broken)
             }
@@ -206,6 +206,11 @@
         self.whole(job, slot, begun).await
     }
 
+    /// Notes that a target could not be reached, broke off or fell silent.
+    pub(super) fn shun(&self, target: &str, now: Instant) {
+        self.news.table.borrow_mut().failed(target, now);
+    }
+
     /// Notes why a target did not run a job.
     fn turned_away(&self, job: &Job, target: &str, begun: &Begun) {
         info!(self.log, "turned away"; "request" => &job.ask.attempt, "target" => target,
--- a/crates/flamingo-serve/src/desk/stream.rs
+++ b/crates/flamingo-serve/src/desk/stream.rs
@@ -124,9 +124,7 @@
         }
         info!(self.desk.log, "stream stalled"; "request" => &self.job.ask.attempt,
             "target" => &self.slot.target, "last" => self.last);
-        let mut table = self.desk.news().table.borrow_mut();
-        table.failed(&self.slot.target, now);
-        drop(table);
+        self.desk.shun(&self.slot.target, now);
         // The target must stop before another goes on.
         self.relay = None;
         self.go_on().await;
--- a/crates/flamingo-serve/tests/load.rs
+++ b/crates/flamingo-serve/tests/load.rs
@@ -4,9 +4,9 @@
 use flamingo_serve::choice::{Choice, Need, Pick, choose};
 use flamingo_serve::table::Table;
 use flamingo_serve::wire::{Ask, Piece};
+use flamingo_test_support::registration::registration;
 use flamingo_wire::control::Push;
 use flamingo_wire::route::Engine;
-use flamingo_wire::target::{Registration, Resident};
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
@@ -15,29 +15,9 @@
 const OBJECTIVE: Duration = Duration::from_millis(800);
 const PATIENCE: Duration = Duration::from_secs(4);
 
-fn word(id: &str) -> Registration {
-    Registration {
-        id: id.into(),
-        incarnation: 1,
-        sequence: 1,
-        service: "s".into(),
-        address: "127.0.0.1:1".parse().expect("an address"),
-        zone: "z".into(),
-        slots: 64,
-        leaving: false,
-        gone: false,
-        models: vec![Resident {
-            model: "m".into(),
-            adapters: Vec::new(),
-        }],
-        in_memory: Vec::new(),
-        on_disk: Vec::new(),
-    }
-}
-
 fn table(now: Instant, targets: &[&str]) -> Table {
     let mut table = Table::default();
-    let words = targets.iter().map(|id| word(id)).collect();
+    let words = targets.iter().map(|id| registration(id)).collect();
     let from = "127.0.0.1:9".parse().expect("an address");
     table.take(now, from, &Push::Targets(words));
     table
--- /dev/null
+++ b/crates/flamingo-test-support/src/registration.rs
@@ -0,0 +1,30 @@
+//! Words of targets for tests.
+
+use flamingo_wire::target::{Registration, Resident};
+
+/// Returns the first word of a target of the service `s` in the zone `z`, which holds the
+/// model `m` with the adapter `x`.
+///
+/// # Panics
+///
+/// Never: the address is a good one.
+#[must_use]
+pub fn registration(id: &str) -> Registration {
+    Registration {
+        id: id.into(),
+        incarnation: 1,
+        sequence: 1,
+        service: "s".into(),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        zone: "z".into(),
+        slots: 64,
+        leaving: false,
+        gone: false,
+        models: vec![Resident {
+            model: "m".into(),
+            adapters: vec!["x".into()],
+        }],
+        in_memory: Vec::new(),
+        on_disk: Vec::new(),
+    }
+}
