--- a/crates/flamingo-control/src/holder/account.rs
+++ b/crates/flamingo-control/src/holder/account.rs
@@ -25,7 +25,7 @@
 #[derive(Clone, Debug)]
 pub struct Account {
     /// Its newest word.
-    pub word: Registration,
+    pub registration: Registration,
     /// Orders that it has taken; unknown until it was asked.
     sequence: Option<u64>,
     /// Whether it has to be asked before the next order.
@@ -49,9 +49,9 @@
 impl Account {
     /// Starts with what the engine said of itself.
     #[must_use]
-    pub fn new(word: Registration, now: Instant) -> Self {
+    pub fn new(registration: Registration, now: Instant) -> Self {
         let mut account = Self {
-            word,
+            registration,
             sequence: None,
             doubt: false,
             busy: false,
@@ -62,7 +62,7 @@
             moving: false,
             moves: 0,
         };
-        let models = account.word.models.clone();
+        let models = account.registration.models.clone();
         account.adopt(&models, now);
         account
     }
@@ -250,8 +250,8 @@
             }
         });
         Holding {
-            target: self.word.id.clone(),
-            incarnation: self.word.incarnation,
+            target: self.registration.id.clone(),
+            incarnation: self.registration.incarnation,
             models: models.collect(),
             moving: self.moving || self.busy,
         }
--- a/crates/flamingo-control/src/holder/mod.rs
+++ b/crates/flamingo-control/src/holder/mod.rs
@@ -273,23 +273,29 @@
 
     /// Takes in what targets said of themselves, and asks those of which too little is known.
     fn survey(self: &Rc<Self>, routes: &Set, now: Instant) {
-        let words = lock(&self.core.registry).fresh(now, SILENT);
+        let registrations = lock(&self.core.registry).fresh(now, SILENT);
         let mut term = self.term.borrow_mut();
         let term = &mut *term;
-        let engine = |word: &flamingo_wire::target::Registration| {
-            engine_of(routes, &word.service).is_some() && !word.gone
+        let engine = |registration: &flamingo_wire::target::Registration| {
+            engine_of(routes, &registration.service).is_some() && !registration.gone
         };
-        let words: Vec<_> = words.into_iter().filter(engine).collect();
-        term.accounts
-            .retain(|id, account| account.moving || words.iter().any(|word| &word.id == id));
-        for word in words {
-            let known = term.accounts.get_mut(&word.id);
+        let registrations: Vec<_> = registrations.into_iter().filter(engine).collect();
+        term.accounts.retain(|id, account| {
+            account.moving
+                || registrations
+                    .iter()
+                    .any(|registration| &registration.id == id)
+        });
+        for registration in registrations {
+            let known = term.accounts.get_mut(&registration.id);
             match known {
-                Some(known) if known.word.incarnation == word.incarnation => known.word = word,
+                Some(known) if known.registration.incarnation == registration.incarnation => {
+                    known.registration = registration
+                }
                 _ => {
-                    let id = word.id.clone();
+                    let id = registration.id.clone();
                     term.asked.remove(&id);
-                    term.accounts.insert(id, Account::new(word, now));
+                    term.accounts.insert(id, Account::new(registration, now));
                 }
             }
         }
--- a/crates/flamingo-control/src/holder/moves.rs
+++ b/crates/flamingo-control/src/holder/moves.rs
@@ -54,7 +54,7 @@
                 let term = self.term.borrow();
                 let accounts = term.accounts.values();
                 let accounts: Vec<_> = accounts
-                    .filter(|account| account.word.service == service.name)
+                    .filter(|account| account.registration.service == service.name)
                     .collect();
                 let moving = accounts.iter().filter(|account| account.moving).count();
                 if moving >= MOVES {
@@ -71,7 +71,9 @@
                 spread::hedge(&mut models);
                 let adapters = engine.models.iter().map(|model| model.adapter_megabytes);
                 let largest = adapters.fold(0.0, f64::max) * f64::from(engine.adapters);
-                let engines = accounts.iter().filter(|account| !account.word.leaving);
+                let engines = accounts
+                    .iter()
+                    .filter(|account| !account.registration.leaving);
                 let engines = engines.map(|account| seen(account, engine.megabytes - largest, now));
                 let engines: Vec<_> = engines.collect();
                 self.note(&service.name, &models, &engines, now);
@@ -218,7 +220,7 @@
             .get(&found.target)
             .ok_or("the engine has gone")?;
         let routes = term.routes.as_ref().ok_or("no routes are in force")?;
-        let engine = engine_of(routes, &account.word.service).ok_or("not an engine")?;
+        let engine = engine_of(routes, &account.registration.service).ok_or("not an engine")?;
         let size = |model: &str| {
             let mut models = engine.models.iter();
             let model = models.find(|known| known.name == model);
@@ -316,10 +318,10 @@
 
 /// Returns an engine as the planner sees it.
 fn seen(account: &Account, megabytes: f64, now: Instant) -> Engine {
-    let word = &account.word;
-    let copies = word.in_memory.iter().chain(&word.on_disk);
+    let registration = &account.registration;
+    let copies = registration.in_memory.iter().chain(&registration.on_disk);
     Engine {
-        target: word.id.clone(),
+        target: registration.id.clone(),
         models: account.models(),
         coming: account.loading.clone(),
         copies: copies.cloned().collect(),
--- a/crates/flamingo-control/src/holder/orders.rs
+++ b/crates/flamingo-control/src/holder/orders.rs
@@ -34,15 +34,15 @@
 
     /// Asks an engine for its state; nothing where its answer is older than the last order.
     pub(super) async fn ask(&self, target: &str) -> Option<Report> {
-        let word = {
+        let registration = {
             let term = self.term.borrow();
-            term.accounts.get(target)?.word.clone()
+            term.accounts.get(target)?.registration.clone()
         };
         let deadline = Instant::now() + PATIENCE;
-        let report = self.engines.report(&word, deadline).await?;
+        let report = self.engines.report(&registration, deadline).await?;
         let mut term = self.term.borrow_mut();
         let account = term.accounts.get_mut(target)?;
-        let same = account.word.incarnation == word.incarnation;
+        let same = account.registration.incarnation == registration.incarnation;
         (same && account.reported(&report, clock::now())).then_some(report)
     }
 
@@ -70,8 +70,9 @@
         let order = {
             let term = self.term.borrow();
             let account = term.accounts.get(target);
-            let known = account.and_then(|account| Some((account.sequence()?, &account.word)));
-            let Some((expected, word)) = known else {
+            let known =
+                account.and_then(|account| Some((account.sequence()?, &account.registration)));
+            let Some((expected, registration)) = known else {
                 return Outcome::Refused;
             };
             let current = term.fence == lead.fence && !term.fenced;
@@ -80,7 +81,7 @@
             }
             Order {
                 target: target.to_owned(),
-                address: word.address,
+                address: registration.address,
                 operation,
                 model: model.to_owned(),
                 adapter: adapter.map(str::to_owned),
@@ -120,7 +121,7 @@
                 .accounts
                 .get_mut(&adapt.target)
                 .ok_or("no such engine")?;
-            if account.word.incarnation != adapt.incarnation {
+            if account.registration.incarnation != adapt.incarnation {
                 return Err("the engine has started again");
             }
             if !account.holds(&adapt.model) {
@@ -164,7 +165,7 @@
     ) -> Result<Option<(id::Model, id::Adapter)>, &'static str> {
         let term = self.term.borrow();
         let account = term.accounts.get(target).ok_or("no such engine")?;
-        let engine = engine_of(routes, &account.word.service).ok_or("not an engine")?;
+        let engine = engine_of(routes, &account.registration.service).ok_or("not an engine")?;
         let most = usize::try_from(engine.adapters).unwrap_or(usize::MAX);
         if account.adapters() < most {
             return Ok(None);
--- a/crates/flamingo-control/src/registry.rs
+++ b/crates/flamingo-control/src/registry.rs
@@ -1,6 +1,6 @@
 //! Targets that register with this instance, and what it tells its followers of them.
 //!
-//! Decides which word of a target is the newest, for check-ins of every target each
+//! Decides which word of a target is the newest, for heartbeats of every target each
 //! second or so, late ones, restarts under the same name and reuse of addresses.
 
 use flamingo_wire::control::Push;
@@ -66,17 +66,17 @@
 
     /// Returns whether a newer word is known: of the same target, or of a later one at its
     /// address.
-    fn outdated(&self, word: &Registration) -> bool {
-        if let Some(known) = self.known.get(&word.id)
-            && !word.supersedes(&known.registration)
+    fn outdated(&self, registration: &Registration) -> bool {
+        if let Some(known) = self.known.get(&registration.id)
+            && !registration.supersedes(&known.registration)
         {
             return true;
         }
         let mut others = self.known.values().map(|known| &known.registration);
         others.any(|other| {
-            other.id != word.id
-                && other.address == word.address
-                && other.incarnation > word.incarnation
+            other.id != registration.id
+                && other.address == registration.address
+                && other.incarnation > registration.incarnation
                 && !other.gone
         })
     }
@@ -128,15 +128,14 @@
     /// Takes what another control instance tells of targets; the followers hear it from there.
     pub fn learn(&mut self, now: Instant, push: &Push) {
         match push {
-            Push::Targets(words) => {
-                for word in words {
-                    if !self.outdated(word) {
-                        let registration = word.clone();
+            Push::Targets(registrations) => {
+                for registration in registrations {
+                    if !self.outdated(registration) {
                         let known = Known {
-                            registration,
+                            registration: registration.clone(),
                             heard: now,
                         };
-                        self.known.insert(word.id.clone(), known);
+                        self.known.insert(registration.id.clone(), known);
                     }
                 }
             }
--- a/crates/flamingo-serve/src/choice.rs
+++ b/crates/flamingo-serve/src/choice.rs
@@ -5,7 +5,7 @@
 //! prompt, and how many requests share its steps.
 
 use crate::table::{Table, Target};
-use crate::wire::{Ask, Piece};
+use crate::wire::Ask;
 use flamingo_wire::id;
 use flamingo_wire::route::{Engine, Rank};
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -97,7 +97,7 @@
             continue;
         }
         holding = true;
-        if need.tried.contains(&target.word.id) {
+        if need.tried.contains(&target.registration.id) {
             continue;
         }
         let pick = rate(target, need);
@@ -106,7 +106,7 @@
         let rating = Rating {
             doubtful,
             step: pick.wait.as_millis() / STEP_MS,
-            salt: salted(salt, &target.word.id),
+            salt: salted(salt, &target.registration.id),
         };
         if best.as_ref().is_none_or(|(known, _)| rating < *known) {
             best = Some((rating, pick));
@@ -151,14 +151,14 @@
             wait += ADAPTER_MS;
         }
     } else {
-        let slots = f64::from(target.word.slots.max(1));
+        let slots = f64::from(target.registration.slots.max(1));
         wait += (running / slots).floor() * PLAIN_MS + running / slots;
     }
-    if target.word.zone != need.zone {
+    if target.registration.zone != need.zone {
         wait += ZONE_MS;
     }
     Pick {
-        target: target.word.id.clone(),
+        target: target.registration.id.clone(),
         fresh,
         wait: Duration::from_secs_f64(wait / 1_000.0),
         queue: Duration::from_secs_f64(queue / 1_000.0),
@@ -172,9 +172,3 @@
     id.hash(&mut hasher);
     hasher.finish()
 }
-
-/// Returns the tokens of the parts of a prompt.
-#[must_use]
-pub fn tokens(pieces: &[Piece]) -> u32 {
-    pieces.iter().map(|piece| piece.tokens).sum()
-}
--- a/crates/flamingo-serve/src/desk/sending.rs
+++ b/crates/flamingo-serve/src/desk/sending.rs
@@ -59,7 +59,7 @@
         let incarnation = {
             let table = self.news.table.borrow();
             let target = table.get(&pick.target).ok_or_else(lacking)?;
-            target.word.incarnation
+            target.registration.incarnation
         };
         let question = Question::Adapt(Adapt {
             target: pick.target.clone(),
@@ -100,7 +100,7 @@
                 return Err(Setback::NotRun(Cause::NoTarget));
             };
             target.reads(choice::space(&job.ask), &job.ask.pieces, pick.fresh);
-            target.word.address
+            target.registration.address
         };
         let hop = Hop {
             target: &pick.target,
--- a/crates/flamingo-serve/src/news.rs
+++ b/crates/flamingo-serve/src/news.rs
@@ -123,7 +123,7 @@
 
     fn take(&self, from: SocketAddr, push: Push) {
         let now = Instant::now();
-        let ended = self.table.borrow_mut().take(now, from, &push);
+        let ended = self.table.borrow_mut().take(now, &push);
         for target in ended {
             self.pool.borrow_mut().drop(&target);
         }
--- a/crates/flamingo-serve/src/table.rs
+++ b/crates/flamingo-serve/src/table.rs
@@ -6,10 +6,9 @@
 use flamingo_wire::route::Rank;
 use flamingo_wire::target::{self, Holding, RANKS, Reading, Registration, Resident};
 use std::collections::{BTreeMap, HashMap};
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-/// Silence after which a target is taken only where no other is left; several check-ins.
+/// Silence after which a target is taken only where no other is left; several heartbeats.
 const SILENT: Duration = Duration::from_secs(4);
 /// Silence after which a target is forgotten.
 const FORGET: Duration = Duration::from_secs(30);
@@ -65,7 +64,7 @@
 #[derive(Clone, Debug)]
 pub struct Target {
     /// Its newest word.
-    pub word: Registration,
+    pub registration: Registration,
     /// Models that it holds, by its own word or that of the holder of its orders.
     pub models: Vec<Resident>,
     /// Requests of this entry.
@@ -89,10 +88,10 @@
 }
 
 impl Target {
-    fn new(word: Registration, now: Instant) -> Self {
+    fn new(registration: Registration, now: Instant) -> Self {
         Self {
-            models: word.models.clone(),
-            word,
+            models: registration.models.clone(),
+            registration,
             own: Work::default(),
             others: Work::default(),
             moving: false,
@@ -110,7 +109,7 @@
     /// Returns whether it may take new requests.
     #[must_use]
     pub fn open(&self) -> bool {
-        !self.word.leaving && !self.word.gone
+        !self.registration.leaving && !self.registration.gone
     }
 
     /// Returns whether it holds `model`.
@@ -197,16 +196,15 @@
 }
 
 impl Table {
-    /// Takes what the control instance `from` tells of targets; returns those whose
+    /// Takes what a control instance tells of targets; returns those whose
     /// connections are of no more use.
-    pub fn take(&mut self, now: Instant, from: SocketAddr, push: &Push) -> Vec<id::Target> {
-        let _ = from;
+    pub fn take(&mut self, now: Instant, push: &Push) -> Vec<id::Target> {
         self.fed = Some(now);
         let mut ended = Vec::new();
         match push {
-            Push::Targets(words) => {
-                for word in words {
-                    ended.extend(self.hear(now, word));
+            Push::Targets(registrations) => {
+                for registration in registrations {
+                    ended.extend(self.hear(now, registration));
                 }
             }
             Push::Heard(ids) => {
@@ -230,7 +228,9 @@
     /// Takes the requests of all entries together; those of this one are taken off.
     fn share(&mut self, loads: &[target::Load]) {
         for target in self.targets.values_mut() {
-            let load = loads.iter().find(|load| load.target == target.word.id);
+            let load = loads
+                .iter()
+                .find(|load| load.target == target.registration.id);
             let all = load.map_or_else(Work::default, |load| Work {
                 running: load.running,
                 reading: load.reading,
@@ -253,7 +253,7 @@
             target.told = target.own;
             if target.own != Work::default() {
                 loads.push(target::Load {
-                    target: target.word.id.clone(),
+                    target: target.registration.id.clone(),
                     running: target.own.running,
                     reading: target.own.reading,
                     adapters: target.used(),
@@ -265,34 +265,34 @@
 
     /// Takes a target's word; returns the target where it is a new one under an old name, or
     /// has gone.
-    fn hear(&mut self, now: Instant, word: &Registration) -> Option<id::Target> {
-        let Some(known) = self.targets.get_mut(&word.id) else {
-            let target = Target::new(word.clone(), now);
-            self.targets.insert(word.id.clone(), target);
+    fn hear(&mut self, now: Instant, registration: &Registration) -> Option<id::Target> {
+        let Some(known) = self.targets.get_mut(&registration.id) else {
+            let target = Target::new(registration.clone(), now);
+            self.targets.insert(registration.id.clone(), target);
             return None;
         };
-        if !word.supersedes(&known.word) {
+        if !registration.supersedes(&known.registration) {
             return None;
         }
         known.heard = now;
-        let restarted = known.word.incarnation != word.incarnation;
+        let restarted = known.registration.incarnation != registration.incarnation;
         if restarted {
-            let fresh = Target::new(word.clone(), now);
+            let fresh = Target::new(registration.clone(), now);
             let old = std::mem::replace(known, fresh);
             known.own = old.own;
             known.used = old.used;
-            return Some(word.id.clone());
+            return Some(registration.id.clone());
         }
-        if known.word.models != word.models {
-            known.models.clone_from(&word.models);
+        if known.registration.models != registration.models {
+            known.models.clone_from(&registration.models);
         }
-        known.word = word.clone();
-        word.gone.then(|| word.id.clone())
+        known.registration = registration.clone();
+        registration.gone.then(|| registration.id.clone())
     }
 
     fn hold(&mut self, holding: &Holding) {
         if let Some(target) = self.targets.get_mut(&holding.target)
-            && target.word.incarnation == holding.incarnation
+            && target.registration.incarnation == holding.incarnation
         {
             target.models.clone_from(&holding.models);
             target.moving = holding.moving;
@@ -310,7 +310,7 @@
     pub fn sweep(&mut self, now: Instant) {
         let fed = self.fed.unwrap_or(now);
         self.targets.retain(|_, target| {
-            let gone = target.word.gone && target.own.running == 0;
+            let gone = target.registration.gone && target.own.running == 0;
             let silent = fed > target.heard + FORGET;
             let past = gone && now > target.heard + FORGET;
             !past && !silent
@@ -320,7 +320,7 @@
     /// Returns the targets of a service.
     pub fn of<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Target> {
         let targets = self.targets.values();
-        targets.filter(move |target| target.word.service == service)
+        targets.filter(move |target| target.registration.service == service)
     }
 
     /// Returns a target.
--- a/crates/flamingo-serve/tests/load.rs
+++ b/crates/flamingo-serve/tests/load.rs
@@ -18,8 +18,7 @@
 fn table(now: Instant, targets: &[&str]) -> Table {
     let mut table = Table::default();
     let words = targets.iter().map(|id| registration(id)).collect();
-    let from = "127.0.0.1:9".parse().expect("an address");
-    table.take(now, from, &Push::Targets(words));
+    table.take(now, &Push::Targets(words));
     table
 }
 
