--- a/crates/flamingo-control/src/holder/mod.rs
+++ b/crates/flamingo-control/src/holder/mod.rs
@@ -290,7 +290,7 @@
             let known = term.accounts.get_mut(&registration.id);
             match known {
                 Some(known) if known.registration.incarnation == registration.incarnation => {
-                    known.registration = registration
+                    known.registration = registration;
                 }
                 _ => {
                     let id = registration.id.clone();
