Pass a target over whose adapter can't be brought, whatever the reason

Change: a target whose adapter can't be brought is passed over like one out of reach; a request ends after four such targets, also after it was sent.

--- a/crates/flamingo-serve/src/desk.rs
+++ b/crates/flamingo-serve/src/desk.rs
@@ -215,8 +215,12 @@
 
     /// Returns whether a job may be sent once more; takes that from the budget.
     fn again(&self, job: &Job, now: Instant) -> bool {
+        // Each round passes a target over or sends: it ends.
+        if job.unreached.get() >= UNREACHED {
+            return false;
+        }
         if job.sent.get() == 0 {
-            return job.unreached.get() > 0 && job.unreached.get() < UNREACHED;
+            return job.unreached.get() > 0;
         }
         if job.sent.get() >= job.route.attempts.max(1) {
             return false;
--- a/crates/flamingo-serve/src/desk/job.rs
+++ b/crates/flamingo-serve/src/desk/job.rs
@@ -45,6 +45,14 @@
     pub guard: Guard,
 }
 
+impl Job {
+    /// Notes that a target can't take it; it is not chosen for it again.
+    pub fn pass_over(&self, target: &str) {
+        self.tried.borrow_mut().push(target.to_owned());
+        self.unreached.set(self.unreached.get() + 1);
+    }
+}
+
 /// How one sending ended without an answer for the caller.
 pub enum Setback {
     /// It did not run.
--- a/crates/flamingo-serve/src/desk/sending.rs
+++ b/crates/flamingo-serve/src/desk/sending.rs
@@ -51,15 +51,20 @@
 
     /// Has the adapter of a job brought to its target.
     pub(super) async fn adapt(&self, job: &Job, pick: &Pick) -> Result<(), Setback> {
-        let lacking = || Setback::NotRun(Cause::NoModel);
-        let leader = self.news.peers.borrow().leader.ok_or_else(lacking)?;
         let (Some(model), Some(adapter)) = (job.ask.model.clone(), job.ask.adapter.clone()) else {
             return Ok(());
         };
+        let known = self.news.peers.borrow().leader;
+        let Some(leader) = known else {
+            return Err(self.lacks(job, pick, "no leader is known"));
+        };
         let incarnation = {
             let table = self.news.table.borrow();
-            let target = table.get(&pick.target).ok_or_else(lacking)?;
-            target.registration.incarnation
+            let target = table.get(&pick.target);
+            target.map(|target| target.registration.incarnation)
+        };
+        let Some(incarnation) = incarnation else {
+            return Err(self.lacks(job, pick, "the target has gone"));
         };
         let question = Question::Adapt(Adapt {
             target: pick.target.clone(),
@@ -74,16 +79,19 @@
                 table.adapted(&pick.target, &model, &adapter);
                 Ok(())
             }
-            other => {
-                info!(self.log, "adapter not brought"; "request" => &job.ask.attempt,
-                    "target" => &pick.target, "reply" => ?other);
-                job.tried.borrow_mut().push(pick.target.clone());
-                job.unreached.set(job.unreached.get() + 1);
-                Err(lacking())
-            }
+            Reply::Refused(fault) => Err(self.lacks(job, pick, &fault.message)),
+            other => Err(self.lacks(job, pick, &format!("{other:?}"))),
         }
     }
 
+    /// Notes that an adapter can't be brought to a target, which is not tried again.
+    fn lacks(&self, job: &Job, pick: &Pick, why: &str) -> Setback {
+        info!(self.log, "adapter not brought"; "request" => &job.ask.attempt,
+            "target" => &pick.target, "why" => why);
+        job.pass_over(&pick.target);
+        Setback::NotRun(Cause::NoModel)
+    }
+
     /// Sends a job to its target and waits for the head of the answer.
     pub(super) async fn send(
         &self,
@@ -95,8 +103,7 @@
         let address = {
             let mut table = self.news.table.borrow_mut();
             let Some(target) = table.get_mut(&pick.target).filter(|target| target.open()) else {
-                job.tried.borrow_mut().push(pick.target.clone());
-                job.unreached.set(job.unreached.get() + 1);
+                job.pass_over(&pick.target);
                 return Err(Setback::NotRun(Cause::NoTarget));
             };
             target.reads(choice::space(&job.ask), &job.ask.pieces, pick.fresh);
