Use one lane, one count of sendings and one entry a map, each where there were copies

moves.rs took an engine's lane as orders.rs does; three arms counted a sending, two of them alike; two maps were looked up twice to insert. Behaviour stays as it is.

--- a/crates/flamingo-control/src/holder/moves.rs
+++ b/crates/flamingo-control/src/holder/moves.rs
@@ -249,10 +249,7 @@
         operation: Operation,
         model: &id::Model,
     ) -> Result<(), &'static str> {
-        let lane = {
-            let mut term = self.term.borrow_mut();
-            Rc::clone(term.lanes.entry(target.to_owned()).or_default())
-        };
+        let lane = self.lane(target);
         for _ in 0..TRIES {
             let turn = lane.lock().await;
             let outcome = self.give(target, operation, model, None).await;
--- a/crates/flamingo-control/src/holder/orders.rs
+++ b/crates/flamingo-control/src/holder/orders.rs
@@ -18,7 +18,8 @@
 const SETTLE: Duration = Duration::from_millis(12);
 
 impl Holder {
-    fn lane(&self, target: &str) -> Rc<Mutex<()>> {
+    /// Returns the lane of an engine: who holds it gives orders there.
+    pub(super) fn lane(&self, target: &str) -> Rc<Mutex<()>> {
         let mut term = self.term.borrow_mut();
         Rc::clone(term.lanes.entry(target.to_owned()).or_default())
     }
--- a/crates/flamingo-serve/src/desk.rs
+++ b/crates/flamingo-serve/src/desk.rs
@@ -235,14 +235,8 @@
 
     fn budget<T>(&self, service: &str, change: impl FnOnce(&mut Budget) -> T) -> T {
         let mut budgets = self.budgets.borrow_mut();
-        if !budgets.contains_key(service) {
-            budgets.insert(service.to_owned(), Budget::new(self.allowance));
-        }
-        match budgets.get_mut(service) {
-            Some(budget) => change(budget),
-            // Inserted just above.
-            None => unreachable!("a service has its budget"),
-        }
+        let budget = budgets.entry(service.to_owned());
+        change(budget.or_insert_with(|| Budget::new(self.allowance)))
     }
 
     fn choose(&self, job: &Job, now: Instant) -> Choice {
@@ -279,12 +273,7 @@
     /// Returns for how long the caller of a request has waited in earlier tries.
     fn elapsed(&self, route: &Route, patience: Duration) -> Duration {
         let mut longest = self.longest.borrow_mut();
-        if !longest.contains_key(&route.name) {
-            longest.insert(route.name.clone(), patience);
-        }
-        let Some(longest) = longest.get_mut(&route.name) else {
-            return Duration::ZERO;
-        };
+        let longest = longest.entry(route.name.clone()).or_insert(patience);
         *longest = patience.max(*longest);
         longest.saturating_sub(patience)
     }
--- a/crates/flamingo-serve/src/desk/job.rs
+++ b/crates/flamingo-serve/src/desk/job.rs
@@ -46,6 +46,11 @@
 }
 
 impl Job {
+    /// Counts a sending that a target may have read.
+    pub fn count(&self) {
+        self.sent.set(self.sent.get() + 1);
+    }
+
     /// Notes that a target can't take it; it is not chosen for it again.
     pub fn pass_over(&self, target: &str) {
         self.tried.borrow_mut().push(target.to_owned());
--- a/crates/flamingo-serve/src/desk/sending.rs
+++ b/crates/flamingo-serve/src/desk/sending.rs
@@ -134,7 +134,7 @@
         job.tried.borrow_mut().push(pick.target.clone());
         match sent {
             Ok(begun) => {
-                job.sent.set(job.sent.get() + 1);
+                job.count();
                 let mut table = self.news.table.borrow_mut();
                 self.metrics.sendings.with_label_values(&["answered"]).inc();
                 table.answered(&pick.target);
@@ -171,21 +171,16 @@
                 job.unreached.set(job.unreached.get() + 1);
                 Setback::NotRun(Cause::NoTarget)
             }
-            Failure::Broken | Failure::Foreign => {
-                self.shun(&pick.target, now);
-                job.sent.set(job.sent.get() + 1);
-                Setback::MayHaveRun(Cause::Broken)
+            Failure::Late if now >= job.deadline => {
+                job.count();
+                Setback::MayHaveRun(Cause::Late)
             }
-            Failure::Late if now < job.deadline => {
-                // It is silent, or far busier than was known.
+            // One that is late before the job is over is silent, or far busier than was known.
+            Failure::Broken | Failure::Foreign | Failure::Late => {
                 self.shun(&pick.target, now);
-                job.sent.set(job.sent.get() + 1);
+                job.count();
                 Setback::MayHaveRun(Cause::Broken)
             }
-            Failure::Late => {
-                job.sent.set(job.sent.get() + 1);
-                Setback::MayHaveRun(Cause::Late)
-            }
         }
     }
 
