Keep the sample logs; tell a repaired member from a forgotten one in the histories

Two faults of tests.

The sample logs of flamingoctl trace were named *.log, which .gitignore leaves out: they were in no commit, and a fresh clone did not compile its tests.

The known red of the histories. Seen again (1 of 5 at once), with the logs kept: control-1's folder was wiped, it came back at 30.948 s and never became a follower; control-0 was killed within 30 ms and control-2 soon after, so no majority was left. The test's wait for the repair had passed at once: with nothing committed since the wipe, the leader's list still shows the old folder as voting and up to date. That something is committed was left to `progress`, which waits for nothing once 100 changes or 150 calls have ended, of 300 each; with a print of both, every run passes 100 before its third fault (170 changes, 100 calls before and after a fault). Ruled out: commits noted on the disk (none of the logs shows a lost record or a missing sync; the member without a list is the wiped one). Now progress waits until all operators or callers have ended, and each wipe has one entry committed of its own, so the wait for the repair can't pass early: stricter than before.

--- a/crates/flamingo-control/tests/histories.rs
+++ b/crates/flamingo-control/tests/histories.rs
@@ -15,6 +15,10 @@
 
 /// Faults in one run.
 const FAULTS: usize = 8;
+/// Operators at work at once.
+const OPERATORS: usize = 3;
+/// Pairs of callers at work at once.
+const PAIRS: usize = 2;
 /// Changes that one operator makes at most.
 const CHANGES: usize = 100;
 /// Keys that one pair of callers uses at most.
@@ -32,6 +36,9 @@
     /// The attempts that were let go, by key.
     ran: Rc<RefCell<BTreeMap<String, Vec<String>>>>,
     ended: Rc<Cell<usize>>,
+    /// Operators and callers that have not made all their changes and calls.
+    operators_busy: Rc<Cell<usize>>,
+    callers_busy: Rc<Cell<usize>>,
 }
 
 impl Run {
@@ -61,6 +68,7 @@
             self.recorder.answer(process, Operation::Apply(base, made));
             self.changes.set(self.changes.get() + 1);
         }
+        self.operators_busy.set(self.operators_busy.get() - 1);
     }
 
     async fn read(&self, process: usize, n: usize) -> u64 {
@@ -97,6 +105,16 @@
                 self.ended.set(self.ended.get() + 1);
             }
         }
+        self.callers_busy.set(self.callers_busy.get() - 1);
+    }
+
+    /// Has one more entry committed.
+    async fn commit(&self, key: &str) {
+        let request = format!("{key}-attempt-0");
+        if self.begin(key, &request, 0).await == Grant::Dispatch {
+            self.note(key, &request);
+            self.finish(key, &request, 0).await;
+        }
     }
 
     /// Notes that an attempt was let go.
@@ -152,17 +170,13 @@
     async fn progress(&self) {
         let (made, ended) = (self.changes.get(), self.ended.get());
         wait::until("progress", || async {
-            let changed = self.changes.get() >= made + PROGRESS || self.finished();
-            let called = self.ended.get() >= ended + PROGRESS || self.finished();
+            let changed = self.changes.get() >= made + PROGRESS || self.operators_busy.get() == 0;
+            let called = self.ended.get() >= ended + PROGRESS || self.callers_busy.get() == 0;
             (changed && called).then_some(())
         })
         .await;
     }
 
-    fn finished(&self) -> bool {
-        self.changes.get() >= CHANGES || self.ended.get() >= KEYS
-    }
-
     /// Waits until all three vote and hold what is committed.
     async fn whole(&self) {
         wait::until("three members that vote", || async {
@@ -176,7 +190,7 @@
     }
 }
 
-async fn harm(cluster: &mut Cluster, run: &Run, random: u64) {
+async fn harm(cluster: &mut Cluster, run: &Run, fault: usize, random: u64) {
     let n = usize::try_from(random % 3).unwrap();
     let name = cluster.controls[n].name.clone();
     match random / 3 % 3 {
@@ -197,9 +211,10 @@
             eprintln!("wipe {name}");
             cluster.controls[n].process.kill();
             std::fs::remove_dir_all(cluster.dir.path().join(&name)).unwrap();
+            run.progress().await;
             // What is committed meanwhile tells the new folder from the old one,
             // which the leader may still list as voting and up to date.
-            run.progress().await;
+            run.commit(&format!("fault-{fault}")).await;
         }
     }
     cluster.controls[n].process = cluster.restart("flamingo-control", &name);
@@ -221,20 +236,23 @@
         changes: Rc::default(),
         ran: Rc::default(),
         ended: Rc::default(),
+        operators_busy: Rc::new(Cell::new(OPERATORS)),
+        callers_busy: Rc::new(Cell::new(PAIRS * 2)),
     };
     run.whole().await;
     let mut tasks = Vec::new();
-    for process in 0..3 {
+    for process in 0..OPERATORS {
         tasks.push(actix_rt::spawn(run.clone().operate(process)));
     }
-    for pair in 0..2 {
+    for pair in 0..PAIRS {
         for half in 0..2 {
             tasks.push(actix_rt::spawn(run.clone().call(pair, half)));
         }
     }
-    for _ in 0..FAULTS {
+    for fault in 0..FAULTS {
         run.progress().await;
-        harm(&mut cluster, &run, random.next_u64()).await;
+        eprintln!("{} changes, {} calls", run.changes.get(), run.ended.get());
+        harm(&mut cluster, &run, fault, random.next_u64()).await;
     }
     run.stopped.set(true);
     for task in tasks {
--- a/crates/flamingo-ctl/src/command/trace.rs
+++ b/crates/flamingo-ctl/src/command/trace.rs
@@ -26,7 +26,7 @@
 
     fn examples(&self) -> &'static [Example] {
         &[Example {
-            line: "trace d7c3964aff62e9bc samples/logs/entry-1.log samples/logs/entry-2.log",
+            line: "trace 669591b559a31b00 samples/logs/entry-2.jsonl samples/logs/entry-3.jsonl",
             description: "Its lines in order, the deciding one marked",
         }]
     }
--- a/crates/flamingo-ctl/tests/trace.rs
+++ b/crates/flamingo-ctl/tests/trace.rs
@@ -2,13 +2,17 @@
 
 use flamingo_ctl::trace::Trace;
 
-const ENTRY: &str = include_str!("../../../samples/logs/entry-1.log");
-const OTHER: &str = include_str!("../../../samples/logs/entry-2.log");
+const FILES: [(&str, &str); 3] = [
+    ("one", include_str!("../../../samples/logs/entry-1.jsonl")),
+    ("two", include_str!("../../../samples/logs/entry-2.jsonl")),
+    ("three", include_str!("../../../samples/logs/entry-3.jsonl")),
+];
 
 fn trace(request: &str, more: &str) -> Trace {
     let mut trace = Trace::default();
-    trace.take(request, "one", ENTRY);
-    trace.take(request, "two", OTHER);
+    for (file, text) in FILES {
+        trace.take(request, file, text);
+    }
     trace.take(request, "more", more);
     trace.settle();
     trace
@@ -27,14 +31,14 @@
 }
 
 decided! {
-    a_refused_request_had_no_room: "028d0e74f9b87883" => "no room", "wait_ms=354";
-    a_broken_request_lost_its_target: "5d70fbc9984ffa41" => "sending failed", "failure=broken";
-    a_late_request_had_no_answer_in_time: "8ea05bedff7b26ce" => "sending failed", "failure=late";
+    a_refused_request_had_no_room: "3f88efd1b9385476" => "no room", "wait_ms=325";
+    a_broken_request_lost_its_target: "4ce87e0a187cdb9a" => "sending failed", "failure=broken";
+    a_late_request_had_no_answer_in_time: "28454c8e9055e3f5" => "sending failed", "failure=late";
 }
 
 #[test]
 fn lines_are_in_order_and_of_one_request() {
-    let trace = trace("d7c3964aff62e9bc", "");
+    let trace = trace("669591b559a31b00", "");
     assert_eq!(trace.lines.len(), 5);
     assert!(trace.lines.is_sorted_by(|a, b| a.at <= b.at));
     assert_eq!(trace.lines[4].message, "given up");
@@ -43,8 +47,8 @@
 #[test]
 fn lines_that_cannot_be_read_are_counted_and_named() {
     let more = "not json\n{\"msg\":\"cut of\n{\"other\":1}\n[1]\n\n   1.5 node {\"msg\":\"given up\",\
-        \"ts\":\"1\",\"node\":\"e\",\"request\":\"5d70fbc9984ffa41\"}";
-    let trace = trace("5d70fbc9984ffa41", more);
+        \"ts\":\"1\",\"node\":\"e\",\"request\":\"4ce87e0a187cdb9a\"}";
+    let trace = trace("4ce87e0a187cdb9a", more);
     let numbers: Vec<_> = trace.unread.iter().map(|unread| unread.number).collect();
     assert_eq!(numbers, [1, 2, 3, 4]);
     assert_eq!(trace.lines.len(), 3);
--- a/toolkit.sh
+++ b/toolkit.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # What developers run, and exactly what CI runs.
-#   ./toolkit.sh fmt | clippy | test | check
+#   ./toolkit.sh fmt | clippy | test | check | fresh
 set -euo pipefail
 cd "$(dirname "$0")"
 
@@ -39,7 +39,17 @@
   test
 }
 
+# Runs CI on a clone of what is committed: a file that git does not hold is missed there.
+fresh() {
+  local folder status=0
+  folder=$(mktemp -d)
+  git clone --quiet . "$folder/clone"
+  CARGO_TARGET_DIR="${CARGO_TARGET_DIR:-$PWD/target/fresh}" bash "$folder/clone/.ci/run" || status=$?
+  rm -rf "$folder"
+  return "$status"
+}
+
 case "${1:-check}" in
-  fmt | clippy | test | check) "${1:-check}" ;;
-  *) echo "usage: ./toolkit.sh fmt | clippy | test | check" >&2; exit 2 ;;
+  fmt | clippy | test | check | fresh) "${1:-check}" ;;
+  *) echo "usage: ./toolkit.sh fmt | clippy | test | check | fresh" >&2; exit 2 ;;
 esac
