Hand new seeds to the log; pass request lines on in origin form

A reload gave new seeds to the feed only; the log kept those of its start, so that a member without a list went on asking instances that had gone. The seeds stand once now, in the log.

--- a/crates/flamingo-control/src/daemon.rs
+++ b/crates/flamingo-control/src/daemon.rs
@@ -225,7 +225,7 @@
     let begin = Begin {
         node: setup.node.clone(),
         address: setup.inner,
-        seeds: setup.seeds.clone(),
+        seeds: setup.seeds,
         timing: setup.timing,
         growth: setup.growth,
         seed: random()?,
@@ -236,7 +236,6 @@
         state,
         disk: Box::new(folder),
         node: setup.node,
-        seeds: setup.seeds,
         seal: setup.seal,
         duties: setup.duties,
         metrics: setup.metrics,
--- a/crates/flamingo-control/src/keeper.rs
+++ b/crates/flamingo-control/src/keeper.rs
@@ -53,8 +53,6 @@
     pub disk: Box<dyn Disk>,
     /// This instance's name.
     pub node: id::Node,
-    /// The control instances that the settings name.
-    pub seeds: Vec<Seed>,
     /// Seals the inner protocol.
     pub seal: Seal,
     /// What only the leader does.
@@ -72,7 +70,6 @@
     disk: Option<Box<dyn Disk>>,
     writer: Option<Writer>,
     node: id::Node,
-    seeds: Vec<Seed>,
     seal: Seal,
     duties: Vec<Box<dyn Duty>>,
     metrics: Metrics,
@@ -112,7 +109,6 @@
             disk: Some(start.disk),
             writer: None,
             node: start.node.clone(),
-            seeds: start.seeds,
             seal: start.seal.clone(),
             duties: start.duties,
             metrics: start.metrics,
@@ -320,6 +316,11 @@
 #[rtype(result = "Group")]
 pub struct Members;
 
+/// The settings name these control instances from now on.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct Reseed(pub Vec<Seed>);
+
 /// Gives up leadership and takes no more proposals.
 #[derive(Debug, Message)]
 #[rtype(result = "()")]
@@ -446,6 +447,14 @@
     }
 }
 
+impl Handler<Reseed> for Keeper {
+    type Result = ();
+
+    fn handle(&mut self, Reseed(seeds): Reseed, _: &mut Self::Context) {
+        self.raft.reseed(seeds);
+    }
+}
+
 impl Handler<Stop> for Keeper {
     type Result = ();
 
--- a/crates/flamingo-control/src/keeper/answer.rs
+++ b/crates/flamingo-control/src/keeper/answer.rs
@@ -108,7 +108,7 @@
 
     fn is_control(&self, node: &str) -> bool {
         let member = self.raft.members().iter().any(|member| member.node == node);
-        member || self.seeds.iter().any(|seed| seed.node == node)
+        member || self.raft.seeds().iter().any(|seed| seed.node == node)
     }
 
     fn fetch(&self, fetch: &Fetch) -> Reply {
--- a/crates/flamingo-control/src/keeper/pump.rs
+++ b/crates/flamingo-control/src/keeper/pump.rs
@@ -195,7 +195,8 @@
         let members = self.raft.members().iter();
         let members = members.map(|member| (member.node.clone(), member.address));
         let seeds = self
-            .seeds
+            .raft
+            .seeds()
             .iter()
             .map(|seed| (seed.node.clone(), seed.address));
         let listed = |node: &str| self.raft.members().iter().any(|member| member.node == node);
--- a/crates/flamingo-log/src/raft.rs
+++ b/crates/flamingo-log/src/raft.rs
@@ -229,6 +229,19 @@
         raft
     }
 
+    /// Takes the instances that the settings name from now on.
+    ///
+    /// The member list stays as it is; seeds tell a member without one whom to ask.
+    pub fn reseed(&mut self, seeds: Vec<Seed>) {
+        self.seeds = seeds;
+    }
+
+    /// Returns the instances that the settings name.
+    #[must_use]
+    pub fn seeds(&self) -> &[Seed] {
+        &self.seeds
+    }
+
     /// Takes the actions since the last call.
     pub fn take(&mut self) -> Vec<Action> {
         std::mem::take(&mut self.out)
--- /dev/null
+++ b/crates/flamingo-log/tests/seeds.rs
@@ -0,0 +1,49 @@
+//! Settings that name other control instances while a member waits for its first list.
+
+use flamingo_log::disk::Stored;
+use flamingo_log::message::Body;
+use flamingo_log::raft::{Growth, Seed, Start};
+use flamingo_log::{Action, Raft, Timing};
+use flamingo_test_support::group::name;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+fn seed(n: usize) -> Seed {
+    let port = 7_000 + u16::try_from(n).unwrap();
+    Seed {
+        node: name(n),
+        address: SocketAddr::from(([127, 0, 0, 1], port)),
+    }
+}
+
+/// Returns whom a member asks to be let in at the next tick.
+fn asked(raft: &mut Raft, now: Instant) -> Vec<String> {
+    raft.tick(now);
+    let actions = raft.take().into_iter();
+    let asked = actions.filter_map(|action| match action {
+        Action::Send(message) if matches!(message.body, Body::Join { .. }) => Some(message.to),
+        _ => None,
+    });
+    asked.collect()
+}
+
+#[test]
+fn a_member_without_a_list_asks_those_whom_the_settings_name_now() {
+    let now = Instant::now();
+    let start = Start {
+        node: name(0),
+        address: seed(0).address,
+        seeds: vec![seed(0), seed(1)],
+        timing: Timing::default(),
+        growth: Growth::Open {
+            keep: 3,
+            founds: false,
+        },
+        seed: 1,
+        stored: Stored::default(),
+    };
+    let mut raft = Raft::new(start, now);
+    assert_eq!(asked(&mut raft, now), [name(1)]);
+    raft.reseed(vec![seed(0), seed(2)]);
+    assert_eq!(asked(&mut raft, now + Duration::from_secs(1)), [name(2)]);
+}
--- a/crates/flamingo-serve/src/desk/sending.rs
+++ b/crates/flamingo-serve/src/desk/sending.rs
@@ -13,7 +13,7 @@
 use flamingo_wire::control::{Adapt, Reply, Request as Question};
 use flamingo_wire::route::Kind;
 use futures_util::stream;
-use http::{Request, Response, response};
+use http::{Request, Response, Uri, response};
 use http_body_util::Full;
 use slog::info;
 use std::rc::Rc;
@@ -118,7 +118,7 @@
         };
         let mut request = Request::new(Full::new(job.body.clone()));
         *request.method_mut() = job.head.method.clone();
-        *request.uri_mut() = job.head.uri.clone();
+        *request.uri_mut() = origin(&job.head.uri);
         *request.headers_mut() = self.wire.forward(&job.head, &hop);
         let kept = self.news.pool.borrow_mut().take(&pick.target, now);
         let how = if kept.is_some() {
@@ -340,6 +340,12 @@
     }
 }
 
+/// Returns the form of a request's target that a server takes (RFC 9112, section 3.2.1).
+fn origin(uri: &Uri) -> Uri {
+    let path = uri.path_and_query().cloned();
+    path.map_or_else(|| uri.clone(), Uri::from)
+}
+
 fn clone(head: &response::Parts) -> response::Parts {
     let mut response = Response::new(());
     *response.status_mut() = head.status;
--- a/crates/flamingo-serve/src/front.rs
+++ b/crates/flamingo-serve/src/front.rs
@@ -169,7 +169,7 @@
 
 /// Writes one line for a connection that ended badly, where the caller is at fault.
 fn told(log: &Logger, peer: SocketAddr, error: &hyper::Error) {
-    if error.is_parse() || error.is_timeout() {
+    if error.is_parse() {
         info!(log, "connection refused"; "peer" => %peer, "error" => %error);
     } else {
         debug!(log, "connection ended"; "peer" => %peer, "error" => %error);
