Ask for a model no more while it makes way

The leader tells the entries at once that the model is about to go; but the target's next word still lists it, and was taken wherever it differed from the word before, as it does after each adapter. Ruled out: full queues (the target ran under half of its slots), the 30 ms of notice (1 ms of them at most).

Change: while the holder of orders moves something on a target, its own word on models is left aside; the holder tells what it holds at the end. Test: a_model_that_makes_way_is_asked_for_no_more_..., red on the code before.

--- a/crates/flamingo-serve/src/table.rs
+++ b/crates/flamingo-serve/src/table.rs
@@ -283,7 +283,9 @@
             known.used = old.used;
             return Some(registration.id.clone());
         }
-        if known.registration.models != registration.models {
+        // While a model makes way the target still lists it; the holder of orders tells what
+        // requests may ask for.
+        if !known.moving && known.registration.models != registration.models {
             known.models.clone_from(&registration.models);
         }
         known.registration = registration.clone();
--- a/crates/flamingo-serve/tests/load.rs
+++ b/crates/flamingo-serve/tests/load.rs
@@ -7,6 +7,7 @@
 use flamingo_test_support::registration::registration;
 use flamingo_wire::control::Push;
 use flamingo_wire::route::Engine;
+use flamingo_wire::target::{Holding, Registration, Resident};
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
@@ -214,3 +215,33 @@
         Duration::from_millis(100)
     );
 }
+
+#[test]
+fn a_model_that_makes_way_is_asked_for_no_more_while_its_last_runs_end() {
+    let now = Instant::now();
+    let mut table = table(now, &["i-0"]);
+    let word = registration("i-0");
+    // The holder of orders is about to unload the model.
+    let making_way = Holding {
+        target: word.id.clone(),
+        incarnation: word.incarnation,
+        models: Vec::new(),
+        moving: true,
+    };
+    table.take(now, &Push::Holdings(vec![making_way]));
+    // The target's own word still lists it until its runs have ended, and an adapter that was
+    // brought just before.
+    let lagging = Registration {
+        sequence: word.sequence + 1,
+        models: vec![Resident {
+            model: "m".into(),
+            adapters: vec!["late".into()],
+        }],
+        ..word
+    };
+    table.take(now, &Push::Targets(vec![lagging]));
+    let ask = ask(100);
+    let engine = Engine::default();
+    let choice = choose(&table, &need(&ask, &engine, &[]), 1, now);
+    assert_eq!(choice, Choice::NoModel);
+}
