Let as many engines move copies as half of them, dearer the more are under way

Cause: eight moves at a time were the most on any installation.

Where there are 16 engines or fewer nothing changes.

--- a/crates/flamingo-control/src/holder/moves.rs
+++ b/crates/flamingo-control/src/holder/moves.rs
@@ -26,8 +26,12 @@
 const AGAIN: Duration = Duration::from_millis(300);
 /// Time after which a model that no engine holds is placed before those that are wanted.
 const OVERDUE: Duration = Duration::from_secs(15);
-/// Moves that may be under way at a time.
+/// Moves that may be under way at a time, at least.
 const MOVES: usize = 8;
+/// Engines of a service for each further one: while an engine loads, it serves what it holds.
+const ENGINES_PER_MOVE: usize = 2;
+/// Engines of a service for each further move that begins in one round.
+const ENGINES_PER_BEGUN: usize = 50;
 /// Demand from which a model is named in the log, in engines.
 const NOTED: f64 = 0.05;
 /// Moves under way at which no copy is made ahead of demand.
@@ -40,63 +44,71 @@
 const DRIFT: Duration = Duration::from_millis(500);
 
 impl Holder {
-    /// Begins the next move of each service, where one is worth it.
+    /// Begins the next moves of each service, where any is worth it.
     pub(super) fn plan(self: &Rc<Self>, lead: &Lead, routes: &Set, now: Instant) {
         for service in &routes.services {
             let Some(engine) = &service.engine else {
                 continue;
             };
-            let left = self.store(lead, engine, now);
-            let store = left >= 1.0;
-            let spare = left >= SPARE;
             self.miss(service, engine, now);
-            let found = {
-                let term = self.term.borrow();
-                let accounts = term.accounts.values();
-                let accounts: Vec<_> = accounts
-                    .filter(|account| account.registration.service == service.name)
-                    .collect();
-                let moving = accounts.iter().filter(|account| account.moving).count();
-                if moving >= MOVES {
-                    continue;
-                }
-                let models = engine.models.iter().map(|model| Model {
-                    name: model.name.clone(),
-                    megabytes: model.megabytes,
-                    demand: term.demands.rate(&service.name, &model.name, now),
-                    adapted: model.adapters > 0,
-                    overdue: term.overdue(&service.name, &model.name, now),
-                });
-                let mut models: Vec<_> = models.collect();
-                spread::hedge(&mut models);
-                let adapters = engine.models.iter().map(|model| model.adapter_megabytes);
-                let largest = adapters.fold(0.0, f64::max) * f64::from(engine.adapters);
-                let engines = accounts
-                    .iter()
-                    .filter(|account| !account.registration.leaving);
-                let engines = engines.map(|account| seen(account, engine.megabytes - largest, now));
-                let engines: Vec<_> = engines.collect();
-                self.note(&service.name, &models, &engines, now);
-                let ahead = || {
-                    let asked: f64 = models.iter().map(|model| model.demand).sum();
-                    let most = if asked < IDLE { accounts.len() } else { AHEAD };
-                    let may = spare && moving < most;
-                    let fresh = engines.iter().filter(|engine| {
-                        let account = term.accounts.get(&engine.target);
-                        asked >= IDLE || account.is_some_and(|account| account.moves == 0)
-                    });
-                    let fresh: Vec<_> = fresh.cloned().collect();
-                    may.then(|| spread::ahead(&models, &engines, &fresh))
-                        .flatten()
+            let count = self.term.borrow().engines_of(&service.name).count();
+            for _ in 0..=count / ENGINES_PER_BEGUN {
+                let left = self.store(lead, engine, now);
+                let Some(found) = self.next(service, engine, left, now) else {
+                    break;
                 };
-                spread::next(&models, &engines, store).or_else(ahead)
-            };
-            if let Some(found) = found {
                 self.begin(found);
             }
         }
     }
 
+    /// Returns the next move of a service; `left` loads from the weight store may begin now.
+    fn next(
+        &self,
+        service: &Service,
+        engine: &route::Engine,
+        left: f64,
+        now: Instant,
+    ) -> Option<Move> {
+        let term = self.term.borrow();
+        let accounts: Vec<_> = term.engines_of(&service.name).collect();
+        let moving = accounts.iter().filter(|account| account.moving).count();
+        if moving >= MOVES.max(accounts.len() / ENGINES_PER_MOVE) {
+            return None;
+        }
+        let models = engine.models.iter().map(|model| Model {
+            name: model.name.clone(),
+            megabytes: model.megabytes,
+            demand: term.demands.rate(&service.name, &model.name, now),
+            adapted: model.adapters > 0,
+            overdue: term.overdue(&service.name, &model.name, now),
+        });
+        let mut models: Vec<_> = models.collect();
+        spread::hedge(&mut models);
+        let adapters = engine.models.iter().map(|model| model.adapter_megabytes);
+        let largest = adapters.fold(0.0, f64::max) * f64::from(engine.adapters);
+        let staying = accounts
+            .iter()
+            .filter(|account| !account.registration.leaving);
+        let engines = staying.map(|account| seen(account, engine.megabytes - largest, now));
+        let engines: Vec<_> = engines.collect();
+        self.note(&service.name, &models, &engines, now);
+        let ahead = || {
+            let asked: f64 = models.iter().map(|model| model.demand).sum();
+            let most = if asked < IDLE { accounts.len() } else { AHEAD };
+            if left < SPARE || moving >= most {
+                return None;
+            }
+            let fresh = engines.iter().filter(|engine| {
+                let account = term.accounts.get(&engine.target);
+                asked >= IDLE || account.is_some_and(|account| account.moves == 0)
+            });
+            let fresh: Vec<_> = fresh.cloned().collect();
+            spread::ahead(&models, &engines, &fresh)
+        };
+        spread::next(&models, &engines, left >= 1.0).or_else(ahead)
+    }
+
     /// Notes since when no engine holds a model.
     fn miss(&self, service: &Service, engine: &route::Engine, now: Instant) {
         let mut term = self.term.borrow_mut();
@@ -300,6 +312,12 @@
 }
 
 impl Term {
+    /// Returns the engines of a service.
+    fn engines_of<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Account> {
+        let accounts = self.accounts.values();
+        accounts.filter(move |account| account.registration.service == service)
+    }
+
     /// Returns whether no engine has held a model for long.
     fn overdue(&self, service: &str, model: &str, now: Instant) -> bool {
         let key = (service.to_owned(), model.to_owned());
--- a/crates/flamingo-place/src/spread.rs
+++ b/crates/flamingo-place/src/spread.rs
@@ -35,6 +35,9 @@
 /// Strain that a move must take away more for each model that has to make way: its runs end
 /// first.
 const WAY: f64 = 0.05;
+/// Moves under way beyond which each further one must take away more: an engine that loads has
+/// given up what it held.
+const FEW: usize = 8;
 /// Copies of a model that stay where copies are made ahead of demand.
 const STAY: usize = 3;
 
@@ -335,6 +338,8 @@
 /// Returns the move that takes away the most strain.
 fn relief(board: &Board<'_>, busy: &[f64], store: bool) -> Option<Move> {
     let before = strain(busy);
+    let moving = board.engines.iter().filter(|engine| engine.moving).count();
+    let crowd = count(moving.max(FEW)) / count(FEW);
     let pressed = |model: &Place| {
         let holders = &board.holders[*model];
         let least = holders.iter().map(|holder| busy[*holder]);
@@ -361,7 +366,7 @@
             } else {
                 STORE
             };
-            let price = price + count(unload.len()) * WAY;
+            let price = (price + count(unload.len()) * WAY) * crowd;
             let gain = before - after - price;
             if gain > 0.0 && best.as_ref().is_none_or(|(known, _)| gain > *known) {
                 best = Some((gain, board.found(engine, model, &unload)));
