Learn how fast the engines of a service read prompts

Cause: the choice of a target and admission took every engine to read 20 tokens in a millisecond.

Change: a line through time over tokens, by least squares with forgetting, from first events of prompts that found no other prompt at their target.

Test with engines half as fast as guessed: engines_that_are_slower_than_guessed_are_learnt_before_a_rush (late: over four times fewer).

--- a/crates/flamingo-serve/src/choice.rs
+++ b/crates/flamingo-serve/src/choice.rs
@@ -11,8 +11,6 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::{Duration, Instant};
 
-/// Tokens of prompts that an engine reads in a millisecond, before any was observed.
-const RATE: f64 = 20.0;
 /// Time by which each running request lengthens a first event, in milliseconds.
 const SHARE_MS: f64 = 0.3;
 /// Time for bringing an adapter to a target, in milliseconds.
@@ -60,6 +58,8 @@
     pub target: id::Target,
     /// Tokens of the prompt that it has to read.
     pub fresh: u32,
+    /// Tokens of others' prompts that it reads before.
+    pub before: u32,
     /// Predicted time to the first event.
     pub wait: Duration,
     /// The part of it that others' prompts take.
@@ -90,6 +90,7 @@
     let mut any = false;
     let mut holding = false;
     let mut best: Option<(Rating, Pick)> = None;
+    let speed = table.pace(need.service).rate();
     for target in table.of(need.service).filter(|target| target.open()) {
         any = true;
         let model = need.ask.model.as_deref();
@@ -100,7 +101,7 @@
         if need.tried.contains(&target.registration.id) {
             continue;
         }
-        let pick = rate(target, need);
+        let pick = rate(target, need, speed);
         let closed = pick.bare && target.moving;
         let doubtful = target.avoided(now) || table.silent(target) || closed;
         let rating = Rating {
@@ -129,19 +130,21 @@
     salt: u64,
 }
 
-fn rate(target: &Target, need: &Need<'_>) -> Pick {
+/// Predicts what a request gets of a target that reads `speed` tokens in a millisecond.
+fn rate(target: &Target, need: &Need<'_>, speed: f64) -> Pick {
     let mut wait = 0.0;
     let mut queue = 0.0;
     let mut fresh = 0;
+    let mut before = 0;
     let mut bare = false;
     let running = f64::from(target.own.running + target.others.running);
     if let Some(engine) = need.engine {
         let ask = need.ask;
         let kept = target.kept(space(ask), &ask.pieces, engine.tokens);
         fresh = ask.prompt.saturating_sub(kept).max(1);
-        let reading = target.own.before(need.rank) + target.others.before(need.rank);
-        queue = f64::from(reading) / RATE;
-        wait += queue + f64::from(fresh) / RATE + running * SHARE_MS;
+        before = target.own.before(need.rank) + target.others.before(need.rank);
+        queue = f64::from(before) / speed;
+        wait += queue + f64::from(fresh) / speed + running * SHARE_MS;
         let model = ask.model.as_deref().unwrap_or_default();
         bare = ask
             .adapter
@@ -160,6 +163,7 @@
     Pick {
         target: target.registration.id.clone(),
         fresh,
+        before,
         wait: Duration::from_secs_f64(wait / 1_000.0),
         queue: Duration::from_secs_f64(queue / 1_000.0),
         bare,
--- a/crates/flamingo-serve/src/desk.rs
+++ b/crates/flamingo-serve/src/desk.rs
@@ -175,6 +175,7 @@
             ask,
             tried: RefCell::default(),
             sent: Cell::new(0),
+            sent_at: Cell::new(arrived),
             unreached: Cell::new(0),
             ran: Cell::new(false),
             guard,
--- a/crates/flamingo-serve/src/desk/job.rs
+++ b/crates/flamingo-serve/src/desk/job.rs
@@ -36,6 +36,8 @@
     pub tried: RefCell<SmallVec<[id::Target; 2]>>,
     /// Times that it was sent.
     pub sent: Cell<u32>,
+    /// When it was last sent.
+    pub sent_at: Cell<Instant>,
     /// Targets that could not be reached.
     pub unreached: Cell<usize>,
     /// Whether it may have run.
--- a/crates/flamingo-serve/src/desk/sending.rs
+++ b/crates/flamingo-serve/src/desk/sending.rs
@@ -130,6 +130,7 @@
         let attempt = job.ask.attempt.as_deref();
         let wire = self.wire.as_ref();
         let patient = job.deadline.min(now + Self::patience(job, pick));
+        job.sent_at.set(Instant::now());
         let sent = exchange::send(kept, address, request, attempt, wire, patient).await;
         job.tried.borrow_mut().push(pick.target.clone());
         match sent {
@@ -284,9 +285,10 @@
             Step::Late => return Err(Setback::MayHaveRun(Cause::Late)),
         };
         slot.read();
+        let rate = self.learn(job, pick);
         info!(self.log, "stream begun"; "request" => &job.ask.attempt, "target" => &slot.target,
             "route" => &job.route.name, "sent" => job.sent.get(), "fresh" => pick.fresh,
-            "queue_ms" => pick.queue.as_millis(), "wait_ms" => pick.wait.as_millis(),
+            "rate" => rate, "queue_ms" => pick.queue.as_millis(), "wait_ms" => pick.wait.as_millis(),
             "took_ms" => job.arrived.elapsed().as_millis());
         self.metrics.begun(&job.route.name, job.arrived.elapsed());
         let stream = Stream {
@@ -303,6 +305,19 @@
         Ok(Response::from_parts(head, Body::Chunks(Box::pin(chunks))))
     }
 
+    /// Takes in how long a target took to read a prompt; returns the tokens that targets are
+    /// now taken to read in a millisecond.
+    fn learn(&self, job: &Job, pick: &Pick) -> f64 {
+        let wait = job.sent_at.get().elapsed();
+        let mut table = self.news.table.borrow_mut();
+        let pace = table.pace_mut(&job.service);
+        // What others send meanwhile blurs the rest.
+        if pick.before == 0 {
+            pace.learn(pick.fresh, wait);
+        }
+        pace.rate()
+    }
+
     /// Reads what is left of an answer that does not count, to keep its connection.
     fn keep(self: &Rc<Self>, target: &str, begun: Begun) {
         let desk = Rc::clone(self);
--- a/crates/flamingo-serve/src/lib.rs
+++ b/crates/flamingo-serve/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod life;
 pub mod metrics;
 pub mod news;
+pub mod pace;
 pub mod pool;
 pub mod relay;
 pub mod table;
--- a/crates/flamingo-serve/src/table.rs
+++ b/crates/flamingo-serve/src/table.rs
@@ -1,5 +1,6 @@
 //! The targets as one entry knows them: their words, what they hold, and their load.
 
+use crate::pace::Pace;
 use crate::wire::{Load, Part, Piece};
 use flamingo_wire::control::Push;
 use flamingo_wire::id;
@@ -191,6 +192,7 @@
 #[derive(Debug, Default)]
 pub struct Table {
     targets: BTreeMap<id::Target, Target>,
+    paces: HashMap<id::Service, Pace>,
     /// When any control instance was last heard.
     fed: Option<Instant>,
 }
@@ -336,6 +338,17 @@
         self.targets.get_mut(id)
     }
 
+    /// Returns how fast the engines of a service read.
+    #[must_use]
+    pub fn pace(&self, service: &str) -> Pace {
+        self.paces.get(service).copied().unwrap_or_default()
+    }
+
+    /// Returns how fast the engines of a service read, to be changed.
+    pub fn pace_mut(&mut self, service: &str) -> &mut Pace {
+        self.paces.entry(service.to_owned()).or_default()
+    }
+
     /// Returns all targets.
     pub fn iter(&self) -> impl Iterator<Item = &Target> {
         self.targets.values()
--- a/crates/flamingo-serve/tests/load.rs
+++ b/crates/flamingo-serve/tests/load.rs
@@ -53,6 +53,18 @@
     }
 }
 
+/// A prompt that a target reads.
+struct Prompt {
+    begun: Instant,
+    end: Instant,
+    target: String,
+    tokens: u32,
+    before: u32,
+}
+
+/// What callers of each size got.
+type Tallies = HashMap<u32, Tally>;
+
 /// What callers got.
 #[derive(Debug, Default)]
 struct Tally {
@@ -62,25 +74,57 @@
     refused: u32,
 }
 
-/// Plays requests that arrive each `pause` at three engines for 20 s; `size` gives the tokens
-/// of the n-th.
-fn play(pause: Duration, size: fn(u32) -> u32, admit: bool) -> (Tally, HashMap<u32, Tally>) {
+/// A load, and the engines that it meets.
+struct Load {
+    lasts: Duration,
+    /// Time from the n-th arrival to the next.
+    pause: fn(u32) -> Duration,
+    /// Tokens of the n-th request.
+    size: fn(u32) -> u32,
+    /// Whether requests are refused at all.
+    admit: bool,
+    /// Tokens that an engine reads in a millisecond.
+    rate: u32,
+    /// Whether waits are learnt from.
+    learn: bool,
+}
+
+/// Plays a load that three engines of the usual rate meet for 20 s.
+fn play(pause: fn(u32) -> Duration, size: fn(u32) -> u32, admit: bool) -> (Tally, Tallies) {
+    run(&Load {
+        lasts: Duration::from_secs(20),
+        pause,
+        size,
+        admit,
+        rate: RATE,
+        learn: true,
+    })
+}
+
+/// Plays a load at three engines.
+fn run(load: &Load) -> (Tally, Tallies) {
     let start = Instant::now();
     let targets = ["1", "2", "3"];
     let mut table = table(start, &targets);
     let mut free = HashMap::from(targets.map(|target| (target.to_owned(), start)));
-    let mut reading: Vec<(Instant, String, u32)> = Vec::new();
+    let mut reading: Vec<Prompt> = Vec::new();
     let mut all = Tally::default();
     let mut sizes: HashMap<u32, Tally> = HashMap::new();
     let mut now = start;
-    while now < start + Duration::from_secs(20) {
-        reading.retain(|(end, target, tokens)| {
-            if *end <= now {
-                table.get_mut(target).expect("known").own.read(1, *tokens);
+    while now < start + load.lasts {
+        reading.retain(|prompt| {
+            if prompt.end <= now {
+                let target = table.get_mut(&prompt.target).expect("known");
+                target.own.read(1, prompt.tokens);
+                if load.learn && prompt.before == 0 {
+                    let pace = table.pace_mut("s");
+                    pace.learn(prompt.tokens, prompt.end - prompt.begun);
+                }
             }
-            *end > now
+            prompt.end > now
         });
-        let tokens = size(all.asked);
+        let tokens = (load.size)(all.asked);
+        let pause = (load.pause)(all.asked);
         let pick = pick(&table, &ask(tokens), now);
         let claim = Claim {
             elapsed: Duration::ZERO,
@@ -92,19 +136,25 @@
         for tally in [&mut all, &mut *of_size] {
             tally.asked += 1;
         }
-        if admit && !claim.admitted() {
+        if load.admit && !claim.admitted() {
             all.refused += 1;
             of_size.refused += 1;
         } else {
             let begin = free[&pick.target].max(now);
-            let end = begin + Duration::from_millis(u64::from(tokens / RATE));
+            let end = begin + Duration::from_millis(u64::from(tokens / load.rate));
             free.insert(pick.target.clone(), end);
             table
                 .get_mut(&pick.target)
                 .expect("known")
                 .own
                 .wait(1, tokens);
-            reading.push((end, pick.target, tokens));
+            reading.push(Prompt {
+                begun: now,
+                end,
+                target: pick.target,
+                tokens,
+                before: pick.before,
+            });
             for tally in [&mut all, of_size] {
                 if end - now <= OBJECTIVE {
                     tally.prompt += 1;
@@ -120,13 +170,13 @@
 
 #[test]
 fn within_capacity_nobody_is_refused_or_late() {
-    let (all, _) = play(Duration::from_millis(30), |_| 1_500, true);
+    let (all, _) = play(|_| Duration::from_millis(30), |_| 1_500, true);
     assert_eq!((all.refused, all.late), (0, 0), "{all:?}");
 }
 
 #[test]
 fn twice_the_capacity_leaves_what_is_let_in_prompt() {
-    let pause = Duration::from_millis(13);
+    let pause = |_| Duration::from_millis(13);
     let (with, _) = play(pause, |_| 1_500, true);
     let (without, _) = play(pause, |_| 1_500, false);
     // Half of it is all that three engines can read.
@@ -135,10 +185,28 @@
     assert!(without.prompt * 4 < with.prompt, "{without:?}");
 }
 
+#[test]
+fn engines_that_are_slower_than_guessed_are_learnt_before_a_rush() {
+    // Prompts that hardly ever meet, then twice as many as three engines can read.
+    let load = |learn| Load {
+        lasts: Duration::from_secs(200),
+        pause: |n| Duration::from_millis(if n < 3_000 { 60 } else { 12 }),
+        size: |n| 300 + n % 4 * 300,
+        admit: true,
+        rate: RATE / 2,
+        learn,
+    };
+    let (with, _) = run(&load(true));
+    let (without, _) = run(&load(false));
+    assert!(with.late * 20 <= with.prompt, "{with:?}");
+    // Taken to be as fast as guessed, they keep most of the rush waiting too long.
+    assert!(without.late > with.late * 4, "{with:?} {without:?}");
+}
+
 #[test]
 fn large_requests_are_not_the_ones_that_are_refused() {
     let size = |n| if n % 10 == 0 { 6_000 } else { 1_200 };
-    let (all, sizes) = play(Duration::from_millis(16), size, true);
+    let (all, sizes) = play(|_| Duration::from_millis(16), size, true);
     let served = |tally: &Tally| tally.asked - tally.refused;
     assert!(all.refused > 0);
     let (large, all_served) = (&sizes[&6_000], served(&all));
