Wait once for an adapter where the holder of orders is out of reach

A leader that does not answer is forgotten until a control instance names one; without one, targets that lack the adapter come last.

--- a/crates/flamingo-serve/src/choice.rs
+++ b/crates/flamingo-serve/src/choice.rs
@@ -38,6 +38,8 @@
     pub zone: &'a str,
     /// Targets that it must not go to again.
     pub tried: &'a [id::Target],
+    /// Whether someone is known who could bring an adapter.
+    pub orders: bool,
 }
 
 /// What is to be done with a request.
@@ -102,7 +104,7 @@
             continue;
         }
         let pick = rate(target, need, speed);
-        let closed = pick.bare && target.moving;
+        let closed = pick.bare && (target.moving || !need.orders);
         let doubtful = target.avoided(now) || table.silent(target) || closed;
         let rating = Rating {
             doubtful,
--- a/crates/flamingo-serve/src/desk.rs
+++ b/crates/flamingo-serve/src/desk.rs
@@ -250,6 +250,7 @@
             rank: job.route.rank,
             zone: &self.zone,
             tried: &tried,
+            orders: self.news.peers.borrow().leader.is_some(),
         };
         self.count.set(self.count.get() + 1);
         let salt = choice::salt(&job.ask, self.count.get());
--- a/crates/flamingo-serve/src/desk/sending.rs
+++ b/crates/flamingo-serve/src/desk/sending.rs
@@ -11,6 +11,7 @@
 use crate::relay::{Relay, Step};
 use crate::wire::{Answer, Away, Cause, Hop};
 use flamingo_wire::control::{Adapt, Reply, Request as Question};
+use flamingo_wire::fault::Reason;
 use flamingo_wire::route::Kind;
 use futures_util::stream;
 use http::{Request, Response, Uri, response};
@@ -79,7 +80,13 @@
                 table.adapted(&pick.target, &model, &adapter);
                 Ok(())
             }
-            Reply::Refused(fault) => Err(self.lacks(job, pick, &fault.message)),
+            Reply::Refused(fault) => {
+                if fault.reason == Reason::Leaderless {
+                    // It is asked again once a control instance names it, or another.
+                    self.news.peers.borrow_mut().forget(leader);
+                }
+                Err(self.lacks(job, pick, &fault.message))
+            }
             other => Err(self.lacks(job, pick, &format!("{other:?}"))),
         }
     }
--- a/crates/flamingo-serve/src/news.rs
+++ b/crates/flamingo-serve/src/news.rs
@@ -71,6 +71,11 @@
 }
 
 impl Peers {
+    /// Notes that a control instance is out of reach or does not lead.
+    pub fn forget(&mut self, control: SocketAddr) {
+        self.leader = self.leader.filter(|leader| *leader != control);
+    }
+
     /// Returns how many entries there are at least.
     #[must_use]
     pub fn entries(&self) -> Option<usize> {
@@ -141,9 +146,6 @@
     }
 
     fn lost(&self, from: SocketAddr) {
-        let mut peers = self.peers.borrow_mut();
-        if peers.leader == Some(from) {
-            peers.leader = None;
-        }
+        self.peers.borrow_mut().forget(from);
     }
 }
--- a/crates/flamingo-serve/tests/load.rs
+++ b/crates/flamingo-serve/tests/load.rs
@@ -39,6 +39,7 @@
         rank: 1,
         zone: "z",
         tried,
+        orders: true,
     }
 }
 
