Forecast demand for rare models without the rises that chance makes

For 200 models with a request a second each it says 31.7 engines of 20; all demand is then scaled down, that for the wanted models too.

Change: a rise counts beyond one standard deviation of a Poisson process in the shorter window; the longer average stands otherwise.

--- a/crates/flamingo-control/src/holder/demand.rs
+++ b/crates/flamingo-control/src/holder/demand.rs
@@ -1,4 +1,7 @@
 //! Demand and load as the entries tell them.
+//!
+//! Answers demand that moves between models within seconds, and models that are asked for so
+//! seldom that two requests soon after each other say nothing.
 
 use flamingo_wire::id;
 use flamingo_wire::target::{Load, Resident, Tally};
@@ -21,6 +24,8 @@
     fast: f64,
     /// The same over a longer time.
     slow: f64,
+    /// Work of one request, in seconds of an engine.
+    request: f64,
     at: Instant,
 }
 
@@ -29,6 +34,7 @@
         Self {
             fast: 0.0,
             slow: 0.0,
+            request: 0.0,
             at,
         }
     }
@@ -39,19 +45,26 @@
         Self {
             fast: self.fast * (-age / FAST.as_secs_f64()).exp(),
             slow: self.slow * (-age / SLOW.as_secs_f64()).exp(),
+            request: self.request,
             at: now,
         }
     }
 
-    fn add(&mut self, work: f64) {
+    fn add(&mut self, work: f64, requests: u32) {
+        if requests > 0 {
+            self.request = work / f64::from(requests);
+        }
         self.fast += work / FAST.as_secs_f64();
         self.slow += work / SLOW.as_secs_f64();
     }
 
-    /// Returns what is about to arrive: the higher of the two, and more where it rises.
+    /// Returns what is about to arrive: the demand over the longer time, and more where it rises
+    /// by more than requests that arrive by chance would make it.
     fn forecast(&self) -> f64 {
-        let rise = (self.fast - self.slow).max(0.0);
-        self.fast.max(self.slow) + rise * TREND
+        // Standard deviation of a Poisson process under an exponential window.
+        let chance = (self.slow * self.request / (2.0 * FAST.as_secs_f64())).sqrt();
+        let rise = (self.fast - self.slow - chance).max(0.0);
+        self.slow + rise * (1.0 + TREND)
     }
 }
 
@@ -72,7 +85,7 @@
             let key = (demand.service, demand.model);
             let old = self.rates.get(&key).copied();
             let mut rate = old.unwrap_or(Rate::new(now)).later(now);
-            rate.add(demand.work_ms / 1_000.0);
+            rate.add(demand.work_ms / 1_000.0, demand.requests);
             self.rates.insert(key, rate);
         }
         self.entries.insert(from.to_owned(), (now, tally.loads));
--- a/crates/flamingo-control/src/holder/mod.rs
+++ b/crates/flamingo-control/src/holder/mod.rs
@@ -5,9 +5,9 @@
 //! orders that the engine must have taken, so that a late one changes nothing.
 
 pub mod account;
+pub mod demand;
 pub mod wire;
 
-mod demand;
 mod moves;
 mod orders;
 
