Send routes from the leader first, from others to those that lack them

An operator's set of 1,857 routes came from each of 8 control instances to each of 62 entries, with the operator's text besides: several megabytes over links of 10 Mbit/s. Streams fell silent, were dialled anew and sent all of it once more; 2.6 GB went between zones, and the next version came through seven seconds late.

Change: followers get the routes without the text, at once from the instance that led when they were committed. The others wait a turn, longer by the time that a copy takes, and send only to followers that have not said meanwhile that they have them; a follower says so at once to every instance. One without any routes gets them at once from each. A trial with turns of 300 to 1,200 ms whatever the size was given up: played in virtual time, a large set still came in 6.6 copies of 8.

Tests: crates/flamingo-control/tests/routes.rs plays a set of 600 kB and eight instances (a copy from each before).

--- a/crates/flamingo-control/src/keeper.rs
+++ b/crates/flamingo-control/src/keeper.rs
@@ -11,12 +11,12 @@
 use crate::duty::{Duty, Leadership};
 use crate::link::Link;
 use crate::metrics::Metrics;
-use crate::watch::{Published, Routes};
+use crate::watch::{Notice, Published, Routes};
 use crate::writer::{self, Writer};
 use actix::{Actor, AsyncContext, Context, Handler, Message, MessageResult, ResponseFuture};
 use flamingo_daemon::clock;
 use flamingo_log::raft::{Change, Refusal, Seed};
-use flamingo_log::{Disk, Raft};
+use flamingo_log::{Disk, Raft, Role};
 use flamingo_state::{Command, State};
 use flamingo_wire::config::Snapshot;
 use flamingo_wire::control::{Beat, Reply, Request};
@@ -102,7 +102,8 @@
     pub fn new(start: Start) -> Self {
         let snapshot = start.state.configuration.snapshot();
         let (published, _) = watch::channel(Arc::new(snapshot));
-        let (routes, _) = watch::channel(start.state.routes.clone());
+        let known = start.state.routes.as_ref().map(|set| notice(set, false));
+        let (routes, _) = watch::channel(known);
         Self {
             raft: start.raft,
             state: start.state,
@@ -156,9 +157,16 @@
             let snapshot: Snapshot = self.state.configuration.snapshot();
             self.published.send_replace(Arc::new(snapshot));
         }
-        let held = |routes: &Option<Arc<route::Set>>| routes.as_ref().map(|set| set.version);
-        if held(&self.state.routes) != held(&self.routes.borrow()) {
-            self.routes.send_replace(self.state.routes.clone());
+        let published = self
+            .routes
+            .borrow()
+            .as_ref()
+            .map(|notice| notice.set.version);
+        if let Some(set) = &self.state.routes
+            && Some(set.version) != published
+        {
+            let first = self.raft.role() == Role::Leader;
+            self.routes.send_replace(Some(notice(set, first)));
         }
     }
 
@@ -220,6 +228,21 @@
     }
 }
 
+/// Returns routes as the followers get them.
+fn notice(set: &route::Set, first: bool) -> Notice {
+    // The text is about as long as what is made of it.
+    let bytes = set.text.len() as u64;
+    let set = route::Set {
+        text: String::new(),
+        ..set.clone()
+    };
+    Notice {
+        set: Arc::new(set),
+        first,
+        bytes,
+    }
+}
+
 impl Actor for Keeper {
     type Context = Context<Self>;
 
--- a/crates/flamingo-control/src/watch.rs
+++ b/crates/flamingo-control/src/watch.rs
@@ -13,6 +13,7 @@
 use flamingo_wire::control::{Beat, Push};
 use flamingo_wire::frame::Seal;
 use flamingo_wire::{Frame, id, route};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime};
 use tokio::sync::Semaphore;
@@ -24,6 +25,12 @@
 
 /// Bytes of configuration a second for one follower, over a long run.
 pub const RATE: u64 = 1024 * 1024;
+/// Time for which an instance that does not lead leaves it to the others to send routes, beside
+/// the time that one copy takes at [`RATE`], times its turn.
+const TURN: Duration = Duration::from_millis(300);
+/// Turns over which the instances are spread: both are within the time that routes have to come
+/// into force.
+const TURNS: u64 = 2;
 /// Followers that are sent a whole configuration at a time.
 pub const CATCH_UPS: usize = 16;
 
@@ -34,7 +41,52 @@
 pub type Published = Arc<Snapshot>;
 
 /// The routes as the keeper publishes them; none before the first.
-pub type Routes = Option<Arc<route::Set>>;
+pub type Routes = Option<Notice>;
+
+/// Routes for the followers.
+#[derive(Clone, Debug)]
+pub struct Notice {
+    /// The routes, without the operator's text.
+    pub set: Arc<route::Set>,
+    /// Whether this instance led when they were committed: it sends them at once, the others
+    /// only to followers that have not got them a little later. All of them together would
+    /// fill a follower's link with copies of a large set.
+    pub first: bool,
+    /// About how many bytes a copy has.
+    pub bytes: u64,
+}
+
+impl Notice {
+    /// Returns when the instance `own` is to send the routes to a follower that has `held`;
+    /// nothing where it has them.
+    ///
+    /// Answers large sets and followers on slow links, which every instance serves.
+    #[must_use]
+    pub fn due(
+        &self,
+        now: Instant,
+        held: id::Version,
+        follower: &str,
+        own: &str,
+    ) -> Option<Instant> {
+        if self.set.version <= held {
+            return None;
+        }
+        if self.first || held == 0 {
+            return Some(now);
+        }
+        Some(now + self.turn(follower, own))
+    }
+
+    /// Returns for how long an instance leaves it to others to send the routes to a follower.
+    fn turn(&self, follower: &str, own: &str) -> Duration {
+        let mut hasher = DefaultHasher::new();
+        (follower, own).hash(&mut hasher);
+        let turns = u32::try_from(hasher.finish() % TURNS).unwrap_or(0);
+        let copy = Duration::from_millis(self.bytes * 1_000 / RATE);
+        (TURN + copy) * (turns + 1)
+    }
+}
 
 /// What all followers of this instance share.
 #[derive(Clone, Debug)]
@@ -62,6 +114,8 @@
     due: Instant,
     /// Version of the routes that the follower has; absent where it wants none.
     routes: Option<id::Version>,
+    /// When newer routes are to be sent.
+    routes_due: Option<Instant>,
     out: Sender<Result<Frame, Status>>,
 }
 
@@ -80,12 +134,11 @@
             version: beat.version,
             due: Instant::now(),
             routes: beat.routes,
+            routes_due: None,
             out,
         };
         let mut news = self.follow(&stream).await;
-        if self.push_routes(&mut stream).await.is_none() {
-            return;
-        }
+        self.schedule(&mut stream);
         self.keeper.do_send(Followed(beat));
         let mut deadline = Instant::now() + SILENCE;
         let mut tick = tokio::time::interval(BEAT);
@@ -116,7 +169,13 @@
                     }
                 }
                 changed = self.routes.changed() => {
-                    if changed.is_err() || self.push_routes(&mut stream).await.is_none() {
+                    if changed.is_err() {
+                        return;
+                    }
+                    self.schedule(&mut stream);
+                }
+                () = due(stream.routes_due) => {
+                    if self.push_routes(&mut stream).await.is_none() {
                         return;
                     }
                 }
@@ -154,9 +213,27 @@
         send(&stream.out, frame).await
     }
 
-    /// Sends newer routes to a follower that wants them.
+    /// Notes when newer routes are to be sent to a follower that wants them.
+    fn schedule(&mut self, stream: &mut Stream) {
+        let notice = self.routes.borrow_and_update();
+        let (Some(notice), Some(held)) = (notice.as_ref(), stream.routes) else {
+            return;
+        };
+        let Some(due) = notice.due(Instant::now(), held, &stream.node, self.seal.node()) else {
+            return;
+        };
+        // One that was to be sent sooner still is, and is the newest then.
+        stream.routes_due = Some(stream.routes_due.map_or(due, |known| known.min(due)));
+    }
+
+    /// Sends newer routes to a follower that has not got them meanwhile.
     async fn push_routes(&mut self, stream: &mut Stream) -> Option<()> {
-        let newest = self.routes.borrow_and_update().clone();
+        stream.routes_due = None;
+        let newest = self
+            .routes
+            .borrow()
+            .as_ref()
+            .map(|notice| Arc::clone(&notice.set));
         let (Some(newest), Some(held)) = (newest, stream.routes) else {
             return Some(());
         };
@@ -195,6 +272,14 @@
     }
 }
 
+/// Waits until `due`; for ever where nothing is due.
+async fn due(due: Option<Instant>) {
+    match due {
+        Some(due) => tokio::time::sleep_until(due.into()).await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Waits for what is new of targets; for ever where the follower wants none.
 async fn next(news: &mut Option<News>) -> Result<Arc<Push>, RecvError> {
     match news {
--- /dev/null
+++ b/crates/flamingo-control/tests/routes.rs
@@ -0,0 +1,66 @@
+//! Who sends new routes to a follower, in virtual time.
+
+use flamingo_control::watch::Notice;
+use flamingo_wire::route::Set;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Control instances that a follower follows.
+const CONTROLS: usize = 8;
+/// Bytes of the routes.
+const BYTES: u64 = 600_000;
+/// Time that one copy of them takes on the follower's link, of 10 Mbit/s.
+const COPY: Duration = Duration::from_millis(480);
+
+fn notice(first: bool) -> Notice {
+    let set = Set {
+        version: 2,
+        ..Set::default()
+    };
+    Notice {
+        set: Arc::new(set),
+        first,
+        bytes: BYTES,
+    }
+}
+
+/// Plays new routes to a follower of all instances, of which those `up` are in reach and the
+/// first one led; returns when it has them, and how many copies its link carried.
+fn play(follower: &str, up: std::ops::Range<usize>) -> (Duration, usize) {
+    let now = Instant::now();
+    let mut due: Vec<Instant> = up
+        .filter_map(|n| notice(n == 0).due(now, 1, follower, &format!("control-{n}")))
+        .collect();
+    due.sort();
+    // The first copy shares the link with those that are begun before it has arrived.
+    let mut copies = 1;
+    while copies < due.len() && due[copies] < due[0] + COPY * u32::try_from(copies).unwrap() {
+        copies += 1;
+    }
+    let arrived = due[0] - now + COPY * u32::try_from(copies).unwrap();
+    (arrived, copies)
+}
+
+#[test]
+fn a_large_set_reaches_most_followers_in_few_copies() {
+    let copies = (0..60).map(|n| play(&format!("entry-{n}"), 0..CONTROLS).1);
+    let sum: usize = copies.sum();
+    assert!(sum < 60 * CONTROLS / 2, "{sum} copies for 60 followers");
+}
+
+#[test]
+fn a_follower_without_the_leader_hears_from_another_in_time() {
+    for n in 0..60 {
+        let (arrived, _) = play(&format!("entry-{n}"), 1..CONTROLS);
+        // Several then send at a time; all of their copies are through by then.
+        assert!(arrived < Duration::from_secs(5), "{arrived:?}");
+    }
+}
+
+#[test]
+fn a_follower_without_routes_gets_them_at_once_and_one_that_has_them_does_not() {
+    let now = Instant::now();
+    let other = notice(false);
+    assert_eq!(other.due(now, 0, "entry", "control"), Some(now));
+    assert_eq!(other.due(now, 2, "entry", "control"), None);
+}
--- a/crates/flamingo-link/src/feed.rs
+++ b/crates/flamingo-link/src/feed.rs
@@ -15,7 +15,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::timeout_at;
 use tokio_stream::wrappers::ReceiverStream;
 
@@ -56,6 +56,8 @@
     identity: Identity,
     listener: Rc<dyn Listener>,
     followed: RefCell<BTreeSet<SocketAddr>>,
+    /// Changes whenever other routes come into force.
+    routed: watch::Sender<()>,
     log: Logger,
 }
 
@@ -73,6 +75,7 @@
             identity,
             listener,
             followed: RefCell::default(),
+            routed: watch::channel(()).0,
             log,
         })
     }
@@ -116,9 +119,18 @@
         info!(self.log, "control followed"; "control" => %address);
         let mut next_beat = Instant::now() + BEAT;
         let mut silent = Instant::now() + SILENCE;
+        let mut routed = self.routed.subscribe();
         loop {
             let next = next_beat.min(silent);
-            match timeout_at(next.into(), stream.message()).await {
+            let heard = tokio::select! {
+                heard = timeout_at(next.into(), stream.message()) => heard,
+                // The sender lives as long as the feed.
+                _ = routed.changed() => {
+                    self.beat(address, &beats);
+                    continue;
+                }
+            };
+            match heard {
                 Ok(Ok(Some(frame))) => {
                     match self.identity.seal.open(&frame, SystemTime::now()) {
                         Ok(push) => self.take(address, push),
@@ -148,7 +160,12 @@
         if let Push::Peers(peers) = &push {
             self.follow(&peers.controls);
         }
+        let before = self.listener.routes();
         self.listener.take(address, push);
+        if self.listener.routes() != before {
+            // Each instance that is followed hears at once that it need not send them.
+            self.routed.send_replace(());
+        }
     }
 
     /// Says which routes are in force. Where the queue is full, nobody listens, and the
--- a/crates/flamingo-wire/src/frame.rs
+++ b/crates/flamingo-wire/src/frame.rs
@@ -86,6 +86,12 @@
         Self { key, node }
     }
 
+    /// Returns the process that it seals for.
+    #[must_use]
+    pub fn node(&self) -> &str {
+        &self.node
+    }
+
     /// Seals a message to `to` at the wall-clock time `now`.
     ///
     /// # Errors
