--- a/crates/flamingo-serve/src/pace.rs
+++ b/crates/flamingo-serve/src/pace.rs
@@ -33,7 +33,7 @@
 
 impl Default for Pace {
     fn default() -> Self {
-        // Two heaps of guesses on a line through the origin.
+        // Half of the guesses are of no tokens, half of as many as they are spread over.
         let half = GUESS / 2.0;
         Self {
             count: GUESS,
