--- a/crates/flamingo-control/tests/histories.rs
+++ b/crates/flamingo-control/tests/histories.rs
@@ -98,23 +98,21 @@
             }
             let key = format!("key-{pair}-{n}");
             let request = format!("{key}-attempt-{half}");
-            let grant = self.begin(&key, &request, half + n).await;
-            if grant == Grant::Dispatch {
-                self.note(&key, &request);
-                self.finish(&key, &request, half + n).await;
+            if self.attempt(&key, &request, half + n).await {
                 self.ended.set(self.ended.get() + 1);
             }
         }
         self.callers_busy.set(self.callers_busy.get() - 1);
     }
 
-    /// Has one more entry committed.
-    async fn commit(&self, key: &str) {
-        let request = format!("{key}-attempt-0");
-        if self.begin(key, &request, 0).await == Grant::Dispatch {
-            self.note(key, &request);
-            self.finish(key, &request, 0).await;
+    /// Makes one attempt under a key; returns whether it was let go and has ended.
+    async fn attempt(&self, key: &str, request: &str, at: usize) -> bool {
+        if self.begin(key, request, at).await != Grant::Dispatch {
+            return false;
         }
+        self.note(key, request);
+        self.finish(key, request, at).await;
+        true
     }
 
     /// Notes that an attempt was let go.
@@ -214,7 +212,8 @@
             run.progress().await;
             // What is committed meanwhile tells the new folder from the old one,
             // which the leader may still list as voting and up to date.
-            run.commit(&format!("fault-{fault}")).await;
+            let key = format!("fault-{fault}");
+            assert!(run.attempt(&key, &format!("{key}-attempt-0"), 0).await);
         }
     }
     cluster.controls[n].process = cluster.restart("flamingo-control", &name);
