Place lost models that nobody asks for after copies of wanted ones

Cause: after engines were lost, models that nobody asked for and that had no holder any more were placed before a wanted model got another copy.

Ruled out: that they are never loaded (they are, once no copy of a wanted model is worth a move, or once overdue).

Change: spread::next places first what can't wait, then relieves strain, then the rest.

The test is red on the code before: it loaded 'lost' and 'gone' before either copy of 'a'.

--- a/crates/flamingo-place/src/spread.rs
+++ b/crates/flamingo-place/src/spread.rs
@@ -142,6 +142,18 @@
         self.models[model].demand * self.scale
     }
 
+    /// Returns the models that no engine holds: first those that can't wait, then those that
+    /// nobody asks for.
+    fn missing(&self) -> (Vec<Place>, Vec<Place>) {
+        let missing = (0..self.models.len()).filter(|model| self.holders[*model].is_empty());
+        missing.partition(|model| self.urgent(*model))
+    }
+
+    /// Returns whether a model that no engine holds goes before all that are held.
+    fn urgent(&self, model: Place) -> bool {
+        self.models[model].overdue || self.demand(model) > 0.0
+    }
+
     /// Returns how busy each engine is once the demand of each model is spread evenly.
     fn busy(&self) -> Vec<f64> {
         let mut busy = vec![0.0; self.engines.len()];
@@ -302,18 +314,20 @@
 pub fn next(models: &[Model], engines: &[Engine], store: bool) -> Option<Move> {
     let board = Board::new(models, engines);
     let busy = board.busy();
-    if let Some(found) = missing(&board, &busy, store) {
-        return Some(found);
-    }
-    relief(&board, &busy, store)
+    let (urgent, idle) = board.missing();
+    missing(&board, &busy, urgent, store)
+        .or_else(|| relief(&board, &busy, store))
+        .or_else(|| missing(&board, &busy, idle, store))
 }
 
-/// Places a model that no engine holds, the most wanted first. One that nobody asks for takes
-/// no copy away from those that are wanted, until it is overdue: its engine may come back.
-fn missing(board: &Board<'_>, busy: &[f64], store: bool) -> Option<Move> {
-    let mut missing: Vec<Place> = (0..board.models.len())
-        .filter(|model| board.holders[*model].is_empty())
-        .collect();
+/// Places a model of `missing`, the most wanted first. One that nobody asks for takes no copy
+/// away from those that are wanted, until it is overdue: its engine may come back.
+fn missing(
+    board: &Board<'_>,
+    busy: &[f64],
+    mut missing: Vec<Place>,
+    store: bool,
+) -> Option<Move> {
     missing.sort_by(|a, b| board.models[*b].demand.total_cmp(&board.models[*a].demand));
     missing.into_iter().find_map(|model| {
         let free = |engine: &Place| {
@@ -323,8 +337,7 @@
         let rooms = engines.filter_map(|engine| {
             let unload = board.room(engine, model, 1)?;
             let missed: f64 = unload.iter().map(|place| board.missed(*place)).sum();
-            let urgent = board.models[model].overdue || board.demand(model) > 0.0;
-            if !urgent && missed > SLIGHT {
+            if !board.urgent(model) && missed > SLIGHT {
                 return None;
             }
             let far = if board.keeps(engine, model) { 0.0 } else { 1.0 };
--- a/crates/flamingo-place/tests/spread.rs
+++ b/crates/flamingo-place/tests/spread.rs
@@ -98,6 +98,32 @@
     assert_eq!(found.load, "lost");
 }
 
+#[test]
+fn a_model_without_a_copy_that_is_asked_for_is_placed_before_any_other() {
+    let models = [model("a", 3.0), model("lost", 0.01)];
+    let engines = [engine("1", &["a"]), engine("2", &["a"]), engine("3", &[])];
+    let found = next(&models, &engines, true).expect("a move");
+    assert_eq!(found.load, "lost");
+}
+
+/// Engines were lost with the only copies of two models while one copy of another meets the
+/// demand of many: an engine that loads what nobody asks for takes no other order for seconds.
+#[test]
+fn lost_models_that_nobody_asks_for_wait_for_copies_of_wanted_ones() {
+    let models = [model("a", 4.0), model("lost", 0.0), model("gone", 0.0)];
+    let mut engines = vec![engine("1", &["a"]), engine("2", &[]), engine("3", &[])];
+    let mut order = Vec::new();
+    while let Some(found) = next(&models, &engines, true) {
+        carry_out(&mut engines, &found);
+        order.push(found.load);
+        assert!(order.len() < 10, "it goes on for ever");
+    }
+    assert_eq!(order[..2], ["a", "a"]);
+    for name in ["lost", "gone"] {
+        assert!(copies(&engines, name) >= 1, "{name} was not placed");
+    }
+}
+
 #[test]
 fn a_lost_model_takes_a_wanted_copy_only_where_it_is_asked_for_or_overdue() {
     let full = |lost: Model| {
