Weigh a move over the time that its load takes

Cause: a move was judged by the strain before and after it, as if the model were there at once. A load from the weight store takes 8 to 9 s, one from the engine's own disk 1.7 s, and what makes way is given up at the beginning.

Ruled out: unloads that wait for long answers (most take 0.4 s, the longest 3 to 8 s; they are in DRAIN); the ceiling of loads (never reached).

Change: the gain of a move counts for what is left of HORIZON after drain and load, and what it takes away counts until then. One price for a load from either place; the time tells them apart.

The test is red without the weighing.

--- a/crates/flamingo-place/src/spread.rs
+++ b/crates/flamingo-place/src/spread.rs
@@ -14,10 +14,12 @@
 const STEEP: f64 = 6.0;
 /// Demand below which a model needs no second copy, in engines.
 const SLIGHT: f64 = 0.03;
-/// Strain that a load from the engine's own copies must take away.
-const OWN: f64 = 0.04;
-/// Strain that a load from the weight store must take away.
-const STORE: f64 = 0.08;
+/// Strain that a load must take away.
+const LOAD: f64 = 0.04;
+/// Time for which demand is taken to stay as it is, in seconds.
+const HORIZON: f64 = 15.0;
+/// Time of ending the runs of models that make way, in seconds.
+const DRAIN: f64 = 1.0;
 /// Strain of an engine above which no copy is made ahead of demand.
 const CALM: f64 = 0.6;
 /// Models that are looked at for one move.
@@ -48,6 +50,10 @@
     pub name: id::Model,
     /// Size of its weights.
     pub megabytes: f64,
+    /// Time of a load from the weight store, in seconds.
+    pub store_s: f64,
+    /// Time of a load from the engine's own copies, in seconds.
+    pub own_s: f64,
     /// Work that is about to arrive for it, in engines kept busy.
     pub demand: f64,
     /// Whether it has adapters.
@@ -207,19 +213,36 @@
         self.demand(model) / count(left.max(1))
     }
 
-    /// Returns the board after a move.
-    fn after(&self, engine: Place, model: Place, unload: &[Place]) -> Self {
+    /// Returns the board once models have made way.
+    fn without(&self, engine: Place, unload: &[Place]) -> Self {
         let mut board = self.clone();
         for place in unload {
             board.held[engine].retain(|held| held != place);
             board.holders[*place].retain(|holder| *holder != engine);
             board.present[*place] -= 1;
         }
-        board.held[engine].push(model);
-        board.holders[model].push(engine);
         board
     }
 
+    /// Returns the board once a model is there.
+    fn with(mut self, engine: Place, model: Place) -> Self {
+        self.held[engine].push(model);
+        self.holders[model].push(engine);
+        self
+    }
+
+    /// Returns for which part of the time that demand stays as it is a move is under way.
+    fn part(&self, engine: Place, model: Place, unload: &[Place]) -> f64 {
+        let wanted = &self.models[model];
+        let load = if self.keeps(engine, model) {
+            wanted.own_s
+        } else {
+            wanted.store_s
+        };
+        let drain = if unload.is_empty() { 0.0 } else { DRAIN };
+        ((load + drain) / HORIZON).min(1.0)
+    }
+
     /// Returns whether an engine may take an order: none is under way there, and each model
     /// with adapters in demand has another engine that may take orders for adapters.
     fn free(&self, engine: Place) -> bool {
@@ -322,12 +345,7 @@
 
 /// Places a model of `missing`, the most wanted first. One that nobody asks for takes no copy
 /// away from those that are wanted, until it is overdue: its engine may come back.
-fn missing(
-    board: &Board<'_>,
-    busy: &[f64],
-    mut missing: Vec<Place>,
-    store: bool,
-) -> Option<Move> {
+fn missing(board: &Board<'_>, busy: &[f64], mut missing: Vec<Place>, store: bool) -> Option<Move> {
     missing.sort_by(|a, b| board.models[*b].demand.total_cmp(&board.models[*a].demand));
     missing.into_iter().find_map(|model| {
         let free = |engine: &Place| {
@@ -348,7 +366,8 @@
     })
 }
 
-/// Returns the move that takes away the most strain.
+/// Returns the move that takes away the most strain over the time for which demand stays as it
+/// is: the engine gives up what makes way at once, and holds the model only after the load.
 fn relief(board: &Board<'_>, busy: &[f64], store: bool) -> Option<Move> {
     let before = strain(busy);
     let moving = board.engines.iter().filter(|engine| engine.moving).count();
@@ -373,14 +392,12 @@
             let Some(unload) = board.room(engine, model, 1) else {
                 continue;
             };
-            let after = strain(&board.after(engine, model, &unload).busy());
-            let price = if board.keeps(engine, model) {
-                OWN
-            } else {
-                STORE
-            };
-            let price = (price + count(unload.len()) * WAY) * crowd;
-            let gain = before - after - price;
+            let part = board.part(engine, model, &unload);
+            let without = board.without(engine, &unload);
+            let during = strain(&without.busy());
+            let after = strain(&without.with(engine, model).busy());
+            let price = (LOAD + count(unload.len()) * WAY) * crowd;
+            let gain = (before - after) * (1.0 - part) - (during - before) * part - price;
             if gain > 0.0 && best.as_ref().is_none_or(|(known, _)| gain > *known) {
                 best = Some((gain, board.found(engine, model, &unload)));
             }
--- a/crates/flamingo-place/tests/spread.rs
+++ b/crates/flamingo-place/tests/spread.rs
@@ -6,6 +6,8 @@
     Model {
         name: name.into(),
         megabytes: 70.0,
+        store_s: 5.0,
+        own_s: 1.0,
         demand,
         adapted: true,
         overdue: false,
@@ -65,6 +67,26 @@
     }
 }
 
+/// Two models are wanted, and an engine would have to give up one for the other.
+#[test]
+fn a_wanted_copy_makes_way_for_a_short_load_but_not_for_a_long_one() {
+    let models = [
+        Model {
+            store_s: 13.0,
+            ..model("hot", 1.6)
+        },
+        model("warm", 0.9),
+    ];
+    let mut engines = [("1", "hot"), ("2", "warm"), ("3", "warm")].map(|(target, held)| Engine {
+        megabytes: 80.0,
+        ..engine(target, &[held])
+    });
+    assert_eq!(next(&models, &engines, true), None);
+    engines[2].copies.push("hot".into());
+    let found = next(&models, &engines, true).expect("a move");
+    assert_eq!((found.target.as_str(), found.unload.len()), ("3", 1));
+}
+
 #[test]
 fn without_the_store_only_kept_copies_are_loaded() {
     let (models, mut engines) = shifted();
