Weigh a lost model by what is asked of it, not before all others

Cause: a model without a holder went before any other as soon as anybody had ever asked for it, as a rate that forgets never reaches zero.

Ruled out: that such loads are cheap because the engine goes on serving: while it loads, it is the one free place for orders that is missing.

Change: work for a model that nobody holds is strain like any other (MISSED an engine), so lost and wanted models compete by what a move takes away; overdue ones still go first, idle ones last. Engines that keep a copy are looked at also where many others are less busy.

--- a/crates/flamingo-place/src/spread.rs
+++ b/crates/flamingo-place/src/spread.rs
@@ -14,6 +14,9 @@
 const STEEP: f64 = 6.0;
 /// Demand below which a model needs no second copy, in engines.
 const SLIGHT: f64 = 0.03;
+/// Strain of work for a model that no engine holds, an engine: more than that of work on
+/// an engine that is fully busy.
+const MISSED: f64 = 8.0;
 /// Strain that a load must take away.
 const LOAD: f64 = 0.04;
 /// Time for which demand is taken to stay as it is, in seconds.
@@ -148,16 +151,15 @@
         self.models[model].demand * self.scale
     }
 
-    /// Returns the models that no engine holds: first those that can't wait, then those that
-    /// nobody asks for.
-    fn missing(&self) -> (Vec<Place>, Vec<Place>) {
-        let missing = (0..self.models.len()).filter(|model| self.holders[*model].is_empty());
-        missing.partition(|model| self.urgent(*model))
+    /// Returns the models that no engine holds.
+    fn missing(&self) -> impl Iterator<Item = Place> {
+        (0..self.models.len()).filter(|model| self.holders[*model].is_empty())
     }
 
-    /// Returns whether a model that no engine holds goes before all that are held.
-    fn urgent(&self, model: Place) -> bool {
-        self.models[model].overdue || self.demand(model) > 0.0
+    /// Returns the strain of all engines, and that of work that none of them can do.
+    fn strain(&self) -> f64 {
+        let missed: f64 = self.missing().map(|model| self.demand(model)).sum();
+        strain(&self.busy()) + missed * MISSED
     }
 
     /// Returns how busy each engine is once the demand of each model is spread evenly.
@@ -337,14 +339,16 @@
 pub fn next(models: &[Model], engines: &[Engine], store: bool) -> Option<Move> {
     let board = Board::new(models, engines);
     let busy = board.busy();
-    let (urgent, idle) = board.missing();
-    missing(&board, &busy, urgent, store)
+    let (overdue, others) = board
+        .missing()
+        .partition(|model| board.models[*model].overdue);
+    missing(&board, &busy, overdue, store)
         .or_else(|| relief(&board, &busy, store))
-        .or_else(|| missing(&board, &busy, idle, store))
+        .or_else(|| missing(&board, &busy, others, store))
 }
 
-/// Places a model of `missing`, the most wanted first. One that nobody asks for takes no copy
-/// away from those that are wanted, until it is overdue: its engine may come back.
+/// Places a model of `missing`, the most wanted first. It takes no copy away from those that
+/// are wanted, until it is overdue: its engine may come back.
 fn missing(board: &Board<'_>, busy: &[f64], mut missing: Vec<Place>, store: bool) -> Option<Move> {
     missing.sort_by(|a, b| board.models[*b].demand.total_cmp(&board.models[*a].demand));
     missing.into_iter().find_map(|model| {
@@ -355,7 +359,7 @@
         let rooms = engines.filter_map(|engine| {
             let unload = board.room(engine, model, 1)?;
             let missed: f64 = unload.iter().map(|place| board.missed(*place)).sum();
-            if !board.urgent(model) && missed > SLIGHT {
+            if !board.models[model].overdue && missed > SLIGHT {
                 return None;
             }
             let far = if board.keeps(engine, model) { 0.0 } else { 1.0 };
@@ -369,7 +373,7 @@
 /// Returns the move that takes away the most strain over the time for which demand stays as it
 /// is: the engine gives up what makes way at once, and holds the model only after the load.
 fn relief(board: &Board<'_>, busy: &[f64], store: bool) -> Option<Move> {
-    let before = strain(busy);
+    let before = board.strain();
     let moving = board.engines.iter().filter(|engine| engine.moving).count();
     let crowd = count(moving.max(FEW)) / count(FEW);
     let pressed = |model: &Place| {
@@ -378,24 +382,30 @@
         least.fold(f64::INFINITY, f64::min)
     };
     let mut wanted: Vec<Place> = (0..board.models.len())
-        .filter(|model| board.models[*model].demand > SLIGHT)
+        .filter(|model| board.models[*model].demand > SLIGHT && !board.holders[*model].is_empty())
         .collect();
     wanted.sort_by(|a, b| pressed(b).total_cmp(&pressed(a)));
+    let mut lost: Vec<Place> = board.missing().collect();
+    lost.sort_by(|a, b| board.demand(*b).total_cmp(&board.demand(*a)));
+    let models = wanted.into_iter().take(MODELS);
     let mut best: Option<(f64, Move)> = None;
-    for model in wanted.into_iter().take(MODELS) {
+    for model in models.chain(lost.into_iter().take(MODELS)) {
         let mut engines: Vec<Place> = (0..board.engines.len())
             .filter(|engine| !board.held[*engine].contains(&model) && board.free(*engine))
             .filter(|engine| store || board.keeps(*engine, model))
             .collect();
         engines.sort_by(|a, b| busy[*a].total_cmp(&busy[*b]));
-        for engine in engines.into_iter().take(ENGINES) {
+        let keeping = engines.iter().copied();
+        let keeping = keeping.filter(|engine| board.keeps(*engine, model));
+        let keeping: Vec<Place> = keeping.take(ENGINES).collect();
+        for engine in engines.into_iter().take(ENGINES).chain(keeping) {
             let Some(unload) = board.room(engine, model, 1) else {
                 continue;
             };
             let part = board.part(engine, model, &unload);
             let without = board.without(engine, &unload);
-            let during = strain(&without.busy());
-            let after = strain(&without.with(engine, model).busy());
+            let during = without.strain();
+            let after = without.with(engine, model).strain();
             let price = (LOAD + count(unload.len()) * WAY) * crowd;
             let gain = (before - after) * (1.0 - part) - (during - before) * part - price;
             if gain > 0.0 && best.as_ref().is_none_or(|(known, _)| gain > *known) {
