Draw targets by what other entries send unseen

Cause: entries learn of each other's requests every 100 to 200 ms, and each took the target with the least predicted wait.

Change: the entry takes its own flow for a model times the other entries times the mean age of what it knows as work sent unseen, fills it over the targets' waits (Dahlin, 'Interpreting Stale Load Information', 1999), and draws by these shares, with weighted rendezvous hashing on the prompt's shared part. Only targets that let the request in are drawn, where any does. Water-filling has moved to a module of its own, used by placement and choice.

--- a/crates/flamingo-place/src/lib.rs
+++ b/crates/flamingo-place/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod demand;
 mod explain;
 pub mod fit;
+pub mod level;
 pub mod pace;
 pub mod placer;
 pub mod plan;
--- a/crates/flamingo-place/src/spread/board.rs
+++ b/crates/flamingo-place/src/spread/board.rs
@@ -1,6 +1,7 @@
 //! Models and engines with the demand spread over them.
 
 use super::{Engine, Model, Move, SLIGHT};
+use crate::level::fill;
 use std::collections::BTreeMap;
 
 /// Busy share of an engine from which requests begin to wait.
@@ -197,24 +198,6 @@
     }
 }
 
-/// Spreads `demand` over places that are busy already, so that the busiest is least busy.
-fn fill(others: &[f64], demand: f64) -> Vec<f64> {
-    let mut sorted = others.to_vec();
-    sorted.sort_by(f64::total_cmp);
-    let mut level = 0.0;
-    let mut sum = 0.0;
-    for (place, busy) in sorted.iter().enumerate() {
-        sum += busy;
-        level = (sum + demand) / count(place + 1);
-        let next = sorted.get(place + 1);
-        if next.is_none_or(|next| level <= *next) {
-            break;
-        }
-    }
-    let share = |busy: &f64| (level - busy).max(0.0);
-    others.iter().map(share).collect()
-}
-
 /// Returns the strain of engines that are so busy.
 fn strain(busy: &[f64]) -> f64 {
     let each = busy.iter().map(|busy| {
--- a/crates/flamingo-serve/src/choice.rs
+++ b/crates/flamingo-serve/src/choice.rs
@@ -4,8 +4,10 @@
 //! earliest predicted first event, from the prompts that wait there, what it keeps of the
 //! prompt, and how many requests share its steps.
 
+use crate::admission::Claim;
 use crate::table::{Table, Target};
 use crate::wire::Ask;
+use flamingo_place::level::fill;
 use flamingo_wire::id;
 use flamingo_wire::route::{Engine, Rank};
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -20,8 +22,11 @@
 /// Time of a request to a plain service, in milliseconds, before any was observed.
 const PLAIN_MS: f64 = 60.0;
 
-/// Waits that differ by less are equal, in milliseconds.
-const STEP_MS: u128 = 25;
+/// Waits that differ by less hardly matter, in milliseconds.
+const STEP_MS: f64 = 8.0;
+/// Mean age of what is known of the requests of other entries, in milliseconds: an entry tells
+/// of its own every 100, the leader of all every 100.
+const AGE_MS: f64 = 100.0;
 
 /// What a request needs of a target.
 #[derive(Clone, Copy, Debug)]
@@ -40,6 +45,10 @@
     pub tried: &'a [id::Target],
     /// Whether someone is known who could bring an adapter.
     pub orders: bool,
+    /// Entries that send requests, with this one.
+    pub entries: usize,
+    /// What it asks of a wait; nothing where it may wait anywhere.
+    pub claim: Option<Claim>,
 }
 
 /// What is to be done with a request.
@@ -70,6 +79,18 @@
     pub bare: bool,
 }
 
+impl Pick {
+    /// Returns whether a request that claims so much may wait there.
+    #[must_use]
+    pub fn admits(&self, claim: Option<Claim>) -> bool {
+        let claim = claim.map(|claim| Claim {
+            wait: self.queue,
+            ..claim
+        });
+        claim.is_none_or(|claim| claim.admitted())
+    }
+}
+
 /// Returns the identity under which prompts of a model and adapter are kept.
 #[must_use]
 pub fn space(ask: &Ask) -> u64 {
@@ -86,16 +107,18 @@
     shared.map_or(count, |piece| piece.part)
 }
 
-/// Chooses a target; `salt` parts equal ones.
+/// Chooses a target. Requests go to targets in proportion to what each of them takes of the
+/// work that other entries send unseen, where that is spread so that all waits become equal
+/// (M. Dahlin, "Interpreting Stale Load Information", 1999); `salt` decides between them.
 #[must_use]
 pub fn choose(table: &Table, need: &Need<'_>, salt: u64, now: Instant) -> Choice {
     let mut any = false;
     let mut holding = false;
-    let mut best: Option<(Rating, Pick)> = None;
+    let mut found: Vec<Candidate> = Vec::new();
+    let model = need.ask.model.as_deref();
     let speed = table.pace(need.service).rate();
     for target in table.of(need.service).filter(|target| target.open()) {
         any = true;
-        let model = need.ask.model.as_deref();
         if need.engine.is_some() && model.is_some_and(|model| !target.holds(model, now)) {
             continue;
         }
@@ -106,30 +129,64 @@
         let pick = rate(target, need, speed);
         let closed = pick.bare && (target.moving || !need.orders);
         let doubtful = target.avoided(now) || table.silent(target) || closed;
-        let rating = Rating {
-            doubtful,
-            step: pick.wait.as_millis() / STEP_MS,
-            salt: salted(salt, &target.registration.id),
-        };
-        if best.as_ref().is_none_or(|(known, _)| rating < *known) {
-            best = Some((rating, pick));
-        }
+        found.push(Candidate { doubtful, pick });
     }
-    match best {
-        Some((_, pick)) => Choice::Send(pick),
-        None if !any => Choice::NoTarget,
-        None if !holding => Choice::NoModel,
+    let mut picks = sure(found);
+    // None is refused by a target that was drawn while another would let it in.
+    if picks.iter().any(|pick| pick.admits(need.claim)) {
+        picks.retain(|pick| pick.admits(need.claim));
+    }
+    let flow = model.map_or(0.0, |model| table.flow(need.service, model, now));
+    match draw(picks, unseen(flow, need.entries) / speed, salt) {
+        Some(pick) => Choice::Send(pick),
+        None if any && !holding => Choice::NoModel,
         None => Choice::NoTarget,
     }
 }
 
-/// The order of candidates; the least is taken.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-struct Rating {
+/// A target that a request may go to.
+#[derive(Clone, Debug, PartialEq)]
+struct Candidate {
+    /// It is taken only where all are doubtful.
     doubtful: bool,
-    /// The predicted wait, in steps: what others send meanwhile blurs it anyway.
-    step: u128,
-    salt: u64,
+    pick: Pick,
+}
+
+/// Returns the picks that are not doubtful; all of them where all are.
+fn sure(found: Vec<Candidate>) -> Vec<Pick> {
+    let sure = found.iter().any(|candidate| !candidate.doubtful);
+    let found = found.into_iter();
+    let found = found.filter(|candidate| !(sure && candidate.doubtful));
+    found.map(|candidate| candidate.pick).collect()
+}
+
+/// Returns the tokens that other entries are likely to have sent unseen, each as many as this
+/// one sends in a millisecond, which is `flow`.
+fn unseen(flow: f64, entries: usize) -> f64 {
+    let others = u32::try_from(entries.saturating_sub(1)).unwrap_or(u32::MAX);
+    flow * AGE_MS * f64::from(others)
+}
+
+/// Draws one of the picks by the share that each takes of so many milliseconds of work.
+fn draw(picks: Vec<Pick>, work: f64, salt: u64) -> Option<Pick> {
+    let waits: Vec<f64> = picks
+        .iter()
+        .map(|pick| pick.wait.as_secs_f64() * 1_000.0)
+        .collect();
+    let shares = fill(&waits, work.max(STEP_MS));
+    let drawn = picks.into_iter().zip(shares).map(|(pick, share)| {
+        let lot = lot(salt, &pick.target);
+        (share / -lot.ln(), pick)
+    });
+    let best = drawn.max_by(|(a, _), (b, _)| a.total_cmp(b));
+    best.map(|(_, pick)| pick)
+}
+
+/// Returns the lot of a target, evenly between 0 and 1: by weighted rendezvous hashing, requests
+/// of the same salt go the same way as long as the shares allow it.
+fn lot(salt: u64, target: &str) -> f64 {
+    let part = u32::try_from(salted(salt, target) >> 32).unwrap_or(u32::MAX);
+    (f64::from(part) + 1.0) / (f64::from(u32::MAX) + 2.0)
 }
 
 /// Predicts what a request gets of a target that reads `speed` tokens in a millisecond.
--- a/crates/flamingo-serve/src/desk.rs
+++ b/crates/flamingo-serve/src/desk.rs
@@ -8,7 +8,7 @@
 use crate::admission::Claim;
 use crate::body::{Body, gather};
 use crate::budget::{Allowance, Budget};
-use crate::choice::{self, Choice, Need, Pick};
+use crate::choice::{self, Choice, Need};
 use crate::front::{Drain, Handler, Stage};
 use crate::metrics::Metrics;
 use crate::news::News;
@@ -251,25 +251,26 @@
             zone: &self.zone,
             tried: &tried,
             orders: self.news.peers.borrow().leader.is_some(),
+            entries: self.news.peers.borrow().entries().unwrap_or(ENTRIES),
+            claim: Self::claim(job, now),
         };
         self.count.set(self.count.get() + 1);
         let salt = choice::salt(&job.ask, self.count.get());
         choice::choose(&self.news.table.borrow(), &need, salt, now)
     }
 
-    /// Returns whether a job may wait at its target.
-    fn admits(job: &Job, pick: &Pick) -> bool {
+    /// Returns what a job asks of a wait before its first event; nothing where it was sent
+    /// before, or is for a plain service.
+    fn claim(job: &Job, now: Instant) -> Option<Claim> {
         if job.ask.model.is_none() || job.sent.get() > 0 {
-            return true;
+            return None;
         }
-        let now = Instant::now();
-        let claim = Claim {
+        Some(Claim {
             elapsed: job.elapsed + now.saturating_duration_since(job.arrived),
             objective: Duration::from_millis(job.route.objective_ms),
             left: job.deadline.saturating_duration_since(now),
-            wait: pick.queue,
-        };
-        claim.admitted()
+            wait: Duration::ZERO,
+        })
     }
 
     /// Returns for how long the caller of a request has waited in earlier tries.
--- a/crates/flamingo-serve/src/desk/sending.rs
+++ b/crates/flamingo-serve/src/desk/sending.rs
@@ -39,7 +39,7 @@
             Choice::NoTarget => return Err(Setback::Stuck(Cause::NoTarget)),
             Choice::NoModel => return Err(Setback::Stuck(Cause::NoModel)),
         };
-        if !Self::admits(job, &pick) {
+        if !pick.admits(Self::claim(job, now)) {
             return Err(Setback::Full(pick.queue));
         }
         let slot = Slot::take(&self.news, &pick, job);
--- a/crates/flamingo-serve/src/desk/slot.rs
+++ b/crates/flamingo-serve/src/desk/slot.rs
@@ -7,6 +7,7 @@
 use flamingo_wire::route::Rank;
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Instant;
 
 /// Counts a request at its target until it is dropped.
 pub struct Slot {
@@ -24,13 +25,18 @@
         let rank = job.route.rank;
         let ask = &job.ask;
         let adapter = ask.model.clone().zip(ask.adapter.clone());
-        if let Some(target) = news.table.borrow_mut().get_mut(&pick.target) {
+        let mut table = news.table.borrow_mut();
+        if let Some(model) = &ask.model {
+            table.sent(&job.service, model, pick.fresh, Instant::now());
+        }
+        if let Some(target) = table.get_mut(&pick.target) {
             target.own.running += 1;
             target.own.wait(rank, pick.fresh);
             if let Some((model, adapter)) = &adapter {
                 target.begin(model, adapter);
             }
         }
+        drop(table);
         Self {
             news: Rc::clone(news),
             target: pick.target.clone(),
--- a/crates/flamingo-serve/src/table.rs
+++ b/crates/flamingo-serve/src/table.rs
@@ -1,5 +1,6 @@
 //! The targets as one entry knows them: their words, what they hold, and their load.
 
+use crate::flow::Flow;
 use crate::pace::Pace;
 use crate::wire::{Load, Part, Piece};
 use flamingo_wire::control::Push;
@@ -193,6 +194,7 @@
 pub struct Table {
     targets: BTreeMap<id::Target, Target>,
     paces: HashMap<id::Service, Pace>,
+    flows: HashMap<id::Service, HashMap<id::Model, Flow>>,
     /// When any control instance was last heard.
     fed: Option<Instant>,
 }
@@ -349,6 +351,21 @@
         self.paces.entry(service.to_owned()).or_default()
     }
 
+    /// Returns the tokens for a model that this entry sends in a millisecond.
+    #[must_use]
+    pub fn flow(&self, service: &str, model: &str, now: Instant) -> f64 {
+        let flows = self.flows.get(service);
+        let flow = flows.and_then(|flows| flows.get(model));
+        flow.map_or(0.0, |flow| flow.rate(now))
+    }
+
+    /// Counts the tokens of a prompt that this entry sends.
+    pub fn sent(&mut self, service: &str, model: &str, tokens: u32, now: Instant) {
+        let flows = self.flows.entry(service.to_owned()).or_default();
+        let flow = flows.entry(model.to_owned());
+        flow.or_insert_with(|| Flow::new(now)).add(tokens, now);
+    }
+
     /// Returns all targets.
     pub fn iter(&self) -> impl Iterator<Item = &Target> {
         self.targets.values()
--- a/crates/flamingo-serve/tests/load.rs
+++ b/crates/flamingo-serve/tests/load.rs
@@ -40,6 +40,8 @@
         zone: "z",
         tried,
         orders: true,
+        entries: 1,
+        claim: None,
     }
 }
 
