Divide rates of demand by the part of their window that was seen

Cause: a new holder of orders starts its rates from nothing.

Ruled out: that the entries tell too late: their first reports are in the forecast.

Change: both rates are divided by the part of their window since entries first told of anything, of 400 ms at least, so that single requests do not count for much.

The test is red before: 127 engines forecast of 100.

--- a/crates/flamingo-control/src/holder/demand.rs
+++ b/crates/flamingo-control/src/holder/demand.rs
@@ -12,6 +12,8 @@
 const FAST: Duration = Duration::from_millis(800);
 /// Time constant of the demand that it is compared with, to see where it goes.
 const SLOW: Duration = Duration::from_secs(3);
+/// Time that counts as seen at least: what entries told first was asked for before.
+const SHORT: Duration = Duration::from_millis(400);
 /// How far a rise goes on, against the difference of the two.
 const TREND: f64 = 1.5;
 /// Time after which what an entry said of its requests no longer counts.
@@ -27,15 +29,18 @@
     /// Work of one request, in seconds of an engine.
     request: f64,
     at: Instant,
+    /// Since when it is counted.
+    since: Instant,
 }
 
 impl Rate {
-    fn new(at: Instant) -> Self {
+    fn new(at: Instant, since: Instant) -> Self {
         Self {
             fast: 0.0,
             slow: 0.0,
             request: 0.0,
             at,
+            since,
         }
     }
 
@@ -47,9 +52,16 @@
             slow: self.slow * (-age / SLOW.as_secs_f64()).exp(),
             request: self.request,
             at: now,
+            since: self.since,
         }
     }
 
+    /// Returns the part of a window that has been seen.
+    fn seen(&self, window: Duration) -> f64 {
+        let age = self.at.saturating_duration_since(self.since).max(SHORT);
+        1.0 - (-age.as_secs_f64() / window.as_secs_f64()).exp()
+    }
+
     fn add(&mut self, work: f64, requests: u32) {
         if requests > 0 {
             self.request = work / f64::from(requests);
@@ -61,10 +73,13 @@
     /// Returns what is about to arrive: the demand over the longer time, and more where it rises
     /// by more than requests that arrive by chance would make it.
     fn forecast(&self) -> f64 {
+        // A rate that begins at nothing is as much too low as its window is not seen yet.
+        let slow = self.slow / self.seen(SLOW);
+        let fast = self.fast / self.seen(FAST);
         // Standard deviation of a Poisson process under an exponential window.
-        let chance = (self.slow * self.request / (2.0 * FAST.as_secs_f64())).sqrt();
-        let rise = (self.fast - self.slow - chance).max(0.0);
-        self.slow + rise * (1.0 + TREND)
+        let chance = (slow * self.request / (2.0 * FAST.as_secs_f64())).sqrt();
+        let rise = (fast - slow - chance).max(0.0);
+        slow + rise * (1.0 + TREND)
     }
 }
 
@@ -75,16 +90,19 @@
 #[derive(Debug, Default)]
 pub struct Demands {
     rates: BTreeMap<Key, Rate>,
+    /// When an entry first told of anything.
+    since: Option<Instant>,
     entries: BTreeMap<id::Node, (Instant, Vec<Load>)>,
 }
 
 impl Demands {
     /// Takes what an entry told.
     pub fn take(&mut self, now: Instant, from: &str, tally: Tally) {
+        let since = *self.since.get_or_insert(now);
         for demand in tally.demand {
             let key = (demand.service, demand.model);
             let old = self.rates.get(&key).copied();
-            let mut rate = old.unwrap_or(Rate::new(now)).later(now);
+            let mut rate = old.unwrap_or(Rate::new(now, since)).later(now);
             rate.add(demand.work_ms / 1_000.0, demand.requests);
             self.rates.insert(key, rate);
         }
--- a/crates/flamingo-control/tests/demand.rs
+++ b/crates/flamingo-control/tests/demand.rs
@@ -101,3 +101,19 @@
     let forecast = arrivals.forecast(&models);
     assert!(forecast > 9.0, "{forecast} engines of 10");
 }
+
+/// A holder of orders takes over in the middle of a load; nobody tells it what was before.
+#[test]
+fn a_new_holder_soon_sees_what_is_asked_for() {
+    let models = models(20);
+    let mut arrivals = Arrivals::new();
+    for reports in [4, 2, 4, 10] {
+        arrivals.pass(reports, &models, 5.0);
+        let forecast = arrivals.forecast(&models);
+        // Five engines for each model, and a quarter more or less.
+        assert!(
+            (75.0..125.0).contains(&forecast),
+            "{forecast} engines of 100"
+        );
+    }
+}
