--- a/crates/flamingo-serve/src/choice.rs
+++ b/crates/flamingo-serve/src/choice.rs
@@ -1,8 +1,9 @@
 //! Which target a request goes to.
 //!
-//! The choice answers load that differs by target and prompt: it takes the target with the
-//! earliest predicted first event, from the prompts that wait there, what it keeps of the
-//! prompt, and how many requests share its steps.
+//! The choice answers load that differs by target and prompt, and many entries that choose at
+//! once: each target's first event is predicted from the prompts that wait there, what it keeps
+//! of the prompt and how many requests share its steps, and the targets are drawn so that these
+//! predictions become equal once what other entries send unseen is there too.
 
 use crate::admission::Claim;
 use crate::table::{Table, Target};
