--- a/crates/flamingo-control/src/keeper.rs
+++ b/crates/flamingo-control/src/keeper.rs
@@ -233,8 +233,11 @@
     // The text is about as long as what is made of it.
     let bytes = set.text.len() as u64;
     let set = route::Set {
+        version: set.version,
+        routes: set.routes.clone(),
+        services: set.services.clone(),
+        limits: set.limits,
         text: String::new(),
-        ..set.clone()
     };
     Notice {
         set: Arc::new(set),
--- a/crates/flamingo-place/src/lib.rs
+++ b/crates/flamingo-place/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod pace;
 pub mod placer;
 pub mod plan;
+pub mod rate;
 mod room;
 mod seat;
 pub mod spread;
--- a/crates/flamingo-serve/src/lib.rs
+++ b/crates/flamingo-serve/src/lib.rs
@@ -11,7 +11,6 @@
 pub mod desk;
 pub mod events;
 pub mod exchange;
-pub mod flow;
 pub mod front;
 pub mod life;
 pub mod metrics;
--- a/crates/flamingo-serve/src/table.rs
+++ b/crates/flamingo-serve/src/table.rs
@@ -1,8 +1,8 @@
 //! The targets as one entry knows them: their words, what they hold, and their load.
 
-use crate::flow::Flow;
 use crate::pace::Pace;
 use crate::wire::{Load, Part, Piece};
+use flamingo_place::rate::Rate;
 use flamingo_wire::control::Push;
 use flamingo_wire::id;
 use flamingo_wire::route::Rank;
@@ -23,6 +23,8 @@
 const LACK: Duration = Duration::from_millis(300);
 /// Part of a target's memory for prompts that is taken to keep what was read last.
 const KEPT: f64 = 0.6;
+/// Time after which a prompt that was sent tells a third as much of what is sent.
+const FLOW: Duration = Duration::from_secs(1);
 /// Prompt parts remembered for one target.
 const PARTS: usize = 4_096;
 
@@ -194,7 +196,9 @@
 pub struct Table {
     targets: BTreeMap<id::Target, Target>,
     paces: HashMap<id::Service, Pace>,
-    flows: HashMap<id::Service, HashMap<id::Model, Flow>>,
+    /// Tokens of prompts that this entry sends: what it sends tells what the others do, which
+    /// all see the same target as the least busy one until their figures are renewed.
+    flows: HashMap<id::Service, HashMap<id::Model, Rate>>,
     /// When any control instance was last heard.
     fed: Option<Instant>,
 }
@@ -231,10 +235,12 @@
 
     /// Takes the requests of all entries together; those of this one are taken off.
     fn share(&mut self, loads: &[target::Load]) {
-        for target in self.targets.values_mut() {
-            let load = loads
-                .iter()
-                .find(|load| load.target == target.registration.id);
+        let loads: HashMap<&str, &target::Load> = loads
+            .iter()
+            .map(|load| (load.target.as_str(), load))
+            .collect();
+        for (id, target) in &mut self.targets {
+            let load = loads.get(id.as_str());
             let all = load.map_or_else(Work::default, |load| Work {
                 running: load.running,
                 reading: load.reading,
@@ -356,14 +362,15 @@
     pub fn flow(&self, service: &str, model: &str, now: Instant) -> f64 {
         let flows = self.flows.get(service);
         let flow = flows.and_then(|flows| flows.get(model));
-        flow.map_or(0.0, |flow| flow.rate(now))
+        flow.map_or(0.0, |flow| flow.at(now) / 1_000.0)
     }
 
     /// Counts the tokens of a prompt that this entry sends.
     pub fn sent(&mut self, service: &str, model: &str, tokens: u32, now: Instant) {
         let flows = self.flows.entry(service.to_owned()).or_default();
         let flow = flows.entry(model.to_owned());
-        flow.or_insert_with(|| Flow::new(now)).add(tokens, now);
+        let flow = flow.or_insert_with(|| Rate::new(FLOW, now));
+        flow.add(f64::from(tokens), now);
     }
 
     /// Returns all targets.
--- a/crates/flamingo-serve/tests/herd.rs
+++ b/crates/flamingo-serve/tests/herd.rs
@@ -8,7 +8,7 @@
 use flamingo_wire::control::Push;
 use flamingo_wire::route::Engine;
 use flamingo_wire::target;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 const TARGETS: [&str; 6] = ["1", "2", "3", "4", "5", "6"];
@@ -60,20 +60,8 @@
 
 /// Tells each entry of the requests of all.
 fn share(now: Instant, tables: &mut [Table]) {
-    let mut sums: BTreeMap<String, target::Load> = BTreeMap::new();
-    for load in tables.iter_mut().flat_map(Table::tell) {
-        let sum = sums
-            .entry(load.target.clone())
-            .or_insert_with(|| target::Load {
-                target: load.target.clone(),
-                ..target::Load::default()
-            });
-        sum.running += load.running;
-        for (sum, tokens) in sum.reading.iter_mut().zip(load.reading) {
-            *sum += tokens;
-        }
-    }
-    let push = Push::Loads(sums.into_values().collect());
+    let loads: Vec<_> = tables.iter_mut().flat_map(Table::tell).collect();
+    let push = Push::Loads(target::sum(&loads));
     for table in tables {
         table.take(now, &push);
     }
--- a/crates/flamingo-wire/src/target.rs
+++ b/crates/flamingo-wire/src/target.rs
@@ -2,6 +2,7 @@
 
 use crate::id;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 /// A model that a target holds.
@@ -111,6 +112,34 @@
     pub adapters: Vec<Resident>,
 }
 
+/// Adds up loads by target; which adapters are in use is left out.
+///
+/// ```
+/// use flamingo_wire::target::{Load, sum};
+///
+/// let load = |running| Load {
+///     target: "t".into(),
+///     running,
+///     ..Load::default()
+/// };
+/// assert_eq!(sum(&[load(1), load(2)]), [load(3)]);
+/// ```
+#[must_use]
+pub fn sum<'a>(loads: impl IntoIterator<Item = &'a Load>) -> Vec<Load> {
+    let mut sums: BTreeMap<&str, Load> = BTreeMap::new();
+    for load in loads {
+        let sum = sums.entry(&load.target).or_insert_with(|| Load {
+            target: load.target.clone(),
+            ..Load::default()
+        });
+        sum.running += load.running;
+        for (sum, tokens) in sum.reading.iter_mut().zip(load.reading) {
+            *sum += tokens;
+        }
+    }
+    sums.into_values().collect()
+}
+
 /// What one entry tells the leader a few times a second.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Tally {
