Do the work of placement once: strain from what is known, held models, copies ahead

The busy shares were worked out again for the strain before any move; each model's holders were looked for in a fresh list of every account's models, ten times a second; engines for copies ahead were cloned into a list only to be looked up in it. Now the shares are handed on, the held models are gathered once a round, and 'ahead' asks which engines it may take. The test calls 'ahead' with that question; its assertions are as they were.

--- a/crates/flamingo-control/src/holder/moves.rs
+++ b/crates/flamingo-control/src/holder/moves.rs
@@ -9,6 +9,7 @@
 use flamingo_wire::id;
 use flamingo_wire::route::{self, Service, Set};
 use slog::info;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime};
 
@@ -101,12 +102,10 @@
             if left < SPARE || moving >= most {
                 return None;
             }
-            let fresh = engines.iter().filter(|engine| {
+            spread::ahead(&models, &engines, |engine| {
                 let account = term.accounts.get(&engine.target);
                 asked >= IDLE || account.is_some_and(|account| account.moves == 0)
-            });
-            let fresh: Vec<_> = fresh.cloned().collect();
-            spread::ahead(&models, &engines, &fresh)
+            })
         };
         spread::next(&models, &engines, left >= 1.0).or_else(ahead)
     }
@@ -115,11 +114,10 @@
     fn miss(&self, service: &Service, engine: &route::Engine, now: Instant) {
         let mut term = self.term.borrow_mut();
         let term = &mut *term;
+        let held: BTreeSet<_> = term.accounts.values().flat_map(Account::models).collect();
         for model in &engine.models {
-            let mut accounts = term.accounts.values();
-            let held = accounts.any(|account| account.models().contains(&model.name));
             let key = (service.name.clone(), model.name.clone());
-            if held {
+            if held.contains(&model.name) {
                 term.missing.remove(&key);
             } else {
                 term.missing.entry(key).or_insert(now);
--- a/crates/flamingo-place/src/spread/ahead.rs
+++ b/crates/flamingo-place/src/spread/ahead.rs
@@ -11,9 +11,10 @@
 const STAY: usize = 3;
 
 /// Returns a copy to make ahead of demand, so that an engine has it at hand later: of the
-/// model that the fewest engines keep, on an engine of `may` that is not busy.
+/// model that the fewest engines keep, on one of the engines for which `may` holds that is not
+/// busy.
 #[must_use]
-pub fn ahead(models: &[Model], engines: &[Engine], may: &[Engine]) -> Option<Move> {
+pub fn ahead(models: &[Model], engines: &[Engine], may: impl Fn(&Engine) -> bool) -> Option<Move> {
     let board = Board::new(models, engines);
     let busy = board.busy();
     let mut best: Option<(f64, Move)> = None;
@@ -22,9 +23,8 @@
         let kept = count(kept.count() + 1);
         let likely = if wanted.adapted { ADAPTED } else { 1.0 };
         for engine in 0..engines.len() {
-            let target = &engines[engine].target;
             let wrong = board.keeps(engine, model)
-                || !may.iter().any(|engine| &engine.target == target)
+                || !may(&engines[engine])
                 || board.held[engine].contains(&model)
                 || busy[engine] > CALM
                 || !board.free(engine);
--- a/crates/flamingo-place/src/spread/board.rs
+++ b/crates/flamingo-place/src/spread/board.rs
@@ -81,10 +81,11 @@
         (0..self.models.len()).filter(|model| self.holders[*model].is_empty())
     }
 
-    /// Returns the strain of all engines, and that of work that none of them can do.
-    pub(super) fn strain(&self) -> f64 {
+    /// Returns the strain of all engines that are so busy, and that of work that none of them
+    /// can do.
+    pub(super) fn strain(&self, busy: &[f64]) -> f64 {
         let missed: f64 = self.missing().map(|model| self.demand(model)).sum();
-        strain(&self.busy()) + missed * MISSED
+        strain(busy) + missed * MISSED
     }
 
     /// Returns how busy each engine is once the demand of each model is spread evenly.
--- a/crates/flamingo-place/src/spread/relief.rs
+++ b/crates/flamingo-place/src/spread/relief.rs
@@ -36,7 +36,7 @@
         Self {
             board,
             busy,
-            before: board.strain(),
+            before: board.strain(busy),
             crowd: count(moving.max(FEW)) / count(FEW),
             store,
         }
@@ -104,8 +104,9 @@
     fn gain(&self, engine: Place, model: Place, unload: &[Place]) -> f64 {
         let part = self.board.part(engine, model, unload);
         let without = self.board.without(engine, unload);
-        let during = without.strain();
-        let after = without.with(engine, model).strain();
+        let during = without.strain(&without.busy());
+        let with = without.with(engine, model);
+        let after = with.strain(&with.busy());
         let price = (LOAD + count(unload.len()) * WAY) * self.crowd;
         (self.before - after) * (1.0 - part) - (during - self.before) * part - price
     }
--- a/crates/flamingo-place/tests/spread.rs
+++ b/crates/flamingo-place/tests/spread.rs
@@ -186,7 +186,7 @@
         engine.moving = true;
     }
     assert_eq!(next(&models, &engines, true), None);
-    assert_eq!(ahead(&models, &engines, &engines), None);
+    assert_eq!(ahead(&models, &engines, |_| true), None);
 }
 
 #[test]
@@ -203,6 +203,6 @@
     let mut engines = [engine("1", &["a"]), engine("2", &["b"])];
     engines[0].copies.push("a".into());
     engines[1].copies.push("b".into());
-    let found = ahead(&models, &engines, &engines).expect("a move");
+    let found = ahead(&models, &engines, |_| true).expect("a move");
     assert!(found.store && found.unload.is_empty());
 }
