Let the choice say that no target has room, and keep what was sent together

Admission was asked of each pick in the choice and once more after it, with the claim built twice. The choice now answers 'Full' itself. 'Good ones only, where there are any' stood twice, once with a type of its own. What a target has begun to answer travels as one value in place of three that three functions passed on.

Left: go_on of a resumed stream repeats the steps of a sending.

--- a/crates/flamingo-serve/src/choice.rs
+++ b/crates/flamingo-serve/src/choice.rs
@@ -57,6 +57,8 @@
 pub enum Choice {
     /// Send it.
     Send(Pick),
+    /// Its wait at the best target is longer than it may be; so long would it be.
+    Full(Duration),
     /// No target of the service may take requests.
     NoTarget,
     /// No target of the service holds the model.
@@ -78,12 +80,13 @@
     pub queue: Duration,
     /// Whether the adapter has to be brought there first.
     pub bare: bool,
+    /// Whether it is taken only where all are doubtful.
+    pub doubtful: bool,
 }
 
 impl Pick {
     /// Returns whether a request that claims so much may wait there.
-    #[must_use]
-    pub fn admits(&self, claim: Option<Claim>) -> bool {
+    fn admits(&self, claim: Option<Claim>) -> bool {
         let claim = claim.map(|claim| Claim {
             wait: self.queue,
             ..claim
@@ -115,7 +118,7 @@
 pub fn choose(table: &Table, need: &Need<'_>, salt: u64, now: Instant) -> Choice {
     let mut any = false;
     let mut holding = false;
-    let mut found: Vec<Candidate> = Vec::new();
+    let mut picks: Vec<Pick> = Vec::new();
     let model = need.ask.model.as_deref();
     let speed = table.pace(need.service).rate();
     for target in table.of(need.service).filter(|target| target.open()) {
@@ -127,38 +130,28 @@
         if need.tried.contains(&target.registration.id) {
             continue;
         }
-        let pick = rate(target, need, speed);
+        let mut pick = rate(target, need, speed);
         let closed = pick.bare && (target.moving || !need.orders);
-        let doubtful = target.avoided(now) || table.silent(target) || closed;
-        found.push(Candidate { doubtful, pick });
+        pick.doubtful = target.avoided(now) || table.silent(target) || closed;
+        picks.push(pick);
     }
-    let mut picks = sure(found);
+    prefer(&mut picks, |pick| !pick.doubtful);
     // None is refused by a target that was drawn while another would let it in.
-    if picks.iter().any(|pick| pick.admits(need.claim)) {
-        picks.retain(|pick| pick.admits(need.claim));
-    }
+    prefer(&mut picks, |pick| pick.admits(need.claim));
     let flow = model.map_or(0.0, |model| table.flow(need.service, model, now));
     match draw(picks, unseen(flow, need.entries) / speed, salt) {
-        Some(pick) => Choice::Send(pick),
+        Some(pick) if pick.admits(need.claim) => Choice::Send(pick),
+        Some(pick) => Choice::Full(pick.queue),
         None if any && !holding => Choice::NoModel,
         None => Choice::NoTarget,
     }
 }
 
-/// A target that a request may go to.
-#[derive(Clone, Debug, PartialEq)]
-struct Candidate {
-    /// It is taken only where all are doubtful.
-    doubtful: bool,
-    pick: Pick,
-}
-
-/// Returns the picks that are not doubtful; all of them where all are.
-fn sure(found: Vec<Candidate>) -> Vec<Pick> {
-    let sure = found.iter().any(|candidate| !candidate.doubtful);
-    let found = found.into_iter();
-    let found = found.filter(|candidate| !(sure && candidate.doubtful));
-    found.map(|candidate| candidate.pick).collect()
+/// Leaves the good picks only, where there are any.
+fn prefer(picks: &mut Vec<Pick>, good: impl Fn(&Pick) -> bool) {
+    if picks.iter().any(&good) {
+        picks.retain(good);
+    }
 }
 
 /// Returns the tokens that other entries are likely to have sent unseen, each as many as this
@@ -227,6 +220,7 @@
         wait: Duration::from_secs_f64(wait / 1_000.0),
         queue: Duration::from_secs_f64(queue / 1_000.0),
         bare,
+        doubtful: false,
     }
 }
 
--- a/crates/flamingo-serve/src/desk/sending.rs
+++ b/crates/flamingo-serve/src/desk/sending.rs
@@ -30,24 +30,29 @@
 /// Time for reading what is left of an answer, so that its connection can be kept.
 const REST: Duration = Duration::from_secs(1);
 
+/// A job that a target has begun to answer.
+struct Sent {
+    pick: Pick,
+    /// Its place at the target.
+    slot: Slot,
+    begun: Begun,
+}
+
 impl Desk {
     /// Sends a job once.
     pub(super) async fn attempt(self: &Rc<Self>, job: &Rc<Job>) -> Result<Response<Body>, Setback> {
-        let now = Instant::now();
-        let pick = match self.choose(job, now) {
+        let pick = match self.choose(job, Instant::now()) {
             Choice::Send(pick) => pick,
+            Choice::Full(wait) => return Err(Setback::Full(wait)),
             Choice::NoTarget => return Err(Setback::Stuck(Cause::NoTarget)),
             Choice::NoModel => return Err(Setback::Stuck(Cause::NoModel)),
         };
-        if !pick.admits(Self::claim(job, now)) {
-            return Err(Setback::Full(pick.queue));
-        }
         let slot = Slot::take(&self.news, &pick, job);
         if pick.bare {
             self.adapt(job, &pick).await?;
         }
         let begun = self.send(job, &pick, job.ask.after).await?;
-        self.pass(job, slot, begun, &pick).await
+        self.pass(job, Sent { pick, slot, begun }).await
     }
 
     /// Has the adapter of a job brought to its target.
@@ -193,27 +198,21 @@
     }
 
     /// Passes the answer of a job on, or says why it does not count.
-    async fn pass(
-        self: &Rc<Self>,
-        job: &Rc<Job>,
-        slot: Slot,
-        begun: Begun,
-        pick: &Pick,
-    ) -> Result<Response<Body>, Setback> {
-        let answer = &begun.answer;
-        let status = begun.head.status;
+    async fn pass(self: &Rc<Self>, job: &Rc<Job>, sent: Sent) -> Result<Response<Body>, Setback> {
+        let answer = &sent.begun.answer;
+        let status = sent.begun.head.status;
         if answer.away.is_some() {
-            self.turned_away(job, &slot.target, &begun);
-            self.keep(&slot.target, begun);
+            self.turned_away(job, &sent);
+            self.keep(&sent.slot.target, sent.begun);
             return Err(Setback::NotRun(Cause::NoRoom));
         }
         if !answer.sealed && status.is_success() {
             return Err(Setback::MayHaveRun(Cause::Broken));
         }
         if job.route.kind == Kind::Stream && status.is_success() {
-            return self.stream(job, slot, begun, pick).await;
+            return self.stream(job, sent).await;
         }
-        self.whole(job, slot, begun).await
+        self.whole(job, sent).await
     }
 
     /// Notes that a target could not be reached, broke off or fell silent.
@@ -222,7 +221,9 @@
     }
 
     /// Notes why a target did not run a job.
-    fn turned_away(&self, job: &Job, target: &str, begun: &Begun) {
+    fn turned_away(&self, job: &Job, sent: &Sent) {
+        let Sent { slot, begun, .. } = sent;
+        let target = &slot.target;
         info!(self.log, "turned away"; "request" => &job.ask.attempt, "target" => target,
             "status" => begun.head.status.as_u16());
         if begun.answer.away != Some(Away::Misdirected) {
@@ -237,18 +238,14 @@
     }
 
     /// Gathers a plain answer and passes it on.
-    async fn whole(
-        self: &Rc<Self>,
-        job: &Rc<Job>,
-        slot: Slot,
-        begun: Begun,
-    ) -> Result<Response<Body>, Setback> {
+    async fn whole(self: &Rc<Self>, job: &Rc<Job>, sent: Sent) -> Result<Response<Body>, Setback> {
+        let slot = sent.slot;
         let Begun {
             mut head,
             answer,
             body,
             connection,
-        } = begun;
+        } = sent.begun;
         let gathered = timeout_at(job.deadline.into(), gather(body, GATHER)).await;
         let bytes = match gathered {
             Ok(Ok(bytes)) => bytes,
@@ -273,13 +270,8 @@
     }
 
     /// Waits for the first event of a stream, and passes the stream on.
-    async fn stream(
-        self: &Rc<Self>,
-        job: &Rc<Job>,
-        slot: Slot,
-        begun: Begun,
-        pick: &Pick,
-    ) -> Result<Response<Body>, Setback> {
+    async fn stream(self: &Rc<Self>, job: &Rc<Job>, sent: Sent) -> Result<Response<Body>, Setback> {
+        let Sent { pick, slot, begun } = sent;
         let mut head = clone(&begun.head);
         self.wire.back(&mut head);
         head.headers.remove(http::header::CONTENT_LENGTH);
@@ -292,7 +284,7 @@
             Step::Late => return Err(Setback::MayHaveRun(Cause::Late)),
         };
         slot.read();
-        let rate = self.learn(job, pick);
+        let rate = self.learn(job, &pick);
         info!(self.log, "stream begun"; "request" => &job.ask.attempt, "target" => &slot.target,
             "route" => &job.route.name, "sent" => job.sent.get(), "fresh" => pick.fresh,
             "rate" => rate, "queue_ms" => pick.queue.as_millis(), "wait_ms" => pick.wait.as_millis(),
