--- a/crates/flamingo-control/src/metrics.rs
+++ b/crates/flamingo-control/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Counters and gauges of a control instance.
 
-use prometheus::core::Collector;
-use prometheus::{Encoder, Histogram, HistogramOpts, IntCounter, IntGauge, Registry, TextEncoder};
+use flamingo_daemon::metrics::Book;
+use prometheus::{Histogram, HistogramOpts, IntCounter, IntGauge};
 
 /// Bounds of the histogram of commit latency, in seconds.
 const LATENCY: [f64; 10] = [
@@ -11,7 +11,7 @@
 /// The metrics; clones share their values.
 #[derive(Clone, Debug)]
 pub struct Metrics {
-    registry: Registry,
+    book: Book,
     /// 1 while this instance leads.
     pub leads: IntGauge,
     /// Term.
@@ -41,43 +41,30 @@
     ///
     /// Returns an error where a name is wrong or stands twice.
     pub fn new() -> Result<Self, prometheus::Error> {
-        let registry = Registry::new();
-        let gauge = |name: &str, help: &str| add(&registry, IntGauge::new(name, help)?);
+        let book = Book::default();
         let latency = HistogramOpts::new(
             "flamingo_control_commit_seconds",
             "seconds from proposal to reply",
         );
         let latency = Histogram::with_opts(latency.buckets(LATENCY.to_vec()))?;
-        let proposals = IntCounter::new("flamingo_control_proposals_total", "commands proposed")?;
         Ok(Self {
-            leads: gauge("flamingo_control_leads", "1 while this instance leads")?,
-            term: gauge("flamingo_control_term", "election term")?,
-            committed: gauge("flamingo_control_committed", "last committed index")?,
-            version: gauge("flamingo_control_version", "version in force")?,
-            records: gauge("flamingo_control_ledger_records", "whole ledger records")?,
-            outstanding: gauge("flamingo_control_orders_outstanding", "orders under way")?,
-            followers: gauge("flamingo_control_followers", "followers of this instance")?,
-            broken: gauge("flamingo_control_disk_failed", "1 once the disk failed")?,
-            proposals: add(&registry, proposals)?,
-            commit: add(&registry, latency)?,
-            registry,
+            leads: book.gauge("flamingo_control_leads", "1 while this instance leads")?,
+            term: book.gauge("flamingo_control_term", "election term")?,
+            committed: book.gauge("flamingo_control_committed", "last committed index")?,
+            version: book.gauge("flamingo_control_version", "version in force")?,
+            records: book.gauge("flamingo_control_ledger_records", "whole ledger records")?,
+            outstanding: book.gauge("flamingo_control_orders_outstanding", "orders under way")?,
+            followers: book.gauge("flamingo_control_followers", "followers of this instance")?,
+            broken: book.gauge("flamingo_control_disk_failed", "1 once the disk failed")?,
+            proposals: book.counter("flamingo_control_proposals_total", "commands proposed")?,
+            commit: book.add(latency)?,
+            book,
         })
     }
 
     /// Returns the metrics in the text format.
     #[must_use]
     pub fn text(&self) -> String {
-        let mut bytes = Vec::new();
-        // Writing into memory fails for no metric of this module.
-        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut bytes);
-        String::from_utf8_lossy(&bytes).into_owned()
+        self.book.text()
     }
 }
-
-fn add<T: Collector + Clone + 'static>(
-    registry: &Registry,
-    metric: T,
-) -> Result<T, prometheus::Error> {
-    registry.register(Box::new(metric.clone()))?;
-    Ok(metric)
-}
--- a/crates/flamingo-daemon/src/lib.rs
+++ b/crates/flamingo-daemon/src/lib.rs
@@ -1,4 +1,4 @@
-//! What the daemons share: logs, signals, keys, TLS and answers to HTTP callers.
+//! What the daemons share: logs, metrics, signals, keys, TLS and answers to HTTP callers.
 
 pub mod answer;
 pub mod clock;
@@ -6,5 +6,6 @@
 pub mod guard;
 pub mod key;
 pub mod log;
+pub mod metrics;
 pub mod stop;
 pub mod tls;
--- a/crates/flamingo-serve/src/metrics.rs
+++ b/crates/flamingo-serve/src/metrics.rs
@@ -1,9 +1,9 @@
 //! Counters and histograms of an entry.
 
 use crate::news::News;
+use flamingo_daemon::metrics::Book;
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
-    Registry, TextEncoder,
+    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
 };
 use std::time::Duration;
 
@@ -15,7 +15,7 @@
 /// The metrics of one entry; no label grows with callers.
 #[derive(Clone, Debug)]
 pub struct Metrics {
-    registry: Registry,
+    book: Book,
     /// Requests by route and outcome.
     requests: IntCounterVec,
     /// Time to the first event, or to a whole answer, by route.
@@ -38,53 +38,38 @@
     ///
     /// Returns an error where two of them have one name.
     pub fn new() -> Result<Self, prometheus::Error> {
-        let registry = Registry::new();
-        let counters = |name: &str, help: &str, labels: &[&str]| {
-            let counters = IntCounterVec::new(Opts::new(name, help), labels)?;
-            registry.register(Box::new(counters.clone()))?;
-            Ok::<_, prometheus::Error>(counters)
-        };
-        let gauge = |name: &str, help: &str| {
-            let gauge = IntGauge::new(name, help)?;
-            registry.register(Box::new(gauge.clone()))?;
-            Ok::<_, prometheus::Error>(gauge)
-        };
+        let book = Book::default();
         let first = HistogramOpts::new(
             "flamingo_first_event_seconds",
             "Time to the first event of a stream, or to a whole answer.",
         );
         let first = HistogramVec::new(first.buckets(SECONDS.to_vec()), &["route"])?;
-        registry.register(Box::new(first.clone()))?;
         let targets = Opts::new("flamingo_targets", "Known targets by standing.");
-        let targets = IntGaugeVec::new(targets, &["standing"])?;
-        registry.register(Box::new(targets.clone()))?;
-        let unaffordable = IntCounter::new(
-            "flamingo_repeats_unaffordable_total",
-            "Repeats that the budget of all entries did not allow.",
-        )?;
-        registry.register(Box::new(unaffordable.clone()))?;
         Ok(Self {
-            requests: counters(
+            requests: book.counters(
                 "flamingo_requests_total",
                 "Requests by route and outcome.",
                 &["route", "outcome"],
             )?,
-            sendings: counters(
+            sendings: book.counters(
                 "flamingo_sendings_total",
                 "Sendings to targets by how they ended.",
                 &["ended"],
             )?,
-            connections: counters(
+            connections: book.counters(
                 "flamingo_connections_total",
                 "Connections to targets, dialled or used again.",
                 &["how"],
             )?,
-            version: gauge("flamingo_routes_version", "Version of the routes in force.")?,
-            entries: gauge("flamingo_entries", "Entries that share budgets.")?,
-            first,
-            targets,
-            unaffordable,
-            registry,
+            version: book.gauge("flamingo_routes_version", "Version of the routes in force.")?,
+            entries: book.gauge("flamingo_entries", "Entries that share budgets.")?,
+            unaffordable: book.counter(
+                "flamingo_repeats_unaffordable_total",
+                "Repeats that the budget of all entries did not allow.",
+            )?,
+            first: book.add(first)?,
+            targets: book.add(IntGaugeVec::new(targets, &["standing"])?)?,
+            book,
         })
     }
 
@@ -103,10 +88,7 @@
     #[must_use]
     pub fn text(&self, news: &News) -> String {
         self.look(news);
-        let mut out = Vec::new();
-        // Writing to memory does not fail; a bad metric leaves the text short.
-        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut out);
-        String::from_utf8(out).unwrap_or_default()
+        self.book.text()
     }
 
     fn look(&self, news: &News) {
