--- a/crates/flamingo-ctl/src/command/trace.rs
+++ b/crates/flamingo-ctl/src/command/trace.rs
@@ -56,14 +56,14 @@
         };
         table = table.row(&[&mark, &line.at, &line.node, &line.message, &line.fields]);
     }
-    let mut text = match (story.lines.is_empty(), story.deciding) {
-        (true, _) => format!("no line of request {request}\n"),
-        (false, None) => format!(
-            "{}nothing went wrong\n",
-            Output::table(&table, &()).print(false) + "\n"
-        ),
-        (false, Some(_)) => format!("{}\n", Output::table(&table, &()).print(false)),
+    let mut text = if story.lines.is_empty() {
+        format!("no line of request {request}\n")
+    } else {
+        format!("{}\n", Output::table(&table, &()).print(false))
     };
+    if !story.lines.is_empty() && story.deciding.is_none() {
+        text.push_str("nothing went wrong\n");
+    }
     for unread in &story.unread {
         // Writing to a String can't fail.
         let _ = writeln!(
