Count a relayed byte before it is passed on

The test held_bytes_pass_after_the_heal failed once beside load: it read the relay's count right after the last byte had arrived, and found 5 in place of 6.

Cause: a pump wrote the bytes on and counted them afterwards, so a reader could look in between.

Whoever has read a byte now finds it counted.

--- a/crates/flamingo-test-support/src/relay.rs
+++ b/crates/flamingo-test-support/src/relay.rs
@@ -21,7 +21,7 @@
     ended: AtomicBool,
     /// Delay of each chunk, in milliseconds.
     delay: AtomicU64,
-    /// Bytes passed, both ways.
+    /// Bytes passed or about to be, both ways.
     bytes: AtomicU64,
     /// Connections accepted.
     accepted: AtomicU64,
@@ -126,7 +126,7 @@
         self.state.delay.store(millis, Ordering::SeqCst);
     }
 
-    /// Returns the bytes passed so far, both ways.
+    /// Returns the bytes passed so far or about to be, both ways.
     #[must_use]
     pub fn bytes(&self) -> u64 {
         self.state.bytes.load(Ordering::SeqCst)
@@ -219,10 +219,11 @@
         if connection.silent.load(Ordering::SeqCst) {
             continue;
         }
+        // Counted first, so that whoever has read a byte finds it counted.
+        state.bytes.fetch_add(read as u64, Ordering::SeqCst);
         if to.write_all(&chunk[..read]).is_err() {
             break;
         }
-        state.bytes.fetch_add(read as u64, Ordering::SeqCst);
     }
     connection.close();
     let mut open = state.open.lock().unwrap_or_else(PoisonError::into_inner);
