--- a/crates/flamingo-control/src/controller/engine.rs
+++ b/crates/flamingo-control/src/controller/engine.rs
@@ -4,8 +4,8 @@
 //! orders an engine to load more than its memory holds.
 
 use super::engine_api::{Operation, Order, Outcome, Report};
-use flamingo_wire::id;
 use flamingo_wire::target::{Registration, Residency, Resident};
+use flamingo_wire::{id, route};
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
@@ -32,6 +32,8 @@
     uncertain: bool,
     /// Whether the engine is executing an order.
     executing: bool,
+    /// When the newest report was applied.
+    reported_at: Option<Instant>,
     /// When the next move may start, after a move that failed.
     pub backoff_until: Option<Instant>,
     /// The models that are resident or may be, with their adapters.
@@ -55,6 +57,7 @@
             sequence: None,
             uncertain: false,
             executing: false,
+            reported_at: None,
             backoff_until: None,
             models: BTreeMap::new(),
             loading: None,
@@ -96,6 +99,13 @@
         self.sequence.filter(|_| !self.uncertain)
     }
 
+    /// Returns the age of the newest report, or `None` before the first.
+    #[must_use]
+    pub fn report_age(&self, now: Instant) -> Option<Duration> {
+        let reported_at = self.reported_at?;
+        Some(now.saturating_duration_since(reported_at))
+    }
+
     /// Returns whether no move may start now: the engine moves or executes an order, backs off
     /// after a failed move, or has an unknown sequence.
     #[must_use]
@@ -117,6 +127,7 @@
             return false;
         }
         self.uncertain = false;
+        self.reported_at = Some(now);
         self.executing = report.executing;
         let unconfirmed: Vec<(id::Model, id::Adapter, Adapter)> = self
             .models
@@ -250,12 +261,12 @@
         models
     }
 
-    /// Returns the megabytes of the weights and adapters that are resident or may be. `size`
-    /// returns the megabytes of a model's weights and of one of its adapters.
+    /// Returns the megabytes of the weights and adapters that are resident or may be, on an engine
+    /// as `engine` configures it. A model that it does not list may occupy the whole engine.
     #[must_use]
-    pub fn memory_megabytes(&self, size: impl Fn(&str) -> (f64, f64)) -> f64 {
+    pub fn memory_megabytes(&self, engine: &route::Engine) -> f64 {
         let models = self.models.iter().map(|(model, adapters)| {
-            let (weights, adapter) = size(model);
+            let (weights, adapter) = size(engine, model);
             let count = u32::try_from(adapters.len()).unwrap_or(u32::MAX);
             weights + adapter * f64::from(count)
         });
@@ -285,3 +296,12 @@
         }
     }
 }
+
+/// Returns the megabytes of a model's weights and of one of its adapters.
+fn size(engine: &route::Engine, model: &str) -> (f64, f64) {
+    let mut models = engine.models.iter();
+    let model = models.find(|known| known.name == model);
+    model.map_or((engine.megabytes, 0.0), |model| {
+        (model.megabytes, model.adapter_megabytes)
+    })
+}
--- a/crates/flamingo-control/src/controller/moves.rs
+++ b/crates/flamingo-control/src/controller/moves.rs
@@ -266,15 +266,12 @@
         let routes = term.routes.as_ref().ok_or("no routes are in force")?;
         let engine =
             engine_config(routes, &engine_state.registration.service).ok_or("not an engine")?;
-        let size = |model: &str| {
-            let mut models = engine.models.iter();
-            let model = models.find(|known| known.name == model);
-            model.map_or((engine.megabytes, 0.0), |model| {
-                (model.megabytes, model.adapter_megabytes)
-            })
-        };
-        let (weights, _) = size(&planned.load);
-        if engine_state.memory_megabytes(size) + weights > engine.megabytes {
+        let loaded = engine
+            .models
+            .iter()
+            .find(|model| model.name == planned.load);
+        let weights = loaded.map_or(engine.megabytes, |model| model.megabytes);
+        if engine_state.memory_megabytes(engine) + weights > engine.megabytes {
             return Err("the engine has too little free memory");
         }
         Ok(())
--- a/crates/flamingo-control/src/controller/orders.rs
+++ b/crates/flamingo-control/src/controller/orders.rs
@@ -1,10 +1,12 @@
 //! Sends single orders to engines, loads adapters, and fetches reports of engines.
 
+use super::engine::EngineState;
 use super::engine_api::{Operation, Order, Outcome, Report};
 use super::{Controller, engine_config};
 use flamingo_daemon::clock;
 use flamingo_wire::control::LoadAdapter;
 use flamingo_wire::id;
+use flamingo_wire::route::Set;
 use slog::info;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -17,6 +19,30 @@
 /// Time after which an adapter whose load was accepted counts as resident.
 const ADAPTER_LOAD_DELAY: Duration = Duration::from_millis(12);
 
+/// What the controller knew of an engine when it gave an order, for the log.
+struct Belief {
+    incarnation: id::Incarnation,
+    /// Memory that is occupied or may be, in megabytes.
+    megabytes: f64,
+    /// Number of adapters that are resident or may be.
+    adapters: usize,
+    /// Age of the newest report in milliseconds; `None` before the first report.
+    report_age_ms: Option<u128>,
+}
+
+impl Belief {
+    fn new(engine_state: &EngineState, routes: Option<&Set>, now: Instant) -> Self {
+        let registration = &engine_state.registration;
+        let engine = routes.and_then(|routes| engine_config(routes, &registration.service));
+        Self {
+            incarnation: registration.incarnation,
+            megabytes: engine.map_or(0.0, |engine| engine_state.memory_megabytes(engine)),
+            adapters: engine_state.adapter_count(),
+            report_age_ms: engine_state.report_age(now).map(|age| age.as_millis()),
+        }
+    }
+}
+
 impl Controller {
     /// Returns the lock of an engine, which a task holds while it gives the engine an order.
     pub(super) fn order_lock(&self, target: &str) -> Rc<Mutex<()>> {
@@ -74,15 +100,16 @@
             return Outcome::Refused;
         };
         let now = clock::now();
-        let order = {
+        let (order, belief) = {
             let term = self.term.borrow();
             let engine_state = term.engines.get(target);
-            let known = engine_state.and_then(|engine_state| {
-                Some((engine_state.sequence()?, &engine_state.registration))
-            });
-            let Some((expected_sequence, registration)) = known else {
+            let known = engine_state
+                .and_then(|engine_state| Some((engine_state.sequence()?, engine_state)));
+            let Some((expected_sequence, engine_state)) = known else {
                 return Outcome::Refused;
             };
+            let registration = &engine_state.registration;
+            let belief = Belief::new(engine_state, term.routes.as_deref(), now);
             let current = term.fence == leader.fence && !term.superseded;
             if !current
                 || term.orders_from.is_none_or(|first| now < first)
@@ -90,7 +117,7 @@
             {
                 return Outcome::Refused;
             }
-            Order {
+            let order = Order {
                 target: target.to_owned(),
                 address: registration.address,
                 operation,
@@ -99,7 +126,8 @@
                 expected_sequence,
                 issuer: self.node.clone(),
                 fence: leader.fence,
-            }
+            };
+            (order, belief)
         };
         let ordered = self
             .engine_client
@@ -115,6 +143,8 @@
         let (operation, outcome_name): (&str, &str) = (operation.into(), outcome.into());
         info!(self.log, "order"; "target" => target, "operation" => operation, "model" => model,
             "adapter" => adapter, "expected" => order.expected_sequence, "fence" => order.fence,
+            "incarnation" => belief.incarnation, "memory_mb" => belief.megabytes,
+            "adapters" => belief.adapters, "report_age_ms" => belief.report_age_ms,
             "outcome" => outcome_name);
         outcome
     }
@@ -188,7 +218,7 @@
     fn adapter_to_evict(
         &self,
         target: &str,
-        routes: &flamingo_wire::route::Set,
+        routes: &Set,
     ) -> Result<Option<(id::Model, id::Adapter)>, &'static str> {
         let term = self.term.borrow();
         let engine_state = term.engines.get(target).ok_or("no such engine")?;
--- a/crates/flamingo-control/src/raft_actor.rs
+++ b/crates/flamingo-control/src/raft_actor.rs
@@ -36,6 +36,8 @@
 
 /// Interval at which the actor advances the log's timers and runs the leader tasks.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
+/// Time between two ticks from which on the process counts as held up.
+const LONG_TICK: Duration = Duration::from_millis(200);
 /// Time without a heartbeat after which a follower of the configuration counts as gone.
 const FOLLOWER_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -93,6 +95,8 @@
     stopping: bool,
     /// Bytes of commands applied since the last snapshot.
     bytes_since_snapshot: usize,
+    /// When the timers were last advanced; `None` before the first time.
+    ticked_at: Option<Instant>,
 }
 
 impl std::fmt::Debug for RaftActor {
@@ -134,6 +138,7 @@
             flush_queued: false,
             stopping: false,
             bytes_since_snapshot: 0,
+            ticked_at: None,
         }
     }
 
@@ -183,6 +188,7 @@
 
     fn tick(&mut self, ctx: &mut Context<Self>) {
         let now = clock::now();
+        self.log_long_tick(now);
         self.raft.tick(now);
         self.process_actions(now);
         self.proposals.expire(now);
@@ -192,6 +198,15 @@
         self.update_metrics(now);
     }
 
+    /// Logs that no timer was advanced for a long time: the process was busy or did not run.
+    fn log_long_tick(&mut self, now: Instant) {
+        let ticked_at = self.ticked_at.replace(now);
+        let since = ticked_at.map_or(Duration::ZERO, |ticked_at| now - ticked_at);
+        if since >= LONG_TICK {
+            info!(self.log, "held up"; "for_ms" => since.as_millis());
+        }
+    }
+
     /// Runs the leader tasks while this instance leads, and proposes the commands they return.
     fn run_leader_tasks(&mut self, now: Instant, ctx: &mut Context<Self>) {
         let Some(leadership) = self.leadership(now) else {
--- a/crates/flamingo-control/tests/engine_state.rs
+++ b/crates/flamingo-control/tests/engine_state.rs
@@ -3,6 +3,7 @@
 use flamingo_control::controller::engine::EngineState;
 use flamingo_control::controller::engine_api::{Operation, Order, Outcome, Report};
 use flamingo_test_support::registration::registration;
+use flamingo_wire::route::{Engine, Model};
 use flamingo_wire::target::Resident;
 use std::time::{Duration, Instant};
 
@@ -40,6 +41,19 @@
     engine
 }
 
+fn engine_config() -> Engine {
+    Engine {
+        megabytes: 200.0,
+        models: vec![Model {
+            name: "m".into(),
+            megabytes: 70.0,
+            adapter_megabytes: 2.0,
+            ..Model::default()
+        }],
+        ..Engine::default()
+    }
+}
+
 #[test]
 fn no_order_is_given_before_the_first_report() {
     let now = Instant::now();
@@ -119,6 +133,6 @@
 fn memory_counts_weights_and_adapters() {
     let now = Instant::now();
     let engine = engine_state(now);
-    let megabytes = engine.memory_megabytes(|_| (70.0, 2.0));
+    let megabytes = engine.memory_megabytes(&engine_config());
     assert!((megabytes - 72.0).abs() < 1e-9);
 }
