--- /dev/null
+++ b/crates/flamingo-control/tests/controller/engine.rs
@@ -0,0 +1,170 @@
+//! An engine in memory that carries out orders, loses and delays them, and counts its memory.
+
+use flamingo_control::controller::engine_api::{EngineClient, Operation, Order, Outcome, Report};
+use flamingo_wire::id;
+use flamingo_wire::route;
+use flamingo_wire::target::{Registration, Resident};
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::Instant;
+
+/// One engine.
+#[derive(Clone, Debug, Default)]
+pub struct Engine {
+    pub incarnation: id::Incarnation,
+    pub sequence: u64,
+    pub models: BTreeMap<id::Model, BTreeSet<id::Adapter>>,
+    /// Whether an order ever made it hold more than its memory or its slots.
+    pub overfull: bool,
+    /// Reports given.
+    pub reports: usize,
+    /// Orders received.
+    pub orders: Vec<Order>,
+}
+
+impl Engine {
+    /// Returns an engine that holds these models.
+    pub fn new(sequence: u64, models: &[&str]) -> Self {
+        let models = models.iter().map(|name| ((*name).into(), BTreeSet::new()));
+        Self {
+            incarnation: 1,
+            sequence,
+            models: models.collect(),
+            ..Self::default()
+        }
+    }
+
+    /// Carries out an order, or refuses it.
+    pub fn execute(&mut self, order: &Order, config: &route::Engine) -> Outcome {
+        if order.expected_sequence != self.sequence {
+            return Outcome::Conflict;
+        }
+        let holds = self.holds(order);
+        if holds == (order.operation == Operation::Load) {
+            return Outcome::AlreadyDone;
+        }
+        self.sequence += 1;
+        match (order.operation, &order.adapter) {
+            (Operation::Load, None) => {
+                self.models.insert(order.model.clone(), BTreeSet::new());
+            }
+            (Operation::Load, Some(adapter)) => {
+                let adapters = self.models.entry(order.model.clone()).or_default();
+                adapters.insert(adapter.clone());
+            }
+            (Operation::Unload, None) => {
+                self.models.remove(&order.model);
+            }
+            (Operation::Unload, Some(adapter)) => {
+                let adapters = self.models.entry(order.model.clone()).or_default();
+                adapters.remove(adapter);
+            }
+        }
+        self.overfull |= self.megabytes(config) > config.megabytes;
+        self.overfull |= self.adapters() > config.adapters as usize;
+        match (order.operation, &order.adapter) {
+            (Operation::Unload, Some(_)) => Outcome::AlreadyDone,
+            _ => Outcome::Started,
+        }
+    }
+
+    fn holds(&self, order: &Order) -> bool {
+        let adapters = self.models.get(&order.model);
+        match &order.adapter {
+            None => adapters.is_some(),
+            Some(adapter) => adapters.is_some_and(|adapters| adapters.contains(adapter)),
+        }
+    }
+
+    fn adapters(&self) -> usize {
+        self.models.values().map(BTreeSet::len).sum()
+    }
+
+    fn megabytes(&self, config: &route::Engine) -> f64 {
+        let models = config.models.iter();
+        let models = models.filter(|model| self.models.contains_key(&model.name));
+        models.map(|model| model.megabytes).sum()
+    }
+
+    fn residents(&self) -> Vec<Resident> {
+        let models = self.models.iter().map(|(model, adapters)| Resident {
+            model: model.clone(),
+            adapters: adapters.iter().cloned().collect(),
+        });
+        models.collect()
+    }
+
+    fn report(&mut self) -> Report {
+        self.reports += 1;
+        Report {
+            models: self.residents(),
+            sequence: self.sequence,
+            ..Report::default()
+        }
+    }
+
+    /// Returns what the engine registers under `id`.
+    pub fn registration(&self, id: &str, sequence: u64) -> Registration {
+        Registration {
+            incarnation: self.incarnation,
+            sequence,
+            models: self.residents(),
+            ..flamingo_test_support::registration::registration(id)
+        }
+    }
+}
+
+/// Decides what becomes of an order: an outcome, or `None` to have the engine carry it out.
+pub type Script = Box<dyn FnMut(&mut Engine, &Order) -> Option<Outcome>>;
+
+/// All engines of a test.
+#[derive(Clone)]
+pub struct World {
+    pub engines: Rc<RefCell<BTreeMap<id::Target, Engine>>>,
+    pub config: Rc<route::Engine>,
+    script: Rc<RefCell<Script>>,
+}
+
+impl World {
+    pub fn new(
+        config: route::Engine,
+        engines: impl IntoIterator<Item = (&'static str, Engine)>,
+        script: Script,
+    ) -> Self {
+        let engines = engines.into_iter().map(|(id, engine)| (id.into(), engine));
+        Self {
+            engines: Rc::new(RefCell::new(engines.collect())),
+            config: Rc::new(config),
+            script: Rc::new(RefCell::new(script)),
+        }
+    }
+
+    /// Returns what `look` returns for an engine.
+    pub fn look<T>(&self, id: &str, look: impl FnOnce(&Engine) -> T) -> T {
+        look(&self.engines.borrow()[id])
+    }
+}
+
+impl EngineClient for World {
+    fn order(&self, order: Order, _: Instant) -> LocalBoxFuture<'static, Outcome> {
+        let world = self.clone();
+        async move {
+            let mut engines = world.engines.borrow_mut();
+            let Some(engine) = engines.get_mut(&order.target) else {
+                return Outcome::Uncertain;
+            };
+            engine.orders.push(order.clone());
+            let scripted = (world.script.borrow_mut())(engine, &order);
+            scripted.unwrap_or_else(|| engine.execute(&order, &world.config))
+        }
+        .boxed_local()
+    }
+
+    fn report(&self, target: &Registration, _: Instant) -> LocalBoxFuture<'static, Option<Report>> {
+        let (world, id) = (self.clone(), target.id.clone());
+        async move { Some(world.engines.borrow_mut().get_mut(&id)?.report()) }.boxed_local()
+    }
+}
