A move ends with the engine's incarnation and the leadership that planned it

Callers saw engines crash from orders that nobody had planned for them.

Cause: the task of a move knew the engine by name only. After a restart under the same name, or after its instance lost and regained the lead, the task went on: it gave orders to the new incarnation, beside the moves planned for that one, and at its end it marked the new state as idle.

Every step of a task now looks the engine up by a key of name, incarnation and fencing number, and stops where that key is no longer the engine's.

--- a/crates/flamingo-control/src/controller/engine.rs
+++ b/crates/flamingo-control/src/controller/engine.rs
@@ -12,6 +12,17 @@
 /// Time after a request for an adapter in which the adapter counts as in use.
 const ADAPTER_USE_GRACE: Duration = Duration::from_millis(400);
 
+/// One incarnation of an engine, as one leadership knows it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Key {
+    /// The engine.
+    pub target: id::Target,
+    /// Incarnation of the engine.
+    pub incarnation: id::Incarnation,
+    /// Fencing number of the leadership.
+    pub fence: id::Fence,
+}
+
 /// An adapter that is resident or may be.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 struct Adapter {
@@ -99,6 +110,16 @@
         self.sequence.filter(|_| !self.uncertain)
     }
 
+    /// Returns the key of this state under the leadership `fence`.
+    #[must_use]
+    pub fn key(&self, fence: id::Fence) -> Key {
+        Key {
+            target: self.registration.id.clone(),
+            incarnation: self.registration.incarnation,
+            fence,
+        }
+    }
+
     /// Returns the age of the newest report, or `None` before the first.
     #[must_use]
     pub fn report_age(&self, now: Instant) -> Option<Duration> {
--- a/crates/flamingo-control/src/controller/mod.rs
+++ b/crates/flamingo-control/src/controller/mod.rs
@@ -16,7 +16,7 @@
 use crate::raft_actor::ReadState;
 use crate::watch::lock_registry;
 use demand::Tracker;
-use engine::EngineState;
+use engine::{EngineState, Key};
 use engine_api::EngineClient;
 use flamingo_daemon::clock;
 use flamingo_wire::control::{Push, Reply, Request};
@@ -147,6 +147,20 @@
     loads_published_at: Option<Instant>,
 }
 
+impl TermState {
+    /// Returns the state of an engine, unless it has restarted or the leadership is another one.
+    fn engine(&self, key: &Key) -> Option<&EngineState> {
+        let engine_state = self.engines.get(&key.target)?;
+        (engine_state.key(self.fence) == *key).then_some(engine_state)
+    }
+
+    /// As [`Self::engine`], to change the state.
+    fn engine_mut(&mut self, key: &Key) -> Option<&mut EngineState> {
+        let engine_state = self.engines.get_mut(&key.target)?;
+        (engine_state.key(self.fence) == *key).then_some(engine_state)
+    }
+}
+
 /// Limits a log line to one a second.
 #[derive(Debug, Default)]
 struct LogRateLimit {
@@ -330,7 +344,8 @@
             });
             if due && !engine_state.moving {
                 term.polled_at.insert(id.clone(), now);
-                tokio::task::spawn_local(Rc::clone(self).poll_engine(id.clone()));
+                let key = engine_state.key(term.fence);
+                tokio::task::spawn_local(Rc::clone(self).poll_engine(key));
             }
         }
     }
--- a/crates/flamingo-control/src/controller/moves.rs
+++ b/crates/flamingo-control/src/controller/moves.rs
@@ -1,6 +1,6 @@
 //! Moves replicas of models between engines to follow the demand.
 
-use super::engine::EngineState;
+use super::engine::{EngineState, Key};
 use super::engine_api::{Operation, Outcome, Report};
 use super::{Controller, LeaderSnapshot, TermState, engine_config};
 use flamingo_daemon::clock;
@@ -188,12 +188,14 @@
         max_loads - f64::from(started)
     }
 
-    /// Starts a task that executes a move.
+    /// Starts a task that executes a move. The task ends with the engine's incarnation and with
+    /// this leadership.
     fn start_move(self: &Rc<Self>, planned: Move) {
         info!(self.log, "move"; "target" => &planned.target, "load" => &planned.load,
             "unload" => planned.unload.join(","), "store" => planned.from_store);
-        {
+        let key = {
             let mut term = self.term.borrow_mut();
+            let fence = term.fence;
             if planned.from_store {
                 term.store_loads.push(clock::now());
             }
@@ -203,21 +205,22 @@
             engine_state.moving = true;
             engine_state.moves_started += 1;
             engine_state.loading = Some(planned.load.clone());
-        }
+            engine_state.key(fence)
+        };
         let controller = Rc::clone(self);
         tokio::task::spawn_local(async move {
-            let failure = controller.execute_move(&planned).await.err();
+            let failure = controller.execute_move(&key, &planned).await.err();
             info!(controller.log, "move ended"; "target" => &planned.target, "load" => &planned.load,
                 "why" => failure.unwrap_or("done"));
-            let mut term = controller.term.borrow_mut();
-            if let Some(engine_state) = term.engines.get_mut(&planned.target) {
+            let current = controller.update_engine(&key, |engine_state| {
                 engine_state.moving = false;
                 engine_state.backoff_until = failure.map(|_| clock::now() + MOVE_RETRY_BACKOFF);
                 engine_state.loading = None;
                 engine_state.unloading = None;
+            });
+            if current {
+                controller.publish_residency(&planned.target);
             }
-            drop(term);
-            controller.publish_residency(&planned.target);
         });
     }
 
@@ -226,20 +229,16 @@
     /// # Errors
     ///
     /// Returns why the move stopped; models that were unloaded stay unloaded.
-    async fn execute_move(&self, planned: &Move) -> Result<(), &'static str> {
+    async fn execute_move(&self, key: &Key, planned: &Move) -> Result<(), &'static str> {
         for model in &planned.unload {
-            self.update_engine(&planned.target, |state| {
-                state.unloading = Some(model.clone());
-            });
-            self.publish_residency(&planned.target);
+            self.update_engine(key, |state| state.unloading = Some(model.clone()));
+            self.publish_residency(&key.target);
             tokio::time::sleep(UNLOAD_NOTICE).await;
-            self.order_model(&planned.target, Operation::Unload, model)
-                .await?;
-            self.wait_for_completion(&planned.target, model, false)
-                .await?;
-            self.update_engine(&planned.target, |state| state.unloading = None);
+            self.order_model(key, Operation::Unload, model).await?;
+            self.wait_for_completion(key, model, false).await?;
+            self.update_engine(key, |state| state.unloading = None);
         }
-        self.check_memory(planned)?;
+        self.check_memory(key, planned)?;
         if planned.from_store {
             let load = crate::raft_actor::Propose(Command::Load(1));
             match self.core.raft_actor.send(load).await {
@@ -247,22 +246,18 @@
                 _ => return Err("the load could not be recorded"),
             }
         }
-        self.order_model(&planned.target, Operation::Load, &planned.load)
+        self.order_model(key, Operation::Load, &planned.load)
             .await?;
-        self.wait_for_completion(&planned.target, &planned.load, true)
-            .await?;
-        self.update_engine(&planned.target, |state| state.record_loaded(&planned.load));
+        self.wait_for_completion(key, &planned.load, true).await?;
+        self.update_engine(key, |state| state.record_loaded(&planned.load));
         Ok(())
     }
 
     /// Checks that an engine has memory for a model beside all that is resident or may become so
     /// by an uncertain order.
-    fn check_memory(&self, planned: &Move) -> Result<(), &'static str> {
+    fn check_memory(&self, key: &Key, planned: &Move) -> Result<(), &'static str> {
         let term = self.term.borrow();
-        let engine_state = term
-            .engines
-            .get(&planned.target)
-            .ok_or("the engine has gone")?;
+        let engine_state = term.engine(key).ok_or("the engine has gone")?;
         let routes = term.routes.as_ref().ok_or("no routes are in force")?;
         let engine =
             engine_config(routes, &engine_state.registration.service).ok_or("not an engine")?;
@@ -277,26 +272,25 @@
         Ok(())
     }
 
-    /// Changes the state of an engine, unless the engine has gone.
-    fn update_engine(&self, target: &str, change: impl FnOnce(&mut EngineState)) {
+    /// Changes the state of an engine. Returns `false` where the engine or the leadership is
+    /// another one by now.
+    fn update_engine(&self, key: &Key, change: impl FnOnce(&mut EngineState)) -> bool {
         let mut term = self.term.borrow_mut();
-        if let Some(engine_state) = term.engines.get_mut(target) {
-            change(engine_state);
-        }
+        term.engine_mut(key).map(change).is_some()
     }
 
     /// Gives an order for a model and retries while it is uncertain whether the engine accepted
     /// the order. Returns once the engine has accepted or executed it.
     async fn order_model(
         &self,
-        target: &str,
+        key: &Key,
         operation: Operation,
         model: &id::Model,
     ) -> Result<(), &'static str> {
-        let lock = self.order_lock(target);
+        let lock = self.order_lock(&key.target);
         for _ in 0..MAX_ORDER_ATTEMPTS {
             let turn = lock.lock().await;
-            let outcome = self.send_order(target, operation, model, None).await;
+            let outcome = self.send_order(key, operation, model, None).await;
             drop(turn);
             match outcome {
                 Outcome::Started | Outcome::AlreadyDone => return Ok(()),
@@ -305,7 +299,7 @@
                 Outcome::Uncertain | Outcome::Conflict => {}
             }
             tokio::time::sleep(UNCERTAIN_ORDER_DELAY).await;
-            if let Some(report) = self.fetch_report(target).await
+            if let Some(report) = self.fetch_report(key).await
                 && (report.executing || has_model(&report, model) == (operation == Operation::Load))
             {
                 return Ok(());
@@ -318,18 +312,17 @@
     /// as `expect_resident` says.
     async fn wait_for_completion(
         &self,
-        target: &str,
+        key: &Key,
         model: &id::Model,
         expect_resident: bool,
     ) -> Result<(), &'static str> {
         let deadline = clock::now() + EXECUTION_TIMEOUT;
         while clock::now() < deadline {
             tokio::time::sleep(ORDER_POLL_INTERVAL).await;
-            let present = self.term.borrow().engines.contains_key(target);
-            if !present {
-                return Err("the engine has gone");
+            if self.term.borrow().engine(key).is_none() {
+                return Err("the engine has gone or has restarted");
             }
-            let Some(report) = self.fetch_report(target).await else {
+            let Some(report) = self.fetch_report(key).await else {
                 continue;
             };
             if report.executing {
--- a/crates/flamingo-control/tests/controller/engine.rs
+++ b/crates/flamingo-control/tests/controller/engine.rs
@@ -19,9 +19,9 @@
     pub models: BTreeMap<id::Model, BTreeSet<id::Adapter>>,
     /// Whether an order ever made it hold more than its memory or its slots.
     pub overfull: bool,
-    /// Reports given.
+    /// Reports given since the last restart.
     pub reports: usize,
-    /// Orders received.
+    /// Orders received since the last restart.
     pub orders: Vec<Order>,
 }
 
@@ -37,6 +37,16 @@
         }
     }
 
+    /// Restarts under the same name with these models.
+    pub fn restart(&mut self, models: &[&str]) {
+        let restarted = Self::new(0, models);
+        self.incarnation += 1;
+        self.sequence = restarted.sequence;
+        self.models = restarted.models;
+        self.orders.clear();
+        self.reports = 0;
+    }
+
     /// Carries out an order, or refuses it.
     pub fn execute(&mut self, order: &Order, config: &route::Engine) -> Outcome {
         if order.expected_sequence != self.sequence {
--- a/crates/flamingo-control/tests/controller/harness.rs
+++ b/crates/flamingo-control/tests/controller/harness.rs
@@ -22,7 +22,7 @@
 /// Port of the inner protocol.
 const PORT: u16 = 7411;
 /// Interval of the engines' heartbeats.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(100);
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(20);
 
 /// A running controller.
 pub struct Harness {
--- a/crates/flamingo-control/tests/controller/main.rs
+++ b/crates/flamingo-control/tests/controller/main.rs
@@ -4,7 +4,7 @@
 mod harness;
 
 use engine::{Engine, Script, World};
-use flamingo_control::controller::engine_api::{Operation, Order};
+use flamingo_control::controller::engine_api::{Operation, Order, Outcome};
 use flamingo_test_support::wait;
 use flamingo_wire::control::{LoadAdapter, Request};
 use flamingo_wire::route;
@@ -20,24 +20,24 @@
     };
 }
 
-/// Engines with memory for two of the models `a`, `b` and `c`, and slots for `adapters`.
-fn config(adapters: u32) -> route::Engine {
-    let model = |name: &str, megabytes| route::Model {
-        name: name.into(),
-        megabytes,
+/// Returns engines with 200 MB and slots for `adapters`, and models of these sizes.
+fn config(models: &[(&str, f64)], adapters: u32) -> route::Engine {
+    let models = models.iter().map(|(name, megabytes)| route::Model {
+        name: (*name).into(),
+        megabytes: *megabytes,
         load_s: 1.0,
         disk_s: 1.0,
         adapters,
         adapter_megabytes: 1.0,
         ..route::Model::default()
-    };
+    });
     route::Engine {
         slots: 8,
         tokens: 1_000,
         megabytes: 200.0,
         adapters,
         loads_per_s: 10.0,
-        models: vec![model("a", 70.0), model("b", 70.0), model("c", 70.0)],
+        models: models.collect(),
         ..route::Engine::default()
     }
 }
@@ -62,23 +62,27 @@
     .await;
 }
 
-/// A load of an earlier leader, which takes the last room, is carried out right before the first
-/// order of this one.
-fn earlier_load_wins(config: route::Engine, model: &'static str) -> Script {
+/// Returns a script that calls `first` with the first order, and has all orders carried out for
+/// which that returns nothing.
+fn at_first_order(first: impl Fn(&mut Engine, &Order) -> Option<Outcome> + 'static) -> Script {
     let mut done = false;
     Box::new(move |engine, order| {
         if std::mem::replace(&mut done, true) {
             return None;
         }
-        let earlier = late(order, model, None, engine.sequence);
-        engine.execute(&earlier, &config);
-        None
+        first(engine, order)
     })
 }
 
+/// A load of an earlier leader takes the last room right before the first order of this one.
 async fn retry_after_an_earlier_load() {
-    let script = earlier_load_wins(config(0), "c");
-    let world = World::new(config(0), [("e", Engine::new(0, &["a"]))], script);
+    let models = [("a", 70.0), ("b", 70.0), ("c", 70.0)];
+    let script = at_first_order(move |engine, order| {
+        let earlier = late(order, "c", None, engine.sequence);
+        engine.execute(&earlier, &config(&models, 0));
+        None
+    });
+    let world = World::new(config(&models, 0), [("e", Engine::new(0, &["a"]))], script);
     let _harness = Harness::start(&world).await;
     until(&world, "the first order", |engine| {
         !engine.orders.is_empty()
@@ -97,16 +101,14 @@
 /// Asks for adapter `x` twice; before the first order an earlier leader's load of `y` takes the
 /// only slot.
 async fn adapter_after_an_earlier_one() {
-    let mut done = false;
-    let script: Script = Box::new(move |engine, order| {
-        if std::mem::replace(&mut done, true) {
-            return None;
-        }
+    let models = [("a", 70.0), ("b", 70.0)];
+    let script = at_first_order(move |engine, order| {
         let earlier = late(order, "a", Some("y"), engine.sequence);
-        engine.execute(&earlier, &config(1));
+        engine.execute(&earlier, &config(&models, 1));
         None
     });
-    let world = World::new(config(1), [("e", Engine::new(0, &["a", "b"]))], script);
+    let engine = Engine::new(0, &["a", "b"]);
+    let world = World::new(config(&models, 1), [("e", engine)], script);
     let harness = Harness::start(&world).await;
     let request = LoadAdapter {
         target: "e".into(),
@@ -123,3 +125,29 @@
 }
 
 case! { a_late_adapter_does_not_overfill_the_slots, adapter_after_an_earlier_one() }
+
+/// A move unloads `a` to load `b`. The engine restarts with `b` before the unload is answered, so
+/// that its new incarnation needs no order.
+async fn restart_within_a_move() {
+    let models = [("a", 150.0), ("b", 70.0)];
+    let script = at_first_order(|engine, _| {
+        engine.restart(&["b"]);
+        Some(Outcome::Uncertain)
+    });
+    let engines = [("e", Engine::new(0, &["a"])), ("f", Engine::new(0, &["a"]))];
+    let world = World::new(config(&models, 0), engines, script);
+    let _harness = Harness::start(&world).await;
+    let restarted = || {
+        let engines = world.engines.borrow();
+        let restarted = engines.values().find(|engine| engine.incarnation > 1);
+        restarted.map(|engine| (engine.reports, engine.orders.len()))
+    };
+    let orders = wait::until("reports after the restart", || {
+        let seen = restarted().filter(|(reports, _)| *reports >= 3);
+        async move { seen.map(|(_, orders)| orders) }
+    })
+    .await;
+    assert_eq!(orders, 0);
+}
+
+case! { a_move_does_not_go_on_at_a_restarted_engine, restart_within_a_move() }
