Compare an order with the engine's room when it is sent, not before

Cause: memory was checked before the load was recorded in the log and before the engine's lock was taken; slots for adapters before the report that the order itself may fetch. A report in between renews the expected sequence, a retry after a conflict takes the new one, and neither compared the room again. So one order of an earlier leader, carried out late, was enough for one load too many. A model load without an answer counted nowhere, and after a restart under the same name the engine accepts it where the sequence fits.

The room is compared in the same step that takes the expected sequence, with nothing awaited up to the sending. The engine refuses any other sequence, so what was compared is what the engine holds. Loads without an answer count for 20 s or until the sequence is past theirs, also over a restart. While an engine executes an order, no model is ordered.

--- a/crates/flamingo-control/src/controller/engine.rs
+++ b/crates/flamingo-control/src/controller/engine.rs
@@ -1,17 +1,23 @@
 //! State of one engine, as far as the controller knows it.
 //!
-//! An order that the engine may still execute counts as executed, so that the controller never
-//! orders an engine to load more than its memory holds.
+//! An order that the engine may still execute counts as executed. [`EngineState::admit`] compares
+//! an order with the room that is left, and returns the sequence to which that comparison belongs.
+//! The engine refuses an order with any other sequence, so that no order is executed on an engine
+//! that holds more than the controller knew.
 
 use super::engine_api::{Operation, Order, Outcome, Report};
 use flamingo_wire::target::{Registration, Residency, Resident};
 use flamingo_wire::{id, route};
-use std::collections::BTreeMap;
+use quick_error::quick_error;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 /// Time after a request for an adapter in which the adapter counts as in use.
 const ADAPTER_USE_GRACE: Duration = Duration::from_millis(400);
 
+/// Time in which an engine may still execute an order that got no answer.
+const LATE_ORDER_LIFETIME: Duration = Duration::from_secs(20);
+
 /// One incarnation of an engine, as one leadership knows it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Key {
@@ -23,13 +29,44 @@
     pub fence: id::Fence,
 }
 
-/// An adapter that is resident or may be.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-struct Adapter {
-    /// When the adapter was last requested.
-    last_used: Instant,
-    /// Whether the adapter is resident for certain.
-    confirmed: bool,
+quick_error! {
+    /// Why an order must not be sent to an engine now.
+    #[derive(Clone, Copy, Debug, Eq, PartialEq)]
+    pub enum Denial {
+        /// This instance may not give orders now.
+        NotLeading {
+            display("this instance may not give orders now")
+        }
+        /// The engine has gone, has restarted, or belongs to no service of engines.
+        Gone {
+            display("the engine has gone or has restarted")
+        }
+        /// A report is needed first.
+        Unknown {
+            display("it is unknown how many orders the engine has accepted")
+        }
+        /// The engine executes an order, of which the result is unknown.
+        Executing {
+            display("the engine is executing another order")
+        }
+        /// The memory for weights and adapters is too small.
+        Memory {
+            display("the engine has too little free memory")
+        }
+        /// Every adapter slot is taken.
+        Slots {
+            display("all adapter slots of the engine are taken")
+        }
+    }
+}
+
+/// A load that got no answer, and that the engine may still execute.
+#[derive(Clone, Debug, Eq, PartialEq)]
+struct LateLoad {
+    expected_sequence: u64,
+    model: id::Model,
+    adapter: Option<id::Adapter>,
+    expires: Instant,
 }
 
 /// One engine.
@@ -47,8 +84,10 @@
     reported_at: Option<Instant>,
     /// When the next move may start, after a move that failed.
     pub backoff_until: Option<Instant>,
-    /// The models that are resident or may be, with their adapters.
-    models: BTreeMap<id::Model, BTreeMap<id::Adapter, Adapter>>,
+    /// The resident models, with their adapters and when each of these was last requested.
+    models: BTreeMap<id::Model, BTreeMap<id::Adapter, Instant>>,
+    /// Loads that got no answer, also those to an earlier incarnation under the same name.
+    late_loads: Vec<LateLoad>,
     /// The model that the move in progress loads.
     pub loading: Option<id::Model>,
     /// The model that the move in progress unloads.
@@ -71,6 +110,7 @@
             reported_at: None,
             backoff_until: None,
             models: BTreeMap::new(),
+            late_loads: Vec::new(),
             loading: None,
             unloading: None,
             moving: false,
@@ -81,22 +121,30 @@
         engine_state
     }
 
+    /// Starts with a new incarnation. Loads that `previous` may still execute stay known, because
+    /// an engine under the same name accepts them where its new sequence is the expected one.
+    #[must_use]
+    pub fn restarted(registration: Registration, previous: &Self, now: Instant) -> Self {
+        let mut engine_state = Self::new(registration, now);
+        let late = previous.late_loads.iter();
+        engine_state.late_loads = late.filter(|late| now < late.expires).cloned().collect();
+        engine_state
+    }
+
+    /// Returns whether the engine may still execute a load that got no answer.
+    #[must_use]
+    pub fn awaits_late_loads(&self, now: Instant) -> bool {
+        self.late_loads.iter().any(|late| now < late.expires)
+    }
+
     /// Replaces the resident models and adapters, and keeps when the adapters were last used.
     fn replace_models(&mut self, models: &[Resident], now: Instant) {
-        let mut replaced: BTreeMap<id::Model, BTreeMap<id::Adapter, Adapter>> = BTreeMap::new();
+        let mut replaced: BTreeMap<id::Model, BTreeMap<id::Adapter, Instant>> = BTreeMap::new();
         for resident in models {
             let old = self.models.get(&resident.model);
             let adapters = resident.adapters.iter().map(|adapter| {
-                let last_used = old
-                    .and_then(|old| old.get(adapter))
-                    .map_or(now, |adapter| adapter.last_used);
-                (
-                    adapter.clone(),
-                    Adapter {
-                        last_used,
-                        confirmed: true,
-                    },
-                )
+                let last_used = old.and_then(|old| old.get(adapter));
+                (adapter.clone(), last_used.copied().unwrap_or(now))
             });
             replaced.insert(resident.model.clone(), adapters.collect());
         }
@@ -136,10 +184,6 @@
     }
 
     /// Applies a report, unless it is older than the last order. Returns whether it was applied.
-    ///
-    /// An adapter whose load got no answer and that the report does not show is dropped where the
-    /// engine has accepted other orders since: the late order then expects a past sequence and is
-    /// refused.
     pub fn apply_report(&mut self, report: &Report, now: Instant) -> bool {
         if self
             .sequence
@@ -150,45 +194,32 @@
         self.uncertain = false;
         self.reported_at = Some(now);
         self.executing = report.executing;
-        let unconfirmed: Vec<(id::Model, id::Adapter, Adapter)> = self
-            .models
-            .iter()
-            .flat_map(|(model, adapters)| {
-                let unconfirmed = adapters.iter().filter(|(_, adapter)| !adapter.confirmed);
-                unconfirmed.map(|(name, adapter)| (model.clone(), name.clone(), *adapter))
-            })
-            .collect();
-        let advanced = self
-            .sequence
-            .is_some_and(|sequence| report.sequence > sequence);
         self.replace_models(&report.models, now);
         for resident in &report.loading {
             let adapters = self.models.entry(resident.model.clone()).or_default();
             for name in &resident.adapters {
-                let adapter = Adapter {
-                    last_used: now,
-                    confirmed: true,
-                };
-                adapters.entry(name.clone()).or_insert(adapter);
+                adapters.entry(name.clone()).or_insert(now);
             }
         }
-        if !advanced {
-            for (model, name, adapter) in unconfirmed {
-                let adapters = self.models.entry(model).or_default();
-                adapters.entry(name).or_insert(adapter);
-            }
-        }
-        self.sequence = Some(report.sequence);
+        self.advance(report.sequence, now);
         true
     }
 
+    /// Sets the number of orders that the engine has accepted, and drops the late loads that it
+    /// must refuse from now on.
+    fn advance(&mut self, sequence: u64, now: Instant) {
+        self.sequence = Some(sequence);
+        self.late_loads
+            .retain(|late| late.expected_sequence >= sequence && now < late.expires);
+    }
+
     /// Applies the outcome of an order.
     pub fn apply_outcome(&mut self, order: &Order, outcome: Outcome, now: Instant) {
         // The unload of an unused adapter is done at once and counts as an accepted order. A load
         // of what is already resident does not count.
         let unloaded = outcome == Outcome::AlreadyDone && order.operation == Operation::Unload;
         if outcome == Outcome::Started || unloaded {
-            self.sequence = Some(order.expected_sequence + 1);
+            self.advance(order.expected_sequence + 1, now);
         }
         if matches!(outcome, Outcome::Uncertain | Outcome::Conflict) {
             self.uncertain = true;
@@ -196,28 +227,79 @@
         if outcome == Outcome::Started && order.adapter.is_none() {
             self.executing = true;
         }
-        let accepted = matches!(outcome, Outcome::Started | Outcome::AlreadyDone);
-        match (&order.adapter, order.operation) {
-            (Some(name), Operation::Load) if accepted || outcome == Outcome::Uncertain => {
-                let adapter = Adapter {
-                    last_used: now,
-                    confirmed: accepted,
-                };
-                let adapters = self.models.entry(order.model.clone()).or_default();
-                adapters.insert(name.clone(), adapter);
+        match (outcome, order.operation) {
+            (Outcome::Started | Outcome::AlreadyDone, Operation::Load) => {
+                if let Some(name) = &order.adapter {
+                    let adapters = self.models.entry(order.model.clone()).or_default();
+                    adapters.insert(name.clone(), now);
+                }
+            }
+            (Outcome::Started | Outcome::AlreadyDone, Operation::Unload) => self.remove(order),
+            (Outcome::Uncertain, Operation::Load) => self.late_loads.push(LateLoad {
+                expected_sequence: order.expected_sequence,
+                model: order.model.clone(),
+                adapter: order.adapter.clone(),
+                expires: now + LATE_ORDER_LIFETIME,
+            }),
+            _ => {}
+        }
+    }
+
+    /// Removes the model or adapter that an accepted order unloads.
+    fn remove(&mut self, order: &Order) {
+        match &order.adapter {
+            None => {
+                self.models.remove(&order.model);
             }
-            (Some(name), Operation::Unload) if accepted => {
+            Some(name) => {
                 if let Some(adapters) = self.models.get_mut(&order.model) {
                     adapters.remove(name);
                 }
             }
-            (None, Operation::Unload) if accepted => {
-                self.models.remove(&order.model);
-            }
-            _ => {}
         }
     }
 
+    /// Returns the sequence that an order has to expect, if the engine has room for the order.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the order must not be sent.
+    pub fn admit(
+        &self,
+        operation: Operation,
+        model: &str,
+        adapter: Option<&str>,
+        engine: &route::Engine,
+    ) -> Result<u64, Denial> {
+        let sequence = self.sequence().ok_or(Denial::Unknown)?;
+        if adapter.is_none() && self.executing {
+            return Err(Denial::Executing);
+        }
+        if operation == Operation::Load {
+            let mut after = self.residents();
+            after.load(model, adapter);
+            after.check(engine)?;
+        }
+        Ok(sequence)
+    }
+
+    /// Returns the models and adapters that are resident or may be: with the model that a move
+    /// loads, and with late loads.
+    fn residents(&self) -> Residents<'_> {
+        let models = self.models.iter().map(|(model, adapters)| {
+            let adapters = adapters.keys().map(String::as_str);
+            (model.as_str(), adapters.collect())
+        });
+        let mut residents = Residents(models.collect());
+        if let Some(loading) = &self.loading {
+            residents.load(loading, None);
+        }
+        for late in &self.late_loads {
+            residents.load(&late.model, late.adapter.as_deref());
+        }
+        residents
+    }
+
     /// Records that a model has been loaded.
     pub fn record_loaded(&mut self, model: &str) {
         self.models.entry(model.to_owned()).or_default();
@@ -229,20 +311,20 @@
         self.models.contains_key(model) && self.unloading.as_deref() != Some(model)
     }
 
-    /// Returns whether an adapter is resident for certain, and records that it is used.
+    /// Returns whether an adapter is resident, and records that it is used.
     pub fn use_adapter(&mut self, model: &str, adapter: &str, now: Instant) -> bool {
         let adapters = self.models.get_mut(model);
-        let adapter = adapters.and_then(|adapters| adapters.get_mut(adapter));
-        adapter.is_some_and(|adapter| {
-            adapter.last_used = now;
-            adapter.confirmed
+        let last_used = adapters.and_then(|adapters| adapters.get_mut(adapter));
+        last_used.is_some_and(|last_used| {
+            *last_used = now;
+            true
         })
     }
 
     /// Returns the number of adapters that are resident or may be.
     #[must_use]
     pub fn adapter_count(&self) -> usize {
-        self.models.values().map(BTreeMap::len).sum()
+        self.residents().adapter_count()
     }
 
     /// Returns the least recently used adapter that no request uses, or `None` where all are in
@@ -258,12 +340,10 @@
             in_use.any(|resident| resident.adapters.contains(adapter))
         };
         let candidates = self.models.iter().flat_map(|(model, adapters)| {
-            let idle = adapters.iter().filter(|(name, adapter)| {
-                adapter.confirmed
-                    && now > adapter.last_used + ADAPTER_USE_GRACE
-                    && !is_in_use(model, name)
+            let idle = adapters.iter().filter(|(name, last_used)| {
+                now > **last_used + ADAPTER_USE_GRACE && !is_in_use(model, name)
             });
-            idle.map(move |(name, adapter)| (adapter.last_used, model, name))
+            idle.map(move |(name, last_used)| (*last_used, model, name))
         });
         let (_, model, adapter) = candidates.min()?;
         Some((model.clone(), adapter.clone()))
@@ -283,15 +363,10 @@
     }
 
     /// Returns the megabytes of the weights and adapters that are resident or may be, on an engine
-    /// as `engine` configures it. A model that it does not list may occupy the whole engine.
+    /// as `engine` configures it.
     #[must_use]
     pub fn memory_megabytes(&self, engine: &route::Engine) -> f64 {
-        let models = self.models.iter().map(|(model, adapters)| {
-            let (weights, adapter) = size(engine, model);
-            let count = u32::try_from(adapters.len()).unwrap_or(u32::MAX);
-            weights + adapter * f64::from(count)
-        });
-        models.sum()
+        self.residents().megabytes(engine)
     }
 
     /// Returns the residency that entries get: the models and adapters that are resident for
@@ -302,12 +377,9 @@
             .models
             .iter()
             .filter(|(model, _)| self.has_model(model));
-        let models = models.map(|(model, adapters)| {
-            let confirmed = adapters.iter().filter(|(_, adapter)| adapter.confirmed);
-            Resident {
-                model: model.clone(),
-                adapters: confirmed.map(|(name, _)| name.clone()).collect(),
-            }
+        let models = models.map(|(model, adapters)| Resident {
+            model: model.clone(),
+            adapters: adapters.keys().cloned().collect(),
         });
         Residency {
             target: self.registration.id.clone(),
@@ -318,11 +390,44 @@
     }
 }
 
-/// Returns the megabytes of a model's weights and of one of its adapters.
-fn size(engine: &route::Engine, model: &str) -> (f64, f64) {
-    let mut models = engine.models.iter();
-    let model = models.find(|known| known.name == model);
-    model.map_or((engine.megabytes, 0.0), |model| {
-        (model.megabytes, model.adapter_megabytes)
-    })
+/// Models with their adapters, and the room that they need.
+#[derive(Clone, Debug)]
+struct Residents<'a>(BTreeMap<&'a str, BTreeSet<&'a str>>);
+
+impl<'a> Residents<'a> {
+    /// Adds a model, or an adapter of a model.
+    fn load(&mut self, model: &'a str, adapter: Option<&'a str>) {
+        let adapters = self.0.entry(model).or_default();
+        adapters.extend(adapter);
+    }
+
+    fn adapter_count(&self) -> usize {
+        self.0.values().map(BTreeSet::len).sum()
+    }
+
+    /// Returns the megabytes of all weights and adapters. A model that `engine` does not list may
+    /// occupy the whole engine.
+    fn megabytes(&self, engine: &route::Engine) -> f64 {
+        let models = self.0.iter().map(|(model, adapters)| {
+            let known = engine.models.iter().find(|known| known.name == *model);
+            let (weights, adapter) = known.map_or((engine.megabytes, 0.0), |known| {
+                (known.megabytes, known.adapter_megabytes)
+            });
+            let count = u32::try_from(adapters.len()).unwrap_or(u32::MAX);
+            weights + adapter * f64::from(count)
+        });
+        models.sum()
+    }
+
+    /// Checks that an engine has room for all of these.
+    fn check(&self, engine: &route::Engine) -> Result<(), Denial> {
+        let slots = usize::try_from(engine.adapters).unwrap_or(usize::MAX);
+        if self.adapter_count() > slots {
+            return Err(Denial::Slots);
+        }
+        if self.megabytes(engine) > engine.megabytes {
+            return Err(Denial::Memory);
+        }
+        Ok(())
+    }
 }
--- a/crates/flamingo-control/src/controller/mod.rs
+++ b/crates/flamingo-control/src/controller/mod.rs
@@ -135,6 +135,8 @@
     /// Whether an engine refused an order because it knows a higher fencing number.
     superseded: bool,
     engines: BTreeMap<id::Target, EngineState>,
+    /// Engines without a registration that may still execute a load if they return.
+    departed: BTreeMap<id::Target, EngineState>,
     order_locks: BTreeMap<id::Target, Rc<Mutex<()>>>,
     /// When each engine was last asked for a report.
     polled_at: BTreeMap<id::Target, Instant>,
@@ -312,12 +314,13 @@
             engine_config(routes, &registration.service).is_some() && !registration.gone
         };
         let registrations: Vec<_> = registrations.into_iter().filter(is_engine).collect();
-        term.engines.retain(|id, engine_state| {
-            engine_state.moving
-                || registrations
-                    .iter()
-                    .any(|registration| &registration.id == id)
+        let departed = term.engines.extract_if(.., |id, engine_state| {
+            let mut ids = registrations.iter().map(|registration| &registration.id);
+            !engine_state.moving && !ids.any(|registered| registered == id)
         });
+        term.departed.extend(departed);
+        term.departed
+            .retain(|_, engine_state| engine_state.awaits_late_loads(now));
         for registration in registrations {
             let known = term.engines.get_mut(&registration.id);
             match known {
@@ -326,8 +329,14 @@
                 }
                 _ => {
                     let id = registration.id.clone();
+                    let departed = term.departed.remove(&id);
+                    let previous = term.engines.get(&id).or(departed.as_ref());
+                    let engine_state = match previous {
+                        Some(previous) => EngineState::restarted(registration, previous, now),
+                        None => EngineState::new(registration, now),
+                    };
                     term.polled_at.remove(&id);
-                    term.engines.insert(id, EngineState::new(registration, now));
+                    term.engines.insert(id, engine_state);
                 }
             }
         }
--- a/crates/flamingo-control/src/controller/moves.rs
+++ b/crates/flamingo-control/src/controller/moves.rs
@@ -2,7 +2,7 @@
 
 use super::engine::{EngineState, Key};
 use super::engine_api::{Operation, Outcome, Report};
-use super::{Controller, LeaderSnapshot, TermState, engine_config};
+use super::{Controller, LeaderSnapshot, TermState};
 use flamingo_daemon::clock;
 use flamingo_place::rebalance::{self, Engine, Model, Move};
 use flamingo_state::Command;
@@ -238,7 +238,6 @@
             self.wait_for_completion(key, model, false).await?;
             self.update_engine(key, |state| state.unloading = None);
         }
-        self.check_memory(key, planned)?;
         if planned.from_store {
             let load = crate::raft_actor::Propose(Command::Load(1));
             match self.core.raft_actor.send(load).await {
@@ -253,25 +252,6 @@
         Ok(())
     }
 
-    /// Checks that an engine has memory for a model beside all that is resident or may become so
-    /// by an uncertain order.
-    fn check_memory(&self, key: &Key, planned: &Move) -> Result<(), &'static str> {
-        let term = self.term.borrow();
-        let engine_state = term.engine(key).ok_or("the engine has gone")?;
-        let routes = term.routes.as_ref().ok_or("no routes are in force")?;
-        let engine =
-            engine_config(routes, &engine_state.registration.service).ok_or("not an engine")?;
-        let loaded = engine
-            .models
-            .iter()
-            .find(|model| model.name == planned.load);
-        let weights = loaded.map_or(engine.megabytes, |model| model.megabytes);
-        if engine_state.memory_megabytes(engine) + weights > engine.megabytes {
-            return Err("the engine has too little free memory");
-        }
-        Ok(())
-    }
-
     /// Changes the state of an engine. Returns `false` where the engine or the leadership is
     /// another one by now.
     fn update_engine(&self, key: &Key, change: impl FnOnce(&mut EngineState)) -> bool {
--- a/crates/flamingo-control/src/controller/orders.rs
+++ b/crates/flamingo-control/src/controller/orders.rs
@@ -1,6 +1,6 @@
 //! Sends single orders to engines, loads adapters, and fetches reports of engines.
 
-use super::engine::{EngineState, Key};
+use super::engine::{Denial, EngineState, Key};
 use super::engine_api::{Operation, Order, Outcome, Report};
 use super::{Controller, LeaderSnapshot, engine_config};
 use flamingo_daemon::clock;
@@ -74,8 +74,8 @@
 
     /// Sends one order and records its outcome; the caller must hold the lock of the engine.
     ///
-    /// Returns [`Outcome::Refused`] without sending where this instance may not order now, or
-    /// where the number of orders that the engine has accepted is unknown.
+    /// Returns without sending [`Outcome::Refused`] where this instance may not order now or the
+    /// engine has no room, and [`Outcome::Conflict`] where the engine executes an order.
     pub(super) async fn send_order(
         &self,
         key: &Key,
@@ -94,8 +94,17 @@
         let Some(leader) = self.leader_snapshot().await else {
             return Outcome::Refused;
         };
-        let Some((order, belief)) = self.admit(key, &leader, operation, model, adapter) else {
-            return Outcome::Refused;
+        // Nothing is awaited between this check and the sending of the order.
+        let (order, belief) = match self.admit(key, &leader, operation, model, adapter) {
+            Ok(admitted) => admitted,
+            Err(denial) => {
+                info!(self.log, "order withheld"; "target" => &key.target, "model" => model,
+                    "adapter" => adapter, "why" => %denial);
+                return match denial {
+                    Denial::Executing => Outcome::Conflict,
+                    _ => Outcome::Refused,
+                };
+            }
         };
         let ordered = self
             .engine_client
@@ -117,8 +126,11 @@
         outcome
     }
 
-    /// Returns the order to send now, with what is known of the engine; `None` where it must not
-    /// be sent.
+    /// Returns the order to send now, with what is known of the engine.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the order must not be sent.
     fn admit(
         &self,
         key: &Key,
@@ -126,7 +138,7 @@
         operation: Operation,
         model: &str,
         adapter: Option<&str>,
-    ) -> Option<(Order, Belief)> {
+    ) -> Result<(Order, Belief), Denial> {
         let now = clock::now();
         let term = self.term.borrow();
         let current = term.fence == leader.fence && !term.superseded;
@@ -134,23 +146,25 @@
             || term.orders_from.is_none_or(|first| now < first)
             || now + MIN_LEADERSHIP_LEFT >= leader.until
         {
-            return None;
+            return Err(Denial::NotLeading);
         }
-        let engine_state = term.engine(key)?;
+        let engine_state = term.engine(key).ok_or(Denial::Gone)?;
         let registration = &engine_state.registration;
         let routes = leader.routes.as_deref();
-        let engine = routes.and_then(|routes| engine_config(routes, &registration.service))?;
+        let engine = routes
+            .and_then(|routes| engine_config(routes, &registration.service))
+            .ok_or(Denial::Gone)?;
         let order = Order {
             target: key.target.clone(),
             address: registration.address,
             operation,
             model: model.to_owned(),
             adapter: adapter.map(str::to_owned),
-            expected_sequence: engine_state.sequence()?,
+            expected_sequence: engine_state.admit(operation, model, adapter, engine)?,
             issuer: self.node.clone(),
             fence: leader.fence,
         };
-        Some((order, Belief::new(engine_state, engine, now)))
+        Ok((order, Belief::new(engine_state, engine, now)))
     }
 
     /// Loads an adapter on an engine; evicts an idle adapter first where all slots are taken.
--- a/crates/flamingo-control/tests/engine_state.rs
+++ b/crates/flamingo-control/tests/engine_state.rs
@@ -1,6 +1,6 @@
 //! The controller's state of an engine where answers and reports are late or missing.
 
-use flamingo_control::controller::engine::EngineState;
+use flamingo_control::controller::engine::{Denial, EngineState};
 use flamingo_control::controller::engine_api::{Operation, Order, Outcome, Report};
 use flamingo_test_support::registration::registration;
 use flamingo_wire::route::{Engine, Model};
@@ -41,15 +41,18 @@
     engine
 }
 
+/// Memory for two models, and two adapter slots.
 fn engine_config() -> Engine {
+    let model = |name: &str| Model {
+        name: name.into(),
+        megabytes: 70.0,
+        adapter_megabytes: 2.0,
+        ..Model::default()
+    };
     Engine {
         megabytes: 200.0,
-        models: vec![Model {
-            name: "m".into(),
-            megabytes: 70.0,
-            adapter_megabytes: 2.0,
-            ..Model::default()
-        }],
+        adapters: 2,
+        models: vec![model("m"), model("n"), model("o")],
         ..Engine::default()
     }
 }
@@ -136,3 +139,70 @@
     let megabytes = engine.memory_megabytes(&engine_config());
     assert!((megabytes - 72.0).abs() < 1e-9);
 }
+
+fn admits(engine: &EngineState, model: &str, adapter: Option<&str>) -> Result<u64, Denial> {
+    engine.admit(Operation::Load, model, adapter, &engine_config())
+}
+
+#[test]
+fn an_order_expects_the_sequence_whose_room_was_checked() {
+    let now = Instant::now();
+    let mut engine = engine_state(now);
+    assert_eq!(admits(&engine, "n", None), Ok(4));
+    let full = Report {
+        models: vec![resident("m", &["x"]), resident("n", &[])],
+        ..report(5, &[])
+    };
+    assert!(engine.apply_report(&full, now));
+    assert_eq!(admits(&engine, "o", None), Err(Denial::Memory));
+    assert_eq!(admits(&engine, "m", Some("y")), Ok(5));
+}
+
+#[test]
+fn a_taken_slot_denies_an_adapter() {
+    let now = Instant::now();
+    let mut engine = engine_state(now);
+    assert!(engine.apply_report(&report(5, &["x", "y"]), now));
+    assert_eq!(admits(&engine, "m", Some("z")), Err(Denial::Slots));
+    assert_eq!(admits(&engine, "m", Some("y")), Ok(5));
+}
+
+#[test]
+fn a_load_without_answer_takes_room_in_the_next_incarnation() {
+    let now = Instant::now();
+    let mut engine = engine_state(now);
+    let lost = Order {
+        model: "n".into(),
+        adapter: None,
+        ..order(Operation::Load, "", 4)
+    };
+    engine.apply_outcome(&lost, Outcome::Uncertain, now);
+    let mut restarted = EngineState::restarted(registration("e"), &engine, now);
+    assert!(restarted.apply_report(&report(3, &[]), now));
+    assert_eq!(admits(&restarted, "o", None), Err(Denial::Memory));
+    assert_eq!(admits(&restarted, "n", None), Ok(3));
+    // The engine now refuses an order that expects the fourth.
+    assert!(restarted.apply_report(&report(5, &[]), now));
+    assert_eq!(admits(&restarted, "o", None), Ok(5));
+}
+
+#[test]
+fn a_load_without_answer_is_forgotten_in_time() {
+    let now = Instant::now();
+    let mut engine = engine_state(now);
+    engine.apply_outcome(&order(Operation::Load, "y", 4), Outcome::Uncertain, now);
+    assert!(engine.awaits_late_loads(now));
+    assert!(!engine.awaits_late_loads(now + Duration::from_mins(1)));
+}
+
+#[test]
+fn no_model_is_ordered_while_an_order_is_executed() {
+    let now = Instant::now();
+    let mut engine = engine_state(now);
+    let executing = Report {
+        executing: true,
+        ..report(5, &["x"])
+    };
+    assert!(engine.apply_report(&executing, now));
+    assert_eq!(admits(&engine, "n", None), Err(Denial::Executing));
+}
