--- a/crates/flamingo-place/src/rebalance/assignment.rs
+++ b/crates/flamingo-place/src/rebalance/assignment.rs
@@ -1,7 +1,7 @@
 //! Assignment of models to engines, with the demand distributed over the engines.
 
 use super::{Engine, Model, Move, NEGLIGIBLE_DEMAND};
-use crate::water_filling::fill;
+use crate::water_filling::fill_into;
 use std::collections::BTreeMap;
 
 /// Utilization of an engine above which requests begin to queue.
@@ -35,6 +35,8 @@
     pub(super) by_model: Vec<Vec<Index>>,
     /// Number of engines that have the model resident already, by model.
     ready: Vec<usize>,
+    /// Models with demand.
+    demanded: Vec<Index>,
     /// Factor for all demand, at most 1, that keeps the total within the engines' capacity.
     scale: f64,
 }
@@ -68,6 +70,9 @@
             by_engine,
             by_model,
             ready,
+            demanded: (0..models.len())
+                .filter(|model| models[*model].demand > 0.0)
+                .collect(),
             scale: (capacity / demand.max(capacity)).min(1.0),
         }
     }
@@ -93,23 +98,25 @@
     /// distributed by water-filling.
     pub(super) fn utilization(&self) -> Vec<f64> {
         let mut utilization = vec![0.0; self.engines.len()];
-        let mut shares: Vec<Vec<f64>> = self
-            .by_model
+        let served = self.demanded.iter().copied();
+        let served: Vec<Index> = served
+            .filter(|model| !self.by_model[*model].is_empty())
+            .collect();
+        let mut shares: Vec<Vec<f64>> = served
             .iter()
-            .map(|replicas| vec![0.0; replicas.len()])
+            .map(|model| vec![0.0; self.by_model[*model].len()])
             .collect();
+        let (mut others, mut sorted) = (Vec::new(), Vec::new());
         for _ in 0..ROUNDS {
-            for (model, replicas) in self.by_model.iter().enumerate() {
-                let demand = self.demand(model);
-                if demand <= 0.0 || replicas.is_empty() {
-                    continue;
-                }
-                for (engine, share) in replicas.iter().zip(&shares[model]) {
+            for (model, shares) in served.iter().zip(&mut shares) {
+                let replicas = &self.by_model[*model];
+                for (engine, share) in replicas.iter().zip(shares.iter()) {
                     utilization[*engine] -= share;
                 }
-                let others: Vec<f64> = replicas.iter().map(|engine| utilization[*engine]).collect();
-                shares[model] = fill(&others, demand);
-                for (engine, share) in replicas.iter().zip(&shares[model]) {
+                others.clear();
+                others.extend(replicas.iter().map(|engine| utilization[*engine]));
+                fill_into(&others, self.demand(*model), &mut sorted, shares);
+                for (engine, share) in replicas.iter().zip(shares.iter()) {
                     utilization[*engine] += share;
                 }
             }
@@ -156,22 +163,33 @@
         self.demand(model) / to_float(remaining.max(1))
     }
 
-    /// Returns the assignment after an engine has unloaded these models.
-    pub(super) fn after_unload(&self, engine: Index, unload: &[Index]) -> Self {
-        let mut assignment = self.clone();
+    /// Removes models from an engine.
+    pub(super) fn unload(&mut self, engine: Index, unload: &[Index]) {
         for unloaded in unload {
-            assignment.by_engine[engine].retain(|model| model != unloaded);
-            assignment.by_model[*unloaded].retain(|replica| *replica != engine);
-            assignment.ready[*unloaded] -= 1;
+            self.by_engine[engine].retain(|model| model != unloaded);
+            self.by_model[*unloaded].retain(|replica| *replica != engine);
         }
-        assignment
     }
 
-    /// Returns the assignment after an engine has loaded a model.
-    pub(super) fn after_load(mut self, engine: Index, model: Index) -> Self {
+    /// Adds a model to an engine.
+    pub(super) fn load(&mut self, engine: Index, model: Index) {
         self.by_engine[engine].push(model);
         self.by_model[model].push(engine);
-        self
+    }
+
+    /// Takes back what a move of `model` to an engine has changed since the assignment was as
+    /// `original`.
+    pub(super) fn restore(
+        &mut self,
+        original: &Self,
+        engine: Index,
+        model: Index,
+        unload: &[Index],
+    ) {
+        self.by_engine[engine].clone_from(&original.by_engine[engine]);
+        for changed in unload.iter().chain([&model]) {
+            self.by_model[*changed].clone_from(&original.by_model[*changed]);
+        }
     }
 
     /// Returns the fraction of `DEMAND_HORIZON_S` that a move takes, at most 1.
--- a/crates/flamingo-place/src/rebalance/move_search.rs
+++ b/crates/flamingo-place/src/rebalance/move_search.rs
@@ -21,6 +21,8 @@
 #[derive(Debug)]
 pub(super) struct MoveSearch<'a> {
     assignment: &'a Assignment<'a>,
+    /// Copy of the assignment in which moves are tried.
+    scratch: Assignment<'a>,
     /// Utilization of each engine before the move.
     utilization: &'a [f64],
     /// Cost before the move.
@@ -40,6 +42,7 @@
             .count();
         Self {
             assignment,
+            scratch: assignment.clone(),
             utilization,
             current_cost: assignment.cost(utilization),
             price_factor: to_float(moving.max(UNPENALIZED_MOVES)) / to_float(UNPENALIZED_MOVES),
@@ -48,7 +51,7 @@
     }
 
     /// Returns the move with the highest positive gain, or `None` if no move has one.
-    pub(super) fn best(&self) -> Option<Move> {
+    pub(super) fn best(mut self) -> Option<Move> {
         let mut best: Option<(f64, Move)> = None;
         for model in self.models() {
             for engine in self.engines(model) {
@@ -66,7 +69,7 @@
 
     /// Returns the models in demand whose least utilized replica is utilized most, then the
     /// models without a replica by descending demand.
-    fn models(&self) -> impl Iterator<Item = Index> {
+    fn models(&self) -> Vec<Index> {
         let assignment = self.assignment;
         let in_demand = |model: &Index| {
             assignment.models[*model].demand > NEGLIGIBLE_DEMAND
@@ -83,6 +86,7 @@
             .into_iter()
             .take(MAX_MODELS)
             .chain(unplaced.into_iter().take(MAX_MODELS))
+            .collect()
     }
 
     /// Returns the utilization of the least utilized engine that has a model.
@@ -117,12 +121,13 @@
     ///
     /// The engine loses the unloaded models when the move starts and serves the new one only
     /// after the load.
-    fn gain(&self, engine: Index, model: Index, unload: &[Index]) -> f64 {
+    fn gain(&mut self, engine: Index, model: Index, unload: &[Index]) -> f64 {
         let fraction = self.assignment.duration_fraction(engine, model, unload);
-        let unloaded = self.assignment.after_unload(engine, unload);
-        let during = unloaded.cost(&unloaded.utilization());
-        let loaded = unloaded.after_load(engine, model);
-        let after = loaded.cost(&loaded.utilization());
+        self.scratch.unload(engine, unload);
+        let during = self.scratch.cost(&self.scratch.utilization());
+        self.scratch.load(engine, model);
+        let after = self.scratch.cost(&self.scratch.utilization());
+        self.scratch.restore(self.assignment, engine, model, unload);
         let price = (MIN_LOAD_GAIN + to_float(unload.len()) * MIN_UNLOAD_GAIN) * self.price_factor;
         (self.current_cost - after) * (1.0 - fraction)
             - (during - self.current_cost) * fraction
--- a/crates/flamingo-place/src/water_filling.rs
+++ b/crates/flamingo-place/src/water_filling.rs
@@ -12,8 +12,16 @@
 /// ```
 #[must_use]
 pub fn fill(loads: &[f64], work: f64) -> Vec<f64> {
-    let mut sorted = loads.to_vec();
-    sorted.sort_by(f64::total_cmp);
+    let mut shares = Vec::with_capacity(loads.len());
+    fill_into(loads, work, &mut Vec::new(), &mut shares);
+    shares
+}
+
+/// As [`fill`], into `shares`, whose previous content is dropped. `sorted` is scratch space.
+pub fn fill_into(loads: &[f64], work: f64, sorted: &mut Vec<f64>, shares: &mut Vec<f64>) {
+    sorted.clear();
+    sorted.extend_from_slice(loads);
+    sorted.sort_unstable_by(f64::total_cmp);
     let mut level = 0.0;
     let mut sum = 0.0;
     let mut count = 0.0;
@@ -26,6 +34,6 @@
             break;
         }
     }
-    let share = |load: &f64| (level - load).max(0.0);
-    loads.iter().map(share).collect()
+    shares.clear();
+    shares.extend(loads.iter().map(|load| (level - load).max(0.0)));
 }
