Log the longest tick of a second, from 60 ms on

With the threshold of 200 ms no line came from the leaders that lost the lead, though a message and its answer pass several turns of the event loop, and 110 ms for each are enough to miss a heartbeat's 600 ms. The line now has the longest time between two ticks, at most once a second.

--- a/crates/flamingo-control/src/raft_actor.rs
+++ b/crates/flamingo-control/src/raft_actor.rs
@@ -37,7 +37,9 @@
 /// Interval at which the actor advances the log's timers and runs the leader tasks.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
 /// Time between two ticks from which on the process counts as held up.
-const LONG_TICK: Duration = Duration::from_millis(200);
+const LONG_TICK: Duration = Duration::from_millis(60);
+/// Interval at which the longest time between two ticks is logged.
+const LONG_TICK_LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// Time without a heartbeat after which a follower of the configuration counts as gone.
 const FOLLOWER_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -48,6 +50,30 @@
     expires: Instant,
 }
 
+/// Watches how regularly the timers are advanced.
+#[derive(Debug, Default)]
+struct Ticks {
+    last: Option<Instant>,
+    longest: Duration,
+    log_due: Option<Instant>,
+}
+
+impl Ticks {
+    /// Records a tick. Returns the longest time between two ticks since the last time that it
+    /// was to be logged, if it is to be logged now: the process was busy, or did not run.
+    fn record(&mut self, now: Instant) -> Option<Duration> {
+        let last = self.last.replace(now);
+        self.longest = self
+            .longest
+            .max(last.map_or(Duration::ZERO, |last| now - last));
+        if self.longest < LONG_TICK || self.log_due.is_some_and(|due| now < due) {
+            return None;
+        }
+        self.log_due = Some(now + LONG_TICK_LOG_INTERVAL);
+        Some(std::mem::take(&mut self.longest))
+    }
+}
+
 /// Parameters of [`RaftActor::new`].
 pub struct Options {
     /// The log, restored from disk.
@@ -95,8 +121,7 @@
     stopping: bool,
     /// Bytes of commands applied since the last snapshot.
     bytes_since_snapshot: usize,
-    /// When the timers were last advanced; `None` before the first time.
-    ticked_at: Option<Instant>,
+    ticks: Ticks,
 }
 
 impl std::fmt::Debug for RaftActor {
@@ -138,7 +163,7 @@
             flush_queued: false,
             stopping: false,
             bytes_since_snapshot: 0,
-            ticked_at: None,
+            ticks: Ticks::default(),
         }
     }
 
@@ -173,11 +198,7 @@
             let snapshot: Snapshot = self.state.configuration.snapshot();
             self.config.send_replace(Arc::new(snapshot));
         }
-        let published = self
-            .routes
-            .borrow()
-            .as_ref()
-            .map(|update| update.set.version);
+        let published = self.routes.borrow().as_ref().map(|update| update.set.version);
         if let Some(set) = &self.state.routes
             && Some(set.version) != published
         {
@@ -188,7 +209,9 @@
 
     fn tick(&mut self, ctx: &mut Context<Self>) {
         let now = clock::now();
-        self.log_long_tick(now);
+        if let Some(longest) = self.ticks.record(now) {
+            info!(self.log, "held up"; "for_ms" => longest.as_millis());
+        }
         self.raft.tick(now);
         self.process_actions(now);
         self.proposals.expire(now);
@@ -198,15 +221,6 @@
         self.update_metrics(now);
     }
 
-    /// Logs that no timer was advanced for a long time: the process was busy or did not run.
-    fn log_long_tick(&mut self, now: Instant) {
-        let ticked_at = self.ticked_at.replace(now);
-        let since = ticked_at.map_or(Duration::ZERO, |ticked_at| now - ticked_at);
-        if since >= LONG_TICK {
-            info!(self.log, "held up"; "for_ms" => since.as_millis());
-        }
-    }
-
     /// Runs the leader tasks while this instance leads, and proposes the commands they return.
     fn run_leader_tasks(&mut self, now: Instant, ctx: &mut Context<Self>) {
         let Some(leadership) = self.leadership(now) else {
