Encode and sign a push once for all followers

Cause: each push, some ten kilobytes of loads ten times a second and hundreds of kilobytes for a change of the routes, was encoded and signed again for each of 69 followers.

The frame has no receiver, which every process with the key accepts already. It can be replayed to another follower for 30 s; a push says the same to all.

--- a/crates/flamingo-control/src/raft_actor.rs
+++ b/crates/flamingo-control/src/raft_actor.rs
@@ -198,7 +198,7 @@
             let snapshot: Snapshot = self.state.configuration.snapshot();
             self.config.send_replace(Arc::new(snapshot));
         }
-        let published = self.routes.borrow().as_ref().map(|update| update.set.version);
+        let published = self.routes.borrow().as_ref().map(|update| update.version);
         if let Some(set) = &self.state.routes
             && Some(set.version) != published
         {
@@ -282,11 +282,7 @@
         limits: set.limits,
         text: String::new(),
     };
-    RoutesUpdate {
-        set: Arc::new(set),
-        from_leader,
-        bytes,
-    }
+    RoutesUpdate::new(set, from_leader, bytes)
 }
 
 impl Actor for RaftActor {
--- a/crates/flamingo-control/src/registry.rs
+++ b/crates/flamingo-control/src/registry.rs
@@ -5,11 +5,12 @@
 //! address is reused.
 
 use flamingo_wire::control::Push;
+use flamingo_wire::frame::{Frame, Seal};
 use flamingo_wire::id;
 use flamingo_wire::target::{Registration, Residency};
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::sync::{Arc, OnceLock};
+use std::time::{Duration, Instant, SystemTime};
 use tokio::sync::broadcast::{self, Receiver, Sender};
 
 /// Pushes that are queued for a slow follower before it gets all targets again.
@@ -17,6 +18,52 @@
 /// Time without a heartbeat after which a target is removed.
 const EXPIRY: Duration = Duration::from_secs(30);
 
+/// A push for all followers, which is encoded and signed once.
+#[derive(Debug)]
+pub struct Broadcast {
+    push: Push,
+    frame: OnceLock<Option<Frame>>,
+}
+
+impl Broadcast {
+    /// Wraps a push that is not signed yet.
+    #[must_use]
+    pub fn new(push: Push) -> Self {
+        Self {
+            push,
+            frame: OnceLock::new(),
+        }
+    }
+
+    /// Returns the push.
+    #[must_use]
+    pub fn push(&self) -> &Push {
+        &self.push
+    }
+
+    /// Returns the push as a frame for any receiver, or `None` where it can't be encoded.
+    ///
+    /// ```
+    /// use flamingo_control::registry::Broadcast;
+    /// use flamingo_wire::control::Push;
+    /// use flamingo_wire::frame::Seal;
+    /// use std::time::SystemTime;
+    ///
+    /// let broadcast = Broadcast::new(Push::Heartbeat(7));
+    /// let frame = broadcast.frame(&Seal::new("control", b"secret")).unwrap();
+    /// let entry = Seal::new("entry", b"secret");
+    /// let push: Push = entry.open(&frame, SystemTime::now()).unwrap();
+    /// assert!(matches!(push, Push::Heartbeat(7)));
+    /// ```
+    #[must_use]
+    pub fn frame(&self, seal: &Seal) -> Option<Frame> {
+        let frame = self
+            .frame
+            .get_or_init(|| seal.seal("", &self.push, SystemTime::now()).ok());
+        frame.clone()
+    }
+}
+
 /// A target's newest registration, with the time of the last heartbeat.
 #[derive(Clone, Debug)]
 struct Record {
@@ -30,7 +77,7 @@
     targets: BTreeMap<id::Target, Record>,
     /// Targets whose heartbeats since the last `publish_unchanged` brought nothing new.
     unchanged: BTreeSet<id::Target>,
-    pushes: Sender<Arc<Push>>,
+    pushes: Sender<Arc<Broadcast>>,
 }
 
 impl Default for Registry {
@@ -119,12 +166,12 @@
     /// Sends a push to all followers of this instance.
     pub fn publish(&self, push: Push) {
         // Sending fails where there is no follower.
-        let _ = self.pushes.send(Arc::new(push));
+        let _ = self.pushes.send(Arc::new(Broadcast::new(push)));
     }
 
     /// Returns all targets, and a receiver of the pushes after them.
     #[must_use]
-    pub fn subscribe(&self) -> (Vec<Registration>, Receiver<Arc<Push>>) {
+    pub fn subscribe(&self) -> (Vec<Registration>, Receiver<Arc<Broadcast>>) {
         let records = self.targets.values();
         let all = records.map(|record| record.registration.clone()).collect();
         (all, self.pushes.subscribe())
--- a/crates/flamingo-control/src/watch.rs
+++ b/crates/flamingo-control/src/watch.rs
@@ -7,7 +7,7 @@
 
 use crate::packet::{HEARTBEAT_INTERVAL, STREAM_TIMEOUT};
 use crate::raft_actor::{FollowerHeartbeat, RaftActor};
-use crate::registry::Registry;
+use crate::registry::{Broadcast, Registry};
 use actix::Addr;
 use flamingo_wire::config::Snapshot;
 use flamingo_wire::control::{Heartbeat, Push};
@@ -35,7 +35,7 @@
 pub const MAX_FULL_TRANSFERS: usize = 16;
 
 /// Pushes about targets after those that a new follower got first.
-type Updates = broadcast::Receiver<Arc<Push>>;
+type Updates = broadcast::Receiver<Arc<Broadcast>>;
 
 /// The committed configuration that [`RaftActor`] publishes.
 pub type ConfigSnapshot = Arc<Snapshot>;
@@ -46,8 +46,10 @@
 /// A newly committed set of routes, for the followers.
 #[derive(Clone, Debug)]
 pub struct RoutesUpdate {
+    /// Version of the routes.
+    pub version: id::Version,
     /// The routes, without the operator's text.
-    pub set: Arc<route::Set>,
+    pub routes: Arc<Broadcast>,
     /// Whether this instance led when the routes were committed. The leader sends them at once.
     /// The other instances wait and then send them only to followers that still lack them,
     /// because copies of a large set from all instances would saturate a follower's link.
@@ -57,6 +59,17 @@
 }
 
 impl RoutesUpdate {
+    /// Returns the update for routes that take `bytes` in one copy.
+    #[must_use]
+    pub fn new(set: route::Set, from_leader: bool, bytes: u64) -> Self {
+        Self {
+            version: set.version,
+            routes: Arc::new(Broadcast::new(Push::Routes(Arc::new(set)))),
+            from_leader,
+            bytes,
+        }
+    }
+
     /// Returns when the instance `own` has to send the routes to a follower that has version
     /// `known` (0 for none), or `None` where the follower has these routes.
     ///
@@ -70,7 +83,7 @@
         follower: &str,
         own: &str,
     ) -> Option<Instant> {
-        if self.set.version <= known {
+        if self.version <= known {
             return None;
         }
         if self.from_leader || known == 0 {
@@ -166,7 +179,7 @@
                 }
                 received = next_update(&mut updates) => {
                     let sent = match received {
-                        Ok(push) => self.send_push(&stream, &push).await,
+                        Ok(update) => self.send_broadcast(&stream, &update).await,
                         Err(RecvError::Lagged(_)) => {
                             updates = self.subscribe_targets(&stream).await;
                             Some(())
@@ -224,6 +237,11 @@
         send_frame(&stream.out, frame).await
     }
 
+    /// Sends a push for all followers; returns `None` where the stream has ended.
+    async fn send_broadcast(&self, stream: &FollowerStream, update: &Broadcast) -> Option<()> {
+        send_frame(&stream.out, update.frame(&self.seal)?).await
+    }
+
     /// Schedules newer routes for a follower that follows routes and lacks them.
     fn schedule_routes(&mut self, stream: &mut FollowerStream) {
         let update = self.routes.borrow_and_update();
@@ -250,15 +268,15 @@
             .routes
             .borrow()
             .as_ref()
-            .map(|update| Arc::clone(&update.set));
-        let (Some(newest), Some(known)) = (newest, stream.routes) else {
+            .map(|update| (update.version, Arc::clone(&update.routes)));
+        let (Some((version, routes)), Some(known)) = (newest, stream.routes) else {
             return Some(());
         };
-        if newest.version <= known {
+        if version <= known {
             return Some(());
         }
-        stream.routes = Some(newest.version);
-        self.send_push(stream, &Push::Routes(newest)).await
+        stream.routes = Some(version);
+        self.send_broadcast(stream, &routes).await
     }
 
     /// Sends a newer configuration, or else a heartbeat if `heartbeat` is set. Returns `None`
@@ -299,7 +317,7 @@
 }
 
 /// Waits for the next update of targets; never returns where the follower follows none.
-async fn next_update(updates: &mut Option<Updates>) -> Result<Arc<Push>, RecvError> {
+async fn next_update(updates: &mut Option<Updates>) -> Result<Arc<Broadcast>, RecvError> {
     match updates {
         Some(updates) => updates.recv().await,
         None => std::future::pending().await,
--- a/crates/flamingo-control/tests/registry.rs
+++ b/crates/flamingo-control/tests/registry.rs
@@ -64,13 +64,13 @@
     registry.record_heartbeat(now, version("t", 1, 1));
     registry.record_heartbeat(now, version("t", 1, 2));
     assert!(
-        matches!(&*pushes.try_recv().expect("a push"), Push::Targets(registrations) if registrations.len() == 1)
+        matches!(pushes.try_recv().expect("a push").push(), Push::Targets(registrations) if registrations.len() == 1)
     );
     assert!(pushes.try_recv().is_err());
     registry.publish_unchanged(now);
     assert_eq!(
-        *pushes.try_recv().expect("a push"),
-        Push::Unchanged(vec!["t".into()])
+        pushes.try_recv().expect("a push").push(),
+        &Push::Unchanged(vec!["t".into()])
     );
 }
 
--- a/crates/flamingo-control/tests/routes.rs
+++ b/crates/flamingo-control/tests/routes.rs
@@ -2,7 +2,6 @@
 
 use flamingo_control::watch::RoutesUpdate;
 use flamingo_wire::route::Set;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Control instances that a follower follows.
@@ -17,11 +16,7 @@
         version: 2,
         ..Set::default()
     };
-    RoutesUpdate {
-        set: Arc::new(set),
-        from_leader,
-        bytes: ROUTES_BYTES,
-    }
+    RoutesUpdate::new(set, from_leader, ROUTES_BYTES)
 }
 
 /// Simulates new routes for a follower of all instances, of which it can reach those in
