Publish residencies once a round, not once an engine

Cause: each report of an engine and each adapter brought was published by itself, to each of 69 followers. A new leader asks all 140 engines at once: 9,660 frames before its first heartbeats were answered. So it lost the lead, and the next leader did the same.

Evidence: a_takeover_does_not_publish_each_engine_by_itself fails where each is published at once (40 engines, a push each) and passes now.

Residencies that become known are collected and published with the next round, 100 ms later at most. That a model is about to be unloaded is published at once as before, since the unload follows it by 30 ms. An entry that asked for an adapter learns of it by the reply.

--- a/crates/flamingo-control/src/controller/mod.rs
+++ b/crates/flamingo-control/src/controller/mod.rs
@@ -25,7 +25,7 @@
 use flamingo_wire::{Fault, id};
 use slog::{Logger, info};
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
@@ -147,6 +147,8 @@
     /// When this instance started loads from the weight store.
     store_loads: Vec<Instant>,
     loads_published_at: Option<Instant>,
+    /// Engines whose residency the entries have to get.
+    unpublished: BTreeSet<id::Target>,
 }
 
 impl TermState {
@@ -268,6 +270,7 @@
         };
         self.term.borrow_mut().routes = Some(Arc::clone(&routes));
         self.refresh_engines(&routes, now);
+        self.flush_residencies();
         self.publish_loads(now);
         if self.may_order(now) {
             self.plan(&leader, &routes, now);
@@ -373,12 +376,20 @@
         lock_registry(&self.core.registry).publish(Push::Loads(loads));
     }
 
-    /// Publishes to the entries which models and adapters an engine has resident.
+    /// Has the next round publish to the entries which models and adapters an engine has resident.
     fn publish_residency(&self, target: &str) {
-        let term = self.term.borrow();
-        if let Some(engine_state) = term.engines.get(target) {
-            let residency = engine_state.residency();
-            lock_registry(&self.core.registry).publish_residency(vec![residency]);
+        let mut term = self.term.borrow_mut();
+        term.unpublished.insert(target.to_owned());
+    }
+
+    /// Publishes the residencies that have become known since the last call.
+    fn flush_residencies(&self) {
+        let mut term = self.term.borrow_mut();
+        let unpublished = std::mem::take(&mut term.unpublished);
+        let known = unpublished.iter().filter_map(|id| term.engines.get(id));
+        let residencies: Vec<_> = known.map(EngineState::residency).collect();
+        if !residencies.is_empty() {
+            lock_registry(&self.core.registry).publish_residency(residencies);
         }
     }
 }
--- a/crates/flamingo-control/src/controller/moves.rs
+++ b/crates/flamingo-control/src/controller/moves.rs
@@ -233,6 +233,7 @@
         for model in &planned.unload {
             self.update_engine(key, |state| state.unloading = Some(model.clone()));
             self.publish_residency(&key.target);
+            self.flush_residencies();
             tokio::time::sleep(UNLOAD_NOTICE).await;
             self.order_model(key, Operation::Unload, model).await?;
             self.wait_for_completion(key, model, false).await?;
--- a/crates/flamingo-control/tests/controller/engine.rs
+++ b/crates/flamingo-control/tests/controller/engine.rs
@@ -141,7 +141,7 @@
 impl World {
     pub fn new(
         config: route::Engine,
-        engines: impl IntoIterator<Item = (&'static str, Engine)>,
+        engines: impl IntoIterator<Item = (impl Into<id::Target>, Engine)>,
         script: Script,
     ) -> Self {
         let engines = engines.into_iter().map(|(id, engine)| (id.into(), engine));
--- a/crates/flamingo-control/tests/controller/harness.rs
+++ b/crates/flamingo-control/tests/controller/harness.rs
@@ -5,6 +5,7 @@
 use flamingo_control::daemon::{Core, Setup};
 use flamingo_control::metrics::Metrics;
 use flamingo_control::raft_actor::HandleRequest;
+use flamingo_control::registry::Broadcast;
 use flamingo_control::watch::lock_registry;
 use flamingo_daemon::clock;
 use flamingo_log::Timing;
@@ -17,6 +18,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::broadcast::Receiver;
 use tokio::sync::mpsc;
 
 /// Port of the inner protocol.
@@ -27,6 +29,7 @@
 /// A running controller.
 pub struct Harness {
     requests: mpsc::Sender<EntryRequest>,
+    core: Core,
     _data: tempfile::TempDir,
 }
 
@@ -41,7 +44,7 @@
         actix_rt::spawn(send_heartbeats(core.clone(), world.clone()));
         actix_rt::spawn(controller::run(Options {
             node: "c".into(),
-            core,
+            core: core.clone(),
             engine_client: Rc::new(world.clone()),
             requests: received,
             bounds: Bounds {
@@ -54,10 +57,16 @@
         }));
         Self {
             requests,
+            core,
             _data: data,
         }
     }
 
+    /// Subscribes to what the instance pushes to entries.
+    pub fn pushes(&self) -> Receiver<Arc<Broadcast>> {
+        lock_registry(&self.core.registry).subscribe().1
+    }
+
     /// Asks the controller on behalf of an entry.
     pub async fn ask(&self, request: Request) -> Reply {
         send_request(&self.requests, "entry", request).await
--- a/crates/flamingo-control/tests/controller/main.rs
+++ b/crates/flamingo-control/tests/controller/main.rs
@@ -6,9 +6,10 @@
 use engine::{Engine, Script, World};
 use flamingo_control::controller::engine_api::{Operation, Order, Outcome};
 use flamingo_test_support::wait;
-use flamingo_wire::control::{LoadAdapter, Request};
+use flamingo_wire::control::{LoadAdapter, Push, Request};
 use flamingo_wire::route;
 use harness::Harness;
+use std::collections::BTreeSet;
 
 /// Names a test after what must not happen.
 macro_rules! case {
@@ -151,3 +152,31 @@
 }
 
 case! { a_move_does_not_go_on_at_a_restarted_engine, restart_within_a_move() }
+
+/// A new leader gets the reports of 40 engines at once. It publishes the loads of all targets once
+/// in each round.
+async fn takeover_of_many_engines() {
+    const ENGINES: usize = 40;
+    let models = [("a", 70.0)];
+    let engines = (0..ENGINES).map(|n| (n.to_string(), Engine::new(0, &["a"])));
+    let world = World::new(config(&models, 0), engines, at_first_order(|_, _| None));
+    let harness = Harness::start(&world).await;
+    let mut pushes = harness.pushes();
+    let (mut rounds, mut residencies, mut published) = (0, 0, BTreeSet::new());
+    while published.len() < ENGINES {
+        match pushes.recv().await.expect("a push").push() {
+            Push::Loads(_) => rounds += 1,
+            Push::Residency(residency) => {
+                residencies += 1;
+                published.extend(residency.iter().map(|residency| residency.target.clone()));
+            }
+            _ => {}
+        }
+    }
+    assert!(
+        residencies <= rounds + 1,
+        "{residencies} in {rounds} rounds"
+    );
+}
+
+case! { a_takeover_does_not_publish_each_engine_by_itself, takeover_of_many_engines() }
