Planning takes at most a fifth of the time, and yields between moves

Cause: moves were planned every 100 ms however long a plan took, up to three in one turn of the event loop, while heartbeats of the log waited behind it.

The next plan is due after five times what the last one took, and other work gets its turn between two moves of a plan.

--- a/crates/flamingo-control/src/controller/mod.rs
+++ b/crates/flamingo-control/src/controller/mod.rs
@@ -8,6 +8,7 @@
 pub mod demand;
 pub mod engine;
 pub mod engine_api;
+pub mod pace;
 
 mod moves;
 mod orders;
@@ -23,6 +24,7 @@
 use flamingo_wire::fault::Reason;
 use flamingo_wire::route::{Engine, Set};
 use flamingo_wire::{Fault, id};
+use pace::Pace;
 use slog::{Logger, info};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
@@ -33,6 +35,9 @@
 
 /// Interval at which the controller refreshes its view of the engines and plans moves.
 const PLANNING_INTERVAL: Duration = Duration::from_millis(100);
+/// Planning takes at most this part of the time, so that a process with little processor time
+/// still answers the other control instances in time.
+const PLANNING_TIME_DIVISOR: u32 = 5;
 /// Interval at which the summed loads of all entries are published to the entries.
 const LOADS_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval at which an idle engine is asked for a report. An engine whose sequence is unknown
@@ -189,6 +194,7 @@
     engine_client: Rc<dyn EngineClient>,
     bounds: Bounds,
     term: RefCell<TermState>,
+    planning_pace: RefCell<Pace>,
     demand_log_limit: RefCell<LogRateLimit>,
     log: Logger,
 }
@@ -201,6 +207,7 @@
         engine_client: options.engine_client,
         bounds: options.bounds,
         term: RefCell::default(),
+        planning_pace: RefCell::new(Pace::new(PLANNING_TIME_DIVISOR)),
         demand_log_limit: RefCell::default(),
         log: options.log,
     });
@@ -273,10 +280,19 @@
         self.flush_residencies();
         self.publish_loads(now);
         if self.may_order(now) {
-            self.plan(&leader, &routes, now);
+            self.plan_if_due(&leader, &routes, now).await;
         }
     }
 
+    /// Plans moves, unless planning has taken too large a part of the recent time.
+    async fn plan_if_due(self: &Rc<Self>, leader: &LeaderSnapshot, routes: &Set, now: Instant) {
+        if !self.planning_pace.borrow().is_due(now) {
+            return;
+        }
+        self.plan(leader, routes, now).await;
+        self.planning_pace.borrow_mut().record(now, clock::now());
+    }
+
     /// Resets the state where `leader` is a new leadership, and sets when orders may begin. The
     /// demand that entries reported before is kept.
     fn start_term(&self, leader: &LeaderSnapshot, now: Instant) {
--- a/crates/flamingo-control/src/controller/moves.rs
+++ b/crates/flamingo-control/src/controller/moves.rs
@@ -48,7 +48,7 @@
 
 impl Controller {
     /// Starts the next moves of each service, where they lower the cost of the assignment.
-    pub(super) fn plan(self: &Rc<Self>, leader: &LeaderSnapshot, routes: &Set, now: Instant) {
+    pub(super) async fn plan(self: &Rc<Self>, leader: &LeaderSnapshot, routes: &Set, now: Instant) {
         for service in &routes.services {
             let Some(engine) = &service.engine else {
                 continue;
@@ -61,6 +61,7 @@
                     break;
                 };
                 self.start_move(planned);
+                tokio::task::yield_now().await;
             }
         }
     }
