--- a/crates/flamingo-control/tests/controller/engine.rs
+++ b/crates/flamingo-control/tests/controller/engine.rs
@@ -17,6 +17,13 @@
     pub incarnation: id::Incarnation,
     pub sequence: u64,
     pub models: BTreeMap<id::Model, BTreeSet<id::Adapter>>,
+    /// Reports that show the last model load as being executed; then it is resident, and the late
+    /// orders are carried out.
+    pub executing: usize,
+    /// Orders that got no answer and are carried out late.
+    pub late: Vec<Order>,
+    /// Reports that get no answer.
+    pub mute: usize,
     /// Whether an order ever made it hold more than its memory or its slots.
     pub overfull: bool,
     /// Reports given since the last restart.
@@ -49,7 +56,7 @@
 
     /// Carries out an order, or refuses it.
     pub fn execute(&mut self, order: &Order, config: &route::Engine) -> Outcome {
-        if order.expected_sequence != self.sequence {
+        if self.executing > 0 || order.expected_sequence != self.sequence {
             return Outcome::Conflict;
         }
         let holds = self.holds(order);
@@ -107,13 +114,29 @@
         models.collect()
     }
 
-    fn report(&mut self) -> Report {
+    /// Returns the state as the engine reports it, without the model that it is loading.
+    fn report(&mut self, config: &route::Engine) -> Option<Report> {
+        if self.mute > 0 {
+            self.mute -= 1;
+            return None;
+        }
         self.reports += 1;
-        Report {
+        let mut report = Report {
             models: self.residents(),
             sequence: self.sequence,
             ..Report::default()
+        };
+        if self.executing > 0 {
+            report.executing = true;
+            report.models.pop();
+            self.executing -= 1;
+            if self.executing == 0 {
+                for order in std::mem::take(&mut self.late) {
+                    self.execute(&order, config);
+                }
+            }
         }
+        Some(report)
     }
 
     /// Returns what the engine registers under `id`.
@@ -175,6 +198,10 @@
 
     fn report(&self, target: &Registration, _: Instant) -> LocalBoxFuture<'static, Option<Report>> {
         let (world, id) = (self.clone(), target.id.clone());
-        async move { Some(world.engines.borrow_mut().get_mut(&id)?.report()) }.boxed_local()
+        async move {
+            let mut engines = world.engines.borrow_mut();
+            engines.get_mut(&id)?.report(&world.config)
+        }
+        .boxed_local()
     }
 }
--- a/crates/flamingo-control/tests/controller/main.rs
+++ b/crates/flamingo-control/tests/controller/main.rs
@@ -99,6 +99,40 @@
 
 case! { a_retried_load_does_not_overfill_an_engine, retry_after_an_earlier_load() }
 
+/// An engine executes an earlier leader's load of `c` when the load of `b` is sent again. What gets
+/// no answer is carried out once that is done.
+async fn load_beside_an_earlier_one() {
+    let models = [("a", 70.0), ("b", 70.0), ("c", 70.0)];
+    let mut first = true;
+    let script: Script = Box::new(move |engine, order| {
+        if std::mem::take(&mut first) {
+            let earlier = late(order, "c", None, engine.sequence);
+            engine.execute(&earlier, &config(&models, 0));
+            engine.executing = 3;
+            engine.mute = 1;
+        } else if engine.executing > 0 {
+            engine.late.push(order.clone());
+        } else {
+            return None;
+        }
+        Some(Outcome::Uncertain)
+    });
+    let world = World::new(config(&models, 0), [("e", Engine::new(0, &["a"]))], script);
+    let _harness = Harness::start(&world).await;
+    until(&world, "the earlier load", |engine| {
+        engine.executing == 0 && engine.sequence > 0
+    })
+    .await;
+    let reports = world.look("e", |engine| engine.reports);
+    until(&world, "reports after it", |engine| {
+        engine.reports >= reports + 2
+    })
+    .await;
+    assert!(!world.look("e", |engine| engine.overfull));
+}
+
+case! { a_load_is_not_sent_to_an_engine_that_executes_another, load_beside_an_earlier_one() }
+
 /// Asks for adapter `x` twice; before the first order an earlier leader's load of `y` takes the
 /// only slot.
 async fn adapter_after_an_earlier_one() {
