Count a load from the weight store when it starts, not when it is planned

A load was counted against the store's ceiling when its move was planned, but starts once the move's unloads are done, up to 40 s later. Loads planned in one window could start together with those of the next.

Evidence: long_unloads_do_not_let_loads_start_above_the_ceiling plays plans and unloads in virtual time; with loads counted at their plan it fails (unloads of 1 s and more), now at most four start in any window of four.

A load takes its place from its plan until a window after its start.

--- a/crates/flamingo-control/src/controller/mod.rs
+++ b/crates/flamingo-control/src/controller/mod.rs
@@ -9,6 +9,7 @@
 pub mod engine;
 pub mod engine_api;
 pub mod pace;
+pub mod store;
 
 mod moves;
 mod orders;
@@ -31,6 +32,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
+use store::Loads;
 use tokio::sync::{Mutex, mpsc, oneshot};
 
 /// Interval at which the controller refreshes its view of the engines and plans moves.
@@ -149,8 +151,8 @@
     /// Since when no engine has a model resident, by service and model.
     missing_since: BTreeMap<(id::Service, id::Model), Instant>,
     routes: Option<Arc<Set>>,
-    /// When this instance started loads from the weight store.
-    store_loads: Vec<Instant>,
+    /// Loads from the weight store that this leader planned or started.
+    store_loads: Loads,
     loads_published_at: Option<Instant>,
     /// Engines whose residency the entries have to get.
     unpublished: BTreeSet<id::Target>,
--- a/crates/flamingo-control/src/controller/moves.rs
+++ b/crates/flamingo-control/src/controller/moves.rs
@@ -2,6 +2,7 @@
 
 use super::engine::{EngineState, Key};
 use super::engine_api::{Operation, Outcome, Report};
+use super::store::Ceiling;
 use super::{Controller, LeaderSnapshot, TermState};
 use flamingo_daemon::clock;
 use flamingo_place::rebalance::{self, Engine, Model, Move};
@@ -165,7 +166,7 @@
             "engines" => engines.len());
     }
 
-    /// Returns how many loads from the weight store may start now; a fraction or a negative
+    /// Returns how many more loads from the weight store may be planned; a fraction or a negative
     /// number means none.
     fn available_store_loads(
         &self,
@@ -173,20 +174,14 @@
         engine: &route::Engine,
         now: Instant,
     ) -> f64 {
-        let window = self.bounds.load_window + CLOCK_SKEW;
-        let max_loads =
-            engine.loads_per_s * self.bounds.load_window.as_secs_f64() + self.bounds.load_burst;
-        let wall = SystemTime::now();
-        let recent = |started: &&SystemTime| {
-            // A time ahead of this clock, from an instance whose clock is ahead, counts as now.
-            wall.duration_since(**started).unwrap_or_default() < window
+        let window = self.bounds.load_window;
+        let ceiling = Ceiling {
+            loads: engine.loads_per_s * window.as_secs_f64() + self.bounds.load_burst,
+            window: window + CLOCK_SKEW,
         };
-        let replicated = leader.loads.iter().filter(recent).count();
+        let recorded = recent_loads(leader, ceiling.window);
         let mut term = self.term.borrow_mut();
-        term.store_loads.retain(|started| now < *started + window);
-        let started = replicated.max(term.store_loads.len());
-        let started = u32::try_from(started).unwrap_or(u32::MAX);
-        max_loads - f64::from(started)
+        term.store_loads.available(ceiling, recorded, now)
     }
 
     /// Starts a task that executes a move. The task ends with the engine's incarnation and with
@@ -197,16 +192,17 @@
         let key = {
             let mut term = self.term.borrow_mut();
             let fence = term.fence;
-            if planned.from_store {
-                term.store_loads.push(clock::now());
-            }
             let Some(engine_state) = term.engines.get_mut(&planned.target) else {
                 return;
             };
             engine_state.moving = true;
             engine_state.moves_started += 1;
             engine_state.loading = Some(planned.load.clone());
-            engine_state.key(fence)
+            let key = engine_state.key(fence);
+            if planned.from_store {
+                term.store_loads.plan(&key.target);
+            }
+            key
         };
         let controller = Rc::clone(self);
         tokio::task::spawn_local(async move {
@@ -220,7 +216,10 @@
                 engine_state.unloading = None;
             });
             if current {
-                controller.publish_residency(&planned.target);
+                let mut term = controller.term.borrow_mut();
+                term.store_loads.cancel(&key.target);
+                drop(term);
+                controller.publish_residency(&key.target);
             }
         });
     }
@@ -241,6 +240,7 @@
             self.update_engine(key, |state| state.unloading = None);
         }
         if planned.from_store {
+            self.begin_store_load(key)?;
             let load = crate::raft_actor::Propose(Command::Load(1));
             match self.core.raft_actor.send(load).await {
                 Ok(flamingo_wire::control::Reply::Acknowledged) => {}
@@ -254,6 +254,19 @@
         Ok(())
     }
 
+    /// Counts the load of a move from the weight store, which starts now.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the engine or the leadership is another one by now.
+    fn begin_store_load(&self, key: &Key) -> Result<(), &'static str> {
+        let mut term = self.term.borrow_mut();
+        term.engine(key)
+            .ok_or("the engine has gone or has restarted")?;
+        term.store_loads.begin(&key.target, clock::now());
+        Ok(())
+    }
+
     /// Changes the state of an engine. Returns `false` where the engine or the leadership is
     /// another one by now.
     fn update_engine(&self, key: &Key, change: impl FnOnce(&mut EngineState)) -> bool {
@@ -334,6 +347,16 @@
     }
 }
 
+/// Returns how many starts of loads within `window` the log records, under any leader.
+fn recent_loads(leader: &LeaderSnapshot, window: Duration) -> usize {
+    let wall = SystemTime::now();
+    let recent = |started: &&SystemTime| {
+        // A time ahead of this clock, from an instance whose clock is ahead, counts as now.
+        wall.duration_since(**started).unwrap_or_default() < window
+    };
+    leader.loads.iter().filter(recent).count()
+}
+
 /// Returns whether an engine reports a model as resident.
 fn has_model(report: &Report, model: &id::Model) -> bool {
     report
--- /dev/null
+++ b/crates/flamingo-control/tests/store.rs
@@ -0,0 +1,57 @@
+//! Starts of loads from the weight store, in virtual time.
+
+use flamingo_control::controller::store::{Ceiling, Loads};
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+const CEILING: Ceiling = Ceiling {
+    loads: 4.0,
+    window: Duration::from_secs(5),
+};
+const STEP: Duration = Duration::from_millis(100);
+
+/// Returns when loads start that are planned whenever one may be, and that wait for unloads of
+/// these lengths in turn.
+fn simulate(unloads: &[Duration]) -> Vec<Instant> {
+    let begin = Instant::now();
+    let mut loads = Loads::default();
+    let (mut started, mut waiting) = (Vec::new(), BTreeMap::new());
+    let mut unloads = unloads.iter().cycle().enumerate();
+    for step in 0..600 {
+        let now = begin + STEP * step;
+        while loads.available(CEILING, 0, now) >= 1.0 {
+            let (number, unload) = unloads.next().expect("a cycle does not end");
+            let target = format!("engine-{number}");
+            loads.plan(&target);
+            waiting.insert(target, now + *unload);
+        }
+        for (target, _) in waiting.extract_if(.., |_, ready| *ready <= now) {
+            loads.begin(&target, now);
+            started.push(now);
+        }
+    }
+    started
+}
+
+fn most_in_a_window(started: &[Instant]) -> usize {
+    let within = |from: &Instant| {
+        let later = started.iter().filter(|at| *at >= from);
+        later.filter(|at| **at < *from + CEILING.window).count()
+    };
+    started.iter().map(within).max().unwrap_or(0)
+}
+
+#[test]
+fn long_unloads_do_not_let_loads_start_above_the_ceiling() {
+    for long in 0..15 {
+        let long = Duration::from_secs(long);
+        let unloads = [[long; 4], [Duration::ZERO; 4]].concat();
+        assert!(most_in_a_window(&simulate(&unloads)) <= 4, "{long:?}");
+    }
+}
+
+#[test]
+fn loads_without_unloads_use_the_ceiling() {
+    // Four loads in each of the twelve windows of a minute.
+    assert_eq!(simulate(&[Duration::ZERO]).len(), 48);
+}
