--- a/crates/flamingo-control/tests/controller/main.rs
+++ b/crates/flamingo-control/tests/controller/main.rs
@@ -11,13 +11,15 @@
 use harness::Harness;
 use std::collections::BTreeSet;
 
-/// Names a test after what must not happen.
-macro_rules! case {
-    ($name:ident, $run:expr) => {
-        #[actix_rt::test]
-        async fn $name() {
-            $run.await;
-        }
+/// Names each scenario after what must not happen.
+macro_rules! cases {
+    ($($name:ident: $scenario:expr,)*) => {
+        $(
+            #[actix_rt::test]
+            async fn $name() {
+                $scenario.await;
+            }
+        )*
     };
 }
 
@@ -97,8 +99,6 @@
     assert!(!world.look("e", |engine| engine.overfull));
 }
 
-case! { a_retried_load_does_not_overfill_an_engine, retry_after_an_earlier_load() }
-
 /// An engine executes an earlier leader's load of `c` when the load of `b` is sent again. What gets
 /// no answer is carried out once that is done.
 async fn load_beside_an_earlier_one() {
@@ -131,8 +131,6 @@
     assert!(!world.look("e", |engine| engine.overfull));
 }
 
-case! { a_load_is_not_sent_to_an_engine_that_executes_another, load_beside_an_earlier_one() }
-
 /// Asks for adapter `x` twice; before the first order an earlier leader's load of `y` takes the
 /// only slot.
 async fn adapter_after_an_earlier_one() {
@@ -159,8 +157,6 @@
     assert!(world.look("e", |engine| !engine.orders.is_empty()));
 }
 
-case! { a_late_adapter_does_not_overfill_the_slots, adapter_after_an_earlier_one() }
-
 /// A move unloads `a` to load `b`. The engine restarts with `b` before the unload is answered, so
 /// that its new incarnation needs no order.
 async fn restart_within_a_move() {
@@ -185,8 +181,6 @@
     assert_eq!(orders, 0);
 }
 
-case! { a_move_does_not_go_on_at_a_restarted_engine, restart_within_a_move() }
-
 /// A new leader gets the reports of 40 engines at once. It publishes the loads of all targets once
 /// in each round.
 async fn takeover_of_many_engines() {
@@ -213,4 +207,10 @@
     );
 }
 
-case! { a_takeover_does_not_publish_each_engine_by_itself, takeover_of_many_engines() }
+cases! {
+    a_retried_load_does_not_overfill_an_engine: retry_after_an_earlier_load(),
+    a_load_is_not_sent_to_an_engine_that_executes_another: load_beside_an_earlier_one(),
+    a_late_adapter_does_not_overfill_the_slots: adapter_after_an_earlier_one(),
+    a_move_does_not_go_on_at_a_restarted_engine: restart_within_a_move(),
+    a_takeover_does_not_publish_each_engine_by_itself: takeover_of_many_engines(),
+}
