Reword flamingo-test-support: comments, messages and names in the usual terms

Weather -> Network with loss_percent, duplicate_percent, max_delay_ms; pass -> advance; act -> with_raft; newest -> last_committed; flying -> in_flight; keep -> store; note_leader -> record_leader; forget_repaired -> drop_repaired; Operation::Open -> Pending; Recorder::forget -> discard; PATIENCE -> REQUEST_TIMEOUT; near, far -> client, server; pump -> forward.

--- a/crates/flamingo-control/tests/histories.rs
+++ b/crates/flamingo-control/tests/histories.rs
@@ -85,7 +85,7 @@
                     recorder.answer(process, Operation::Read(snapshot.version));
                     return Some(snapshot.version);
                 }
-                recorder.forget(process);
+                recorder.discard(process);
                 None
             }
         })
--- a/crates/flamingo-log/tests/growth.rs
+++ b/crates/flamingo-log/tests/growth.rs
@@ -46,7 +46,7 @@
         let mut group = grown(3, seed);
         let gone = (group.leader().expect("a leader") + 1) % 3;
         group.crash(gone);
-        group.pass(LIMIT);
+        group.advance(LIMIT);
         assert!(votes(&group, gone));
     };
     a_voter_that_comes_back_is_let_in_again: 4 => |seed| {
@@ -75,13 +75,13 @@
         let mut group = grown(3, seed);
         let leader = group.leader().expect("a leader");
         group.propose(leader, b"kept").expect("taken");
-        group.pass(Duration::from_secs(2));
+        group.advance(Duration::from_secs(2));
         for n in 0..3 {
             group.crash(n);
         }
         let n = (leader + 1) % 3;
         group.start(n);
-        group.pass(Duration::from_millis(200));
+        group.advance(Duration::from_millis(200));
         assert!(group.nodes[n].applied.iter().any(|applied| applied.bytes == b"kept"));
     };
 }
--- a/crates/flamingo-log/tests/late.rs
+++ b/crates/flamingo-log/tests/late.rs
@@ -35,9 +35,9 @@
     let mut group = Group::new(3, 7);
     assert!(group.until(LIMIT, |group| group.leader().is_some()));
     let leader = group.leader().unwrap();
-    group.pass(Duration::from_secs(2));
+    group.advance(Duration::from_secs(2));
     group.isolate(leader);
-    group.pass(ISOLATION);
+    group.advance(ISOLATION);
     let raft = group.nodes[leader].raft.as_ref().unwrap();
     assert!(raft.is_leader(group.now) && !raft.has_read_lease(group.now));
     let name = &group.nodes[leader].name;
@@ -53,7 +53,7 @@
         messages.extend((0..ROUNDS).map(|round| answer(raft, peer, late, round)));
     }
     for message in messages {
-        group.act(leader, |raft, now| raft.receive(now, message));
+        group.with_raft(leader, |raft, now| raft.receive(now, message));
     }
     let raft = group.nodes[leader].raft.as_ref().unwrap();
     assert!(
--- a/crates/flamingo-log/tests/safety.rs
+++ b/crates/flamingo-log/tests/safety.rs
@@ -2,7 +2,7 @@
 //! restarts, pauses, partitions and lost disks. After each run the members must agree on
 //! the committed entries.
 
-use flamingo_test_support::group::{Group, Weather};
+use flamingo_test_support::group::{Group, Network};
 use flamingo_test_support::seed;
 use quickcheck::{Arbitrary, Gen};
 use std::time::Duration;
@@ -20,7 +20,7 @@
     Heal,
     Freeze(u8),
     Thaw(u8),
-    Weather(u8),
+    Network(u8),
     Compact(u8),
     Resign(u8),
     Fill(u8),
@@ -40,7 +40,7 @@
             24 => Self::Heal,
             25 => Self::Freeze(n),
             26 => Self::Thaw(n),
-            27 => Self::Weather(n),
+            27 => Self::Network(n),
             28 | 29 => Self::Compact(n),
             30 => Self::Resign(n),
             _ => Self::Fill(n),
@@ -63,7 +63,7 @@
                 // too.
                 group.propose(at(n), &(proposed + 1_000_000).to_le_bytes());
             }
-            Op::Pass(n) => group.pass(Duration::from_millis(u64::from(n) * 10)),
+            Op::Pass(n) => group.advance(Duration::from_millis(u64::from(n) * 10)),
             Op::Crash(n) => group.crash(at(n)),
             Op::Start(n) => group.start(at(n)),
             Op::Wipe(n) => {
@@ -75,15 +75,15 @@
             Op::Isolate(n) => group.isolate(at(n)),
             Op::Freeze(n) => group.nodes[at(n)].frozen = true,
             Op::Thaw(n) => group.nodes[at(n)].frozen = false,
-            Op::Weather(n) => {
-                group.weather = Weather {
-                    loss: u64::from(n % 4) * 10,
-                    twice: u64::from(n % 3) * 10,
-                    delay: u64::from(n % 5) * 60,
+            Op::Network(n) => {
+                group.network = Network {
+                    loss_percent: u64::from(n % 4) * 10,
+                    duplicate_percent: u64::from(n % 3) * 10,
+                    max_delay_ms: u64::from(n % 5) * 60,
                 }
             }
             Op::Compact(n) => group.compact(at(n)),
-            Op::Resign(n) => group.act(at(n), flamingo_log::Raft::transfer_leadership),
+            Op::Resign(n) => group.with_raft(at(n), flamingo_log::Raft::transfer_leadership),
             Op::Fill(n) => group.nodes[at(n)].full = true,
         }
     }
--- a/crates/flamingo-log/tests/scenarios.rs
+++ b/crates/flamingo-log/tests/scenarios.rs
@@ -50,7 +50,7 @@
             }
             "pass" => {
                 let millis = rest.parse().expect("milliseconds");
-                self.group.pass(Duration::from_millis(millis));
+                self.group.advance(Duration::from_millis(millis));
                 "ok".to_owned()
             }
             "leads" => yes_or_no(self.raft(rest, Raft::is_leader)),
--- a/crates/flamingo-test-support/src/address.rs
+++ b/crates/flamingo-test-support/src/address.rs
@@ -5,9 +5,10 @@
 
 static NEXT: AtomicU8 = AtomicU8::new(1);
 
-/// Returns a loopback IP number that no other test of this machine uses.
+/// Returns a loopback address that no other running test uses, so that tests can listen on fixed
+/// ports.
 ///
-/// It is made of the process id and a counter, so fixed ports can be used on it.
+/// The address is derived from the process id and a counter.
 ///
 /// # Panics
 ///
--- a/crates/flamingo-test-support/src/cluster.rs
+++ b/crates/flamingo-test-support/src/cluster.rs
@@ -1,4 +1,4 @@
-//! A small whole system of real processes on loopback.
+//! A complete system of real processes on loopback.
 
 use crate::address::{at, host};
 use crate::process::{Process, program};
@@ -20,38 +20,38 @@
 /// One instance of the system or one target.
 #[derive(Debug)]
 pub struct Instance {
-    /// Its name.
+    /// Name of the process.
     pub name: String,
-    /// Its IP number.
+    /// IP address of the process.
     pub host: IpAddr,
-    /// Its process.
+    /// The process.
     pub process: Process,
 }
 
 impl Instance {
-    /// Returns where it takes HTTP from callers and operators.
+    /// Returns the address for HTTP requests of callers and operators.
     #[must_use]
     pub fn http(&self) -> SocketAddr {
         at(self.host, HTTP)
     }
 
-    /// Returns where it takes the inner protocol.
+    /// Returns the address for the inner protocol.
     #[must_use]
     pub fn inner(&self) -> SocketAddr {
         at(self.host, INNER)
     }
 
-    /// Returns where a target takes requests.
+    /// Returns the address on which a target accepts requests.
     #[must_use]
     pub fn target(&self) -> SocketAddr {
         at(self.host, TARGET)
     }
 }
 
-/// A whole system; its processes end with it.
+/// A running system. Its processes are killed on drop.
 #[derive(Debug)]
 pub struct Cluster {
-    /// Its folder.
+    /// Folder for settings, logs and data.
     pub dir: TempDir,
     /// Control instances.
     pub controls: Vec<Instance>,
@@ -61,9 +61,9 @@
     pub targets: Vec<Instance>,
     members: Vec<String>,
     seeds: Vec<SocketAddr>,
-    /// Lines added to the settings of each entry.
+    /// Additional lines in the settings of each entry.
     more: String,
-    /// Relays by the name of the caller and of the control instance it reaches.
+    /// Relays, by the names of the entry and of the control instance.
     relays: BTreeMap<(String, String), Relay>,
 }
 
@@ -89,7 +89,7 @@
         Self::launch(controls, entries, true, "")
     }
 
-    /// Starts a system whose entries have the lines `more` in their settings.
+    /// Starts a system with the additional lines `more` in the settings of each entry.
     ///
     /// # Panics
     ///
@@ -99,12 +99,11 @@
         Self::launch(controls, entries, false, more)
     }
 
-    /// Returns the relay by which the entry `from` reaches the control `to`.
+    /// Returns the relay between the entry `from` and the control instance `to`.
     ///
     /// # Panics
     ///
-    /// Panics where there is none: the system was not started by
-    /// [`Cluster::relayed`].
+    /// Panics if the system was not started by [`Cluster::relayed`].
     #[must_use]
     pub fn relay(&self, from: &str, to: &str) -> &Relay {
         let key = (from.to_owned(), to.to_owned());
@@ -144,7 +143,7 @@
         cluster
     }
 
-    /// Starts a fake target; `more` goes to its command line.
+    /// Starts a fake target with the additional arguments `more`.
     ///
     /// # Panics
     ///
@@ -208,7 +207,7 @@
         self.dir.path().join(format!("{name}.log"))
     }
 
-    /// Starts again a daemon that has ended, under its old name and settings.
+    /// Restarts a daemon that has ended, with the same name and settings.
     ///
     /// # Panics
     ///
@@ -230,7 +229,7 @@
         }
     }
 
-    /// Returns the control instances as the process `name` is told of them.
+    /// Returns the control instances for the settings of the process `name`.
     fn members(&self, name: &str) -> String {
         let relays: Vec<_> = self
             .relays
--- a/crates/flamingo-test-support/src/group.rs
+++ b/crates/flamingo-test-support/src/group.rs
@@ -1,9 +1,9 @@
 //! A group of log members in virtual time, with faults.
 //!
-//! Nothing here runs by itself: [`Group::pass`] lets time go by. After every
-//! step the group checks what must always hold, and panics where it does not:
-//! no two members commit different entries at one index, no term has two
-//! leaders, and who may answer reads knows all that was committed.
+//! Time passes only in [`Group::advance`]. After every step the group checks these
+//! invariants, and panics where one is violated: no two members commit different entries at
+//! the same index, no term has two leaders, and a member with a read lease knows all committed
+//! entries.
 
 use flamingo_log::disk::Stored;
 use flamingo_log::raft::{EntryId, MembershipPolicy, Options, Seed};
@@ -14,43 +14,43 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-/// Virtual time between two looks at the members.
+/// Virtual time between two ticks of the members.
 pub const STEP: Duration = Duration::from_millis(10);
 
 /// A committed command.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Applied {
-    /// Its index.
+    /// Index in the log.
     pub index: id::Index,
-    /// Its term.
+    /// Term of the leader that proposed the command.
     pub term: id::Term,
-    /// Its bytes.
+    /// Encoded command.
     pub bytes: Vec<u8>,
 }
 
-/// What the network does to messages.
+/// Faults of the simulated network.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Weather {
-    /// Messages lost, in percent.
-    pub loss: u64,
-    /// Messages that arrive twice, in percent.
-    pub twice: u64,
-    /// Longest delay, in milliseconds; unequal delays reorder.
-    pub delay: u64,
+pub struct Network {
+    /// Percentage of messages that are lost.
+    pub loss_percent: u64,
+    /// Percentage of messages that are delivered twice.
+    pub duplicate_percent: u64,
+    /// Longest delay of a message, in milliseconds. Different delays reorder messages.
+    pub max_delay_ms: u64,
 }
 
 /// One member.
 #[derive(Debug)]
 pub struct Node {
-    /// Its name.
+    /// Name of the member.
     pub name: id::Node,
     /// The state machine, while it runs.
     pub raft: Option<Raft>,
     /// The committed commands, in order.
     pub applied: Vec<Applied>,
-    /// Whether it is frozen: nothing happens in it.
+    /// Whether the member is paused: it neither ticks nor receives messages.
     pub frozen: bool,
-    /// Whether its disk takes no more.
+    /// Whether the disk is full, so that the next write fails.
     pub full: bool,
     stored: Stored,
     pending: Vec<Record>,
@@ -64,9 +64,9 @@
     pub now: Instant,
     /// The members.
     pub nodes: Vec<Node>,
-    /// What the network does.
-    pub weather: Weather,
-    flying: BTreeMap<(Instant, u64), Message>,
+    /// Faults of the network.
+    pub network: Network,
+    in_flight: BTreeMap<(Instant, u64), Message>,
     cuts: BTreeSet<(usize, usize)>,
     sent: u64,
     random: u64,
@@ -85,8 +85,8 @@
         Self::build(count, count, MembershipPolicy::default(), seed)
     }
 
-    /// Starts `count` members with an open member list, all of which are told of the first
-    /// `seeded` alone; `min_voters` voters stay where others fall silent.
+    /// Starts `count` members with an open member list, all of which are configured with the
+    /// first `seeded` as seeds. Unresponsive voters are removed while more than `min_voters` vote.
     #[must_use]
     pub fn open(count: usize, seeded: usize, min_voters: usize, seed: u64) -> Self {
         let bootstraps = true;
@@ -107,8 +107,8 @@
             membership,
             now: Instant::now(),
             nodes: Vec::new(),
-            weather: Weather::default(),
-            flying: BTreeMap::new(),
+            network: Network::default(),
+            in_flight: BTreeMap::new(),
             cuts: BTreeSet::new(),
             sent: 0,
             random: seed,
@@ -144,18 +144,18 @@
         self.storages
     }
 
-    /// Returns a number of the group's own sequence.
+    /// Returns the next number of the group's seeded random sequence.
     pub fn random(&mut self) -> u64 {
         self.random = self.random.wrapping_mul(6_364_136_223_846_793_005);
         self.random = self.random.wrapping_add(1_442_695_040_888_963_407);
         self.random >> 33
     }
 
-    /// Starts a member that does not run, with what its disk holds.
+    /// Starts a member that is not running, with the records on its disk.
     ///
     /// # Panics
     ///
-    /// Panics where its snapshot was not made by this group.
+    /// Panics if the stored snapshot cannot be decoded.
     pub fn start(&mut self, n: usize) {
         if self.nodes[n].raft.is_some() {
             return;
@@ -182,11 +182,11 @@
         node.full = false;
         node.applied = decode(&node.stored.snapshot.data);
         node.raft = Some(Raft::new(options, self.now));
-        // What the disk knew to be committed is applied before anything else.
+        // Entries that the disk recorded as committed are applied first.
         self.drain(n);
     }
 
-    /// Stops a member at once; some of what it had not synced may be lost.
+    /// Kills a member. A random suffix of its unsynced records is lost.
     pub fn crash(&mut self, n: usize) {
         let kept = self.random();
         let node = &mut self.nodes[n];
@@ -196,16 +196,16 @@
         let pending = std::mem::take(&mut node.pending);
         let kept = usize::try_from(kept).unwrap_or(0) % (pending.len() + 1);
         for record in pending.into_iter().take(kept) {
-            keep(&mut node.stored, record);
+            store(&mut node.stored, record);
         }
     }
 
-    /// Stops a member and wipes its disk.
+    /// Kills a member and wipes its disk. Returns whether it did.
     ///
-    /// Does nothing where another member has not yet got its vote back after
-    /// its own wipe: more lost disks at once than that no log survives.
+    /// Does nothing while another wiped member has not become a voter again, because the log
+    /// does not tolerate more lost disks at a time.
     pub fn wipe(&mut self, n: usize) -> bool {
-        self.forget_repaired();
+        self.drop_repaired();
         if !self.wiped.is_empty() || self.voters().len() < self.nodes.len() {
             return false;
         }
@@ -219,7 +219,7 @@
         true
     }
 
-    /// Returns the newest committed member list's voters.
+    /// Returns the voters of the newest committed member list.
     #[must_use]
     pub fn voters(&self) -> Vec<Member> {
         let listed = self.committed.values().rev();
@@ -236,7 +236,7 @@
         members.into_iter().filter(|member| member.votes).collect()
     }
 
-    fn forget_repaired(&mut self) {
+    fn drop_repaired(&mut self) {
         let voters = self.voters();
         let repaired = |node: &str, storage: u64| {
             voters
@@ -246,12 +246,12 @@
         self.wiped.retain(|node, storage| !repaired(node, *storage));
     }
 
-    /// Cuts two members from each other, silently.
+    /// Drops all messages between two members.
     pub fn cut(&mut self, a: usize, b: usize) {
         self.cuts.insert((a.min(b), a.max(b)));
     }
 
-    /// Cuts a member from all others.
+    /// Drops all messages between a member and all others.
     pub fn isolate(&mut self, n: usize) {
         for other in 0..self.nodes.len() {
             if other != n {
@@ -260,12 +260,12 @@
         }
     }
 
-    /// Ends all cuts.
+    /// Ends all partitions.
     pub fn heal(&mut self) {
         self.cuts.clear();
     }
 
-    /// Returns the member that may propose now, the newest term's if there are two.
+    /// Returns the running member that leads, the one of the highest term if there are several.
     #[must_use]
     pub fn leader(&self) -> Option<usize> {
         let running = (0..self.nodes.len()).filter(|n| !self.nodes[*n].frozen);
@@ -278,7 +278,7 @@
             .max_by_key(|n| self.nodes[*n].raft.as_ref().map(Raft::term))
     }
 
-    /// Proposes a command to a member.
+    /// Proposes a command to a member. Returns `None` where it is refused.
     pub fn propose(&mut self, n: usize, bytes: &[u8]) -> Option<EntryId> {
         let now = self.now;
         let node = &mut self.nodes[n];
@@ -292,8 +292,8 @@
         slot
     }
 
-    /// Does something with a member's state machine.
-    pub fn act(&mut self, n: usize, act: impl FnOnce(&mut Raft, Instant)) {
+    /// Calls `act` with a member's state machine, and carries out the resulting actions.
+    pub fn with_raft(&mut self, n: usize, act: impl FnOnce(&mut Raft, Instant)) {
         let now = self.now;
         if let Some(raft) = self.nodes[n].raft.as_mut() {
             act(raft, now);
@@ -301,19 +301,19 @@
         }
     }
 
-    /// Puts a snapshot in place of a member's committed entries.
+    /// Replaces a member's committed entries by a snapshot.
     ///
     /// # Panics
     ///
-    /// Never: the commands can always be encoded.
+    /// Panics if the commands cannot be encoded.
     pub fn compact(&mut self, n: usize) {
         let node = &mut self.nodes[n];
         let data = rmp_serde::to_vec(&node.applied).expect("commands can be encoded");
-        self.act(n, |raft, _| raft.compact(raft.commit_index(), data));
+        self.with_raft(n, |raft, _| raft.compact(raft.commit_index(), data));
     }
 
-    /// Lets time go by.
-    pub fn pass(&mut self, time: Duration) {
+    /// Advances the virtual time.
+    pub fn advance(&mut self, time: Duration) {
         let until = self.now + time;
         while self.now < until {
             self.now += STEP;
@@ -321,28 +321,28 @@
             for n in 0..self.nodes.len() {
                 self.sync(n);
                 if !self.nodes[n].frozen {
-                    self.act(n, Raft::tick);
+                    self.with_raft(n, Raft::tick);
                 }
             }
             self.check();
         }
     }
 
-    /// Lets time go by until `done`; returns whether that came within `limit`.
+    /// Advances the virtual time until `done` holds. Returns whether it did within `limit`.
     pub fn until(&mut self, limit: Duration, done: impl Fn(&Self) -> bool) -> bool {
         let until = self.now + limit;
         while self.now < until {
             if done(self) {
                 return true;
             }
-            self.pass(STEP);
+            self.advance(STEP);
         }
         done(self)
     }
 
     fn deliver(&mut self) {
-        let later = self.flying.split_off(&(self.now, u64::MAX));
-        let due = std::mem::replace(&mut self.flying, later);
+        let later = self.in_flight.split_off(&(self.now, u64::MAX));
+        let due = std::mem::replace(&mut self.in_flight, later);
         for (key, message) in due {
             let to = number(&message.to);
             let from = number(&message.from);
@@ -350,15 +350,15 @@
                 continue;
             }
             if self.nodes[to].frozen {
-                // Waits in the socket's buffer.
-                self.flying.insert((self.now + STEP, key.1), message);
+                // A paused process receives the message once it resumes.
+                self.in_flight.insert((self.now + STEP, key.1), message);
                 continue;
             }
-            self.act(to, |raft, now| raft.receive(now, message));
+            self.with_raft(to, |raft, now| raft.receive(now, message));
         }
     }
 
-    /// Syncs what is pending, most of the time.
+    /// Syncs the pending records of a member in three of four steps.
     fn sync(&mut self, n: usize) {
         let late = self.random().is_multiple_of(4);
         let node = &mut self.nodes[n];
@@ -367,15 +367,15 @@
         }
         if node.full {
             node.pending.clear();
-            self.act(n, Raft::fail_disk);
+            self.with_raft(n, Raft::fail_disk);
             return;
         }
         for record in std::mem::take(&mut node.pending) {
-            keep(&mut node.stored, record);
+            store(&mut node.stored, record);
             node.synced += 1;
         }
         let synced = node.synced;
-        self.act(n, |raft, now| raft.synced(now, synced));
+        self.with_raft(n, |raft, now| raft.synced(now, synced));
     }
 
     fn drain(&mut self, n: usize) {
@@ -388,26 +388,26 @@
                 Action::Send(message) => self.send(&message),
                 Action::Commit(entries) => self.commit(n, entries),
                 Action::Restore(snapshot) => self.nodes[n].applied = decode(&snapshot.data),
-                Action::Became(Role::Leader) => self.note_leader(n),
+                Action::Became(Role::Leader) => self.record_leader(n),
                 Action::Became(_) => {}
             }
         }
     }
 
     fn send(&mut self, message: &Message) {
-        let weather = self.weather;
-        let copies = if self.random() % 100 < weather.twice {
+        let network = self.network;
+        let copies = if self.random() % 100 < network.duplicate_percent {
             2
         } else {
             1
         };
         for _ in 0..copies {
-            if self.random() % 100 < weather.loss {
+            if self.random() % 100 < network.loss_percent {
                 continue;
             }
-            let delay = Duration::from_millis(1 + self.random() % (weather.delay + 1));
+            let delay = Duration::from_millis(1 + self.random() % (network.max_delay_ms + 1));
             self.sent += 1;
-            self.flying
+            self.in_flight
                 .insert((self.now + delay, self.sent), message.clone());
         }
     }
@@ -430,7 +430,7 @@
         }
     }
 
-    fn note_leader(&mut self, n: usize) {
+    fn record_leader(&mut self, n: usize) {
         let Some(raft) = &self.nodes[n].raft else {
             return;
         };
@@ -442,7 +442,7 @@
         assert_eq!(known, &name, "one term has two leaders");
     }
 
-    /// Checks that who may answer reads knows all that was committed.
+    /// Checks that members with a read lease know all committed entries.
     fn check(&self) {
         let newest = self
             .committed
@@ -458,15 +458,15 @@
                 assert_eq!(
                     raft.commit_index(),
                     newest,
-                    "{name} may answer reads and is behind"
+                    "{name} has a read lease, but lacks committed entries"
                 );
             }
         }
     }
 
-    /// Returns the last index that any member committed.
+    /// Returns the highest index that any member committed.
     #[must_use]
-    pub fn newest(&self) -> id::Index {
+    pub fn last_committed(&self) -> id::Index {
         self.committed
             .keys()
             .next_back()
@@ -474,15 +474,14 @@
             .unwrap_or_default()
     }
 
-    /// Ends all faults and waits until every member holds the same commands,
-    /// a new one among them.
+    /// Ends all faults and advances the time until every member has applied a new command.
     ///
     /// # Panics
     ///
-    /// Panics where the group does not come back within two minutes.
+    /// Panics if that takes more than two minutes, or if a member lacks a committed command.
     pub fn recover(&mut self) {
         const LIMIT: Duration = Duration::from_mins(2);
-        self.weather = Weather::default();
+        self.network = Network::default();
         self.heal();
         for n in 0..self.nodes.len() {
             if self.nodes[n].full {
@@ -499,11 +498,11 @@
         let holds = |node: &Node| node.applied.last().is_some_and(|last| last.bytes == marker);
         let deadline = self.now + LIMIT;
         while !self.nodes.iter().all(holds) {
-            assert!(self.now < deadline, "the members do not agree in time");
+            assert!(self.now < deadline, "the members do not converge in time");
             if let Some(leader) = self.leader() {
                 self.propose(leader, &marker);
             }
-            self.pass(Duration::from_millis(500));
+            self.advance(Duration::from_millis(500));
         }
         let all = self
             .committed
@@ -543,8 +542,8 @@
     rmp_serde::from_slice(data).expect("a snapshot of this group")
 }
 
-/// Keeps a record as a disk does.
-fn keep(stored: &mut Stored, record: Record) {
+/// Applies a record to the stored state, as the disk does.
+fn store(stored: &mut Stored, record: Record) {
     match record {
         Record::Vote(vote) => stored.vote = vote,
         Record::Commit(index) => stored.commit = stored.commit.max(index),
--- a/crates/flamingo-test-support/src/history.rs
+++ b/crates/flamingo-test-support/src/history.rs
@@ -6,15 +6,15 @@
 use std::rc::Rc;
 use todc_utils::{Action, History, Specification, WGLChecker};
 
-/// One operation on the configuration, with what came of it.
+/// One operation on the configuration, with its result.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub enum Operation {
-    /// A change made from a version; the version that it made, if it was accepted.
+    /// A change of a base version, and the version that it created if it was accepted.
     Apply(id::Version, Option<id::Version>),
-    /// A read, and the version that it gave.
+    /// A read, and the version that it returned.
     Read(id::Version),
-    /// Nothing is known yet; only in calls.
-    Open,
+    /// An operation without a result yet.
+    Pending,
 }
 
 /// The configuration as one register with compare-and-set.
@@ -36,35 +36,35 @@
             }
             Operation::Apply(base, None) => (base != state, *state),
             Operation::Read(version) => (version == state, *state),
-            Operation::Apply(..) | Operation::Open => (false, *state),
+            Operation::Apply(..) | Operation::Pending => (false, *state),
         }
     }
 }
 
-/// A process and what it did.
+/// An action with the process that performed it.
 type Step = (usize, Action<Operation>);
 
-/// What was called and answered, in order; clones share it.
+/// Records calls and results in order; clones share the record.
 #[derive(Clone, Debug, Default)]
 pub struct Recorder {
     actions: Rc<RefCell<Vec<Step>>>,
 }
 
 impl Recorder {
-    /// Notes that a process begins an operation.
+    /// Records that a process starts an operation.
     pub fn call(&self, process: usize) {
-        let action = Action::Call(Operation::Open);
+        let action = Action::Call(Operation::Pending);
         self.actions.borrow_mut().push((process, action));
     }
 
-    /// Notes how the operation ended.
+    /// Records the result of the operation that a process started.
     pub fn answer(&self, process: usize, operation: Operation) {
         let action = Action::Response(operation);
         self.actions.borrow_mut().push((process, action));
     }
 
-    /// Drops the operation that a process began: it told nothing and did nothing.
-    pub fn forget(&self, process: usize) {
+    /// Drops the pending operation of a process, which had no effect.
+    pub fn discard(&self, process: usize) {
         let mut actions = self.actions.borrow_mut();
         let open = |(owner, action): &Step| *owner == process && matches!(action, Action::Call(_));
         if let Some(at) = actions.iter().rposition(open) {
@@ -72,41 +72,41 @@
         }
     }
 
-    /// Returns how many operations ended.
+    /// Returns the number of completed operations.
     #[must_use]
     pub fn len(&self) -> usize {
         self.actions.borrow().len() / 2
     }
 
-    /// Returns whether nothing was noted.
+    /// Returns whether nothing was recorded.
     #[must_use]
     pub fn is_empty(&self) -> bool {
         self.actions.borrow().is_empty()
     }
 
-    /// Returns whether some order of the operations explains all answers.
+    /// Returns whether the history is linearizable.
     #[must_use]
     pub fn is_linearizable(&self) -> bool {
-        let actions = told(&self.actions.borrow());
+        let actions = with_results(&self.actions.borrow());
         WGLChecker::<Register>::is_linearizable(History::from_actions(actions))
     }
 }
 
-/// Writes into each call what its answer told, as the checker wants it.
-fn told(actions: &[Step]) -> Vec<Step> {
-    let mut told = actions.to_vec();
-    for n in 0..told.len() {
-        let process = told[n].0;
-        if let Action::Call(_) = told[n].1 {
+/// Copies the result of each operation into its call, as the checker requires.
+fn with_results(actions: &[Step]) -> Vec<Step> {
+    let mut actions_with_results = actions.to_vec();
+    for n in 0..actions_with_results.len() {
+        let process = actions_with_results[n].0;
+        if let Action::Call(_) = actions_with_results[n].1 {
             let mut later = actions[n..].iter();
             let answer = later.find_map(|(owner, action)| match action {
                 Action::Response(operation) if *owner == process => Some(operation.clone()),
                 _ => None,
             });
             if let Some(operation) = answer {
-                told[n].1 = Action::Call(operation);
+                actions_with_results[n].1 = Action::Call(operation);
             }
         }
     }
-    told
+    actions_with_results
 }
--- a/crates/flamingo-test-support/src/lib.rs
+++ b/crates/flamingo-test-support/src/lib.rs
@@ -1,5 +1,5 @@
-//! What integration tests share: real processes on loopback, and waiting for
-//! events in place of sleeping.
+//! Utilities of integration tests: real processes on loopback, simulated log members, and
+//! polling for events.
 
 pub mod address;
 pub mod cluster;
@@ -12,7 +12,7 @@
 pub mod seed;
 pub mod wait;
 
-/// Names each case of a table: every line becomes a test that calls `check`.
+/// Defines a table of test cases: each line becomes a test that calls the named function.
 ///
 /// ```
 /// fn doubles(input: u32, output: u32) {
--- a/crates/flamingo-test-support/src/operator.rs
+++ b/crates/flamingo-test-support/src/operator.rs
@@ -1,4 +1,4 @@
-//! Talks to one control instance as an operator or as an entry would.
+//! Client of one control instance, for requests of operators and entries.
 
 use crate::cluster::{Instance, KEY};
 use awc::Client;
@@ -13,8 +13,8 @@
 use std::net::SocketAddr;
 use std::time::{Duration, SystemTime};
 
-/// Time after which a question counts as unanswered.
-const PATIENCE: Duration = Duration::from_secs(5);
+/// Timeout of one request.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// A client of one control instance.
 #[derive(Clone, Debug)]
@@ -24,14 +24,14 @@
     inner: SocketAddr,
 }
 
-/// What came of a change.
+/// Outcome of a change.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Applied {
     /// Accepted under this version.
     Accepted(id::Version),
-    /// Refused as not accepted, with the answer's text.
+    /// Refused, with the text of the response.
     Refused(String),
-    /// Nothing is known.
+    /// Without a clear response: the change may have been accepted.
     Unknown,
 }
 
@@ -46,7 +46,7 @@
         }
     }
 
-    /// Reads the configuration in force; nothing where that is refused.
+    /// Reads the configuration in force. Returns `None` without a successful response.
     pub async fn config(&self) -> Option<Snapshot> {
         let url = format!("http://{}/admin/config", self.http);
         let mut answer = client().get(url).send().await.ok()?;
@@ -60,7 +60,7 @@
         }
     }
 
-    /// Asks for a change.
+    /// Submits a change.
     pub async fn apply(&self, change: &Change) -> Applied {
         let url = format!("http://{}/admin/config", self.http);
         let Ok(mut answer) = client().post(url).send_json(change).await else {
@@ -79,12 +79,12 @@
         Applied::Refused(text)
     }
 
-    /// Asks an operator's question.
+    /// Sends an operator's query.
     pub async fn query(&self, query: &Query) -> Option<Answer> {
         self.post("/admin/query", query).await
     }
 
-    /// Returns what this instance knows of the control instances.
+    /// Returns the status of the control instances, as this instance reports it.
     pub async fn status(&self) -> Option<Status> {
         match self.query(&Query::Status).await? {
             Answer::Status(status) => Some(status),
@@ -92,7 +92,7 @@
         }
     }
 
-    /// Sends a body to a path and reads the answer.
+    /// Posts a JSON body to a path and decodes the response.
     pub async fn post<T: DeserializeOwned>(&self, path: &str, body: &impl Serialize) -> Option<T> {
         let url = format!("http://{}{path}", self.http);
         let mut answer = client().post(url).send_json(body).await.ok()?;
@@ -102,10 +102,10 @@
         answer.json().await.ok()
     }
 
-    /// Asks over the inner protocol, as an entry named `node`.
+    /// Sends a request over the inner protocol, as the entry `node`.
     pub async fn ask(&self, node: &str, request: &Request) -> Option<Reply> {
         let asked = self.try_ask(node, request);
-        actix_rt::time::timeout(PATIENCE, asked).await.ok()?
+        actix_rt::time::timeout(REQUEST_TIMEOUT, asked).await.ok()?
     }
 
     async fn try_ask(&self, node: &str, request: &Request) -> Option<Reply> {
@@ -118,7 +118,7 @@
     }
 }
 
-/// Builds a change that sets nothing but its identity.
+/// Returns a change to an empty set, with `id` as its identity and author.
 #[must_use]
 pub fn change(id: &str, base: id::Version) -> Change {
     Change {
@@ -130,5 +130,5 @@
 }
 
 fn client() -> Client {
-    Client::builder().timeout(PATIENCE).finish()
+    Client::builder().timeout(REQUEST_TIMEOUT).finish()
 }
--- a/crates/flamingo-test-support/src/process.rs
+++ b/crates/flamingo-test-support/src/process.rs
@@ -1,9 +1,9 @@
-//! A child process that ends with the test.
+//! Child processes that are killed when the test ends.
 
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 
-/// A running program of this workspace; killed when dropped.
+/// A running program of this workspace, killed on drop.
 #[derive(Debug)]
 pub struct Process {
     child: Child,
@@ -32,7 +32,7 @@
     ///
     /// # Panics
     ///
-    /// Panics where the process is gone.
+    /// Panics if the process has ended.
     #[allow(unsafe_code)]
     pub fn signal(&self, signal: libc::c_int) {
         let pid = libc::pid_t::try_from(self.child.id()).expect("a pid fits");
@@ -41,7 +41,7 @@
         assert_eq!(sent, 0, "the process is gone");
     }
 
-    /// Kills the process at once and waits for its end.
+    /// Kills the process and waits until it has ended.
     ///
     /// # Panics
     ///
@@ -51,7 +51,7 @@
         self.child.wait().expect("the process can be waited for");
     }
 
-    /// Waits for the end of the process.
+    /// Waits until the process has ended.
     ///
     /// # Panics
     ///
@@ -74,16 +74,16 @@
     }
 }
 
-/// Returns the path of a program that `cargo test` built beside this test.
+/// Returns the path of a program that Cargo built in the same target directory as this test.
 ///
 /// # Panics
 ///
-/// Panics where the test's own path can't be told.
+/// Panics if the path of the test is unknown.
 #[must_use]
 pub fn program(name: &str) -> PathBuf {
-    let test = std::env::current_exe().expect("a test knows its path");
-    let deps = test.parent().expect("a test stands in a folder");
+    let test = std::env::current_exe().expect("the path of the test is known");
+    let deps = test.parent().expect("the test is in a folder");
     deps.parent()
-        .expect("that folder stands in another")
+        .expect("the folder of the test has a parent")
         .join(name)
 }
--- a/crates/flamingo-test-support/src/registration.rs
+++ b/crates/flamingo-test-support/src/registration.rs
@@ -1,13 +1,13 @@
-//! Words of targets for tests.
+//! Registrations of targets for tests.
 
 use flamingo_wire::target::{Registration, Resident};
 
-/// Returns the first word of a target of the service `s` in the zone `z`, which holds the
-/// model `m` with the adapter `x`.
+/// Returns the first registration of a target of the service `s` in the zone `z`, with the model
+/// `m` and its adapter `x` resident.
 ///
 /// # Panics
 ///
-/// Never: the address is a good one.
+/// Never: the address is valid.
 #[must_use]
 pub fn registration(id: &str) -> Registration {
     Registration {
--- a/crates/flamingo-test-support/src/relay.rs
+++ b/crates/flamingo-test-support/src/relay.rs
@@ -1,4 +1,4 @@
-//! A loopback TCP relay that a test owns, to cut, slow or silence links.
+//! A loopback TCP relay that interrupts, delays or silences connections.
 
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -7,48 +7,48 @@
 use std::thread;
 use std::time::Duration;
 
-/// Time between two looks of a pump at the relay's state.
-const STEP: Duration = Duration::from_millis(10);
-/// Bytes that a pump moves at once.
-const CHUNK: usize = 16 * 1024;
+/// Interval at which the relay's threads check its state.
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// Largest number of bytes that are forwarded at a time.
+const CHUNK_BYTES: usize = 16 * 1024;
 
-/// What all pumps of one relay share.
+/// State that all threads of one relay share.
 #[derive(Debug, Default)]
 struct State {
-    /// Nothing passes, on old and new connections.
+    /// Whether nothing is forwarded, on old and new connections.
     held: AtomicBool,
-    /// The relay is gone.
+    /// Whether the relay has been dropped.
     ended: AtomicBool,
     /// Delay of each chunk, in milliseconds.
     delay: AtomicU64,
-    /// Bytes passed or about to be, both ways.
+    /// Bytes forwarded or about to be, in both directions.
     bytes: AtomicU64,
-    /// Connections accepted.
+    /// Number of accepted connections.
     accepted: AtomicU64,
-    /// Connections that are not closed by the test.
+    /// Connections that are open.
     open: Mutex<Vec<Arc<Connection>>>,
 }
 
 /// One relayed connection.
 #[derive(Debug)]
 struct Connection {
-    /// Passes nothing for good, and stays open at both ends.
+    /// Whether nothing is forwarded any more, while both ends stay open.
     silent: AtomicBool,
-    /// Closed by the test.
+    /// Whether the connection is closed.
     closed: AtomicBool,
-    near: TcpStream,
-    far: TcpStream,
+    client: TcpStream,
+    server: TcpStream,
 }
 
 impl Connection {
     fn close(&self) {
         self.closed.store(true, Ordering::SeqCst);
-        let _ = self.near.shutdown(Shutdown::Both);
-        let _ = self.far.shutdown(Shutdown::Both);
+        let _ = self.client.shutdown(Shutdown::Both);
+        let _ = self.server.shutdown(Shutdown::Both);
     }
 }
 
-/// A relay to one address; it ends with the test.
+/// A relay to one address. It ends on drop.
 ///
 /// ```
 /// use flamingo_test_support::relay::Relay;
@@ -57,11 +57,11 @@
 ///
 /// let server = TcpListener::bind("127.0.0.1:0").unwrap();
 /// let relay = Relay::start(server.local_addr().unwrap());
-/// let mut near = TcpStream::connect(relay.address()).unwrap();
-/// let (mut far, _) = server.accept().unwrap();
-/// near.write_all(b"hello").unwrap();
+/// let mut client = TcpStream::connect(relay.address()).unwrap();
+/// let (mut server, _) = server.accept().unwrap();
+/// client.write_all(b"hello").unwrap();
 /// let mut seen = [0; 5];
-/// far.read_exact(&mut seen).unwrap();
+/// server.read_exact(&mut seen).unwrap();
 /// assert_eq!(&seen, b"hello");
 /// ```
 #[derive(Debug)]
@@ -75,7 +75,7 @@
     ///
     /// # Panics
     ///
-    /// Panics where no port can be listened on.
+    /// Panics if no port is free.
     #[must_use]
     pub fn start(to: SocketAddr) -> Self {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
@@ -87,35 +87,35 @@
         Self { address, state }
     }
 
-    /// Returns where the relay listens.
+    /// Returns the address on which the relay listens.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
         self.address
     }
 
-    /// Closes all connections that are open now; new ones work.
+    /// Closes all open connections. New ones can be opened.
     pub fn drop_all(&self) {
         for connection in self.open().drain(..) {
             connection.close();
         }
     }
 
-    /// Silences all connections that are open now, for good; new ones work.
+    /// Forwards nothing on the open connections any more. New ones can be opened.
     ///
-    /// Both ends see neither data nor an end, as where something between them
-    /// has lost track of the connection.
+    /// Both ends receive neither data nor the end of the connection, as if a device between them
+    /// had lost its connection state.
     pub fn silence(&self) {
         for connection in self.open().iter() {
             connection.silent.store(true, Ordering::SeqCst);
         }
     }
 
-    /// Holds everything, on old and new connections, until [`Relay::heal`].
+    /// Forwards nothing, on old and new connections, until [`Relay::heal`].
     pub fn hold(&self) {
         self.state.held.store(true, Ordering::SeqCst);
     }
 
-    /// Ends [`Relay::hold`]; what was held goes on.
+    /// Ends [`Relay::hold`]. Bytes that were held back are forwarded.
     pub fn heal(&self) {
         self.state.held.store(false, Ordering::SeqCst);
     }
@@ -126,7 +126,7 @@
         self.state.delay.store(millis, Ordering::SeqCst);
     }
 
-    /// Returns the bytes passed so far or about to be, both ways.
+    /// Returns the number of bytes forwarded so far or about to be, in both directions.
     #[must_use]
     pub fn bytes(&self) -> u64 {
         self.state.bytes.load(Ordering::SeqCst)
@@ -154,58 +154,58 @@
 fn accept(listener: &TcpListener, to: SocketAddr, state: &Arc<State>) {
     while !state.ended.load(Ordering::SeqCst) {
         match listener.accept() {
-            Ok((near, _)) => connect(near, to, state),
-            Err(_) => thread::sleep(STEP),
+            Ok((client, _)) => connect(client, to, state),
+            Err(_) => thread::sleep(POLL_INTERVAL),
         }
     }
 }
 
-/// Joins a new connection to the far end; one that can't be reached is closed.
-fn connect(near: TcpStream, to: SocketAddr, state: &Arc<State>) {
+/// Connects a new connection to the server, or closes it where the server can't be reached.
+fn connect(client: TcpStream, to: SocketAddr, state: &Arc<State>) {
     state.accepted.fetch_add(1, Ordering::SeqCst);
     let state = state.clone();
     thread::spawn(move || {
         wait_while_held(&state);
-        let Ok(far) = TcpStream::connect(to) else {
+        let Ok(server) = TcpStream::connect(to) else {
             return;
         };
-        let _ = near.set_nonblocking(false);
-        for stream in [&near, &far] {
+        let _ = client.set_nonblocking(false);
+        for stream in [&client, &server] {
             let _ = stream.set_nodelay(true);
-            let _ = stream.set_read_timeout(Some(STEP));
+            let _ = stream.set_read_timeout(Some(POLL_INTERVAL));
         }
         let connection = Connection {
             silent: AtomicBool::new(false),
             closed: AtomicBool::new(false),
-            near,
-            far,
+            client,
+            server,
         };
         let connection = Arc::new(connection);
         let mut open = state.open.lock().unwrap_or_else(PoisonError::into_inner);
         open.push(connection.clone());
         drop(open);
         let back = (connection.clone(), state.clone());
-        thread::spawn(move || pump(&back.0.far, &back.0.near, &back.0, &back.1));
-        pump(&connection.near, &connection.far, &connection, &state);
+        thread::spawn(move || forward(&back.0.server, &back.0.client, &back.0, &back.1));
+        forward(&connection.client, &connection.server, &connection, &state);
     });
 }
 
 fn wait_while_held(state: &State) {
     while state.held.load(Ordering::SeqCst) && !state.ended.load(Ordering::SeqCst) {
-        thread::sleep(STEP);
+        thread::sleep(POLL_INTERVAL);
     }
 }
 
-/// Moves bytes one way until an end closes or the relay ends.
-fn pump(mut from: &TcpStream, mut to: &TcpStream, connection: &Connection, state: &State) {
-    let mut chunk = vec![0; CHUNK];
+/// Forwards bytes in one direction until an end closes or the relay is dropped.
+fn forward(mut from: &TcpStream, mut to: &TcpStream, connection: &Connection, state: &State) {
+    let mut chunk = vec![0; CHUNK_BYTES];
     loop {
         wait_while_held(state);
         if state.ended.load(Ordering::SeqCst) || connection.closed.load(Ordering::SeqCst) {
             return;
         }
         if connection.silent.load(Ordering::SeqCst) {
-            thread::sleep(STEP);
+            thread::sleep(POLL_INTERVAL);
             continue;
         }
         let read = match from.read(&mut chunk) {
@@ -219,7 +219,7 @@
         if connection.silent.load(Ordering::SeqCst) {
             continue;
         }
-        // Counted first, so that whoever has read a byte finds it counted.
+        // Counted first, so that the count includes every byte that a receiver has read.
         state.bytes.fetch_add(read as u64, Ordering::SeqCst);
         if to.write_all(&chunk[..read]).is_err() {
             break;
