An unload that changed nothing does not hide a late load

Cause: an unload that is answered at once counts as accepted, also where the engine held nothing and counted nothing. The known sequence was then one too high; a load without answer that still expected the number before it was taken for past, and made up for the missing one when it was carried out. The next load had the right sequence and an engine with less room than known.

Such an answer needs a report before the next order where a load without answer expects the same number. After a conflict a report may show a lower number than the known one, which would otherwise be refused for ever.

--- a/crates/flamingo-control/src/controller/engine.rs
+++ b/crates/flamingo-control/src/controller/engine.rs
@@ -137,6 +137,12 @@
         self.late_loads.iter().any(|late| now < late.expires)
     }
 
+    /// Returns whether a load that got no answer expects this sequence.
+    fn awaits_load_at(&self, sequence: u64) -> bool {
+        let mut late = self.late_loads.iter();
+        late.any(|late| late.expected_sequence == sequence)
+    }
+
     /// Replaces the resident models and adapters, and keeps when the adapters were last used.
     fn replace_models(&mut self, models: &[Resident], now: Instant) {
         let mut replaced: BTreeMap<id::Model, BTreeMap<id::Adapter, Instant>> = BTreeMap::new();
@@ -218,12 +224,18 @@
         // The unload of an unused adapter is done at once and counts as an accepted order. A load
         // of what is already resident does not count.
         let unloaded = outcome == Outcome::AlreadyDone && order.operation == Operation::Unload;
-        if outcome == Outcome::Started || unloaded {
+        // If the engine did not count it after all, a late load could make up the number.
+        let ambiguous = unloaded && self.awaits_load_at(order.expected_sequence);
+        if (outcome == Outcome::Started || unloaded) && !ambiguous {
             self.advance(order.expected_sequence + 1, now);
         }
-        if matches!(outcome, Outcome::Uncertain | Outcome::Conflict) {
+        if ambiguous || matches!(outcome, Outcome::Uncertain | Outcome::Conflict) {
             self.uncertain = true;
         }
+        if outcome == Outcome::Conflict {
+            // The known number may be too high, so that the next report may have a lower one.
+            self.sequence = None;
+        }
         if outcome == Outcome::Started && order.adapter.is_none() {
             self.executing = true;
         }
--- a/crates/flamingo-control/tests/controller/engine.rs
+++ b/crates/flamingo-control/tests/controller/engine.rs
@@ -17,6 +17,8 @@
     pub incarnation: id::Incarnation,
     pub sequence: u64,
     pub models: BTreeMap<id::Model, BTreeSet<id::Adapter>>,
+    /// The model that was loaded last.
+    pub loading: Option<id::Model>,
     /// Reports that show the last model load as being executed; then it is resident, and the late
     /// orders are carried out.
     pub executing: usize,
@@ -50,6 +52,7 @@
         self.incarnation += 1;
         self.sequence = restarted.sequence;
         self.models = restarted.models;
+        self.executing = 0;
         self.orders.clear();
         self.reports = 0;
     }
@@ -59,6 +62,9 @@
         if self.executing > 0 || order.expected_sequence != self.sequence {
             return Outcome::Conflict;
         }
+        if order.adapter.is_some() && !self.models.contains_key(&order.model) {
+            return Outcome::Refused;
+        }
         let holds = self.holds(order);
         if holds == (order.operation == Operation::Load) {
             return Outcome::AlreadyDone;
@@ -67,12 +73,14 @@
         match (order.operation, &order.adapter) {
             (Operation::Load, None) => {
                 self.models.insert(order.model.clone(), BTreeSet::new());
+                self.loading = Some(order.model.clone());
             }
             (Operation::Load, Some(adapter)) => {
                 let adapters = self.models.entry(order.model.clone()).or_default();
                 adapters.insert(adapter.clone());
             }
             (Operation::Unload, None) => {
+                self.loading = None;
                 self.models.remove(&order.model);
             }
             (Operation::Unload, Some(adapter)) => {
@@ -115,20 +123,28 @@
     }
 
     /// Returns the state as the engine reports it, without the model that it is loading.
+    pub fn snapshot(&self) -> Report {
+        let mut models = self.residents();
+        if self.executing > 0 {
+            models.retain(|resident| Some(&resident.model) != self.loading.as_ref());
+        }
+        Report {
+            models,
+            loading: Vec::new(),
+            executing: self.executing > 0,
+            sequence: self.sequence,
+        }
+    }
+
+    /// Answers a request for a report, and lets time pass at the engine.
     fn report(&mut self, config: &route::Engine) -> Option<Report> {
         if self.mute > 0 {
             self.mute -= 1;
             return None;
         }
         self.reports += 1;
-        let mut report = Report {
-            models: self.residents(),
-            sequence: self.sequence,
-            ..Report::default()
-        };
+        let report = self.snapshot();
         if self.executing > 0 {
-            report.executing = true;
-            report.models.pop();
             self.executing -= 1;
             if self.executing == 0 {
                 for order in std::mem::take(&mut self.late) {
--- a/crates/flamingo-control/tests/controller/main.rs
+++ b/crates/flamingo-control/tests/controller/main.rs
@@ -2,6 +2,7 @@
 
 mod engine;
 mod harness;
+mod property;
 
 use engine::{Engine, Script, World};
 use flamingo_control::controller::engine_api::{Operation, Order, Outcome};
--- a/crates/flamingo-control/tests/engine_state.rs
+++ b/crates/flamingo-control/tests/engine_state.rs
@@ -206,3 +206,25 @@
     assert!(engine.apply_report(&executing, now));
     assert_eq!(admits(&engine, "n", None), Err(Denial::Executing));
 }
+
+#[test]
+fn an_unload_that_changed_nothing_does_not_hide_a_late_load() {
+    let now = Instant::now();
+    let mut engine = engine_state(now);
+    engine.apply_outcome(&order(Operation::Load, "y", 4), Outcome::Uncertain, now);
+    assert!(engine.apply_report(&report(4, &["x"]), now));
+    // The engine may not have counted this order; the late load would then be the fifth.
+    engine.apply_outcome(&order(Operation::Unload, "z", 4), Outcome::AlreadyDone, now);
+    assert_eq!(engine.sequence(), None);
+    assert_eq!(engine.adapter_count(), 2);
+}
+
+#[test]
+fn a_conflict_accepts_a_report_of_fewer_orders() {
+    let now = Instant::now();
+    let mut engine = engine_state(now);
+    engine.apply_outcome(&order(Operation::Unload, "z", 4), Outcome::AlreadyDone, now);
+    engine.apply_outcome(&order(Operation::Load, "y", 5), Outcome::Conflict, now);
+    assert!(engine.apply_report(&report(4, &["x"]), now));
+    assert_eq!(engine.sequence(), Some(4));
+}
