--- a/crates/flamingo-control/src/controller/engine.rs
+++ b/crates/flamingo-control/src/controller/engine.rs
@@ -6,10 +6,11 @@
 //! that holds more than the controller knew.
 
 use super::engine_api::{Operation, Order, Outcome, Report};
+use super::residents::Residents;
 use flamingo_wire::target::{Registration, Residency, Resident};
 use flamingo_wire::{id, route};
 use quick_error::quick_error;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 /// Time after a request for an adapter in which the adapter counts as in use.
@@ -19,7 +20,7 @@
 const LATE_ORDER_LIFETIME: Duration = Duration::from_secs(20);
 
 /// One incarnation of an engine, as one leadership knows it.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct Key {
     /// The engine.
     pub target: id::Target,
@@ -302,7 +303,7 @@
             let adapters = adapters.keys().map(String::as_str);
             (model.as_str(), adapters.collect())
         });
-        let mut residents = Residents(models.collect());
+        let mut residents: Residents<'_> = models.collect();
         if let Some(loading) = &self.loading {
             residents.load(loading, None);
         }
@@ -401,45 +402,3 @@
         }
     }
 }
-
-/// Models with their adapters, and the room that they need.
-#[derive(Clone, Debug)]
-struct Residents<'a>(BTreeMap<&'a str, BTreeSet<&'a str>>);
-
-impl<'a> Residents<'a> {
-    /// Adds a model, or an adapter of a model.
-    fn load(&mut self, model: &'a str, adapter: Option<&'a str>) {
-        let adapters = self.0.entry(model).or_default();
-        adapters.extend(adapter);
-    }
-
-    fn adapter_count(&self) -> usize {
-        self.0.values().map(BTreeSet::len).sum()
-    }
-
-    /// Returns the megabytes of all weights and adapters. A model that `engine` does not list may
-    /// occupy the whole engine.
-    fn megabytes(&self, engine: &route::Engine) -> f64 {
-        let models = self.0.iter().map(|(model, adapters)| {
-            let known = engine.models.iter().find(|known| known.name == *model);
-            let (weights, adapter) = known.map_or((engine.megabytes, 0.0), |known| {
-                (known.megabytes, known.adapter_megabytes)
-            });
-            let count = u32::try_from(adapters.len()).unwrap_or(u32::MAX);
-            weights + adapter * f64::from(count)
-        });
-        models.sum()
-    }
-
-    /// Checks that an engine has room for all of these.
-    fn check(&self, engine: &route::Engine) -> Result<(), Denial> {
-        let slots = usize::try_from(engine.adapters).unwrap_or(usize::MAX);
-        if self.adapter_count() > slots {
-            return Err(Denial::Slots);
-        }
-        if self.megabytes(engine) > engine.megabytes {
-            return Err(Denial::Memory);
-        }
-        Ok(())
-    }
-}
--- a/crates/flamingo-control/src/controller/mod.rs
+++ b/crates/flamingo-control/src/controller/mod.rs
@@ -13,6 +13,7 @@
 
 mod moves;
 mod orders;
+mod residents;
 
 use crate::daemon::Core;
 use crate::raft_actor::ReadState;
