A planned load gives its place back when its engine restarts

Planned loads are kept by the engine's key. The move gives its place back however it ends, and can't take the place of a move of the next incarnation: a_load_that_an_earlier_incarnation_cancels_frees_its_own_place_only.

--- a/crates/flamingo-control/src/controller/moves.rs
+++ b/crates/flamingo-control/src/controller/moves.rs
@@ -200,7 +200,7 @@
             engine_state.loading = Some(planned.load.clone());
             let key = engine_state.key(fence);
             if planned.from_store {
-                term.store_loads.plan(&key.target);
+                term.store_loads.plan(key.clone());
             }
             key
         };
@@ -215,10 +215,8 @@
                 engine_state.loading = None;
                 engine_state.unloading = None;
             });
+            controller.term.borrow_mut().store_loads.cancel(&key);
             if current {
-                let mut term = controller.term.borrow_mut();
-                term.store_loads.cancel(&key.target);
-                drop(term);
                 controller.publish_residency(&key.target);
             }
         });
@@ -263,7 +261,7 @@
         let mut term = self.term.borrow_mut();
         term.engine(key)
             .ok_or("the engine has gone or has restarted")?;
-        term.store_loads.begin(&key.target, clock::now());
+        term.store_loads.begin(key, clock::now());
         Ok(())
     }
 
--- a/crates/flamingo-control/src/controller/store.rs
+++ b/crates/flamingo-control/src/controller/store.rs
@@ -1,6 +1,6 @@
 //! Limits how many loads from the weight store start within a window.
 
-use flamingo_wire::id;
+use super::engine::Key;
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
@@ -19,7 +19,7 @@
 /// `window` after its start.
 #[derive(Clone, Debug, Default)]
 pub struct Loads {
-    planned: BTreeSet<id::Target>,
+    planned: BTreeSet<Key>,
     started: Vec<Instant>,
 }
 
@@ -29,15 +29,17 @@
     /// and of earlier ones.
     ///
     /// ```
+    /// use flamingo_control::controller::engine::Key;
     /// use flamingo_control::controller::store::{Ceiling, Loads};
     /// use std::time::{Duration, Instant};
     ///
     /// let ceiling = Ceiling { loads: 3.0, window: Duration::from_secs(5) };
     /// let now = Instant::now();
+    /// let key = |target: &str| Key { target: target.into(), incarnation: 1, fence: 1 };
     /// let mut loads = Loads::default();
-    /// loads.plan("engine-1");
-    /// loads.plan("engine-2");
-    /// loads.begin("engine-1", now);
+    /// loads.plan(key("engine-1"));
+    /// loads.plan(key("engine-2"));
+    /// loads.begin(&key("engine-1"), now);
     /// assert_eq!(loads.available(ceiling, 0, now), 1.0);
     /// assert_eq!(loads.available(ceiling, 0, now + ceiling.window), 2.0);
     /// ```
@@ -49,18 +51,18 @@
     }
 
     /// Records that a load on an engine is planned.
-    pub fn plan(&mut self, target: &str) {
-        self.planned.insert(target.to_owned());
+    pub fn plan(&mut self, key: Key) {
+        self.planned.insert(key);
     }
 
     /// Records that the load that is planned on an engine starts.
-    pub fn begin(&mut self, target: &str, now: Instant) {
-        self.planned.remove(target);
+    pub fn begin(&mut self, key: &Key, now: Instant) {
+        self.planned.remove(key);
         self.started.push(now);
     }
 
     /// Records that the load that is planned on an engine, if there is one, does not start.
-    pub fn cancel(&mut self, target: &str) {
-        self.planned.remove(target);
+    pub fn cancel(&mut self, key: &Key) {
+        self.planned.remove(key);
     }
 }
--- a/crates/flamingo-control/tests/store.rs
+++ b/crates/flamingo-control/tests/store.rs
@@ -1,5 +1,6 @@
 //! Starts of loads from the weight store, in virtual time.
 
+use flamingo_control::controller::engine::Key;
 use flamingo_control::controller::store::{Ceiling, Loads};
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -10,6 +11,14 @@
 };
 const STEP: Duration = Duration::from_millis(100);
 
+fn key(target: &str, incarnation: u64) -> Key {
+    Key {
+        target: target.into(),
+        incarnation,
+        fence: 1,
+    }
+}
+
 /// Returns when loads start that are planned whenever one may be, and that wait for unloads of
 /// these lengths in turn.
 fn simulate(unloads: &[Duration]) -> Vec<Instant> {
@@ -21,12 +30,12 @@
         let now = begin + STEP * step;
         while loads.available(CEILING, 0, now) >= 1.0 {
             let (number, unload) = unloads.next().expect("a cycle does not end");
-            let target = format!("engine-{number}");
-            loads.plan(&target);
-            waiting.insert(target, now + *unload);
+            let key = key(&format!("engine-{number}"), 1);
+            loads.plan(key.clone());
+            waiting.insert(key, now + *unload);
         }
-        for (target, _) in waiting.extract_if(.., |_, ready| *ready <= now) {
-            loads.begin(&target, now);
+        for (key, _) in waiting.extract_if(.., |_, ready| *ready <= now) {
+            loads.begin(&key, now);
             started.push(now);
         }
     }
@@ -55,3 +64,14 @@
     // Four loads in each of the twelve windows of a minute.
     assert_eq!(simulate(&[Duration::ZERO]).len(), 48);
 }
+
+#[test]
+fn a_load_that_an_earlier_incarnation_cancels_frees_its_own_place_only() {
+    let now = Instant::now();
+    let mut loads = Loads::default();
+    loads.plan(key("engine", 1));
+    loads.plan(key("engine", 2));
+    loads.cancel(&key("engine", 1));
+    let left = loads.available(CEILING, 0, now);
+    assert!((left - 3.0).abs() < 1e-9, "{left}");
+}
