A load that outlives its engine's incarnation still counts

Found on reading the fixes again: an order whose answer ran out after its engine had restarted belonged to no state any more, and was forgotten. Under the same name the engine could still carry it out.

The load is recorded at the engine's present incarnation, as loads are that ran out before the restart.

--- a/crates/flamingo-control/src/controller/engine.rs
+++ b/crates/flamingo-control/src/controller/engine.rs
@@ -248,16 +248,21 @@
                 }
             }
             (Outcome::Started | Outcome::AlreadyDone, Operation::Unload) => self.remove(order),
-            (Outcome::Uncertain, Operation::Load) => self.late_loads.push(LateLoad {
-                expected_sequence: order.expected_sequence,
-                model: order.model.clone(),
-                adapter: order.adapter.clone(),
-                expires: now + LATE_ORDER_LIFETIME,
-            }),
+            (Outcome::Uncertain, Operation::Load) => self.record_late_load(order, now),
             _ => {}
         }
     }
 
+    /// Records a load that got no answer, from this incarnation or an earlier one.
+    pub fn record_late_load(&mut self, order: &Order, now: Instant) {
+        self.late_loads.push(LateLoad {
+            expected_sequence: order.expected_sequence,
+            model: order.model.clone(),
+            adapter: order.adapter.clone(),
+            expires: now + LATE_ORDER_LIFETIME,
+        });
+    }
+
     /// Removes the model or adapter that an accepted order unloads.
     fn remove(&mut self, order: &Order) {
         match &order.adapter {
--- a/crates/flamingo-control/src/controller/mod.rs
+++ b/crates/flamingo-control/src/controller/mod.rs
@@ -20,7 +20,7 @@
 use crate::watch::lock_registry;
 use demand::Tracker;
 use engine::{EngineState, Key};
-use engine_api::EngineClient;
+use engine_api::{EngineClient, Operation, Order, Outcome};
 use flamingo_daemon::clock;
 use flamingo_wire::control::{Push, Reply, Request};
 use flamingo_wire::fault::Reason;
@@ -171,6 +171,22 @@
         let engine_state = self.engines.get_mut(&key.target)?;
         (engine_state.key(self.fence) == *key).then_some(engine_state)
     }
+
+    /// Applies the outcome of an order to the engine to which `key` belonged when it was sent. An
+    /// engine that has restarted since may still execute a load that got no answer.
+    fn apply_outcome(&mut self, key: &Key, order: &Order, outcome: Outcome, now: Instant) {
+        if let Some(engine_state) = self.engine_mut(key) {
+            engine_state.apply_outcome(order, outcome, now);
+            return;
+        }
+        let late = outcome == Outcome::Uncertain && order.operation == Operation::Load;
+        if late
+            && self.fence == key.fence
+            && let Some(restarted) = self.engines.get_mut(&key.target)
+        {
+            restarted.record_late_load(order, now);
+        }
+    }
 }
 
 /// Limits a log line to one a second.
--- a/crates/flamingo-control/src/controller/orders.rs
+++ b/crates/flamingo-control/src/controller/orders.rs
@@ -114,9 +114,7 @@
         if outcome == Outcome::Fenced && term.fence == key.fence {
             term.superseded = true;
         }
-        if let Some(engine_state) = term.engine_mut(key) {
-            engine_state.apply_outcome(&order, outcome, clock::now());
-        }
+        term.apply_outcome(key, &order, outcome, clock::now());
         let (operation, outcome_name): (&str, &str) = (operation.into(), outcome.into());
         info!(self.log, "order"; "target" => &key.target, "operation" => operation,
             "model" => model, "adapter" => adapter, "expected" => order.expected_sequence,
--- a/crates/flamingo-control/tests/controller/engine.rs
+++ b/crates/flamingo-control/tests/controller/engine.rs
@@ -9,7 +9,7 @@
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// One engine.
 #[derive(Clone, Debug, Default)]
@@ -26,6 +26,8 @@
     pub late: Vec<Order>,
     /// Reports that get no answer.
     pub mute: usize,
+    /// Time that the answer to an order takes.
+    pub answer_after: Duration,
     /// Whether an order ever made it hold more than its memory or its slots.
     pub overfull: bool,
     /// Reports given since the last restart.
@@ -166,13 +168,16 @@
     }
 }
 
+/// All engines, by name.
+pub type Engines = BTreeMap<id::Target, Engine>;
+
 /// Decides what becomes of an order: an outcome, or `None` to have the engine carry it out.
-pub type Script = Box<dyn FnMut(&mut Engine, &Order) -> Option<Outcome>>;
+pub type Script = Box<dyn FnMut(&mut Engines, &Order) -> Option<Outcome>>;
 
 /// All engines of a test.
 #[derive(Clone)]
 pub struct World {
-    pub engines: Rc<RefCell<BTreeMap<id::Target, Engine>>>,
+    pub engines: Rc<RefCell<Engines>>,
     pub config: Rc<route::Engine>,
     script: Rc<RefCell<Script>>,
 }
@@ -191,6 +196,21 @@
         }
     }
 
+    /// Returns what becomes of an order, and the time that its answer takes.
+    fn carry_out(&self, order: &Order) -> (Outcome, Duration) {
+        let mut engines = self.engines.borrow_mut();
+        let Some(engine) = engines.get_mut(&order.target) else {
+            return (Outcome::Uncertain, Duration::ZERO);
+        };
+        engine.orders.push(order.clone());
+        let scripted = (self.script.borrow_mut())(&mut engines, order);
+        let Some(engine) = engines.get_mut(&order.target) else {
+            return (Outcome::Uncertain, Duration::ZERO);
+        };
+        let outcome = scripted.unwrap_or_else(|| engine.execute(order, &self.config));
+        (outcome, engine.answer_after)
+    }
+
     /// Returns what `look` returns for an engine.
     pub fn look<T>(&self, id: &str, look: impl FnOnce(&Engine) -> T) -> T {
         look(&self.engines.borrow()[id])
@@ -201,13 +221,9 @@
     fn order(&self, order: Order, _: Instant) -> LocalBoxFuture<'static, Outcome> {
         let world = self.clone();
         async move {
-            let mut engines = world.engines.borrow_mut();
-            let Some(engine) = engines.get_mut(&order.target) else {
-                return Outcome::Uncertain;
-            };
-            engine.orders.push(order.clone());
-            let scripted = (world.script.borrow_mut())(engine, &order);
-            scripted.unwrap_or_else(|| engine.execute(&order, &world.config))
+            let (outcome, answer_after) = world.carry_out(&order);
+            actix_rt::time::sleep(answer_after).await;
+            outcome
         }
         .boxed_local()
     }
--- a/crates/flamingo-control/tests/controller/main.rs
+++ b/crates/flamingo-control/tests/controller/main.rs
@@ -11,6 +11,7 @@
 use flamingo_wire::route;
 use harness::Harness;
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 /// Names each scenario after what must not happen.
 macro_rules! cases {
@@ -46,6 +47,9 @@
     }
 }
 
+/// Time in which the controller learns that an engine has restarted.
+const RESTART_SEEN: Duration = Duration::from_millis(500);
+
 /// Returns an order that an earlier leader gave at `sequence`.
 fn late(order: &Order, model: &str, adapter: Option<&str>, sequence: u64) -> Order {
     Order {
@@ -70,11 +74,11 @@
 /// which that returns nothing.
 fn at_first_order(first: impl Fn(&mut Engine, &Order) -> Option<Outcome> + 'static) -> Script {
     let mut done = false;
-    Box::new(move |engine, order| {
+    Box::new(move |engines, order| {
         if std::mem::replace(&mut done, true) {
             return None;
         }
-        first(engine, order)
+        first(engines.get_mut(&order.target)?, order)
     })
 }
 
@@ -105,7 +109,8 @@
 async fn load_beside_an_earlier_one() {
     let models = [("a", 70.0), ("b", 70.0), ("c", 70.0)];
     let mut first = true;
-    let script: Script = Box::new(move |engine, order| {
+    let script: Script = Box::new(move |engines, order| {
+        let engine = engines.get_mut(&order.target)?;
         if std::mem::take(&mut first) {
             let earlier = late(order, "c", None, engine.sequence);
             engine.execute(&earlier, &config(&models, 0));
@@ -208,7 +213,49 @@
     );
 }
 
+/// The engine restarts under its name before it answers a load of `b`, and carries that load out
+/// late, once the new incarnation has accepted as many orders as the load expects. Meanwhile the
+/// other engine has restarted with `b` in place of `a`.
+async fn late_load_of_an_earlier_incarnation() {
+    let models = [("a", 70.0), ("b", 70.0), ("c", 70.0), ("d", 120.0)];
+    let mut lost: Option<Order> = None;
+    let script: Script = Box::new(move |engines, order| {
+        let Some(late) = &lost else {
+            lost = Some(order.clone());
+            engines.get_mut("f")?.restart(&["b", "d"]);
+            let engine = engines.get_mut(&order.target)?;
+            engine.restart(&[]);
+            engine.answer_after = RESTART_SEEN;
+            return Some(Outcome::Uncertain);
+        };
+        let engine = engines.get_mut(&order.target)?;
+        engine.answer_after = Duration::ZERO;
+        let outcome = engine.execute(order, &config(&models, 0));
+        if engine.sequence == late.expected_sequence {
+            engine.execute(late, &config(&models, 0));
+        }
+        Some(outcome)
+    });
+    let engines = [
+        ("e", Engine::new(2, &[])),
+        ("f", Engine::new(0, &["a", "d"])),
+    ];
+    let world = World::new(config(&models, 0), engines, script);
+    let _harness = Harness::start(&world).await;
+    until(&world, "a load of the next incarnation", |engine| {
+        engine.incarnation > 1 && engine.sequence > 0
+    })
+    .await;
+    let reports = world.look("e", |engine| engine.reports);
+    until(&world, "reports after it", |engine| {
+        engine.reports >= reports + 3
+    })
+    .await;
+    assert!(!world.look("e", |engine| engine.overfull));
+}
+
 cases! {
+    a_late_load_of_an_earlier_incarnation_has_room: late_load_of_an_earlier_incarnation(),
     a_retried_load_does_not_overfill_an_engine: retry_after_an_earlier_load(),
     a_load_is_not_sent_to_an_engine_that_executes_another: load_beside_an_earlier_one(),
     a_late_adapter_does_not_overfill_the_slots: adapter_after_an_earlier_one(),
