--- a/crates/flamingo-stand-in/src/announcer.rs
+++ b/crates/flamingo-stand-in/src/announcer.rs
@@ -1,4 +1,4 @@
-//! Repeats a target's announcement to an entry.
+//! Announces a target to an entry periodically.
 
 use flamingo_wire::announce::Announcement;
 use std::net::SocketAddr;
@@ -6,14 +6,13 @@
 use std::time::Duration;
 use tokio::sync::Notify;
 
-/// Time between two announcements.
+/// Interval between two announcements.
 pub const INTERVAL: Duration = Duration::from_millis(500);
-/// Time after which an entry that does not answer is passed over.
+/// Time after which the next entry is tried.
 const TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Sends what `next` gives to the first of `entries` that takes it, for ever:
-/// every [`INTERVAL`], and at once on `changed`. Nothing is sent while `next`
-/// gives nothing.
+/// Sends the announcement that `next` returns to the first of `entries` that accepts it, every
+/// [`INTERVAL`] and after each `changed`. Sends nothing while `next` returns `None`. Never returns.
 pub async fn run(
     entries: Vec<SocketAddr>,
     changed: Arc<Notify>,
--- a/crates/flamingo-stand-in/src/answer.rs
+++ b/crates/flamingo-stand-in/src/answer.rs
@@ -1,9 +1,9 @@
-//! The text that a fake engine generates: a function of the prompt alone, so
-//! that a foreign, repeated or missing token shows.
+//! The text that a fake engine generates. It depends on the prompt alone, so that tests detect
+//! tokens that belong to another request, are repeated or are missing.
 
 use serde_json::Value;
 
-/// Characters of a prompt that make one token.
+/// Characters of a prompt per token.
 pub const CHARACTERS: usize = 4;
 
 /// FNV-1a of `bytes`, continued from `seed` (Fowler, Noll, Vo).
@@ -19,8 +19,8 @@
     })
 }
 
-/// Returns token number `step` (from 0) of the answer to `prompt`; a last line
-/// `echo:WORD ...` gives the tokens `WORD.0 WORD.1 ...`.
+/// Returns token number `step`, from 0, of the answer to `prompt`. A prompt whose last line is
+/// `echo:WORD ...` is answered with the tokens `WORD.0 WORD.1 ...`.
 ///
 /// ```
 /// use flamingo_stand_in::answer;
--- a/crates/flamingo-stand-in/src/engine/account.rs
+++ b/crates/flamingo-stand-in/src/engine/account.rs
@@ -1,6 +1,6 @@
-//! The engine's own account of its memory and of the orders that it was given.
+//! The engine's account of its memory and of its orders.
 //!
-//! A pure state machine: an order begins, takes its time elsewhere, and ends.
+//! A state machine without input or output: the caller reports when an order starts and ends.
 
 use flamingo_wire::announce::Resident;
 use flamingo_wire::engine::Parameters;
@@ -10,22 +10,22 @@
 use serde::Serialize;
 use std::collections::{HashMap, VecDeque};
 
-/// Ended orders that are announced.
+/// Number of ended orders that are announced.
 const ENDED: usize = 64;
 
 quick_error! {
-    /// Why an order is not carried out.
+    /// Why an order is rejected.
     #[derive(Clone, Debug, Eq, PartialEq)]
     pub enum Refusal {
         /// A newer leader has given an order.
         Fence(highest: id::Fence) {
             display("fencing number is old, {highest} was seen")
         }
-        /// Meant for an earlier or later start of this engine.
+        /// The order is for another incarnation of this engine.
         Incarnation(own: id::Incarnation) {
             display("order is for another incarnation, this is {own}")
         }
-        /// The same order is being carried out.
+        /// The same order is being executed.
         UnderWay {
             display("the order is being carried out")
         }
@@ -33,11 +33,11 @@
         Ended(outcome: Outcome) {
             display("the order has ended: {outcome}")
         }
-        /// Another order for this copy is being carried out.
+        /// Another order for this copy is being executed.
         Busy {
             display("another order for this copy is being carried out")
         }
-        /// The copy is not there.
+        /// The copy is not resident.
         Absent {
             display("the copy is not resident")
         }
@@ -48,7 +48,7 @@
     }
 }
 
-/// Where a copy stands.
+/// State of a copy.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
 pub enum Stage {
     /// Being loaded.
@@ -62,17 +62,17 @@
 /// One copy in memory.
 #[derive(Clone, Debug, Serialize)]
 pub struct Copy {
-    /// Which.
+    /// Model and version of the copy.
     pub resident: Resident,
-    /// Memory that it takes, in mebibytes.
+    /// Memory of the copy, in mebibytes.
     pub memory: id::Mebibytes,
-    /// Where it stands.
+    /// State of the copy.
     pub stage: Stage,
-    /// Requests of it that run.
+    /// Number of running requests for the copy.
     pub running: u32,
 }
 
-/// The account.
+/// The account of one engine.
 #[derive(Clone, Debug, Serialize)]
 pub struct Account {
     size: id::Mebibytes,
@@ -91,7 +91,7 @@
 }
 
 impl Account {
-    /// Builds the account of an engine that has just started with `copies`.
+    /// Creates the account of an engine that starts with `copies` resident.
     #[must_use]
     pub fn new(
         size: id::Mebibytes,
@@ -117,32 +117,32 @@
         account
     }
 
-    /// Returns the memory in use and promised, in mebibytes.
+    /// Returns the memory that is in use or reserved, in mebibytes.
     #[must_use]
     pub fn committed(&self) -> id::Mebibytes {
         self.copies.iter().map(|copy| copy.memory).sum()
     }
 
-    /// Returns the largest memory that was ever asked of the engine at once.
+    /// Returns the peak of the memory that orders required, in mebibytes.
     #[must_use]
     pub fn peak(&self) -> id::Mebibytes {
         self.peak
     }
 
-    /// Returns how many loads would have gone beyond the size.
+    /// Returns the number of loads that would have exceeded the memory.
     #[must_use]
     pub fn over_commits(&self) -> u32 {
         self.over_commits
     }
 
-    /// Returns the copies in a stage.
+    /// Returns the copies in a state.
     #[must_use]
     pub fn at(&self, stage: Stage) -> Vec<Resident> {
         let copies = self.copies.iter().filter(|copy| copy.stage == stage);
         copies.map(|copy| copy.resident.clone()).collect()
     }
 
-    /// Returns whether requests of a copy run.
+    /// Returns whether a copy has running requests.
     #[must_use]
     pub fn in_use(&self, model: &str, version: u32) -> bool {
         self.copies.iter().any(|copy| {
@@ -151,7 +151,7 @@
         })
     }
 
-    /// Returns the orders that ended lately, newest last.
+    /// Returns the orders that ended last, newest last.
     #[must_use]
     pub fn ended(&self) -> Vec<Completion> {
         self.ended.iter().copied().collect()
@@ -166,18 +166,18 @@
         })
     }
 
-    /// Counts a request of a copy in or out.
+    /// Increments or decrements the number of running requests for a copy.
     pub fn count(&mut self, resident: &Resident, change: i32) {
         if let Some(copy) = self.find(&resident.model, resident.version) {
             copy.running = copy.running.saturating_add_signed(change);
         }
     }
 
-    /// Begins a load; a load of a copy that is there has ended without effect.
+    /// Starts a load. A load of a resident copy ends at once, without effect.
     ///
     /// # Errors
     ///
-    /// Returns why the load is not carried out.
+    /// Returns why the load is rejected.
     pub fn load(&mut self, model: &str, order: &Parameters) -> Result<(), Refusal> {
         self.check(order)?;
         let present = self.find(model, order.version).map(|copy| copy.stage);
@@ -189,12 +189,12 @@
         self.begin(order, begun)
     }
 
-    /// Begins an unload: the copy takes no new request, and its memory comes
-    /// back at the end. An unload of an absent copy has ended without effect.
+    /// Starts an unload: the copy accepts no new request, and its memory is freed at the end. An
+    /// unload of an absent copy ends at once, without effect.
     ///
     /// # Errors
     ///
-    /// Returns why the unload is not carried out.
+    /// Returns why the unload is rejected.
     pub fn unload(&mut self, model: &str, order: &Parameters) -> Result<(), Refusal> {
         self.check(order)?;
         let begun = match self.find(model, order.version) {
@@ -208,7 +208,7 @@
         self.begin(order, begun)
     }
 
-    /// Ends an order that began.
+    /// Ends an order that was started.
     pub fn end(&mut self, model: &str, order: &Parameters, load: bool, outcome: Outcome) {
         let keep = load == (outcome == Outcome::Done);
         let version = order.version;
--- a/crates/flamingo-stand-in/src/engine/batch.rs
+++ b/crates/flamingo-stand-in/src/engine/batch.rs
@@ -1,4 +1,4 @@
-//! Continuous batching: who runs, who waits, and how long a step takes.
+//! Continuous batching: which sequences run or wait, and the duration of a decoding step.
 //!
 //! Admission by iteration follows Orca (Yu et al., OSDI 2022); the KV cache as
 //! the limit of the batch follows vLLM (Kwon et al., SOSP 2023).
@@ -7,18 +7,18 @@
 use std::time::Duration;
 use tokio::sync::oneshot;
 
-/// Sequences beyond the first that double the time of a step.
+/// Number of additional sequences that double the duration of a step.
 pub const DOUBLING: u32 = 32;
 
 /// Identity of a sequence.
 pub type Key = u64;
 
-/// What bounds the batch.
+/// Limits of the batch.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
-    /// Sequences at once.
+    /// Maximum number of running sequences.
     pub sequences: usize,
-    /// Tokens in the KV cache at once.
+    /// Capacity of the KV cache, in tokens.
     pub tokens: usize,
 }
 
@@ -51,7 +51,7 @@
         }
     }
 
-    /// Queues a sequence of `tokens`; a lower `priority` goes first.
+    /// Queues a sequence of `tokens`. A lower `priority` is admitted first.
     pub fn enter(&mut self, priority: i32, tokens: usize) -> (Key, oneshot::Receiver<()>) {
         let key = self.next;
         self.next += 1;
@@ -63,7 +63,7 @@
         (key, receiver)
     }
 
-    /// Takes a sequence out, wherever it stands.
+    /// Removes a sequence that runs or waits.
     pub fn leave(&mut self, key: Key) {
         if let Some(tokens) = self.running.remove(&key) {
             self.used -= tokens;
@@ -73,13 +73,13 @@
         self.admit();
     }
 
-    /// Returns how many sequences run.
+    /// Returns the number of running sequences.
     #[must_use]
     pub fn running(&self) -> usize {
         self.running.len()
     }
 
-    /// Returns how many sequences wait.
+    /// Returns the number of waiting sequences.
     #[must_use]
     pub fn waiting(&self) -> usize {
         self.waiting.len()
@@ -101,13 +101,13 @@
             let ((_, key), waiter) = first.remove_entry();
             self.used += tokens;
             self.running.insert(key, tokens);
-            // Where the receiver is gone, the owner's `leave` frees the place.
+            // If the receiver was dropped, its owner frees the place with `leave`.
             let _ = waiter.admitted.send(());
         }
     }
 }
 
-/// Returns the time of one decoding step with `running` sequences in the batch:
+/// Returns the duration of one decoding step with `running` sequences in the batch:
 /// `pace * (1 + (running - 1) / DOUBLING)`, linear in the batch size.
 ///
 /// ```
--- a/crates/flamingo-stand-in/src/engine/complete.rs
+++ b/crates/flamingo-stand-in/src/engine/complete.rs
@@ -1,4 +1,4 @@
-//! Completions: queue, prefill, then one token a step.
+//! Completions: queueing, prefill, then one token per decoding step.
 
 use super::batch::{self, Key};
 use super::prefix::{self, BLOCK};
@@ -12,16 +12,16 @@
 use serde_json::{Value, json};
 use std::time::Instant;
 
-/// Header that says which token to go on from.
+/// Header with the token from which to continue.
 pub const RESUME: &str = "x-flamingo-resume-from";
-/// Header with the priority of a request; 0, the most urgent, where it is left out.
+/// Header with the priority of a request; defaults to 0, the most urgent.
 pub const PRIORITY: &str = "x-flamingo-priority";
-/// Tokens generated where the request does not say.
+/// Number of generated tokens if the request sets none.
 const TOKENS: u64 = 8;
-/// Header of an answer to a request that did not run.
+/// Header of a response to a request that was not run.
 const NOT_RUN: (&str, &str) = ("x-flamingo-verdict", "not-run");
 
-/// The shape of the answer.
+/// Format of the response.
 #[derive(Clone, Copy, Debug)]
 enum Shape {
     Chat,
@@ -36,7 +36,7 @@
     complete(state, &request, &body, Shape::Plain).await
 }
 
-/// A request in the engine. Dropping it frees its place and notes how it ended.
+/// A request in the engine. On drop, its place is freed and its end is recorded.
 struct Sequence {
     state: Data<State>,
     shape: Shape,
@@ -83,7 +83,7 @@
             .insert_header(NOT_RUN)
             .json(json!({"error": {"message": message}}));
     };
-    // The sender lives in the batch as long as the sequence does.
+    // The batch keeps the sender for as long as the sequence.
     let _ = admitted.await;
     sequence.truncate = truncate;
     sequence.prefill().await;
@@ -106,7 +106,7 @@
 
 type Entered = (Sequence, tokio::sync::oneshot::Receiver<()>);
 
-/// Queues the request, where its model or adapter is there.
+/// Queues the request if its model or adapter is resident.
 fn enter(
     state: &Data<State>,
     request: &HttpRequest,
@@ -164,8 +164,8 @@
 }
 
 impl Sequence {
-    /// Takes the time of the part of the prompt that is not cached; prefills at
-    /// once share the accelerator.
+    /// Waits for the prefill of the uncached part of the prompt. Concurrent prefills share the
+    /// accelerator.
     async fn prefill(&self) {
         let blocks = prefix::blocks(&self.model, &self.prompt);
         let (cached, sharing) = {
@@ -173,7 +173,7 @@
             inner.prefilling += 1;
             (inner.prefix.cached(&blocks), inner.prefilling)
         };
-        // What a resumed request generated before is prefilled with its prompt.
+        // The tokens that a resumed request generated before are prefilled with its prompt.
         let tokens = answer::tokens(&self.prompt) - cached * BLOCK / CHARACTERS;
         let tokens = u32::try_from(tokens)
             .unwrap_or(u32::MAX)
@@ -218,7 +218,7 @@
     }
 }
 
-/// Counts a prefill out when dropped.
+/// Decrements the number of running prefills on drop.
 struct Prefilling<'a>(&'a State);
 
 impl Drop for Prefilling<'_> {
@@ -235,7 +235,7 @@
         .truncate
         .is_some_and(|after| sequence.step >= after)
     {
-        // The tokens before are to leave the write buffer first.
+        // Lets the previous tokens leave the write buffer first.
         actix_rt::time::sleep(sequence.state.settings.pace).await;
         sequence.end = "truncated";
         let error = actix_web::error::ErrorInternalServerError("the stream breaks off");
--- a/crates/flamingo-stand-in/src/engine/mod.rs
+++ b/crates/flamingo-stand-in/src/engine/mod.rs
@@ -1,5 +1,5 @@
-//! A fake model engine: the usual HTTP interface of model serving, and the
-//! model repository extension of the `KServe` protocol for orders.
+//! A fake model engine with an OpenAI-style HTTP interface, and orders as in the model repository
+//! extension of the `KServe` protocol.
 
 pub mod account;
 pub mod batch;
@@ -25,48 +25,48 @@
 /// Settings of one fake engine.
 #[derive(Clone, Debug)]
 pub struct Settings {
-    /// Its name.
+    /// Name of the engine.
     pub name: id::Target,
-    /// Its availability zone.
+    /// Availability zone of the engine.
     pub zone: id::Zone,
-    /// Where it listens; port 0 picks a free one.
+    /// Address to listen on; port 0 selects a free port.
     pub listen: SocketAddr,
-    /// Entries to announce itself to, in order of preference.
+    /// Entries to announce the engine to, in order of preference.
     pub entries: Vec<SocketAddr>,
     /// Accelerator memory, in mebibytes.
     pub memory: id::Mebibytes,
-    /// Models that are resident from the start.
+    /// Models that are resident at the start.
     pub resident: Vec<Resident>,
-    /// Time between two tokens of a sequence that is alone.
+    /// Time between two tokens of a sequence that runs alone.
     pub pace: Duration,
 }
 
-/// How the engine behaves beyond its [`Settings`].
+/// Properties of the engine beyond its [`Settings`].
 #[derive(Clone, Debug)]
 pub struct Behaviour {
-    /// Whether it refuses old fencing numbers, other incarnations and repeated orders.
+    /// Whether the engine rejects old fencing numbers, other incarnations and repeated orders.
     pub fenced: bool,
-    /// Lag of its load reports and cache events.
+    /// Delay of load reports and cache events.
     pub lag: Duration,
-    /// Time of a model's load from the store at full speed.
+    /// Duration of a model load from the store at full speed.
     pub load: Duration,
-    /// Time of an unload.
+    /// Duration of an unload.
     pub unload: Duration,
-    /// Least time of an adapter's load; the most is three times as long.
+    /// Minimum duration of an adapter load; the maximum is three times as long.
     pub adapter: Duration,
-    /// Prefill time of one token that is not cached.
+    /// Prefill time per uncached token.
     pub prefill: Duration,
-    /// What bounds its batch.
+    /// Limits of the batch.
     pub batch: batch::Limits,
-    /// Size of its prefix cache, in blocks.
+    /// Size of the prefix cache, in blocks.
     pub prefix: usize,
-    /// Memory of each copy that is resident from the start, in mebibytes.
+    /// Memory of each copy that is resident at the start, in mebibytes.
     pub footprint: id::Mebibytes,
-    /// Where it fetches weights.
+    /// The store from which the engine fetches weights.
     pub store: Source,
-    /// Whether it continues a stream from a later token.
+    /// Whether the engine can resume a stream.
     pub resumes: bool,
-    /// File that records what ran.
+    /// File that records the executed requests.
     pub record: Option<PathBuf>,
 }
 
@@ -96,20 +96,19 @@
 ///
 /// # Errors
 ///
-/// Returns an error where the address can't be taken.
+/// Returns an error if the address can't be bound.
 pub fn start(settings: Settings) -> std::io::Result<(Server, SocketAddr)> {
     start_with(settings, Behaviour::default())
 }
 
-/// Starts the engine and returns its server and the address that it took.
+/// Starts the engine and returns its server and address.
 ///
-/// What ran is listed at `GET /stand-in/ran`, its account and counts at
-/// `GET /stand-in/state`; `POST /stand-in/faults` sets faults and
-/// `POST /stand-in/leave` lets it leave.
+/// `GET /stand-in/ran` lists the executed requests and `GET /stand-in/state` the account and
+/// counters. `POST /stand-in/faults` injects faults, and `POST /stand-in/leave` has the engine leave.
 ///
 /// # Errors
 ///
-/// Returns an error where the address can't be taken or the record not opened.
+/// Returns an error if the address can't be bound or the file can't be opened.
 pub fn start_with(
     settings: Settings,
     behaviour: Behaviour,
--- a/crates/flamingo-stand-in/src/engine/order.rs
+++ b/crates/flamingo-stand-in/src/engine/order.rs
@@ -1,4 +1,4 @@
-//! Orders for copies and adapters.
+//! Execution of orders for copies and adapters.
 
 use super::account::Refusal;
 use super::state::State;
@@ -13,9 +13,9 @@
 use std::time::Duration;
 use tokio::sync::oneshot;
 
-/// Least adapter load times in the longest one.
+/// Ratio of the maximum to the minimum duration of an adapter load.
 const ADAPTER_SPREAD: u64 = 3;
-/// Time between two looks at whether a copy is still in use.
+/// Interval at which an unload checks whether the copy is still in use.
 const LOOK: Duration = Duration::from_millis(10);
 
 pub async fn load(state: Data<State>, model: Path<id::Model>, body: Json<Body>) -> HttpResponse {
@@ -26,8 +26,8 @@
     take(state, model.into_inner(), body.parameters, false).await
 }
 
-/// Carries an order out under the faults in force. The answer comes when the
-/// order has begun or is refused; the work goes on without the asker.
+/// Executes an order under the active faults. Responds once the order has started or is rejected;
+/// the execution continues in the background.
 async fn take(state: Data<State>, model: id::Model, order: Parameters, load: bool) -> HttpResponse {
     state.silence().await;
     let fault = state.lock().faults.order();
--- a/crates/flamingo-stand-in/src/engine/prefix.rs
+++ b/crates/flamingo-stand-in/src/engine/prefix.rs
@@ -1,18 +1,18 @@
-//! A limited cache of prompt prefixes with late events and gaps.
+//! A bounded cache of prompt prefixes, whose events are delayed and partly lost.
 
 use crate::answer;
 use serde::Serialize;
 use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
-/// Characters of a block, the unit of caching.
+/// Size of a block, the unit of caching, in characters.
 pub const BLOCK: usize = 64;
-/// Events kept for readers.
+/// Number of events that are kept for readers.
 const EVENTS: usize = 4_096;
-/// One event in so many is never published.
+/// One event in this number is never published.
 const GAP: u64 = 16;
 
-/// Block hashes, first block first, each continued from the one before.
+/// Returns the hashes of the blocks in order; each hash includes the preceding blocks.
 ///
 /// ```
 /// use flamingo_stand_in::engine::prefix;
@@ -36,15 +36,15 @@
 /// A change of the cache.
 #[derive(Clone, Copy, Debug, Serialize)]
 pub struct Event {
-    /// Number of the event; a gap shows as a missing number.
+    /// Sequence number of the event. A missing number indicates a lost event.
     pub sequence: u64,
     /// Hash of the block.
     pub block: u64,
-    /// Whether it was stored, else evicted.
+    /// Whether the block was stored; otherwise it was evicted.
     pub stored: bool,
 }
 
-/// The cache: least recently used blocks go first.
+/// The cache, which evicts the least recently used blocks first.
 #[derive(Debug)]
 pub struct Cache {
     size: usize,
@@ -69,7 +69,7 @@
         }
     }
 
-    /// Returns how many leading blocks are cached.
+    /// Returns the number of leading blocks that are cached.
     #[must_use]
     pub fn cached(&self, blocks: &[u64]) -> usize {
         let known = blocks
@@ -78,7 +78,7 @@
         known.count()
     }
 
-    /// Stores blocks, and evicts the least recently used beyond the size.
+    /// Stores blocks, and evicts the least recently used ones beyond the capacity.
     pub fn store(&mut self, blocks: &[u64], now: Instant) {
         for block in blocks {
             self.clock += 1;
--- a/crates/flamingo-stand-in/src/engine/state.rs
+++ b/crates/flamingo-stand-in/src/engine/state.rs
@@ -1,4 +1,4 @@
-//! What the handlers of one engine share.
+//! State that the handlers of one engine share.
 
 use super::account::{Account, Copy, Stage};
 use super::batch::Batch;
@@ -18,9 +18,9 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::sync::Notify;
 
-/// Time that a leaving target stays reachable, so that its word spreads.
+/// Time for which a leaving target stays reachable, until all entries know that it leaves.
 const LINGER: Duration = Duration::from_secs(3);
-/// Time between two looks at what still runs.
+/// Interval at which a leaving engine checks for running requests.
 const LOOK: Duration = Duration::from_millis(50);
 
 /// One request that reached the engine's handler.
@@ -28,21 +28,21 @@
 pub struct Run {
     /// Value of `x-request-id`, or empty.
     pub request: id::Request,
-    /// The model or adapter that was asked for.
+    /// The requested model or adapter.
     pub model: id::Model,
     /// The prompt.
     pub prompt: String,
-    /// First token that was asked for.
+    /// First requested token.
     pub from: u32,
     /// Tokens generated.
     pub tokens: u32,
     /// `running`, `done`, `cancelled`, `truncated` or `refused`.
     pub end: String,
-    /// Time since the engine said that it leaves, in milliseconds.
+    /// Time since the engine announced that it leaves, in milliseconds.
     pub after_leave_ms: Option<u64>,
 }
 
-/// What changes.
+/// Mutable state.
 #[derive(Debug)]
 pub struct Inner {
     pub account: Account,
@@ -116,7 +116,7 @@
         self.inner.lock().expect("no panic while the state is held")
     }
 
-    /// Returns `time` under the fault that slows everything.
+    /// Returns `time` scaled by the fault that slows the engine.
     pub fn slowed(&self, time: Duration) -> Duration {
         match self.lock().faults.faults().slow {
             0 => time,
@@ -124,7 +124,7 @@
         }
     }
 
-    /// Never returns while the fault says to stay silent.
+    /// Waits while the fault that suppresses responses is active.
     pub async fn silence(&self) {
         while self.lock().faults.faults().silent {
             actix_rt::time::sleep(LOOK).await;
@@ -163,7 +163,7 @@
 }
 
 impl Inner {
-    /// Notes a request and returns its place in the list.
+    /// Records a request and returns its index.
     pub fn arrived(&mut self, mut run: Run) -> usize {
         run.after_leave_ms = self
             .leaving
@@ -172,7 +172,7 @@
         self.runs.len() - 1
     }
 
-    /// Counts one generated token of a run.
+    /// Records one generated token of a request.
     pub fn generated(&mut self, run: usize, tokens: u32) {
         self.runs[run].tokens += tokens;
         self.roll(Instant::now());
@@ -228,7 +228,7 @@
     }))
 }
 
-/// The promise on memory, for tests.
+/// Memory counters, for tests.
 pub async fn orders(state: Data<State>) -> HttpResponse {
     let inner = state.lock();
     HttpResponse::Ok().json(serde_json::json!({
@@ -257,7 +257,7 @@
     HttpResponse::Ok().json(inner.prefix.events(query.after, lag, Instant::now()))
 }
 
-/// Announces that the engine leaves; it stops when nothing runs any more.
+/// Announces that the engine leaves, and stops it once no request runs.
 pub async fn leave(state: Data<State>) -> HttpResponse {
     let since = *state.lock().leaving.get_or_insert_with(Instant::now);
     state.changed.notify_one();
--- a/crates/flamingo-stand-in/src/fault.rs
+++ b/crates/flamingo-stand-in/src/fault.rs
@@ -1,43 +1,43 @@
-//! Faults that a call to a fake sets: `POST /stand-in/faults`.
+//! Faults that tests inject with `POST /stand-in/faults`.
 
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{Rng, SeedableRng};
 use serde::{Deserialize, Serialize};
 
-/// What goes wrong from now on. A body that leaves a field out clears it.
+/// Faults to inject from now on. A field that the body omits is reset.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Faults {
-    /// The next orders that vanish: not carried out, never answered.
+    /// Number of next orders that are neither executed nor answered.
     pub lose_orders: u32,
-    /// Time by which every order is carried out late, in milliseconds.
+    /// Delay before each order is executed, in milliseconds.
     pub delay_orders_ms: u64,
-    /// The next orders that are carried out twice.
+    /// Number of next orders that are executed twice.
     pub double_orders: u32,
-    /// The next orders that are carried out, and never answered.
+    /// Number of next orders that are executed, but not answered.
     pub lose_answers: u32,
-    /// The next loads that fail after their time.
+    /// Number of next loads that fail at the end of their duration.
     pub fail_loads: u32,
-    /// Whether requests and orders are taken and never answered.
+    /// Whether requests and orders are accepted, but never answered.
     pub silent: bool,
     /// Whether announcements stop.
     pub mute: bool,
-    /// Streams break off after so many tokens.
+    /// Number of tokens after which streams are truncated.
     pub truncate_after: Option<u32>,
-    /// Factor on all times, in thousandths; 0 means none.
+    /// Factor on all durations, in thousandths; 0 means 1.
     pub slow: u32,
-    /// Requests are refused as not run with this `Retry-After`, in seconds.
+    /// `Retry-After`, in seconds, with which requests are rejected as not run.
     pub refuse_s: Option<u32>,
-    /// Whether load reports say that nothing runs.
+    /// Whether load reports always report an idle engine.
     pub wrong_load: bool,
-    /// Share of requests that `truncate_after` and `refuse_s` hit, in
-    /// thousandths; 0 means all.
+    /// Share of requests to which `truncate_after` and `refuse_s` apply, in thousandths; 0 means
+    /// all.
     pub share: u32,
-    /// Seed of the draw for `share`.
+    /// Seed of the random selection by `share`.
     pub seed: u64,
 }
 
-/// The faults in force, with the state of their draw.
+/// The active faults, with the state of their random selection.
 #[derive(Debug)]
 pub struct Source {
     faults: Faults,
@@ -51,20 +51,20 @@
 }
 
 impl Source {
-    /// Puts `faults` in force.
+    /// Replaces the active faults.
     #[must_use]
     pub fn new(faults: Faults) -> Self {
         let rng = ChaCha8Rng::seed_from_u64(faults.seed);
         Self { faults, rng }
     }
 
-    /// Returns the faults in force.
+    /// Returns the active faults.
     #[must_use]
     pub fn faults(&self) -> &Faults {
         &self.faults
     }
 
-    /// Draws what hits the next request: its refusal and where its stream breaks off.
+    /// Selects the faults of the next request: its rejection, and where its stream is truncated.
     pub fn request(&mut self) -> (Option<u32>, Option<u32>) {
         let share = self.faults.share;
         if share > 0 && self.rng.next_u32() % 1_000 >= share {
@@ -73,7 +73,7 @@
         (self.faults.refuse_s, self.faults.truncate_after)
     }
 
-    /// Takes what hits the next order off the counts.
+    /// Returns the fault of the next order, and counts it down.
     pub fn order(&mut self) -> Order {
         Order {
             lost: take(&mut self.faults.lose_orders),
@@ -83,22 +83,22 @@
         }
     }
 
-    /// Returns whether the next load fails, and takes it off the count.
+    /// Returns whether the next load fails, and counts it down.
     pub fn load_fails(&mut self) -> bool {
         take(&mut self.faults.fail_loads)
     }
 }
 
-/// What hits one order.
+/// Fault of one order.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Order {
-    /// Not carried out, never answered.
+    /// Neither executed nor answered.
     pub lost: bool,
-    /// Carried out twice.
+    /// Executed twice.
     pub doubled: bool,
-    /// Carried out, never answered.
+    /// Executed, but not answered.
     pub unanswered: bool,
-    /// Carried out late by so many milliseconds.
+    /// Executed after this delay, in milliseconds.
     pub delay_ms: u64,
 }
 
--- a/crates/flamingo-stand-in/src/lib.rs
+++ b/crates/flamingo-stand-in/src/lib.rs
@@ -1,5 +1,5 @@
-//! Small fakes at the system's outer borders: a model engine, a plain service
-//! and the weight store. `docs/STAND-INS.md` states their models.
+//! Fakes of the external systems: a model engine, a plain service and the weight store.
+//! `docs/STAND-INS.md` describes how they behave.
 
 pub mod announcer;
 pub mod answer;
--- a/crates/flamingo-stand-in/src/main.rs
+++ b/crates/flamingo-stand-in/src/main.rs
@@ -93,7 +93,7 @@
     }
 }
 
-/// Lets the target leave on the first signal to stop.
+/// Has the target leave on the first termination signal.
 async fn leave(address: SocketAddr) -> std::io::Result<()> {
     let mut term = signal(SignalKind::terminate())?;
     let mut int = signal(SignalKind::interrupt())?;
--- a/crates/flamingo-stand-in/src/record.rs
+++ b/crates/flamingo-stand-in/src/record.rs
@@ -1,4 +1,4 @@
-//! A file of what truly ran, which outlives a kill of the fake.
+//! A file that records the executed requests and survives a kill of the fake.
 
 use serde::Serialize;
 use std::fs::File;
@@ -6,13 +6,13 @@
 use std::path::Path;
 use std::sync::Mutex;
 
-/// Appends one JSON line for each call, written before the call is answered.
+/// Appends a JSON line for each request, before the request is answered.
 #[derive(Debug, Default)]
 pub struct Record {
     file: Option<Mutex<File>>,
 }
 
-/// One line.
+/// One recorded request.
 #[derive(Debug, Serialize)]
 pub struct Line<'a> {
     /// Value of `x-request-id`, or empty.
@@ -28,7 +28,7 @@
 }
 
 impl Record {
-    /// Opens the file at `path`, if one is wanted, to append to it.
+    /// Opens the file at `path` for appending; records nothing without a path.
     ///
     /// # Errors
     ///
@@ -39,11 +39,11 @@
         Ok(Self { file })
     }
 
-    /// Writes one line.
+    /// Records one request.
     ///
     /// # Panics
     ///
-    /// Panics where the line can't be written: a record with gaps proves nothing.
+    /// Panics if the line can't be written, because an incomplete record proves nothing.
     pub fn write(&self, line: &Line<'_>) {
         let Some(file) = &self.file else {
             return;
--- a/crates/flamingo-stand-in/src/service.rs
+++ b/crates/flamingo-stand-in/src/service.rs
@@ -1,4 +1,4 @@
-//! A fake plain service that logs what it truly ran.
+//! A fake plain service that records the requests that it executed.
 
 use crate::announcer;
 use crate::fault::{Faults, Source};
@@ -16,27 +16,27 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::sync::Notify;
 
-/// Time that a leaving replica stays reachable, so that its word spreads.
+/// Time for which a leaving replica stays reachable, until all entries know that it leaves.
 const LINGER: Duration = Duration::from_secs(3);
-/// Time between two looks.
+/// Interval of polling.
 const LOOK: Duration = Duration::from_millis(50);
 
 /// Settings of one fake service replica.
 #[derive(Clone, Debug)]
 pub struct Settings {
-    /// Its name.
+    /// Name of the replica.
     pub name: id::Target,
-    /// The service that it serves.
+    /// The service to which the replica belongs.
     pub service: id::Service,
-    /// Its availability zone.
+    /// Availability zone of the replica.
     pub zone: id::Zone,
-    /// Where it listens; port 0 picks a free one.
+    /// Address to listen on; port 0 selects a free port.
     pub listen: SocketAddr,
-    /// Entries to announce itself to, in order of preference.
+    /// Entries to announce the replica to, in order of preference.
     pub entries: Vec<SocketAddr>,
 }
 
-/// One call that truly ran.
+/// One executed request.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Run {
     /// Method.
@@ -51,7 +51,7 @@
     /// Value of `idempotency-key`, or empty.
     #[serde(default)]
     pub key: id::Key,
-    /// Time since the replica said that it leaves, in milliseconds.
+    /// Time since the replica announced that it leaves, in milliseconds.
     #[serde(default)]
     pub after_leave_ms: Option<u64>,
 }
@@ -70,24 +70,23 @@
     record: Record,
 }
 
-/// Starts the service and returns its server and the address that it took.
+/// Starts the service and returns its server and address.
 ///
-/// What ran is listed at `GET /stand-in/ran`; `POST /stand-in/faults` sets
-/// faults and `POST /stand-in/leave` lets it leave. A call takes the time in
-/// its query `?delay_ms=N`, else none.
+/// `GET /stand-in/ran` lists the executed requests, `POST /stand-in/faults` injects faults, and
+/// `POST /stand-in/leave` has the replica leave. The query `?delay_ms=N` delays a response.
 ///
 /// # Errors
 ///
-/// Returns an error where the address can't be taken.
+/// Returns an error if the address can't be bound.
 pub fn start(settings: Settings) -> std::io::Result<(Server, SocketAddr)> {
     start_with(settings, None)
 }
 
-/// Starts the service with a file that records what ran.
+/// Starts the service with a file that records the executed requests.
 ///
 /// # Errors
 ///
-/// Returns an error where the address can't be taken or the record not opened.
+/// Returns an error if the address can't be bound or the file can't be opened.
 pub fn start_with(
     settings: Settings,
     record: Option<&Path>,
@@ -186,7 +185,7 @@
     HttpResponse::NoContent().finish()
 }
 
-/// Counts a call out when dropped.
+/// Decrements the number of running requests on drop.
 struct Running<'a>(&'a State);
 
 impl Drop for Running<'_> {
--- a/crates/flamingo-stand-in/src/store.rs
+++ b/crates/flamingo-stand-in/src/store.rs
@@ -1,4 +1,4 @@
-//! The rate-limited weight store: in this process, or a process that engines share.
+//! The rate-limited weight store, in this process or in a process that engines share.
 
 use actix_web::dev::Server;
 use actix_web::web::{Data, Json};
@@ -8,17 +8,17 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-/// Time within which the store's client must have its answer.
+/// Timeout of a request to the store.
 const TIMEOUT: Duration = Duration::from_mins(2);
 
-/// What the store allows.
+/// Limits of the store.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
-    /// Time between the starts of two model loads.
+    /// Minimum time between the starts of two model loads.
     pub spacing: Duration,
-    /// Model loads at once that run at full speed.
+    /// Number of concurrent model loads that run at full speed.
     pub models: u32,
-    /// Adapter loads at once that run at full speed.
+    /// Number of concurrent adapter loads that run at full speed.
     pub adapters: u32,
 }
 
@@ -32,7 +32,7 @@
     }
 }
 
-/// What is fetched.
+/// What a fetch loads.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Kind {
     /// A model's weights.
@@ -44,9 +44,9 @@
 /// One fetch.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 pub struct Fetch {
-    /// What is fetched.
+    /// What a fetch loads.
     pub kind: Kind,
-    /// Time that it takes at full speed, in milliseconds.
+    /// Duration at full speed, in milliseconds.
     pub full_speed_ms: u64,
 }
 
@@ -59,7 +59,7 @@
     most_adapters: u32,
 }
 
-/// The store's gauge, shared by the engines of one process.
+/// State of the store, shared by the engines of one process.
 #[derive(Clone, Debug)]
 pub struct Store {
     limits: Limits,
@@ -67,19 +67,19 @@
 }
 
 impl Store {
-    /// Builds a store with nothing in flight.
+    /// Creates a store without fetches.
     #[must_use]
     pub fn new(limits: Limits) -> Self {
         let gauge = Arc::default();
         Self { limits, gauge }
     }
 
-    /// Takes the time that `fetch` takes: a model waits for its turn to start,
-    /// and beyond the limit of fetches at once all take longer in proportion.
+    /// Waits for the duration of `fetch`. A model load waits for its turn to start. Beyond the limit
+    /// of concurrent fetches, all take proportionally longer.
     ///
     /// # Panics
     ///
-    /// Panics where another fetch panicked.
+    /// Panics if another fetch panicked.
     pub async fn fetch(&self, fetch: Fetch) {
         if fetch.kind == Kind::Model {
             let start = self.turn(Instant::now());
@@ -98,7 +98,7 @@
     }
 }
 
-/// One fetch in flight; ends when dropped.
+/// A fetch in progress; ends on drop.
 struct Held<'a> {
     store: &'a Store,
     kind: Kind,
@@ -139,7 +139,7 @@
     }
 }
 
-/// Where an engine fetches weights.
+/// The store from which an engine fetches weights.
 #[derive(Clone, Debug)]
 pub enum Source {
     /// A store in this process.
@@ -149,7 +149,7 @@
 }
 
 impl Source {
-    /// Takes the time that `fetch` takes; whether it succeeded.
+    /// Waits for the duration of `fetch`. Returns whether it succeeded.
     pub async fn fetch(&self, fetch: Fetch) -> bool {
         match self {
             Self::Local(store) => {
@@ -166,11 +166,11 @@
     }
 }
 
-/// Starts a store as a server and returns it with the address that it took.
+/// Starts a store as a server and returns its server and address.
 ///
 /// # Errors
 ///
-/// Returns an error where the address can't be taken.
+/// Returns an error if the address can't be bound.
 pub fn start(listen: SocketAddr, limits: Limits) -> std::io::Result<(Server, SocketAddr)> {
     let store = Data::new(Store::new(limits));
     let server = HttpServer::new(move || {
