--- a/crates/flamingo-load/src/compare.rs
+++ b/crates/flamingo-load/src/compare.rs
@@ -1,9 +1,9 @@
-//! Two runs side by side.
+//! Compares the reports of two runs.
 
 use crate::report::{Report, share};
 use std::fmt::Write;
 
-/// Returns a table of `a` against `b`.
+/// Returns a table that compares `a` with `b`.
 #[must_use]
 pub fn table(a: &Report, b: &Report) -> String {
     let mut text = String::new();
--- a/crates/flamingo-load/src/drive.rs
+++ b/crates/flamingo-load/src/drive.rs
@@ -1,5 +1,5 @@
-//! Sends a plan to running entries, open loop: a request goes out at its
-//! intended time whatever became of those before it.
+//! Sends the requests of a plan to running entries in an open loop: each request is sent at its
+//! intended time, regardless of the responses to earlier ones.
 
 use crate::plan::{Call, Completion, Item, Kind};
 use awc::error::SendRequestError;
@@ -13,55 +13,55 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// Time between a call's answer and its resend.
+/// Time between the response to a call and its resend.
 const RESEND: Duration = Duration::from_millis(200);
 
-/// Where and how long.
+/// Options of a run.
 #[derive(Clone, Debug)]
 pub struct Settings {
-    /// Entries; a request goes to the next in turn, and on to another where
-    /// none listens, as behind a balancer.
+    /// Entries, used in turn. A request whose entry does not listen goes to the next one, as behind
+    /// a load balancer.
     pub entries: Vec<SocketAddr>,
-    /// Time after which the caller gives up.
+    /// Timeout of a request.
     pub timeout: Duration,
 }
 
-/// How one answer ended.
+/// Outcome of one attempt.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum End {
-    /// The whole answer to this request.
+    /// The complete response to this request.
     Whole,
-    /// A whole answer with a missing, repeated or foreign part.
+    /// A complete response with a missing, repeated or foreign part.
     Foreign,
-    /// An error with its verdict.
+    /// An error response with its verdict.
     Refused(Verdict),
-    /// No answer, or one that broke off without an error.
+    /// No response, or one that was truncated without an error.
     Broken,
 }
 
-/// One answer.
+/// One response.
 #[derive(Clone, Debug)]
 pub struct Answer {
-    /// How it ended.
+    /// Outcome of the attempt.
     pub end: End,
-    /// Time from the intended start to the first token, or to a call's answer.
+    /// Time from the intended start to the first token, or to the response of a call.
     pub first: Option<Duration>,
     /// Time from the intended start to the end.
     pub last: Duration,
     /// Tokens received.
     pub tokens: u32,
-    /// When to come back, in seconds.
+    /// `Retry-After` of the response, in seconds.
     pub retry_after: Option<u32>,
 }
 
-/// One item of the plan with its answers; a resend makes a second one.
+/// One item of the plan with its responses; a resend adds a second one.
 #[derive(Clone, Debug)]
 pub struct Sent {
-    /// What was sent.
+    /// The item of the plan.
     pub item: Item,
-    /// The answers, in order.
+    /// The responses, in order.
     pub answers: Vec<Answer>,
-    /// Entries that did not listen.
+    /// Number of entries that did not listen.
     pub redialled: u32,
 }
 
@@ -76,11 +76,11 @@
     }
 }
 
-/// Sends the whole plan and waits for the last answer.
+/// Sends all requests of the plan and waits for the last response.
 ///
 /// # Panics
 ///
-/// Panics where a request's task panicked.
+/// Panics if the task of a request panicked.
 pub async fn run(plan: Vec<Item>, settings: &Settings) -> Vec<Sent> {
     let connector = Connector::new().limit(0).timeout(settings.timeout);
     let client = Client::builder()
@@ -124,7 +124,7 @@
         let Kind::Call(call) = &sent.item.kind else {
             return sent;
         };
-        // A caller with a key asks again where it got no answer.
+        // A caller with an idempotency key retries without a response.
         let unsure = sent.answers.iter().all(|answer| answer.end != End::Whole);
         if call.keyed && (call.resend || unsure) {
             actix_rt::time::sleep(RESEND).await;
@@ -158,7 +158,7 @@
         sent.answers.push(answer.unwrap_or(broken));
     }
 
-    /// Asks one entry; nothing where it does not listen.
+    /// Sends the request to one entry. Returns `None` if the entry does not listen.
     async fn ask(&self, entry: SocketAddr, item: &Item, intended: Instant) -> Option<Answer> {
         match &item.kind {
             Kind::Completion(completion) => self.complete(entry, item, completion, intended).await,
@@ -275,7 +275,7 @@
     body["error"]["verdict"].as_str()?.parse().ok()
 }
 
-/// Reads the events of a streamed answer.
+/// Reads the events of a streamed response.
 #[derive(Debug, Default)]
 struct Stream {
     rest: String,
--- a/crates/flamingo-load/src/engines.rs
+++ b/crates/flamingo-load/src/engines.rs
@@ -1,4 +1,4 @@
-//! What the fake engines say of their memory and moves.
+//! Memory and moves of the fake engines, as they report them.
 
 use awc::Client;
 use serde::{Deserialize, Serialize};
@@ -6,26 +6,26 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Time in which an engine must answer.
+/// Timeout of a request to an engine.
 const TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Sums over the engines that answered.
+/// Totals over the engines that responded.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Engines {
-    /// Engines that answered.
+    /// Number of engines that responded.
     pub answered: u32,
-    /// Engines that ran at least one request.
+    /// Number of engines that ran at least one request.
     pub used: u32,
-    /// Copies loaded.
+    /// Number of loaded copies.
     pub loads: u64,
-    /// Copies unloaded.
+    /// Number of unloaded copies.
     pub unloads: u64,
-    /// Loads asked for beyond an engine's size; must be 0.
+    /// Number of loads that would have exceeded the memory of an engine; must be 0.
     pub over_commits: u64,
 }
 
 impl Engines {
-    /// Asks each engine.
+    /// Queries all engines.
     pub async fn ask(engines: &[SocketAddr]) -> Self {
         let mut sum = Self::default();
         for engine in engines {
--- a/crates/flamingo-load/src/error.rs
+++ b/crates/flamingo-load/src/error.rs
@@ -1,13 +1,13 @@
-//! The tool's own errors.
+//! Errors of the tool.
 
 use quick_error::quick_error;
 use std::path::PathBuf;
 
 quick_error! {
-    /// Why a run, a comparison or a plot can't be made.
+    /// Why a run, a comparison or a plot failed.
     #[derive(Debug)]
     pub enum Error {
-        /// A workload or a set is wrong.
+        /// A workload or a set is invalid.
         Settings(error: flamingo_settings::Error) {
             from()
             display("{error}")
--- a/crates/flamingo-load/src/lib.rs
+++ b/crates/flamingo-load/src/lib.rs
@@ -1,5 +1,5 @@
-//! Load and experiment tool: seeded workloads, sent open loop to running
-//! entries, with a report that is checked against what the targets truly ran.
+//! Load and experiment tool: sends seeded workloads to running entries in an open loop, and checks
+//! the responses against the requests that the targets recorded.
 
 pub mod compare;
 pub mod drive;
--- a/crates/flamingo-load/src/main.rs
+++ b/crates/flamingo-load/src/main.rs
@@ -1,4 +1,4 @@
-//! The load and experiment tool's command line.
+//! Command line of the load and experiment tool.
 
 use flamingo_load::drive::{self, Settings};
 use flamingo_load::engines::Engines;
--- a/crates/flamingo-load/src/plan.rs
+++ b/crates/flamingo-load/src/plan.rs
@@ -1,4 +1,4 @@
-//! What is sent when: a pure function of workload, seed, length and scale.
+//! The requests of a run with their times: a pure function of workload, seed, length and scale.
 
 use crate::workload::{Calls, Stream, Workload};
 use flamingo_wire::id;
@@ -6,7 +6,7 @@
 use rand_chacha::rand_core::{Rng, SeedableRng};
 use std::time::Duration;
 
-/// Demand of the second model of a stream against the first, and so on (Zipf's law).
+/// Exponent of the demand by rank of the model (Zipf's law).
 const ZIPF: f64 = 1.0;
 /// Factor of a tenfold rise.
 const TENFOLD: f64 = 10.0;
@@ -14,15 +14,15 @@
 /// One request.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Item {
-    /// Word that stands in the request and, for a completion, in each token of its answer.
+    /// Unique word that the request contains, and each token of a completion's response.
     pub word: String,
-    /// When it is meant to be sent, from the start of the run.
+    /// Intended sending time, from the start of the run.
     pub at: Duration,
-    /// What is sent.
+    /// The request.
     pub kind: Kind,
 }
 
-/// What is sent.
+/// Kind of a request.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Kind {
     /// A streamed completion.
@@ -38,9 +38,9 @@
     pub profile: id::Profile,
     /// The model, or an adapter of one.
     pub model: id::Model,
-    /// The prompt; its last line makes the engine echo the item's word.
+    /// The prompt. Its last line has the engine echo the item's word.
     pub prompt: String,
-    /// Tokens of the answer.
+    /// Number of tokens to generate.
     pub tokens: u32,
 }
 
@@ -55,11 +55,11 @@
     pub path: String,
     /// Whether it has an idempotency key (the item's word).
     pub keyed: bool,
-    /// Whether it is sent again after its answer.
+    /// Whether the call is resent after its response.
     pub resend: bool,
 }
 
-/// Makes the plan of a run, in the order of sending.
+/// Returns the plan of a run, in the order of sending.
 ///
 /// ```
 /// use flamingo_load::{plan, workload::Workload};
@@ -106,7 +106,7 @@
     }
 }
 
-/// Gives an item its word, which no other item of the run has.
+/// Returns the word of an item, unique within the run.
 fn name(item: &mut Item, seed: u64, number: usize) {
     item.word = format!("q{seed}n{number}z");
     if let Kind::Completion(completion) = &mut item.kind {
@@ -115,7 +115,7 @@
     }
 }
 
-/// How one model's demand goes over the run.
+/// Demand for one model over the run.
 struct Demand {
     on: Vec<(Duration, Duration)>,
     rate: f64,
@@ -168,7 +168,7 @@
     }
 }
 
-/// Returns when a model is on, with exponential times on and off.
+/// Returns the periods in which a model is requested; periods and pauses are exponential.
 fn turns(rng: &mut ChaCha8Rng, stream: &Stream, length: Duration) -> Vec<(Duration, Duration)> {
     if stream.on.is_zero() {
         return vec![(Duration::ZERO, length)];
@@ -250,7 +250,7 @@
     -(1.0 - uniform(rng)).ln()
 }
 
-/// Returns a number from 0 to below 1.
+/// Returns a random number in [0, 1).
 fn uniform(rng: &mut ChaCha8Rng) -> f64 {
     float(rng.next_u64() >> 11) / float(1 << 53)
 }
--- a/crates/flamingo-load/src/plot.rs
+++ b/crates/flamingo-load/src/plot.rs
@@ -11,11 +11,11 @@
     Error::Plot(error.to_string())
 }
 
-/// Draws attainment over the seconds of each run.
+/// Plots attainment over the time of each run.
 ///
 /// # Errors
 ///
-/// Returns an error where the file can't be written.
+/// Returns an error if the file can't be written.
 pub fn attainment(path: &Path, reports: &[Report]) -> Result<(), Error> {
     let most = reports.iter().map(|report| report.points.len()).max();
     let most = u32::try_from(most.unwrap_or(1)).unwrap_or(u32::MAX);
@@ -50,11 +50,11 @@
     area.present().map_err(failed)
 }
 
-/// Draws attainment against moves, a point a run.
+/// Plots attainment against moves, with a point per run.
 ///
 /// # Errors
 ///
-/// Returns an error where the file can't be written.
+/// Returns an error if the file can't be written.
 pub fn frontier(path: &Path, reports: &[Report]) -> Result<(), Error> {
     let moves = |report: &Report| report.engines.loads + report.engines.unloads;
     let most = reports.iter().map(moves).max().unwrap_or(0) + 1;
--- a/crates/flamingo-load/src/report.rs
+++ b/crates/flamingo-load/src/report.rs
@@ -13,51 +13,51 @@
 use std::path::Path;
 use std::time::Duration;
 
-/// Time in which a plain call is to be answered.
+/// Latency objective of plain calls.
 const CALL: Duration = Duration::from_secs(1);
 
-/// How a run was made.
+/// Parameters of a run.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Run {
     /// The workload.
     pub workload: String,
     /// The seed.
     pub seed: u64,
-    /// Its length, in seconds.
+    /// Length of the run, in seconds.
     pub seconds: u64,
     /// Factor on all rates.
     pub scale: f64,
-    /// What differs from a calm run, such as a fault or a policy.
+    /// Difference to a calm run, such as a fault or a policy.
     pub variant: String,
 }
 
 /// Attainment in one second of the run.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Point {
-    /// Requests that were to be sent in it.
+    /// Number of requests with an intended time in this second.
     pub sent: u32,
-    /// Those of them that kept their promise.
+    /// Number of these that met their latency objective.
     pub met: u32,
 }
 
 /// The report of one run.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Report {
-    /// How it was made.
+    /// Parameters of the run.
     pub run: Run,
-    /// Profiles and calls.
+    /// Results by profile and kind of call.
     pub lines: Vec<Line>,
-    /// All of them together.
+    /// Total of all results.
     pub attainment: f64,
-    /// Attainment in hundredths per engine that was used.
+    /// Attainment in percent, divided by the number of engines used.
     pub per_accelerator: f64,
-    /// What the engines say.
+    /// Totals that the engines report.
     pub engines: Engines,
-    /// The check against what truly ran.
+    /// Check against the requests that the targets recorded.
     pub truth: Truth,
-    /// Requests that found an entry not listening.
+    /// Number of requests whose entry did not listen.
     pub redialled: u32,
-    /// Attainment over time, a point a second.
+    /// Attainment by second.
     pub points: Vec<Point>,
 }
 
@@ -107,7 +107,7 @@
     ///
     /// # Errors
     ///
-    /// Returns an error where the file can't be read.
+    /// Returns an error if the file can't be read.
     pub fn open(path: &Path) -> Result<Self, Error> {
         let failed = |message: String| Error::File(path.to_owned(), message);
         let text = std::fs::read_to_string(path).map_err(|error| failed(error.to_string()))?;
@@ -118,7 +118,7 @@
     ///
     /// # Errors
     ///
-    /// Returns an error where the file can't be written.
+    /// Returns an error if the file can't be written.
     pub fn save(&self, path: &Path) -> Result<(), Error> {
         let failed = |message: String| Error::File(path.to_owned(), message);
         let text = serde_json::to_string_pretty(self).map_err(|error| failed(error.to_string()))?;
@@ -140,7 +140,7 @@
     )
 }
 
-/// Returns `part` of `whole`; 0 of nothing.
+/// Returns `part / whole`, or 0 if `whole` is 0.
 #[must_use]
 pub fn share(part: u32, whole: u32) -> f64 {
     float(u64::from(part)) / float(u64::from(whole.max(1)))
--- a/crates/flamingo-load/src/tally.rs
+++ b/crates/flamingo-load/src/tally.rs
@@ -1,4 +1,4 @@
-//! Counts and times of one profile or one kind of call.
+//! Counts and latencies of one profile or one kind of call.
 
 use crate::drive::{Answer, End};
 use crate::plan::float;
@@ -7,20 +7,20 @@
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
-/// Longest time that is told apart, in microseconds.
+/// Largest recorded latency, in microseconds.
 const LONGEST_US: u64 = 3_600_000_000;
 
-/// What was promised.
+/// Latency objective.
 #[derive(Clone, Copy, Debug)]
 pub struct Promise {
-    /// Time to the first token, or to a call's answer.
+    /// Time to the first token, or to the response of a call.
     pub first: Duration,
     /// Mean time between tokens.
     pub between: Duration,
 }
 
 impl Promise {
-    /// Returns whether an answer kept it.
+    /// Returns whether a response met the objective.
     #[must_use]
     pub fn met(&self, answer: &Answer) -> bool {
         let Some(first) = answer.first else {
@@ -42,9 +42,9 @@
 pub struct Times {
     /// Median.
     pub p50: f64,
-    /// 95 in 100 are below.
+    /// 95th percentile.
     pub p95: f64,
-    /// 99 in 100 are below.
+    /// 99th percentile.
     pub p99: f64,
 }
 
@@ -55,29 +55,29 @@
     pub name: String,
     /// Requests sent.
     pub sent: u32,
-    /// Whole answers.
+    /// Complete responses.
     pub whole: u32,
-    /// Whole answers that kept the promise.
+    /// Complete responses that met the latency objective.
     pub met: u32,
-    /// Refused with the verdict that it did not run.
+    /// Rejections with the verdict that the request did not run.
     pub not_run: u32,
-    /// Refused with the verdict that it may have run.
+    /// Rejections with the verdict that the request may have run.
     pub may_have_run: u32,
-    /// Refused with the verdict that it ran.
+    /// Rejections with the verdict that the request ran.
     pub ran: u32,
-    /// Broken off without an error.
+    /// Responses that were truncated without an error.
     pub broken: u32,
-    /// Refusals that said when to come back.
+    /// Rejections with a `Retry-After`.
     pub with_retry_after: u32,
     /// Time to the first token, from the intended start.
     pub first: Times,
     /// Mean time between tokens of a request.
     pub between: Times,
-    /// Time to a refusal.
+    /// Time to a rejection.
     pub refused: Times,
 }
 
-/// Gathers one line.
+/// Collects one line of the report.
 #[derive(Debug)]
 pub struct Tally {
     line: Line,
@@ -88,7 +88,7 @@
 }
 
 impl Tally {
-    /// Builds an empty tally.
+    /// Creates an empty tally.
     #[must_use]
     pub fn new(name: &str, promise: Promise) -> Self {
         let line = Line {
@@ -104,7 +104,7 @@
         }
     }
 
-    /// Counts the first answer of a request.
+    /// Records the first response of a request.
     pub fn add(&mut self, answer: &Answer) {
         let line = &mut self.line;
         line.sent += 1;
@@ -130,7 +130,7 @@
         }
     }
 
-    /// Returns the line.
+    /// Returns the line of the report.
     #[must_use]
     pub fn line(mut self) -> Line {
         self.line.first = times(&self.first);
--- a/crates/flamingo-load/src/truth.rs
+++ b/crates/flamingo-load/src/truth.rs
@@ -1,4 +1,4 @@
-//! What the targets truly ran, from the records that they wrote.
+//! The requests that the targets executed, from the records that they wrote.
 
 use crate::drive::{End, Sent};
 use crate::error::Error;
@@ -8,33 +8,33 @@
 use std::collections::HashMap;
 use std::path::{Path, PathBuf};
 
-/// How often each word reached a target's handler.
+/// Number of times that each word reached the handler of a target.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Record {
     runs: HashMap<String, u32>,
 }
 
-/// Promises that the run broke; all must be 0, but for what `contradicted` says.
+/// Violations found in a run. All must be 0, except `contradicted`.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Truth {
     /// Requests checked.
     pub checked: u32,
-    /// Answered as whole, and never ran.
+    /// Complete responses to requests that never ran.
     pub lost: u32,
     /// Non-idempotent calls that ran more than once.
     pub doubled: u32,
-    /// Whole answers with a missing, repeated or foreign part.
+    /// Complete responses with a missing, repeated or foreign part.
     pub foreign: u32,
-    /// Every answer said that it did not run, and it ran.
+    /// Requests that ran although every response said that they did not.
     pub falsely_not_run: u32,
-    /// A resend was told "not run" after its call had run at an earlier send.
+    /// Resends that were rejected as "not run" although an earlier attempt had run.
     pub contradicted: u32,
-    /// Words of the first requests that broke a promise.
+    /// Words of the first requests with a violation.
     pub examples: Vec<String>,
 }
 
 impl Truth {
-    /// Returns how many promises were broken.
+    /// Returns the number of violations.
     #[must_use]
     pub fn broken(&self) -> u32 {
         self.lost + self.doubled + self.foreign + self.falsely_not_run
@@ -46,7 +46,7 @@
     ///
     /// # Errors
     ///
-    /// Returns an error where a file can't be read.
+    /// Returns an error if a file can't be read.
     pub fn open(paths: &[PathBuf]) -> Result<Self, Error> {
         let mut record = Self::default();
         for path in paths {
@@ -66,12 +66,12 @@
         Ok(())
     }
 
-    /// Counts one run of `word`.
+    /// Records one execution of `word`.
     pub fn add(&mut self, word: &str) {
         *self.runs.entry(word.to_owned()).or_default() += 1;
     }
 
-    /// Checks the answers against the record.
+    /// Checks the responses against the record.
     #[must_use]
     pub fn check(&self, sent: &[Sent]) -> Truth {
         let mut truth = Truth::default();
@@ -87,7 +87,7 @@
         let not_run = End::Refused(Verdict::NotRun);
         let all_not_run = sent.answers.iter().all(|answer| answer.end == not_run);
         let once = matches!(&sent.item.kind, Kind::Call(call) if call.keyed);
-        // A GET carries its word in the query, which the record leaves out.
+        // A GET has its word in the query, which the record omits.
         let seen = !matches!(&sent.item.kind, Kind::Call(call) if call.method == "GET");
         let lost = seen && any(End::Whole) && runs == 0;
         let doubled = once && runs > 1;
@@ -110,7 +110,7 @@
     }
 }
 
-/// Finds the word of a request: `q`, a number, `n`, a number, `z`.
+/// Returns the word in the text of a request: `q`, a number, `n`, a number, `z`.
 fn word(line: &str) -> Option<&str> {
     let mut from = 0;
     while let Some(at) = line[from..].find('q') {
--- a/crates/flamingo-load/src/workload.rs
+++ b/crates/flamingo-load/src/workload.rs
@@ -26,9 +26,9 @@
     pub memory: id::Mebibytes,
     /// Replicas of each plain service.
     pub replicas: usize,
-    /// Model loads at once at full speed.
+    /// Number of concurrent model loads that run at full speed.
     pub store_full_speed: u64,
-    /// Adapter loads at once at full speed.
+    /// Number of concurrent adapter loads that run at full speed.
     pub adapters_full_speed: u64,
     /// Completions.
     pub streams: Vec<Stream>,
@@ -36,32 +36,33 @@
     pub calls: Vec<Calls>,
 }
 
-/// Completions of one kind, spread over models that are on and off by turns.
+/// Completions of one kind, for models that are requested and idle in turn.
 #[derive(Clone, Debug)]
 pub struct Stream {
-    /// The profile that is asked for.
+    /// The requested profile.
     pub profile: id::Profile,
-    /// The models, the most asked for first.
+    /// The models, by descending demand.
     pub models: Vec<id::Model>,
-    /// Mean requests a second over all models.
+    /// Mean requests per second over all models.
     pub rate: f64,
-    /// Mean time that a model is asked for without a pause; 0 means always.
+    /// Mean length of the periods in which a model is requested; 0 means always.
     pub on: Duration,
-    /// Mean pause between two such times.
+    /// Mean length of the pauses between these periods.
     pub off: Duration,
-    /// Characters of the prefix that the prompts of a model share.
+    /// Length of the prefix that the prompts of a model share, in characters.
     pub prefix: usize,
-    /// Characters of a prompt of its own.
+    /// Length of the part of a prompt after that prefix, in characters.
     pub prompt: usize,
-    /// Tokens of an answer.
+    /// Number of tokens to generate.
     pub tokens: u32,
     /// Share of requests that name an adapter, in thousandths.
     pub adapters: u64,
-    /// Change of the rate between middle and ends of the run, in hundredths.
+    /// Amplitude of the change of the rate over the run, in percent; positive where the rate peaks in
+    /// the middle.
     pub swing: f64,
-    /// Where in the run the first model's demand rises tenfold, in thousandths.
+    /// Start of a tenfold rise of the first model's demand, in thousandths of the run.
     pub tenfold_at: u64,
-    /// For how much of the run, in thousandths; 0 means never.
+    /// Length of that rise, in thousandths of the run; 0 means none.
     pub tenfold_for: u64,
 }
 
@@ -76,13 +77,13 @@
     pub method: String,
     /// Path inside the service.
     pub path: String,
-    /// Mean calls a second.
+    /// Mean calls per second.
     pub rate: f64,
-    /// Whether each call has an idempotency key; such a call may run once only.
+    /// Whether each call has an idempotency key, so that it may run only once.
     pub keyed: bool,
-    /// Share of calls that are sent again after their answer, in thousandths.
+    /// Share of calls that are resent after their response, in thousandths.
     pub resend: u64,
-    /// Time that the call takes at the replica.
+    /// Duration of the call at the replica.
     pub delay: Duration,
 }
 
@@ -91,7 +92,7 @@
     ///
     /// # Errors
     ///
-    /// Returns every problem of the file at once.
+    /// Returns all problems of the file.
     pub fn open(path: &Path) -> Result<Self, Error> {
         let mut reader = Reader::open(path)?;
         let own = "workload";
