Send a follower the newest routes once it has the copy on its way

Cause: each of a series of sets was queued behind the last on a follower's link of 10 Mbit/s, 332 KB and 0.27 s each beside the callers' traffic, and the instances that don't lead added copies of their own after a wait that no progress of the follower extended.

A newer set waits until the follower reports the copy on its way, or for 1.2 s at that size; only the newest is sent then. An instance that does not lead waits anew whenever the follower reports a newer version. The decision is a state machine of its own (transfer::Transfer).

--- a/crates/flamingo-control/src/lib.rs
+++ b/crates/flamingo-control/src/lib.rs
@@ -15,5 +15,6 @@
 pub mod placement_task;
 pub mod raft_actor;
 pub mod registry;
+pub mod transfer;
 pub mod watch;
 pub mod writer;
--- a/crates/flamingo-control/src/watch.rs
+++ b/crates/flamingo-control/src/watch.rs
@@ -8,6 +8,7 @@
 use crate::packet::{HEARTBEAT_INTERVAL, STREAM_TIMEOUT};
 use crate::raft_actor::{FollowerHeartbeat, RaftActor};
 use crate::registry::{Broadcast, Registry};
+use crate::transfer::{BACKOFF_SLOTS, Offer, Transfer};
 use actix::Addr;
 use flamingo_wire::config::Snapshot;
 use flamingo_wire::control::{Heartbeat, Push};
@@ -25,12 +26,6 @@
 
 /// Bytes of configuration that one follower gets a second, on average.
 pub const MAX_BYTES_PER_S: u64 = 1024 * 1024;
-/// Delay of each backoff slot before an instance that does not lead sends routes, in addition to
-/// the time that one copy takes at [`MAX_BYTES_PER_S`].
-const SLOT_DELAY: Duration = Duration::from_millis(300);
-/// Backoff slots over which the instances are spread. Two slots end before the time in which
-/// routes must come into force.
-const BACKOFF_SLOTS: u64 = 2;
 /// Number of followers that get a whole configuration at a time.
 pub const MAX_FULL_TRANSFERS: usize = 16;
 
@@ -70,36 +65,19 @@
         }
     }
 
-    /// Returns when the instance `own` has to send the routes to a follower that has version
-    /// `known` (0 for none), or `None` where the follower has these routes.
-    ///
-    /// Every instance serves every follower; the delays keep a follower on a slow link from
-    /// getting a large set several times.
+    /// Returns the offer of the instance `own` to a follower. The hash spreads the instances over
+    /// the backoff slots differently for each follower.
     #[must_use]
-    pub fn send_at(
-        &self,
-        now: Instant,
-        known: id::Version,
-        follower: &str,
-        own: &str,
-    ) -> Option<Instant> {
-        if self.version <= known {
-            return None;
-        }
-        if self.from_leader || known == 0 {
-            return Some(now);
-        }
-        Some(now + self.backoff(follower, own))
-    }
-
-    /// Returns how long the instance `own` waits for other instances to send the routes to a
-    /// follower. The hash spreads the instances over the slots differently for each follower.
-    fn backoff(&self, follower: &str, own: &str) -> Duration {
+    pub fn offer(&self, follower: &str, own: &str) -> Offer {
         let mut hasher = DefaultHasher::new();
         (follower, own).hash(&mut hasher);
-        let slot = u32::try_from(hasher.finish() % BACKOFF_SLOTS).unwrap_or(0);
-        let copy = Duration::from_millis(self.bytes * 1_000 / MAX_BYTES_PER_S);
-        (SLOT_DELAY + copy) * (slot + 1)
+        let slot = hasher.finish() % u64::from(BACKOFF_SLOTS);
+        Offer {
+            version: self.version,
+            leads: self.from_leader,
+            copy: Duration::from_millis(self.bytes * 1_000 / MAX_BYTES_PER_S),
+            slot: u32::try_from(slot).unwrap_or(0),
+        }
     }
 }
 
@@ -128,10 +106,8 @@
     version: id::Version,
     /// When the next whole configuration may be sent.
     config_due: Instant,
-    /// Version of the routes that the follower has; `None` where it follows no routes and targets.
-    routes: Option<id::Version>,
-    /// When newer routes have to be sent; `None` where the follower has the newest.
-    routes_due: Option<Instant>,
+    /// Transfer of the routes; `None` where the follower follows no routes and targets.
+    routes: Option<Transfer>,
     out: Sender<Result<Frame, Status>>,
 }
 
@@ -155,8 +131,7 @@
             node: heartbeat.node.clone(),
             version: heartbeat.version,
             config_due: Instant::now(),
-            routes: heartbeat.routes,
-            routes_due: None,
+            routes: heartbeat.routes.map(Transfer::new),
             out,
         };
         let mut updates = self.subscribe_targets(&stream).await;
@@ -173,7 +148,7 @@
                     if let Some(heartbeat) = self.open_heartbeat(&frame) {
                         deadline = Instant::now() + STREAM_TIMEOUT;
                         stream.version = stream.version.max(heartbeat.version);
-                        stream.routes = stream.routes.max(heartbeat.routes);
+                        self.record_routes(&mut stream, heartbeat.routes);
                         self.raft_actor.do_send(FollowerHeartbeat(heartbeat));
                     }
                 }
@@ -196,7 +171,7 @@
                     }
                     self.schedule_routes(&mut stream);
                 }
-                () = sleep_until(stream.routes_due) => {
+                () = sleep_until(stream.routes.and_then(|transfer| transfer.due())) => {
                     if self.send_routes(&mut stream).await.is_none() {
                         return;
                     }
@@ -225,7 +200,7 @@
     /// Sends all known targets to a follower and returns the receiver of later updates. Returns
     /// `None` for a follower that follows no targets, or whose stream has ended.
     async fn subscribe_targets(&self, stream: &FollowerStream) -> Option<Updates> {
-        stream.routes?;
+        stream.routes.as_ref()?;
         let (all, updates) = lock_registry(&self.registry).subscribe();
         self.send_push(stream, &Push::Targets(all)).await?;
         Some(updates)
@@ -245,38 +220,35 @@
     /// Schedules newer routes for a follower that follows routes and lacks them.
     fn schedule_routes(&mut self, stream: &mut FollowerStream) {
         let update = self.routes.borrow_and_update();
-        let (Some(update), Some(known)) = (update.as_ref(), stream.routes) else {
-            return;
-        };
-        let Some(due) = update.send_at(Instant::now(), known, &stream.node, self.seal.node())
-        else {
-            return;
-        };
-        // An earlier schedule stays; what is sent then is the newest version.
-        stream.routes_due = Some(
-            stream
-                .routes_due
-                .map_or(due, |scheduled| scheduled.min(due)),
-        );
+        if let (Some(update), Some(transfer)) = (update.as_ref(), &mut stream.routes) {
+            let offer = update.offer(&stream.node, self.seal.node());
+            transfer.offer(offer, Instant::now());
+        }
+    }
+
+    /// Records the version of the routes that a follower reported.
+    fn record_routes(&self, stream: &mut FollowerStream, version: Option<id::Version>) {
+        if let (Some(version), Some(transfer)) = (version, &mut stream.routes) {
+            let update = self.routes.borrow();
+            let offer = update
+                .as_ref()
+                .map(|update| update.offer(&stream.node, self.seal.node()));
+            transfer.report(version, offer, Instant::now());
+        }
     }
 
     /// Sends the newest routes, unless the follower has received them in the meantime. Returns
     /// `None` where the stream has ended.
-    async fn send_routes(&mut self, stream: &mut FollowerStream) -> Option<()> {
-        stream.routes_due = None;
-        let newest = self
-            .routes
-            .borrow()
-            .as_ref()
-            .map(|update| (update.version, Arc::clone(&update.routes)));
-        let (Some((version, routes)), Some(known)) = (newest, stream.routes) else {
+    async fn send_routes(&self, stream: &mut FollowerStream) -> Option<()> {
+        let update = self.routes.borrow().clone();
+        let (Some(update), Some(transfer)) = (update, &mut stream.routes) else {
             return Some(());
         };
-        if version <= known {
+        let offer = update.offer(&stream.node, self.seal.node());
+        if !transfer.send(offer, Instant::now()) {
             return Some(());
         }
-        stream.routes = Some(version);
-        self.send_broadcast(stream, &routes).await
+        self.send_broadcast(stream, &update.routes).await
     }
 
     /// Sends a newer configuration, or else a heartbeat if `heartbeat` is set. Returns `None`
