Log how a target's stream ended

Whether a broken stream was taken for a whole one could not be told from the logs: a stream that ended well had no line, and none named the framing. The new line says how the target's body was delimited, the HTTP versions of target and caller, the last event and the bytes after it. It tells the three hypotheses of the torn answer apart.

--- a/crates/flamingo-serve/src/event_stream.rs
+++ b/crates/flamingo-serve/src/event_stream.rs
@@ -1,13 +1,15 @@
 //! Reads the streamed response of a target event by event.
 
 use crate::events::{Event, Splitter};
-use crate::exchange::PendingResponse;
+use crate::exchange::{Framing, PendingResponse};
 use http_body_util::BodyExt;
 use std::time::Instant;
+use strum::IntoStaticStr;
 use tokio::time::timeout_at;
 
 /// Result of reading from a stream.
-#[derive(Debug)]
+#[derive(Debug, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
 pub enum Next {
     /// A whole event.
     Event(Event),
@@ -67,6 +69,18 @@
         }
     }
 
+    /// Returns how the response states where its body ends.
+    #[must_use]
+    pub fn framing(&self) -> Framing {
+        Framing::of(&self.response.head)
+    }
+
+    /// Returns the number of bytes that were received after the last whole event.
+    #[must_use]
+    pub fn incomplete_bytes(&self) -> usize {
+        self.splitter.buffered_bytes()
+    }
+
     fn remainder(&mut self) -> Next {
         match self.splitter.take_remainder() {
             Some(remainder) => Next::Remainder(remainder),
--- a/crates/flamingo-serve/src/events.rs
+++ b/crates/flamingo-serve/src/events.rs
@@ -59,6 +59,12 @@
         (!bytes.is_empty()).then_some(Event { bytes, id })
     }
 
+    /// Returns the number of bytes after the last whole event.
+    #[must_use]
+    pub fn buffered_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Returns whether the buffer exceeds [`MAX_EVENT_BYTES`].
     #[must_use]
     pub fn is_oversized(&self) -> bool {
--- a/crates/flamingo-serve/src/exchange.rs
+++ b/crates/flamingo-serve/src/exchange.rs
@@ -3,7 +3,7 @@
 use crate::pool::{Connection, dial};
 use crate::wire::{Codec, ResponseHead};
 use bytes::Bytes;
-use http::{Request, Response, response};
+use http::{Request, Response, header, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use std::net::SocketAddr;
@@ -11,6 +11,39 @@
 use strum::IntoStaticStr;
 use tokio::time::timeout_at;
 
+/// How a response states where its body ends (RFC 9112, section 6.3).
+#[derive(Clone, Copy, Debug, Eq, IntoStaticStr, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+pub enum Framing {
+    /// By the number of bytes.
+    Length,
+    /// By a last chunk.
+    Chunks,
+    /// Not at all: the body ends with its connection.
+    Connection,
+}
+
+impl Framing {
+    /// Returns the framing of a response with this head.
+    ///
+    /// ```
+    /// use flamingo_serve::exchange::Framing;
+    ///
+    /// let (head, ()) = http::Response::new(()).into_parts();
+    /// assert_eq!(Framing::of(&head), Framing::Connection);
+    /// ```
+    #[must_use]
+    pub fn of(head: &response::Parts) -> Self {
+        if head.headers.contains_key(header::TRANSFER_ENCODING) {
+            Self::Chunks
+        } else if head.headers.contains_key(header::CONTENT_LENGTH) {
+            Self::Length
+        } else {
+            Self::Connection
+        }
+    }
+}
+
 /// A response whose head has been received and whose body has not been read yet.
 #[derive(Debug)]
 pub struct PendingResponse {
--- a/crates/flamingo-serve/src/proxy/attempt.rs
+++ b/crates/flamingo-serve/src/proxy/attempt.rs
@@ -336,7 +336,10 @@
         self.codec.strip_hop_by_hop(&mut head);
         head.headers.remove(http::header::CONTENT_LENGTH);
         let mut source = EventStream::new(response);
-        let (first, done) = match source.next(job.deadline).await {
+        let next = source.next(job.deadline).await;
+        let target = &load_guard.target;
+        self.log_stream_end(job, target, &source, &next, job.request.last_event_id);
+        let (first, done) = match next {
             Next::Event(event) => (Some(event), false),
             Next::Remainder(event) => (Some(event), true),
             Next::End => (None, true),
--- a/crates/flamingo-serve/src/proxy/stream.rs
+++ b/crates/flamingo-serve/src/proxy/stream.rs
@@ -38,6 +38,33 @@
     pub stalled: bool,
 }
 
+impl Proxy {
+    /// Logs how a target's stream ended, unless `next` is a further event. `last` is the last
+    /// event that the caller has received.
+    pub(super) fn log_stream_end(
+        &self,
+        job: &Job,
+        target: &str,
+        source: &EventStream,
+        next: &Next,
+        last: Option<u64>,
+    ) {
+        if matches!(next, Next::Event(_)) {
+            return;
+        }
+        let incomplete_bytes = match next {
+            Next::Remainder(event) => event.bytes.len(),
+            _ => source.incomplete_bytes(),
+        };
+        let end: &str = next.into();
+        let framing: &str = source.framing().into();
+        info!(self.log, "target stream ended"; "request" => &job.request.attempt_id,
+            "target" => target, "end" => end, "framing" => framing,
+            "version" => ?source.response.head.version, "caller_version" => ?job.http_head.version,
+            "last" => last, "incomplete_bytes" => incomplete_bytes);
+    }
+}
+
 impl Stream {
     /// Returns the next chunk for the caller with the stream that continues after it, or `None`
     /// at the normal end. After an error there is no further stream.
@@ -55,7 +82,11 @@
             let Some(source) = &mut self.source else {
                 return Some(self.abort("no other target accepted the stream"));
             };
-            match source.next(deadline).await {
+            let next = source.next(deadline).await;
+            let target = &self.load_guard.target;
+            self.proxy
+                .log_stream_end(&self.job, target, source, &next, self.last_event_id);
+            match next {
                 Next::Event(event) => {
                     if !self.is_next(&event) {
                         return Some(self.abort("an event is out of sequence"));
