--- a/crates/flamingo-entry/tests/outer/main.rs
+++ b/crates/flamingo-entry/tests/outer/main.rs
@@ -1,5 +1,6 @@
 //! Tests of an entry over HTTP, with scripted targets on raw TCP sockets.
 
+mod endings;
 mod harness;
 mod input;
 mod upstream;
