A stream that ends inside an event has broken off

Cause: the reader of a target's stream took every end of the body for the end of the stream, passed on the bytes of the unfinished event and let the answer get its last chunk. A body without length or chunks ends with its connection, so a crash was such an end.

The variant for bytes after the last whole event is gone: an end inside an event, and an end by connection before any event, are breaks like a lost connection. The stream then goes on at another target where it may, or the caller's answer is broken off too. The log line says which of them it was.

--- a/crates/flamingo-serve/src/event_stream.rs
+++ b/crates/flamingo-serve/src/event_stream.rs
@@ -13,23 +13,35 @@
 pub enum Next {
     /// A whole event.
     Event(Event),
-    /// The stream ended normally with these bytes after the last whole event.
-    Remainder(Event),
     /// The stream ended normally after a whole event.
     End,
-    /// The connection failed before the stream ended, or an event was too large.
-    Broken,
+    /// The stream broke off.
+    Broken(Break),
     /// No whole event was received before the deadline.
     TimedOut,
 }
 
+/// How a stream broke off.
+#[derive(Clone, Copy, Debug, Eq, IntoStaticStr, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+pub enum Break {
+    /// The connection failed, or closed before the end that the response states.
+    Disconnected,
+    /// The body ended inside an event.
+    InsideEvent,
+    /// The connection closed before the first event, and the response states no other end.
+    BeforeFirstEvent,
+    /// An event exceeded [`MAX_EVENT_BYTES`](crate::events::MAX_EVENT_BYTES).
+    Oversized,
+}
+
 /// A streamed response that is being read.
 #[derive(Debug)]
 pub struct EventStream {
     /// The response and its connection.
     pub response: PendingResponse,
     splitter: Splitter,
-    ended: bool,
+    any_event: bool,
 }
 
 impl EventStream {
@@ -39,7 +51,7 @@
         Self {
             response,
             splitter: Splitter::default(),
-            ended: false,
+            any_event: false,
         }
     }
 
@@ -47,13 +59,11 @@
     pub async fn next(&mut self, deadline: Instant) -> Next {
         loop {
             if let Some(event) = self.splitter.next() {
+                self.any_event = true;
                 return Next::Event(event);
             }
-            if self.ended {
-                return self.remainder();
-            }
             if self.splitter.is_oversized() {
-                return Next::Broken;
+                return Next::Broken(Break::Oversized);
             }
             let frame = timeout_at(deadline.into(), self.response.body.frame());
             match frame.await {
@@ -62,8 +72,8 @@
                         self.splitter.push(&bytes);
                     }
                 }
-                Ok(Some(Err(_))) => return Next::Broken,
-                Ok(None) => self.ended = true,
+                Ok(Some(Err(_))) => return Next::Broken(Break::Disconnected),
+                Ok(None) => return self.end(),
                 Err(_) => return Next::TimedOut,
             }
         }
@@ -81,10 +91,14 @@
         self.splitter.buffered_bytes()
     }
 
-    fn remainder(&mut self) -> Next {
-        match self.splitter.take_remainder() {
-            Some(remainder) => Next::Remainder(remainder),
-            None => Next::End,
+    /// Returns whether the end of the body is the end of the stream.
+    fn end(&self) -> Next {
+        if self.splitter.is_inside_event() {
+            Next::Broken(Break::InsideEvent)
+        } else if !self.any_event && self.framing() == Framing::Connection {
+            Next::Broken(Break::BeforeFirstEvent)
+        } else {
+            Next::End
         }
     }
 }
--- a/crates/flamingo-serve/src/events.rs
+++ b/crates/flamingo-serve/src/events.rs
@@ -51,12 +51,12 @@
         Some(Event { bytes, id })
     }
 
-    /// Removes and returns the bytes after the last whole event; `None` if there are none.
-    pub fn take_remainder(&mut self) -> Option<Event> {
-        self.scanned = 0;
-        let bytes = self.buffer.split().freeze();
-        let id = event_id(&bytes);
-        (!bytes.is_empty()).then_some(Event { bytes, id })
+    /// Returns whether an event has begun and not ended. Blank lines between events belong to
+    /// none.
+    #[must_use]
+    pub fn is_inside_event(&self) -> bool {
+        let mut bytes = self.buffer.iter();
+        bytes.any(|byte| !matches!(byte, b'\r' | b'\n'))
     }
 
     /// Returns the number of bytes after the last whole event.
--- a/crates/flamingo-serve/src/proxy/attempt.rs
+++ b/crates/flamingo-serve/src/proxy/attempt.rs
@@ -341,9 +341,8 @@
         self.log_stream_end(job, target, &source, &next, job.request.last_event_id);
         let (first, done) = match next {
             Next::Event(event) => (Some(event), false),
-            Next::Remainder(event) => (Some(event), true),
             Next::End => (None, true),
-            Next::Broken => return Err(AttemptError::MayHaveRun(Cause::Broken)),
+            Next::Broken(_) => return Err(AttemptError::MayHaveRun(Cause::Broken)),
             Next::TimedOut => return Err(AttemptError::MayHaveRun(Cause::Late)),
         };
         load_guard.finish_prefill();
--- a/crates/flamingo-serve/src/proxy/stream.rs
+++ b/crates/flamingo-serve/src/proxy/stream.rs
@@ -52,16 +52,15 @@
         if matches!(next, Next::Event(_)) {
             return;
         }
-        let incomplete_bytes = match next {
-            Next::Remainder(event) => event.bytes.len(),
-            _ => source.incomplete_bytes(),
+        let end: &str = match next {
+            Next::Broken(cause) => cause.into(),
+            other => other.into(),
         };
-        let end: &str = next.into();
         let framing: &str = source.framing().into();
         info!(self.log, "target stream ended"; "request" => &job.request.attempt_id,
             "target" => target, "end" => end, "framing" => framing,
             "version" => ?source.response.head.version, "caller_version" => ?job.http_head.version,
-            "last" => last, "incomplete_bytes" => incomplete_bytes);
+            "last" => last, "incomplete_bytes" => source.incomplete_bytes());
     }
 }
 
@@ -94,10 +93,6 @@
                     self.last_event_id = event.id.or(self.last_event_id);
                     return Some((Ok(event.bytes), Some(self)));
                 }
-                Next::Remainder(event) => {
-                    self.done = true;
-                    return Some((Ok(event.bytes), Some(self)));
-                }
                 Next::End => self.done = true,
                 Next::TimedOut if Instant::now() < self.job.deadline => {
                     self.stalled = true;
@@ -107,7 +102,7 @@
                     self.record_outcome("late");
                     return Some((Err(Error::DeadlineExceeded), None));
                 }
-                Next::Broken => {
+                Next::Broken(_) => {
                     if !self.resume().await {
                         return Some(self.abort("the target's stream broke off"));
                     }
