The entry delimits its answers itself, whatever the target's HTTP version is

Callers of HTTP/1.1 got an answer that ends with its connection, in the words of HTTP/1.0, whenever the target answered so. A stream that the entry then broke off, because the target had been reset or had torn an event, looked whole to them.

Cause: the head of the caller's answer was the target's head, with its version, and the server delimits the bodies of HTTP/1.0 by the end of the connection.

One function now makes the head for the caller from status and headers, for whole answers and streams alike, without the target's version and length; so the server chooses chunks or a length.

--- a/crates/flamingo-serve/src/proxy/attempt.rs
+++ b/crates/flamingo-serve/src/proxy/attempt.rs
@@ -14,7 +14,7 @@
 use flamingo_wire::fault::Reason;
 use flamingo_wire::route::Kind;
 use futures_util::stream;
-use http::{Request, Response, Uri, response};
+use http::{Method, Request, Response, Uri, header, response};
 use http_body_util::Full;
 use slog::info;
 use std::rc::Rc;
@@ -291,7 +291,7 @@
     ) -> Result<Response<Body>, AttemptError> {
         let load_guard = answered.load_guard;
         let PendingResponse {
-            mut head,
+            head,
             parsed,
             body,
             connection,
@@ -316,7 +316,7 @@
         self.metrics
             .observe_first_event(&job.route.name, job.arrived_at.elapsed());
         self.metrics.record_outcome(&job.route.name, "answered");
-        self.codec.strip_hop_by_hop(&mut head);
+        let head = self.caller_head(job, &head);
         Ok(Response::from_parts(head, Body::whole(bytes)))
     }
 
@@ -332,9 +332,7 @@
             load_guard,
             response,
         } = answered;
-        let mut head = clone_head(&response.head);
-        self.codec.strip_hop_by_hop(&mut head);
-        head.headers.remove(http::header::CONTENT_LENGTH);
+        let head = self.caller_head(job, &response.head);
         let mut source = EventStream::new(response);
         let next = source.next(job.deadline).await;
         let target = &load_guard.target;
@@ -372,6 +370,18 @@
         Ok(Response::from_parts(head, Body::Chunks(Box::pin(chunks))))
     }
 
+    /// Returns the head of the caller's response for a target's response. How the target delimited
+    /// its body is not passed on: the server delimits the body that it sends.
+    fn caller_head(&self, job: &Job, head: &response::Parts) -> response::Parts {
+        let mut head = clone_head(head);
+        self.codec.strip_hop_by_hop(&mut head);
+        // The response to HEAD has no body, and states the length that GET would return.
+        if job.http_head.method != Method::HEAD {
+            head.headers.remove(header::CONTENT_LENGTH);
+        }
+        head
+    }
+
     /// Adds the time to a first event to the estimate of the prefill rate, and returns the
     /// estimated rate in tokens per millisecond.
     fn observe_prefill(&self, job: &Job, candidate: &Candidate) -> f64 {
@@ -432,11 +442,10 @@
     path.map_or_else(|| uri.clone(), Uri::from)
 }
 
-/// Clones the status, version and headers of a response head.
+/// Clones the status and headers of a response head.
 fn clone_head(head: &response::Parts) -> response::Parts {
     let mut response = Response::new(());
     *response.status_mut() = head.status;
-    *response.version_mut() = head.version;
     response.headers_mut().clone_from(&head.headers);
     response.into_parts().0
 }
