Callers of HTTP/1.0 get a stream as a whole, with its length

They saw a stream that had broken off as a whole one, whatever the target's framing was: their version knows no chunks, so the answer ended with its connection either way.

A stream for such a caller is now collected, up to 1 MiB, and sent with its length, or replaced by an error. Nothing has reached the caller until then, so the usual attempts apply.

--- a/crates/flamingo-serve/src/body.rs
+++ b/crates/flamingo-serve/src/body.rs
@@ -2,7 +2,7 @@
 
 use crate::wire::Cause;
 use bytes::{Bytes, BytesMut};
-use futures_util::Stream;
+use futures_util::{Stream, StreamExt};
 use http_body::{Frame, SizeHint};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -23,6 +23,10 @@
         DeadlineExceeded {
             display("the deadline of the request has passed")
         }
+        /// The stream is larger than the buffer for a caller that can't receive chunks.
+        TooLarge {
+            display("the response is too large to be sent as a whole")
+        }
     }
 }
 
@@ -102,3 +106,20 @@
     }
     Ok(bytes.freeze())
 }
+
+/// Reads all chunks of a streamed body into memory.
+///
+/// # Errors
+///
+/// Returns [`Error::TooLarge`] if the chunks have more than `max_bytes`, or why the body ends early.
+pub async fn collect_chunks(chunks: &mut Chunks, max_bytes: usize) -> Result<Bytes, Error> {
+    let mut bytes = BytesMut::new();
+    while let Some(chunk) = chunks.next().await {
+        let chunk = chunk?;
+        if bytes.len() + chunk.len() > max_bytes {
+            return Err(Error::TooLarge);
+        }
+        bytes.extend_from_slice(&chunk);
+    }
+    Ok(bytes.freeze())
+}
--- a/crates/flamingo-serve/src/proxy/attempt.rs
+++ b/crates/flamingo-serve/src/proxy/attempt.rs
@@ -4,7 +4,7 @@
 use super::job::{AttemptError, Job};
 use super::load_guard::LoadGuard;
 use super::stream::Stream;
-use crate::body::{Body, collect};
+use crate::body::{self, Body, Chunks, Error, collect};
 use crate::choice::{self, Candidate, Choice};
 use crate::event_stream::{EventStream, Next};
 use crate::exchange::{self, Failure, PendingResponse};
@@ -14,7 +14,7 @@
 use flamingo_wire::fault::Reason;
 use flamingo_wire::route::Kind;
 use futures_util::stream;
-use http::{Method, Request, Response, Uri, header, response};
+use http::{Method, Request, Response, Uri, Version, header, response};
 use http_body_util::Full;
 use slog::info;
 use std::rc::Rc;
@@ -23,6 +23,8 @@
 
 /// Largest response body that is buffered before it is returned, in bytes.
 const MAX_BUFFERED_BYTES: usize = 256 * 1024;
+/// Largest stream that is buffered for a caller that can't receive chunks, in bytes.
+const MAX_BUFFERED_STREAM_BYTES: usize = 1024 * 1024;
 /// Time within which the leader must confirm that an adapter has been loaded.
 const ADAPTER_LOAD_TIMEOUT: Duration = Duration::from_millis(700);
 /// Shortest time beyond the objective after which an attempt without a response head is given up.
@@ -367,7 +369,17 @@
             Some(stream),
             |stream| async move { stream?.next_chunk().await },
         );
-        Ok(Response::from_parts(head, Body::Chunks(Box::pin(chunks))))
+        let mut chunks: Chunks = Box::pin(chunks);
+        if can_receive_chunks(job) {
+            return Ok(Response::from_parts(head, Body::Chunks(chunks)));
+        }
+        let bytes = body::collect_chunks(&mut chunks, MAX_BUFFERED_STREAM_BYTES)
+            .await
+            .map_err(|error| match error {
+                Error::TargetFailed | Error::TooLarge => AttemptError::MayHaveRun(Cause::Broken),
+                Error::DeadlineExceeded => AttemptError::MayHaveRun(Cause::Late),
+            })?;
+        Ok(Response::from_parts(head, Body::whole(bytes)))
     }
 
     /// Returns the head of the caller's response for a target's response. How the target delimited
@@ -442,6 +454,12 @@
     path.map_or_else(|| uri.clone(), Uri::from)
 }
 
+/// Returns whether the caller can tell a streamed response that breaks off from a complete one. In
+/// HTTP/1.0 a body without a length ends with its connection.
+fn can_receive_chunks(job: &Job) -> bool {
+    job.http_head.version >= Version::HTTP_11
+}
+
 /// Clones the status and headers of a response head.
 fn clone_head(head: &response::Parts) -> response::Parts {
     let mut response = Response::new(());
