The own interface closes a stream's framing only once its relay has finished it

A caller that took no chunk for 30 s, and one whose relay ended in a panic, got the last chunk after an unfinished stream, without final event or error event.

The channel to the body is a module of its own now: only finish() makes its end normal, any other end is an error, at which the server closes the connection without the last chunk.

--- a/crates/flamingo-entry/src/completion.rs
+++ b/crates/flamingo-entry/src/completion.rs
@@ -1,6 +1,7 @@
 //! Serves completions of models, streamed or as one body.
 
 use crate::body;
+use crate::chunks;
 use crate::dispatcher::Command;
 use crate::exchange::{self, Outgoing, REQUEST_ID};
 use crate::handle::Handle;
@@ -17,10 +18,7 @@
 use flamingo_wire::engine::Lora;
 use flamingo_wire::fault::Reason;
 use flamingo_wire::{Fault, Verdict, id};
-use futures_util::StreamExt;
 use std::time::{Duration, Instant};
-use tokio::sync::mpsc::channel;
-use tokio_stream::wrappers::ReceiverStream;
 
 /// Header with the name of the profile that the caller chooses.
 pub const PROFILE: &str = "x-flamingo-profile";
@@ -172,17 +170,16 @@
         caller_response.insert_header((header::CONTENT_TYPE, content_type));
     }
     if streamed && response.status().is_success() {
-        let (chunk_sender, chunks) = channel(CALLER_BUFFER);
+        let (sender, receiver) = chunks::channel(CALLER_BUFFER);
         let relay = Relay {
             engine_request: engine_request.clone(),
             handle,
-            chunk_sender,
+            chunks: sender,
             events_sent: 0,
         };
         actix_rt::spawn(relay.run(dispatch.attempt, response));
-        let chunks = ReceiverStream::new(chunks).map(Ok::<_, actix_web::Error>);
         caller_response.insert_header((header::CACHE_CONTROL, "no-cache"));
-        return Ok(caller_response.streaming(chunks));
+        return Ok(caller_response.streaming(receiver));
     }
     let method = &engine_request.outgoing.method;
     match exchange::read_body(
--- a/crates/flamingo-entry/src/lib.rs
+++ b/crates/flamingo-entry/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod body;
 pub mod call;
+pub mod chunks;
 pub mod completion;
 pub mod daemon;
 pub mod dispatcher;
--- a/crates/flamingo-entry/src/relay.rs
+++ b/crates/flamingo-entry/src/relay.rs
@@ -3,6 +3,7 @@
 //! If the stream of one target breaks off, a further attempt resumes after the events that were
 //! already sent to the caller.
 
+use crate::chunks;
 use crate::completion::EngineRequest;
 use crate::dispatcher::Command;
 use crate::exchange::{self, RESUMABLE, RESUMED_FROM};
@@ -15,7 +16,6 @@
 use flamingo_wire::{Fault, Verdict};
 use futures_util::StreamExt;
 use std::time::{Duration, Instant};
-use tokio::sync::mpsc::Sender;
 
 /// Longest time without data from a target, after which the attempt fails.
 const STREAM_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
@@ -32,7 +32,7 @@
     /// Handle of the request at the dispatcher.
     pub handle: Handle,
     /// Channel to the body of the caller's response.
-    pub chunk_sender: Sender<Bytes>,
+    pub chunks: chunks::Sender,
     /// Number of data events sent to the caller.
     pub events_sent: u64,
 }
@@ -45,6 +45,17 @@
     Broken(String),
 }
 
+/// What follows the response of an attempt that broke off.
+#[derive(Debug)]
+enum Resumption {
+    /// The response of another attempt goes on.
+    Continues(AttemptId, ClientResponse),
+    /// The stream ends with an error event.
+    ErrorSent,
+    /// The caller is gone.
+    CallerGone,
+}
+
 impl Relay {
     /// Relays the response of `attempt`, and of further attempts that resume it, until the response
     /// is complete, the caller is gone or the router refuses another attempt.
@@ -57,7 +68,11 @@
             // Close the connection before the router frees the target's slot.
             drop(response);
             match outcome {
-                Outcome::Complete => return self.handle.ended(attempt),
+                Outcome::Complete => {
+                    self.handle.ended(attempt);
+                    self.chunks.finish();
+                    return;
+                }
                 Outcome::CallerGone => return,
                 Outcome::Broken(message) => self.handle.failed(Failure {
                     attempt,
@@ -68,11 +83,14 @@
                     message,
                 }),
             }
-            let Some((next, resumed)) = self.resume().await else {
-                return;
-            };
-            attempt = next;
-            response = resumed;
+            match self.resume().await {
+                Resumption::Continues(next, resumed) => {
+                    attempt = next;
+                    response = resumed;
+                }
+                Resumption::ErrorSent => return self.chunks.finish(),
+                Resumption::CallerGone => return,
+            }
         }
     }
 
@@ -83,7 +101,7 @@
             let deadline = Instant::now() + STREAM_IDLE_TIMEOUT;
             let chunk = tokio::select! {
                 biased;
-                () = self.chunk_sender.closed() => return Outcome::CallerGone,
+                () = self.chunks.closed() => return Outcome::CallerGone,
                 chunk = tokio::time::timeout_at(deadline.into(), response.next()) => chunk,
             };
             let chunk = match chunk {
@@ -116,28 +134,22 @@
     /// Sends a chunk to the caller. Returns false if the caller is gone, or takes no chunk for
     /// `CALLER_TIMEOUT`.
     async fn send_chunk(&self, chunk: Bytes) -> bool {
-        match self.chunk_sender.try_send(chunk) {
-            Ok(()) => true,
-            Err(error) => {
-                let deadline = Instant::now() + CALLER_TIMEOUT;
-                let sent = self.chunk_sender.send(error.into_inner());
-                let sent = tokio::time::timeout_at(deadline.into(), sent).await;
-                matches!(sent, Ok(Ok(())))
-            }
-        }
+        self.chunks
+            .send(chunk, Instant::now() + CALLER_TIMEOUT)
+            .await
     }
 
-    /// Makes further attempts until one resumes the stream after the last event sent. Returns `None`
-    /// after the router refuses another attempt.
-    async fn resume(&mut self) -> Option<(AttemptId, ClientResponse)> {
+    /// Makes further attempts until one resumes the stream after the last event sent, or the router
+    /// refuses another attempt.
+    async fn resume(&mut self) -> Resumption {
         loop {
             match self.handle.next().await {
-                Command::Refuse(fault) => {
-                    self.send_error(&fault).await;
-                    return None;
+                Command::Refuse(fault) if self.send_error(&fault).await => {
+                    return Resumption::ErrorSent;
                 }
+                Command::Refuse(_) => return Resumption::CallerGone,
                 Command::Dispatch(dispatch) => match self.send_resumed(&dispatch).await {
-                    Ok(response) => return Some((dispatch.attempt, response)),
+                    Ok(response) => return Resumption::Continues(dispatch.attempt, response),
                     Err(failure) => self.handle.failed(failure),
                 },
             }
@@ -164,8 +176,8 @@
         Err(failure)
     }
 
-    /// Ends the stream with an explicit error event.
-    async fn send_error(&self, fault: &Fault) {
+    /// Sends an explicit error event, which ends the stream. Returns false if the caller is gone.
+    async fn send_error(&self, fault: &Fault) -> bool {
         let body = Body {
             error: Detail {
                 message: &fault.message,
@@ -177,6 +189,6 @@
         };
         let body = serde_json::to_string(&body).unwrap_or_default();
         self.send_chunk(Bytes::from(format!("event: error\ndata: {body}\n\n")))
-            .await;
+            .await
     }
 }
