Log a target's software version where a stream begins and goes on

An entry did not know the versions of targets, so the logs could not say whether a stream went on at another one.

--- a/crates/flamingo-serve/src/proxy/attempt.rs
+++ b/crates/flamingo-serve/src/proxy/attempt.rs
@@ -12,6 +12,7 @@
 use crate::wire::{Attempt, Cause, Rejection, ResponseHead};
 use flamingo_wire::control::{LoadAdapter, Reply, Request as ControlRequest};
 use flamingo_wire::fault::Reason;
+use flamingo_wire::id;
 use flamingo_wire::route::Kind;
 use futures_util::stream;
 use http::{Method, Request, Response, Uri, Version, header, response};
@@ -349,6 +350,8 @@
         let rate = self.observe_prefill(job, &candidate);
         info!(self.log, "stream begun"; "request" => &job.request.attempt_id,
             "target" => &load_guard.target, "route" => &job.route.name,
+            "software" => self.software(&load_guard.target),
+            "resumes" => &job.request.resumes, "after" => job.request.last_event_id,
             "sent" => job.sent.get(), "fresh" => candidate.uncached_tokens,
             "rate" => rate, "queue_ms" => candidate.queueing_delay.as_millis(),
             "wait_ms" => candidate.first_event_delay.as_millis(),
@@ -394,6 +397,13 @@
         head
     }
 
+    /// Returns the version of the software that a target registered; `None` if it is unknown.
+    pub(super) fn software(&self, target: &str) -> Option<id::Software> {
+        let table = self.topology.table.borrow();
+        let target = table.get(target)?;
+        Some(target.registration.software.clone())
+    }
+
     /// Adds the time to a first event to the estimate of the prefill rate, and returns the
     /// estimated rate in tokens per millisecond.
     fn observe_prefill(&self, job: &Job, candidate: &Candidate) -> f64 {
--- a/crates/flamingo-serve/src/wire.rs
+++ b/crates/flamingo-serve/src/wire.rs
@@ -51,6 +51,8 @@
     pub prompt_parts: SmallVec<[PromptPart; 4]>,
     /// Last event that the caller has received, if the request resumes a stream.
     pub last_event_id: Option<u64>,
+    /// The caller's try that brought the first event of the stream that the request resumes.
+    pub resumes: Option<AttemptId>,
 }
 
 /// Parameters of sending a request to one target.
--- a/crates/flamingo-test-support/src/registration.rs
+++ b/crates/flamingo-test-support/src/registration.rs
@@ -17,6 +17,7 @@
         service: "s".into(),
         address: "127.0.0.1:1".parse().expect("an address"),
         zone: "z".into(),
+        software: "v1".into(),
         slots: 64,
         leaving: false,
         gone: false,
--- a/crates/flamingo-wire/src/id.rs
+++ b/crates/flamingo-wire/src/id.rs
@@ -16,6 +16,8 @@
 pub type Profile = String;
 /// Name of a plain service.
 pub type Service = String;
+/// Version of the software that a target runs. Versions have no order.
+pub type Software = String;
 /// Identity of one caller's request, assigned by the entry that accepted it.
 pub type Request = String;
 /// Idempotency key that a caller chose.
--- a/crates/flamingo-wire/src/target.rs
+++ b/crates/flamingo-wire/src/target.rs
@@ -30,6 +30,9 @@
     pub address: SocketAddr,
     /// Availability zone of the target.
     pub zone: id::Zone,
+    /// Version of the target's software; empty where the target states none.
+    #[serde(default)]
+    pub software: id::Software,
     /// Number of requests that the target runs concurrently.
     pub slots: u32,
     /// Whether the target is about to leave and accepts no new requests.
