A stream goes on within its answer only at the software version that began it

Cause: the choice of a target for the rest of a stream did not know versions.

A request holds the version at which its stream began, and the choice then leaves out the targets of others, for a stalled stream as for a broken one. The version that was chosen is compared again with the registration when the request is sent, since an adapter may have been awaited in between.

--- a/crates/flamingo-serve/src/choice.rs
+++ b/crates/flamingo-serve/src/choice.rs
@@ -45,6 +45,9 @@
     pub rank: Rank,
     /// Zone of this entry.
     pub zone: &'a str,
+    /// Version of the software at which the stream began that the request goes on with; `None` if
+    /// any version will do.
+    pub software: Option<&'a str>,
     /// Targets that are excluded because the request was already sent there or could not be.
     pub tried: &'a [id::Target],
     /// Whether a leader is known that can load an adapter.
@@ -55,6 +58,14 @@
     pub timing: Option<Timing>,
 }
 
+impl Requirements<'_> {
+    /// Returns whether a target runs the required version of the software.
+    fn runs_software(&self, target: &Target) -> bool {
+        self.software
+            .is_none_or(|software| software == target.registration.software)
+    }
+}
+
 /// Result of choosing a target.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Choice {
@@ -73,6 +84,8 @@
 pub struct Candidate {
     /// The target.
     pub target: id::Target,
+    /// Version of the target's software.
+    pub software: id::Software,
     /// Prompt tokens that the target does not have cached.
     pub uncached_tokens: u32,
     /// Tokens of other prompts that the target processes before this one.
@@ -132,7 +145,7 @@
     let tokens_per_ms = table.prefill(required.service).tokens_per_ms();
     for target in table
         .of_service(required.service)
-        .filter(|target| target.accepts_requests())
+        .filter(|target| target.accepts_requests() && required.runs_software(target))
     {
         any_target = true;
         if required.engine.is_some() && model.is_some_and(|model| !target.has_model(model, now)) {
@@ -244,6 +257,7 @@
     }
     Candidate {
         target: target.registration.id.clone(),
+        software: target.registration.software.clone(),
         uncached_tokens,
         backlog_tokens,
         first_event_delay: Duration::from_secs_f64(first_event_ms / 1_000.0),
--- a/crates/flamingo-serve/src/proxy.rs
+++ b/crates/flamingo-serve/src/proxy.rs
@@ -175,6 +175,7 @@
             earlier_wait,
             deadline,
             request,
+            software: RefCell::default(),
             tried: RefCell::default(),
             sent: Cell::new(0),
             last_sent_at: Cell::new(arrived_at),
@@ -252,12 +253,14 @@
     fn choose_target(&self, job: &Job, now: Instant) -> Choice {
         let service = job.routes.service(&job.service);
         let tried = job.tried.borrow();
+        let software = job.software.borrow();
         let required = Requirements {
             service: &job.service,
             engine: service.and_then(|service| service.engine.as_ref()),
             request: &job.request,
             rank: job.route.rank,
             zone: &self.zone,
+            software: software.as_deref(),
             tried: &tried,
             can_load_adapters: self.topology.peers.borrow().leader.is_some(),
             entries: self
--- a/crates/flamingo-serve/src/proxy/attempt.rs
+++ b/crates/flamingo-serve/src/proxy/attempt.rs
@@ -12,7 +12,6 @@
 use crate::wire::{Attempt, Cause, Rejection, ResponseHead};
 use flamingo_wire::control::{LoadAdapter, Reply, Request as ControlRequest};
 use flamingo_wire::fault::Reason;
-use flamingo_wire::id;
 use flamingo_wire::route::Kind;
 use futures_util::stream;
 use http::{Method, Request, Response, Uri, Version, header, response};
@@ -141,10 +140,9 @@
         let now = Instant::now();
         let address = {
             let mut table = self.topology.table.borrow_mut();
-            let Some(target) = table
-                .get_mut(&candidate.target)
-                .filter(|target| target.accepts_requests())
-            else {
+            let Some(target) = table.get_mut(&candidate.target).filter(|target| {
+                target.accepts_requests() && target.registration.software == candidate.software
+            }) else {
                 job.exclude(&candidate.target);
                 return Err(AttemptError::NotRun(Cause::NoTarget));
             };
@@ -347,10 +345,11 @@
             Next::TimedOut => return Err(AttemptError::MayHaveRun(Cause::Late)),
         };
         load_guard.finish_prefill();
+        job.begin_stream(&candidate.software);
         let rate = self.observe_prefill(job, &candidate);
         info!(self.log, "stream begun"; "request" => &job.request.attempt_id,
             "target" => &load_guard.target, "route" => &job.route.name,
-            "software" => self.software(&load_guard.target),
+            "software" => &candidate.software,
             "resumes" => &job.request.resumes, "after" => job.request.last_event_id,
             "sent" => job.sent.get(), "fresh" => candidate.uncached_tokens,
             "rate" => rate, "queue_ms" => candidate.queueing_delay.as_millis(),
@@ -397,13 +396,6 @@
         head
     }
 
-    /// Returns the version of the software that a target registered; `None` if it is unknown.
-    pub(super) fn software(&self, target: &str) -> Option<id::Software> {
-        let table = self.topology.table.borrow();
-        let target = table.get(target)?;
-        Some(target.registration.software.clone())
-    }
-
     /// Adds the time to a first event to the estimate of the prefill rate, and returns the
     /// estimated rate in tokens per millisecond.
     fn observe_prefill(&self, job: &Job, candidate: &Candidate) -> f64 {
--- a/crates/flamingo-serve/src/proxy/job.rs
+++ b/crates/flamingo-serve/src/proxy/job.rs
@@ -32,6 +32,8 @@
     pub earlier_wait: Duration,
     /// When the caller or the route gives up.
     pub deadline: Instant,
+    /// Version of the software at which the stream began; `None` before its first event.
+    pub software: RefCell<Option<id::Software>>,
     /// Targets that are not chosen again for this request.
     pub tried: RefCell<SmallVec<[id::Target; 2]>>,
     /// Number of attempts that a target may have read.
@@ -53,6 +55,12 @@
         self.sent.set(self.sent.get() + 1);
     }
 
+    /// Records the version of the software at which the stream begins, unless it has begun before.
+    pub fn begin_stream(&self, software: &id::Software) {
+        let mut began_at = self.software.borrow_mut();
+        began_at.get_or_insert_with(|| software.clone());
+    }
+
     /// Excludes a target that can't take the request from further choices.
     pub fn exclude(&self, target: &str) {
         self.tried.borrow_mut().push(target.to_owned());
--- a/crates/flamingo-serve/src/proxy/stream.rs
+++ b/crates/flamingo-serve/src/proxy/stream.rs
@@ -188,7 +188,7 @@
         let accepted = response.head.status.is_success() && response.parsed.sealed;
         if accepted {
             info!(proxy.log, "stream resumed"; "request" => &job.request.attempt_id,
-                "target" => &candidate.target, "software" => proxy.software(&candidate.target),
+                "target" => &candidate.target, "software" => &candidate.software,
                 "after" => self.last_event_id);
             self.source = Some(EventStream::new(response));
             self.load_guard = load_guard;
--- a/crates/flamingo-serve/tests/load.rs
+++ b/crates/flamingo-serve/tests/load.rs
@@ -42,6 +42,7 @@
         request,
         rank: 1,
         zone: "z",
+        software: None,
         tried,
         can_load_adapters: true,
         entries: 1,
