A caller goes on with its stream only at the software version that began it

Cause: the next attempt reaches any entry, and none of them knew where the stream began.

An entry remembers the service and version of each stream that it began. No answer, no stream: it is refused as not run. A target that turns out to have restarted with other software makes its latest streams unknown.

--- a/crates/flamingo-control/src/inner.rs
+++ b/crates/flamingo-control/src/inner.rs
@@ -1,15 +1,18 @@
 //! Server of the inner protocol, the gRPC protocol between instances.
 
 use crate::controller::{self, EntryRequest};
+use crate::origins::Origins;
 use crate::packet::{HEARTBEAT_INTERVAL, Packet, STREAM_TIMEOUT};
 use crate::raft_actor::{HandleRequest, PeerMessage, RaftActor};
-use crate::watch::Publisher;
+use crate::watch::{Publisher, lock_registry};
 use actix::Addr;
 use flamingo_wire::Frame;
-use flamingo_wire::control::Request;
+use flamingo_wire::control::{Reply, Request};
 use flamingo_wire::frame::Seal;
 use flamingo_wire::inner::control_server::Control;
 use flamingo_wire::inner::log_server::Log;
+use flamingo_wire::stream::{Answer, Begun, Query};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Instant, SystemTime};
 use tokio::sync::mpsc::{self, Sender, channel};
 use tokio_stream::wrappers::ReceiverStream;
@@ -28,6 +31,7 @@
     raft_actor: Addr<RaftActor>,
     publisher: Publisher,
     controller: Option<mpsc::Sender<EntryRequest>>,
+    origins: Arc<Mutex<Origins>>,
 }
 
 impl InnerService {
@@ -45,8 +49,29 @@
             raft_actor,
             publisher,
             controller,
+            origins: Arc::new(Mutex::new(Origins::new(Instant::now()))),
         }
     }
+
+    /// Records streams that have begun at an entry.
+    fn record_begun(&self, begun: Vec<Begun>) -> Reply {
+        lock(&self.origins).record(Instant::now(), begun);
+        Reply::Acknowledged
+    }
+
+    /// Returns what this instance knows of the origin of a stream.
+    fn find_origin(&self, query: &Query) -> Reply {
+        Reply::Origin(Answer {
+            origin: lock(&self.origins).find(Instant::now(), query.stream),
+            software: lock_registry(&self.publisher.registry).software(&query.service),
+        })
+    }
+}
+
+/// Locks the store. A poisoned lock is used all the same, because a panic of another holder leaves
+/// the store consistent.
+fn lock(origins: &Mutex<Origins>) -> MutexGuard<'_, Origins> {
+    origins.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 #[tonic::async_trait]
@@ -70,6 +95,8 @@
             .map_err(|error| Status::unauthenticated(error.to_string()))?;
         let from = frame.from;
         let reply = match (&self.controller, request) {
+            (_, Request::Begun(begun)) => self.record_begun(begun),
+            (_, Request::Origin(query)) => self.find_origin(&query),
             (Some(controller), request @ (Request::Usage(_) | Request::LoadAdapter(_))) => {
                 controller::send_request(controller, &from, request).await
             }
--- a/crates/flamingo-control/src/lib.rs
+++ b/crates/flamingo-control/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod leader_task;
 pub mod link;
 pub mod metrics;
+pub mod origins;
 pub mod packet;
 pub mod placement_task;
 pub mod raft_actor;
--- a/crates/flamingo-control/src/raft_actor/requests.rs
+++ b/crates/flamingo-control/src/raft_actor/requests.rs
@@ -51,10 +51,13 @@
             Request::Routes if self.raft.has_read_lease(now) => {
                 ready(Reply::Routes(self.state.routes.clone()))
             }
-            // Requests to the engine controller arrive here only where the instance runs none.
-            Request::Routes | Request::Usage(_) | Request::LoadAdapter(_) => {
-                ready(Reply::Refused(leaderless_fault()))
-            }
+            // Requests to the engine controller arrive here only where the instance runs none, and
+            // those about streams are answered before.
+            Request::Routes
+            | Request::Usage(_)
+            | Request::LoadAdapter(_)
+            | Request::Begun(_)
+            | Request::Origin(_) => ready(Reply::Refused(leaderless_fault())),
             Request::Fetch(fetch) => ready(self.fetch(&fetch)),
         }
     }
--- a/crates/flamingo-control/src/registry.rs
+++ b/crates/flamingo-control/src/registry.rs
@@ -211,6 +211,18 @@
         active.map(|record| record.registration.clone()).collect()
     }
 
+    /// Returns the software versions of a service's targets, including those that have left and are
+    /// not removed yet.
+    #[must_use]
+    pub fn software(&self, service: &str) -> Vec<id::Software> {
+        let records = self.targets.values().map(|record| &record.registration);
+        let of_service = records.filter(|registration| registration.service == service);
+        let versions: BTreeSet<_> = of_service
+            .map(|registration| &registration.software)
+            .collect();
+        versions.into_iter().cloned().collect()
+    }
+
     /// Returns a target's newest registration.
     #[must_use]
     pub fn get(&self, id: &str) -> Option<&Registration> {
--- /dev/null
+++ b/crates/flamingo-control/tests/origins.rs
@@ -0,0 +1,77 @@
+//! Origins of streams that entries report to a control instance.
+
+use flamingo_control::origins::{Origins, RETENTION};
+use flamingo_control::registry::Registry;
+use flamingo_test_support::registration::registration;
+use flamingo_wire::stream::{Begun, Key, Origin};
+use flamingo_wire::target::Registration;
+use std::ops::Range;
+use std::time::Instant;
+
+/// Streams that an instance keeps for a short time at most, by its limit of memory.
+const MANY: Key = 1_000_000;
+
+fn begun(software: &str, streams: Range<Key>) -> Vec<Begun> {
+    vec![Begun {
+        origin: origin(software),
+        streams: streams.collect(),
+    }]
+}
+
+fn origin(software: &str) -> Origin {
+    Origin {
+        service: "s".into(),
+        software: software.into(),
+    }
+}
+
+#[test]
+fn a_stream_is_found_at_the_version_that_began_it() {
+    let now = Instant::now();
+    let mut origins = Origins::new(now);
+    origins.record(now, begun("v1", 0..10));
+    origins.record(now, begun("v1.1", 10..20));
+    assert_eq!(origins.find(now, 9), Some(origin("v1")));
+    assert_eq!(origins.find(now, 10), Some(origin("v1.1")));
+    assert_eq!(origins.find(now, 20), None);
+}
+
+#[test]
+fn a_stream_is_kept_for_its_time_whenever_it_began() {
+    let start = Instant::now();
+    let mut origins = Origins::new(start);
+    for tenth in 0..30 {
+        let now = start + RETENTION * tenth / 10;
+        let stream = Key::from(tenth);
+        origins.record(now, begun("v1", stream..stream + 1));
+        let oldest = stream.saturating_sub(10);
+        assert_eq!(origins.find(now, oldest), Some(origin("v1")));
+    }
+}
+
+#[test]
+fn too_many_streams_push_out_the_oldest() {
+    let now = Instant::now();
+    let mut origins = Origins::new(now);
+    for stream in (0..MANY).step_by(1_000) {
+        origins.record(now, begun("v1", stream..stream + 1_000));
+    }
+    assert_eq!(origins.find(now, 0), None);
+    assert_eq!(origins.find(now, MANY - 1), Some(origin("v1")));
+}
+
+#[test]
+fn the_versions_of_a_service_include_those_that_have_left() {
+    let now = Instant::now();
+    let mut registry = Registry::default();
+    for (id, software) in [("i-1", "v1"), ("i-2", "v1.1"), ("i-3", "v1.1")] {
+        let registration = Registration {
+            software: software.into(),
+            ..registration(id)
+        };
+        registry.record_heartbeat(now, registration);
+    }
+    registry.record_departure(now, "i-1", 0);
+    assert_eq!(registry.software("s"), ["v1", "v1.1"]);
+    assert!(registry.software("other").is_empty());
+}
--- a/crates/flamingo-serve/src/lib.rs
+++ b/crates/flamingo-serve/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod exchange;
 pub mod lifecycle;
 pub mod metrics;
+pub mod origins;
 pub mod pool;
 pub mod prefill;
 pub mod proxy;
--- a/crates/flamingo-serve/src/proxy.rs
+++ b/crates/flamingo-serve/src/proxy.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod job;
 mod load_guard;
+mod resumption;
 mod stream;
 
 use crate::admission::Timing;
@@ -164,7 +165,16 @@
             Err(_) => return self.refuse(Refusal::new(Cause::Unreadable), Some(&request)),
         };
         let earlier_wait = self.earlier_wait(&route, max_wait);
-        let service = choose_service(&route, &request);
+        let mut service = choose_service(&route, &request);
+        let mut software = None;
+        if route.resumable && request.last_event_id.is_some() {
+            let origin = self.find_origin(&route, &service, &request, deadline).await;
+            let Some(origin) = origin else {
+                return self.refuse_resumption(&route, &request);
+            };
+            service = origin.service;
+            software = Some(origin.software);
+        }
         let job = Job {
             http_head,
             body,
@@ -175,7 +185,7 @@
             earlier_wait,
             deadline,
             request,
-            software: RefCell::default(),
+            software: RefCell::new(software),
             tried: RefCell::default(),
             sent: Cell::new(0),
             last_sent_at: Cell::new(arrived_at),
@@ -329,6 +339,17 @@
         RETRY_AFTER_MIN + RETRY_AFTER_SPREAD * permille / 1_000
     }
 
+    /// Counts a request that goes on with a stream of unknown origin, and returns the refusal.
+    fn refuse_resumption(&self, route: &Route, request: &RequestHead) -> Response<Body> {
+        let cause = Cause::UnknownOrigin;
+        self.metrics.record_outcome(&route.name, cause.into());
+        let refusal = Refusal {
+            cause,
+            retry_after: Some(RETRY_AFTER_MIN),
+        };
+        self.refuse(refusal, Some(request))
+    }
+
     /// Returns an error response whose body is the name of the cause.
     fn refuse(&self, refusal: Refusal, request: Option<&RequestHead>) -> Response<Body> {
         let head = self.codec.refusal_head(&refusal, request);
--- a/crates/flamingo-serve/src/proxy/attempt.rs
+++ b/crates/flamingo-serve/src/proxy/attempt.rs
@@ -13,6 +13,7 @@
 use flamingo_wire::control::{LoadAdapter, Reply, Request as ControlRequest};
 use flamingo_wire::fault::Reason;
 use flamingo_wire::route::Kind;
+use flamingo_wire::stream::{Origin, key};
 use futures_util::stream;
 use http::{Method, Request, Response, Uri, Version, header, response};
 use http_body_util::Full;
@@ -345,7 +346,7 @@
             Next::TimedOut => return Err(AttemptError::MayHaveRun(Cause::Late)),
         };
         load_guard.finish_prefill();
-        job.begin_stream(&candidate.software);
+        self.begin_stream(job, &candidate);
         let rate = self.observe_prefill(job, &candidate);
         info!(self.log, "stream begun"; "request" => &job.request.attempt_id,
             "target" => &load_guard.target, "route" => &job.route.name,
@@ -384,6 +385,29 @@
         Ok(Response::from_parts(head, Body::whole(bytes)))
     }
 
+    /// Records the software version at which a stream begins, unless it goes on with an earlier one.
+    fn begin_stream(&self, job: &Job, candidate: &Candidate) {
+        let mut software = job.software.borrow_mut();
+        if software.is_some() {
+            return;
+        }
+        *software = Some(candidate.software.clone());
+        let Some(attempt_id) = job
+            .request
+            .attempt_id
+            .as_ref()
+            .filter(|_| job.route.resumable)
+        else {
+            return;
+        };
+        let origin = Origin {
+            service: job.service.clone(),
+            software: candidate.software.clone(),
+        };
+        let mut origins = self.topology.origins.borrow_mut();
+        origins.record(key(attempt_id), origin, &candidate.target, Instant::now());
+    }
+
     /// Returns the head of the caller's response for a target's response. How the target delimited
     /// its body is not passed on: the server delimits the body that it sends.
     fn caller_head(&self, job: &Job, head: &response::Parts) -> response::Parts {
--- a/crates/flamingo-serve/src/proxy/job.rs
+++ b/crates/flamingo-serve/src/proxy/job.rs
@@ -55,12 +55,6 @@
         self.sent.set(self.sent.get() + 1);
     }
 
-    /// Records the version of the software at which the stream begins, unless it has begun before.
-    pub fn begin_stream(&self, software: &id::Software) {
-        let mut began_at = self.software.borrow_mut();
-        began_at.get_or_insert_with(|| software.clone());
-    }
-
     /// Excludes a target that can't take the request from further choices.
     pub fn exclude(&self, target: &str) {
         self.tried.borrow_mut().push(target.to_owned());
--- a/crates/flamingo-serve/src/table.rs
+++ b/crates/flamingo-serve/src/table.rs
@@ -8,7 +8,7 @@
 use flamingo_wire::id;
 use flamingo_wire::route::Rank;
 use flamingo_wire::target::{self, Backlog, RANKS, Registration, Residency, Resident};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::{Duration, Instant};
 
 /// Time without a heartbeat after which a target is used only if there is no other; several
@@ -118,6 +118,12 @@
         }
     }
 
+    /// Returns when the last heartbeat of the target was received.
+    #[must_use]
+    pub fn last_heartbeat(&self) -> Instant {
+        self.last_heartbeat
+    }
+
     /// Returns whether the target accepts new requests: it is neither draining nor gone.
     #[must_use]
     pub fn accepts_requests(&self) -> bool {
@@ -369,6 +375,16 @@
         targets.filter(move |target| target.registration.service == service)
     }
 
+    /// Returns the software versions of a service's targets, including those that have gone and
+    /// were not removed yet.
+    #[must_use]
+    pub fn software(&self, service: &str) -> BTreeSet<id::Software> {
+        let targets = self.of_service(service);
+        targets
+            .map(|target| target.registration.software.clone())
+            .collect()
+    }
+
     /// Returns the target named `id`; `None` if it is unknown.
     #[must_use]
     pub fn get(&self, id: &str) -> Option<&Target> {
--- a/crates/flamingo-serve/src/topology.rs
+++ b/crates/flamingo-serve/src/topology.rs
@@ -1,15 +1,17 @@
 //! What an entry knows of the system: routes, targets, connections to them, and other processes.
 //! Control instances send this state and its changes.
 
+use crate::origins::Origins;
 use crate::pool::Pool;
 use crate::table::Table;
 use flamingo_link::subscription::PushHandler;
 use flamingo_wire::control::Push;
 use flamingo_wire::id;
 use flamingo_wire::route::{Route, Service, Set};
+use flamingo_wire::target::Registration;
 use slog::{Logger, info};
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -55,6 +57,17 @@
         routes.find(|route| path.starts_with(&route.prefix))
     }
 
+    /// Returns whether a route splits its requests between this service and others.
+    #[must_use]
+    pub fn is_split(&self, service: &str) -> bool {
+        let mut split = self
+            .set
+            .routes
+            .iter()
+            .filter(|route| route.shares.len() > 1);
+        split.any(|route| route.shares.iter().any(|share| share.service == service))
+    }
+
     /// Returns the service with this name; `None` if there is none.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<&Service> {
@@ -70,6 +83,8 @@
     pub leader: Option<SocketAddr>,
     /// Number of entries that each control instance counts.
     entries: HashMap<SocketAddr, usize>,
+    /// Control instances whose pushes are being received.
+    connected: BTreeSet<SocketAddr>,
 }
 
 impl Peers {
@@ -78,6 +93,12 @@
         self.leader = self.leader.filter(|leader| *leader != control);
     }
 
+    /// Returns the control instances whose pushes are being received.
+    #[must_use]
+    pub fn connected(&self) -> Vec<SocketAddr> {
+        self.connected.iter().copied().collect()
+    }
+
     /// Returns the largest number of entries that any control instance counts; `None` if none
     /// was received.
     #[must_use]
@@ -97,6 +118,8 @@
     pub pool: RefCell<Pool>,
     /// The other processes.
     pub peers: RefCell<Peers>,
+    /// Streams that began at this entry.
+    pub origins: RefCell<Origins>,
     log: Logger,
 }
 
@@ -109,10 +132,27 @@
             table: RefCell::default(),
             pool: RefCell::default(),
             peers: RefCell::default(),
+            origins: RefCell::default(),
             log,
         }
     }
 
+    /// Forgets the streams that a target began after its last known heartbeat, if it has restarted
+    /// with other software since.
+    fn forget_uncertain_streams(&self, registrations: &[Registration]) {
+        let table = self.table.borrow();
+        for registration in registrations {
+            let Some(known) = table.get(&registration.id) else {
+                continue;
+            };
+            let other_software = known.registration.software != registration.software;
+            if other_software && registration.supersedes(&known.registration) {
+                let mut origins = self.origins.borrow_mut();
+                origins.forget(&registration.id, known.last_heartbeat());
+            }
+        }
+    }
+
     /// Replaces the routes if `set` has a higher version than the current ones.
     fn replace_routes(&self, set: Arc<Set>) {
         let current = self.routes_version();
@@ -132,6 +172,10 @@
 
     fn on_push(&self, from: SocketAddr, push: Push) {
         let now = Instant::now();
+        self.peers.borrow_mut().connected.insert(from);
+        if let Push::Targets(registrations) = &push {
+            self.forget_uncertain_streams(registrations);
+        }
         let obsolete = self.table.borrow_mut().apply(now, &push);
         for target in obsolete {
             self.pool.borrow_mut().remove(&target);
@@ -150,6 +194,8 @@
     }
 
     fn on_disconnect(&self, from: SocketAddr) {
-        self.peers.borrow_mut().remove_leader(from);
+        let mut peers = self.peers.borrow_mut();
+        peers.remove_leader(from);
+        peers.connected.remove(&from);
     }
 }
--- a/crates/flamingo-serve/src/wire.rs
+++ b/crates/flamingo-serve/src/wire.rs
@@ -127,6 +127,8 @@
     NoModel,
     /// No target has capacity for the request in time.
     NoRoom,
+    /// The request goes on with a stream, and the software version that began it is unknown.
+    UnknownOrigin,
     /// The retry budget is exhausted.
     NoBudget,
     /// A target failed after it may have started the request.
--- a/crates/flamingo-wire/src/control.rs
+++ b/crates/flamingo-wire/src/control.rs
@@ -6,7 +6,7 @@
 use crate::fault::Fault;
 use crate::id;
 use crate::outcome::Verdict;
-use crate::{route, target};
+use crate::{route, stream, target};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -37,6 +37,10 @@
     /// Load an adapter on a target that already has the model resident.
     #[serde(rename = "Adapt")]
     LoadAdapter(LoadAdapter),
+    /// Streams that began at an entry since its last report, for any control instance to keep.
+    Begun(Vec<stream::Begun>),
+    /// Return where a stream began, as far as the instance knows.
+    Origin(stream::Query),
 }
 
 /// A request to load an adapter on a target.
@@ -202,4 +206,6 @@
     Routes(Option<Arc<route::Set>>),
     /// The request was refused; the fault holds the reason.
     Refused(Fault),
+    /// Where a stream began.
+    Origin(stream::Answer),
 }
--- a/crates/flamingo-wire/src/lib.rs
+++ b/crates/flamingo-wire/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod outcome;
 pub mod place;
 pub mod route;
+pub mod stream;
 pub mod target;
 
 /// Code generated from `proto/inner.proto`; see `flamingo-codegen`.
