A stream goes on only at a target that is still the one that registered

The version of a target is known from its heartbeats. A target that restarts under its name, perhaps with other software, is taken for the earlier one until its first heartbeat arrives, and a stream would go on there at another version.

Evidence: with the check taken out, a_stream_does_not_go_on_at_a_target_that_has_restarted_since_it_registered fails.

Before an engine gets a request that goes on with a stream, it is asked for its incarnation on the connection that carries the request, whose other end can't change. Another incarnation, or no answer in 300 ms, means: not sent. Plain services have no such question.

--- a/crates/flamingo-serve/src/exchange.rs
+++ b/crates/flamingo-serve/src/exchange.rs
@@ -1,16 +1,23 @@
 //! Sends a request to a target and receives the head of its response.
 
+use crate::body::collect;
 use crate::pool::{Connection, dial};
 use crate::wire::{Codec, ResponseHead};
 use bytes::Bytes;
-use http::{Request, Response, header, response};
+use flamingo_wire::id;
+use http::{Request, Response, header, request, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use strum::IntoStaticStr;
 use tokio::time::timeout_at;
 
+/// Longest time for asking a target for its incarnation.
+const INCARNATION_TIMEOUT: Duration = Duration::from_millis(300);
+/// Largest response to the question for the incarnation, in bytes.
+const MAX_REPORT_BYTES: usize = 1024 * 1024;
+
 /// How a response states where its body ends (RFC 9112, section 6.3).
 #[derive(Clone, Copy, Debug, Eq, IntoStaticStr, PartialEq)]
 #[strum(serialize_all = "snake_case")]
@@ -65,6 +72,9 @@
     Unreached,
     /// The connection ended before anything of the request was sent.
     Unsent,
+    /// The target is not in the expected incarnation, or did not state its incarnation; nothing of
+    /// the request was sent.
+    Restarted,
     /// The connection ended after the target may have read the request.
     Broken,
     /// The received bytes are not HTTP, or they answer another request.
@@ -73,8 +83,18 @@
     Late,
 }
 
+/// The incarnation in which a target must be to get a request.
+#[derive(Clone, Debug)]
+pub struct Expected {
+    /// Head of the request that asks the target for its incarnation.
+    pub question: request::Parts,
+    /// The only incarnation that may get the request.
+    pub incarnation: id::Incarnation,
+}
+
 /// Sends a request on the pooled connection, or on a new one if there is none or if the pooled
-/// one has been closed.
+/// one has been closed. If an incarnation is expected, the target is asked for it first, on the
+/// same connection: its other end can't change while it is open.
 ///
 /// # Errors
 ///
@@ -83,6 +103,7 @@
     pooled: Option<Connection>,
     address: SocketAddr,
     request: Request<Full<Bytes>>,
+    expected: Option<&Expected>,
     attempt_id: Option<&str>,
     codec: &dyn Codec,
     deadline: Instant,
@@ -95,6 +116,13 @@
             None => dial(address, deadline).await.ok_or(Failure::Unreached)?,
         };
         let newly_dialled = connection.newly_dialled;
+        if let Some(expected) = expected {
+            match check_incarnation(&mut connection, expected, codec, deadline).await {
+                Some(true) => {}
+                None if !newly_dialled => continue,
+                _ => return Err(Failure::Restarted),
+            }
+        }
         let answered = timeout_at(deadline.into(), connection.sender.try_send_request(request));
         match answered.await {
             Ok(Ok(response)) => return accept(connection, response, attempt_id, codec),
@@ -111,6 +139,26 @@
     }
 }
 
+/// Asks a target for its incarnation, and returns whether it is the expected one. Returns `None` if
+/// the connection fails, or there is no complete answer by `deadline` or within
+/// `INCARNATION_TIMEOUT`.
+async fn check_incarnation(
+    connection: &mut Connection,
+    expected: &Expected,
+    codec: &dyn Codec,
+    deadline: Instant,
+) -> Option<bool> {
+    let deadline = deadline.min(Instant::now() + INCARNATION_TIMEOUT);
+    let question = Request::from_parts(expected.question.clone(), Full::default());
+    let asked = async {
+        let response = connection.sender.send_request(question).await.ok()?;
+        let body = collect(response.into_body(), MAX_REPORT_BYTES).await.ok()?;
+        connection.sender.ready().await.ok()?;
+        Some(codec.parse_incarnation(&body) == Some(expected.incarnation))
+    };
+    timeout_at(deadline.into(), asked).await.ok()?
+}
+
 /// Parses the head of a response and checks that it belongs to the request.
 fn accept(
     connection: Connection,
--- a/crates/flamingo-serve/src/proxy/attempt.rs
+++ b/crates/flamingo-serve/src/proxy/attempt.rs
@@ -7,7 +7,7 @@
 use crate::body::{self, Body, Chunks, Error, collect};
 use crate::choice::{self, Candidate, Choice};
 use crate::event_stream::{EventStream, Next};
-use crate::exchange::{self, Failure, PendingResponse};
+use crate::exchange::{self, Expected, Failure, PendingResponse};
 use crate::pool::Connection;
 use crate::wire::{Attempt, Cause, Rejection, ResponseHead};
 use flamingo_wire::control::{LoadAdapter, Reply, Request as ControlRequest};
@@ -139,7 +139,7 @@
         last_event_id: Option<u64>,
     ) -> Result<PendingResponse, AttemptError> {
         let now = Instant::now();
-        let address = {
+        let (address, incarnation) = {
             let mut table = self.topology.table.borrow_mut();
             let Some(target) = table.get_mut(&candidate.target).filter(|target| {
                 target.accepts_requests() && target.registration.software == candidate.software
@@ -152,8 +152,12 @@
                 &job.request.prompt_parts,
                 candidate.uncached_tokens,
             );
-            target.registration.address
+            (target.registration.address, target.registration.incarnation)
         };
+        let expected = job.must_check_incarnation().then(|| Expected {
+            question: self.codec.incarnation_request(&candidate.target),
+            incarnation,
+        });
         let attempt = Attempt {
             target: &candidate.target,
             deadline: job.deadline,
@@ -176,8 +180,16 @@
         let codec = self.codec.as_ref();
         let head_deadline = job.deadline.min(now + Self::head_timeout(job, candidate));
         job.last_sent_at.set(Instant::now());
-        let result =
-            exchange::send(pooled, address, request, attempt_id, codec, head_deadline).await;
+        let result = exchange::send(
+            pooled,
+            address,
+            request,
+            expected.as_ref(),
+            attempt_id,
+            codec,
+            head_deadline,
+        )
+        .await;
         job.tried.borrow_mut().push(candidate.target.clone());
         match result {
             Ok(response) => {
@@ -216,6 +228,10 @@
         info!(self.log, "sending failed"; "request" => &job.request.attempt_id,
             "target" => &candidate.target, "failure" => name);
         match failure {
+            Failure::Restarted => {
+                job.unreachable.set(job.unreachable.get() + 1);
+                AttemptError::NotRun(Cause::NoTarget)
+            }
             Failure::Unreached | Failure::Unsent => {
                 self.record_failure(&candidate.target, now);
                 job.unreachable.set(job.unreachable.get() + 1);
--- a/crates/flamingo-serve/src/proxy/job.rs
+++ b/crates/flamingo-serve/src/proxy/job.rs
@@ -55,6 +55,14 @@
         self.sent.set(self.sent.get() + 1);
     }
 
+    /// Returns whether a target must state its incarnation before it gets the request. A stream must
+    /// not go on at a target that has restarted, perhaps with other software, since it registered.
+    pub fn must_check_incarnation(&self) -> bool {
+        let service = self.routes.service(&self.service);
+        let is_engine = service.is_some_and(|service| service.engine.is_some());
+        is_engine && self.software.borrow().is_some()
+    }
+
     /// Excludes a target that can't take the request from further choices.
     pub fn exclude(&self, target: &str) {
         self.tried.borrow_mut().push(target.to_owned());
--- a/crates/flamingo-serve/src/wire.rs
+++ b/crates/flamingo-serve/src/wire.rs
@@ -172,6 +172,13 @@
     /// Returns the headers for sending a caller's request to a target.
     fn request_headers(&self, head: &request::Parts, attempt: &Attempt<'_>) -> http::HeaderMap;
 
+    /// Returns the head of a request that asks an engine for its incarnation.
+    fn incarnation_request(&self, target: &id::Target) -> request::Parts;
+
+    /// Parses the body of an engine's response to [`Self::incarnation_request`]. Returns `None` if
+    /// it states no incarnation.
+    fn parse_incarnation(&self, body: &[u8]) -> Option<id::Incarnation>;
+
     /// Parses the head of a target's response.
     fn parse_response(&self, head: &response::Parts) -> ResponseHead;
 
