A broken stream goes on past targets that did not take it

A caller's answer broke off when the first target chosen for the rest of its stream could not be reached, had restarted or had no room for an adapter, though others could go on. a_stream_goes_on_past_a_target_that_has_restarted failed before.

What did not run may be sent to the next target at no cost, so the choice is repeated, up to the bound on unreachable targets that first attempts have.

--- a/crates/flamingo-serve/src/proxy/stream.rs
+++ b/crates/flamingo-serve/src/proxy/stream.rs
@@ -1,11 +1,11 @@
 //! Streams a target's events to the caller, and resumes the stream at another target if the first
 //! one fails.
 
-use super::Proxy;
-use super::job::Job;
+use super::job::{AttemptError, Job};
 use super::load_guard::LoadGuard;
+use super::{MAX_UNREACHABLE, Proxy};
 use crate::body::Error;
-use crate::choice::Choice;
+use crate::choice::{Candidate, Choice};
 use crate::event_stream::{EventStream, Next};
 use crate::events::Event;
 use bytes::Bytes;
@@ -170,21 +170,33 @@
         self.resume_elsewhere().await
     }
 
-    /// Requests the events after the last returned one from another target. Returns whether that
-    /// target continues the stream.
+    /// Requests the events after the last returned one from other targets, until one accepts the
+    /// request or may have run it. Returns whether a target continues the stream.
     async fn resume_elsewhere(&mut self) -> bool {
+        while self.job.unreachable.get() < MAX_UNREACHABLE {
+            let choice = self.proxy.choose_target(&self.job, Instant::now());
+            let Choice::Send(candidate) = choice else {
+                return false;
+            };
+            match self.resume_at(&candidate).await {
+                Ok(accepted) => return accepted,
+                Err(AttemptError::NotRun(_)) => {}
+                Err(_) => return false,
+            }
+        }
+        false
+    }
+
+    /// Requests the events after the last returned one from a target. Returns whether the target
+    /// continues the stream.
+    async fn resume_at(&mut self, candidate: &Candidate) -> Result<bool, AttemptError> {
         let proxy = Rc::clone(&self.proxy);
         let job = Rc::clone(&self.job);
-        let Choice::Send(candidate) = proxy.choose_target(&job, Instant::now()) else {
-            return false;
-        };
-        if candidate.needs_adapter_load && proxy.load_adapter(&job, &candidate).await.is_err() {
-            return false;
+        if candidate.needs_adapter_load {
+            proxy.load_adapter(&job, candidate).await?;
         }
-        let load_guard = LoadGuard::new(proxy.topology(), &candidate, &job);
-        let Ok(response) = proxy.send(&job, &candidate, self.last_event_id).await else {
-            return false;
-        };
+        let load_guard = LoadGuard::new(proxy.topology(), candidate, &job);
+        let response = proxy.send(&job, candidate, self.last_event_id).await?;
         let accepted = response.head.status.is_success() && response.parsed.sealed;
         if accepted {
             info!(proxy.log, "stream resumed"; "request" => &job.request.attempt_id,
@@ -193,7 +205,7 @@
             self.source = Some(EventStream::new(response));
             self.load_guard = load_guard;
         }
-        accepted
+        Ok(accepted)
     }
 
     fn record_outcome(&self, outcome: &str) {
