The own interface joins a stream only with one of the same software version

The other request path, looked at for the cause of the mixed versions: it resumed a broken stream at any engine that confirmed the number of events. Callers would have got the events of two versions as one whole answer.

Evidence: a_broken_stream_does_not_go_on_at_another_software_version failed before: its caller got all five events and [DONE].

An engine may state its version in the head of each response; a response that goes on with a stream must state the same as the one that began it, or none if that stated none. What is compared is what the engine itself says in that response, so no belief about it can be old. The choice of a target does not know versions here: attempts are spent on other ones.

--- a/crates/flamingo-entry/src/completion.rs
+++ b/crates/flamingo-entry/src/completion.rs
@@ -176,6 +176,7 @@
             handle,
             chunks: sender,
             events_sent: 0,
+            software: None,
         };
         actix_rt::spawn(relay.run(dispatch.attempt, response));
         caller_response.insert_header((header::CACHE_CONTROL, "no-cache"));
--- a/crates/flamingo-entry/src/exchange.rs
+++ b/crates/flamingo-entry/src/exchange.rs
@@ -33,6 +33,8 @@
 pub const RESUMED_FROM: HeaderName = HeaderName::from_static("x-flamingo-resumed-from");
 /// Header by which an engine states that the stream can be resumed.
 pub const RESUMABLE: HeaderName = HeaderName::from_static("x-flamingo-resumable");
+/// Header by which an engine states the version of its software.
+pub const SOFTWARE: HeaderName = HeaderName::from_static("x-flamingo-software");
 
 /// Builds the HTTP client of one worker.
 #[must_use]
--- a/crates/flamingo-entry/src/relay.rs
+++ b/crates/flamingo-entry/src/relay.rs
@@ -6,9 +6,10 @@
 use crate::chunks;
 use crate::completion::EngineRequest;
 use crate::dispatcher::Command;
-use crate::exchange::{self, RESUMABLE, RESUMED_FROM};
+use crate::exchange::{self, RESUMABLE, RESUMED_FROM, SOFTWARE};
 use crate::handle::Handle;
 use crate::sse::Splitter;
+use actix_web::http::header::HeaderValue;
 use awc::ClientResponse;
 use bytes::Bytes;
 use flamingo_daemon::answer::{Body, Detail};
@@ -35,6 +36,9 @@
     pub chunks: chunks::Sender,
     /// Number of data events sent to the caller.
     pub events_sent: u64,
+    /// Version of the software that began the stream; `None` if its engine states none, or before
+    /// the first event.
+    pub software: Option<HeaderValue>,
 }
 
 /// How the relay of one attempt's response ended.
@@ -64,6 +68,9 @@
         let mut response = response;
         loop {
             let resumable = response.headers().contains_key(RESUMABLE);
+            if self.events_sent == 0 {
+                self.software = response.headers().get(SOFTWARE).cloned();
+            }
             let outcome = self.relay_events(&mut response).await;
             // Close the connection before the router frees the target's slot.
             drop(response);
@@ -157,7 +164,8 @@
     }
 
     /// Sends one attempt that resumes the stream. An engine that starts over or at another event
-    /// counts as failed, since the caller would get events twice or lose some.
+    /// counts as failed, since the caller would get events twice or lose some. So does one of another
+    /// software version, whose events don't continue those that were sent.
     async fn send_resumed(&self, dispatch: &Dispatch) -> Result<ClientResponse, Failure> {
         let response = self
             .engine_request
@@ -165,7 +173,9 @@
             .await?;
         let resumed_from = response.headers().get(RESUMED_FROM);
         let resumed_from = resumed_from.and_then(|count| count.to_str().ok()?.parse::<u64>().ok());
-        let continues = self.events_sent == 0 || resumed_from == Some(self.events_sent);
+        let same_software = response.headers().get(SOFTWARE) == self.software.as_ref();
+        let continues = resumed_from == Some(self.events_sent) && same_software;
+        let continues = self.events_sent == 0 || continues;
         if response.status().is_success() && continues {
             self.handle.begun(dispatch.attempt);
             return Ok(response);
--- a/crates/flamingo-entry/tests/outer/upstream.rs
+++ b/crates/flamingo-entry/tests/outer/upstream.rs
@@ -79,6 +79,49 @@
     assert_eq!((first.requests().len(), second.requests().len()), (1, 1));
 }
 
+/// As `breaking`, for an engine of a software version.
+fn breaking_at(
+    software: &'static str,
+) -> impl Fn(usize, &crate::harness::ReceivedRequest, &mut std::net::TcpStream) {
+    move |_, request, stream| {
+        let stated = format!("x-flamingo-software: {software}\r\n");
+        if request.header("x-flamingo-resume-from").is_none() {
+            stream_head(stream, &format!("x-flamingo-resumable: 1\r\n{stated}"));
+            chunk(stream, &events(0, 2));
+            close(stream);
+        } else {
+            stream_head(stream, &format!("x-flamingo-resumed-from: 2\r\n{stated}"));
+            chunk(stream, &events(2, 5));
+            chunk(stream, DONE);
+            last_chunk(stream);
+        }
+    }
+}
+
+#[actix_rt::test]
+async fn a_broken_stream_does_not_go_on_at_another_software_version() {
+    let harness = Harness::start().await;
+    let first = FakeTarget::start(breaking_at("v1"));
+    let second = FakeTarget::start(breaking_at("v1.1"));
+    harness.engine("engine-1", first.address).await;
+    harness.engine("engine-2", second.address).await;
+    let reply = harness.stream().await;
+    assert!(reply.text.starts_with(&events(0, 2)), "{reply:?}");
+    assert!(!reply.text.contains(&event(2)), "{reply:?}");
+    assert_eq!(reply.verdict(), "may-have-run");
+}
+
+#[actix_rt::test]
+async fn a_broken_stream_goes_on_at_its_software_version() {
+    let harness = Harness::start().await;
+    let first = FakeTarget::start(breaking_at("v1"));
+    let second = FakeTarget::start(breaking_at("v1"));
+    harness.engine("engine-1", first.address).await;
+    harness.engine("engine-2", second.address).await;
+    let reply = harness.stream().await;
+    assert_eq!(reply.text, events(0, 5) + DONE);
+}
+
 #[actix_rt::test]
 async fn an_engine_that_starts_over_does_not_repeat_tokens() {
     let harness = Harness::start().await;
