--- /dev/null
+++ b/crates/flamingo-serve/src/proxy/refusal.rs
@@ -0,0 +1,67 @@
+//! Error responses that the entry sends itself.
+
+use super::Proxy;
+use super::job::Job;
+use crate::body::Body;
+use crate::wire::{Cause, Refusal, RequestHead};
+use bytes::Bytes;
+use flamingo_wire::route::Route;
+use http::Response;
+use slog::info;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::time::{Duration, Instant};
+
+/// Shortest time after which a refused caller is asked to retry.
+pub const RETRY_AFTER_MIN: Duration = Duration::from_millis(300);
+/// Range over which the retries of refused callers are spread, in addition to `RETRY_AFTER_MIN`.
+const RETRY_AFTER_SPREAD: Duration = Duration::from_millis(700);
+
+impl Proxy {
+    /// Logs and counts a request that has failed for good, and returns the error response.
+    pub(super) fn give_up(&self, job: &Job, cause: Cause) -> Response<Body> {
+        let now = Instant::now();
+        let not_run = !job.may_have_run.get();
+        let cause = match cause {
+            Cause::NoTarget | Cause::NoModel | Cause::NoRoom if !not_run => Cause::Broken,
+            other => other,
+        };
+        if matches!(cause, Cause::NoModel | Cause::NoRoom) {
+            self.demand.record_refusal(&job.service, &job.request);
+        }
+        let retry_after = not_run.then(|| self.retry_after(job));
+        let name: &str = cause.into();
+        info!(self.log, "given up"; "request" => &job.request.attempt_id, "route" => &job.route.name,
+            "cause" => name, "not_run" => not_run, "sent" => job.sent.get(),
+            "model" => &job.request.model, "after_ms" => (now - job.arrived_at).as_millis());
+        self.metrics.record_outcome(&job.route.name, name);
+        self.refuse(Refusal { cause, retry_after }, Some(&job.request))
+    }
+
+    /// Returns the time after which a refused caller should retry. The times are spread by a hash
+    /// of the request, so that callers do not all retry at once.
+    fn retry_after(&self, job: &Job) -> Duration {
+        let mut hasher = DefaultHasher::new();
+        job.request.attempt_id.hash(&mut hasher);
+        self.choices.get().hash(&mut hasher);
+        let permille = u32::try_from(hasher.finish() % 1_000).unwrap_or(0);
+        RETRY_AFTER_MIN + RETRY_AFTER_SPREAD * permille / 1_000
+    }
+
+    /// Counts a request that goes on with a stream of unknown origin, and returns the refusal.
+    pub(super) fn refuse_resumption(&self, route: &Route, request: &RequestHead) -> Response<Body> {
+        let cause = Cause::UnknownOrigin;
+        self.metrics.record_outcome(&route.name, cause.into());
+        let refusal = Refusal {
+            cause,
+            retry_after: Some(RETRY_AFTER_MIN),
+        };
+        self.refuse(refusal, Some(request))
+    }
+
+    /// Returns an error response whose body is the name of the cause.
+    pub(super) fn refuse(&self, refusal: Refusal, request: Option<&RequestHead>) -> Response<Body> {
+        let head = self.codec.refusal_head(&refusal, request);
+        let name: &str = refusal.cause.into();
+        Response::from_parts(head, Body::whole(Bytes::from(name)))
+    }
+}
--- a/crates/flamingo-serve/src/table.rs
+++ b/crates/flamingo-serve/src/table.rs
@@ -1,13 +1,16 @@
 //! State of all targets as one entry knows it: registrations, resident models, load, failures and
 //! cached prompts.
 
+mod state;
+
+pub use state::{InFlight, Target};
+
 use crate::prefill::Estimator;
-use crate::wire::{Load, PartId, PromptPart};
+use crate::wire::Load;
 use flamingo_place::rate::Rate;
 use flamingo_wire::control::Push;
 use flamingo_wire::id;
-use flamingo_wire::route::Rank;
-use flamingo_wire::target::{self, Backlog, RANKS, Registration, Residency, Resident};
+use flamingo_wire::target::{self, Registration, Residency};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::{Duration, Instant};
 
@@ -24,200 +27,9 @@
 /// Time during which a target that rejected a request for a missing model gets no further
 /// requests for this model.
 const MISSING_MODEL_BACKOFF: Duration = Duration::from_millis(300);
-/// Fraction of a target's prompt cache that is assumed to hold the most recent prompts.
-const USABLE_CACHE_FRACTION: f64 = 0.6;
 /// Time after which a prompt's weight in the rate of sent prompt tokens has decayed to about a
 /// third.
 const PROMPT_RATE_WINDOW: Duration = Duration::from_secs(1);
-/// Number of prompt parts remembered for one target; all are forgotten when it is exceeded.
-const MAX_PROMPT_PARTS: usize = 4_096;
-
-/// Requests that were sent to a target and have not ended.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct InFlight {
-    /// Number of requests.
-    pub running: u32,
-    /// Uncached prompt tokens of those requests that have no first event yet, by rank.
-    pub backlog: Backlog,
-}
-
-impl InFlight {
-    /// Returns the prompt tokens that the target processes before those of a new request with
-    /// this rank: the backlog of the same rank and of more urgent ones.
-    #[must_use]
-    pub fn backlog_before(&self, rank: Rank) -> u32 {
-        self.backlog[..=rank_index(rank)].iter().sum()
-    }
-
-    /// Adds the tokens of a prompt that waits for prefill.
-    pub fn add_backlog(&mut self, rank: Rank, tokens: u32) {
-        self.backlog[rank_index(rank)] += tokens;
-    }
-
-    /// Removes the tokens of a prompt whose prefill is complete or whose request has ended.
-    pub fn remove_backlog(&mut self, rank: Rank, tokens: u32) {
-        let waiting = &mut self.backlog[rank_index(rank)];
-        *waiting = waiting.saturating_sub(tokens);
-    }
-}
-
-/// Returns the index of a rank in a backlog. All ranks from `RANKS - 1` on share the last index.
-fn rank_index(rank: Rank) -> usize {
-    usize::from(rank).min(RANKS - 1)
-}
-
-/// Cache key of a model and adapter, with a prompt part.
-type Key = (u64, PartId);
-
-/// A target.
-#[derive(Clone, Debug)]
-pub struct Target {
-    /// Newest registration.
-    pub registration: Registration,
-    /// Models that requests may use, from the target's registration or from the control instance
-    /// that gives orders to the target.
-    pub models: Vec<Resident>,
-    /// Requests of this entry.
-    pub own: InFlight,
-    /// Requests of the other entries, as last received from control.
-    pub others: InFlight,
-    /// Whether the target executes an order. It loads no adapter meanwhile.
-    pub executing: bool,
-    /// Adapters in use by requests of this entry, with the number of these requests.
-    adapters_in_use: BTreeMap<(id::Model, id::Adapter), u32>,
-    /// Requests of this entry, as last reported to the leader.
-    reported: InFlight,
-    last_heartbeat: Instant,
-    avoid_until: Option<Instant>,
-    /// Consecutive failures since the last response.
-    failures: u32,
-    /// Models that the target reported as missing, and until when they are not requested.
-    missing_models: HashMap<id::Model, Instant>,
-    /// Uncached prompt tokens that this entry has sent to the target so far.
-    sent_tokens: u64,
-    /// Value of `sent_tokens` when each prompt part was last sent.
-    parts: HashMap<Key, u64>,
-}
-
-impl Target {
-    fn new(registration: Registration, now: Instant) -> Self {
-        Self {
-            models: registration.models.clone(),
-            registration,
-            own: InFlight::default(),
-            others: InFlight::default(),
-            executing: false,
-            adapters_in_use: BTreeMap::new(),
-            reported: InFlight::default(),
-            last_heartbeat: now,
-            avoid_until: None,
-            failures: 0,
-            missing_models: HashMap::new(),
-            sent_tokens: 0,
-            parts: HashMap::new(),
-        }
-    }
-
-    /// Returns when the last heartbeat of the target was received.
-    #[must_use]
-    pub fn last_heartbeat(&self) -> Instant {
-        self.last_heartbeat
-    }
-
-    /// Returns whether the target accepts new requests: it is neither draining nor gone.
-    #[must_use]
-    pub fn accepts_requests(&self) -> bool {
-        !self.registration.leaving && !self.registration.gone
-    }
-
-    /// Returns whether `model` is resident and was not reported as missing a short time ago.
-    #[must_use]
-    pub fn has_model(&self, model: &str, now: Instant) -> bool {
-        let missing = self
-            .missing_models
-            .get(model)
-            .is_some_and(|until| now < *until);
-        !missing && self.models.iter().any(|resident| resident.model == model)
-    }
-
-    /// Returns whether `adapter` of `model` is loaded.
-    #[must_use]
-    pub fn has_adapter(&self, model: &str, adapter: &str) -> bool {
-        let resident = self.models.iter().find(|resident| resident.model == model);
-        resident.is_some_and(|resident| resident.adapters.iter().any(|loaded| loaded == adapter))
-    }
-
-    /// Counts a request that uses an adapter.
-    pub fn begin_adapter_use(&mut self, model: &str, adapter: &str) {
-        let key = (model.to_owned(), adapter.to_owned());
-        *self.adapters_in_use.entry(key).or_default() += 1;
-    }
-
-    /// Removes a request that was counted by [`Self::begin_adapter_use`].
-    pub fn end_adapter_use(&mut self, model: &str, adapter: &str) {
-        let key = (model.to_owned(), adapter.to_owned());
-        let count = self.adapters_in_use.remove(&key).unwrap_or(0);
-        if count > 1 {
-            self.adapters_in_use.insert(key, count - 1);
-        }
-    }
-
-    fn adapters_in_use(&self) -> Vec<Resident> {
-        let adapters = self
-            .adapters_in_use
-            .keys()
-            .map(|(model, adapter)| Resident {
-                model: model.clone(),
-                adapters: vec![adapter.clone()],
-            });
-        adapters.collect()
-    }
-
-    /// Returns whether the target is avoided because of a recent failure.
-    #[must_use]
-    pub fn failed_recently(&self, now: Instant) -> bool {
-        self.avoid_until.is_some_and(|until| now < until)
-    }
-
-    /// Estimates the number of tokens at the beginning of a prompt that the target has cached.
-    /// `cache_key` identifies the model and adapter, and `capacity` is the size of the target's
-    /// prompt cache in tokens.
-    #[must_use]
-    pub fn cached_tokens(&self, cache_key: u64, prompt_parts: &[PromptPart], capacity: u64) -> u32 {
-        #[allow(clippy::cast_precision_loss, reason = "an estimate")]
-        let usable = capacity as f64 * USABLE_CACHE_FRACTION;
-        let mut cached = 0;
-        for part in prompt_parts {
-            let Some(sent_at) = self.parts.get(&(cache_key, part.id)) else {
-                break;
-            };
-            #[allow(clippy::cast_precision_loss, reason = "an estimate")]
-            let sent_since = (self.sent_tokens - sent_at) as f64;
-            if sent_since > usable {
-                break;
-            }
-            cached += part.tokens;
-        }
-        cached
-    }
-
-    /// Records that a prompt was sent to the target, which has to process `uncached_tokens` of
-    /// it and then has all its parts cached.
-    pub fn record_prompt(
-        &mut self,
-        cache_key: u64,
-        prompt_parts: &[PromptPart],
-        uncached_tokens: u32,
-    ) {
-        self.sent_tokens += u64::from(uncached_tokens);
-        if self.parts.len() > MAX_PROMPT_PARTS {
-            self.parts.clear();
-        }
-        for part in prompt_parts {
-            self.parts.insert((cache_key, part.id), self.sent_tokens);
-        }
-    }
-}
 
 /// The targets of all services.
 #[derive(Debug, Default)]
