A blank line after the last event reaches the caller

Since an end inside an event counts as a break, bytes after the last event that belong to none were dropped, and the caller's body was not the target's.

The reader returns them as one more event before the end.

--- a/crates/flamingo-serve/src/event_stream.rs
+++ b/crates/flamingo-serve/src/event_stream.rs
@@ -42,6 +42,8 @@
     pub response: PendingResponse,
     splitter: Splitter,
     any_event: bool,
+    /// Whether the body has ended normally.
+    ended: bool,
 }
 
 impl EventStream {
@@ -52,6 +54,7 @@
             response,
             splitter: Splitter::default(),
             any_event: false,
+            ended: false,
         }
     }
 
@@ -62,6 +65,9 @@
                 self.any_event = true;
                 return Next::Event(event);
             }
+            if self.ended {
+                return Next::End;
+            }
             if self.splitter.is_oversized() {
                 return Next::Broken(Break::Oversized);
             }
@@ -91,14 +97,19 @@
         self.splitter.buffered_bytes()
     }
 
-    /// Returns whether the end of the body is the end of the stream.
-    fn end(&self) -> Next {
+    /// Returns what the end of the body means. Blank lines after the last event count as one more
+    /// event, so that the caller gets the whole body.
+    fn end(&mut self) -> Next {
         if self.splitter.is_inside_event() {
-            Next::Broken(Break::InsideEvent)
-        } else if !self.any_event && self.framing() == Framing::Connection {
-            Next::Broken(Break::BeforeFirstEvent)
-        } else {
-            Next::End
+            return Next::Broken(Break::InsideEvent);
+        }
+        if !self.any_event && self.framing() == Framing::Connection {
+            return Next::Broken(Break::BeforeFirstEvent);
+        }
+        self.ended = true;
+        match self.splitter.take_blank_lines() {
+            Some(blank) => Next::Event(blank),
+            None => Next::End,
         }
     }
 }
--- a/crates/flamingo-serve/src/events.rs
+++ b/crates/flamingo-serve/src/events.rs
@@ -59,6 +59,14 @@
         bytes.any(|byte| !matches!(byte, b'\r' | b'\n'))
     }
 
+    /// Removes and returns the blank lines after the last event; `None` if there are none. Must not
+    /// be called inside an event.
+    pub fn take_blank_lines(&mut self) -> Option<Event> {
+        self.scanned = 0;
+        let bytes = self.buffer.split().freeze();
+        (!bytes.is_empty()).then_some(Event { bytes, id: None })
+    }
+
     /// Returns the number of bytes after the last whole event.
     #[must_use]
     pub fn buffered_bytes(&self) -> usize {
