--- a/crates/flamingo-serve/src/events.rs
+++ b/crates/flamingo-serve/src/events.rs
@@ -55,8 +55,7 @@
     /// none.
     #[must_use]
     pub fn is_inside_event(&self) -> bool {
-        let mut bytes = self.buffer.iter();
-        bytes.any(|byte| !matches!(byte, b'\r' | b'\n'))
+        !self.buffer.iter().all(|byte| is_line_end(*byte))
     }
 
     /// Removes and returns the blank lines after the last event; `None` if there are none. Must not
@@ -81,27 +80,41 @@
 
     /// Returns the offset after the first blank line; `None` if there is no blank line yet.
     fn event_end(&mut self) -> Option<usize> {
-        let start = self.scanned.saturating_sub(3);
-        let mut offset = start;
-        while let Some(newline) = self.buffer[offset..].iter().position(|byte| *byte == b'\n') {
-            let line = offset + newline + 1;
-            let rest = &self.buffer[line..];
-            if rest.first() == Some(&b'\n') {
-                return Some(line + 1);
+        let mut offset = self.scanned.saturating_sub(3);
+        while let Some(at) = self.buffer[offset..]
+            .iter()
+            .position(|byte| is_line_end(*byte))
+        {
+            let line = offset + at;
+            let next_line = line + line_end_length(&self.buffer[line..]);
+            let blank = line_end_length(&self.buffer[next_line..]);
+            if blank > 0 {
+                return Some(next_line + blank);
             }
-            if rest.starts_with(b"\r\n") {
-                return Some(line + 2);
-            }
-            offset = line;
+            offset = next_line;
         }
         self.scanned = self.buffer.len();
         None
     }
 }
 
+fn is_line_end(byte: u8) -> bool {
+    matches!(byte, b'\r' | b'\n')
+}
+
+/// Returns the length of the line end at the beginning of `bytes`: CRLF, LF or CR (HTML Standard,
+/// section 9.2.5). Returns 0 if there is none.
+fn line_end_length(bytes: &[u8]) -> usize {
+    match bytes {
+        [b'\r', b'\n', ..] => 2,
+        [b'\r' | b'\n', ..] => 1,
+        _ => 0,
+    }
+}
+
 /// Parses the `id` field of an event.
 fn event_id(bytes: &[u8]) -> Option<u64> {
-    for line in bytes.split(|byte| *byte == b'\n') {
+    for line in bytes.split(|byte| is_line_end(*byte)) {
         if let Some(value) = line.strip_prefix(b"id:") {
             let text = std::str::from_utf8(value).ok()?;
             return text.trim().parse().ok();
