A stream that has begun is finished before others begin

A caller that went on with its stream was refused for want of room as if it began: its first event had come, yet the objective for it was applied once more, with all the time since. Since it may go on at one version only, it would be refused more often than a new one. a_stream_that_has_begun_goes_on_where_no_other_may_begin failed before ("no_room").

Its admission now asks only whether enough of the caller's time is left, as for all others besides; a queue that leaves none is refused at once as before.

--- a/crates/flamingo-serve/src/admission.rs
+++ b/crates/flamingo-serve/src/admission.rs
@@ -26,6 +26,9 @@
     pub objective: Duration,
     /// Time until the caller gives up.
     pub remaining: Duration,
+    /// Whether the request goes on with a stream. Under overload such streams are finished before
+    /// others begin, so the objective does not apply.
+    pub has_begun: bool,
     /// Predicted time until the target begins with the prompt. The time for the prompt itself
     /// is left out, since large requests would otherwise always be the rejected ones.
     pub queueing_delay: Duration,
@@ -42,10 +45,13 @@
     ///     elapsed: Duration::ZERO,
     ///     objective: Duration::from_millis(800),
     ///     remaining: Duration::from_secs(4),
+    ///     has_begun: false,
     ///     queueing_delay: Duration::from_millis(500),
     /// };
     /// assert!(timing.admitted());
-    /// assert!(!Timing { queueing_delay: Duration::from_secs(1), ..timing }.admitted());
+    /// let delayed = Timing { queueing_delay: Duration::from_secs(1), ..timing };
+    /// assert!(!delayed.admitted());
+    /// assert!(Timing { has_begun: true, ..delayed }.admitted());
     /// ```
     #[must_use]
     pub fn admitted(&self) -> bool {
@@ -53,6 +59,6 @@
             self.elapsed + self.queueing_delay <= self.objective * MAX_OBJECTIVE_PERCENT / 100;
         let short_queue = self.queueing_delay <= self.objective * MAX_LATE_QUEUE_PERCENT / 100;
         let in_time = self.queueing_delay <= self.remaining * MAX_REMAINING_PERCENT / 100;
-        in_time && (on_time || short_queue)
+        in_time && (self.has_begun || on_time || short_queue)
     }
 }
--- a/crates/flamingo-serve/src/proxy.rs
+++ b/crates/flamingo-serve/src/proxy.rs
@@ -294,6 +294,7 @@
             elapsed: job.earlier_wait + now.saturating_duration_since(job.arrived_at),
             objective: Duration::from_millis(job.route.objective_ms),
             remaining: job.deadline.saturating_duration_since(now),
+            has_begun: job.software.borrow().is_some(),
             queueing_delay: Duration::ZERO,
         })
     }
--- a/crates/flamingo-serve/tests/herd.rs
+++ b/crates/flamingo-serve/tests/herd.rs
@@ -162,6 +162,7 @@
         elapsed: Duration::ZERO,
         objective: Duration::from_millis(600),
         remaining: Duration::from_secs(4),
+        has_begun: false,
         queueing_delay: Duration::ZERO,
     };
     let drawn_elsewhere = |timing| {
--- a/crates/flamingo-serve/tests/load.rs
+++ b/crates/flamingo-serve/tests/load.rs
@@ -142,6 +142,7 @@
             elapsed: Duration::ZERO,
             objective: OBJECTIVE,
             remaining: MAX_WAIT,
+            has_begun: false,
             queueing_delay: candidate.queueing_delay,
         };
         let of_size = by_size.entry(tokens).or_default();
