A target that says in a response that it leaves gets no new request

A target that leaves says so in all its responses.

The mark is kept with the incarnation that set it: a heartbeat does not take it back, a restart does, and a response of an earlier incarnation sets nothing. The choice of a target and the check before sending both heed it, for first attempts, retries and streams that go on. Other entries are not told: each learns it from the first response that it gets, and control from the target's own heartbeat.

--- a/crates/flamingo-serve/src/lib.rs
+++ b/crates/flamingo-serve/src/lib.rs
@@ -5,6 +5,7 @@
 //! other modules handle connections and tasks. Everything runs on a single thread.
 
 pub mod admission;
+pub mod availability;
 pub mod body;
 pub mod budget;
 pub mod choice;
--- a/crates/flamingo-serve/src/proxy/attempt.rs
+++ b/crates/flamingo-serve/src/proxy/attempt.rs
@@ -7,7 +7,8 @@
 use crate::body::Body;
 use crate::choice::{self, Candidate, Choice};
 use crate::exchange::{self, Expected, Failure, PendingResponse};
-use crate::wire::{Attempt, Cause};
+use crate::wire::{Attempt, Cause, ResponseHead};
+use flamingo_wire::id;
 use http::{Request, Response, Uri};
 use http_body_util::Full;
 use slog::info;
@@ -118,12 +119,29 @@
                     table.record_load(&candidate.target, load);
                 }
                 drop(table);
+                self.record_availability(job, candidate, incarnation, &response.parsed);
                 Ok(response)
             }
             Err(failure) => Err(self.handle_failure(job, candidate, failure)),
         }
     }
 
+    /// Records what a target says in a response about further requests.
+    fn record_availability(
+        &self,
+        job: &Job,
+        candidate: &Candidate,
+        incarnation: id::Incarnation,
+        parsed: &ResponseHead,
+    ) {
+        let target = &candidate.target;
+        let mut table = self.topology.table.borrow_mut();
+        if parsed.leaving && table.record_leaving(target, incarnation) {
+            info!(self.log, "target leaving"; "request" => &job.request.attempt_id,
+                "target" => target, "incarnation" => incarnation);
+        }
+    }
+
     /// Returns the time within which a target must send the response head before another target
     /// is tried. This is all the time of the request if it may not run twice, has no attempts
     /// left or goes to a plain service.
--- a/crates/flamingo-serve/src/table.rs
+++ b/crates/flamingo-serve/src/table.rs
@@ -259,6 +259,14 @@
         }
     }
 
+    /// Records that a target said in a response that it leaves. Returns whether that is new;
+    /// a response of an earlier incarnation changes nothing.
+    pub fn record_leaving(&mut self, id: &str, incarnation: id::Incarnation) -> bool {
+        let target = self.targets.get_mut(id);
+        let target = target.filter(|target| target.registration.incarnation == incarnation);
+        target.is_some_and(|target| target.availability.record_leaving())
+    }
+
     /// Records that a target rejected a request because `model` is missing.
     pub fn record_missing_model(&mut self, id: &str, model: &str, now: Instant) {
         if let Some(target) = self.targets.get_mut(id) {
--- a/crates/flamingo-serve/src/table/state.rs
+++ b/crates/flamingo-serve/src/table/state.rs
@@ -1,5 +1,6 @@
 //! State of one target as one entry knows it.
 
+use crate::availability::Availability;
 use crate::wire::{PartId, PromptPart};
 use flamingo_wire::id;
 use flamingo_wire::route::Rank;
@@ -67,6 +68,8 @@
     pub(super) adapters_in_use: BTreeMap<(id::Model, id::Adapter), u32>,
     /// Requests of this entry, as last reported to the leader.
     pub(super) reported: InFlight,
+    /// What this incarnation of the target said in its responses.
+    pub availability: Availability,
     pub(super) last_heartbeat: Instant,
     pub(super) avoid_until: Option<Instant>,
     /// Consecutive failures since the last response.
@@ -90,6 +93,7 @@
             executing: false,
             adapters_in_use: BTreeMap::new(),
             reported: InFlight::default(),
+            availability: Availability::default(),
             last_heartbeat: now,
             avoid_until: None,
             failures: 0,
@@ -105,10 +109,12 @@
         self.last_heartbeat
     }
 
-    /// Returns whether the target accepts new requests: it is neither draining nor gone.
+    /// Returns whether the target accepts new requests: it is not gone, and neither its
+    /// registration nor one of its responses says that it leaves.
     #[must_use]
     pub fn accepts_requests(&self) -> bool {
-        !self.registration.leaving && !self.registration.gone
+        let leaving = self.registration.leaving || self.availability.is_leaving();
+        !leaving && !self.registration.gone
     }
 
     /// Returns whether `model` is resident and was not reported as missing a short time ago.
--- a/crates/flamingo-serve/src/wire.rs
+++ b/crates/flamingo-serve/src/wire.rs
@@ -107,6 +107,8 @@
     pub idle_timeout: Option<Duration>,
     /// Whether the target closes the connection after this response.
     pub closes_connection: bool,
+    /// Whether the target leaves and wants no new requests.
+    pub leaving: bool,
 }
 
 /// Why the entry itself answers a request, or why an attempt failed.
