A target that asks for a pause gets no request until it ends

A target that turns a request away with 503 may say how long it wants nothing from this sender.

The end of the pause is stored with the target's incarnation, the latest of several counts. The choice leaves such a target out, also as a last resort, and the check before sending does too. A time that can't be read, is negative or is beyond ten minutes counts as one second and is logged as such.

--- a/crates/flamingo-serve/src/availability.rs
+++ b/crates/flamingo-serve/src/availability.rs
@@ -1,12 +1,22 @@
 //! What a target says in its own responses about further requests.
 //!
-//! Answers the load of targets that leave while control is out of reach: the mark holds whatever
-//! else is known of the target, and as long as its incarnation.
+//! Answers two loads: targets that leave while control is out of reach, and targets that are
+//! overloaded and ask each sender for a pause. A target gets nothing from this entry until its
+//! pause ends; callers come back spread over a time after it.
+
+use crate::wire::Pause;
+use std::time::{Duration, Instant};
+
+/// Longest pause that is believed.
+const MAX_PAUSE: Duration = Duration::from_mins(10);
+/// Pause of a target that asks for one which can't be read or is too long.
+const DEFAULT_PAUSE: Duration = Duration::from_secs(1);
 
 /// Whether one incarnation of a target takes new requests, by its own responses.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Availability {
     leaving: bool,
+    paused_until: Option<Instant>,
 }
 
 impl Availability {
@@ -29,4 +39,36 @@
     pub fn is_leaving(&self) -> bool {
         self.leaving
     }
+
+    /// Records that the target asks for a pause, and returns when it ends. The latest end of
+    /// several pauses counts.
+    ///
+    /// ```
+    /// use flamingo_serve::availability::Availability;
+    /// use flamingo_serve::wire::Pause;
+    /// use std::time::{Duration, Instant};
+    ///
+    /// let now = Instant::now();
+    /// let second = Duration::from_secs(1);
+    /// let mut availability = Availability::default();
+    /// availability.record_pause(Pause::For(2 * second), now);
+    /// assert_eq!(availability.paused_until(now + second), Some(now + 2 * second));
+    /// assert_eq!(availability.paused_until(now + 2 * second), None);
+    /// ```
+    pub fn record_pause(&mut self, pause: Pause, now: Instant) -> Instant {
+        let length = match pause {
+            Pause::For(length) if length <= MAX_PAUSE => length,
+            Pause::For(_) | Pause::Unreadable => DEFAULT_PAUSE,
+        };
+        let until = now + length;
+        let until = self.paused_until.map_or(until, |known| known.max(until));
+        self.paused_until = Some(until);
+        until
+    }
+
+    /// Returns when the pause of the target ends; `None` if it has none at `now`.
+    #[must_use]
+    pub fn paused_until(&self, now: Instant) -> Option<Instant> {
+        self.paused_until.filter(|until| now < *until)
+    }
 }
--- a/crates/flamingo-serve/src/choice.rs
+++ b/crates/flamingo-serve/src/choice.rs
@@ -73,6 +73,8 @@
     Send(Candidate),
     /// The request is not admitted: this is the queueing delay at the chosen target.
     QueueTooLong(Duration),
+    /// All targets that could take the request have asked for a pause; the first pause ends then.
+    Paused(Instant),
     /// No target of the service accepts requests, or all of them are excluded.
     NoTarget,
     /// No target of the service has the model resident.
@@ -140,6 +142,8 @@
 pub fn choose(table: &Table, required: &Requirements<'_>, salt: u64, now: Instant) -> Choice {
     let mut any_target = false;
     let mut any_with_model = false;
+    let mut any_open = false;
+    let mut first_pause_end: Option<Instant> = None;
     let mut candidates: Vec<Candidate> = Vec::new();
     let model = required.request.model.as_deref();
     let tokens_per_ms = table.prefill(required.service).tokens_per_ms();
@@ -152,6 +156,11 @@
             continue;
         }
         any_with_model = true;
+        if let Some(until) = target.availability.paused_until(now) {
+            first_pause_end = Some(first_pause_end.map_or(until, |first| until.min(first)));
+            continue;
+        }
+        any_open = true;
         if required.tried.contains(&target.registration.id) {
             continue;
         }
@@ -178,7 +187,10 @@
         Some(candidate) if candidate.admits(required.timing) => Choice::Send(candidate),
         Some(candidate) => Choice::QueueTooLong(candidate.queueing_delay),
         None if any_target && !any_with_model => Choice::NoModel,
-        None => Choice::NoTarget,
+        None => match first_pause_end {
+            Some(until) if !any_open => Choice::Paused(until),
+            _ => Choice::NoTarget,
+        },
     }
 }
 
--- a/crates/flamingo-serve/src/metrics.rs
+++ b/crates/flamingo-serve/src/metrics.rs
@@ -5,7 +5,7 @@
 use prometheus::{
     HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
 };
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Bucket bounds of the latency histograms, in seconds.
 const LATENCY_BUCKETS_S: [f64; 12] = [
@@ -105,8 +105,19 @@
             .iter()
             .filter(|target| table.heartbeat_overdue(target))
             .count();
+        let now = Instant::now();
+        let paused = table
+            .iter()
+            .filter(|target| target.availability.paused_until(now).is_some())
+            .count();
         let all = table.iter().count();
-        for (standing, count) in [("open", open), ("leaving", all - open), ("silent", silent)] {
+        let standings = [
+            ("open", open),
+            ("leaving", all - open),
+            ("silent", silent),
+            ("paused", paused),
+        ];
+        for (standing, count) in standings {
             let gauge = self.targets.with_label_values(&[standing]);
             gauge.set(number(count));
         }
--- a/crates/flamingo-serve/src/proxy/attempt.rs
+++ b/crates/flamingo-serve/src/proxy/attempt.rs
@@ -7,7 +7,7 @@
 use crate::body::Body;
 use crate::choice::{self, Candidate, Choice};
 use crate::exchange::{self, Expected, Failure, PendingResponse};
-use crate::wire::{Attempt, Cause, ResponseHead};
+use crate::wire::{Attempt, Cause, Pause, ResponseHead};
 use flamingo_wire::id;
 use http::{Request, Response, Uri};
 use http_body_util::Full;
@@ -27,6 +27,7 @@
         let candidate = match self.choose_target(job, Instant::now()) {
             Choice::Send(candidate) => candidate,
             Choice::QueueTooLong(delay) => return Err(AttemptError::QueueTooLong(delay)),
+            Choice::Paused(_) => return Err(AttemptError::NoAlternative(Cause::Paused)),
             Choice::NoTarget => return Err(AttemptError::NoAlternative(Cause::NoTarget)),
             Choice::NoModel => return Err(AttemptError::NoAlternative(Cause::NoModel)),
         };
@@ -60,7 +61,9 @@
         let (address, incarnation) = {
             let mut table = self.topology.table.borrow_mut();
             let Some(target) = table.get_mut(&candidate.target).filter(|target| {
-                target.accepts_requests() && target.registration.software == candidate.software
+                target.accepts_requests()
+                    && target.availability.paused_until(now).is_none()
+                    && target.registration.software == candidate.software
             }) else {
                 job.exclude(&candidate.target);
                 return Err(AttemptError::NotRun(Cause::NoTarget));
@@ -140,6 +143,15 @@
             info!(self.log, "target leaving"; "request" => &job.request.attempt_id,
                 "target" => target, "incarnation" => incarnation);
         }
+        let now = Instant::now();
+        let Some(pause) = parsed.pause else {
+            return;
+        };
+        if let Some(until) = table.record_pause(target, incarnation, pause, now) {
+            info!(self.log, "target paused"; "request" => &job.request.attempt_id,
+                "target" => target, "readable" => pause != Pause::Unreadable,
+                "for_ms" => until.saturating_duration_since(now).as_millis());
+        }
     }
 
     /// Returns the time within which a target must send the response head before another target
--- a/crates/flamingo-serve/src/proxy/refusal.rs
+++ b/crates/flamingo-serve/src/proxy/refusal.rs
@@ -3,6 +3,7 @@
 use super::Proxy;
 use super::job::Job;
 use crate::body::Body;
+use crate::choice::Choice;
 use crate::wire::{Cause, Refusal, RequestHead};
 use bytes::Bytes;
 use flamingo_wire::route::Route;
@@ -22,13 +23,15 @@
         let now = Instant::now();
         let not_run = !job.may_have_run.get();
         let cause = match cause {
-            Cause::NoTarget | Cause::NoModel | Cause::NoRoom if !not_run => Cause::Broken,
+            Cause::NoTarget | Cause::NoModel | Cause::NoRoom | Cause::Paused if !not_run => {
+                Cause::Broken
+            }
             other => other,
         };
         if matches!(cause, Cause::NoModel | Cause::NoRoom) {
             self.demand.record_refusal(&job.service, &job.request);
         }
-        let retry_after = not_run.then(|| self.retry_after(job));
+        let retry_after = not_run.then(|| self.retry_after(job, now));
         let name: &str = cause.into();
         info!(self.log, "given up"; "request" => &job.request.attempt_id, "route" => &job.route.name,
             "cause" => name, "not_run" => not_run, "sent" => job.sent.get(),
@@ -37,14 +40,19 @@
         self.refuse(Refusal { cause, retry_after }, Some(&job.request))
     }
 
-    /// Returns the time after which a refused caller should retry. The times are spread by a hash
-    /// of the request, so that callers do not all retry at once.
-    fn retry_after(&self, job: &Job) -> Duration {
+    /// Returns the time after which a refused caller should retry: not before the first pause ends
+    /// where all targets have asked for one. The times are spread by a hash of the request, so that
+    /// callers do not all retry at once.
+    fn retry_after(&self, job: &Job, now: Instant) -> Duration {
+        let earliest = match self.choose_target(job, now) {
+            Choice::Paused(until) => until.saturating_duration_since(now).max(RETRY_AFTER_MIN),
+            _ => RETRY_AFTER_MIN,
+        };
         let mut hasher = DefaultHasher::new();
         job.request.attempt_id.hash(&mut hasher);
         self.choices.get().hash(&mut hasher);
         let permille = u32::try_from(hasher.finish() % 1_000).unwrap_or(0);
-        RETRY_AFTER_MIN + RETRY_AFTER_SPREAD * permille / 1_000
+        earliest + RETRY_AFTER_SPREAD * permille / 1_000
     }
 
     /// Counts a request that goes on with a stream of unknown origin, and returns the refusal.
--- a/crates/flamingo-serve/src/table.rs
+++ b/crates/flamingo-serve/src/table.rs
@@ -6,7 +6,7 @@
 pub use state::{InFlight, Target};
 
 use crate::prefill::Estimator;
-use crate::wire::Load;
+use crate::wire::{Load, Pause};
 use flamingo_place::rate::Rate;
 use flamingo_wire::control::Push;
 use flamingo_wire::id;
@@ -267,6 +267,20 @@
         target.is_some_and(|target| target.availability.record_leaving())
     }
 
+    /// Records that a target asks for a pause. Returns when the pause ends; a response of an
+    /// earlier incarnation changes nothing.
+    pub fn record_pause(
+        &mut self,
+        id: &str,
+        incarnation: id::Incarnation,
+        pause: Pause,
+        now: Instant,
+    ) -> Option<Instant> {
+        let target = self.targets.get_mut(id);
+        let target = target.filter(|target| target.registration.incarnation == incarnation)?;
+        Some(target.availability.record_pause(pause, now))
+    }
+
     /// Records that a target rejected a request because `model` is missing.
     pub fn record_missing_model(&mut self, id: &str, model: &str, now: Instant) {
         if let Some(target) = self.targets.get_mut(id) {
--- a/crates/flamingo-serve/src/wire.rs
+++ b/crates/flamingo-serve/src/wire.rs
@@ -81,6 +81,15 @@
     pub slots: u32,
 }
 
+/// A pause that a target asks for when it turns a request away.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Pause {
+    /// For this time.
+    For(Duration),
+    /// For a time that can't be read.
+    Unreadable,
+}
+
 /// Why a target rejected a request without running it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Rejection {
@@ -109,6 +118,8 @@
     pub closes_connection: bool,
     /// Whether the target leaves and wants no new requests.
     pub leaving: bool,
+    /// Pause in which the target wants no requests from this entry; `None` if it asks for none.
+    pub pause: Option<Pause>,
 }
 
 /// Why the entry itself answers a request, or why an attempt failed.
@@ -129,6 +140,8 @@
     NoModel,
     /// No target has capacity for the request in time.
     NoRoom,
+    /// All targets that could take the request have asked for a pause.
+    Paused,
     /// The request goes on with a stream, and the software version that began it is unknown.
     UnknownOrigin,
     /// The retry budget is exhausted.
