The own interface obeys a Retry-After with a fraction of a second

A target's Retry-After of 30.5 was taken for none, so it got requests again at once: a_refusal_with_a_fraction_of_a_second_is_obeyed failed before. One that can't be read counts as a second now; the bound of a minute stays.

--- a/crates/flamingo-entry/src/exchange.rs
+++ b/crates/flamingo-entry/src/exchange.rs
@@ -20,6 +20,8 @@
 const MAX_CONNECTIONS: usize = 16_384;
 /// Upper bound on the Retry-After time of a target; a longer time is cut to this one.
 const RETRY_AFTER_MAX: Duration = Duration::from_mins(1);
+/// Retry-After time of a target whose own can't be read.
+const RETRY_AFTER_DEFAULT: Duration = Duration::from_secs(1);
 
 /// Header with the id of the request.
 pub const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
@@ -165,13 +167,18 @@
     Ok(response)
 }
 
-/// Returns the time until the target accepts requests again, from the Retry-After header: at most
-/// `RETRY_AFTER_MAX`, and `None` if the header is missing or is not a number of seconds.
+/// Returns the time until the target accepts requests again, from the Retry-After header, which may
+/// have a fraction: at most `RETRY_AFTER_MAX`, and `RETRY_AFTER_DEFAULT` if it is not a number of
+/// seconds. Returns `None` if the header is missing.
 #[must_use]
 pub fn retry_after(response: &ClientResponse) -> Option<Duration> {
-    let seconds = response.headers().get(header::RETRY_AFTER)?;
-    let seconds = seconds.to_str().ok()?.parse().ok()?;
-    Some(Duration::from_secs(seconds).min(RETRY_AFTER_MAX))
+    let value = response.headers().get(header::RETRY_AFTER)?;
+    let seconds = value
+        .to_str()
+        .ok()
+        .and_then(|text| text.trim().parse().ok());
+    let time = seconds.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
+    Some(time.unwrap_or(RETRY_AFTER_DEFAULT).min(RETRY_AFTER_MAX))
 }
 
 /// Reads the complete body of a response.
--- a/crates/flamingo-entry/tests/outer/upstream.rs
+++ b/crates/flamingo-entry/tests/outer/upstream.rs
@@ -278,12 +278,12 @@
     assert_eq!(good.requests().len(), 20);
 }
 
-#[actix_rt::test]
-async fn a_refusal_that_says_not_run_is_obeyed() {
+/// A target refuses with `retry_after`. It must get nothing more while another one serves.
+async fn check_refusal(retry_after: &str) {
     let harness = Harness::start().await;
-    let busy = FakeTarget::start(|_, _, stream| {
-        let headers = "x-flamingo-verdict: not-run\r\nretry-after: 30\r\n";
-        answer(stream, "503 Service Unavailable", headers, "");
+    let headers = format!("x-flamingo-verdict: not-run\r\nretry-after: {retry_after}\r\n");
+    let busy = FakeTarget::start(move |_, _, stream| {
+        answer(stream, "503 Service Unavailable", &headers, "");
     });
     harness.service("rota-1", busy.address).await;
     let good = FakeTarget::start(|_, _, stream| answer(stream, "200 OK", "", "{\"ok\": 1}"));
@@ -299,6 +299,16 @@
     );
 }
 
+#[actix_rt::test]
+async fn a_refusal_that_says_not_run_is_obeyed() {
+    check_refusal("30").await;
+}
+
+#[actix_rt::test]
+async fn a_refusal_with_a_fraction_of_a_second_is_obeyed() {
+    check_refusal("30.5").await;
+}
+
 #[actix_rt::test]
 async fn a_plain_error_of_a_service_is_its_own_answer() {
     let harness = Harness::start().await;
