Ask once a report which services have several versions, not once a stream

An entry looked at all targets for each stream that it had not reported, ten times a second. The services are found in one pass over the targets, the split ones once a set of routes, and nothing is looked at while there is none.

--- a/crates/flamingo-serve/src/origins.rs
+++ b/crates/flamingo-serve/src/origins.rs
@@ -10,7 +10,7 @@
 use flamingo_wire::id;
 use flamingo_wire::stream::{Begun, Key, Origin};
 use futures_util::future::join_all;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -83,23 +83,22 @@
             .retain(|_, record| now < record.begun_at + RETENTION);
     }
 
-    /// Returns the streams that were not returned before, of the services for which
-    /// `is_ambiguous` is true: they could go on at several versions. Those of other services are
-    /// kept until that changes.
-    pub fn take_unreported(&mut self, is_ambiguous: impl Fn(&str) -> bool) -> Vec<Begun> {
+    /// Returns the streams that were not returned before, of the services in `ambiguous`: they could
+    /// go on at several versions. Those of other services are kept until that changes.
+    pub fn take_unreported(&mut self, ambiguous: &HashSet<id::Service>) -> Vec<Begun> {
+        if ambiguous.is_empty() {
+            return Vec::new();
+        }
         let mut begun: HashMap<Origin, Vec<Key>> = HashMap::new();
-        let unreported = self
-            .streams
-            .iter_mut()
-            .filter(|(_, record)| !record.reported);
-        for (stream, record) in unreported {
-            if is_ambiguous(&record.origin.service) {
-                record.reported = true;
-                begun
-                    .entry(record.origin.clone())
-                    .or_default()
-                    .push(*stream);
+        for (stream, record) in &mut self.streams {
+            if record.reported || !ambiguous.contains(&record.origin.service) {
+                continue;
             }
+            record.reported = true;
+            begun
+                .entry(record.origin.clone())
+                .or_default()
+                .push(*stream);
         }
         let begun = begun.into_iter();
         begun
@@ -127,18 +126,8 @@
         if controls.is_empty() {
             continue;
         }
-        let begun = {
-            let table = topology.table.borrow();
-            let routes = topology.routes.borrow();
-            let is_split = |service: &str| {
-                routes
-                    .as_ref()
-                    .is_some_and(|routes| routes.is_split(service))
-            };
-            let mut origins = topology.origins.borrow_mut();
-            origins
-                .take_unreported(|service| table.software(service).len() > 1 || is_split(service))
-        };
+        let ambiguous = topology.ambiguous_services();
+        let begun = topology.origins.borrow_mut().take_unreported(&ambiguous);
         if begun.is_empty() {
             continue;
         }
--- a/crates/flamingo-serve/src/topology.rs
+++ b/crates/flamingo-serve/src/topology.rs
@@ -11,7 +11,7 @@
 use flamingo_wire::target::Registration;
 use slog::{Logger, info};
 use std::cell::RefCell;
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -26,6 +26,8 @@
     hosts: HashMap<String, Vec<usize>>,
     /// Indices of the services in `set`.
     services: HashMap<id::Service, usize>,
+    /// Services between which a route splits its requests.
+    split: HashSet<id::Service>,
 }
 
 impl Routes {
@@ -42,10 +44,14 @@
         let services = set.services.iter().enumerate();
         let services = services.map(|(index, service)| (service.name.clone(), index));
         let services = services.collect();
+        let split = set.routes.iter().filter(|route| route.shares.len() > 1);
+        let split = split.flat_map(|route| &route.shares);
+        let split = split.map(|share| share.service.clone()).collect();
         Self {
             set,
             hosts,
             services,
+            split,
         }
     }
 
@@ -57,15 +63,10 @@
         routes.find(|route| path.starts_with(&route.prefix))
     }
 
-    /// Returns whether a route splits its requests between this service and others.
+    /// Returns the services between which a route splits its requests.
     #[must_use]
-    pub fn is_split(&self, service: &str) -> bool {
-        let mut split = self
-            .set
-            .routes
-            .iter()
-            .filter(|route| route.shares.len() > 1);
-        split.any(|route| route.shares.iter().any(|share| share.service == service))
+    pub fn split_services(&self) -> &HashSet<id::Service> {
+        &self.split
     }
 
     /// Returns the service with this name; `None` if there is none.
@@ -137,6 +138,17 @@
         }
     }
 
+    /// Returns the services whose streams could go on at a wrong place: those with targets of
+    /// several software versions, and those between which a route splits its requests.
+    #[must_use]
+    pub fn ambiguous_services(&self) -> HashSet<id::Service> {
+        let mut ambiguous = self.table.borrow().mixed_services();
+        if let Some(routes) = self.routes.borrow().as_ref() {
+            ambiguous.extend(routes.split_services().iter().cloned());
+        }
+        ambiguous
+    }
+
     /// Forgets the streams that a target began after its last known heartbeat, if it has restarted
     /// with other software since.
     fn forget_uncertain_streams(&self, registrations: &[Registration]) {
