A caller's next attempt goes on only after the last event that it has

A target that starts a stream over, though it was asked to go on, would have given the caller events twice.

The rule is one function of an event now, used at both places; the attempt fails as one that may have run.

--- a/crates/flamingo-serve/src/events.rs
+++ b/crates/flamingo-serve/src/events.rs
@@ -15,6 +15,28 @@
     pub id: Option<u64>,
 }
 
+impl Event {
+    /// Returns whether the event directly follows the event `last`. An event without a number
+    /// follows any, and any event follows none.
+    ///
+    /// ```
+    /// use flamingo_serve::events::Splitter;
+    ///
+    /// let mut splitter = Splitter::default();
+    /// splitter.push(b"id: 3\ndata: x\n\n");
+    /// let event = splitter.next().unwrap();
+    /// assert!(event.follows(Some(2)));
+    /// assert!(!event.follows(Some(3)));
+    /// ```
+    #[must_use]
+    pub fn follows(&self, last: Option<u64>) -> bool {
+        match (last, self.id) {
+            (Some(last), Some(id)) => id == last + 1,
+            _ => true,
+        }
+    }
+}
+
 /// Buffers received bytes until an event is complete.
 #[derive(Debug, Default)]
 pub struct Splitter {
--- a/crates/flamingo-serve/src/proxy/forward.rs
+++ b/crates/flamingo-serve/src/proxy/forward.rs
@@ -7,6 +7,7 @@
 use crate::body::{self, Body, Chunks, Error, collect};
 use crate::choice::Candidate;
 use crate::event_stream::{EventStream, Next};
+use crate::events::Event;
 use crate::exchange::PendingResponse;
 use crate::pool::Connection;
 use crate::wire::{Cause, Rejection, ResponseHead};
@@ -137,6 +138,12 @@
         let target = &load_guard.target;
         self.log_stream_end(job, target, &source, &next, job.request.last_event_id);
         let (first, done) = match next {
+            Next::Event(event) if !continues(job, &event) => {
+                info!(self.log, "stream broken"; "request" => &job.request.attempt_id,
+                    "target" => target, "why" => "the target did not go on after the last event",
+                    "last" => job.request.last_event_id);
+                return Err(AttemptError::MayHaveRun(Cause::Broken));
+            }
             Next::Event(event) => (Some(event), false),
             Next::End => (None, true),
             Next::Broken(_) => return Err(AttemptError::MayHaveRun(Cause::Broken)),
@@ -271,6 +278,12 @@
     }
 }
 
+/// Returns whether the first event of a response directly follows the last one that the caller has,
+/// if the caller goes on with a stream.
+fn continues(job: &Job, event: &Event) -> bool {
+    !job.route.resumable || event.follows(job.request.last_event_id)
+}
+
 /// Returns whether the caller can tell a streamed response that breaks off from a complete one. In
 /// HTTP/1.0 a body without a length ends with its connection.
 fn can_receive_chunks(job: &Job) -> bool {
--- a/crates/flamingo-serve/src/proxy/stream.rs
+++ b/crates/flamingo-serve/src/proxy/stream.rs
@@ -87,7 +87,7 @@
                 .log_stream_end(&self.job, target, source, &next, self.last_event_id);
             match next {
                 Next::Event(event) => {
-                    if !self.is_next(&event) {
+                    if !event.follows(self.last_event_id) {
                         return Some(self.abort("an event is out of sequence"));
                     }
                     self.last_event_id = event.id.or(self.last_event_id);
@@ -111,14 +111,6 @@
         }
     }
 
-    /// Returns whether an event directly follows the last one. Events without a number always do.
-    fn is_next(&self, event: &Event) -> bool {
-        match (self.last_event_id, event.id) {
-            (Some(last), Some(id)) => id == last + 1,
-            _ => true,
-        }
-    }
-
     /// Logs why the stream fails, and returns the error that ends the response early.
     fn abort(self, why: &str) -> (Result<Bytes, Error>, Option<Self>) {
         info!(self.proxy.log, "stream broken"; "request" => &self.job.request.attempt_id,
