--- a/crates/flamingo-control/tests/origins.rs
+++ b/crates/flamingo-control/tests/origins.rs
@@ -2,11 +2,16 @@
 
 use flamingo_control::origins::{Origins, RETENTION};
 use flamingo_control::registry::Registry;
+use flamingo_test_support::cluster::{Cluster, KEY};
 use flamingo_test_support::registration::registration;
-use flamingo_wire::stream::{Begun, Key, Origin};
+use flamingo_test_support::wait;
+use flamingo_wire::control::{Reply, Request};
+use flamingo_wire::frame::Seal;
+use flamingo_wire::inner::control_client::ControlClient;
+use flamingo_wire::stream::{Answer, Begun, Key, Origin, Query};
 use flamingo_wire::target::Registration;
 use std::ops::Range;
-use std::time::Instant;
+use std::time::{Instant, SystemTime};
 
 /// Streams that an instance keeps for a short time at most, by its limit of memory.
 const MANY: Key = 1_000_000;
@@ -75,3 +80,35 @@
     assert_eq!(registry.software("s"), ["v1", "v1.1"]);
     assert!(registry.software("other").is_empty());
 }
+
+/// Sends a request to an instance of a cluster and returns its reply.
+async fn ask(cluster: &Cluster, instance: usize, request: &Request) -> Reply {
+    let control = &cluster.controls[instance];
+    let seal = Seal::new("entry-1", KEY.as_bytes());
+    let address = format!("http://{}", control.inner());
+    let connect = || async { ControlClient::connect(address.clone()).await.ok() };
+    let mut client = wait::until("the instance to listen", connect).await;
+    let frame = seal.seal(&control.name, request, SystemTime::now());
+    let response = client.ask(frame.unwrap()).await.unwrap();
+    seal.open(response.get_ref(), SystemTime::now()).unwrap()
+}
+
+#[actix_rt::test]
+async fn each_instance_answers_for_the_streams_that_it_was_told() {
+    let cluster = Cluster::start(3, 0);
+    let query = Request::Origin(Query {
+        stream: 7,
+        service: "s".into(),
+    });
+    for instance in 0..3 {
+        let unknown = Reply::Origin(Answer::default());
+        assert_eq!(ask(&cluster, instance, &query).await, unknown);
+        let told = Request::Begun(begun("v1", 7..8));
+        assert_eq!(ask(&cluster, instance, &told).await, Reply::Acknowledged);
+        let known = Reply::Origin(Answer {
+            origin: Some(origin("v1")),
+            software: Vec::new(),
+        });
+        assert_eq!(ask(&cluster, instance, &query).await, known);
+    }
+}
