Silence alone no longer ends an answer

Callers saw streams cut, and answers replaced by a 502, long before their deadline although the target that had them was sound: it had been silent for a second or so.

Cause: after 1.2 s without an event, or an objective and 0.6 s without a head, the entry closed the connection and only then asked other targets. Where these refused, failed or were silent too, nothing was left to go on with. The silence counted as a failure of the target for each of its requests, so that it was avoided for up to 8 s.

Now the connection of a silent target stays open until another one has sent an event (or, before the answer, a head), and whichever speaks first is taken; the other connection is closed. Silence makes others preferred for half a second or until the target speaks. An attempt counts from its sending, so that one that is abandoned counts. A stream goes on at another target only with its first event, and a refusal of one target leaves the next to be asked as far as attempts and budget allow.

--- a/crates/flamingo-serve/src/exchange.rs
+++ b/crates/flamingo-serve/src/exchange.rs
@@ -62,6 +62,8 @@
     pub body: Incoming,
     /// The connection on which the body is received.
     pub connection: Connection,
+    /// When the request was sent.
+    pub sent_at: Instant,
 }
 
 /// Why no response head was received.
@@ -108,6 +110,7 @@
     codec: &dyn Codec,
     deadline: Instant,
 ) -> Result<PendingResponse, Failure> {
+    let sent_at = Instant::now();
     let mut request = request;
     let mut pooled = pooled;
     loop {
@@ -125,7 +128,7 @@
         }
         let answered = timeout_at(deadline.into(), connection.sender.try_send_request(request));
         match answered.await {
-            Ok(Ok(response)) => return accept(connection, response, attempt_id, codec),
+            Ok(Ok(response)) => return accept(connection, response, attempt_id, codec, sent_at),
             Ok(Err(mut error)) => match error.take_message() {
                 // A pooled connection was closed before the request was written to it: the
                 // request is sent on a new connection.
@@ -165,6 +168,7 @@
     response: Response<Incoming>,
     attempt_id: Option<&str>,
     codec: &dyn Codec,
+    sent_at: Instant,
 ) -> Result<PendingResponse, Failure> {
     let (head, body) = response.into_parts();
     let parsed = codec.parse_response(&head);
@@ -176,5 +180,6 @@
         parsed,
         body,
         connection,
+        sent_at,
     })
 }
--- a/crates/flamingo-serve/src/proxy.rs
+++ b/crates/flamingo-serve/src/proxy.rs
@@ -9,7 +9,9 @@
 mod permit;
 mod refusal;
 mod resumption;
+mod silence;
 mod stream;
+mod successor;
 
 use crate::admission::Timing;
 use crate::body::{Body, collect};
@@ -193,7 +195,6 @@
             software: RefCell::new(software),
             tried: RefCell::default(),
             sent: Cell::new(0),
-            last_sent_at: Cell::new(arrived_at),
             unreachable: Cell::new(0),
             may_have_run: Cell::new(false),
             guard,
@@ -210,20 +211,17 @@
                 Ok(response) => return response,
                 Err(error) => error,
             };
+            job.record_error(&error);
             let now = Instant::now();
             let expired = now >= job.deadline;
             let cause = match error {
-                AttemptError::NotRun(cause) => cause,
                 AttemptError::NoAlternative(cause) => return self.give_up(&job, cause),
                 AttemptError::QueueTooLong(delay) => {
                     info!(self.log, "no room"; "request" => &job.request.attempt_id,
                         "wait_ms" => delay.as_millis());
                     return self.give_up(&job, Cause::NoRoom);
                 }
-                AttemptError::MayHaveRun(cause) => {
-                    job.may_have_run.set(true);
-                    cause
-                }
+                AttemptError::NotRun(cause) | AttemptError::MayHaveRun(cause) => cause,
             };
             let repeatable = !job.may_have_run.get() || job.route.repeatable();
             if expired || !repeatable || !self.try_retry(&job, now) {
--- a/crates/flamingo-serve/src/proxy/attempt.rs
+++ b/crates/flamingo-serve/src/proxy/attempt.rs
@@ -1,7 +1,6 @@
 //! Chooses a target and sends a request to it.
 
 use super::Proxy;
-use super::forward::Answered;
 use super::job::{AttemptError, Job};
 use super::load_guard::LoadGuard;
 use crate::body::Body;
@@ -13,10 +12,7 @@
 use http_body_util::Full;
 use slog::info;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
-
-/// Shortest time beyond the objective after which an attempt without a response head is given up.
-const MIN_HEAD_GRACE: Duration = Duration::from_millis(600);
+use std::time::Instant;
 
 impl Proxy {
     /// Chooses a target, sends the request to it and returns its response.
@@ -31,22 +27,22 @@
             Choice::NoTarget => return Err(AttemptError::NoAlternative(Cause::NoTarget)),
             Choice::NoModel => return Err(AttemptError::NoAlternative(Cause::NoModel)),
         };
-        let load_guard = LoadGuard::new(&self.topology, &candidate, job);
+        let answered = self.ask_or_replace(job, candidate).await?;
+        self.forward(job, answered).await
+    }
+
+    /// Counts a request in the load of the chosen target, and has its adapter loaded there if that is
+    /// needed.
+    pub(super) async fn prepare(
+        self: &Rc<Self>,
+        job: &Job,
+        candidate: &Candidate,
+    ) -> Result<LoadGuard, AttemptError> {
+        let load_guard = LoadGuard::new(&self.topology, candidate, job);
         if candidate.needs_adapter_load {
-            self.load_adapter(job, &candidate).await?;
+            self.load_adapter(job, candidate).await?;
         }
-        let response = self
-            .send(job, &candidate, job.request.last_event_id)
-            .await?;
-        self.forward(
-            job,
-            Answered {
-                candidate,
-                load_guard,
-                response,
-            },
-        )
-        .await
+        Ok(load_guard)
     }
 
     /// Sends a request to the chosen target and waits for the response head. `last_event_id` is
@@ -104,8 +100,7 @@
         self.metrics.connections.with_label_values(&[how]).inc();
         let attempt_id = job.request.attempt_id.as_deref();
         let codec = self.codec.as_ref();
-        let head_deadline = job.deadline.min(now + Self::head_timeout(job, candidate));
-        job.last_sent_at.set(Instant::now());
+        job.begin_sending(&candidate.target);
         let result = exchange::send(
             pooled,
             address,
@@ -113,13 +108,11 @@
             expected.as_ref(),
             attempt_id,
             codec,
-            head_deadline,
+            job.deadline,
         )
         .await;
-        job.tried.borrow_mut().push(candidate.target.clone());
         match result {
             Ok(response) => {
-                job.count_sent();
                 let mut table = self.topology.table.borrow_mut();
                 self.metrics.sendings.with_label_values(&["answered"]).inc();
                 table.record_response(&candidate.target);
@@ -159,18 +152,6 @@
         }
     }
 
-    /// Returns the time within which a target must send the response head before another target
-    /// is tried. This is all the time of the request if it may not run twice, has no attempts
-    /// left or goes to a plain service.
-    fn head_timeout(job: &Job, candidate: &Candidate) -> Duration {
-        let attempts_left = job.sent.get() + 1 < job.route.attempts;
-        if job.request.model.is_none() || !job.route.repeatable() || !attempts_left {
-            return job.deadline.saturating_duration_since(job.arrived_at);
-        }
-        let objective = Duration::from_millis(job.route.objective_ms);
-        objective + candidate.first_event_delay.max(MIN_HEAD_GRACE)
-    }
-
     /// Logs and counts an attempt without a response head, and returns whether the request may
     /// have run.
     fn handle_failure(
@@ -187,33 +168,27 @@
             "parts" => job.request.part_names());
         match failure {
             Failure::Restarted => {
-                job.unreachable.set(job.unreachable.get() + 1);
+                job.record_unsent();
                 AttemptError::NotRun(Cause::NoTarget)
             }
             Failure::Unreached | Failure::Unsent => {
                 self.record_failure(&candidate.target, now);
-                job.unreachable.set(job.unreachable.get() + 1);
+                job.record_unsent();
                 AttemptError::NotRun(Cause::NoTarget)
             }
-            Failure::Late if now >= job.deadline => {
-                job.count_sent();
-                AttemptError::MayHaveRun(Cause::Late)
-            }
-            // A target that is late before the deadline of the request is unresponsive, or has
-            // far more load than was reported.
-            Failure::Broken | Failure::Foreign | Failure::Late => {
+            Failure::Late => AttemptError::MayHaveRun(Cause::Late),
+            Failure::Broken | Failure::Foreign => {
                 // A stream's head comes before its first event, so without one nothing was written.
                 if failure == Failure::Broken && job.route.kind != Kind::Stream {
                     self.record_break(job, candidate, None);
                 }
                 self.record_failure(&candidate.target, now);
-                job.count_sent();
                 AttemptError::MayHaveRun(Cause::Broken)
             }
         }
     }
 
-    /// Records that a target could not be reached, disconnected or did not respond in time.
+    /// Records that a target could not be reached or disconnected.
     pub(super) fn record_failure(&self, target: &str, now: Instant) {
         self.topology.table.borrow_mut().record_failure(target, now);
     }
--- a/crates/flamingo-serve/src/proxy/forward.rs
+++ b/crates/flamingo-serve/src/proxy/forward.rs
@@ -37,7 +37,36 @@
     pub response: PendingResponse,
 }
 
+/// A stream whose first event has been received.
+pub(super) struct Begun {
+    /// The target, with the prediction for the request.
+    pub candidate: Candidate,
+    /// Counts the request in the load of the target.
+    pub load_guard: LoadGuard,
+    /// The events after the first one.
+    pub source: EventStream,
+    /// The first event; `None` if the stream ended without one.
+    pub first: Option<Event>,
+}
+
 impl Proxy {
+    /// Sends a request to the chosen target and waits for the response head. `last_event_id` is the
+    /// last event that the caller has received, if the request resumes a stream.
+    pub(super) async fn ask(
+        self: &Rc<Self>,
+        job: &Job,
+        candidate: Candidate,
+        last_event_id: Option<u64>,
+    ) -> Result<Answered, AttemptError> {
+        let load_guard = self.prepare(job, &candidate).await?;
+        let response = self.send(job, &candidate, last_event_id).await?;
+        Ok(Answered {
+            candidate,
+            load_guard,
+            response,
+        })
+    }
+
     /// Returns the target's response to the caller, or an error if the target rejected the
     /// request or the response can't be trusted.
     pub(super) async fn forward(
@@ -45,20 +74,44 @@
         job: &Rc<Job>,
         answered: Answered,
     ) -> Result<Response<Body>, AttemptError> {
-        let parsed = &answered.response.parsed;
+        let answered = self.check_head(job, answered)?;
         let status = answered.response.head.status;
+        if job.route.kind == Kind::Stream && status.is_success() {
+            return self.forward_stream(job, answered).await;
+        }
+        self.forward_whole(job, answered).await
+    }
+
+    /// Returns an error if the target rejected the request or its success can't be trusted.
+    fn check_head(
+        self: &Rc<Self>,
+        job: &Job,
+        answered: Answered,
+    ) -> Result<Answered, AttemptError> {
+        let parsed = &answered.response.parsed;
         if parsed.rejection.is_some() {
             self.record_rejection(job, &answered);
             self.discard(&answered.load_guard.target, answered.response);
             return Err(AttemptError::NotRun(Cause::NoRoom));
         }
-        if !parsed.sealed && status.is_success() {
+        if !parsed.sealed && answered.response.head.status.is_success() {
             return Err(AttemptError::MayHaveRun(Cause::Broken));
         }
-        if job.route.kind == Kind::Stream && status.is_success() {
-            return self.forward_stream(job, answered).await;
+        Ok(answered)
+    }
+
+    /// As [`Self::check_head`], and returns an error if the response is no success.
+    pub(super) fn check_success(
+        self: &Rc<Self>,
+        job: &Job,
+        answered: Answered,
+    ) -> Result<Answered, AttemptError> {
+        let answered = self.check_head(job, answered)?;
+        if answered.response.head.status.is_success() {
+            return Ok(answered);
         }
-        self.forward_whole(job, answered).await
+        self.discard(&answered.load_guard.target, answered.response);
+        Err(AttemptError::MayHaveRun(Cause::Broken))
     }
 
     /// Records why a target rejected a request without running it.
@@ -99,6 +152,7 @@
             parsed,
             body,
             connection,
+            ..
         } = response;
         let collected = timeout_at(job.deadline.into(), collect(body, MAX_BUFFERED_BYTES)).await;
         let bytes = match collected {
@@ -128,32 +182,31 @@
         Ok(Response::from_parts(head, Body::whole(bytes)))
     }
 
-    /// Waits for the first event of a stream, and returns a response that streams the events to
-    /// the caller.
-    async fn forward_stream(
+    /// Waits for the first event of a stream that goes on after `last_event_id`.
+    pub(super) async fn first_event(
         self: &Rc<Self>,
-        job: &Rc<Job>,
+        job: &Job,
         answered: Answered,
-    ) -> Result<Response<Body>, AttemptError> {
+        last_event_id: Option<u64>,
+    ) -> Result<Begun, AttemptError> {
         let Answered {
             candidate,
             load_guard,
             response,
         } = answered;
-        let head = self.caller_head(job, &response.head);
         let mut source = EventStream::new(response);
         let next = source.next(job.deadline).await;
         let target = &load_guard.target;
-        self.log_stream_end(job, target, &source, &next, job.request.last_event_id);
-        let (first, done) = match next {
-            Next::Event(event) if !continues(job, &event) => {
+        self.log_stream_end(job, target, &source, &next, last_event_id);
+        let first = match next {
+            Next::Event(event) if !continues(job, &event, last_event_id) => {
                 info!(self.log, "stream broken"; "request" => &job.request.attempt_id,
                     "target" => target, "why" => "the target did not go on after the last event",
-                    "last" => job.request.last_event_id);
+                    "last" => last_event_id);
                 return Err(AttemptError::MayHaveRun(Cause::Broken));
             }
-            Next::Event(event) => (Some(event), false),
-            Next::End => (None, true),
+            Next::Event(event) => Some(event),
+            Next::End => None,
             Next::Broken(_) => {
                 self.record_break(job, &candidate, None);
                 return Err(AttemptError::MayHaveRun(Cause::Broken));
@@ -162,8 +215,33 @@
         };
         load_guard.finish_prefill();
         self.record_answered(job);
+        Ok(Begun {
+            candidate,
+            load_guard,
+            source,
+            first,
+        })
+    }
+
+    /// Waits for the first event of a stream, and returns a response that streams the events to
+    /// the caller.
+    async fn forward_stream(
+        self: &Rc<Self>,
+        job: &Rc<Job>,
+        answered: Answered,
+    ) -> Result<Response<Body>, AttemptError> {
+        let head = self.caller_head(job, &answered.response.head);
+        let sent_at = answered.response.sent_at;
+        let last_event_id = job.request.last_event_id;
+        let Begun {
+            candidate,
+            load_guard,
+            source,
+            first,
+        } = self.first_event(job, answered, last_event_id).await?;
+        let done = first.is_none();
         self.begin_stream(job, &candidate);
-        let rate = self.observe_prefill(job, &candidate);
+        let rate = self.observe_prefill(job, &candidate, sent_at);
         info!(self.log, "stream begun"; "request" => &job.request.attempt_id,
             "target" => &load_guard.target, "route" => &job.route.name,
             "software" => &candidate.software,
@@ -241,8 +319,8 @@
 
     /// Adds the time to a first event to the estimate of the prefill rate, and returns the
     /// estimated rate in tokens per millisecond.
-    fn observe_prefill(&self, job: &Job, candidate: &Candidate) -> f64 {
-        let time = job.last_sent_at.get().elapsed();
+    fn observe_prefill(&self, job: &Job, candidate: &Candidate, sent_at: Instant) -> f64 {
+        let time = sent_at.elapsed();
         let mut table = self.topology.table.borrow_mut();
         let estimator = table.prefill_mut(&job.service);
         // With a backlog, the time also depends on requests of other entries that are not known
@@ -293,10 +371,10 @@
     }
 }
 
-/// Returns whether the first event of a response directly follows the last one that the caller has,
-/// if the caller goes on with a stream.
-fn continues(job: &Job, event: &Event) -> bool {
-    !job.route.resumable || event.follows(job.request.last_event_id)
+/// Returns whether the first event of a response directly follows the last one that the caller has, if
+/// the stream goes on.
+fn continues(job: &Job, event: &Event, last_event_id: Option<u64>) -> bool {
+    !job.route.resumable || event.follows(last_event_id)
 }
 
 /// Returns whether the caller can tell a streamed response that breaks off from a complete one. In
--- a/crates/flamingo-serve/src/proxy/job.rs
+++ b/crates/flamingo-serve/src/proxy/job.rs
@@ -39,10 +39,8 @@
     pub software: RefCell<Option<id::Software>>,
     /// Targets that are not chosen again for this request.
     pub tried: RefCell<SmallVec<[id::Target; 2]>>,
-    /// Number of attempts that a target may have read.
+    /// Number of attempts that a target may have read or may be reading.
     pub sent: Cell<u32>,
-    /// When the request was last sent.
-    pub last_sent_at: Cell<Instant>,
     /// Number of targets that could not be reached or could not take the request.
     pub unreachable: Cell<usize>,
     /// Whether a target may have run the request.
@@ -53,9 +51,25 @@
 }
 
 impl Job {
-    /// Counts an attempt that a target may have read.
-    pub fn count_sent(&self) {
+    /// Counts an attempt, also one that is abandoned before its end, and excludes its target from
+    /// further choices.
+    pub fn begin_sending(&self, target: &str) {
         self.sent.set(self.sent.get() + 1);
+        self.tried.borrow_mut().push(target.to_owned());
+    }
+
+    /// Counts the target of an attempt as unreachable in place of the attempt, of which nothing was
+    /// sent.
+    pub fn record_unsent(&self) {
+        self.sent.set(self.sent.get() - 1);
+        self.unreachable.set(self.unreachable.get() + 1);
+    }
+
+    /// Records how an attempt failed, for the verdict of the request.
+    pub fn record_error(&self, error: &AttemptError) {
+        if matches!(error, AttemptError::MayHaveRun(_)) {
+            self.may_have_run.set(true);
+        }
     }
 
     /// Returns whether a target must state its incarnation before it gets the request. A stream must
--- a/crates/flamingo-serve/src/proxy/stream.rs
+++ b/crates/flamingo-serve/src/proxy/stream.rs
@@ -1,12 +1,14 @@
 //! Streams a target's events to the caller, and resumes the stream at another target if the first
-//! one fails.
+//! one fails or is silent.
 
-use super::job::{AttemptError, Job};
+use super::Proxy;
+use super::forward::Begun;
+use super::job::Job;
 use super::load_guard::LoadGuard;
-use super::{MAX_UNREACHABLE, Proxy};
+use super::silence::{Winner, race};
 use crate::body::Error;
-use crate::choice::{Candidate, Choice};
-use crate::event_stream::{EventStream, Next};
+use crate::choice::Candidate;
+use crate::event_stream::{Break, EventStream, Next};
 use crate::events::Event;
 use bytes::Bytes;
 use flamingo_link::subscription::PushHandler;
@@ -25,7 +27,7 @@
     pub proxy: Rc<Proxy>,
     /// The request.
     pub job: Rc<Job>,
-    /// The target's stream; `None` after the target was abandoned and before another continues.
+    /// The target's stream; `None` after it broke off and before another target continues.
     pub source: Option<EventStream>,
     /// Counts the request in the load of its target.
     pub load_guard: LoadGuard,
@@ -80,55 +82,57 @@
             self.last_event_id = first.id.or(self.last_event_id);
             return Some((Ok(first.bytes), Some(self)));
         }
-        loop {
-            if self.done {
+        if self.done {
+            self.finish();
+            return None;
+        }
+        match self.next_event().await {
+            Next::Event(event) if !event.follows(self.last_event_id) => {
+                Some(self.abort("an event is out of sequence"))
+            }
+            Next::Event(event) => {
+                self.last_event_id = event.id.or(self.last_event_id);
+                self.last_event_at = Instant::now();
+                Some((Ok(event.bytes), Some(self)))
+            }
+            Next::End => {
                 self.finish();
-                return None;
+                None
             }
-            let deadline = self.event_deadline();
-            let Some(source) = &mut self.source else {
-                return Some(self.abort("no other target accepted the stream"));
-            };
-            let next = source.next(deadline).await;
-            let target = &self.load_guard.target;
-            self.proxy
-                .log_stream_end(&self.job, target, source, &next, self.last_event_id);
-            match next {
-                Next::Event(event) => {
-                    if !event.follows(self.last_event_id) {
-                        return Some(self.abort("an event is out of sequence"));
-                    }
-                    self.last_event_id = event.id.or(self.last_event_id);
-                    self.last_event_at = Instant::now();
-                    self.record_event();
-                    return Some((Ok(event.bytes), Some(self)));
-                }
-                Next::End => self.done = true,
-                Next::TimedOut if Instant::now() < self.job.deadline => {
-                    self.stalled = true;
-                    self.abandon_target().await;
-                }
-                Next::TimedOut => {
-                    self.record_outcome("late");
-                    return Some((Err(Error::DeadlineExceeded), None));
-                }
-                Next::Broken(_) => {
-                    let proxy = &self.proxy;
-                    proxy.record_break(&self.job, &self.candidate, self.begun_at);
-                    if !self.resume().await {
-                        return Some(self.abort("the target's stream broke off"));
-                    }
-                }
+            Next::TimedOut => {
+                self.record_outcome("late");
+                Some((Err(Error::DeadlineExceeded), None))
             }
+            Next::Broken(_) => Some(self.abort("the target's stream broke off")),
         }
     }
 
-    /// Counts the request as answered at the first event of each target.
-    fn record_event(&mut self) {
-        if self.begun_at.is_none() {
-            self.begun_at = Some(Instant::now());
-            self.proxy.record_answered(&self.job);
+    /// Returns the next event, or how the stream ends. If the target breaks off or is silent, the event
+    /// may come from another one.
+    async fn next_event(&mut self) -> Next {
+        let mut next = self.receive(self.stall_deadline()).await;
+        if matches!(next, Next::TimedOut) && Instant::now() < self.job.deadline {
+            self.stalled = true;
+            next = self.wait_or_replace().await;
+        }
+        if !matches!(next, Next::Broken(_)) {
+            return next;
         }
+        let proxy = &self.proxy;
+        proxy.record_break(&self.job, &self.candidate, self.begun_at);
+        self.resume().await.unwrap_or(next)
+    }
+
+    /// Returns what the target sends until `deadline`.
+    async fn receive(&mut self, deadline: Instant) -> Next {
+        let Some(source) = &mut self.source else {
+            return Next::Broken(Break::Disconnected);
+        };
+        let next = source.next(deadline).await;
+        let target = &self.load_guard.target;
+        self.proxy
+            .log_stream_end(&self.job, target, source, &next, self.last_event_id);
+        next
     }
 
     /// Logs why the stream fails, and returns the error that ends the response early.
@@ -142,9 +146,9 @@
         (Err(Error::TargetFailed), None)
     }
 
-    /// Returns when the target must have sent the next event. Without the possibility to resume
-    /// the stream elsewhere this is the deadline of the request.
-    fn event_deadline(&self) -> Instant {
+    /// Returns when the target must have sent the next event, before another target is asked. Without
+    /// the possibility to resume the stream elsewhere this is the deadline of the request.
+    fn stall_deadline(&self) -> Instant {
         let stall_timeout = Duration::from_millis(self.job.route.pause_ms) * STALL_PAUSES;
         if self.stalled || !self.resumable() {
             return self.job.deadline;
@@ -157,73 +161,59 @@
         self.job.route.resumable && self.last_event_id.is_some()
     }
 
-    /// Moves a stalled stream to another target, if there is one and the retry budget allows it.
-    /// Otherwise the stream stays at its target.
-    async fn abandon_target(&mut self) {
-        let now = Instant::now();
-        if !matches!(self.proxy.choose_target(&self.job, now), Choice::Send(_)) {
-            return;
-        }
-        if !self.proxy.try_retry(&self.job, now) {
-            return;
-        }
+    /// Waits for a silent target, and asks others to go on meanwhile if the retry budget allows it.
+    /// The silent target is left only once another one has sent an event.
+    async fn wait_or_replace(&mut self) -> Next {
+        let deadline = self.job.deadline;
+        self.proxy.record_silence(&self.load_guard.target);
         info!(self.proxy.log, "stream stalled"; "request" => &self.job.request.attempt_id,
             "target" => &self.load_guard.target, "last" => self.last_event_id,
             "silent_ms" => self.last_event_at.elapsed().as_millis());
-        self.proxy.record_failure(&self.load_guard.target, now);
-        // Closes the connection, so that the target stops before another one continues.
-        self.source = None;
-        self.resume_elsewhere().await;
+        if !self.proxy.may_replace(&self.job) {
+            return self.receive(deadline).await;
+        }
+        let (proxy, job) = (Rc::clone(&self.proxy), Rc::clone(&self.job));
+        let last_event_id = self.last_event_id;
+        let silent = async {
+            match self.receive(deadline).await {
+                broken @ Next::Broken(_) => Err(broken),
+                next => Ok(next),
+            }
+        };
+        match race(silent, proxy.find_successor(&job, last_event_id)).await {
+            Winner::Silent(Err(broken)) => broken,
+            Winner::Silent(Ok(next)) => {
+                info!(proxy.log, "target went on"; "request" => &job.request.attempt_id,
+                    "target" => &self.load_guard.target,
+                    "silent_ms" => self.last_event_at.elapsed().as_millis());
+                proxy.record_sign_of_life(&self.load_guard.target);
+                next
+            }
+            Winner::Other(begun) => self.adopt(begun),
+        }
     }
 
-    /// Resumes a broken stream at another target, if the stream is resumable and the retry budget
-    /// allows it. Returns whether a target continues the stream.
-    async fn resume(&mut self) -> bool {
+    /// Goes on with a broken stream at another target, if the stream is resumable and the retry budget
+    /// allows it. Returns the next event; `None` if no target goes on.
+    async fn resume(&mut self) -> Option<Next> {
         if !self.resumable() || !self.proxy.try_retry(&self.job, Instant::now()) {
-            return false;
+            return None;
         }
+        // Closes the connection, so that the target stops before another one continues.
         self.source = None;
-        self.resume_elsewhere().await
-    }
-
-    /// Requests the events after the last returned one from other targets, until one accepts the
-    /// request or may have run it. Returns whether a target continues the stream.
-    async fn resume_elsewhere(&mut self) -> bool {
-        while self.job.unreachable.get() < MAX_UNREACHABLE {
-            let choice = self.proxy.choose_target(&self.job, Instant::now());
-            let Choice::Send(candidate) = choice else {
-                return false;
-            };
-            match self.resume_at(&candidate).await {
-                Ok(accepted) => return accepted,
-                Err(AttemptError::NotRun(_)) => {}
-                Err(_) => return false,
-            }
-        }
-        false
+        let proxy = Rc::clone(&self.proxy);
+        let begun = proxy.find_successor(&self.job, self.last_event_id).await?;
+        Some(self.adopt(begun))
     }
 
-    /// Requests the events after the last returned one from a target. Returns whether the target
-    /// continues the stream.
-    async fn resume_at(&mut self, candidate: &Candidate) -> Result<bool, AttemptError> {
-        let proxy = Rc::clone(&self.proxy);
-        let job = Rc::clone(&self.job);
-        if candidate.needs_adapter_load {
-            proxy.load_adapter(&job, candidate).await?;
-        }
-        let load_guard = LoadGuard::new(proxy.topology(), candidate, &job);
-        let response = proxy.send(&job, candidate, self.last_event_id).await?;
-        let accepted = response.head.status.is_success() && response.parsed.sealed;
-        if accepted {
-            info!(proxy.log, "stream resumed"; "request" => &job.request.attempt_id,
-                "target" => &candidate.target, "software" => &candidate.software,
-                "after" => self.last_event_id);
-            self.source = Some(EventStream::new(response));
-            self.load_guard = load_guard;
-            self.candidate = candidate.clone();
-            self.begun_at = None;
-        }
-        Ok(accepted)
+    /// Goes on with the stream of another target, whose first event it returns. Drops the stream of the
+    /// target before, which closes its connection.
+    fn adopt(&mut self, begun: Begun) -> Next {
+        self.source = Some(begun.source);
+        self.load_guard = begun.load_guard;
+        self.candidate = begun.candidate;
+        self.begun_at = Some(Instant::now());
+        begun.first.map_or(Next::End, Next::Event)
     }
 
     fn record_outcome(&self, outcome: &str) {
--- a/crates/flamingo-serve/src/table.rs
+++ b/crates/flamingo-serve/src/table.rs
@@ -262,8 +262,7 @@
         self.targets.values()
     }
 
-    /// Records that a target was unreachable, disconnected during a response or did not respond
-    /// in time.
+    /// Records that a target was unreachable or disconnected during a response.
     pub fn record_failure(&mut self, id: &str, now: Instant) {
         if let Some(target) = self.targets.get_mut(id) {
             let doublings = target.failures.min(MAX_BACKOFF_DOUBLINGS);
@@ -272,7 +271,16 @@
         }
     }
 
-    /// Records that a target responded, which ends the backoff after failures.
+    /// Records that a target is silent. Others are preferred for a short time, or until it responds;
+    /// many silent requests of one target count no more than one.
+    pub fn record_silence(&mut self, id: &str, now: Instant) {
+        if let Some(target) = self.targets.get_mut(id) {
+            let until = now + FAILURE_BACKOFF;
+            target.avoid_until = Some(target.avoid_until.map_or(until, |at| at.max(until)));
+        }
+    }
+
+    /// Records that a target responded, which ends the backoff after failures and silence.
     pub fn record_response(&mut self, id: &str) {
         if let Some(target) = self.targets.get_mut(id) {
             target.failures = 0;
