Name a whole request in the line of a failed attempt

A request that crashes targets comes again under another attempt id and at another entry, so its tries could not be joined. 'sending failed' now has a fingerprint of method, host, path, query, caller and body, equal at all entries. Nothing else changes.

--- a/crates/flamingo-serve/src/proxy.rs
+++ b/crates/flamingo-serve/src/proxy.rs
@@ -181,6 +181,7 @@
             service = origin.service;
             software = Some(origin.software);
         }
+        let fingerprint = job::identify(&http_head, &request, &body);
         let job = Job {
             http_head,
             body,
@@ -192,6 +193,7 @@
             deadline,
             request,
             parts,
+            fingerprint,
             software: RefCell::new(software),
             tried: RefCell::default(),
             sent: Cell::new(0),
--- a/crates/flamingo-serve/src/proxy/attempt.rs
+++ b/crates/flamingo-serve/src/proxy/attempt.rs
@@ -165,7 +165,8 @@
         self.metrics.sendings.with_label_values(&[name]).inc();
         info!(self.log, "sending failed"; "request" => &job.request.attempt_id,
             "target" => &candidate.target, "failure" => name,
-            "parts" => job.request.part_names());
+            "parts" => job.request.part_names(),
+            "fingerprint" => format!("{:016x}", job.fingerprint));
         match failure {
             Failure::Restarted => {
                 job.record_unsent();
--- a/crates/flamingo-serve/src/proxy/job.rs
+++ b/crates/flamingo-serve/src/proxy/job.rs
@@ -4,10 +4,12 @@
 use crate::topology::Routes;
 use crate::wire::{Cause, RequestHead};
 use bytes::Bytes;
+use flamingo_wire::fingerprint::{Fingerprint, fingerprint};
 use flamingo_wire::id;
 use flamingo_wire::prompt::Parts;
 use flamingo_wire::route::Route;
 use http::request;
+use http::uri::PathAndQuery;
 use smallvec::SmallVec;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -23,6 +25,8 @@
     pub request: RequestHead,
     /// Parts of the prompt that others may contain as well.
     pub parts: Parts,
+    /// Identity of the whole request, which its repeats share.
+    pub fingerprint: Fingerprint,
     /// Route of the request.
     pub route: Route,
     /// Service that was chosen by the shares of the route.
@@ -87,6 +91,21 @@
     }
 }
 
+/// Returns the identity of a request by its method, host, path, query, caller and body.
+pub fn identify(http_head: &request::Parts, request: &RequestHead, body: &[u8]) -> Fingerprint {
+    let path = http_head
+        .uri
+        .path_and_query()
+        .map_or("", PathAndQuery::as_str);
+    fingerprint(&[
+        http_head.method.as_str().as_bytes(),
+        request.host.as_bytes(),
+        path.as_bytes(),
+        request.caller.as_deref().unwrap_or_default().as_bytes(),
+        body,
+    ])
+}
+
 /// Why an attempt has no response for the caller.
 pub enum AttemptError {
     /// The request did not run.
--- a/crates/flamingo-serve/src/wire.rs
+++ b/crates/flamingo-serve/src/wire.rs
@@ -29,6 +29,8 @@
     pub host: String,
     /// Path, without the query.
     pub path: String,
+    /// What identifies the caller, such as its credentials; `None` if it states none.
+    pub caller: Option<String>,
     /// Identity of this try, which the target returns in its response; `None` if the caller
     /// sent none.
     pub attempt_id: Option<AttemptId>,
--- a/crates/flamingo-wire/src/lib.rs
+++ b/crates/flamingo-wire/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod engine;
 pub mod event;
 pub mod fault;
+pub mod fingerprint;
 pub mod frame;
 pub mod gossip;
 pub mod id;
