--- a/crates/flamingo-control/src/controller/evidence.rs
+++ b/crates/flamingo-control/src/controller/evidence.rs
@@ -36,7 +36,8 @@
         ledger.adopt(&known, now);
         let findings = ledger.judge(now);
         for finding in &findings {
-            info!(self.log, "prompt part quarantined"; "service" => &finding.key.service,
+            let kind: &str = finding.kind.into();
+            info!(self.log, "quarantined"; "kind" => kind, "service" => &finding.key.service,
                 "part" => format!("{:x}", finding.key.part), "events" => finding.events,
                 "answered" => finding.answered,
                 "for_ms" => (finding.until - now).as_millis());
--- a/crates/flamingo-control/src/raft_actor/requests.rs
+++ b/crates/flamingo-control/src/raft_actor/requests.rs
@@ -141,7 +141,8 @@
         }
         self.evidence.record(&report.node, &report.evidence, now);
         for finding in self.evidence.judge(now) {
-            info!(self.log, "prompts refused"; "model" => &finding.key.service,
+            let kind: &str = finding.kind.into();
+            info!(self.log, "prompts refused"; "kind" => kind, "model" => &finding.key.service,
                 "prefix" => format!("{:x}", finding.key.part), "events" => finding.events,
                 "answered" => finding.answered);
         }
--- a/crates/flamingo-entry/src/call.rs
+++ b/crates/flamingo-entry/src/call.rs
@@ -91,6 +91,7 @@
                 pool: Pool::Service(service.clone()),
                 profile: profile(&request),
                 prefixes: flamingo_route::request::Prefixes::new(),
+                fingerprint: outgoing.fingerprint(&service),
                 idempotent,
             };
             let call = ServiceCall {
--- a/crates/flamingo-entry/src/completion.rs
+++ b/crates/flamingo-entry/src/completion.rs
@@ -109,6 +109,7 @@
     let routed = Request {
         id,
         prefixes: prompt.prefixes(),
+        fingerprint: engine_request.outgoing.fingerprint(&prompt.model),
         pool: Pool::Model(prompt.model),
         profile: profile(&request),
         idempotent: true,
--- a/crates/flamingo-entry/src/dispatcher.rs
+++ b/crates/flamingo-entry/src/dispatcher.rs
@@ -127,7 +127,8 @@
                 Action::Cancel { .. } => {}
                 Action::Probe { life, address } => Self::probe(life, address, context),
                 Action::Quarantine(finding) => {
-                    info!(self.log, "prompts refused"; "model" => &finding.key.service,
+                    let kind: &str = finding.kind.into();
+                    info!(self.log, "prompts refused"; "kind" => kind, "model" => &finding.key.service,
                         "prefix" => format!("{:x}", finding.key.part), "events" => finding.events,
                         "answered" => finding.answered);
                 }
--- a/crates/flamingo-entry/src/exchange.rs
+++ b/crates/flamingo-entry/src/exchange.rs
@@ -12,6 +12,7 @@
 use flamingo_route::action::{Dispatch, Failure};
 use flamingo_wire::Verdict;
 use flamingo_wire::engine::Lora;
+use flamingo_wire::fingerprint::{Fingerprint, fingerprint};
 use futures_util::StreamExt;
 use std::time::{Duration, Instant};
 
@@ -67,6 +68,21 @@
     pub body: Bytes,
 }
 
+impl Outgoing {
+    /// Returns the identity of the request at a service or model, which its repeats share.
+    #[must_use]
+    pub fn fingerprint(&self, service: &str) -> Fingerprint {
+        let caller = self.headers.get(header::AUTHORIZATION);
+        fingerprint(&[
+            service.as_bytes(),
+            self.method.as_str().as_bytes(),
+            self.path.as_bytes(),
+            caller.map_or(&[], HeaderValue::as_bytes),
+            &self.body,
+        ])
+    }
+}
+
 /// Loads the adapter that an attempt needs on the attempt's target.
 ///
 /// # Errors
--- a/crates/flamingo-guard/src/observer.rs
+++ b/crates/flamingo-guard/src/observer.rs
@@ -1,5 +1,5 @@
-//! What this entry sees of targets that crash under requests, and of the prompt parts that crash
-//! them.
+//! What this entry sees of targets that crash under requests, and of the prompt parts and whole
+//! requests that crash them.
 //!
 //! An entry sees its own requests only. It reports them to the leader, which judges by those of all
 //! entries, and keeps the crashes for a time, so that a new leader gets them too. The entry's own
@@ -7,9 +7,12 @@
 //! is all there is while control is out of reach.
 
 use crate::quarantine::{Finding, Key, Ledger};
+use flamingo_wire::fingerprint::Fingerprint;
 use flamingo_wire::id;
-use flamingo_wire::prompt::{Answered, Crash, Evidence, Exposure, PartId, Quarantine};
-use std::collections::HashMap;
+use flamingo_wire::prompt::{
+    Answered, AnsweredRequests, Crash, Evidence, Exposure, PartId, Quarantine,
+};
+use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
 /// Time after its first event for which a request is at the point of writing.
@@ -20,6 +23,8 @@
 const CRASH_RETENTION: Duration = Duration::from_mins(1);
 /// Largest number of parts whose answers wait to be reported.
 const MAX_ANSWERED_PARTS: usize = 4_096;
+/// Largest number of answered requests that wait to be reported; the oldest are dropped.
+const MAX_ANSWERED_REQUESTS: usize = 1_024;
 /// Largest number of targets with broken connections, and of crashes, that are kept.
 const MAX_TARGETS: usize = 64;
 /// Largest number of requests that are kept of one target.
@@ -30,6 +35,21 @@
 /// An incarnation of a target.
 pub type Life = (id::Target, id::Incarnation);
 
+/// A request whose connection to a target broke.
+#[derive(Clone, Copy, Debug)]
+pub struct Interrupted<'a> {
+    /// Service of the target.
+    pub service: &'a str,
+    /// Parts of its prompt.
+    pub parts: &'a [PartId],
+    /// Identity of the whole request.
+    pub request: Fingerprint,
+    /// When it was sent to the target.
+    pub sent_at: Instant,
+    /// When its first event came; `None` before.
+    pub answered_at: Option<Instant>,
+}
+
 /// Requests that were at the point of writing when their connections to a target broke.
 #[derive(Debug)]
 struct Break {
@@ -54,6 +74,8 @@
 pub struct Observer {
     ledger: Ledger,
     answered: HashMap<Key, u32>,
+    /// In the order of their answers.
+    answered_requests: VecDeque<(id::Service, Fingerprint)>,
     breaks: HashMap<Life, Break>,
     crashes: Vec<Seen>,
     /// The leader that has acknowledged the quarantines known here.
@@ -61,7 +83,7 @@
 }
 
 impl Observer {
-    /// Returns when the quarantine of a prompt with these parts ends; `None` if it has none.
+    /// Returns when the last quarantine of these parts and whole requests ends; `None` if there is none.
     #[must_use]
     pub fn quarantined_until(
         &self,
@@ -79,7 +101,9 @@
     }
 
     /// Counts a request that got its first event, or its whole response if that is no stream.
-    pub fn record_answered(&mut self, service: &str, parts: &[PartId]) {
+    pub fn record_answered(&mut self, service: &str, parts: &[PartId], request: Fingerprint) {
+        self.keep_answered_request((service.to_owned(), request));
+        self.ledger.record_answered_request(service, request);
         for part in parts {
             let key = Key {
                 service: service.to_owned(),
@@ -96,20 +120,20 @@
         });
     }
 
-    /// Records that the connection of a request broke. `answered_at` is the time of its first event.
-    /// Returns whether the target should be probed: the request was at the point of writing, and no
+    fn keep_answered_request(&mut self, request: (id::Service, Fingerprint)) {
+        if self.answered_requests.len() >= MAX_ANSWERED_REQUESTS {
+            self.answered_requests.pop_front();
+        }
+        self.answered_requests.push_back(request);
+    }
+
+    /// Records that the connection of a request broke. Returns whether the target should be probed: the request was at the point of writing, and no
     /// probe is under way.
-    pub fn record_break(
-        &mut self,
-        service: &str,
-        life: &Life,
-        parts: &[PartId],
-        answered_at: Option<Instant>,
-        now: Instant,
-    ) -> bool {
+    pub fn record_break(&mut self, life: &Life, request: &Interrupted<'_>, now: Instant) -> bool {
+        let answered_at = request.answered_at;
         let writes = answered_at.is_none_or(|at| now < at + POINT_OF_WRITING);
         let known = self.breaks.contains_key(life);
-        if parts.is_empty() || !writes || (!known && self.breaks.len() >= MAX_TARGETS) {
+        if !writes || (!known && self.breaks.len() >= MAX_TARGETS) {
             return false;
         }
         if self.breaks.get(life).is_some_and(|broken| broken.reachable) {
@@ -117,15 +141,17 @@
         }
         let probing = self.breaks.contains_key(life);
         let broken = self.breaks.entry(life.clone()).or_insert_with(|| Break {
-            service: service.to_owned(),
+            service: request.service.to_owned(),
             at: now,
             exposures: Vec::new(),
             reachable: false,
         });
         if broken.exposures.len() < MAX_EXPOSURES {
             broken.exposures.push(Exposure {
-                parts: parts.into(),
+                parts: request.parts.into(),
                 answered: answered_at.is_some(),
+                request: Some(request.request),
+                waited_ms: age_ms(request.sent_at, now),
             });
         }
         !probing
@@ -203,6 +229,11 @@
                 .push((key.part, count));
         }
         let answered = answered.into_iter();
+        let mut answered_requests: HashMap<id::Service, Vec<Fingerprint>> = HashMap::new();
+        for (service, request) in self.answered_requests.drain(..) {
+            answered_requests.entry(service).or_default().push(request);
+        }
+        let answered_requests = answered_requests.into_iter();
         let crashes = self.crashes.iter();
         let unknown = crashes.filter(|seen| seen.acknowledged_by.as_deref() != Some(leader));
         Evidence {
@@ -210,6 +241,9 @@
             answered: answered
                 .map(|(service, parts)| Answered { service, parts })
                 .collect(),
+            answered_requests: answered_requests
+                .map(|(service, requests)| AnsweredRequests { service, requests })
+                .collect(),
             crashes: unknown
                 .map(|seen| Crash {
                     age_ms: age_ms(seen.at, now),
@@ -233,6 +267,11 @@
 
     /// Counts the answers in this evidence as not reported again, since its report was lost.
     pub fn return_answered(&mut self, evidence: Evidence) {
+        for answered in evidence.answered_requests {
+            for request in answered.requests {
+                self.keep_answered_request((answered.service.clone(), request));
+            }
+        }
         for answered in evidence.answered {
             for (part, count) in answered.parts {
                 let key = Key {
--- a/crates/flamingo-guard/src/quarantine.rs
+++ b/crates/flamingo-guard/src/quarantine.rs
@@ -11,18 +11,27 @@
 //! have a common cause. Of several parts that qualify, the one that explains most crashes with
 //! fewest answers is taken, or else the last in its prompt, which fewer requests share. The crashes
 //! that it explains no longer count against any other.
+//!
+//! It answers a second load as well: a whole request that crashes each target that begins to run it
+//! and comes again, at any entry; see the module `request`.
 
+mod request;
 mod suspect;
 
+use flamingo_wire::fingerprint::Fingerprint;
 use flamingo_wire::id;
 use flamingo_wire::prompt::{Answered, Crash, Evidence, Exposure, PartId, Parts, Quarantine};
 use smallvec::SmallVec;
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::time::{Duration, Instant};
+use strum::IntoStaticStr;
 use suspect::{Record, Score, Suspect};
 
 /// Number of crash events after which a part is quarantined.
 pub const MIN_EVENTS: usize = 4;
+/// Number of different requests with a part that must have been at the point of writing: one request
+/// that comes again says nothing of its parts.
+const MIN_REQUESTS: usize = 2;
 /// Time after which a crash counts: entries report their answers several times in it.
 pub const SETTLING_TIME: Duration = Duration::from_millis(400);
 /// Time for which a crash counts.
@@ -40,15 +49,25 @@
 /// Largest number of parts that are quarantined or on probation; those that end first are dropped.
 const MAX_TERMS: usize = 256;
 
-/// A part of the prompts of one service.
+/// A part of the prompts of one service, or a whole request to it.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Key {
     /// The service.
     pub service: id::Service,
-    /// The part.
+    /// The part, or the fingerprint of the request.
     pub part: PartId,
 }
 
+/// What crashes targets.
+#[derive(Clone, Copy, Debug, Eq, IntoStaticStr, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+pub enum Kind {
+    /// A part of prompts, whatever else the requests hold.
+    Part,
+    /// A whole request, each time that it comes.
+    Request,
+}
+
 /// The quarantine of a part, and the probation after it.
 #[derive(Clone, Copy, Debug)]
 struct Term {
@@ -69,9 +88,11 @@
     }
 }
 
-/// A part that has just been quarantined, with the reasons.
+/// A part or request that has just been quarantined, with the reasons.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Finding {
+    /// Which of the two it is.
+    pub kind: Kind,
     /// The part.
     pub key: Key,
     /// Crash events in which a request with the part was at the point of writing.
@@ -89,6 +110,8 @@
     crashes: VecDeque<Record>,
     /// Answers to the parts of `crashes`, counted since the first of these crashes.
     answered: HashMap<Key, u32>,
+    /// Answers to the whole requests of `crashes`, counted likewise.
+    answered_requests: HashMap<Key, u32>,
     terms: BTreeMap<Key, Term>,
     /// When the next crash counts; `None` if all have been judged.
     judge_at: Option<Instant>,
@@ -109,12 +132,31 @@
         }
     }
 
+    /// Counts a request that was answered, if a crash has made it suspect.
+    pub fn record_answered_request(&mut self, service: &str, request: Fingerprint) {
+        if self.answered_requests.is_empty() {
+            return;
+        }
+        let key = Key {
+            service: service.to_owned(),
+            part: request,
+        };
+        if let Some(total) = self.answered_requests.get_mut(&key) {
+            *total = total.saturating_add(1);
+        }
+    }
+
     /// Records what the entry `from` has seen, and adopts the quarantines that it knows. Returns the
     /// parts that were in none here.
     pub fn record(&mut self, from: &str, evidence: &Evidence, now: Instant) -> Vec<Key> {
         for answered in &evidence.answered {
             self.record_answered(answered);
         }
+        for answered in &evidence.answered_requests {
+            for request in &answered.requests {
+                self.record_answered_request(&answered.service, *request);
+            }
+        }
         for crash in &evidence.crashes {
             self.record_crash(from, crash, now);
         }
@@ -133,7 +175,12 @@
     /// let mut now = Instant::now();
     /// for incarnation in 0..MIN_EVENTS as u64 {
     ///     now += Duration::from_secs(1);
-    ///     let exposures = vec![Exposure { parts: [7].into_iter().collect(), answered: false }];
+    ///     let exposures = vec![Exposure {
+    ///         parts: [7].into_iter().collect(),
+    ///         answered: false,
+    ///         request: None,
+    ///         waited_ms: 40,
+    ///     }];
     ///     let crash = Crash {
     ///         service: "s".into(),
     ///         target: "t".into(),
@@ -178,10 +225,15 @@
                 let answered = *self.answered.entry(key).or_default();
                 record.answered_before.entry(*part).or_insert(answered);
             }
-            record.exposures.push(Exposure {
-                parts,
-                answered: exposure.answered,
-            });
+            if let Some(request) = exposure.request.filter(|_| !exposure.answered) {
+                let key = Key {
+                    service: crash.service.clone(),
+                    part: request,
+                };
+                let answered = *self.answered_requests.entry(key).or_default();
+                record.add_request(request, exposure.waited_ms, answered);
+            }
+            record.exposures.push(Exposure { parts, ..*exposure });
         }
         self.remove_excess();
     }
@@ -197,12 +249,13 @@
             reporters: SmallVec::new(),
             exposures: Vec::new(),
             answered_before: HashMap::new(),
+            requests: HashMap::new(),
         };
         self.crashes.insert(index, record);
         index
     }
 
-    /// Quarantines the parts against which the evidence suffices, and returns them. Does nothing
+    /// Quarantines the parts and requests against which the evidence suffices, and returns them. Does nothing
     /// while there is no new evidence.
     pub fn judge(&mut self, now: Instant) -> Vec<Finding> {
         if self.judge_at.is_none_or(|judge_at| now < judge_at) {
@@ -212,7 +265,7 @@
         let settling = self.crashes.iter().map(|crash| crash.at + SETTLING_TIME);
         self.judge_at = settling.filter(|counts_at| now < *counts_at).min();
         let mut findings = Vec::new();
-        while let Some(finding) = self.worst(now) {
+        while let Some(finding) = self.worst_request(now).or_else(|| self.worst(now)) {
             let length = self.terms.get(&finding.key).map(|term| term.length * 2);
             let length = length.unwrap_or(FIRST_QUARANTINE).min(MAX_QUARANTINE);
             let term = Term::new(now, length);
@@ -253,6 +306,7 @@
             .filter(|(score, _, key)| self.suffices(key, score, now))
             .max_by_key(|(score, _, _)| *score)?;
         Some(Finding {
+            kind: Kind::Part,
             key,
             events: score.events,
             answered,
@@ -261,12 +315,10 @@
     }
 
     fn suffices(&self, key: &Key, score: &Score, now: Instant) -> bool {
-        let enough = if self.is_on_probation(key, now) {
-            1
-        } else {
-            MIN_EVENTS
-        };
-        score.events >= enough
+        if self.is_on_probation(key, now) {
+            return score.events >= 1;
+        }
+        score.events >= MIN_EVENTS && score.requests >= MIN_REQUESTS
     }
 
     fn is_on_probation(&self, key: &Key, now: Instant) -> bool {
@@ -283,8 +335,8 @@
         })
     }
 
-    /// Returns when the last quarantine of the parts of a prompt ends; `None` if the prompt has no
-    /// quarantined part.
+    /// Returns when the last quarantine of these parts and whole requests ends; `None` if there is
+    /// none.
     #[must_use]
     pub fn find(&self, service: &str, parts: &[PartId], now: Instant) -> Option<Instant> {
         if self.terms.is_empty() {
@@ -377,5 +429,14 @@
             .collect();
         self.answered
             .retain(|key, _| suspects.contains(&(key.service.as_str(), key.part)));
+        let crashes = self.crashes.iter();
+        let requests: HashSet<(&str, Fingerprint)> = crashes
+            .flat_map(|crash| {
+                let requests = crash.requests.keys();
+                requests.map(|request| (crash.service.as_str(), *request))
+            })
+            .collect();
+        self.answered_requests
+            .retain(|key, _| requests.contains(&(key.service.as_str(), key.part)));
     }
 }
--- a/crates/flamingo-guard/src/quarantine/suspect.rs
+++ b/crates/flamingo-guard/src/quarantine/suspect.rs
@@ -1,16 +1,17 @@
 //! What crashes say against one prompt part.
 
 use super::Key;
+use flamingo_wire::fingerprint::Fingerprint;
 use flamingo_wire::id;
 use flamingo_wire::prompt::{Exposure, PartId};
 use smallvec::SmallVec;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 /// Requests at the point of writing beside which one answer is taken for an exception.
 const REQUESTS_PER_ANSWER: u32 = 4;
 /// Crashes that are no further apart count as one event.
-const SAME_EVENT: Duration = Duration::from_millis(20);
+pub(super) const SAME_EVENT: Duration = Duration::from_millis(20);
 
 /// A crash, as the entries that saw it have reported it.
 #[derive(Debug)]
@@ -24,9 +25,28 @@
     /// Parts of `exposures`, with the answers to each that had been counted when it was first
     /// reported.
     pub answered_before: HashMap<PartId, u32>,
+    /// Whole requests of `exposures` that were not answered.
+    pub requests: HashMap<Fingerprint, Unanswered>,
+}
+
+/// A request that was at a target when it crashed.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Unanswered {
+    /// Answers to this request that had been counted when the crash was first reported.
+    pub answered_before: u32,
+    /// Time from its sending to the crash, in milliseconds; the shortest if it was there twice.
+    pub waited_ms: u64,
 }
 
 impl Record {
+    pub fn add_request(&mut self, request: Fingerprint, waited_ms: u64, answered_before: u32) {
+        let known = self.requests.entry(request).or_insert(Unanswered {
+            answered_before,
+            waited_ms,
+        });
+        known.waited_ms = known.waited_ms.min(waited_ms);
+    }
+
     pub fn contains(&self, key: &Key) -> bool {
         self.service == key.service && self.answered_before.contains_key(&key.part)
     }
@@ -38,6 +58,8 @@
     /// Crash events less answers.
     unanswered_events: i64,
     pub events: usize,
+    /// Different requests.
+    pub requests: usize,
     /// Position in the prompt.
     depth: usize,
 }
@@ -46,6 +68,10 @@
 #[derive(Debug, Default)]
 pub(super) struct Suspect<'a> {
     depth: usize,
+    /// Different whole requests.
+    fingerprints: HashSet<Fingerprint>,
+    /// Requests whose identity is not known; they count as different.
+    unnamed: usize,
     /// In the order of their times.
     crashes: Vec<Involvement<'a>>,
 }
@@ -62,6 +88,12 @@
 impl<'a> Suspect<'a> {
     pub fn add(&mut self, crash: &'a Record, exposure: &Exposure, depth: usize) {
         self.depth = self.depth.max(depth);
+        match exposure.request {
+            Some(request) => {
+                self.fingerprints.insert(request);
+            }
+            None => self.unnamed += 1,
+        }
         let known = self.crashes.last();
         if known.is_none_or(|known| !std::ptr::eq(known.crash, crash)) {
             self.crashes.push(Involvement {
@@ -102,6 +134,7 @@
         let score = Score {
             unanswered_events: i64::try_from(events).unwrap_or(i64::MAX) - i64::from(answered),
             events,
+            requests: self.fingerprints.len() + self.unnamed,
             depth: self.depth,
         };
         (score, answered)
--- a/crates/flamingo-guard/tests/fleet.rs
+++ b/crates/flamingo-guard/tests/fleet.rs
@@ -207,6 +207,8 @@
         let exposures = struck.map(|request| Exposure {
             answered: request.answered,
             parts: request.parts,
+            request: None,
+            waited_ms: 40,
         });
         let crash = Crash {
             service: "s".into(),
--- a/crates/flamingo-guard/tests/quarantine.rs
+++ b/crates/flamingo-guard/tests/quarantine.rs
@@ -57,6 +57,8 @@
     let exposures = exposures.iter().map(|parts| Exposure {
         parts: (*parts).into(),
         answered: false,
+        request: None,
+        waited_ms: 40,
     });
     Crash {
         service: "s".into(),
--- /dev/null
+++ b/crates/flamingo-guard/tests/request.rs
@@ -0,0 +1,218 @@
+//! Single rules of the quarantine of whole requests.
+
+use flamingo_guard::observer::{Interrupted, Observer};
+use flamingo_guard::quarantine::{Kind, Ledger, SETTLING_TIME};
+use flamingo_wire::fingerprint::Fingerprint;
+use flamingo_wire::prompt::{Crash, Evidence, Exposure, PartId, Parts};
+use std::time::{Duration, Instant};
+
+const SECOND: Duration = Duration::from_secs(1);
+const DEADLY: Fingerprint = 1_001;
+const SOUND: Fingerprint = 1_002;
+const PART: PartId = 7;
+
+/// A ledger with its clock.
+struct World {
+    ledger: Ledger,
+    now: Instant,
+    crashes: u64,
+}
+
+impl World {
+    fn new() -> Self {
+        Self {
+            ledger: Ledger::default(),
+            now: Instant::now(),
+            crashes: 0,
+        }
+    }
+
+    /// A target crashes a second after the last event, under requests that were sent to it this many
+    /// milliseconds before.
+    fn crash(&mut self, requests: &[(Fingerprint, u64)]) {
+        self.crash_with(requests, &[]);
+    }
+
+    fn crash_with(&mut self, requests: &[(Fingerprint, u64)], parts: &[PartId]) {
+        self.now += SECOND;
+        self.crashes += 1;
+        let exposures = requests.iter().map(|(request, waited_ms)| Exposure {
+            parts: Parts::from_slice(parts),
+            answered: false,
+            request: Some(*request),
+            waited_ms: *waited_ms,
+        });
+        let crash = Crash {
+            service: "s".into(),
+            target: "t".into(),
+            incarnation: self.crashes,
+            age_ms: 0,
+            exposures: exposures.collect(),
+        };
+        let entry = format!("entry-{}", self.crashes % 3);
+        self.ledger.record_crash(&entry, &crash, self.now);
+    }
+
+    /// Returns the requests that are put in quarantine once all crashes count.
+    fn judge(&mut self) -> Vec<Fingerprint> {
+        self.now += SETTLING_TIME;
+        let findings = self.ledger.judge(self.now);
+        let requests = findings.iter().filter(|found| found.kind == Kind::Request);
+        requests.map(|found| found.key.part).collect()
+    }
+
+    fn is_quarantined(&self, request: Fingerprint) -> bool {
+        self.ledger.find("s", &[request], self.now).is_some()
+    }
+}
+
+macro_rules! cases {
+    ($($name:ident: $scenario:expr;)*) => {
+        $(#[test]
+        fn $name() {
+            let scenario: fn(&mut World) = $scenario;
+            scenario(&mut World::new());
+        })*
+    };
+}
+
+cases! {
+    a_request_is_suspected_after_three_crashes_at_several_entries: |world| {
+        world.crash(&[(DEADLY, 40)]);
+        world.crash(&[(DEADLY, 90)]);
+        assert_eq!(world.judge(), []);
+        world.crash(&[(DEADLY, 40)]);
+        assert_eq!(world.judge(), [DEADLY]);
+        assert!(!world.is_quarantined(SOUND));
+    };
+
+    a_request_that_was_answered_since_is_sound: |world| {
+        for _ in 0..20 {
+            world.crash(&[(SOUND, 40)]);
+            world.crash(&[(SOUND, 40)]);
+            world.ledger.record_answered_request("s", SOUND);
+            assert_eq!(world.judge(), []);
+        }
+    };
+
+    an_answer_in_another_service_says_nothing: |world| {
+        for _ in 0..3 {
+            world.crash(&[(DEADLY, 40)]);
+            world.ledger.record_answered_request("other", DEADLY);
+        }
+        assert_eq!(world.judge(), [DEADLY]);
+    };
+
+    a_request_that_waited_longer_in_the_same_crashes_is_sound: |world| {
+        for _ in 0..6 {
+            world.crash(&[(SOUND, 300), (DEADLY, 40)]);
+            world.judge();
+        }
+        assert!(world.is_quarantined(DEADLY));
+        assert!(!world.is_quarantined(SOUND));
+    };
+
+    while_no_request_stands_out_the_next_crash_decides: |world| {
+        for _ in 0..3 {
+            world.crash(&[(SOUND, 40), (DEADLY, 40)]);
+        }
+        assert_eq!(world.judge(), []);
+        world.crash(&[(DEADLY, 40)]);
+        assert_eq!(world.judge(), [DEADLY]);
+        world.crash(&[(SOUND, 40)]);
+        assert_eq!(world.judge(), []);
+    };
+
+    a_request_that_was_under_way_for_long_is_not_suspected: |world| {
+        for _ in 0..10 {
+            world.crash(&[(SOUND, 5_000)]);
+            assert_eq!(world.judge(), []);
+        }
+    };
+
+    one_request_that_comes_again_says_nothing_of_its_parts: |world| {
+        for _ in 0..4 {
+            world.crash_with(&[(DEADLY, 40)], &[PART]);
+        }
+        world.now += SETTLING_TIME;
+        let findings = world.ledger.judge(world.now);
+        assert_eq!(findings.len(), 1);
+        assert!(!world.is_quarantined(PART));
+    };
+
+    requests_that_a_deadly_part_explains_are_sound: |world| {
+        for number in 0..4 {
+            world.crash_with(&[(number, 40)], &[PART]);
+        }
+        world.judge();
+        assert!(world.is_quarantined(PART));
+        for _ in 0..3 {
+            world.crash_with(&[(SOUND, 40)], &[PART]);
+        }
+        assert_eq!(world.judge(), []);
+    };
+
+    after_a_quarantine_one_crash_suffices: |world| {
+        for _ in 0..3 {
+            world.crash(&[(DEADLY, 40)]);
+        }
+        world.judge();
+        let until = world.ledger.find("s", &[DEADLY], world.now).expect("a quarantine");
+        world.now = until;
+        assert!(!world.is_quarantined(DEADLY));
+        world.crash(&[(DEADLY, 40)]);
+        assert_eq!(world.judge(), [DEADLY]);
+    };
+
+    memory_is_bounded: |world| {
+        for number in 0..300 {
+            let requests: Vec<_> = (0..100).map(|request| (number * 100 + request, 40)).collect();
+            world.crash(&requests);
+            world.judge();
+        }
+        let debug = format!("{:?}", world.ledger);
+        assert!(debug.len() < 4_000_000, "{}", debug.len());
+    };
+}
+
+fn interrupted(request: Fingerprint, sent_at: Instant) -> Interrupted<'static> {
+    Interrupted {
+        service: "s",
+        parts: &[],
+        request,
+        sent_at,
+        answered_at: None,
+    }
+}
+
+#[test]
+fn an_entry_reports_requests_under_which_targets_crashed_and_those_that_were_answered() {
+    let mut observer = Observer::default();
+    let now = Instant::now();
+    let life = ("t".to_owned(), 1);
+    assert!(observer.record_break(&life, &interrupted(DEADLY, now), now + SECOND));
+    assert!(observer.record_crash(&life, now + SECOND));
+    observer.record_answered("s", &[], SOUND);
+    let evidence = observer.take_evidence("leader", now + SECOND);
+    let exposure = &evidence.crashes[0].exposures[0];
+    assert_eq!(
+        (exposure.request, exposure.waited_ms),
+        (Some(DEADLY), 1_000)
+    );
+    assert_eq!(evidence.answered_requests[0].requests, [SOUND]);
+    observer.return_answered(evidence);
+    let again: Evidence = observer.take_evidence("leader", now + SECOND);
+    assert_eq!(again.answered_requests[0].requests, [SOUND]);
+}
+
+#[test]
+fn answered_requests_that_nobody_takes_are_bounded() {
+    let mut observer = Observer::default();
+    for request in 0..100_000 {
+        observer.record_answered("s", &[], request);
+    }
+    let evidence = observer.take_evidence("leader", Instant::now());
+    let requests = &evidence.answered_requests[0].requests;
+    assert!(requests.len() <= 1_024, "{}", requests.len());
+    assert_eq!(requests.last(), Some(&99_999));
+}
--- a/crates/flamingo-link/src/report.rs
+++ b/crates/flamingo-link/src/report.rs
@@ -48,9 +48,12 @@
     pub(crate) fn add_evidence(&mut self, evidence: Evidence) {
         self.evidence.answered.extend(evidence.answered);
         self.evidence.crashes.extend(evidence.crashes);
+        let requests = evidence.answered_requests;
+        self.evidence.answered_requests.extend(requests);
         self.evidence.quarantines.extend(evidence.quarantines);
         self.evidence.answered.truncate(MAX_EVIDENCE);
         self.evidence.crashes.truncate(MAX_EVIDENCE);
+        self.evidence.answered_requests.truncate(MAX_EVIDENCE);
         self.evidence.quarantines.truncate(MAX_EVIDENCE);
     }
 
--- a/crates/flamingo-route/examples/decision_cost.rs
+++ b/crates/flamingo-route/examples/decision_cost.rs
@@ -78,6 +78,7 @@
         pool: Pool::Model(format!("model-{model}")),
         profile: None,
         prefixes: prefixes.collect(),
+        fingerprint: 0,
         idempotent: true,
     }
 }
--- a/crates/flamingo-route/examples/goodput.rs
+++ b/crates/flamingo-route/examples/goodput.rs
@@ -207,6 +207,7 @@
             pool: Pool::Model(format!("model-{model}")),
             profile: Some(format!("rank-{}", RANKS[class])),
             prefixes: chain.into_iter().collect(),
+            fingerprint: 0,
             idempotent: true,
         };
         self.step(entry, Input::Arrive(arrival));
--- a/crates/flamingo-route/src/request.rs
+++ b/crates/flamingo-route/src/request.rs
@@ -1,6 +1,7 @@
 //! A caller's request: what the router needs to know of it, and its state once admitted.
 
 use flamingo_wire::config::LatePolicy;
+use flamingo_wire::fingerprint::Fingerprint;
 use flamingo_wire::{Verdict, id};
 use smallvec::SmallVec;
 use std::fmt;
@@ -47,6 +48,8 @@
     pub profile: Option<id::Profile>,
     /// Prefixes of the prompt; empty for a plain service.
     pub prefixes: Prefixes,
+    /// Identity of the whole request, which its repeats share.
+    pub fingerprint: Fingerprint,
     /// Whether the request may be retried although an earlier attempt may have run.
     pub idempotent: bool,
 }
@@ -60,6 +63,8 @@
     pub adapter: Option<id::Adapter>,
     /// Prefixes of the prompt; empty for a plain service.
     pub prefixes: Prefixes,
+    /// Identity of the whole request, which its repeats share.
+    pub fingerprint: Fingerprint,
     /// Whether the request may be retried although an earlier attempt may have run.
     pub idempotent: bool,
     /// Rank from the profile; 0 is the most urgent.
--- a/crates/flamingo-route/src/router.rs
+++ b/crates/flamingo-route/src/router.rs
@@ -225,7 +225,7 @@
 
     fn dispatch(&mut self, now: Instant, request: &id::Request, selection: Selection) {
         if self.is_quarantined(now, request) {
-            let message = "prompts that begin like this one crash targets";
+            let message = "requests like this one crash targets";
             return self.refuse(now, request, Reason::Target, message);
         }
         let Some(admitted) = self.admitted.get_mut(request) else {
--- a/crates/flamingo-route/src/router/admission.rs
+++ b/crates/flamingo-route/src/router/admission.rs
@@ -20,7 +20,7 @@
 impl Router {
     pub(super) fn arrive(&mut self, now: Instant, arrival: Request) {
         let request = arrival.id.clone();
-        let checked = self.check_prompt(now, &arrival);
+        let checked = self.check_quarantine(now, &arrival);
         let admitted = match checked.and_then(|()| self.admit(now, arrival)) {
             Ok(admitted) => admitted,
             Err(fault) => return self.actions.push(Action::Refuse { request, fault }),
@@ -55,6 +55,7 @@
             pool,
             adapter,
             prefixes: arrival.prefixes,
+            fingerprint: arrival.fingerprint,
             idempotent: arrival.idempotent,
             rank: profile.rank,
             objective: now + profile.first_token,
--- a/crates/flamingo-route/src/router/attempt.rs
+++ b/crates/flamingo-route/src/router/attempt.rs
@@ -50,7 +50,7 @@
         };
         in_flight.begun_at = Some(now);
         let request = in_flight.request.clone();
-        self.record_prompt_answered(&request);
+        self.record_answered(&request);
         let Some(admitted) = self.admitted.get_mut(&request) else {
             return;
         };
@@ -66,6 +66,8 @@
 
     pub(super) fn ended(&mut self, now: Instant, attempt: AttemptId) {
         let mut slot_time = Duration::ZERO;
+        let in_flight = self.in_flight.get(&attempt);
+        let begun = in_flight.is_some_and(|in_flight| in_flight.begun_at.is_some());
         let request = self.finish(now, attempt, |health, began| {
             slot_time = now.saturating_duration_since(began);
             health.record_success(attempt, began);
@@ -73,6 +75,9 @@
         let Some(request) = request else {
             return;
         };
+        if !begun {
+            self.record_answered(&request);
+        }
         if let Some(admitted) = self.admitted.remove(&request) {
             let stats = self.stats.entry(admitted.pool.clone()).or_default();
             stats.record_slot_time(slot_time);
--- a/crates/flamingo-route/src/router/crash.rs
+++ b/crates/flamingo-route/src/router/crash.rs
@@ -1,13 +1,14 @@
-//! Prompts that crash targets: notes what ran on a target when it ended, and refuses prompts with a
-//! prefix that does so.
+//! Requests that crash targets: notes what ran on a target when it ended, and refuses requests that do
+//! so as a whole or by a prefix of their prompt.
 //!
 //! The decision is that of [`flamingo_guard::quarantine`], by what this entry has seen.
 
 use super::Router;
 use crate::action::{Action, AttemptId, Failure};
-use crate::request::{Admitted, Pool, Prefixes, Request, Stage};
-use flamingo_guard::observer::Life;
+use crate::request::{Pool, Prefixes, Request, Stage};
+use flamingo_guard::observer::{Interrupted, Life};
 use flamingo_wire::fault::Reason;
+use flamingo_wire::fingerprint::Fingerprint;
 use flamingo_wire::prompt::Parts;
 use flamingo_wire::{Fault, Verdict, id};
 use std::time::Instant;
@@ -16,51 +17,53 @@
 const RETRY_AFTER_MAX: u64 = 300;
 
 impl Router {
-    /// Refuses a prompt with a prefix that has crashed targets.
-    pub(super) fn check_prompt(&mut self, now: Instant, arrival: &Request) -> Result<(), Fault> {
-        let (Pool::Model(model), _) = self.resolve(arrival.pool.clone()) else {
-            return Ok(());
-        };
-        self.judge_prompts(now);
-        let parts = parts(&arrival.prefixes);
-        let Some(until) = self.crashes.quarantined_until(&model, &parts, now) else {
+    /// Refuses a request that has crashed targets, or a prompt with a prefix that has.
+    pub(super) fn check_quarantine(
+        &mut self,
+        now: Instant,
+        arrival: &Request,
+    ) -> Result<(), Fault> {
+        let (pool, _) = self.resolve(arrival.pool.clone());
+        self.judge(now);
+        let identities = identities(&arrival.prefixes, arrival.fingerprint);
+        let until = self
+            .crashes
+            .quarantined_until(name(&pool), &identities, now);
+        let Some(until) = until else {
             return Ok(());
         };
         let seconds = (until - now).as_secs().clamp(1, RETRY_AFTER_MAX);
-        let message = format!("model '{model}': prompts that begin like this one crash targets");
-        let help = "send another prompt, or retry after the given time";
+        let message = format!("{pool}: requests like this one crash targets");
+        let help = "send another request, or retry after the given time";
         let fault = Fault::not_run(Reason::Target, message, help);
         Err(fault.retry_after(u32::try_from(seconds).unwrap_or(1)))
     }
 
-    /// Returns whether the prompt of an admitted request has a prefix that has crashed targets.
+    /// Returns whether an admitted request, or a prefix of its prompt, has crashed targets.
     pub(super) fn is_quarantined(&mut self, now: Instant, request: &id::Request) -> bool {
-        self.judge_prompts(now);
-        let admitted = self.admitted.get(request);
-        let Some((Pool::Model(model), admitted)) = admitted.map(|known| (&known.pool, known))
-        else {
+        self.judge(now);
+        let Some(admitted) = self.admitted.get(request) else {
             return false;
         };
-        let parts = parts(&admitted.prefixes);
-        let until = self.crashes.quarantined_until(model, &parts, now);
+        let identities = identities(&admitted.prefixes, admitted.fingerprint);
+        let until = self
+            .crashes
+            .quarantined_until(name(&admitted.pool), &identities, now);
         until.is_some()
     }
 
-    fn judge_prompts(&mut self, now: Instant) {
+    fn judge(&mut self, now: Instant) {
         let findings = self.crashes.judge(now);
         self.actions
             .extend(findings.into_iter().map(Action::Quarantine));
     }
 
-    /// Notes that the response of a request has begun.
-    pub(super) fn record_prompt_answered(&mut self, request: &id::Request) {
-        if let Some(Admitted {
-            pool: Pool::Model(model),
-            prefixes,
-            ..
-        }) = self.admitted.get(request)
-        {
-            self.crashes.record_answered(model, &parts(prefixes));
+    /// Notes that the response of a request has begun, or for a plain service that it is whole.
+    pub(super) fn record_answered(&mut self, request: &id::Request) {
+        if let Some(admitted) = self.admitted.get(request) {
+            let parts = parts(&admitted.prefixes);
+            self.crashes
+                .record_answered(name(&admitted.pool), &parts, admitted.fingerprint);
         }
     }
 
@@ -69,37 +72,39 @@
         if !failure.target_at_fault || failure.verdict != Verdict::MayHaveRun {
             return;
         }
-        let Some((request, life, begun_at)) = self.attempt_life(failure.attempt) else {
+        let Some(in_flight) = self.in_flight.get(&failure.attempt) else {
+            return;
+        };
+        let Some(life) = self.attempt_life(failure.attempt) else {
             return;
         };
-        let Some(Admitted {
-            pool: Pool::Model(model),
-            prefixes,
-            stage,
-            ..
-        }) = self.admitted.get(&request)
-        else {
+        let Some(admitted) = self.admitted.get(&in_flight.request) else {
             return;
         };
-        let begun_at = begun_at.filter(|_| matches!(stage, Stage::Answering(_)));
-        let parts = parts(prefixes);
+        let is_answering = matches!(admitted.stage, Stage::Answering(_));
+        let parts = parts(&admitted.prefixes);
         let address = self.fleet.index_of(&life.0);
         let address = address.and_then(|index| self.fleet.get(index));
         let Some(address) = address.map(|target| target.announcement.address) else {
             return;
         };
-        let crashes = &mut self.crashes;
-        if crashes.record_break(model, &life, &parts, begun_at, now) {
+        let interrupted = Interrupted {
+            service: name(&admitted.pool),
+            parts: &parts,
+            request: admitted.fingerprint,
+            sent_at: in_flight.began,
+            answered_at: in_flight.begun_at.filter(|_| is_answering),
+        };
+        if self.crashes.record_break(&life, &interrupted, now) {
             self.actions.push(Action::Probe { life, address });
         }
     }
 
-    /// Returns the request of an attempt, the incarnation of its target, and when its response began.
-    fn attempt_life(&self, attempt: AttemptId) -> Option<(id::Request, Life, Option<Instant>)> {
+    /// Returns the incarnation of the target of an attempt.
+    fn attempt_life(&self, attempt: AttemptId) -> Option<Life> {
         let in_flight = self.in_flight.get(&attempt)?;
         let announcement = &self.fleet.get(in_flight.index)?.announcement;
-        let life = (announcement.target.clone(), in_flight.incarnation);
-        Some((in_flight.request.clone(), life, in_flight.begun_at))
+        Some((announcement.target.clone(), in_flight.incarnation))
     }
 
     /// Notes that connections to the incarnations of a target before `incarnation` have broken since
@@ -116,6 +121,18 @@
     }
 }
 
+/// Returns the name of a pool, by which the ledger knows its targets.
+fn name(pool: &Pool) -> &str {
+    match pool {
+        Pool::Model(name) | Pool::Service(name) => name,
+    }
+}
+
+/// Returns what may be quarantined of a request: the prefixes of its prompt and itself.
+fn identities(prefixes: &Prefixes, fingerprint: Fingerprint) -> Parts {
+    parts(prefixes).into_iter().chain([fingerprint]).collect()
+}
+
 /// Returns the identities of the prefixes of a prompt.
 fn parts(prefixes: &Prefixes) -> Parts {
     prefixes.iter().map(|prefix| prefix.hash).collect()
--- a/crates/flamingo-route/tests/harness/mod.rs
+++ b/crates/flamingo-route/tests/harness/mod.rs
@@ -268,6 +268,7 @@
             pool,
             profile,
             prefixes,
+            fingerprint: 0,
             idempotent,
         }));
     }
--- a/crates/flamingo-route/tests/scenarios.rs
+++ b/crates/flamingo-route/tests/scenarios.rs
@@ -90,6 +90,7 @@
             pool,
             profile: rest.get(1).map(|profile| (*profile).into()),
             prefixes: flamingo_route::request::Prefixes::new(),
+            fingerprint: 0,
             idempotent,
         }))
     }
--- a/crates/flamingo-serve/src/proxy.rs
+++ b/crates/flamingo-serve/src/proxy.rs
@@ -182,6 +182,9 @@
             software = Some(origin.software);
         }
         let fingerprint = job::identify(&http_head, &request, &body);
+        if let Some(until) = self.quarantined_until(&service, &[fingerprint]) {
+            return self.refuse_deadly(&route, &request, fingerprint, until);
+        }
         let job = Job {
             http_head,
             body,
--- a/crates/flamingo-serve/src/proxy/attempt.rs
+++ b/crates/flamingo-serve/src/proxy/attempt.rs
@@ -55,7 +55,10 @@
     ) -> Result<PendingResponse, AttemptError> {
         self.take_permit(job, candidate).await?;
         let now = Instant::now();
-        if self.quarantined_until(&job.service, &job.parts).is_some() {
+        if self
+            .quarantined_until(&job.service, &job.identities())
+            .is_some()
+        {
             return Err(AttemptError::NoAlternative(Cause::Quarantined));
         }
         let address = {
@@ -123,7 +126,7 @@
                 self.record_availability(job, candidate, &response.parsed);
                 Ok(response)
             }
-            Err(failure) => Err(self.handle_failure(job, candidate, failure)),
+            Err(failure) => Err(self.handle_failure(job, candidate, failure, now)),
         }
     }
 
@@ -159,6 +162,7 @@
         job: &Job,
         candidate: &Candidate,
         failure: Failure,
+        sent_at: Instant,
     ) -> AttemptError {
         let now = Instant::now();
         let name: &str = failure.into();
@@ -181,7 +185,7 @@
             Failure::Broken | Failure::Foreign => {
                 // A stream's head comes before its first event, so without one nothing was written.
                 if failure == Failure::Broken && job.route.kind != Kind::Stream {
-                    self.record_break(job, candidate, None);
+                    self.record_break(job, candidate, sent_at, None);
                 }
                 self.record_failure(&candidate.target, now);
                 AttemptError::MayHaveRun(Cause::Broken)
--- a/crates/flamingo-serve/src/proxy/crash.rs
+++ b/crates/flamingo-serve/src/proxy/crash.rs
@@ -1,5 +1,5 @@
-//! Finds out whether a target has crashed under a request, and refuses requests with prompt parts
-//! that crash targets.
+//! Finds out whether a target has crashed under a request, and refuses requests that crash targets by
+//! one part of their prompts or as a whole.
 
 use super::Proxy;
 use super::job::Job;
@@ -7,7 +7,8 @@
 use crate::choice::Candidate;
 use crate::pool;
 use crate::wire::{Cause, Refusal, RequestHead};
-use flamingo_guard::observer::Life;
+use flamingo_guard::observer::{Interrupted, Life};
+use flamingo_wire::fingerprint::Fingerprint;
 use flamingo_wire::prompt::PartId;
 use flamingo_wire::route::Route;
 use http::Response;
@@ -22,7 +23,7 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
 impl Proxy {
-    /// Returns when the quarantine of a prompt with these parts ends; `None` if it has none.
+    /// Returns when the last quarantine of these parts and whole requests ends; `None` if there is none.
     pub(super) fn quarantined_until(&self, service: &str, parts: &[PartId]) -> Option<Instant> {
         let now = Instant::now();
         self.topology.quarantined_until(service, parts, now)
@@ -38,6 +39,29 @@
         let remaining = until.saturating_duration_since(Instant::now());
         info!(self.log, "prompt refused"; "request" => &request.attempt_id, "route" => &route.name,
             "parts" => request.part_names(), "for_ms" => remaining.as_millis());
+        self.quarantine_refusal(route, request, remaining)
+    }
+
+    /// Logs and counts a request that has crashed targets, and returns the refusal.
+    pub(super) fn refuse_deadly(
+        &self,
+        route: &Route,
+        request: &RequestHead,
+        fingerprint: Fingerprint,
+        until: Instant,
+    ) -> Response<Body> {
+        let remaining = until.saturating_duration_since(Instant::now());
+        info!(self.log, "request refused"; "request" => &request.attempt_id, "route" => &route.name,
+            "fingerprint" => format!("{fingerprint:016x}"), "for_ms" => remaining.as_millis());
+        self.quarantine_refusal(route, request, remaining)
+    }
+
+    fn quarantine_refusal(
+        &self,
+        route: &Route,
+        request: &RequestHead,
+        remaining: Duration,
+    ) -> Response<Body> {
         let cause = Cause::Quarantined;
         self.metrics.record_outcome(&route.name, cause.into());
         let refusal = Refusal {
@@ -49,10 +73,8 @@
 
     /// Counts a request whose first event or whole response has come.
     pub(super) fn record_answered(&self, job: &Job) {
-        if !job.parts.is_empty() {
-            let mut crashes = self.topology.crashes.borrow_mut();
-            crashes.record_answered(&job.service, &job.parts);
-        }
+        let mut crashes = self.topology.crashes.borrow_mut();
+        crashes.record_answered(&job.service, &job.parts, job.fingerprint);
     }
 
     /// Records that the connection of a request broke, and probes the target if it may have crashed
@@ -61,16 +83,20 @@
         self: &Rc<Self>,
         job: &Job,
         candidate: &Candidate,
+        sent_at: Instant,
         begun_at: Option<Instant>,
     ) {
         let life = (candidate.target.clone(), candidate.incarnation);
-        let probes = self.topology.crashes.borrow_mut().record_break(
-            &job.service,
-            &life,
-            &job.parts,
-            begun_at,
-            Instant::now(),
-        );
+        let request = Interrupted {
+            service: &job.service,
+            parts: &job.parts,
+            request: job.fingerprint,
+            sent_at,
+            answered_at: begun_at,
+        };
+        let mut crashes = self.topology.crashes.borrow_mut();
+        let probes = crashes.record_break(&life, &request, Instant::now());
+        drop(crashes);
         if probes {
             let proxy = Rc::clone(self);
             tokio::task::spawn_local(async move { proxy.probe(life).await });
--- a/crates/flamingo-serve/src/proxy/forward.rs
+++ b/crates/flamingo-serve/src/proxy/forward.rs
@@ -152,13 +152,13 @@
             parsed,
             body,
             connection,
-            ..
+            sent_at,
         } = response;
         let collected = timeout_at(job.deadline.into(), collect(body, MAX_BUFFERED_BYTES)).await;
         let bytes = match collected {
             Ok(Ok(bytes)) => bytes,
             Ok(Err(_)) => {
-                self.record_break(job, &candidate, None);
+                self.record_break(job, &candidate, sent_at, None);
                 return Err(AttemptError::MayHaveRun(Cause::Broken));
             }
             Err(_) => return Err(AttemptError::MayHaveRun(Cause::Late)),
@@ -208,7 +208,7 @@
             Next::Event(event) => Some(event),
             Next::End => None,
             Next::Broken(_) => {
-                self.record_break(job, &candidate, None);
+                self.record_break(job, &candidate, source.response.sent_at, None);
                 return Err(AttemptError::MayHaveRun(Cause::Broken));
             }
             Next::TimedOut => return Err(AttemptError::MayHaveRun(Cause::Late)),
--- a/crates/flamingo-serve/src/proxy/job.rs
+++ b/crates/flamingo-serve/src/proxy/job.rs
@@ -55,6 +55,12 @@
 }
 
 impl Job {
+    /// Returns what may be quarantined of the request: the parts of its prompt and itself.
+    pub fn identities(&self) -> Parts {
+        let parts = self.parts.iter().copied();
+        parts.chain([self.fingerprint]).collect()
+    }
+
     /// Counts an attempt, also one that is abandoned before its end, and excludes its target from
     /// further choices.
     pub fn begin_sending(&self, target: &str) {
@@ -91,17 +97,21 @@
     }
 }
 
-/// Returns the identity of a request by its method, host, path, query, caller and body.
+/// Returns the identity of a request by its method, host, path, query, caller, model, prompt and body.
 pub fn identify(http_head: &request::Parts, request: &RequestHead, body: &[u8]) -> Fingerprint {
-    let path = http_head
-        .uri
-        .path_and_query()
-        .map_or("", PathAndQuery::as_str);
+    let text = |text: &Option<String>| text.clone().unwrap_or_default().into_bytes();
+    let path = http_head.uri.path_and_query();
+    let path = path.map_or("", PathAndQuery::as_str);
+    let parts = request.prompt_parts.iter();
+    let prompt: Vec<u8> = parts.flat_map(|part| part.id.to_be_bytes()).collect();
     fingerprint(&[
         http_head.method.as_str().as_bytes(),
         request.host.as_bytes(),
         path.as_bytes(),
-        request.caller.as_deref().unwrap_or_default().as_bytes(),
+        &text(&request.caller),
+        &text(&request.model),
+        &text(&request.adapter),
+        &prompt,
         body,
     ])
 }
--- a/crates/flamingo-serve/src/proxy/refusal.rs
+++ b/crates/flamingo-serve/src/proxy/refusal.rs
@@ -46,10 +46,10 @@
         self.refuse(Refusal { cause, retry_after }, Some(&job.request))
     }
 
-    /// Returns the time after which a refused caller should retry: not before the quarantine of a part
-    /// of its prompt ends, or the first pause where all targets have asked for one.
+    /// Returns the time after which a refused caller should retry: not before its quarantine or that of
+    /// a part of its prompt ends, or the first pause where all targets have asked for one.
     fn retry_after(&self, job: &Job, now: Instant) -> Duration {
-        let quarantined_until = self.quarantined_until(&job.service, &job.parts);
+        let quarantined_until = self.quarantined_until(&job.service, &job.identities());
         let until = quarantined_until.or_else(|| match self.choose_target(job, now) {
             Choice::Paused(until) => Some(until),
             _ => None,
--- a/crates/flamingo-serve/src/proxy/stream.rs
+++ b/crates/flamingo-serve/src/proxy/stream.rs
@@ -118,8 +118,11 @@
         if !matches!(next, Next::Broken(_)) {
             return next;
         }
-        let proxy = &self.proxy;
-        proxy.record_break(&self.job, &self.candidate, self.begun_at);
+        let source = self.source.as_ref();
+        if let Some(sent_at) = source.map(|source| source.response.sent_at) {
+            let proxy = &self.proxy;
+            proxy.record_break(&self.job, &self.candidate, sent_at, self.begun_at);
+        }
         self.resume().await.unwrap_or(next)
     }
 
--- a/crates/flamingo-serve/src/topology.rs
+++ b/crates/flamingo-serve/src/topology.rs
@@ -180,7 +180,7 @@
         }
     }
 
-    /// Returns when the quarantine of a prompt with these parts ends; `None` if it has none. While no
+    /// Returns when the last quarantine of these parts and whole requests ends; `None` if there is none. While no
     /// leader is known, which judges by the requests of all entries, judges by this entry's own first.
     pub fn quarantined_until(
         &self,
@@ -194,13 +194,15 @@
             None => crashes.judge(now),
         };
         for Finding {
+            kind,
             key,
             events,
             answered,
             until,
         } in findings
         {
-            info!(self.log, "prompt part quarantined"; "service" => key.service,
+            let kind: &str = kind.into();
+            info!(self.log, "quarantined"; "kind" => kind, "service" => key.service,
                 "part" => format!("{:x}", key.part), "events" => events, "answered" => answered,
                 "for_ms" => (until - now).as_millis());
         }
--- a/crates/flamingo-wire/src/prompt.rs
+++ b/crates/flamingo-wire/src/prompt.rs
@@ -3,6 +3,7 @@
 //! Instances have no common clock: a message carries how long ago something happened, or how long
 //! it still lasts, and its receiver turns that into an instant of its own.
 
+use crate::fingerprint::Fingerprint;
 use crate::id;
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
@@ -21,6 +22,12 @@
     pub parts: Parts,
     /// Whether its first event had come, so that it also counts in [`Answered`].
     pub answered: bool,
+    /// Identity of the whole request; `None` from instances that state none.
+    #[serde(default)]
+    pub request: Option<Fingerprint>,
+    /// Time from its sending to the crash, in milliseconds.
+    #[serde(default)]
+    pub waited_ms: u64,
 }
 
 /// A crash of a target, as one entry saw it.
@@ -47,24 +54,37 @@
     pub parts: Vec<(PartId, u32)>,
 }
 
-/// What an entry has seen of prompt parts since its last report.
+/// Requests of one service that got their first event, or their whole response, since an entry's last
+/// report.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct AnsweredRequests {
+    /// The service.
+    pub service: id::Service,
+    /// The requests.
+    pub requests: Vec<Fingerprint>,
+}
+
+/// What an entry has seen of prompt parts and requests since its last report.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Evidence {
     /// Requests that got their first event.
     pub answered: Vec<Answered>,
     /// Crashes of targets.
     pub crashes: Vec<Crash>,
+    /// Whole requests that were answered.
+    #[serde(default)]
+    pub answered_requests: Vec<AnsweredRequests>,
     /// Parts in quarantine, as far as the leader may not know them.
     #[serde(default)]
     pub quarantines: Vec<Quarantine>,
 }
 
-/// A part that requests must not contain.
+/// A part that requests must not contain, or a whole request that must not be sent.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Quarantine {
-    /// The service whose targets the part crashes.
+    /// The service whose targets the part or the request crashes.
     pub service: id::Service,
-    /// The part.
+    /// The part, or the fingerprint of the request.
     pub part: PartId,
     /// Time until the quarantine ends, in milliseconds.
     pub remaining_ms: u64,
