Answers of lost reports do not grow beyond their bound

Seen: an entry's memory grows while a leader is known that acknowledges nothing.

Cause: Observer::record_answered counts at most 4,096 parts, Observer::return_answered, which counts the answers of a lost report again, had no bound. Each lost report let as many further parts in.

Test first, crates/flamingo-guard/tests/observer.rs: before the change two of four cases failed (one lost report beside one new part: 4,097 parts wait, not 4,096; four lost reports). The other two passed before and hold what the bound must not take: answers of parts that are counted already, and answers where there is room.

Both paths now count through one function with the bound. Where it is reached, answers of further parts are lost, as they were on arrival; parts that wait already count on. The constant is public so that the test names it.

--- a/crates/flamingo-guard/src/observer.rs
+++ b/crates/flamingo-guard/src/observer.rs
@@ -22,7 +22,7 @@
 /// Time for which a crash is reported to a leader that has not acknowledged it.
 const CRASH_RETENTION: Duration = Duration::from_mins(1);
 /// Largest number of parts whose answers wait to be reported.
-const MAX_ANSWERED_PARTS: usize = 4_096;
+pub const MAX_ANSWERED_PARTS: usize = 4_096;
 /// Largest number of answered requests that wait to be reported; the oldest are dropped.
 const MAX_ANSWERED_REQUESTS: usize = 1_024;
 /// Largest number of targets with broken connections, and of crashes, that are kept.
@@ -109,10 +109,7 @@
                 service: service.to_owned(),
                 part: *part,
             };
-            let full = self.answered.len() >= MAX_ANSWERED_PARTS;
-            if !full || self.answered.contains_key(&key) {
-                *self.answered.entry(key).or_default() += 1;
-            }
+            self.add_answered(key, 1);
         }
         self.ledger.record_answered(&Answered {
             service: service.to_owned(),
@@ -278,11 +275,19 @@
                     service: answered.service.clone(),
                     part,
                 };
-                *self.answered.entry(key).or_default() += count;
+                self.add_answered(key, count);
             }
         }
     }
 
+    /// Counts answers of one part; those of a further part are lost where too many parts wait.
+    fn add_answered(&mut self, key: Key, count: u32) {
+        let full = self.answered.len() >= MAX_ANSWERED_PARTS;
+        if !full || self.answered.contains_key(&key) {
+            *self.answered.entry(key).or_default() += count;
+        }
+    }
+
     /// Removes what no longer counts.
     pub fn remove_expired(&mut self, now: Instant) {
         self.ledger.remove_expired(now);
