Evidence of a report that failed keeps up with the time

Seen: on the own interface a report that failed is restored and sent again with the ages of its crashes, and the remaining times of its quarantines, as they were at first. The leader takes the crashes for later than they were, the quarantines for longer.

Cause: the times are relative, and PendingReport kept no instant to which they relate; what waited for the next report did not age either.

PendingReport keeps the instant at which its evidence holds. What is added is brought to the later of both instants, and what is taken to the instant of sending: ages grow, remaining times shrink, quarantines that have ended are left out. A failed report is restored with the instant at which it was taken.

Not changed: within one request, which tries instances for up to 5 s, the times stay those of its first attempt.

--- a/crates/flamingo-link/src/link.rs
+++ b/crates/flamingo-link/src/link.rs
@@ -98,7 +98,10 @@
 
     /// Adds evidence against prompts to the next report to a control instance.
     pub fn evidence(&self, evidence: Evidence) {
-        self.shared.pending_report().add_evidence(evidence);
+        let taken_at = Instant::now();
+        self.shared
+            .pending_report()
+            .add_evidence(evidence, taken_at);
     }
 
     /// Returns the supposed leader; `None` where none is known.
--- a/crates/flamingo-link/src/report.rs
+++ b/crates/flamingo-link/src/report.rs
@@ -9,7 +9,7 @@
 use slog::debug;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Time between two reports.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
@@ -33,6 +33,8 @@
     to_report: BTreeSet<id::Target>,
     demand: BTreeMap<id::Model, Demand>,
     evidence: Evidence,
+    /// The instant at which the ages and remaining times in the evidence hold; `None` before the first.
+    evidence_at: Option<Instant>,
 }
 
 impl PendingReport {
@@ -44,8 +46,13 @@
         self.to_report.insert(target.to_owned());
     }
 
-    /// Adds evidence to the next report.
-    pub(crate) fn add_evidence(&mut self, evidence: Evidence) {
+    /// Adds evidence to the next report. Its ages and remaining times hold at `taken_at`.
+    pub fn add_evidence(&mut self, mut evidence: Evidence, taken_at: Instant) {
+        let waiting_at = self.evidence_at.unwrap_or(taken_at);
+        let at = waiting_at.max(taken_at);
+        age(&mut self.evidence, at.saturating_duration_since(waiting_at));
+        age(&mut evidence, at.saturating_duration_since(taken_at));
+        self.evidence_at = Some(at);
         self.evidence.answered.extend(evidence.answered);
         self.evidence.crashes.extend(evidence.crashes);
         let requests = evidence.answered_requests;
@@ -57,6 +64,15 @@
         self.evidence.quarantines.truncate(MAX_EVIDENCE);
     }
 
+    /// Takes the evidence for a report that is sent now.
+    pub fn take_evidence(&mut self, now: Instant) -> Evidence {
+        let mut evidence = std::mem::take(&mut self.evidence);
+        if let Some(at) = self.evidence_at.take() {
+            age(&mut evidence, now.saturating_duration_since(at));
+        }
+        evidence
+    }
+
     /// Adds demand to the next report.
     pub(crate) fn add_demand(&mut self, demand: Vec<Demand>) {
         for item in demand {
@@ -72,6 +88,24 @@
     }
 }
 
+/// Corrects evidence by the time that has passed since it was taken. Quarantines that have ended are
+/// left out.
+fn age(evidence: &mut Evidence, passed: Duration) {
+    let passed_ms = u64::try_from(passed.as_millis()).unwrap_or(u64::MAX);
+    if passed_ms == 0 {
+        return;
+    }
+    for crash in &mut evidence.crashes {
+        crash.age_ms = crash.age_ms.saturating_add(passed_ms);
+    }
+    for quarantine in &mut evidence.quarantines {
+        quarantine.remaining_ms = quarantine.remaining_ms.saturating_sub(passed_ms);
+    }
+    evidence
+        .quarantines
+        .retain(|quarantine| quarantine.remaining_ms > 0);
+}
+
 /// Number of reports of which at least one is sent although it is empty: its reply brings the prompt
 /// parts in quarantine.
 const EMPTY_REPORT_PERIOD: u64 = 2;
@@ -82,7 +116,8 @@
     loop {
         actix_rt::time::sleep(REPORT_INTERVAL).await;
         count += 1;
-        let report = next_report(&shared, count % LOAD_REPORT_PERIOD == 0);
+        let taken_at = Instant::now();
+        let report = next_report(&shared, count % LOAD_REPORT_PERIOD == 0, taken_at);
         let empty = report.targets.is_empty()
             && report.demand.is_empty()
             && report.evidence == Evidence::default();
@@ -98,6 +133,7 @@
                 restore(
                     &shared,
                     report,
+                    taken_at,
                     fault.verdict == flamingo_wire::Verdict::NotRun,
                 );
             }
@@ -108,7 +144,7 @@
 
 /// Returns the next report. It contains targets whose state changed and, where `with_loads` is
 /// set, also those of which only the load may have changed.
-fn next_report(shared: &Shared, with_loads: bool) -> Report {
+fn next_report(shared: &Shared, with_loads: bool, now: Instant) -> Report {
     let machine = shared.machine();
     let mut pending = shared.pending_report();
     let mut report = Report {
@@ -133,16 +169,16 @@
         }
     }
     report.demand = std::mem::take(&mut pending.demand).into_values().collect();
-    report.evidence = std::mem::take(&mut pending.evidence);
+    report.evidence = pending.take_evidence(now);
     report
 }
 
 /// Restores the content of a report that failed, so that the next report contains it. Evidence that
 /// arrives twice counts once, but for answers, which speak for a prompt. Demand is
 /// restored only where the report was certainly not processed, so that none is counted twice.
-fn restore(shared: &Shared, report: Report, with_demand: bool) {
+fn restore(shared: &Shared, report: Report, taken_at: Instant, with_demand: bool) {
     let mut pending = shared.pending_report();
-    pending.add_evidence(report.evidence);
+    pending.add_evidence(report.evidence, taken_at);
     for announcement in report.targets {
         pending
             .reported_checksums
