Tests for the burst, the changed limit and the number of buckets of permits

Seen: with a burst of 20 in place of 2, a bucket whose rate never follows a changed limit, or no bound on the number of buckets, all tests passed.

Cause: the virtual fleet asks in every step at one limit and for one target, so that nothing is saved up, no limit changes and buckets never run out.

The bounds come from the documented rule: at most one and a half times the limit and 5 requests within 4 s, before as after a change; a raised limit gives more than the old one allowed; at most MAX_BUCKETS limits, of which none outlives a minute unnamed.

The program is not changed but that MAX_BUCKETS is public, so that the test names it.

--- a/crates/flamingo-guard/src/permits.rs
+++ b/crates/flamingo-guard/src/permits.rs
@@ -25,7 +25,7 @@
 /// Time after which the bucket of a limit that nobody names any more is dropped.
 const BUCKET_RETENTION: Duration = Duration::from_mins(1);
 /// Largest number of buckets; further targets get no permits.
-const MAX_BUCKETS: usize = 4_096;
+pub const MAX_BUCKETS: usize = 4_096;
 
 /// A token bucket, which begins empty.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/flamingo-guard/tests/permits.rs
+++ b/crates/flamingo-guard/tests/permits.rs
@@ -1,7 +1,7 @@
 //! Permits of a fleet in virtual time: in no four seconds does a target get more than one and a half
 //! times its limit, and five requests.
 
-use flamingo_guard::permits::{Bucket, Permits};
+use flamingo_guard::permits::{Bucket, MAX_BUCKETS, Permits};
 use rand_chacha::ChaCha8Rng;
 use rand_core::{Rng, SeedableRng};
 use std::time::{Duration, Instant};
@@ -65,10 +65,15 @@
     sent
 }
 
+/// Returns the most requests that a target with this limit may get in a window.
+fn allowed(limit: f64) -> f64 {
+    1.5 * limit * WINDOW.as_secs_f64() + 5.0
+}
+
 fn check(scenario: Scenario) {
     for seed in 0..SEEDS {
         let sent = run(scenario, seed);
-        let allowed = 1.5 * scenario.limit * WINDOW.as_secs_f64() + 5.0;
+        let allowed = allowed(scenario.limit);
         for (index, first) in sent.iter().enumerate() {
             let in_window = sent[index..].iter().take_while(|at| **at < *first + WINDOW);
             let count = u32::try_from(in_window.count()).expect("few");
@@ -80,6 +85,19 @@
     }
 }
 
+/// Returns how many requests a target gets in the window from `start` where each step has one.
+fn sent_in_window(permits: &mut Permits, limit: f64, start: Instant) -> f64 {
+    let mut sent = 0.0;
+    let mut now = start;
+    while now < start + WINDOW {
+        if permits.try_take("t", 1, Some(limit), now).is_ok() {
+            sent += 1.0;
+        }
+        now += STEP;
+    }
+    sent
+}
+
 macro_rules! fleets {
     ($($name:ident: $scenario:expr;)*) => {
         $(#[test]
@@ -150,3 +168,54 @@
     let sent = sent.count();
     assert!((1..=4).contains(&sent), "{sent} requests in 30 s");
 }
+
+macro_rules! cases {
+    ($($name:ident: $scenario:expr;)*) => {
+        $(#[test]
+        fn $name() {
+            let scenario: fn(&mut Permits, Instant) = $scenario;
+            scenario(&mut Permits::default(), Instant::now());
+        })*
+    };
+}
+
+cases! {
+    a_pause_saves_up_more_than_the_limit_allows: |permits, start| {
+        for limit in [0.5, 1.0, 2.0] {
+            assert!(permits.try_take("t", 1, Some(limit), start).is_err());
+            let sent = sent_in_window(permits, limit, start + Duration::from_secs(50));
+            assert!(sent <= allowed(limit), "{sent} at {limit} a second");
+            *permits = Permits::default();
+        }
+    };
+    a_lowered_limit_is_not_followed: |permits, start| {
+        sent_in_window(permits, 60.0, start);
+        let sent = sent_in_window(permits, 2.0, start + WINDOW);
+        assert!(sent <= allowed(2.0), "{sent} at 2 a second");
+    };
+    a_raised_limit_is_not_followed: |permits, start| {
+        sent_in_window(permits, 2.0, start);
+        let sent = sent_in_window(permits, 60.0, start + WINDOW);
+        assert!(sent > allowed(2.0), "{sent} at 60 a second, as if at 2");
+    };
+    buckets_grow_without_bound: |permits, start| {
+        for target in 0..=MAX_BUCKETS {
+            assert!(permits.try_take(&target.to_string(), 1, Some(2.0), start).is_err());
+        }
+        assert_eq!(permits.limits(start).len(), MAX_BUCKETS);
+        let later = start + Duration::from_secs(1);
+        let further = MAX_BUCKETS.to_string();
+        assert!(permits.try_take(&further, 1, Some(2.0), later).is_err());
+        assert_eq!(permits.try_take("0", 1, Some(2.0), later), Ok(()));
+    };
+    buckets_that_nobody_names_keep_others_out: |permits, start| {
+        for target in 0..MAX_BUCKETS {
+            assert!(permits.try_take(&target.to_string(), 1, Some(2.0), start).is_err());
+        }
+        let later = start + Duration::from_mins(1);
+        assert!(permits.try_take("t", 1, Some(2.0), later).is_err());
+        assert_eq!(permits.limits(later).len(), 1);
+        let refilled = later + Duration::from_millis(500);
+        assert_eq!(permits.try_take("t", 1, Some(2.0), refilled), Ok(()));
+    };
+}
