Only an answer decides between a silent target and another

Now a late refusal or failure of the silent target leaves the other its time; for a stream the first event decides, not the head; any response but a rejection or a server error is an answer.

--- a/crates/flamingo-serve/src/exchange.rs
+++ b/crates/flamingo-serve/src/exchange.rs
@@ -66,6 +66,14 @@
     pub sent_at: Instant,
 }
 
+impl PendingResponse {
+    /// Returns whether this answers the request: it is no rejection and no failure of the target.
+    #[must_use]
+    pub fn is_answer(&self) -> bool {
+        self.parsed.rejection.is_none() && !self.head.status.is_server_error()
+    }
+}
+
 /// Why no response head was received.
 #[derive(Clone, Copy, Debug, Eq, IntoStaticStr, PartialEq)]
 #[strum(serialize_all = "snake_case")]
--- a/crates/flamingo-serve/src/proxy/attempt.rs
+++ b/crates/flamingo-serve/src/proxy/attempt.rs
@@ -1,6 +1,7 @@
 //! Chooses a target and sends a request to it.
 
 use super::Proxy;
+use super::forward::Reply;
 use super::job::{AttemptError, Job};
 use super::load_guard::LoadGuard;
 use crate::body::Body;
@@ -27,8 +28,10 @@
             Choice::NoTarget => return Err(AttemptError::NoAlternative(Cause::NoTarget)),
             Choice::NoModel => return Err(AttemptError::NoAlternative(Cause::NoModel)),
         };
-        let answered = self.ask_or_replace(job, candidate).await?;
-        self.forward(job, answered).await
+        match self.ask_or_replace(job, candidate).await? {
+            Reply::Answered(answered) => self.forward(job, answered).await,
+            Reply::Begun(begun) => self.stream_response(job, begun).await,
+        }
     }
 
     /// Counts a request in the load of the chosen target, and has its adapter loaded there if that is
--- a/crates/flamingo-serve/src/proxy/forward.rs
+++ b/crates/flamingo-serve/src/proxy/forward.rs
@@ -37,6 +37,14 @@
     pub response: PendingResponse,
 }
 
+/// What a target has answered.
+pub(super) enum Reply {
+    /// A response head.
+    Answered(Answered),
+    /// The head and the first event of a stream.
+    Begun(Begun),
+}
+
 /// A stream whose first event has been received.
 pub(super) struct Begun {
     /// The target, with the prediction for the request.
@@ -77,7 +85,9 @@
         let answered = self.check_head(job, answered)?;
         let status = answered.response.head.status;
         if job.route.kind == Kind::Stream && status.is_success() {
-            return self.forward_stream(job, answered).await;
+            let last_event_id = job.request.last_event_id;
+            let begun = self.first_event(job, answered, last_event_id, job.deadline);
+            return self.stream_response(job, begun.await?).await;
         }
         self.forward_whole(job, answered).await
     }
@@ -100,14 +110,14 @@
         Ok(answered)
     }
 
-    /// As [`Self::check_head`], and returns an error if the response is no success.
-    pub(super) fn check_success(
+    /// As [`Self::check_head`], and returns an error if the target failed.
+    pub(super) fn check_answer(
         self: &Rc<Self>,
         job: &Job,
         answered: Answered,
     ) -> Result<Answered, AttemptError> {
         let answered = self.check_head(job, answered)?;
-        if answered.response.head.status.is_success() {
+        if !answered.response.head.status.is_server_error() {
             return Ok(answered);
         }
         self.discard(&answered.load_guard.target, answered.response);
@@ -182,12 +192,13 @@
         Ok(Response::from_parts(head, Body::whole(bytes)))
     }
 
-    /// Waits for the first event of a stream that goes on after `last_event_id`.
+    /// Waits until `deadline` for the first event of a stream that goes on after `last_event_id`.
     pub(super) async fn first_event(
         self: &Rc<Self>,
         job: &Job,
         answered: Answered,
         last_event_id: Option<u64>,
+        deadline: Instant,
     ) -> Result<Begun, AttemptError> {
         let Answered {
             candidate,
@@ -195,7 +206,7 @@
             response,
         } = answered;
         let mut source = EventStream::new(response);
-        let next = source.next(job.deadline).await;
+        let next = source.next(deadline).await;
         let target = &load_guard.target;
         self.log_stream_end(job, target, &source, &next, last_event_id);
         let first = match next {
@@ -223,22 +234,20 @@
         })
     }
 
-    /// Waits for the first event of a stream, and returns a response that streams the events to
-    /// the caller.
-    async fn forward_stream(
+    /// Returns a response that streams the events to the caller.
+    pub(super) async fn stream_response(
         self: &Rc<Self>,
         job: &Rc<Job>,
-        answered: Answered,
+        begun: Begun,
     ) -> Result<Response<Body>, AttemptError> {
-        let head = self.caller_head(job, &answered.response.head);
-        let sent_at = answered.response.sent_at;
-        let last_event_id = job.request.last_event_id;
         let Begun {
             candidate,
             load_guard,
             source,
             first,
-        } = self.first_event(job, answered, last_event_id).await?;
+        } = begun;
+        let head = self.caller_head(job, &source.response.head);
+        let sent_at = source.response.sent_at;
         let done = first.is_none();
         self.begin_stream(job, &candidate);
         let rate = self.observe_prefill(job, &candidate, sent_at);
--- a/crates/flamingo-serve/src/proxy/silence.rs
+++ b/crates/flamingo-serve/src/proxy/silence.rs
@@ -6,11 +6,12 @@
 //! answers is a target that stands still, or dies without a word, under many requests at a time, while
 //! the others refuse, fail or are silent as well.
 
-use super::forward::Answered;
+use super::forward::{Answered, Reply};
 use super::job::{AttemptError, Job};
 use super::{MAX_UNREACHABLE, Proxy};
 use crate::choice::{Candidate, Choice};
 use crate::exchange::PendingResponse;
+use flamingo_wire::route::Kind;
 use futures_util::future::{Either, select};
 use slog::info;
 use std::future::Future;
@@ -55,17 +56,17 @@
         self: &Rc<Self>,
         job: &Rc<Job>,
         candidate: Candidate,
-    ) -> Result<Answered, AttemptError> {
+    ) -> Result<Reply, AttemptError> {
         let load_guard = self.prepare(job, &candidate).await?;
         match self.send_or_replace(job, &candidate).await {
-            Winner::Silent(result) => Ok(Answered {
+            Winner::Silent(result) => Ok(Reply::Answered(Answered {
                 candidate,
                 load_guard,
                 response: result?,
-            }),
-            Winner::Other(answered) => {
+            })),
+            Winner::Other(reply) => {
                 job.may_have_run.set(true);
-                Ok(answered)
+                Ok(reply)
             }
         }
     }
@@ -74,7 +75,7 @@
         self: &Rc<Self>,
         job: &Rc<Job>,
         candidate: &Candidate,
-    ) -> Winner<Result<PendingResponse, AttemptError>, Answered> {
+    ) -> Winner<Result<PendingResponse, AttemptError>, Reply> {
         let silent_at = Self::silent_at(job, candidate);
         let mut sending = pin!(self.send(job, candidate, job.request.last_event_id));
         let Some(silent_at) = silent_at else {
@@ -89,7 +90,18 @@
         if !self.may_replace(job) {
             return Winner::Silent(sending.await);
         }
-        race(sending, self.ask_others(job)).await
+        // A late refusal of the silent target leaves the others their time.
+        let silent = async {
+            match sending.await {
+                Ok(response) if response.is_answer() => Ok(response),
+                other => Err(other),
+            }
+        };
+        match race(silent, Box::pin(self.ask_others(job))).await {
+            Winner::Silent(Ok(response)) => Winner::Silent(Ok(response)),
+            Winner::Silent(Err(failed)) => Winner::Silent(failed),
+            Winner::Other(begun) => Winner::Other(begun),
+        }
     }
 
     /// Returns when a target without a response head counts as silent. Returns `None` if it never does:
@@ -124,11 +136,20 @@
         self.topology.table.borrow_mut().record_response(target);
     }
 
-    /// Sends a request to other targets until one responds with a success.
-    async fn ask_others(self: &Rc<Self>, job: &Rc<Job>) -> Option<Answered> {
+    /// Sends a request to other targets until one answers: with the first event, if it is a stream.
+    async fn ask_others(self: &Rc<Self>, job: &Rc<Job>) -> Option<Reply> {
+        let last_event_id = job.request.last_event_id;
         let ask = async |candidate: Candidate| {
-            let answered = self.ask(job, candidate, job.request.last_event_id).await?;
-            self.check_success(job, answered)
+            let answered = self.ask(job, candidate, last_event_id).await?;
+            let answered = self.check_answer(job, answered)?;
+            let is_stream =
+                job.route.kind == Kind::Stream && answered.response.head.status.is_success();
+            if !is_stream {
+                return Ok(Reply::Answered(answered));
+            }
+            let deadline = job.deadline;
+            let begun = self.first_event(job, answered, last_event_id, deadline);
+            Ok(Reply::Begun(begun.await?))
         };
         self.find_other(job, ask).await
     }
--- a/crates/flamingo-serve/src/proxy/stream.rs
+++ b/crates/flamingo-serve/src/proxy/stream.rs
@@ -176,6 +176,7 @@
             return self.receive(deadline).await;
         }
         let (proxy, job) = (Rc::clone(&self.proxy), Rc::clone(&self.job));
+        let candidate = self.candidate.clone();
         let last_event_id = self.last_event_id;
         let silent = async {
             match self.receive(deadline).await {
@@ -183,8 +184,9 @@
                 next => Ok(next),
             }
         };
-        match race(silent, proxy.find_successor(&job, last_event_id)).await {
-            Winner::Silent(Err(broken)) => broken,
+        let successor = proxy.find_successor_of_silent(&job, &candidate, last_event_id);
+        match race(silent, Box::pin(successor)).await {
+            Winner::Silent(Err(next) | Ok(next @ Next::TimedOut)) => next,
             Winner::Silent(Ok(next)) => {
                 info!(proxy.log, "target went on"; "request" => &job.request.attempt_id,
                     "target" => &self.load_guard.target,
@@ -205,7 +207,9 @@
         // Closes the connection, so that the target stops before another one continues.
         self.source = None;
         let proxy = Rc::clone(&self.proxy);
-        let begun = proxy.find_successor(&self.job, self.last_event_id).await?;
+        let begun = proxy
+            .find_successor(&self.job, self.last_event_id, None)
+            .await?;
         Some(self.adopt(begun))
     }
 
