Daemons that won't start say why, a line for each problem

An entry whose inner port was in use logged "entry ready" and tried it again for ever.

Cause: `main` of flamingo-entry and flamingo-control returned the error, which Rust prints as a debug value with code 1; the errors of sockets named neither field nor address; the inner port of an entry is bound by a task of the link that has nobody to tell.

`startup::Check` tries listeners, data folder, key files and certificate before anything starts and collects all problems. It keeps its listeners until the end, so an address that is set twice is found too. A key file names each bad line with the length of its key, not the key. A folder counts as writable once a file has been created in it and removed: `create_dir_all` alone accepts a folder that exists and can't be written.

Why it works: the check runs before the link and the actors start, so no task can swallow the error. The real `bind` after it names its field as well, for a port that is taken in between.

Not changed: flamingo-platform stops at its first listener or folder, without a count; its inner port in use ends with code 1. Of a bad certificate and a bad key file of TLS only the first is said. Errors after the start end the process at once, so that log lines that a live task still holds queued may be lost, as in flamingo-platform.

--- a/crates/flamingo-control/src/daemon.rs
+++ b/crates/flamingo-control/src/daemon.rs
@@ -13,6 +13,7 @@
 use actix_web::web::Data;
 use actix_web::{App, HttpServer};
 use flamingo_daemon::clock;
+use flamingo_daemon::startup::{self, Check, Problem};
 use flamingo_log::file::{Folder, Opened};
 use flamingo_log::raft::{MembershipPolicy, Options as RaftOptions, Seed};
 use flamingo_log::{Raft, Timing, disk};
@@ -44,6 +45,9 @@
 /// Upper bound on the bytes of a frame in addition to the body.
 const FRAME_OVERHEAD: usize = 4 * 1024;
 
+/// Key of the settings with the address for operators, as in messages.
+const HTTP_FIELD: &str = "[listen] http";
+
 /// Runs a control instance until the future `stop` resolves.
 ///
 /// # Errors
@@ -69,6 +73,7 @@
     leader_tasks: Vec<Box<dyn LeaderTask>>,
     stop: impl Future<Output = ()> + 'static,
 ) -> Result<(), Box<dyn Error>> {
+    check(&settings)?;
     let metrics = Metrics::new()?;
     let core = Core::start(core_setup(&settings, &metrics, leader_tasks, &log)).await?;
     let shared = Data::new(http::Shared {
@@ -79,7 +84,8 @@
         HttpServer::new(move || App::new().app_data(shared.clone()).configure(http::routes))
             .workers(1)
             .disable_signals()
-            .bind(settings.node.http)?
+            .bind(settings.node.http)
+            .map_err(|error| Problem::Listener(HTTP_FIELD, settings.node.http, error))?
             .run();
     info!(log, "control ready"; "http" => %settings.node.http, "inner" => %settings.node.inner);
     let handle = server.handle();
@@ -93,6 +99,15 @@
     Ok(())
 }
 
+/// Tries the listeners and the data folder that the settings name.
+fn check(settings: &Settings) -> Result<(), startup::Error> {
+    let mut check = Check::default();
+    check.listener(HTTP_FIELD, settings.node.http);
+    check.listener("[listen] inner", settings.node.inner);
+    check.folder("[control] data", &settings.data);
+    check.finish(Some(()))
+}
+
 /// Builds the setup of the core from the settings. Without other control instances in the
 /// settings, this instance is the only seed.
 fn core_setup(
--- a/crates/flamingo-control/src/main.rs
+++ b/crates/flamingo-control/src/main.rs
@@ -1,6 +1,7 @@
 //! Runs a control instance: `flamingo-control --settings FILE`.
 
 use flamingo_control::daemon;
+use flamingo_daemon::startup::{self, EXIT_STATUS, USAGE_STATUS, fail};
 use flamingo_daemon::{log, stop};
 use flamingo_settings::control::Settings;
 use lexopt::prelude::*;
@@ -29,16 +30,23 @@
 }
 
 #[actix_web::main]
-async fn main() -> Result<(), Box<dyn std::error::Error>> {
-    let options = parse_options()?;
-    let settings = Settings::open(&options.settings.ok_or(USAGE)?)?;
+async fn main() {
+    let options = parse_options().unwrap_or_else(|error| fail(&error.to_string(), USAGE_STATUS));
+    let file = options
+        .settings
+        .unwrap_or_else(|| fail(USAGE, USAGE_STATUS));
+    let settings =
+        Settings::open(&file).unwrap_or_else(|error| fail(&error.to_string(), EXIT_STATUS));
     if options.check {
-        return Ok(());
+        return;
     }
     let level = settings.node.level.parse().unwrap_or(slog::Level::Info);
     let log = log::root(&settings.node.name, level);
     let stop_requested = async {
         let _ = stop::requested().await;
     };
-    daemon::run(settings, log, stop_requested).await
+    if let Err(error) = daemon::run(settings, log, stop_requested).await {
+        let error = error.as_ref();
+        fail(&startup::explain(&file, error), startup::status(error));
+    }
 }
--- a/crates/flamingo-daemon/src/guard.rs
+++ b/crates/flamingo-daemon/src/guard.rs
@@ -5,6 +5,7 @@
 
 use crate::answer;
 use crate::key::Keyring;
+use crate::startup::{self, Check, Problem};
 use actix_web::body::{BoxBody, EitherBody, MessageBody};
 use actix_web::dev::{ServiceRequest, ServiceResponse};
 use actix_web::http::header;
@@ -14,7 +15,7 @@
 use flamingo_settings::keys::Keys;
 use flamingo_wire::Fault;
 use flamingo_wire::fault::Reason;
-use std::path::PathBuf;
+use std::path::Path;
 use std::time::Instant;
 
 /// Name of the owner of a request's key, for the handlers and the log.
@@ -34,18 +35,16 @@
     ///
     /// # Errors
     ///
-    /// Returns a description of the problem with a key file.
-    pub fn open(keys: &Keys, now: Instant) -> Result<Self, String> {
-        let open = |path: &Option<PathBuf>| {
-            path.as_ref()
-                .map(|path| Keyring::open(path, now))
-                .transpose()
+    /// Returns all problems with the key files.
+    pub fn open(keys: &Keys, now: Instant) -> Result<Self, startup::Error> {
+        let mut check = Check::default();
+        let mut open = |field, path| check.take(open(field, path, now));
+        let guard = Self {
+            callers: open("[keys] callers", keys.callers.as_deref()).flatten(),
+            operators: open("[keys] operators", keys.operators.as_deref()).flatten(),
+            targets: open("[keys] targets", keys.targets.as_deref()).flatten(),
         };
-        Ok(Self {
-            callers: open(&keys.callers)?,
-            operators: open(&keys.operators)?,
-            targets: open(&keys.targets)?,
-        })
+        check.finish(Some(guard))
     }
 
     /// Returns the keyring for `path`, or `None` where everyone may send requests, as on the
@@ -74,6 +73,21 @@
     }
 }
 
+/// Loads the key file at `path`, which comes from `field` of the settings.
+fn open(
+    field: &'static str,
+    path: Option<&Path>,
+    now: Instant,
+) -> Result<Option<Keyring>, startup::Error> {
+    let keyring = path.map(|path| Keyring::open(path, now)).transpose();
+    keyring.map_err(|text| {
+        let problems = text
+            .lines()
+            .map(|line| Problem::Keys(field, line.to_owned()));
+        startup::Error::Unusable(problems.collect())
+    })
+}
+
 fn refusal(path: &str) -> Fault {
     let message = format!("no valid key for {path}");
     let help = "send the header 'Authorization: Bearer KEY' with a key of this kind of route";
--- a/crates/flamingo-daemon/src/key.rs
+++ b/crates/flamingo-daemon/src/key.rs
@@ -59,33 +59,43 @@
     }
 }
 
+/// Reads all owners; the error has one line for each bad line of the file.
 fn read(path: &Path) -> Result<Owners, String> {
     let path_text = path.display();
     let text = std::fs::read_to_string(path).map_err(|error| format!("{path_text}: {error}"))?;
     let mut owners = Vec::new();
+    let mut problems = Vec::new();
     for (number, line) in text.lines().enumerate() {
         let line = line.trim();
         if line.is_empty() || line.starts_with('#') {
             continue;
         }
-        let invalid_line = || {
-            format!(
-                "{path_text}:{}: expected 'name key' with a key of at least {MIN_KEY_LEN} bytes",
+        match parse(line) {
+            Ok(owner) => owners.push(owner),
+            Err(seen) => problems.push(format!(
+                "{path_text}:{}: {seen}; \
+                expected 'name key' with a key of at least {MIN_KEY_LEN} bytes",
                 number + 1
-            )
-        };
-        let (name, key) = line
-            .split_once(char::is_whitespace)
-            .ok_or_else(invalid_line)?;
-        let key = key.trim();
-        if key.len() < MIN_KEY_LEN {
-            return Err(invalid_line());
+            )),
         }
-        let digest = Sha256::digest(key).into();
-        owners.push(Owner {
-            name: name.to_owned(),
-            digest,
-        });
     }
-    Ok(Owners(owners))
+    if problems.is_empty() {
+        return Ok(Owners(owners));
+    }
+    Err(problems.join("\n"))
+}
+
+/// Parses a line; the error says what is wrong with it and contains no key.
+fn parse(line: &str) -> Result<Owner, String> {
+    let (name, key) = line
+        .split_once(char::is_whitespace)
+        .ok_or("a name and no key, or a key and no name")?;
+    let key = key.trim();
+    if key.len() < MIN_KEY_LEN {
+        return Err(format!("a key of {} bytes", key.len()));
+    }
+    Ok(Owner {
+        name: name.to_owned(),
+        digest: Sha256::digest(key).into(),
+    })
 }
--- a/crates/flamingo-daemon/src/lib.rs
+++ b/crates/flamingo-daemon/src/lib.rs
@@ -1,4 +1,5 @@
-//! Code that the daemons share: logs, metrics, signals, keys, TLS and HTTP error responses.
+//! Code that the daemons share: logs, metrics, signals, keys, TLS, HTTP error responses and
+//! reasons not to start.
 
 pub mod answer;
 pub mod clock;
@@ -7,5 +8,6 @@
 pub mod log;
 pub mod metrics;
 pub mod reload;
+pub mod startup;
 pub mod stop;
 pub mod tls;
--- a/crates/flamingo-entry/src/daemon.rs
+++ b/crates/flamingo-entry/src/daemon.rs
@@ -12,12 +12,15 @@
 use actix_web::web::Data;
 use actix_web::{App, HttpServer};
 use flamingo_daemon::guard::{self, Guard};
+use flamingo_daemon::startup::{self, Check, Problem};
 use flamingo_daemon::tls;
 use flamingo_link::Link;
 use flamingo_route::Limit;
 use flamingo_settings::entry::Settings;
+use flamingo_settings::node::Node;
 use flamingo_settings::serve::Serve;
 use flamingo_wire::frame::Seal;
+use rustls::ServerConfig;
 use slog::{Logger, info, warn};
 use std::error::Error;
 use std::future::Future;
@@ -31,6 +34,9 @@
 /// Time for which an idle connection of a caller is kept open.
 const KEEP_ALIVE: Duration = Duration::from_secs(15);
 
+/// Key of the settings with the address for callers, as in messages.
+const HTTP_FIELD: &str = "[listen] http";
+
 /// Runs an entry instance until `stop` ends.
 ///
 /// # Errors
@@ -41,6 +47,7 @@
     log: Logger,
     stop: impl Future<Output = ()> + 'static,
 ) -> Result<(), Box<dyn Error>> {
+    let opened = open(&settings.node)?;
     let seal = Seal::new(&settings.node.name, settings.node.key.as_bytes());
     let state = Arc::new(WorkerState::default());
     let metrics = Metrics::new()?;
@@ -55,7 +62,7 @@
     actix_rt::spawn(report_demand(dispatcher.clone(), link.clone()));
     let leaving_link = link.clone();
     let node = settings.node;
-    let guard = Data::new(Guard::open(&node.keys, Instant::now())?);
+    let guard = Data::new(opened.guard);
     let app_state = AppState {
         dispatcher: dispatcher.clone(),
         worker_state: Arc::clone(&state),
@@ -94,11 +101,13 @@
     .h1_allow_half_closed(false)
     .shutdown_timeout(node.grace.as_secs().max(1))
     .disable_signals();
-    let server = match &node.tls {
-        Some(files) => server.bind_rustls_0_23(node.http, tls::config(files)?)?,
-        None => server.bind(node.http)?,
+    let server = match opened.tls {
+        Some(tls) => server.bind_rustls_0_23(node.http, tls),
+        None => server.bind(node.http),
     };
-    let server = server.run();
+    let server = server
+        .map_err(|error| Problem::Listener(HTTP_FIELD, node.http, error))?
+        .run();
     info!(log, "entry ready"; "http" => %node.http, "zone" => &node.zone);
     actix_rt::spawn(shut_down(
         stop,
@@ -119,6 +128,26 @@
     Ok(())
 }
 
+/// What the settings name, opened.
+struct Opened {
+    guard: Guard,
+    tls: Option<ServerConfig>,
+}
+
+/// Opens the files that the settings name, and tries the listeners.
+///
+/// The link would try a taken inner address again and again, so it is tried here first.
+fn open(node: &Node) -> Result<Opened, startup::Error> {
+    let mut check = Check::default();
+    check.listener(HTTP_FIELD, node.http);
+    check.listener("[listen] inner", node.inner);
+    let guard = check.take(Guard::open(&node.keys, Instant::now()));
+    let tls = node.tls.as_ref().map(tls::config).transpose();
+    let tls = check.take(tls.map_err(|error| startup::Error::Unusable(vec![Problem::Tls(error)])));
+    let opened = guard.zip(tls).map(|(guard, tls)| Opened { guard, tls });
+    check.finish(opened)
+}
+
 fn start_dispatcher(
     arbiter: &Arbiter,
     settings: &Settings,
--- a/crates/flamingo-entry/src/main.rs
+++ b/crates/flamingo-entry/src/main.rs
@@ -1,5 +1,6 @@
 //! Runs an entry instance: `flamingo-entry --settings FILE`.
 
+use flamingo_daemon::startup::{self, EXIT_STATUS, USAGE_STATUS, fail};
 use flamingo_daemon::{log, stop};
 use flamingo_entry::daemon;
 use flamingo_settings::entry::Settings;
@@ -29,16 +30,24 @@
 }
 
 #[actix_web::main]
-async fn main() -> Result<(), Box<dyn std::error::Error>> {
-    let arguments = parse_arguments()?;
-    let settings = Settings::open(&arguments.settings.ok_or(USAGE)?)?;
+async fn main() {
+    let arguments =
+        parse_arguments().unwrap_or_else(|error| fail(&error.to_string(), USAGE_STATUS));
+    let file = arguments
+        .settings
+        .unwrap_or_else(|| fail(USAGE, USAGE_STATUS));
+    let settings =
+        Settings::open(&file).unwrap_or_else(|error| fail(&error.to_string(), EXIT_STATUS));
     if arguments.check {
-        return Ok(());
+        return;
     }
     let level = settings.node.level.parse().unwrap_or(slog::Level::Info);
     let log = log::root(&settings.node.name, level);
     let stop_signal = async {
         let _ = stop::requested().await;
     };
-    daemon::run(settings, log, stop_signal).await
+    if let Err(error) = daemon::run(settings, log, stop_signal).await {
+        let error = error.as_ref();
+        fail(&startup::explain(&file, error), startup::status(error));
+    }
 }
--- a/crates/flamingo-settings/src/reader.rs
+++ b/crates/flamingo-settings/src/reader.rs
@@ -46,11 +46,26 @@
         }
         /// The file has these problems.
         Problems(list: Vec<Problem>) {
-            display("{}", list.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n"))
+            display("{}", format_problems(list))
         }
     }
 }
 
+/// Writes one line for each problem, and their number in the last line.
+///
+/// ```
+/// use flamingo_settings::reader::format_problems;
+///
+/// assert_eq!(format_problems(["no zone", "no name"]), "no zone\nno name\n2 problems");
+/// ```
+#[must_use]
+pub fn format_problems<T: fmt::Display>(problems: impl IntoIterator<Item = T>) -> String {
+    let mut lines: Vec<_> = problems.into_iter().map(|line| line.to_string()).collect();
+    let plural = if lines.len() == 1 { "" } else { "s" };
+    lines.push(format!("{} problem{plural}", lines.len()));
+    lines.join("\n")
+}
+
 /// Description of valid names, for messages.
 pub const NAME: &str = "1 to 64 letters, digits, '-', '_' and '.'";
 /// Maximum length of a name, in bytes.
--- a/crates/flamingo-test-support/src/lib.rs
+++ b/crates/flamingo-test-support/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod history;
 pub mod operator;
 pub mod process;
+pub mod refusal;
 pub mod registration;
 pub mod relay;
 pub mod seed;
