--- a/crates/flamingo-daemon/src/startup.rs
+++ b/crates/flamingo-daemon/src/startup.rs
@@ -82,9 +82,11 @@
         }
     }
 
-    /// Tries to write to the folder `path`, which comes from `field` of the settings.
+    /// Tries to write to the folder `path`, which comes from `field` of the settings. A full disk is
+    /// no problem here: the process runs and says so.
     pub fn folder(&mut self, field: &'static str, path: &Path) {
-        self.problems.extend(create_folder(field, path).err());
+        let written = create_folder(field, path).and_then(|()| try_writing(field, path));
+        self.problems.extend(written.err());
     }
 
     /// Returns what was opened, or `None` and keeps the problems.
@@ -128,16 +130,20 @@
 ///
 /// # Errors
 ///
-/// Returns an error that names `field` where the folder can't be created or written.
+/// Returns an error that names `field` where the folder can't be created.
 pub fn create_folder(field: &'static str, path: &Path) -> Result<(), Problem> {
-    try_writing(path).map_err(|error| Problem::Folder(field, path.to_owned(), error))
+    std::fs::create_dir_all(path).map_err(|error| Problem::Folder(field, path.to_owned(), error))
 }
 
-fn try_writing(path: &Path) -> io::Result<()> {
-    std::fs::create_dir_all(path)?;
+fn try_writing(field: &'static str, path: &Path) -> Result<(), Problem> {
     let probe = path.join(PROBE);
-    std::fs::File::create(&probe)?;
-    std::fs::remove_file(probe)
+    let written = std::fs::File::create(&probe).and_then(|_| std::fs::remove_file(probe));
+    match written {
+        Err(error) if error.kind() != io::ErrorKind::StorageFull => {
+            Err(Problem::Folder(field, path.to_owned(), error))
+        }
+        _ => Ok(()),
+    }
 }
 
 /// Returns what a person should read about `error`, which ended a process with the settings
