--- a/crates/flamingo-serve/src/proxy.rs
+++ b/crates/flamingo-serve/src/proxy.rs
@@ -2,12 +2,14 @@
 
 mod adapter;
 mod attempt;
+mod begin;
 mod crash;
 mod forward;
 mod job;
 mod load_guard;
 mod permit;
 mod refusal;
+mod release;
 mod resumption;
 mod silence;
 mod stream;
--- a/crates/flamingo-serve/src/proxy/stream.rs
+++ b/crates/flamingo-serve/src/proxy/stream.rs
@@ -2,7 +2,7 @@
 //! one fails or is silent.
 
 use super::Proxy;
-use super::forward::Begun;
+use super::begin::Begun;
 use super::job::Job;
 use super::load_guard::LoadGuard;
 use super::silence::{Winner, race};
--- a/crates/flamingo-serve/src/proxy/successor.rs
+++ b/crates/flamingo-serve/src/proxy/successor.rs
@@ -1,7 +1,7 @@
 //! Finds another target that goes on with a stream.
 
 use super::Proxy;
-use super::forward::Begun;
+use super::begin::Begun;
 use super::job::{AttemptError, Job};
 use crate::choice::Candidate;
 use crate::pool;
