Models that callers ask for take turns where not all fit

Cause: a last ready copy was never unloaded, so that nothing moved any more once each place held one. Change: where not all models fit, a model that is asked for has a claim to a place, its demand times its wait, and takes the place of a copy that the claim outweighs; last copies stay for two loads at least; busy models get second copies in idle places; models that nobody asks for take free memory only. Where all fit, a last copy is copied before it goes. The leader publishes what each engine is loading.

--- a/crates/flamingo-control/src/controller/demand.rs
+++ b/crates/flamingo-control/src/controller/demand.rs
@@ -21,6 +21,9 @@
 /// Time after which the loads that an entry reported no longer count.
 const LOADS_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time after a request in which callers are assumed to still want the model.
+const INTEREST_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// The demand for one model.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Estimate {
@@ -30,6 +33,8 @@
     long: Rate,
     /// Work of one request, in seconds of an engine.
     request_s: f64,
+    /// Until when callers are assumed to want the model.
+    wanted_until: Instant,
 }
 
 impl Estimate {
@@ -38,6 +43,7 @@
             short: Rate::new(SHORT_WINDOW, now),
             long: Rate::new(LONG_WINDOW, now),
             request_s: 0.0,
+            wanted_until: now,
         }
     }
 
@@ -45,6 +51,7 @@
     fn add(&mut self, work: f64, requests: u32, now: Instant) {
         if requests > 0 {
             self.request_s = work / f64::from(requests);
+            self.wanted_until = now + INTEREST_TIMEOUT;
         }
         self.short.add(work, now);
         self.long.add(work, now);
@@ -101,6 +108,14 @@
         estimate.map_or(0.0, |estimate| estimate.forecast(now, age))
     }
 
+    /// Returns whether a caller has asked for a model within the last `INTEREST_TIMEOUT`.
+    #[must_use]
+    pub fn is_wanted(&self, service: &str, model: &str, now: Instant) -> bool {
+        let key = (service.to_owned(), model.to_owned());
+        let estimate = self.estimates.get(&key);
+        estimate.is_some_and(|estimate| now < estimate.wanted_until)
+    }
+
     /// Returns the adapters of a target that requests of any entry use, by model.
     #[must_use]
     pub fn adapters_in_use(&self, target: &str) -> Vec<Resident> {
--- a/crates/flamingo-control/src/controller/engine.rs
+++ b/crates/flamingo-control/src/controller/engine.rs
@@ -7,7 +7,7 @@
 
 use super::engine_api::{Operation, Order, Outcome, Report};
 use super::residents::Residents;
-use flamingo_wire::target::{Registration, Residency, Resident};
+use flamingo_wire::target::{Loading, Registration, Residency, Resident};
 use flamingo_wire::{id, route};
 use quick_error::quick_error;
 use std::collections::BTreeMap;
@@ -87,10 +87,14 @@
     pub backoff_until: Option<Instant>,
     /// The resident models, with their adapters and when each of these was last requested.
     models: BTreeMap<id::Model, BTreeMap<id::Adapter, Instant>>,
+    /// Since when this leadership knows each of `models` to be resident.
+    resident_since: BTreeMap<id::Model, Instant>,
     /// Loads that got no answer, also those to an earlier incarnation under the same name.
     late_loads: Vec<LateLoad>,
     /// The model that the move in progress loads.
     pub loading: Option<id::Model>,
+    /// When `loading` is expected to be resident.
+    pub loaded_by: Option<Instant>,
     /// The model that the move in progress unloads.
     pub unloading: Option<id::Model>,
     /// Whether a move is in progress.
@@ -111,8 +115,10 @@
             reported_at: None,
             backoff_until: None,
             models: BTreeMap::new(),
+            resident_since: BTreeMap::new(),
             late_loads: Vec::new(),
             loading: None,
+            loaded_by: None,
             unloading: None,
             moving: false,
             moves_started: 0,
@@ -155,9 +161,43 @@
             });
             replaced.insert(resident.model.clone(), adapters.collect());
         }
+        self.resident_since
+            .retain(|model, _| replaced.contains_key(model));
+        for model in replaced.keys() {
+            self.resident_since.entry(model.clone()).or_insert(now);
+        }
         self.models = replaced;
     }
 
+    /// Returns the models that have been resident for their least time, which `least_stays` holds by
+    /// model.
+    #[must_use]
+    pub fn settled_models(
+        &self,
+        least_stays: &BTreeMap<&str, Duration>,
+        now: Instant,
+    ) -> Vec<id::Model> {
+        let settled = self.resident_since.iter().filter(|(model, since)| {
+            let stay = least_stays.get(model.as_str());
+            stay.is_none_or(|stay| now >= **since + *stay)
+        });
+        settled.map(|(model, _)| model.clone()).collect()
+    }
+
+    /// Returns the expected duration of a load of `model` in its configuration, from the engine's own
+    /// memory or disk where its weights are there.
+    #[must_use]
+    pub fn load_time(&self, model: &route::Model) -> Duration {
+        let seconds = if self.registration.in_memory.contains(&model.name) {
+            model.memory_s
+        } else if self.registration.on_disk.contains(&model.name) {
+            model.disk_s
+        } else {
+            model.load_s
+        };
+        Duration::try_from_secs_f64(seconds).unwrap_or_default()
+    }
+
     /// Returns the number of orders that the engine has accepted, or `None` where a report is
     /// needed before the next order.
     #[must_use]
@@ -319,8 +359,9 @@
     }
 
     /// Records that a model has been loaded.
-    pub fn record_loaded(&mut self, model: &str) {
+    pub fn record_loaded(&mut self, model: &str, now: Instant) {
         self.models.entry(model.to_owned()).or_default();
+        self.resident_since.insert(model.to_owned(), now);
     }
 
     /// Returns whether a model is resident and not about to be unloaded.
@@ -387,10 +428,19 @@
         self.residents().megabytes(engine)
     }
 
+    /// Returns the model that the move in progress loads, with the time that is expected to remain.
+    fn loading(&self, now: Instant) -> Option<Loading> {
+        let remaining = self.loaded_by?.saturating_duration_since(now);
+        Some(Loading {
+            model: self.loading.clone()?,
+            remaining_ms: u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX),
+        })
+    }
+
     /// Returns the residency that entries get: the models and adapters that are resident for
-    /// certain and not about to be unloaded.
+    /// certain and not about to be unloaded, and the model that is being loaded.
     #[must_use]
-    pub fn residency(&self) -> Residency {
+    pub fn residency(&self, now: Instant) -> Residency {
         let models = self
             .models
             .iter()
@@ -404,6 +454,7 @@
             incarnation: self.registration.incarnation,
             models: models.collect(),
             executing: self.moving || self.executing,
+            loading: self.loading(now),
         }
     }
 }
--- a/crates/flamingo-control/src/controller/mod.rs
+++ b/crates/flamingo-control/src/controller/mod.rs
@@ -155,8 +155,8 @@
     demand: Tracker,
     /// Permits to send requests to targets that name a limit.
     permits: Permits,
-    /// Since when no engine has a model resident, by service and model.
-    missing_since: BTreeMap<(id::Service, id::Model), Instant>,
+    /// Models that no engine has resident, by service and model.
+    missing: BTreeMap<(id::Service, id::Model), Missing>,
     routes: Option<Arc<Set>>,
     /// Loads from the weight store that this leader planned or started.
     store_loads: Loads,
@@ -165,6 +165,14 @@
     unpublished: BTreeSet<id::Target>,
 }
 
+/// A model that no engine has resident.
+#[derive(Clone, Copy, Debug)]
+struct Missing {
+    since: Instant,
+    /// Since when callers ask for it; `None` while nobody does.
+    wanted_since: Option<Instant>,
+}
+
 impl TermState {
     /// Returns the state of an engine, unless it has restarted or the leadership is another one.
     fn engine(&self, key: &Key) -> Option<&EngineState> {
@@ -464,10 +472,13 @@
 
     /// Publishes the residencies that have become known since the last call.
     fn flush_residencies(&self) {
+        let now = clock::now();
         let mut term = self.term.borrow_mut();
         let unpublished = std::mem::take(&mut term.unpublished);
         let known = unpublished.iter().filter_map(|id| term.engines.get(id));
-        let residencies: Vec<_> = known.map(EngineState::residency).collect();
+        let residencies: Vec<_> = known
+            .map(|engine_state| engine_state.residency(now))
+            .collect();
         if !residencies.is_empty() {
             lock_registry(&self.core.registry).publish_residency(residencies);
         }
--- a/crates/flamingo-control/src/controller/moves.rs
+++ b/crates/flamingo-control/src/controller/moves.rs
@@ -3,14 +3,14 @@
 use super::engine::{EngineState, Key};
 use super::engine_api::{Operation, Outcome, Report};
 use super::store::Ceiling;
-use super::{Controller, LeaderSnapshot, TermState};
+use super::{Controller, LeaderSnapshot, Missing, PLANNING_INTERVAL, TermState};
 use flamingo_daemon::clock;
 use flamingo_place::rebalance::{self, Engine, Model, Move};
 use flamingo_state::Command;
 use flamingo_wire::id;
 use flamingo_wire::route::{self, Service, Set};
 use slog::info;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime};
 
@@ -18,6 +18,8 @@
 const ORDER_POLL_INTERVAL: Duration = Duration::from_millis(120);
 /// Time between the notice to the entries that a model will be unloaded and the order.
 const UNLOAD_NOTICE: Duration = Duration::from_millis(30);
+/// Time in which running requests of a model that is unloaded are expected to end.
+const UNLOAD_TIME: Duration = Duration::from_secs(1);
 /// Time in which an engine must execute an order.
 const EXECUTION_TIMEOUT: Duration = Duration::from_secs(40);
 /// Time after a failed move before the engine gets another move.
@@ -61,7 +63,11 @@
                 let Some(planned) = self.next_move(service, engine, loads_left, now) else {
                     break;
                 };
-                self.start_move(planned);
+                let model = engine
+                    .models
+                    .iter()
+                    .find(|model| model.name == planned.load);
+                self.start_move(planned, model);
                 tokio::task::yield_now().await;
             }
         }
@@ -90,14 +96,17 @@
             demand: term.demand.forecast(&service.name, &model.name, now),
             has_adapters: model.adapters > 0,
             overdue: term.is_overdue(&service.name, &model.name, now),
+            waiting_s: term.waiting_s(&service.name, &model.name, now),
         });
         let mut models: Vec<_> = models.collect();
         rebalance::hedge_demand(&mut models);
         let adapters = engine.models.iter().map(|model| model.adapter_megabytes);
         let adapter_megabytes = adapters.fold(0.0, f64::max) * f64::from(engine.adapters);
         let remaining = states.iter().filter(|state| !state.registration.leaving);
+        let free_megabytes = engine.megabytes - adapter_megabytes;
+        let least_stays = least_stays(engine);
         let engines =
-            remaining.map(|state| planner_engine(state, engine.megabytes - adapter_megabytes, now));
+            remaining.map(|state| planner_engine(state, &least_stays, free_megabytes, now));
         let engines: Vec<_> = engines.collect();
         self.log_demand(&service.name, &models, &engines, now);
         let prefetch = || {
@@ -118,7 +127,8 @@
         rebalance::next_move(&models, &engines, loads_left >= 1.0).or_else(prefetch)
     }
 
-    /// Records since when each model of a service has had no replica on any engine.
+    /// Records since when each model of a service has had no replica on any engine, and since when
+    /// callers have asked for it.
     fn update_missing_models(&self, service: &Service, engine: &route::Engine, now: Instant) {
         let mut term = self.term.borrow_mut();
         let term = &mut *term;
@@ -130,10 +140,15 @@
         for model in &engine.models {
             let key = (service.name.clone(), model.name.clone());
             if resident.contains(&model.name) {
-                term.missing_since.remove(&key);
-            } else {
-                term.missing_since.entry(key).or_insert(now);
+                term.missing.remove(&key);
+                continue;
             }
+            let wanted = term.demand.is_wanted(&service.name, &model.name, now);
+            let missing = term.missing.entry(key).or_insert(Missing {
+                since: now,
+                wanted_since: None,
+            });
+            missing.wanted_since = wanted.then(|| missing.wanted_since.unwrap_or(now));
         }
     }
 
@@ -185,8 +200,8 @@
     }
 
     /// Starts a task that executes a move. The task ends with the engine's incarnation and with
-    /// this leadership.
-    fn start_move(self: &Rc<Self>, planned: Move) {
+    /// this leadership. `model` is the configuration of the model that it loads.
+    fn start_move(self: &Rc<Self>, planned: Move, model: Option<&route::Model>) {
         info!(self.log, "move"; "target" => &planned.target, "load" => &planned.load,
             "unload" => planned.unload.join(","), "store" => planned.from_store);
         let key = {
@@ -198,12 +213,18 @@
             engine_state.moving = true;
             engine_state.moves_started += 1;
             engine_state.loading = Some(planned.load.clone());
+            let load_time = model.map(|model| engine_state.load_time(model));
+            engine_state.loaded_by = load_time.map(|load_time| {
+                let unloads = u32::try_from(planned.unload.len()).unwrap_or(u32::MAX);
+                clock::now() + load_time + UNLOAD_TIME * unloads
+            });
             let key = engine_state.key(fence);
             if planned.from_store {
                 term.store_loads.plan(key.clone());
             }
             key
         };
+        self.publish_residency(&key.target);
         let controller = Rc::clone(self);
         tokio::task::spawn_local(async move {
             let failure = controller.execute_move(&key, &planned).await.err();
@@ -213,6 +234,7 @@
                 engine_state.moving = false;
                 engine_state.backoff_until = failure.map(|_| clock::now() + MOVE_RETRY_BACKOFF);
                 engine_state.loading = None;
+                engine_state.loaded_by = None;
                 engine_state.unloading = None;
             });
             controller.term.borrow_mut().store_loads.cancel(&key);
@@ -248,7 +270,9 @@
         self.order_model(key, Operation::Load, &planned.load)
             .await?;
         self.wait_for_completion(key, &planned.load, true).await?;
-        self.update_engine(key, |state| state.record_loaded(&planned.load));
+        self.update_engine(key, |state| {
+            state.record_loaded(&planned.load, clock::now());
+        });
         Ok(())
     }
 
@@ -340,8 +364,23 @@
     /// Returns whether a model has had no replica for `MISSING_MODEL_TIMEOUT`.
     fn is_overdue(&self, service: &str, model: &str, now: Instant) -> bool {
         let key = (service.to_owned(), model.to_owned());
-        let since = self.missing_since.get(&key);
-        since.is_some_and(|since| now >= *since + MISSING_MODEL_TIMEOUT)
+        let missing = self.missing.get(&key);
+        missing.is_some_and(|missing| now >= missing.since + MISSING_MODEL_TIMEOUT)
+    }
+
+    /// Returns for how many seconds callers have asked for a model that no engine has; 0 if nobody
+    /// asks.
+    fn waiting_s(&self, service: &str, model: &str, now: Instant) -> f64 {
+        let key = (service.to_owned(), model.to_owned());
+        let since = self
+            .missing
+            .get(&key)
+            .and_then(|missing| missing.wanted_since);
+        since.map_or(0.0, |since| {
+            // A model that is asked for just now waits as well.
+            let waited = now.saturating_duration_since(since).max(PLANNING_INTERVAL);
+            waited.as_secs_f64()
+        })
     }
 }
 
@@ -363,14 +402,29 @@
         .any(|resident| &resident.model == model)
 }
 
+/// Returns the least time that a copy of each model stays on an engine.
+fn least_stays(engine: &route::Engine) -> BTreeMap<&str, Duration> {
+    let stays = engine.models.iter().map(|model| {
+        let stay = Duration::try_from_secs_f64(rebalance::least_stay_s(model.load_s));
+        (model.name.as_str(), stay.unwrap_or_default())
+    });
+    stays.collect()
+}
+
 /// Returns an engine in the form that the planner takes; `megabytes` is its memory for weights.
-fn planner_engine(engine_state: &EngineState, megabytes: f64, now: Instant) -> Engine {
+fn planner_engine(
+    engine_state: &EngineState,
+    least_stays: &BTreeMap<&str, Duration>,
+    megabytes: f64,
+    now: Instant,
+) -> Engine {
     let registration = &engine_state.registration;
     let stored = registration.in_memory.iter().chain(&registration.on_disk);
     Engine {
         target: registration.id.clone(),
         models: engine_state.expected_models(),
         loading: engine_state.loading.clone(),
+        settled: engine_state.settled_models(least_stays, now),
         cached: stored.cloned().collect(),
         executing: engine_state.is_occupied(now),
         megabytes,
--- a/crates/flamingo-control/tests/controller/main.rs
+++ b/crates/flamingo-control/tests/controller/main.rs
@@ -10,7 +10,7 @@
 use flamingo_wire::control::{LoadAdapter, Permit, Push, Reply, Request};
 use flamingo_wire::prompt::{Crash, Evidence, Exposure};
 use flamingo_wire::route;
-use flamingo_wire::target::Usage;
+use flamingo_wire::target::{Demand, Usage};
 use harness::Harness;
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
@@ -339,7 +339,44 @@
     assert!((1.0..=allowed).contains(&f64::from(granted)), "{granted}");
 }
 
+/// One engine has room for one of two models, and callers ask for the other one.
+async fn asked_for_without_a_place() {
+    let models = [("a", 150.0), ("b", 150.0)];
+    let engines = [("e", Engine::new(0, &["a"]))];
+    let world = World::new(config(&models, 0), engines, Box::new(|_, _| None));
+    let harness = Harness::start(&world).await;
+    let mut pushes = harness.pushes();
+    let demand = Demand {
+        service: "s".into(),
+        model: "b".into(),
+        work_ms: 20.0,
+        requests: 1,
+        refused: 1,
+    };
+    let usage = Usage {
+        demand: vec![demand],
+        ..Usage::default()
+    };
+    let announced = loop {
+        harness.ask(Request::Usage(usage.clone())).await;
+        if let Push::Residency(residencies) = pushes.recv().await.expect("a push").push() {
+            let mut loading = residencies.iter().filter_map(|known| known.loading.clone());
+            if let Some(loading) = loading.next() {
+                break loading;
+            }
+        }
+    };
+    assert_eq!(announced.model, "b");
+    assert!(announced.remaining_ms > 0, "{announced:?}");
+    until(&world, "the model that is asked for", |engine| {
+        engine.models.contains_key("b")
+    })
+    .await;
+    assert!(!world.look("e", |engine| engine.overfull));
+}
+
 cases! {
+    a_model_that_is_asked_for_takes_the_place_of_an_idle_one: asked_for_without_a_place(),
     crashes_that_several_entries_saw_quarantine_a_part: crashes_that_several_entries_saw(),
     permits_of_several_entries_come_from_one_count: permits_of_several_entries(),
     a_late_load_of_an_earlier_incarnation_has_room: late_load_of_an_earlier_incarnation(),
--- a/crates/flamingo-control/tests/engine_state.rs
+++ b/crates/flamingo-control/tests/engine_state.rs
@@ -5,6 +5,7 @@
 use flamingo_test_support::registration::registration;
 use flamingo_wire::route::{Engine, Model};
 use flamingo_wire::target::Resident;
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 fn resident(model: &str, adapters: &[&str]) -> Resident {
@@ -110,7 +111,38 @@
     };
     assert!(engine.apply_report(&busy, now));
     assert!(engine.is_occupied(now));
-    assert!(engine.residency().executing);
+    assert!(engine.residency(now).executing);
+}
+
+#[test]
+fn a_copy_settles_after_its_least_time_on_the_engine() {
+    let start = Instant::now();
+    let mut engine = engine_state(start);
+    let stay = Duration::from_secs(4);
+    let stays = BTreeMap::from([("m", stay)]);
+    let before = start + Duration::from_secs(3);
+    assert!(engine.settled_models(&stays, before).is_empty());
+    assert_eq!(engine.settled_models(&stays, start + stay), ["m"]);
+    // A copy that has been away begins anew.
+    let empty = Report {
+        models: Vec::new(),
+        ..report(4, &[])
+    };
+    assert!(engine.apply_report(&empty, before));
+    assert!(engine.apply_report(&report(5, &[]), before));
+    assert!(engine.settled_models(&stays, start + stay).is_empty());
+    assert_eq!(engine.settled_models(&stays, before + stay), ["m"]);
+}
+
+#[test]
+fn a_load_is_published_with_the_time_that_remains() {
+    let now = Instant::now();
+    let mut engine = engine_state(now);
+    engine.loading = Some("n".into());
+    engine.loaded_by = Some(now + Duration::from_secs(5));
+    let loading = engine.residency(now + Duration::from_secs(2)).loading;
+    let loading = loading.expect("a load");
+    assert_eq!((loading.model.as_str(), loading.remaining_ms), ("n", 3_000));
 }
 
 #[test]
@@ -128,7 +160,7 @@
     let now = Instant::now();
     let mut engine = engine_state(now);
     engine.unloading = Some("m".into());
-    assert!(engine.residency().models.is_empty());
+    assert!(engine.residency(now).models.is_empty());
     assert!(!engine.has_model("m"));
 }
 
--- a/crates/flamingo-place/src/rebalance.rs
+++ b/crates/flamingo-place/src/rebalance.rs
@@ -3,17 +3,21 @@
 //! This planner follows demand that shifts between models within seconds. It distributes the
 //! demand for each model over the engines that have the model, so that their utilization is as
 //! even as possible (water-filling), and proposes the move that lowers the remaining cost most.
-//! It never unloads the last ready replica of a model. The functions have no side effects.
+//! Where all models fit on the engines at once, it never unloads the last ready replica of one.
+//! Where they don't, models that callers ask for take turns. The functions have no side effects.
 
 mod assignment;
 mod move_search;
 mod prefetch;
+mod turns;
 
 pub use prefetch::prefetch;
+pub use turns::least_stay_s;
 
-use assignment::{Assignment, Index};
+use assignment::{Assignment, Evicted, Index};
 use flamingo_wire::id;
 use move_search::MoveSearch;
+use turns::give_turn;
 
 /// Demand up to which a model needs no second replica, in fully used engines.
 const NEGLIGIBLE_DEMAND: f64 = 0.03;
@@ -38,6 +42,9 @@
     /// Whether the model has been without a replica for so long that it is placed before all
     /// other moves.
     pub overdue: bool,
+    /// Time since callers began to ask for the model in vain, because no engine has it, in seconds;
+    /// 0 if nobody asks for it.
+    pub waiting_s: f64,
 }
 
 /// An engine and its models, as input of the planner.
@@ -49,6 +56,8 @@
     pub models: Vec<id::Model>,
     /// The entry of `models` that is still being loaded; `None` if all are resident.
     pub loading: Option<id::Model>,
+    /// Models that have been resident for the least time of a copy, see [`least_stay_s`].
+    pub settled: Vec<id::Model>,
     /// Models whose weights the engine caches in host memory or on disk.
     pub cached: Vec<id::Model>,
     /// Whether the engine is executing an order, so that it can't take another one.
@@ -88,7 +97,8 @@
 /// Returns the next move, or `None` if no move is worth its cost.
 ///
 /// Overdue models without a replica are placed first, then the move with the highest gain is
-/// chosen, then the remaining models without a replica are placed. `store` tells whether a load
+/// chosen, then the remaining models without a replica are placed. Where not all models fit, only
+/// those that callers ask for displace others, in turn. `store` tells whether a load
 /// from the weight store may start now; otherwise only cached models are loaded.
 ///
 /// ```
@@ -114,12 +124,29 @@
 pub fn next_move(models: &[Model], engines: &[Engine], store: bool) -> Option<Move> {
     let assignment = Assignment::new(models, engines);
     let utilization = assignment.utilization();
-    let (overdue, others) = assignment
-        .unplaced()
-        .partition(|model| assignment.models[*model].overdue);
-    place_first(&assignment, &utilization, overdue, store)
-        .or_else(|| MoveSearch::new(&assignment, &utilization, store).best())
-        .or_else(|| place_first(&assignment, &utilization, others, store))
+    let unplaced: Vec<Index> = assignment.unplaced().collect();
+    let (overdue, others): (Vec<_>, Vec<_>) =
+        unplaced.iter().partition(|model| models[**model].overdue);
+    let turn = |unplaced: &[Index]| {
+        let waits = |model: &Index| models[*model].waiting_s > 0.0;
+        let waiting = unplaced.iter().copied().filter(waits).collect();
+        give_turn(&assignment, &utilization, waiting, store)
+    };
+    let search = || MoveSearch::new(&assignment, &utilization, store).best();
+    let place = |unplaced: &[Index], evicted| {
+        place_first(&assignment, &utilization, unplaced.to_vec(), evicted, store)
+    };
+    if assignment.crowded {
+        return turn(&overdue)
+            .or_else(search)
+            .or_else(|| turn(&others))
+            .or_else(|| place(&unplaced, Evicted::Nothing));
+    }
+    place(&overdue, Evicted::SPARE)
+        .or_else(|| turn(&overdue))
+        .or_else(search)
+        .or_else(|| place(&others, Evicted::SPARE))
+        .or_else(|| turn(&others))
 }
 
 /// Returns a move that loads one of the models in `unplaced`, which no engine has.
@@ -130,6 +157,7 @@
     assignment: &Assignment<'_>,
     utilization: &[f64],
     mut unplaced: Vec<Index>,
+    evicted: Evicted,
     store: bool,
 ) -> Option<Move> {
     unplaced.sort_by(|a, b| {
@@ -138,26 +166,14 @@
             .total_cmp(&assignment.models[*a].demand)
     });
     unplaced.into_iter().find_map(|model| {
-        let free = |engine: &Index| {
-            !assignment.engines[*engine].executing
-                && (store || assignment.has_cached(*engine, model))
-        };
-        let engines = (0..assignment.engines.len()).filter(free);
-        let options = engines.filter_map(|engine| {
-            let unload = assignment.evictions(engine, model, 1)?;
-            let displaced: f64 = unload
-                .iter()
-                .map(|evicted| assignment.displaced_demand(*evicted))
-                .sum();
+        let options = assignment.free_engines(model, store).filter_map(|engine| {
+            let unload = assignment.evictions(engine, model, evicted)?;
+            let displaced = assignment.total_displaced_demand(&unload);
             if !assignment.models[model].overdue && displaced > NEGLIGIBLE_DEMAND {
                 return None;
             }
-            let store_cost = if assignment.has_cached(engine, model) {
-                0.0
-            } else {
-                1.0
-            };
-            Some((utilization[engine] + displaced + store_cost, engine, unload))
+            let cost = assignment.displacement_cost(engine, model, &unload);
+            Some((utilization[engine] + cost, engine, unload))
         });
         let best = options.min_by(|(a, _, _), (b, _, _)| a.total_cmp(b));
         best.map(|(_, engine, unload)| assignment.to_move(engine, model, &unload))
--- a/crates/flamingo-place/src/rebalance/assignment.rs
+++ b/crates/flamingo-place/src/rebalance/assignment.rs
@@ -1,6 +1,6 @@
 //! Assignment of models to engines, with the demand distributed over the engines.
 
-use super::{Engine, Model, Move, NEGLIGIBLE_DEMAND};
+use super::{Engine, Model, Move, NEGLIGIBLE_DEMAND, turns};
 use crate::water_filling::fill_into;
 use std::collections::BTreeMap;
 
@@ -16,6 +16,10 @@
 const DEMAND_HORIZON_S: f64 = 15.0;
 /// Time in which running requests of the unloaded models finish, in seconds.
 const DRAIN_S: f64 = 1.0;
+/// Demand up to which nobody asks for a model, in fully used engines.
+const IDLE_DEMAND: f64 = 0.003;
+/// Cost of a load from the weight store, per fully used engine.
+const STORE_LOAD_COST: f64 = 1.0;
 /// Iterations of the distribution of demand over engines.
 const ROUNDS: usize = 4;
 /// Mean utilization of all engines above which demand is scaled down.
@@ -24,6 +28,24 @@
 /// Index of a model in the list of models, or of an engine in the list of engines.
 pub(super) type Index = usize;
 
+/// Which copies may be unloaded to make room for a model.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Evicted {
+    /// None.
+    Nothing,
+    /// Copies of models with more than this many ready replicas.
+    Spare { min_ready: usize },
+    /// Copies of models with another ready replica, and last copies that nobody asks for.
+    Idle,
+    /// Copies whose place the model may take after it has waited, see [`turns`].
+    InTurn,
+}
+
+impl Evicted {
+    /// Copies of models with another ready replica.
+    pub(super) const SPARE: Self = Self::Spare { min_ready: 1 };
+}
+
 /// Which engine has which models, by index.
 #[derive(Clone, Debug)]
 pub(super) struct Assignment<'a> {
@@ -39,6 +61,8 @@
     demanded: Vec<Index>,
     /// Factor for all demand, at most 1, that keeps the total within the engines' capacity.
     scale: f64,
+    /// Whether not all models fit on the engines at once.
+    pub(super) crowded: bool,
 }
 
 impl<'a> Assignment<'a> {
@@ -64,6 +88,7 @@
             }
             by_engine.push(assigned);
         }
+        let incomplete = by_model.iter().any(Vec::is_empty);
         Self {
             models,
             engines,
@@ -74,6 +99,7 @@
                 .filter(|model| models[*model].demand > 0.0)
                 .collect(),
             scale: (capacity / demand.max(capacity)).min(1.0),
+            crowded: incomplete && !all_fit(models, engines),
         }
     }
 
@@ -82,6 +108,11 @@
         self.models[model].demand * self.scale
     }
 
+    /// Returns whether an engine has a model resident already.
+    pub(super) fn is_ready(&self, model: Index) -> bool {
+        self.ready[model] > 0
+    }
+
     /// Returns the models that no engine has or loads.
     pub(super) fn unplaced(&self) -> impl Iterator<Item = Index> {
         (0..self.models.len()).filter(|model| self.by_model[*model].is_empty())
@@ -124,39 +155,104 @@
         utilization
     }
 
+    /// Returns the engines that execute no order and may load a model that they don't have. `store`
+    /// tells whether they may load it from the weight store.
+    pub(super) fn free_engines(&self, model: Index, store: bool) -> impl Iterator<Item = Index> {
+        (0..self.engines.len()).filter(move |engine| {
+            !self.engines[*engine].executing
+                && !self.by_engine[*engine].contains(&model)
+                && (store || self.has_cached(*engine, model))
+        })
+    }
+
     /// Returns the models to unload from an engine so that `model` fits, lowest displaced demand
     /// first.
     ///
-    /// Only models with more than `min_ready` ready replicas may be unloaded. Returns `None` if
-    /// unloading all of them would not free enough memory.
+    /// Returns `None` if unloading all that `evicted` allows would not free enough memory.
     pub(super) fn evictions(
         &self,
         engine: Index,
         model: Index,
-        min_ready: usize,
+        evicted: Evicted,
     ) -> Option<Vec<Index>> {
-        let size = |model: &Index| self.models[*model].megabytes;
-        let used: f64 = self.by_engine[engine].iter().map(size).sum();
-        let mut shortfall = used + size(&model) - self.engines[engine].megabytes;
-        let evictable = self.by_engine[engine].iter().copied();
-        let mut evictable: Vec<Index> = evictable
-            .filter(|model| self.ready[*model] > min_ready)
+        let mut shortfall = self.shortfall(engine, model);
+        let residents = self.by_engine[engine].iter().copied();
+        let mut evictable: Vec<Index> = residents
+            .filter(|resident| self.is_evictable(engine, *resident, model, evicted))
             .collect();
-        evictable.sort_by(|a, b| {
-            self.displaced_demand(*a)
-                .total_cmp(&self.displaced_demand(*b))
-        });
+        evictable.sort_by(|a, b| self.eviction_cost(*a).total_cmp(&self.eviction_cost(*b)));
         let mut unload = Vec::new();
         for evicted in evictable {
             if shortfall <= 0.0 {
                 break;
             }
-            shortfall -= size(&evicted);
+            shortfall -= self.models[evicted].megabytes;
             unload.push(evicted);
         }
         (shortfall <= 0.0).then_some(unload)
     }
 
+    /// Returns the memory that an engine lacks for a further model, in megabytes; a negative number
+    /// is free memory.
+    fn shortfall(&self, engine: Index, model: Index) -> f64 {
+        let size = |model: &Index| self.models[*model].megabytes;
+        let used: f64 = self.by_engine[engine].iter().map(size).sum();
+        used + size(&model) - self.engines[engine].megabytes
+    }
+
+    /// Returns whether a copy of `resident` may be unloaded from an engine for `model`.
+    fn is_evictable(&self, engine: Index, resident: Index, model: Index, evicted: Evicted) -> bool {
+        let spare = self.ready[resident] > 1;
+        let name = &self.models[resident].name;
+        let settled = self.engines[engine].settled.contains(name);
+        match evicted {
+            Evicted::Nothing => false,
+            Evicted::Spare { min_ready } => self.ready[resident] > min_ready,
+            Evicted::Idle => spare || (settled && self.demand(resident) <= IDLE_DEMAND),
+            Evicted::InTurn => (spare || settled) && turns::may_replace(self, model, resident),
+        }
+    }
+
+    /// Returns whether `model` fits on an engine without the last copy of `resident` and all copies
+    /// of models with another ready replica.
+    pub(super) fn makes_room(&self, engine: Index, resident: Index, model: Index) -> bool {
+        let spare = self.by_engine[engine].iter().copied();
+        let spare = spare.filter(|spare| self.ready[*spare] > 1);
+        let freed: f64 = spare.map(|spare| self.models[spare].megabytes).sum();
+        self.ready[resident] == 1
+            && self.shortfall(engine, model) <= freed + self.models[resident].megabytes
+    }
+
+    /// Returns the cost by which copies are chosen for unloading: the displaced demand, and more for
+    /// a last copy, since its next caller would have to wait for a load.
+    fn eviction_cost(&self, resident: Index) -> f64 {
+        let last = if self.ready[resident] > 1 {
+            0.0
+        } else {
+            NEGLIGIBLE_DEMAND
+        };
+        self.displaced_demand(resident) + last
+    }
+
+    /// Returns the cost of a move by which engines are chosen: the displaced demand, and a fixed cost
+    /// for a load from the weight store.
+    pub(super) fn displacement_cost(&self, engine: Index, model: Index, unload: &[Index]) -> f64 {
+        let store = if self.has_cached(engine, model) {
+            0.0
+        } else {
+            STORE_LOAD_COST
+        };
+        self.total_displaced_demand(unload) + store
+    }
+
+    /// Returns the demand that is displaced if one replica of each of these models is unloaded.
+    pub(super) fn total_displaced_demand(&self, unload: &[Index]) -> f64 {
+        unload
+            .iter()
+            .map(|evicted| self.displaced_demand(*evicted))
+            .sum()
+    }
+
     /// Returns the demand that each remaining replica of a model serves once one is unloaded.
     pub(super) fn displaced_demand(&self, model: Index) -> f64 {
         let remaining = self.by_model[model].len().saturating_sub(1);
@@ -237,6 +333,20 @@
     }
 }
 
+/// Returns whether all models fit on the engines at once, by packing the largest first where the least
+/// room is left (best fit decreasing). A packing that this misses counts as none.
+fn all_fit(models: &[Model], engines: &[Engine]) -> bool {
+    let mut sizes: Vec<f64> = models.iter().map(|model| model.megabytes).collect();
+    sizes.sort_by(|a, b| b.total_cmp(a));
+    let mut free: Vec<f64> = engines.iter().map(|engine| engine.megabytes).collect();
+    sizes.into_iter().all(|size| {
+        let room = free.iter_mut().filter(|free| **free >= size);
+        room.min_by(|a, b| a.total_cmp(b))
+            .map(|free| *free -= size)
+            .is_some()
+    })
+}
+
 /// Returns the cost of engines at this utilization: its square, and more where requests queue.
 fn cost(utilization: &[f64]) -> f64 {
     let costs = utilization.iter().map(|utilization| {
--- a/crates/flamingo-place/src/rebalance/move_search.rs
+++ b/crates/flamingo-place/src/rebalance/move_search.rs
@@ -1,6 +1,6 @@
 //! Search for the move that lowers the cost of the assignment most.
 
-use super::assignment::{Assignment, Index, to_float};
+use super::assignment::{Assignment, Evicted, Index, to_float};
 use super::{Move, NEGLIGIBLE_DEMAND};
 
 /// Cost that a load must save.
@@ -54,8 +54,9 @@
     pub(super) fn best(mut self) -> Option<Move> {
         let mut best: Option<(f64, Move)> = None;
         for model in self.models() {
+            let evicted = self.evicted(model);
             for engine in self.engines(model) {
-                let Some(unload) = self.assignment.evictions(engine, model, 1) else {
+                let Some(unload) = self.assignment.evictions(engine, model, evicted) else {
                     continue;
                 };
                 let gain = self.gain(engine, model, &unload);
@@ -67,6 +68,21 @@
         best.map(|(_, found)| found)
     }
 
+    /// Returns which copies may make room for a model. While its first copy is being loaded, it takes
+    /// the place of no last copy.
+    fn evicted(&self, model: Index) -> Evicted {
+        let assignment = self.assignment;
+        if !assignment.crowded {
+            Evicted::SPARE
+        } else if assignment.by_model[model].is_empty() {
+            Evicted::InTurn
+        } else if assignment.is_ready(model) {
+            Evicted::Idle
+        } else {
+            Evicted::SPARE
+        }
+    }
+
     /// Returns the models in demand whose least utilized replica is utilized most, then the
     /// models without a replica by descending demand.
     fn models(&self) -> Vec<Index> {
--- a/crates/flamingo-place/src/rebalance/prefetch.rs
+++ b/crates/flamingo-place/src/rebalance/prefetch.rs
@@ -1,6 +1,6 @@
 //! Loads replicas before they are requested.
 
-use super::assignment::{Assignment, to_float};
+use super::assignment::{Assignment, Evicted, to_float};
 use super::{Engine, Model, Move};
 
 /// Utilization above which an engine prefetches nothing.
@@ -24,6 +24,9 @@
 ) -> Option<Move> {
     let assignment = Assignment::new(models, engines);
     let utilization = assignment.utilization();
+    let evicted = Evicted::Spare {
+        min_ready: MIN_READY_REPLICAS,
+    };
     let mut best: Option<(f64, Move)> = None;
     for (index, model) in models.iter().enumerate() {
         let cached = (0..engines.len()).filter(|engine| assignment.has_cached(*engine, index));
@@ -42,13 +45,10 @@
             if excluded {
                 continue;
             }
-            let Some(unload) = assignment.evictions(engine, index, MIN_READY_REPLICAS) else {
+            let Some(unload) = assignment.evictions(engine, index, evicted) else {
                 continue;
             };
-            let displaced: f64 = unload
-                .iter()
-                .map(|evicted| assignment.displaced_demand(*evicted))
-                .sum();
+            let displaced = assignment.total_displaced_demand(&unload);
             let value = weight / cached - displaced - utilization[engine];
             if value > 0.0 && best.as_ref().is_none_or(|(highest, _)| value > *highest) {
                 best = Some((value, assignment.to_move(engine, index, &unload)));
--- a/crates/flamingo-place/tests/rebalance.rs
+++ b/crates/flamingo-place/tests/rebalance.rs
@@ -11,6 +11,7 @@
         demand,
         has_adapters: true,
         overdue: false,
+        waiting_s: 0.0,
     }
 }
 
--- a/crates/flamingo-serve/tests/load.rs
+++ b/crates/flamingo-serve/tests/load.rs
@@ -313,6 +313,7 @@
         incarnation: registration.incarnation,
         models: Vec::new(),
         executing: true,
+        loading: None,
     };
     table.apply(now, &Push::Residency(vec![unloading]));
     // The target's registration still lists the model until its last requests have ended, and an
--- a/crates/flamingo-wire/src/target.rs
+++ b/crates/flamingo-wire/src/target.rs
@@ -72,6 +72,15 @@
     }
 }
 
+/// A model that a target is loading.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Loading {
+    /// The model.
+    pub model: id::Model,
+    /// Time until the model is expected to be resident, in milliseconds.
+    pub remaining_ms: u64,
+}
+
 /// Models that are resident on a target, as the leader knows them from its orders.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Residency {
@@ -84,6 +93,9 @@
     /// Whether the target executes an order. It accepts no other order meanwhile.
     #[serde(rename = "moving")]
     pub executing: bool,
+    /// The model that the target is loading, if any.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub loading: Option<Loading>,
 }
 
 /// Demand for one model at an entry since the entry's last report.
