Callers of a model that is being loaded wait for it, or come back when it can be there

What callers saw: a request for a model without a copy was refused at once even where a load was about to end, and told to come back after 0.3 to 1 s, again and again while the load took seconds. Cause: entries knew what is resident only, not what is on its way. Change: they hear of loads and of the time that remains. A request that will meet its objective waits, with those that wait already counted; others get a Retry-After drawn from the load under way, or from the time of one. A load that fails or stays away ends the wait at once.

--- a/crates/flamingo-serve/src/choice.rs
+++ b/crates/flamingo-serve/src/choice.rs
@@ -78,7 +78,10 @@
     Paused(Instant),
     /// No target of the service accepts requests, or all of them are excluded.
     NoTarget,
-    /// No target of the service has the model resident.
+    /// No target of the service has the model resident, but one is loading it and is expected to have it
+    /// then.
+    Loading(Instant),
+    /// No target of the service has the model resident or is loading it.
     NoModel,
 }
 
@@ -147,6 +150,7 @@
     let mut any_with_model = false;
     let mut any_open = false;
     let mut first_opening: Option<Instant> = None;
+    let mut first_load: Option<Instant> = None;
     let mut candidates: Vec<Candidate> = Vec::new();
     let model = required.request.model.as_deref();
     let tokens_per_ms = table.prefill(required.service).tokens_per_ms();
@@ -155,12 +159,15 @@
         .filter(|target| target.accepts_requests() && required.runs_software(target))
     {
         any_target = true;
-        if required.engine.is_some() && model.is_some_and(|model| !target.has_model(model, now)) {
+        if let Some(model) = model.filter(|_| required.engine.is_some())
+            && !target.has_model(model, now)
+        {
+            first_load = earlier(first_load, target.ready_at(model, now));
             continue;
         }
         any_with_model = true;
         if let Some(until) = target.availability.closed_until(now) {
-            first_opening = Some(first_opening.map_or(until, |first| until.min(first)));
+            first_opening = earlier(first_opening, Some(until));
             continue;
         }
         any_open = true;
@@ -189,7 +196,9 @@
     ) {
         Some(candidate) if candidate.admits(required.timing) => Choice::Send(candidate),
         Some(candidate) => Choice::QueueTooLong(candidate.queueing_delay),
-        None if any_target && !any_with_model => Choice::NoModel,
+        None if any_target && !any_with_model => {
+            first_load.map_or(Choice::NoModel, Choice::Loading)
+        }
         None => match first_opening {
             Some(until) if !any_open => Choice::Paused(until),
             _ => Choice::NoTarget,
@@ -197,6 +206,11 @@
     }
 }
 
+/// Returns the earlier one of the times that are known.
+fn earlier(first: Option<Instant>, second: Option<Instant>) -> Option<Instant> {
+    first.into_iter().chain(second).min()
+}
+
 /// Keeps only the preferred candidates, unless there are none.
 fn retain_preferred(candidates: &mut Vec<Candidate>, preferred: impl Fn(&Candidate) -> bool) {
     if candidates.iter().any(&preferred) {
--- a/crates/flamingo-serve/src/proxy.rs
+++ b/crates/flamingo-serve/src/proxy.rs
@@ -7,6 +7,7 @@
 mod forward;
 mod job;
 mod load_guard;
+mod loading;
 mod permit;
 mod refusal;
 mod release;
@@ -32,6 +33,7 @@
 use http::{Request, Response};
 use hyper::body::Incoming;
 use job::{AttemptError, Job};
+pub use loading::LATE_LOAD_TIMEOUT;
 use slog::{Logger, info};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -82,6 +84,8 @@
     /// Longest wait that any caller of a route has stated. Callers state the time that remains,
     /// so the longest wait is that of a first try.
     longest_waits: RefCell<HashMap<route::Name, Duration>>,
+    /// Requests that wait for their model.
+    waiting: loading::Waiting,
     demand: Rc<Counter>,
     metrics: Metrics,
     drain: Rc<Drain>,
@@ -117,6 +121,7 @@
             allowance: options.allowance,
             budgets: RefCell::default(),
             longest_waits: RefCell::default(),
+            waiting: loading::Waiting::default(),
             demand: options.demand,
             metrics: options.metrics,
             drain: options.drain,
@@ -251,12 +256,7 @@
         if job.sent.get() >= job.route.attempts.max(1) {
             return false;
         }
-        let entries = self
-            .topology
-            .peers
-            .borrow()
-            .entries()
-            .unwrap_or(ASSUMED_ENTRIES);
+        let entries = self.entries();
         let affordable = self.with_budget(&job.service, |budget| budget.try_retry(now, entries));
         if !affordable {
             self.metrics.unaffordable.inc();
@@ -270,6 +270,12 @@
         action(budget.or_insert_with(|| Budget::new(self.allowance)))
     }
 
+    /// Returns the number of entries, or `ASSUMED_ENTRIES` until a control instance has sent it.
+    fn entries(&self) -> usize {
+        let entries = self.topology.peers.borrow().entries();
+        entries.unwrap_or(ASSUMED_ENTRIES)
+    }
+
     fn choose_target(&self, job: &Job, now: Instant) -> Choice {
         let service = job.routes.service(&job.service);
         let tried = job.tried.borrow();
@@ -283,12 +289,7 @@
             software: software.as_deref(),
             tried: &tried,
             can_load_adapters: self.topology.peers.borrow().leader.is_some(),
-            entries: self
-                .topology
-                .peers
-                .borrow()
-                .entries()
-                .unwrap_or(ASSUMED_ENTRIES),
+            entries: self.entries(),
             timing: Self::timing(job, now),
         };
         self.choices.set(self.choices.get() + 1);
--- a/crates/flamingo-serve/src/proxy/attempt.rs
+++ b/crates/flamingo-serve/src/proxy/attempt.rs
@@ -21,19 +21,27 @@
         self: &Rc<Self>,
         job: &Rc<Job>,
     ) -> Result<Response<Body>, AttemptError> {
-        let candidate = match self.choose_target(job, Instant::now()) {
-            Choice::Send(candidate) => candidate,
-            Choice::QueueTooLong(delay) => return Err(AttemptError::QueueTooLong(delay)),
-            Choice::Paused(_) => return Err(AttemptError::NoAlternative(Cause::Paused)),
-            Choice::NoTarget => return Err(AttemptError::NoAlternative(Cause::NoTarget)),
-            Choice::NoModel => return Err(AttemptError::NoAlternative(Cause::NoModel)),
-        };
+        let candidate = self.find_target(job).await?;
         match self.ask_or_replace(job, candidate).await? {
             Reply::Answered(answered) => self.forward(job, answered).await,
             Reply::Begun(begun) => self.stream_response(job, begun).await,
         }
     }
 
+    /// Chooses a target, and waits for a load of the model that is under way if the request has the time.
+    async fn find_target(&self, job: &Job) -> Result<Candidate, AttemptError> {
+        loop {
+            match self.choose_target(job, Instant::now()) {
+                Choice::Send(candidate) => return Ok(candidate),
+                Choice::Loading(ready_at) => self.wait_for_model(job, ready_at).await?,
+                Choice::QueueTooLong(delay) => return Err(AttemptError::QueueTooLong(delay)),
+                Choice::Paused(_) => return Err(AttemptError::NoAlternative(Cause::Paused)),
+                Choice::NoTarget => return Err(AttemptError::NoAlternative(Cause::NoTarget)),
+                Choice::NoModel => return Err(AttemptError::NoAlternative(Cause::NoModel)),
+            }
+        }
+    }
+
     /// Counts a request in the load of the chosen target, and has its adapter loaded there if that is
     /// needed.
     pub(super) async fn prepare(
--- a/crates/flamingo-serve/src/proxy/refusal.rs
+++ b/crates/flamingo-serve/src/proxy/refusal.rs
@@ -47,11 +47,13 @@
     }
 
     /// Returns the time after which a refused caller should retry: not before its quarantine or that of
-    /// a part of its prompt ends, or the first pause where all targets have asked for one.
+    /// a part of its prompt ends, the first pause where all targets have asked for one, or its model can
+    /// be resident.
     fn retry_after(&self, job: &Job, now: Instant) -> Duration {
         let quarantined_until = self.quarantined_until(&job.service, &job.identities());
         let until = quarantined_until.or_else(|| match self.choose_target(job, now) {
-            Choice::Paused(until) => Some(until),
+            Choice::Paused(until) | Choice::Loading(until) => Some(until),
+            Choice::NoModel => self.load_time(job).map(|load_time| now + load_time),
             _ => None,
         });
         let earliest = until.map(|until| until.saturating_duration_since(now));
--- a/crates/flamingo-serve/src/table.rs
+++ b/crates/flamingo-serve/src/table.rs
@@ -27,6 +27,8 @@
 /// Time during which a target that rejected a request for a missing model gets no further
 /// requests for this model.
 const MISSING_MODEL_BACKOFF: Duration = Duration::from_millis(300);
+/// Longest remaining time of a load that is believed, in milliseconds.
+const MAX_LOAD_MS: u64 = 600_000;
 /// Time after which a prompt's weight in the rate of sent prompt tokens has decayed to about a
 /// third.
 const PROMPT_RATE_WINDOW: Duration = Duration::from_secs(1);
@@ -65,7 +67,7 @@
             }
             Push::Residency(holdings) => {
                 for holding in holdings {
-                    self.apply_residency(holding);
+                    self.apply_residency(holding, now);
                 }
             }
             Push::Loads(loads) => self.apply_loads(loads),
@@ -153,12 +155,17 @@
         registration.gone.then(|| registration.id.clone())
     }
 
-    fn apply_residency(&mut self, residency: &Residency) {
+    fn apply_residency(&mut self, residency: &Residency, now: Instant) {
         if let Some(target) = self.targets.get_mut(&residency.target)
             && target.registration.incarnation == residency.incarnation
         {
             target.models.clone_from(&residency.models);
             target.executing = residency.executing;
+            let loading = residency.loading.as_ref();
+            target.loading = loading.map(|loading| {
+                let remaining = Duration::from_millis(loading.remaining_ms.min(MAX_LOAD_MS));
+                (loading.model.clone(), now + remaining)
+            });
             target.missing_models.clear();
         }
     }
--- a/crates/flamingo-serve/src/table/state.rs
+++ b/crates/flamingo-serve/src/table/state.rs
@@ -1,6 +1,7 @@
 //! State of one target as one entry knows it.
 
 use crate::availability::Availability;
+use crate::proxy::LATE_LOAD_TIMEOUT;
 use crate::wire::PromptPart;
 use flamingo_guard::permits::Bucket;
 use flamingo_wire::id;
@@ -66,6 +67,8 @@
     pub others: InFlight,
     /// Whether the target executes an order. It loads no adapter meanwhile.
     pub executing: bool,
+    /// The model that the target is loading, and when it is expected to be resident.
+    pub(super) loading: Option<(id::Model, Instant)>,
     /// Adapters in use by requests of this entry, with the number of these requests.
     pub(super) adapters_in_use: BTreeMap<(id::Model, id::Adapter), u32>,
     /// Requests of this entry, as last reported to the leader.
@@ -97,6 +100,7 @@
             own: InFlight::default(),
             others: InFlight::default(),
             executing: false,
+            loading: None,
             adapters_in_use: BTreeMap::new(),
             reported: InFlight::default(),
             availability: Availability::default(),
@@ -163,6 +167,15 @@
         !missing && self.models.iter().any(|resident| resident.model == model)
     }
 
+    /// Returns when `model`, which the target is loading, is expected to be resident; `None` if the
+    /// target does not load it, or should have had it for `LATE_LOAD_TIMEOUT`.
+    #[must_use]
+    pub fn ready_at(&self, model: &str, now: Instant) -> Option<Instant> {
+        let (loading, ready_at) = self.loading.as_ref()?;
+        let under_way = loading == model && now < *ready_at + LATE_LOAD_TIMEOUT;
+        under_way.then_some(*ready_at)
+    }
+
     /// Returns whether `adapter` of `model` is loaded.
     #[must_use]
     pub fn has_adapter(&self, model: &str, adapter: &str) -> bool {
--- a/crates/flamingo-serve/src/topology.rs
+++ b/crates/flamingo-serve/src/topology.rs
@@ -19,6 +19,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Instant;
+use tokio::sync::Notify;
 
 /// The current routes, indexed by host and service name.
 #[derive(Debug)]
@@ -126,6 +127,8 @@
     pub origins: RefCell<Origins>,
     /// Crashes of targets, and the prompt parts that cause them.
     pub crashes: RefCell<Observer>,
+    /// Wakes those who wait for a change of the targets' models.
+    pub models_changed: Notify,
     log: Logger,
 }
 
@@ -140,6 +143,7 @@
             peers: RefCell::default(),
             origins: RefCell::default(),
             crashes: RefCell::default(),
+            models_changed: Notify::new(),
             log,
         }
     }
@@ -253,6 +257,9 @@
         for target in obsolete {
             self.pool.borrow_mut().remove(&target);
         }
+        if matches!(push, Push::Targets(_) | Push::Residency(_)) {
+            self.models_changed.notify_waiters();
+        }
         match push {
             Push::Routes(set) => self.replace_routes(set),
             Push::Quarantines(quarantines) => self.adopt_quarantines(&quarantines, now),
--- a/crates/flamingo-serve/tests/load.rs
+++ b/crates/flamingo-serve/tests/load.rs
@@ -7,7 +7,7 @@
 use flamingo_test_support::registration::registration;
 use flamingo_wire::control::Push;
 use flamingo_wire::route::Engine;
-use flamingo_wire::target::{Registration, Residency, Resident};
+use flamingo_wire::target::{Loading, Registration, Residency, Resident};
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
@@ -332,3 +332,28 @@
     let choice = choose(&table, &required(&request, &engine, &[]), 1, now);
     assert_eq!(choice, Choice::NoModel);
 }
+
+#[test]
+fn a_model_that_is_being_loaded_is_named_with_the_end_of_its_first_load() {
+    let now = Instant::now();
+    let mut table = table(now, &["i-0", "i-1"]);
+    let residency = |target: &str, remaining_ms| Residency {
+        target: target.into(),
+        incarnation: registration(target).incarnation,
+        models: Vec::new(),
+        executing: true,
+        loading: Some(Loading {
+            model: "m".into(),
+            remaining_ms,
+        }),
+    };
+    let loads = vec![residency("i-0", 3_000), residency("i-1", 2_000)];
+    table.apply(now, &Push::Residency(loads));
+    let request = request(100);
+    let engine = Engine::default();
+    let choice = |now| choose(&table, &required(&request, &engine, &[]), 1, now);
+    let ready_at = now + Duration::from_secs(2);
+    assert_eq!(choice(now), Choice::Loading(ready_at));
+    let late = ready_at + Duration::from_secs(30);
+    assert_eq!(choice(late), Choice::NoModel, "a load that never ends");
+}
