A model that lost its copies takes spare copies by the gain, also where not all models fit

What callers would see: with engines lost, so that not all models fit any more, a busy model without a copy could not take the second copy of another before its own wait had outweighed that copy's work of two loads; all its callers were refused meanwhile. Cause: let only claims displace copies there, also in the search that weighs gains anyway. Change: the search may displace spare copies and idle last ones by their gain, as where all fit.

--- a/crates/flamingo-place/src/rebalance/assignment.rs
+++ b/crates/flamingo-place/src/rebalance/assignment.rs
@@ -39,6 +39,8 @@
     Idle,
     /// Copies whose place the model may take after it has waited, see [`turns`].
     InTurn,
+    /// As `Idle` or `InTurn`, where the gain of the move is weighed against the displaced demand.
+    Weighed,
 }
 
 impl Evicted {
@@ -205,11 +207,14 @@
         let spare = self.ready[resident] > 1;
         let name = &self.models[resident].name;
         let settled = self.engines[engine].settled.contains(name);
+        let idle = || spare || (settled && self.demand(resident) <= IDLE_DEMAND);
+        let in_turn = || (spare || settled) && turns::may_replace(self, model, resident);
         match evicted {
             Evicted::Nothing => false,
             Evicted::Spare { min_ready } => self.ready[resident] > min_ready,
-            Evicted::Idle => spare || (settled && self.demand(resident) <= IDLE_DEMAND),
-            Evicted::InTurn => (spare || settled) && turns::may_replace(self, model, resident),
+            Evicted::Idle => idle(),
+            Evicted::InTurn => in_turn(),
+            Evicted::Weighed => idle() || in_turn(),
         }
     }
 
--- a/crates/flamingo-place/src/rebalance/move_search.rs
+++ b/crates/flamingo-place/src/rebalance/move_search.rs
@@ -75,7 +75,7 @@
         if !assignment.crowded {
             Evicted::SPARE
         } else if assignment.by_model[model].is_empty() {
-            Evicted::InTurn
+            Evicted::Weighed
         } else if assignment.is_ready(model) {
             Evicted::Idle
         } else {
--- a/crates/flamingo-place/tests/turns.rs
+++ b/crates/flamingo-place/tests/turns.rs
@@ -399,6 +399,17 @@
     );
 }
 
+#[test]
+fn a_busy_model_that_lost_its_copies_takes_a_second_copy_of_another_at_once() {
+    let models = [
+        model("warm", 0.4, 0.0),
+        model("lost", 3.0, 0.1),
+        model("away", 0.0, 0.0),
+    ];
+    let next = next_move(&models, &two_engines("warm", "warm"), true).expect("a move");
+    assert_eq!(next.load, "lost");
+}
+
 #[test]
 fn a_model_that_nobody_asks_for_does_not_displace_a_second_copy() {
     let away = Model {
