An overloaded replica costs less than none

Cause: the cost of an engine grew with the square of its utilization without end, so that a first copy, which would be overloaded, cost more than leaving its whole demand unserved. Change: beyond full utilization the cost goes on at the rate that it has there, which is below that of unserved demand. The test fails before: the planner loads a further copy of the busy model.

--- a/crates/flamingo-place/src/rebalance/assignment.rs
+++ b/crates/flamingo-place/src/rebalance/assignment.rs
@@ -9,6 +9,8 @@
 /// Weight of the squared utilization beyond `QUEUEING_UTILIZATION`, relative to the squared
 /// utilization.
 const QUEUEING_COST: f64 = 6.0;
+/// Cost of demand beyond what a fully used engine serves: the derivative of the cost there.
+const OVERLOAD_COST: f64 = 2.0 + 2.0 * QUEUEING_COST * (1.0 - QUEUEING_UTILIZATION);
 /// Cost of demand for a model without a replica, per fully used engine: higher than the cost of
 /// the same work on an engine that is already fully used.
 const UNSERVED_COST: f64 = 8.0;
@@ -352,11 +354,15 @@
     })
 }
 
-/// Returns the cost of engines at this utilization: its square, and more where requests queue.
+/// Returns the cost of engines at this utilization: its square, and more where requests queue. Beyond
+/// full utilization the cost goes on at the rate that it has there, below `UNSERVED_COST`, so that an
+/// overloaded replica is better than none.
 fn cost(utilization: &[f64]) -> f64 {
     let costs = utilization.iter().map(|utilization| {
-        let beyond = (utilization - QUEUEING_UTILIZATION).max(0.0);
-        utilization * utilization + QUEUEING_COST * beyond * beyond
+        let used = utilization.min(1.0);
+        let queueing = (used - QUEUEING_UTILIZATION).max(0.0);
+        let overload = (utilization - 1.0).max(0.0);
+        used * used + QUEUEING_COST * queueing * queueing + OVERLOAD_COST * overload
     });
     costs.sum()
 }
--- a/crates/flamingo-place/tests/rebalance.rs
+++ b/crates/flamingo-place/tests/rebalance.rs
@@ -113,6 +113,18 @@
     assert!(safe, "the last ready copy of a was evicted");
 }
 
+#[test]
+fn a_model_without_a_copy_that_overloads_an_engine_is_placed_before_a_further_copy() {
+    let models = [model("busy", 3.0), model("lost", 7.0)];
+    let mut engines = ["1", "2", "3", "4"].map(|target| engine(target, &["busy"]));
+    engines[3].models.clear();
+    for target in &mut engines {
+        target.megabytes = 80.0;
+    }
+    let next = next_move(&models, &engines, true).expect("a move");
+    assert_eq!(next.load, "lost");
+}
+
 #[test]
 fn a_model_without_a_copy_is_placed_first() {
     let models = [model("a", 3.0), model("lost", 0.0)];
