Test: a model that fits no engine costs others their last copies; listed as known red

Found in the last read: all_fit counts models that are larger than every engine, so that one such model makes the whole fleet count as crowded.

--- a/crates/flamingo-place/tests/turns.rs
+++ b/crates/flamingo-place/tests/turns.rs
@@ -478,3 +478,13 @@
     let next = next_move(&models, &engines, true).expect("a move");
     assert_eq!((next.load.as_str(), next.unload.len()), ("large", 1));
 }
+
+#[test]
+fn a_model_that_fits_no_engine_does_not_cost_others_their_last_copies() {
+    let giant = Model {
+        megabytes: 500.0,
+        ..model("giant", 0.5, 100.0)
+    };
+    let models = [model("busy", 1.5, 0.0), model("idle", 0.0, 0.0), giant];
+    assert_eq!(next_move(&models, &two_engines("busy", "idle"), true), None);
+}
