Review: after a restart of all processes, streams go on at any version that checks in first

Cause: an entry takes it for proof of a stream's software version that its table and a majority of the control instances know one version only; after a restart of all they know only the servers that have checked in so far.

--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -198,6 +198,19 @@
                 await asyncio.sleep(0.05)
             self.record.write("ready", process=entry.name)
 
+    async def open_entry(self, deadline):
+        """Returns an entry, drawn at random, that takes channels; asks every 0.1 s until there is one."""
+        while time.monotonic() < deadline:
+            for entry in random.sample(self.entries, len(self.entries)):
+                try:
+                    _, writer = await asyncio.open_connection(entry.ip, FRONT)
+                    writer.transport.abort()
+                    return entry
+                except OSError:
+                    continue
+            await asyncio.sleep(0.1)
+        raise CannotRun("no entry takes channels")
+
     def end(self):
         for process in self.processes:
             process.end()
@@ -435,6 +448,8 @@
         self.status = None
         self.complete = False
         self.attempts = []
+        # Seconds after which the last refusal asked the client to come back.
+        self.retry_after = 0.0
 
     @property
     def last(self):
@@ -485,6 +500,7 @@
             stream.complete = True
         else:
             body = await reader.readexactly(int(answered.get("content-length", 0)))
+            stream.retry_after = float(answered.get("retry-after", 0))
             record.write("refused", attempt=attempt, status=stream.status, body=body.decode(),
                          retry_after=answered.get("retry-after"))
     except Broke:
