--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -220,6 +220,17 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
+KEPT = set()
+
+
+def keep(coroutine):
+    """Runs a coroutine in the background."""
+    task = asyncio.create_task(coroutine)
+    KEPT.add(task)
+    task.add_done_callback(KEPT.discard)
+    return task
+
+
 def parse_head(raw):
     lines = raw.decode("latin-1").split("\r\n")
     headers = {}
@@ -274,7 +285,13 @@
         self.ip = ip or f"{fleet.subnet}.{100 + index}"
         self.port = 8080
         self.slots = slots
-        self.models = models
+        # Models that are resident; None for a server without an engine.
+        self.models = None if models is None else list(models)
+        # Models of which there are copies on disk.
+        self.disk = list(models or [])
+        self.load_s = 1.2
+        self.fence = 0
+        self.busy = None
         self.sequence = 0
         self.orders = 0
         self.born = 0
@@ -298,6 +315,7 @@
         self.software = software or self.software
         self.born = int(time.time() * 1000)
         self.sequence = 0
+        self.fence = 0
         self.orders = 0
         self.running = 0
         self.leaving = False
@@ -310,6 +328,12 @@
         """Ends the lifetime: all channels are reset and the port listens no more."""
         self.fleet.record.write("server-down", server=self.name)
         self.up = False
+        if self.models is not None:
+            # Replicas restart empty.
+            self.models = []
+        if self.busy:
+            self.busy.cancel()
+            self.busy = None
         self.beats.cancel()
         self.listener.close()
         for task in list(self.tasks):
@@ -327,7 +351,7 @@
         }
         if self.models is not None:
             body |= {"stage": "prefill_decode", "models": self.resident(),
-                     "atHand": {"inMemory": self.models, "onDisk": self.models}}
+                     "atHand": {"inMemory": [], "onDisk": self.disk}}
         return json.dumps(body).encode()
 
     def resident(self):
@@ -336,7 +360,7 @@
     async def check_in(self):
         await asyncio.sleep(0)
         while True:
-            asyncio.create_task(self.deliver(self.beat(), self.born, self.sequence))
+            keep(self.deliver(self.beat(), self.born, self.sequence))
             await asyncio.sleep(HEARTBEAT_S * random.uniform(0.95, 1.05))
 
     async def deliver(self, body, born, sequence):
@@ -357,6 +381,34 @@
             if status // 100 == 2:
                 return
 
+    def take_order(self, body):
+        """Answers an order for a model as PROTOCOL.md says. A load takes `load_s`."""
+        order = json.loads(body)
+        status = self.judge_order(order)
+        self.fleet.record.write("order", server=self.name, body=body.decode(), status=status)
+        if status == 202:
+            self.orders += 1
+            self.busy = asyncio.create_task(self.carry_out(order))
+        return status
+
+    def judge_order(self, order):
+        if "holder" not in order or "fencingToken" not in order or self.models is None:
+            return 400
+        if order["fencingToken"] < self.fence:
+            return 412
+        self.fence = order["fencingToken"]
+        if self.busy or order.get("expected", self.orders) != self.orders:
+            return 409
+        return 200 if (order["operation"] == "loading") == (order["model"] in self.models) else 202
+
+    async def carry_out(self, order):
+        if order["operation"] == "loading":
+            await asyncio.sleep(self.load_s)
+            self.models.append(order["model"])
+        else:
+            self.models.remove(order["model"])
+        self.busy = None
+
     async def accept(self, reader, writer):
         task = asyncio.current_task()
         self.tasks.add(task)
@@ -380,16 +432,18 @@
         expected = headers.get("expected-instance")
         if expected and expected != self.id:
             reply(writer, 421, [("Instance-Id", self.id)])
+        elif headers.get("model") and self.models is not None and headers["model"] not in self.models:
+            attempt = headers.get("attempt-id", "")
+            reply(writer, 421, [("Attempt-Id", attempt), ("Not-Executed", "1")])
         elif path == "/report":
-            report = {"stage": "prefill_decode", "models": self.resident() if self.models else [],
-                      "busy": False, "sequence": self.orders, "waiting": 0, "running": self.running,
+            report = {"stage": "prefill_decode", "models": self.resident() if self.models is not None else [],
+                      "busy": bool(self.busy), "sequence": self.orders, "waiting": 0, "running": self.running,
                       "kvCacheUsed": 0, "kvCacheTotal": 144538, "handles": 0, "born": self.born}
             reply(writer, 200, [("Content-Type", "application/json")], json.dumps(report).encode())
         elif path == "/health":
             reply(writer, 200, [("Instance-Id", self.id)])
         elif path == "/order":
-            self.fleet.record.write("order", server=self.name, body=body.decode())
-            reply(writer, 400)
+            reply(writer, self.take_order(body))
         else:
             self.running += 1
             try:
@@ -460,7 +514,7 @@
         return sorted({software for _, software, _ in self.events})
 
 
-async def ask_stream(record, ip, path, stream, headers=(), max_wait_ms=15000, until=None):
+async def ask_stream(record, ip, path, stream, headers=(), max_wait_ms=15000, until=None, body=b"hi"):
     """One client attempt at a stream. With `until` the client's channel breaks at that event."""
     attempt = f"{random.getrandbits(64):016x}"
     resumes = stream.attempts[0] if stream.attempts else None
@@ -490,8 +544,8 @@
         if stream.last is not None:
             lines += [f"Last-Event-Id: {stream.last}", f"Resumes: {resumes}"]
         lines += [f"{name}: {value}" for name, value in headers]
-        lines += ["Content-Length: 2", "", "hi"]
-        writer.write("\r\n".join(lines).encode())
+        lines += [f"Content-Length: {len(body)}", "", ""]
+        writer.write("\r\n".join(lines).encode() + body)
         record.write("sent", entry=ip, attempt=attempt, after=stream.last)
         line, answered = await read_head(reader)
         stream.status = int(line.split()[1])
@@ -499,9 +553,9 @@
             await read_chunks(reader, on_data)
             stream.complete = True
         else:
-            body = await reader.readexactly(int(answered.get("content-length", 0)))
+            text = await reader.readexactly(int(answered.get("content-length", 0)))
             stream.retry_after = float(answered.get("retry-after", 0))
-            record.write("refused", attempt=attempt, status=stream.status, body=body.decode(),
+            record.write("refused", attempt=attempt, status=stream.status, body=text.decode(),
                          retry_after=answered.get("retry-after"))
     except Broke:
         record.write("channel-broken", attempt=attempt, last=stream.last)
