Review: a late order loads more adapters than an engine has places for

Cause: the controller forgets a load that got no answer once the engine's sequence has passed the number that it expects; a restart of the engine starts the sequence anew.

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,7 +1,6 @@
 """See claim.txt."""
 
 import asyncio
-import random
 import sys
 import time
 from pathlib import Path
@@ -17,7 +16,10 @@
 # A server that has crashed is back after this time, and has its model again some seconds later.
 BACK_S = 2.0
 MODEL = "daka510000"
-FIRST, DEADLY, SOUND = "5c1e07a2", "dead0007", "91bd3f06"
+FIRST = "5c1e07a2"
+DEADLY = b"what crashes"
+# The same request comes again this often, a second apart.
+REPEATS = 20
 CONFIGURATION = {
     "routes": [{
         "name": "r-care", "host": "ficu95.example", "pathPrefix": "/care/", "kind": "streaming",
@@ -37,21 +39,15 @@
 }
 
 
-
 def deadly(record, reached, work):
-    """Work of a server that crashes as it begins to write an answer on the deadly part."""
+    """Work of a server that crashes as it begins to run the deadly request."""
 
     async def run(server, headers, body, reader, writer):
-        if DEADLY not in headers.get("prompt-prefix", ""):
+        if body != DEADLY:
             return await work(server, headers, body, reader, writer)
         reached.append(time.monotonic())
         record.write("deadly", server=server.name, attempt=headers.get("attempt-id"),
                      number=len(reached))
-        head = (f"HTTP/1.1 200 OK\r\nAttempt-Id: {headers.get('attempt-id')}\r\n"
-                f"Response-Seal: s.{server.name}\r\nContent-Type: text/event-stream\r\n"
-                f"Transfer-Encoding: chunked\r\n\r\n")
-        writer.write(head.encode())
-        await writer.drain()
         await asyncio.sleep(0.03)
         keep(crash_and_return(server))
         await asyncio.sleep(5)
@@ -67,39 +63,27 @@
     await server.start()
 
 
-def headers(parts, number):
-    prefix = ",".join(f"{part}:300" for part in [*parts, f"{number:08x}"])
+def headers(number):
+    prefix = f"{FIRST}:300,{number:08x}:300"
     return [("Model", MODEL), ("Token-Counts", "1460,9"), ("Prompt-Prefix", prefix)]
 
 
 async def sound_requests(fleet, record, results):
-    """Ten sound requests a second, which share the first part."""
+    """Ten sound requests a second, no two alike."""
     number = 1000
     while True:
         entry = fleet.entries[number % len(fleet.entries)]
-        stream = Stream()
 
-        async def one(entry=entry, stream=stream, number=number):
-            try:
-                await ask_stream(record, entry.ip, "/care/2f", stream, headers([FIRST, SOUND], number))
-            except OSError:
-                pass
-            results.append((time.monotonic(), stream.complete))
+        async def one(entry=entry, number=number):
+            stream = Stream()
+            await ask_stream(record, entry.ip, "/care/2f", stream, headers(number))
+            results.append(stream.complete)
 
         keep(one())
         number += 1
         await asyncio.sleep(0.1)
 
 
-async def deadly_requests(fleet, record, count):
-    """Requests with the deadly part, two a second, no two alike, at any machine."""
-    for _ in range(count):
-        for entry in random.sample(fleet.entries, 2):
-            parts = headers([FIRST, DEADLY], random.getrandbits(31))
-            keep(ask_stream(record, entry.ip, "/care/2f", Stream(), parts))
-        await asyncio.sleep(1.0)
-
-
 async def scenario(fleet, record, trouble):
     fleet.start()
     await fleet.configure(CONFIGURATION)
@@ -114,37 +98,23 @@
     await asyncio.sleep(4.0)
     results = []
     sound = asyncio.create_task(sound_requests(fleet, record, results))
-    await asyncio.sleep(2.0)
-    await deadly_requests(fleet, record, 8)
-    learnt = len(reached)
-    await asyncio.sleep(CONTACT_S + 1.0)
-    if trouble:
-        for process in fleet.processes:
-            process.signal(9)
-        for process in fleet.processes:
-            process.process.wait()
-        await asyncio.sleep(DOWN_S)
-        for process in fleet.processes:
-            process.start()
-        await fleet.wait_until_ready()
-    # All machines are in touch again.
-    await asyncio.sleep(2 * CONTACT_S + 0.5)
-    from_here = time.monotonic()
-    await deadly_requests(fleet, record, 8)
-    await asyncio.sleep(2.0)
+    await asyncio.sleep(1.0)
+    for number in range(REPEATS):
+        # The same path, caller, prompt and body, at any machine.
+        entry = fleet.entries[number % len(fleet.entries)]
+        body = DEADLY if trouble else b"hi"
+        keep(ask_stream(record, entry.ip, "/care/2f", Stream(), headers(7), body=body))
+        await asyncio.sleep(1.0)
+    await asyncio.sleep(1.0)
     sound.cancel()
-    if learnt < 5:
-        raise RuntimeError("there were fewer than five crashes")
-    known = max(from_here, reached[4] + CONTACT_S)
-    later = sum(at > known for at in reached)
-    served = sum(complete for _, complete in results)
-    record.write("result", learnt=learnt, later=later, sound=len(results), sound_served=served)
-    print(f"{learnt} deadly requests reached servers at first, {later} after all were in touch again; "
-          f"{served} of {len(results)} sound ones served")
-    if served < len(results) / 2:
-        raise RuntimeError("the case did not come about")
-    # BUDGET: more than three requests, later than contactMs after the fifth crash.
-    return f"BUDGET: {later} requests with the part have reached servers" if later > 3 else None
+    known = reached[2] + CONTACT_S if len(reached) > 2 else None
+    later = sum(at > known for at in reached) if known else 0
+    record.write("result", reached=len(reached), later=later, sound=len(results),
+                 sound_served=sum(results))
+    print(f"{len(reached)} times a server ran the request, {later} times later than contactMs after "
+          f"the third crash; {sum(results)} of {len(results)} sound ones served")
+    # BUDGET: more than three retries.
+    return f"BUDGET: {later} times later than contactMs after the third crash" if later > 3 else None
 
 
 main(HERE, scenario)
--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -287,6 +287,13 @@
         self.slots = slots
         # Models that are resident; None for a server without an engine.
         self.models = None if models is None else list(models)
+        # Adapters that are resident, with their models.
+        self.adapters = []
+        self.adapter_slots = None
+        # Orders that loaded more than the slots hold.
+        self.over_limit = []
+        # Returns whether an order is to be left unanswered and carried out this much later.
+        self.late = lambda order: None
         # Models of which there are copies on disk.
         self.disk = list(models or [])
         self.load_s = 1.2
@@ -331,6 +338,7 @@
         if self.models is not None:
             # Replicas restart empty.
             self.models = []
+            self.adapters = []
         if self.busy:
             self.busy.cancel()
             self.busy = None
@@ -355,7 +363,9 @@
         return json.dumps(body).encode()
 
     def resident(self):
-        return [{"name": model, "version": 1, "adapters": []} for model in self.models]
+        held = {model: [name for owner, name in self.adapters if owner == model]
+                for model in self.models}
+        return [{"name": model, "version": 1, "adapters": names} for model, names in held.items()]
 
     async def check_in(self):
         await asyncio.sleep(0)
@@ -382,24 +392,58 @@
                 return
 
     def take_order(self, body):
-        """Answers an order for a model as PROTOCOL.md says. A load takes `load_s`."""
+        """Answers an order for a model or an adapter as PROTOCOL.md says. A load of a model takes
+        `load_s`; adapters load and unload at once, which makes the server not busy."""
         order = json.loads(body)
         status = self.judge_order(order)
-        self.fleet.record.write("order", server=self.name, body=body.decode(), status=status)
-        if status == 202:
-            self.orders += 1
-            self.busy = asyncio.create_task(self.carry_out(order))
+        self.fleet.record.write("order", server=self.name, body=body.decode(), status=status,
+                                sequence=self.orders)
         return status
 
+    async def deliver_late(self, body, expected, late_s):
+        """An order that is on its way for seconds reaches whoever has the address then."""
+        await asyncio.sleep(late_s)
+        if self.up and expected in (None, self.id):
+            self.fleet.record.write("order-late", server=self.name)
+            self.take_order(body)
+
+    def holds(self, named):
+        model, _, adapter = named.partition("/")
+        return model in self.models and (not adapter or (model, adapter) in self.adapters)
+
     def judge_order(self, order):
         if "holder" not in order or "fencingToken" not in order or self.models is None:
             return 400
         if order["fencingToken"] < self.fence:
             return 412
         self.fence = order["fencingToken"]
-        if self.busy or order.get("expected", self.orders) != self.orders:
+        if order.get("expected", self.orders) != self.orders:
             return 409
-        return 200 if (order["operation"] == "loading") == (order["model"] in self.models) else 202
+        loads, model, adapter = order["operation"] == "loading", order["model"], order.get("adapter")
+        if adapter is None:
+            if self.busy:
+                return 409
+            if loads == (model in self.models):
+                return 200
+            self.orders += 1
+            self.busy = asyncio.create_task(self.carry_out(order))
+            return 202
+        if model not in self.models:
+            return 421
+        if loads == ((model, adapter) in self.adapters):
+            return 200
+        self.orders += 1
+        if not loads:
+            self.adapters.remove((model, adapter))
+            return 200
+        self.adapters.append((model, adapter))
+        if self.adapter_slots is not None and len(self.adapters) > self.adapter_slots:
+            self.over_limit.append(dict(order, adapters=len(self.adapters)))
+            self.fleet.record.write("over-limit", server=self.name, order=json.dumps(order),
+                                    adapters=len(self.adapters), slots=self.adapter_slots)
+            # A replica that is ordered to load more than adapterSlots crashes.
+            keep(self.crash())
+        return 202
 
     async def carry_out(self, order):
         if order["operation"] == "loading":
@@ -407,6 +451,7 @@
             self.models.append(order["model"])
         else:
             self.models.remove(order["model"])
+            self.adapters = [held for held in self.adapters if held[0] != order["model"]]
         self.busy = None
 
     async def accept(self, reader, writer):
@@ -432,7 +477,7 @@
         expected = headers.get("expected-instance")
         if expected and expected != self.id:
             reply(writer, 421, [("Instance-Id", self.id)])
-        elif headers.get("model") and self.models is not None and headers["model"] not in self.models:
+        elif headers.get("model") and self.models is not None and not self.holds(headers["model"]):
             attempt = headers.get("attempt-id", "")
             reply(writer, 421, [("Attempt-Id", attempt), ("Not-Executed", "1")])
         elif path == "/report":
@@ -443,6 +488,14 @@
         elif path == "/health":
             reply(writer, 200, [("Instance-Id", self.id)])
         elif path == "/order":
+            late_s = self.late(json.loads(body))
+            if late_s is not None:
+                self.fleet.record.write("order-unanswered", server=self.name, body=body.decode(),
+                                        late_s=late_s)
+                keep(self.deliver_late(body, expected, late_s))
+                # No answer: the sender gives up in its own time.
+                await asyncio.sleep(late_s)
+                return
             reply(writer, self.take_order(body))
         else:
             self.running += 1
