--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -628,6 +628,8 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(Path(case) / "record.txt")
     record.write("case", trouble=trouble)
+    # Ends the processes also where the script itself is stopped.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     fleet = None
     status = 2
     try:
