A stream goes on at the only version of its service only if the log says so

Cause: an entry took the one version that it and a majority of the control instances had heard of for the origin of a stream that nobody knew. After a restart each of them has heard of the first targets to check in; a majority of views that are not whole is no whole one. Callers that name no earlier attempt were judged by the entry's own table alone. And streams were reported only while an entry knew several versions, so those from before were known to nobody.

Evidence: each mixed stream has a 'stream origin' line with the source only_version, and no other.

Now a control instance publishes a target only once its software version is committed in the replicated log, and 'one version only' is read from the leader's committed state under its lease. A stream can begin at a version only after that is there, so the answer covers every stream that began before the question. All streams are reported; an origin that a target's restart has made uncertain is taken back at all control instances.

--- a/crates/flamingo-control/src/daemon.rs
+++ b/crates/flamingo-control/src/daemon.rs
@@ -6,9 +6,10 @@
 use crate::leader_task::LeaderTask;
 use crate::metrics::Metrics;
 use crate::placement_task::PlacementTask;
-use crate::raft_actor::{GetMembership, Options, RaftActor, Stop};
+use crate::raft_actor::{GetMembership, HandleRequest, Options, RaftActor, Stop};
 use crate::registry::Registry;
-use crate::watch::{MAX_FULL_TRANSFERS, Publisher};
+use crate::software::{self, Gate, Passage};
+use crate::watch::{MAX_FULL_TRANSFERS, Publisher, lock_registry};
 use actix::{Actor, Addr};
 use actix_web::web::Data;
 use actix_web::{App, HttpServer};
@@ -19,19 +20,24 @@
 use flamingo_log::{Raft, Timing, disk};
 use flamingo_settings::control::Settings;
 use flamingo_state::State;
+use flamingo_state::software::Software;
+use flamingo_wire::control::{Reply, Request};
 use flamingo_wire::frame::{MAX_BODY, Seal};
 use flamingo_wire::id;
 use flamingo_wire::inner::control_server::ControlServer;
 use flamingo_wire::inner::log_server::LogServer;
+use flamingo_wire::stream::Origin;
+use flamingo_wire::target::Registration;
 use slog::{Logger, error, info, warn};
 use std::error::Error;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, SystemTime};
 use tokio::net::TcpListener;
+use tokio::sync::watch::Receiver;
 use tokio::sync::{Semaphore, mpsc};
 use tokio_stream::wrappers::TcpListenerStream;
 use tonic::transport::Server;
@@ -42,6 +48,8 @@
 const DISK_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Time for a transient failure of the disk to pass before the log may be opened again.
 const DISK_RECOVERY_GRACE: Duration = Duration::from_secs(2);
+/// Time between two attempts to have a software version committed.
+const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(100);
 /// Upper bound on the bytes of a frame in addition to the body.
 const FRAME_OVERHEAD: usize = 4 * 1024;
 
@@ -178,6 +186,9 @@
     pub raft_actor: Addr<RaftActor>,
     /// The targets known to this instance.
     pub registry: Arc<Mutex<Registry>>,
+    /// Targets whose software version is not committed yet.
+    gate: Arc<Mutex<Gate>>,
+    log: Logger,
 }
 
 impl Core {
@@ -190,9 +201,11 @@
         let seal = setup.seal.clone();
         let controller = setup.controller.clone();
         let inner = setup.inner;
+        let log = setup.log.clone();
         let raft_actor = build_raft_actor(setup)?;
         let config = raft_actor.subscribe_config();
         let routes = raft_actor.subscribe_routes();
+        let software = raft_actor.subscribe_software();
         let raft_actor = raft_actor.start();
         let listener = TcpListener::bind(inner).await?;
         let registry = Arc::new(Mutex::new(Registry::default()));
@@ -210,10 +223,88 @@
             .add_service(ControlServer::new(inner.clone()).max_decoding_message_size(limit))
             .add_service(LogServer::new(inner).max_decoding_message_size(limit));
         actix_rt::spawn(inner.serve_with_incoming(TcpListenerStream::new(listener)));
-        Ok(Self {
+        let core = Self {
             raft_actor,
             registry,
-        })
+            gate: Arc::default(),
+            log,
+        };
+        actix_rt::spawn(core.clone().adopt_software(software));
+        Ok(core)
+    }
+
+    /// Records a heartbeat of a target. A target whose software version is not committed yet is
+    /// published once it is.
+    pub fn record_heartbeat(&self, registration: Registration) {
+        let now = clock::now();
+        let origin = software::origin(&registration);
+        let mut gate = self.lock_gate();
+        let passage = gate.check(&registration, SystemTime::now());
+        if passage == Passage::Held {
+            if lock_registry(&self.registry).withdraw_superseded(now, &registration) {
+                info!(self.log, "target held"; "target" => &registration.id,
+                    "service" => &origin.service, "software" => &origin.software);
+                gate.hold(registration, now);
+            }
+        } else {
+            gate.remove(&registration.id);
+            lock_registry(&self.registry).record_heartbeat(now, registration);
+        }
+        if passage != Passage::Open && gate.begin_confirmation(&origin) {
+            actix_rt::spawn(self.clone().confirm(origin));
+        }
+    }
+
+    /// Records that a target has left. An `incarnation` other than 0 must be the current one; 0 stands
+    /// for any.
+    pub fn record_departure(&self, target: &str, incarnation: id::Incarnation) {
+        self.lock_gate().remove(target);
+        lock_registry(&self.registry).record_departure(clock::now(), target, incarnation);
+    }
+
+    /// Has a software version committed; tries again while a target waits for it.
+    async fn confirm(self, origin: Origin) {
+        loop {
+            let request = Request::Confirm(origin.clone());
+            let from = id::Node::new();
+            let reply = self.raft_actor.send(HandleRequest { request, from }).await;
+            if !matches!(reply, Ok(Reply::Acknowledged)) {
+                info!(self.log, "software version not confirmed"; "service" => &origin.service,
+                    "software" => &origin.software, "why" => format!("{reply:?}"));
+                actix_rt::time::sleep(CONFIRMATION_INTERVAL).await;
+            }
+            let mut gate = self.lock_gate();
+            if matches!(reply, Ok(Reply::Acknowledged)) || !gate.holds(&origin, clock::now()) {
+                gate.end_confirmation(&origin);
+                return;
+            }
+        }
+    }
+
+    /// Publishes the targets that wait for their software version as it is committed. Ends with the
+    /// actor of the log.
+    async fn adopt_software(self, mut software: Receiver<Arc<Software>>) {
+        loop {
+            self.release_targets(Arc::clone(&software.borrow_and_update()));
+            if software.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Publishes the targets whose software version is among the committed ones.
+    fn release_targets(&self, committed: Arc<Software>) {
+        let now = clock::now();
+        let released = self.lock_gate().adopt(committed, now, SystemTime::now());
+        for registration in released {
+            lock_registry(&self.registry).record_heartbeat(now, registration);
+        }
+    }
+
+    /// Locks the gate. A poisoned lock is used all the same, because a panic of another holder leaves
+    /// the gate consistent.
+    fn lock_gate(&self) -> MutexGuard<'_, Gate> {
+        self.gate.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Waits until the disk has failed, and then for `DISK_RECOVERY_GRACE`.
--- a/crates/flamingo-control/src/inner.rs
+++ b/crates/flamingo-control/src/inner.rs
@@ -4,14 +4,13 @@
 use crate::origins::Origins;
 use crate::packet::{HEARTBEAT_INTERVAL, Packet, STREAM_TIMEOUT};
 use crate::raft_actor::{HandleRequest, PeerMessage, RaftActor};
-use crate::watch::{Publisher, lock_registry};
+use crate::watch::Publisher;
 use actix::Addr;
 use flamingo_wire::Frame;
 use flamingo_wire::control::{Reply, Request};
 use flamingo_wire::frame::Seal;
 use flamingo_wire::inner::control_server::Control;
 use flamingo_wire::inner::log_server::Log;
-use flamingo_wire::stream::{Answer, Begun, Query};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Instant, SystemTime};
 use tokio::sync::mpsc::{self, Sender, channel};
@@ -52,20 +51,6 @@
             origins: Arc::new(Mutex::new(Origins::new(Instant::now()))),
         }
     }
-
-    /// Records streams that have begun at an entry.
-    fn record_begun(&self, begun: Vec<Begun>) -> Reply {
-        lock(&self.origins).record(Instant::now(), begun);
-        Reply::Acknowledged
-    }
-
-    /// Returns what this instance knows of the origin of a stream.
-    fn find_origin(&self, query: &Query) -> Reply {
-        Reply::Origin(Answer {
-            origin: lock(&self.origins).find(Instant::now(), query.stream),
-            software: lock_registry(&self.publisher.registry).software(&query.service),
-        })
-    }
 }
 
 /// Locks the store. A poisoned lock is used all the same, because a panic of another holder leaves
@@ -95,8 +80,13 @@
             .map_err(|error| Status::unauthenticated(error.to_string()))?;
         let from = frame.from;
         let reply = match (&self.controller, request) {
-            (_, Request::Begun(begun)) => self.record_begun(begun),
-            (_, Request::Origin(query)) => self.find_origin(&query),
+            (_, Request::Begun(begun)) => {
+                lock(&self.origins).record(Instant::now(), begun);
+                Reply::Acknowledged
+            }
+            (_, Request::Origin(stream)) => {
+                Reply::Origin(lock(&self.origins).find(Instant::now(), stream))
+            }
             (
                 Some(controller),
                 request @ (Request::Usage(_) | Request::LoadAdapter(_) | Request::Permit(_)),
--- a/crates/flamingo-control/src/lib.rs
+++ b/crates/flamingo-control/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod placement_task;
 pub mod raft_actor;
 pub mod registry;
+pub mod software;
 pub mod transfer;
 pub mod watch;
 pub mod writer;
--- a/crates/flamingo-control/src/origins.rs
+++ b/crates/flamingo-control/src/origins.rs
@@ -4,7 +4,7 @@
 //! loses in a restart makes callers begin a stream anew; it never makes one go on at another
 //! version.
 
-use flamingo_wire::stream::{Begun, Key, Origin};
+use flamingo_wire::stream::{Begun, Key, Knowledge, Origin};
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -14,8 +14,8 @@
 /// Largest number of streams in one generation; beyond it the oldest ones are dropped early.
 const MAX_GENERATION: usize = 100_000;
 
-/// Origins of streams, by key.
-type Generation = HashMap<Key, Arc<Origin>>;
+/// Origins of streams, by key; `None` where the origin is uncertain.
+type Generation = HashMap<Key, Option<Arc<Origin>>>;
 
 /// Origins of the streams that were reported to one control instance. They are kept in two
 /// generations, the older of which is dropped as a whole.
@@ -42,32 +42,30 @@
     ///
     /// ```
     /// use flamingo_control::origins::{Origins, RETENTION};
-    /// use flamingo_wire::stream::{Begun, Origin};
+    /// use flamingo_wire::stream::{Begun, Knowledge, Origin};
     /// use std::time::Instant;
     ///
     /// let begun_at = Instant::now();
     /// let origin = Origin { service: "notes".into(), software: "v1".into() };
+    /// let begun = Begun { origin: Some(origin.clone()), streams: vec![7] };
     /// let mut origins = Origins::new(begun_at);
-    /// origins.record(begun_at, vec![Begun { origin: origin.clone(), streams: vec![7] }]);
-    /// assert_eq!(origins.find(begun_at + RETENTION, 7), Some(origin));
-    /// assert_eq!(origins.find(begun_at + 2 * RETENTION, 7), None);
+    /// origins.record(begun_at, vec![begun]);
+    /// assert_eq!(origins.find(begun_at + RETENTION, 7), Knowledge::Known(origin));
+    /// assert_eq!(origins.find(begun_at + 2 * RETENTION, 7), Knowledge::Unknown);
     /// ```
     pub fn record(&mut self, now: Instant, begun: Vec<Begun>) {
         self.rotate(now);
-        for Begun { origin, streams } in begun {
-            let origin = Arc::new(origin);
-            for stream in streams {
-                self.current.insert(stream, Arc::clone(&origin));
-            }
-        }
+        insert(&mut self.current, begun);
     }
 
-    /// Returns where a stream began; `None` if that was not reported, or too long ago.
-    pub fn find(&mut self, now: Instant, stream: Key) -> Option<Origin> {
+    /// Returns where a stream began, as far as it was reported, and not too long ago.
+    pub fn find(&mut self, now: Instant, stream: Key) -> Knowledge {
         self.rotate(now);
-        let found = self.current.get(&stream);
-        let found = found.or_else(|| self.previous.get(&stream));
-        found.map(|origin| Origin::clone(origin))
+        let generations = [&self.current, &self.previous].into_iter();
+        let reports = generations.filter_map(|generation| generation.get(&stream));
+        reports
+            .map(|origin| Knowledge::from(origin.as_deref().cloned()))
+            .fold(Knowledge::Unknown, Knowledge::join)
     }
 
     fn rotate(&mut self, now: Instant) {
@@ -84,3 +82,16 @@
         self.rotates_at = now + RETENTION;
     }
 }
+
+/// Adds reports to a generation. A stream that was reported with two origins has none.
+fn insert(generation: &mut Generation, reports: Vec<Begun>) {
+    for Begun { origin, streams } in reports {
+        let origin = origin.map(Arc::new);
+        for stream in streams {
+            let known = generation.entry(stream).or_insert_with(|| origin.clone());
+            if *known != origin {
+                *known = None;
+            }
+        }
+    }
+}
--- a/crates/flamingo-control/src/raft_actor.rs
+++ b/crates/flamingo-control/src/raft_actor.rs
@@ -21,6 +21,7 @@
 use flamingo_guard::quarantine::Ledger;
 use flamingo_log::raft::{Change, Refusal, Seed};
 use flamingo_log::{Disk, Raft, Role};
+use flamingo_state::software::Software;
 use flamingo_state::{Command, State};
 use flamingo_wire::config::Snapshot;
 use flamingo_wire::control::{Heartbeat, Reply, Request};
@@ -114,6 +115,7 @@
     followers: BTreeMap<id::Node, FollowerRecord>,
     config: watch::Sender<ConfigSnapshot>,
     routes: watch::Sender<LatestRoutes>,
+    software: watch::Sender<Arc<Software>>,
     /// Term whose `Lead` command of this instance is committed; 0 while this instance does not
     /// lead.
     lead_committed: id::Term,
@@ -145,6 +147,7 @@
             .as_ref()
             .map(|set| routes_update(set, false));
         let (routes, _) = watch::channel(update);
+        let (software, _) = watch::channel(Arc::new(options.state.software.clone()));
         Self {
             raft: options.raft,
             state: options.state,
@@ -162,6 +165,7 @@
             followers: BTreeMap::new(),
             config,
             routes,
+            software,
             lead_committed: 0,
             lead_proposed: 0,
             flush_queued: false,
@@ -183,6 +187,12 @@
         self.routes.subscribe()
     }
 
+    /// Returns a receiver of the committed software versions of targets.
+    #[must_use]
+    pub fn subscribe_software(&self) -> watch::Receiver<Arc<Software>> {
+        self.software.subscribe()
+    }
+
     /// Returns the leadership of this instance, or `None` where it does not lead at `now` or its
     /// `Lead` command is not committed yet.
     fn leadership(&self, now: Instant) -> Option<Leadership> {
@@ -195,7 +205,7 @@
         })
     }
 
-    /// Publishes the committed configuration and routes where they have changed.
+    /// Publishes the committed configuration, routes and software versions where they have changed.
     fn publish(&self) {
         let version = self.state.configuration.version();
         if version > self.config.borrow().version {
@@ -209,6 +219,13 @@
             let leads = self.raft.role() == Role::Leader;
             self.routes.send_replace(Some(routes_update(set, leads)));
         }
+        self.software.send_if_modified(|published| {
+            let changed = **published != self.state.software;
+            if changed {
+                *published = Arc::new(self.state.software.clone());
+            }
+            changed
+        });
     }
 
     fn tick(&mut self, ctx: &mut Context<Self>) {
--- a/crates/flamingo-control/src/raft_actor/requests.rs
+++ b/crates/flamingo-control/src/raft_actor/requests.rs
@@ -52,9 +52,14 @@
             Request::Routes if self.raft.has_read_lease(now) => {
                 ready(Reply::Routes(self.state.routes.clone()))
             }
+            Request::Confirm(origin) => self.commit(now, Command::Confirm(origin), ctx),
+            Request::Versions(service) if self.raft.has_read_lease(now) => {
+                ready(Reply::Versions(self.state.software.versions(&service)))
+            }
             // Requests to the engine controller arrive here only where the instance runs none, and
             // those about streams are answered before.
             Request::Routes
+            | Request::Versions(_)
             | Request::Usage(_)
             | Request::Permit(_)
             | Request::LoadAdapter(_)
--- a/crates/flamingo-control/src/registry.rs
+++ b/crates/flamingo-control/src/registry.rs
@@ -121,7 +121,8 @@
 
     /// Returns whether a newer registration is known, of the same target or of a target that took
     /// over its address.
-    fn is_outdated(&self, registration: &Registration) -> bool {
+    #[must_use]
+    pub fn is_outdated(&self, registration: &Registration) -> bool {
         if let Some(record) = self.targets.get(&registration.id)
             && !registration.supersedes(&record.registration)
         {
@@ -136,6 +137,19 @@
         })
     }
 
+    /// Marks the earlier incarnation of a target as gone, whose newer registration may not be published
+    /// yet. Returns `false` where the registration is outdated.
+    pub fn withdraw_superseded(&mut self, now: Instant, registration: &Registration) -> bool {
+        if self.is_outdated(registration) {
+            return false;
+        }
+        let known = self.get(&registration.id);
+        if known.is_some_and(|known| known.incarnation < registration.incarnation) {
+            self.record_departure(now, &registration.id, 0);
+        }
+        true
+    }
+
     /// Marks a target as gone and publishes that. An `incarnation` other than 0 must be the current
     /// one; 0 stands for any.
     pub fn record_departure(&mut self, now: Instant, id: &str, incarnation: id::Incarnation) {
@@ -232,18 +246,6 @@
         active.map(|record| record.registration.clone()).collect()
     }
 
-    /// Returns the software versions of a service's targets, including those that have left and are
-    /// not removed yet.
-    #[must_use]
-    pub fn software(&self, service: &str) -> Vec<id::Software> {
-        let records = self.targets.values().map(|record| &record.registration);
-        let of_service = records.filter(|registration| registration.service == service);
-        let versions: BTreeSet<_> = of_service
-            .map(|registration| &registration.software)
-            .collect();
-        versions.into_iter().cloned().collect()
-    }
-
     /// Returns a target's newest registration.
     #[must_use]
     pub fn get(&self, id: &str) -> Option<&Registration> {
--- a/crates/flamingo-control/tests/origins.rs
+++ b/crates/flamingo-control/tests/origins.rs
@@ -1,15 +1,12 @@
 //! Origins of streams that entries report to a control instance.
 
 use flamingo_control::origins::{Origins, RETENTION};
-use flamingo_control::registry::Registry;
 use flamingo_test_support::cluster::{Cluster, KEY};
-use flamingo_test_support::registration::registration;
 use flamingo_test_support::wait;
 use flamingo_wire::control::{Reply, Request};
 use flamingo_wire::frame::Seal;
 use flamingo_wire::inner::control_client::ControlClient;
-use flamingo_wire::stream::{Answer, Begun, Key, Origin, Query};
-use flamingo_wire::target::Registration;
+use flamingo_wire::stream::{Begun, Key, Knowledge, Origin};
 use std::ops::Range;
 use std::time::{Instant, SystemTime};
 
@@ -18,7 +15,7 @@
 
 fn begun(software: &str, streams: Range<Key>) -> Vec<Begun> {
     vec![Begun {
-        origin: origin(software),
+        origin: Some(origin(software)),
         streams: streams.collect(),
     }]
 }
@@ -30,15 +27,19 @@
     }
 }
 
+fn known(software: &str) -> Knowledge {
+    Knowledge::Known(origin(software))
+}
+
 #[test]
 fn a_stream_is_found_at_the_version_that_began_it() {
     let now = Instant::now();
     let mut origins = Origins::new(now);
     origins.record(now, begun("v1", 0..10));
     origins.record(now, begun("v1.1", 10..20));
-    assert_eq!(origins.find(now, 9), Some(origin("v1")));
-    assert_eq!(origins.find(now, 10), Some(origin("v1.1")));
-    assert_eq!(origins.find(now, 20), None);
+    assert_eq!(origins.find(now, 9), known("v1"));
+    assert_eq!(origins.find(now, 10), known("v1.1"));
+    assert_eq!(origins.find(now, 20), Knowledge::Unknown);
 }
 
 #[test]
@@ -50,7 +51,7 @@
         let stream = Key::from(tenth);
         origins.record(now, begun("v1", stream..stream + 1));
         let oldest = stream.saturating_sub(10);
-        assert_eq!(origins.find(now, oldest), Some(origin("v1")));
+        assert_eq!(origins.find(now, oldest), known("v1"));
     }
 }
 
@@ -61,24 +62,36 @@
     for stream in (0..MANY).step_by(1_000) {
         origins.record(now, begun("v1", stream..stream + 1_000));
     }
-    assert_eq!(origins.find(now, 0), None);
-    assert_eq!(origins.find(now, MANY - 1), Some(origin("v1")));
+    assert_eq!(origins.find(now, 0), Knowledge::Unknown);
+    assert_eq!(origins.find(now, MANY - 1), known("v1"));
+}
+
+/// Returns reports that take a stream's origin back.
+fn retracted(stream: Key) -> Vec<Begun> {
+    vec![Begun {
+        origin: None,
+        streams: vec![stream],
+    }]
+}
+
+#[test]
+fn an_origin_that_was_taken_back_stays_uncertain() {
+    let start = Instant::now();
+    let mut origins = Origins::new(start);
+    origins.record(start, begun("v1", 0..1));
+    let later = start + RETENTION;
+    origins.record(later, retracted(0));
+    origins.record(later, begun("v1", 0..1));
+    assert_eq!(origins.find(later, 0), Knowledge::Uncertain);
 }
 
 #[test]
-fn the_versions_of_a_service_include_those_that_have_left() {
+fn a_stream_that_two_versions_are_said_to_have_begun_is_uncertain() {
     let now = Instant::now();
-    let mut registry = Registry::default();
-    for (id, software) in [("i-1", "v1"), ("i-2", "v1.1"), ("i-3", "v1.1")] {
-        let registration = Registration {
-            software: software.into(),
-            ..registration(id)
-        };
-        registry.record_heartbeat(now, registration);
-    }
-    registry.record_departure(now, "i-1", 0);
-    assert_eq!(registry.software("s"), ["v1", "v1.1"]);
-    assert!(registry.software("other").is_empty());
+    let mut origins = Origins::new(now);
+    origins.record(now, begun("v1", 0..1));
+    origins.record(now, begun("v1.1", 0..1));
+    assert_eq!(origins.find(now, 0), Knowledge::Uncertain);
 }
 
 /// Sends a request to an instance of a cluster and returns its reply.
@@ -96,19 +109,12 @@
 #[actix_rt::test]
 async fn each_instance_answers_for_the_streams_that_it_was_told() {
     let cluster = Cluster::start(3, 0);
-    let query = Request::Origin(Query {
-        stream: 7,
-        service: "s".into(),
-    });
     for instance in 0..3 {
-        let unknown = Reply::Origin(Answer::default());
-        assert_eq!(ask(&cluster, instance, &query).await, unknown);
+        let unknown = Reply::Origin(Knowledge::Unknown);
+        assert_eq!(ask(&cluster, instance, &Request::Origin(7)).await, unknown);
         let told = Request::Begun(begun("v1", 7..8));
         assert_eq!(ask(&cluster, instance, &told).await, Reply::Acknowledged);
-        let known = Reply::Origin(Answer {
-            origin: Some(origin("v1")),
-            software: Vec::new(),
-        });
-        assert_eq!(ask(&cluster, instance, &query).await, known);
+        let known = Reply::Origin(known("v1"));
+        assert_eq!(ask(&cluster, instance, &Request::Origin(7)).await, known);
     }
 }
--- a/crates/flamingo-serve/src/proxy.rs
+++ b/crates/flamingo-serve/src/proxy.rs
@@ -181,7 +181,7 @@
         let earlier_wait = self.earlier_wait(&route, max_wait);
         let mut software = None;
         if route.resumable && request.last_event_id.is_some() {
-            let origin = self.find_origin(&route, &service, &request, deadline).await;
+            let origin = self.find_origin(&route, &request, deadline).await;
             let Some(origin) = origin else {
                 return self.refuse_resumption(&route, &request);
             };
--- a/crates/flamingo-serve/src/table.rs
+++ b/crates/flamingo-serve/src/table.rs
@@ -11,7 +11,7 @@
 use flamingo_wire::control::Push;
 use flamingo_wire::id;
 use flamingo_wire::target::{self, Registration, Residency};
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
 /// Time without a heartbeat after which a target is used only if there is no other; several
@@ -198,33 +198,6 @@
         targets.filter(move |target| target.registration.service == service)
     }
 
-    /// Returns the software versions of a service's targets, including those that have gone and
-    /// were not removed yet.
-    #[must_use]
-    pub fn software(&self, service: &str) -> BTreeSet<id::Software> {
-        let targets = self.of_service(service);
-        targets
-            .map(|target| target.registration.software.clone())
-            .collect()
-    }
-
-    /// Returns the services whose targets run several software versions, including targets that have
-    /// gone and were not removed yet.
-    #[must_use]
-    pub fn mixed_services(&self) -> HashSet<id::Service> {
-        let mut first: HashMap<&str, &str> = HashMap::new();
-        let mut mixed = HashSet::new();
-        for registration in self.targets.values().map(|target| &target.registration) {
-            let software = first
-                .entry(&registration.service)
-                .or_insert(&registration.software);
-            if *software != registration.software {
-                mixed.insert(registration.service.clone());
-            }
-        }
-        mixed
-    }
-
     /// Returns the target named `id`; `None` if it is unknown.
     #[must_use]
     pub fn get(&self, id: &str) -> Option<&Target> {
--- a/crates/flamingo-serve/src/topology.rs
+++ b/crates/flamingo-serve/src/topology.rs
@@ -14,7 +14,7 @@
 use flamingo_wire::target::Registration;
 use slog::{Logger, info};
 use std::cell::RefCell;
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -30,8 +30,6 @@
     hosts: HashMap<String, Vec<usize>>,
     /// Indices of the services in `set`.
     services: HashMap<id::Service, usize>,
-    /// Services between which a route splits its requests.
-    split: HashSet<id::Service>,
 }
 
 impl Routes {
@@ -48,14 +46,10 @@
         let services = set.services.iter().enumerate();
         let services = services.map(|(index, service)| (service.name.clone(), index));
         let services = services.collect();
-        let split = set.routes.iter().filter(|route| route.shares.len() > 1);
-        let split = split.flat_map(|route| &route.shares);
-        let split = split.map(|share| share.service.clone()).collect();
         Self {
             set,
             hosts,
             services,
-            split,
         }
     }
 
@@ -67,12 +61,6 @@
         routes.find(|route| path.starts_with(&route.prefix))
     }
 
-    /// Returns the services between which a route splits its requests.
-    #[must_use]
-    pub fn split_services(&self) -> &HashSet<id::Service> {
-        &self.split
-    }
-
     /// Returns the service with this name; `None` if there is none.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<&Service> {
@@ -88,6 +76,8 @@
     pub leader: Option<SocketAddr>,
     /// Number of entries that each control instance counts.
     entries: HashMap<SocketAddr, usize>,
+    /// Number of control instances in the newest list of any of them; `None` before the first.
+    controls: Option<usize>,
     /// Control instances whose pushes are being received.
     connected: BTreeSet<SocketAddr>,
 }
@@ -104,6 +94,12 @@
         self.connected.iter().copied().collect()
     }
 
+    /// Returns whether `answered` control instances are all that there are, as far as is known.
+    #[must_use]
+    pub fn are_all(&self, answered: usize) -> bool {
+        self.controls.is_some_and(|controls| answered >= controls)
+    }
+
     /// Returns the largest number of entries that any control instance counts; `None` if none
     /// was received.
     #[must_use]
@@ -148,19 +144,8 @@
         }
     }
 
-    /// Returns the services whose streams could go on at a wrong place: those with targets of
-    /// several software versions, and those between which a route splits its requests.
-    #[must_use]
-    pub fn ambiguous_services(&self) -> HashSet<id::Service> {
-        let mut ambiguous = self.table.borrow().mixed_services();
-        if let Some(routes) = self.routes.borrow().as_ref() {
-            ambiguous.extend(routes.split_services().iter().cloned());
-        }
-        ambiguous
-    }
-
-    /// Forgets the streams that a target began after its last known heartbeat, if it has restarted
-    /// with other software since.
+    /// Makes the origin of the streams uncertain that a target began after its last known heartbeat, if
+    /// it has restarted with other software since.
     fn forget_uncertain_streams(&self, registrations: &[Registration]) {
         let table = self.table.borrow();
         for registration in registrations {
@@ -269,6 +254,7 @@
                     known.leader = peers.leader;
                 }
                 known.entries.insert(from, peers.entries as usize);
+                known.controls = Some(peers.controls.len());
             }
             _ => {}
         }
--- a/crates/flamingo-state/src/command.rs
+++ b/crates/flamingo-state/src/command.rs
@@ -1,7 +1,7 @@
 //! Commands that the log carries.
 
 use flamingo_wire::control::{Answer, Call};
-use flamingo_wire::{admin, config, id, place, route};
+use flamingo_wire::{admin, config, id, place, route, stream};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::time::SystemTime;
@@ -30,6 +30,8 @@
     Route(Arc<route::Set>),
     /// Records that this number of loads from the weight store are about to begin.
     Load(u32),
+    /// Records that targets of a service serve, or are about to serve, with a software version.
+    Confirm(stream::Origin),
 }
 
 /// A command with the time at which the leader proposed it.
--- a/crates/flamingo-state/src/state.rs
+++ b/crates/flamingo-state/src/state.rs
@@ -4,6 +4,7 @@
 use crate::command::{Command, Stamped};
 use crate::configuration::Configuration;
 use crate::orders::Orders;
+use crate::software::Software;
 use flamingo_wire::control::Reply;
 use flamingo_wire::{id, route};
 use serde::{Deserialize, Serialize};
@@ -32,6 +33,9 @@
     /// Start times of recent loads from the weight store, newest last.
     #[serde(default)]
     pub loads: Vec<SystemTime>,
+    /// Software versions of targets.
+    #[serde(default)]
+    pub software: Software,
 }
 
 impl Default for State {
@@ -43,6 +47,7 @@
             clock: SystemTime::UNIX_EPOCH,
             routes: None,
             loads: Vec::new(),
+            software: Software::default(),
         }
     }
 }
@@ -73,6 +78,7 @@
             Command::Settle(settlement) => self.orders.settle(&settlement),
             Command::Route(set) => self.route(set),
             Command::Load(count) => self.load(count, now),
+            Command::Confirm(origin) => self.software.confirm(origin, now),
         }
     }
 
--- a/crates/flamingo-wire/src/control.rs
+++ b/crates/flamingo-wire/src/control.rs
@@ -39,10 +39,15 @@
     LoadAdapter(LoadAdapter),
     /// Permit to send one request to a target that names a limit.
     Permit(Permit),
-    /// Streams that began at an entry since its last report, for any control instance to keep.
+    /// Streams that began at an entry, for any control instance to keep.
     Begun(Vec<stream::Begun>),
     /// Return where a stream began, as far as the instance knows.
-    Origin(stream::Query),
+    Origin(stream::Key),
+    /// Record that targets of a service serve, or are about to serve, with this software version.
+    Confirm(stream::Origin),
+    /// Return the software versions with which targets of a service serve or served a short time ago.
+    /// Only a leader whose lease is valid answers, so that the answer is never outdated.
+    Versions(id::Service),
 }
 
 /// A request to load an adapter on a target.
@@ -226,7 +231,9 @@
     /// The request was refused; the fault holds the reason.
     Refused(Fault),
     /// Where a stream began.
-    Origin(stream::Answer),
+    Origin(stream::Knowledge),
+    /// Software versions of a service.
+    Versions(Vec<id::Software>),
     /// There is no permit for a request to the target for this time, in milliseconds.
     NoPermit(u64),
     /// The report was received; these prompt parts are in quarantine.
--- a/crates/flamingo-wire/src/stream.rs
+++ b/crates/flamingo-wire/src/stream.rs
@@ -23,8 +23,8 @@
     Key::from_be_bytes(bytes)
 }
 
-/// The service and the software version that began a stream.
-#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+/// A service and a software version of its targets, at which streams begin.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Origin {
     /// The service.
     pub service: id::Service,
@@ -32,29 +32,50 @@
     pub software: id::Software,
 }
 
-/// Streams of one origin that began at an entry since its last report.
+/// Streams of one origin, as the entry at which they began reports them.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Begun {
-    /// Where the streams began.
-    pub origin: Origin,
+    /// Where the streams began; `None` where a restart of the target has made that uncertain.
+    pub origin: Option<Origin>,
     /// The streams.
     pub streams: Vec<Key>,
 }
 
-/// A question about the origin of a stream.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Query {
-    /// The stream.
-    pub stream: Key,
-    /// The service that the stream would go on at if it began at any version.
-    pub service: id::Service,
+/// What a process knows of the origin of a stream.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Knowledge {
+    /// Nobody has reported the stream to the process, or it has forgotten it.
+    #[default]
+    Unknown,
+    /// The stream began here.
+    Known(Origin),
+    /// Either of two versions may have begun the stream, so it goes on nowhere.
+    Uncertain,
 }
 
-/// What a control instance knows about a [`Query`].
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Answer {
-    /// Where the stream began; `None` where no entry reported it.
-    pub origin: Option<Origin>,
-    /// Software versions of the service's targets, including those that have left lately.
-    pub software: Vec<id::Software>,
+impl Knowledge {
+    /// Joins what two processes know. The result does not depend on the order.
+    ///
+    /// ```
+    /// use flamingo_wire::stream::{Knowledge, Origin};
+    ///
+    /// let known = Knowledge::Known(Origin { service: "notes".into(), software: "v1".into() });
+    /// assert_eq!(Knowledge::Unknown.join(known.clone()), known);
+    /// assert_eq!(known.join(Knowledge::Uncertain), Knowledge::Uncertain);
+    /// ```
+    #[must_use]
+    pub fn join(self, other: Self) -> Self {
+        match (self, other) {
+            (Self::Unknown, known) | (known, Self::Unknown) => known,
+            (Self::Known(one), Self::Known(other)) if one == other => Self::Known(one),
+            _ => Self::Uncertain,
+        }
+    }
+}
+
+impl From<Option<Origin>> for Knowledge {
+    /// Returns the knowledge of a process that has a report with this origin.
+    fn from(reported: Option<Origin>) -> Self {
+        reported.map_or(Self::Uncertain, Self::Known)
+    }
 }
