Where a stream began outlives a kill of the core, and of all processes

Cause: an entry told two control instances of each stream and marked it as told, for good; they kept it in memory. An acknowledgement of one counted for both, and a holder that went was never replaced.

Control instances now append reported origins to files of their own, with one sync for what came in 50 ms and two generations of a minute, and acknowledge after the sync. Entries keep for each stream of the last minute who holds it, and tell another instance when a holder disconnects.

--- a/crates/flamingo-control/src/daemon.rs
+++ b/crates/flamingo-control/src/daemon.rs
@@ -5,6 +5,7 @@
 use crate::inner::InnerService;
 use crate::leader_task::LeaderTask;
 use crate::metrics::Metrics;
+use crate::origins;
 use crate::placement_task::PlacementTask;
 use crate::raft_actor::{GetMembership, HandleRequest, Options, RaftActor, Stop};
 use crate::registry::Registry;
@@ -50,6 +51,8 @@
 const DISK_RECOVERY_GRACE: Duration = Duration::from_secs(2);
 /// Time between two attempts to have a software version committed.
 const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(100);
+/// Folder within the data folder for the origins of streams.
+const ORIGINS_FOLDER: &str = "origins";
 /// Upper bound on the bytes of a frame in addition to the body.
 const FRAME_OVERHEAD: usize = 4 * 1024;
 
@@ -201,8 +204,10 @@
         let seal = setup.seal.clone();
         let controller = setup.controller.clone();
         let inner = setup.inner;
+        let origins_folder = setup.data.join(ORIGINS_FOLDER);
         let log = setup.log.clone();
         let raft_actor = build_raft_actor(setup)?;
+        let origins = origins::Store::open(&origins_folder, log.clone())?;
         let config = raft_actor.subscribe_config();
         let routes = raft_actor.subscribe_routes();
         let software = raft_actor.subscribe_software();
@@ -217,7 +222,7 @@
             routes,
             registry: Arc::clone(&registry),
         };
-        let inner = InnerService::new(seal, raft_actor.clone(), publisher, controller);
+        let inner = InnerService::new(seal, raft_actor.clone(), publisher, controller, origins);
         let limit = MAX_BODY + FRAME_OVERHEAD;
         let inner = Server::builder()
             .add_service(ControlServer::new(inner.clone()).max_decoding_message_size(limit))
--- a/crates/flamingo-control/src/inner.rs
+++ b/crates/flamingo-control/src/inner.rs
@@ -1,7 +1,7 @@
 //! Server of the inner protocol, the gRPC protocol between instances.
 
 use crate::controller::{self, EntryRequest};
-use crate::origins::Origins;
+use crate::origins::Store;
 use crate::packet::{HEARTBEAT_INTERVAL, Packet, STREAM_TIMEOUT};
 use crate::raft_actor::{HandleRequest, PeerMessage, RaftActor};
 use crate::watch::Publisher;
@@ -11,7 +11,7 @@
 use flamingo_wire::frame::Seal;
 use flamingo_wire::inner::control_server::Control;
 use flamingo_wire::inner::log_server::Log;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 use std::time::{Instant, SystemTime};
 use tokio::sync::mpsc::{self, Sender, channel};
 use tokio_stream::wrappers::ReceiverStream;
@@ -30,7 +30,7 @@
     raft_actor: Addr<RaftActor>,
     publisher: Publisher,
     controller: Option<mpsc::Sender<EntryRequest>>,
-    origins: Arc<Mutex<Origins>>,
+    origins: Arc<Store>,
 }
 
 impl InnerService {
@@ -42,23 +42,18 @@
         raft_actor: Addr<RaftActor>,
         publisher: Publisher,
         controller: Option<mpsc::Sender<EntryRequest>>,
+        origins: Store,
     ) -> Self {
         Self {
             seal,
             raft_actor,
             publisher,
             controller,
-            origins: Arc::new(Mutex::new(Origins::new(Instant::now()))),
+            origins: Arc::new(origins),
         }
     }
 }
 
-/// Locks the store. A poisoned lock is used all the same, because a panic of another holder leaves
-/// the store consistent.
-fn lock(origins: &Mutex<Origins>) -> MutexGuard<'_, Origins> {
-    origins.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 #[tonic::async_trait]
 impl Control for InnerService {
     type WatchStream = FrameStream;
@@ -81,12 +76,10 @@
         let from = frame.from;
         let reply = match (&self.controller, request) {
             (_, Request::Begun(begun)) => {
-                lock(&self.origins).record(Instant::now(), begun);
+                self.origins.record(begun).await;
                 Reply::Acknowledged
             }
-            (_, Request::Origin(stream)) => {
-                Reply::Origin(lock(&self.origins).find(Instant::now(), stream))
-            }
+            (_, Request::Origin(stream)) => Reply::Origin(self.origins.find(stream)),
             (
                 Some(controller),
                 request @ (Request::Usage(_) | Request::LoadAdapter(_) | Request::Permit(_)),
--- a/crates/flamingo-control/src/origins.rs
+++ b/crates/flamingo-control/src/origins.rs
@@ -1,8 +1,14 @@
 //! Streams that entries report to have begun, with the software version that began each.
 //!
-//! Any control instance keeps what is reported to it, in memory and for a limited time. What it
-//! loses in a restart makes callers begin a stream anew; it never makes one go on at another
-//! version.
+//! Any control instance keeps what is reported to it for a limited time, in memory and on its disk:
+//! a restart of all processes at once must not lose where the streams began that callers then go on
+//! with.
+
+mod journal;
+mod store;
+
+pub use journal::{Journal, Opened};
+pub use store::Store;
 
 use flamingo_wire::stream::{Begun, Key, Knowledge, Origin};
 use std::collections::HashMap;
@@ -12,7 +18,10 @@
 /// Time for which a stream is kept at least; longer than a caller waits for one.
 pub const RETENTION: Duration = Duration::from_mins(1);
 /// Largest number of streams in one generation; beyond it the oldest ones are dropped early.
-const MAX_GENERATION: usize = 100_000;
+pub const MAX_GENERATION: usize = 100_000;
+
+/// Number of a generation, which grows.
+pub type GenerationId = u64;
 
 /// Origins of streams, by key; `None` where the origin is uncertain.
 type Generation = HashMap<Key, Option<Arc<Origin>>>;
@@ -23,22 +32,28 @@
 pub struct Origins {
     current: Generation,
     previous: Generation,
+    /// Number of the current generation.
+    id: GenerationId,
     /// When the current generation becomes the previous one.
     rotates_at: Instant,
 }
 
 impl Origins {
-    /// Returns an empty store.
+    /// Returns a store that holds what was reported before a restart. It is kept for [`RETENTION`]
+    /// from `now` on.
     #[must_use]
-    pub fn new(now: Instant) -> Self {
-        Self {
+    pub fn new(now: Instant, reported: Vec<Begun>) -> Self {
+        let mut origins = Self {
             current: Generation::new(),
             previous: Generation::new(),
+            id: 0,
             rotates_at: now + RETENTION,
-        }
+        };
+        insert(&mut origins.previous, reported);
+        origins
     }
 
-    /// Records streams that have begun.
+    /// Records streams that have begun. Returns the generation to which they belong.
     ///
     /// ```
     /// use flamingo_control::origins::{Origins, RETENTION};
@@ -48,14 +63,15 @@
     /// let begun_at = Instant::now();
     /// let origin = Origin { service: "notes".into(), software: "v1".into() };
     /// let begun = Begun { origin: Some(origin.clone()), streams: vec![7] };
-    /// let mut origins = Origins::new(begun_at);
+    /// let mut origins = Origins::new(begun_at, Vec::new());
     /// origins.record(begun_at, vec![begun]);
     /// assert_eq!(origins.find(begun_at + RETENTION, 7), Knowledge::Known(origin));
     /// assert_eq!(origins.find(begun_at + 2 * RETENTION, 7), Knowledge::Unknown);
     /// ```
-    pub fn record(&mut self, now: Instant, begun: Vec<Begun>) {
+    pub fn record(&mut self, now: Instant, begun: Vec<Begun>) -> GenerationId {
         self.rotate(now);
         insert(&mut self.current, begun);
+        self.id
     }
 
     /// Returns where a stream began, as far as it was reported, and not too long ago.
@@ -79,6 +95,7 @@
         } else {
             current
         };
+        self.id += 1;
         self.rotates_at = now + RETENTION;
     }
 }
--- a/crates/flamingo-serve/src/origins.rs
+++ b/crates/flamingo-serve/src/origins.rs
@@ -2,7 +2,8 @@
 //! to control instances.
 //!
 //! Another entry that is asked to go on with a stream finds its version there. Each stream is
-//! reported to [`HOLDERS`] instances.
+//! reported to [`HOLDERS`] instances, and again to another one when one of them disconnects: it may
+//! have lost what it was told.
 
 use crate::topology::Topology;
 use flamingo_link::subscription::ControlClient;
@@ -112,6 +113,16 @@
         self.due.retain(|stream| self.streams.contains_key(stream));
     }
 
+    /// Removes a control instance from the holders of all streams, since it has disconnected.
+    pub fn remove_holder(&mut self, control: SocketAddr) {
+        for (stream, record) in &mut self.streams {
+            if record.holders.contains(&control) {
+                record.holders.retain(|holder| *holder != control);
+                self.due.insert(*stream);
+            }
+        }
+    }
+
     /// Returns the reports that are due to the control instances in `free`, of the number of
     /// instances that are `connected`, and counts their receivers as holders. `round` shifts the
     /// choice between the instances.
--- a/crates/flamingo-serve/src/proxy/attempt.rs
+++ b/crates/flamingo-serve/src/proxy/attempt.rs
@@ -36,7 +36,7 @@
                 Choice::Loading(ready_at) => self.wait_for_model(job, ready_at).await?,
                 Choice::QueueTooLong(delay) => return Err(AttemptError::QueueTooLong(delay)),
                 Choice::Paused(_) => return Err(AttemptError::NoAlternative(Cause::Paused)),
-                Choice::NoTarget => return Err(AttemptError::NoAlternative(Cause::NoTarget)),
+                Choice::NoTarget => self.wait_for_software(job).await?,
                 Choice::NoModel => return Err(AttemptError::NoAlternative(Cause::NoModel)),
             }
         }
--- a/crates/flamingo-serve/src/proxy/loading.rs
+++ b/crates/flamingo-serve/src/proxy/loading.rs
@@ -1,5 +1,5 @@
 //! Requests whose model no target has yet: they wait for a load that is under way, or learn when the
-//! model can be there.
+//! model can be there. Callers that go on with a stream wait for a target of its software version.
 
 use super::Proxy;
 use super::job::{AttemptError, Job};
@@ -15,6 +15,10 @@
 /// Time after its expected end in which a load still counts as under way.
 pub const LATE_LOAD_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time for which a caller's stream waits for a target of its software version: more than the interval
+/// between two heartbeats of a target.
+const SOFTWARE_WAIT: Duration = Duration::from_millis(1_500);
+
 /// A model of a service.
 type Key = (id::Service, id::Model);
 
@@ -85,6 +89,29 @@
         Ok(())
     }
 
+    /// Waits until what is known of the targets changes, if the request goes on with a stream at a software
+    /// version of which this entry has not heard of any target: after a restart the first targets to
+    /// register are not all that there are.
+    ///
+    /// # Errors
+    ///
+    /// Returns that there is no target, or none any more.
+    pub(super) async fn wait_for_software(&self, job: &Job) -> Result<(), AttemptError> {
+        let until = job.deadline.min(job.arrived_at + SOFTWARE_WAIT);
+        let software = job.software.borrow().clone();
+        let is_unheard_of = software.is_some_and(|software| {
+            let table = self.topology.table.borrow();
+            !table.has_software(&job.service, &software)
+        });
+        if !is_unheard_of || Instant::now() >= until {
+            return Err(AttemptError::NoAlternative(Cause::NoTarget));
+        }
+        let changed = self.topology.models_changed.notified();
+        // Whether a target has registered or the time is over, the next choice finds out.
+        let _ = tokio::time::timeout_at(until.into(), changed).await;
+        Ok(())
+    }
+
     /// Predicts the time for the prompts of requests that already wait for a model. Each other entry is
     /// assumed to have as many of them as this one.
     fn waiting_delay(&self, key: &Key) -> Duration {
--- a/crates/flamingo-serve/src/topology.rs
+++ b/crates/flamingo-serve/src/topology.rs
@@ -264,5 +264,6 @@
         let mut peers = self.peers.borrow_mut();
         peers.remove_leader(from);
         peers.connected.remove(&from);
+        self.origins.borrow_mut().remove_holder(from);
     }
 }
--- a/crates/flamingo-serve/tests/origins.rs
+++ b/crates/flamingo-serve/tests/origins.rs
@@ -68,6 +68,35 @@
     assert_eq!(receivers(&second, 0), controls[1..]);
 }
 
+/// Guards against streams that no control instance knows any more after a restart of the core.
+#[test]
+fn streams_are_reported_again_when_control_instances_have_disconnected() {
+    let controls = controls(3);
+    let mut origins = begun(2, Instant::now());
+    origins.take_reports(&controls, 3, 0);
+    for control in &controls {
+        origins.remove_holder(*control);
+    }
+    let again = origins.take_reports(&controls, 3, 1);
+    assert_eq!(receivers(&again, 0).len(), 2);
+    assert_eq!(receivers(&again, 1).len(), 2);
+}
+
+#[test]
+fn only_the_lost_holder_of_a_stream_is_replaced() {
+    let controls = controls(3);
+    let mut origins = begun(1, Instant::now());
+    let holders = receivers(&origins.take_reports(&controls, 3, 0), 0);
+    origins.remove_holder(holders[0]);
+    let rest: Vec<SocketAddr> = controls
+        .into_iter()
+        .filter(|control| *control != holders[0])
+        .collect();
+    let replacement = receivers(&origins.take_reports(&rest, 2, 1), 0);
+    assert_eq!(replacement.len(), 1);
+    assert!(!holders.contains(&replacement[0]));
+}
+
 #[test]
 fn a_report_that_is_not_acknowledged_is_due_again() {
     let controls = controls(2);
