A sound target is not hidden for good by a heartbeat of another writer

Cause: incarnation and sequence order the messages of one writer; a value of another one stood until the target passed it, and all its own heartbeats counted as outdated.

A target is believed again after three outdated heartbeats in sequence over 3 s in which nothing confirmed the registration that hides it (15 s where that says that the target leaves). Its revision grows, which entries and the other control instances follow. A target that has restarted confirms its registration meanwhile, late heartbeats arrive together, and one that has deregistered stays gone.

--- a/crates/flamingo-control/src/daemon.rs
+++ b/crates/flamingo-control/src/daemon.rs
@@ -240,13 +240,13 @@
 
     /// Records a heartbeat of a target. A target whose software version is not committed yet is
     /// published once it is.
-    pub fn record_heartbeat(&self, registration: Registration) {
+    pub fn record_heartbeat(&self, mut registration: Registration) {
         let now = clock::now();
         let origin = software::origin(&registration);
         let mut gate = self.lock_gate();
         let passage = gate.check(&registration, SystemTime::now());
         if passage == Passage::Held {
-            if lock_registry(&self.registry).withdraw_superseded(now, &registration) {
+            if lock_registry(&self.registry).withdraw_superseded(now, &mut registration) {
                 info!(self.log, "target held"; "target" => &registration.id,
                     "service" => &origin.service, "software" => &origin.software);
                 gate.hold(registration, now);
--- a/crates/flamingo-control/src/registry.rs
+++ b/crates/flamingo-control/src/registry.rs
@@ -4,6 +4,9 @@
 //! target is the newest where heartbeats arrive late, a target restarts under the same name, or an
 //! address is reused.
 
+mod dispute;
+
+use dispute::{Disputes, Hiding};
 use flamingo_guard::quarantine::Ledger;
 use flamingo_wire::control::Push;
 use flamingo_wire::frame::{Frame, Seal};
@@ -79,6 +82,8 @@
     targets: BTreeMap<id::Target, Record>,
     /// Targets whose heartbeats since the last `publish_unchanged` brought nothing new.
     unchanged: BTreeSet<id::Target>,
+    /// Targets whose heartbeats are outdated.
+    disputes: Disputes,
     /// Prompt parts that any control instance has quarantined.
     quarantines: Ledger,
     pushes: Sender<Arc<Broadcast>>,
@@ -90,6 +95,7 @@
         Self {
             targets: BTreeMap::new(),
             unchanged: BTreeSet::new(),
+            disputes: Disputes::default(),
             quarantines: Ledger::default(),
             pushes,
         }
@@ -99,10 +105,12 @@
 impl Registry {
     /// Records a heartbeat of a target. Returns `false` where the registration is outdated and was
     /// dropped. A changed registration is published at once.
-    pub fn record_heartbeat(&mut self, now: Instant, registration: Registration) -> bool {
-        if self.is_outdated(&registration) {
+    pub fn record_heartbeat(&mut self, now: Instant, mut registration: Registration) -> bool {
+        registration.revision = self.revision(&registration.id);
+        if self.is_outdated(&registration) && !self.settle_dispute(now, &mut registration) {
             return false;
         }
+        self.disputes.end(&registration.id);
         let id = registration.id.clone();
         let record = self.targets.get(&id);
         let changed = record.is_none_or(|record| !record.registration.same_state(&registration));
@@ -123,23 +131,63 @@
     /// over its address.
     #[must_use]
     pub fn is_outdated(&self, registration: &Registration) -> bool {
-        if let Some(record) = self.targets.get(&registration.id)
-            && !registration.supersedes(&record.registration)
-        {
-            return true;
-        }
-        let mut others = self.targets.values().map(|record| &record.registration);
-        others.any(|other| {
+        self.superseding(registration).next().is_some()
+    }
+
+    /// Returns the revision of a target's newest registration.
+    fn revision(&self, id: &str) -> u32 {
+        self.get(id).map_or(0, |known| known.revision)
+    }
+
+    /// Returns the records that outdate a registration.
+    fn superseding<'a>(
+        &'a self,
+        registration: &'a Registration,
+    ) -> impl Iterator<Item = &'a Record> {
+        let own = self.targets.get(&registration.id);
+        let own = own.filter(|known| !registration.supersedes(&known.registration));
+        let others = self.targets.values().filter(|record| {
+            let other = &record.registration;
             other.id != registration.id
                 && other.address == registration.address
                 && other.incarnation > registration.incarnation
                 && !other.gone
-        })
+        });
+        own.into_iter().chain(others)
+    }
+
+    /// Decides whether to believe a target against the registrations that outdate its heartbeat. If so,
+    /// raises its revision and marks those of other names as gone.
+    fn settle_dispute(&mut self, now: Instant, registration: &mut Registration) -> bool {
+        let own = self.targets.get(&registration.id);
+        // A target that has said that it left may still send heartbeats.
+        if own.is_some_and(|own| own.registration.gone) {
+            return false;
+        }
+        let records: Vec<&Record> = self.superseding(registration).collect();
+        let confirmed_at = records.iter().map(|record| record.last_heartbeat).max();
+        let hiding = Hiding {
+            confirmed_at: confirmed_at.unwrap_or(now),
+            leaving: records.iter().any(|record| record.registration.leaving),
+        };
+        if !self.disputes.record(now, registration, hiding) {
+            return false;
+        }
+        registration.revision += 1;
+        let hiding: Vec<id::Target> = self
+            .superseding(registration)
+            .map(|record| record.registration.id.clone())
+            .collect();
+        for id in hiding {
+            self.record_departure(now, &id, 0);
+        }
+        true
     }
 
     /// Marks the earlier incarnation of a target as gone, whose newer registration may not be published
     /// yet. Returns `false` where the registration is outdated.
-    pub fn withdraw_superseded(&mut self, now: Instant, registration: &Registration) -> bool {
+    pub fn withdraw_superseded(&mut self, now: Instant, registration: &mut Registration) -> bool {
+        registration.revision = self.revision(&registration.id);
         if self.is_outdated(registration) {
             return false;
         }
--- a/crates/flamingo-control/tests/registry.rs
+++ b/crates/flamingo-control/tests/registry.rs
@@ -98,3 +98,100 @@
     assert!(registry.get("t").is_some());
     assert!(pushes.try_recv().is_err());
 }
+
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_200);
+
+/// A registry that has heard of the target `t` at its 100th heartbeat, and then of a registration that
+/// the target did not send.
+fn hidden_by(odd: Registration, now: Instant) -> Registry {
+    let mut registry = Registry::default();
+    assert!(registry.record_heartbeat(now, version("t", 1_000, 100)));
+    assert!(registry.record_heartbeat(now, odd));
+    registry
+}
+
+/// Sends further heartbeats of the target, and returns the first that is accepted, and when.
+fn first_accepted(registry: &mut Registry, start: Instant, count: u32) -> Option<Duration> {
+    (1..=count).find_map(|number| {
+        let after = HEARTBEAT_INTERVAL * number;
+        let heartbeat = version("t", 1_000, 100 + u64::from(number));
+        let accepted = registry.record_heartbeat(start + after, heartbeat);
+        accepted.then_some(after)
+    })
+}
+
+/// Guards against a sound target that one odd entry of another writer hides for good.
+macro_rules! an_odd_registration_hides_a_target_for_seconds_only {
+    ($($case:ident: $odd:expr, $seconds:expr;)*) => {$(
+        #[test]
+        fn $case() {
+            let now = Instant::now();
+            let mut registry = hidden_by($odd, now);
+            let mut entry = registry.subscribe().0;
+            let accepted = first_accepted(&mut registry, now, 20).expect("accepted");
+            assert!(accepted <= Duration::from_secs($seconds), "after {accepted:?}");
+            let target = registry.get("t").expect("known");
+            assert!(!target.leaving && !target.gone);
+            assert_eq!(target.address, registration("t").address);
+            // Whoever had adopted the odd registration adopts the target again.
+            entry.retain(|other| other.id == "t");
+            assert!(target.supersedes(&entry[0]));
+            // Its heartbeats count from then on.
+            let next = version("t", 1_000, 200);
+            assert!(registry.record_heartbeat(now + Duration::from_mins(1), next));
+        }
+    )*};
+}
+
+an_odd_registration_hides_a_target_for_seconds_only! {
+    a_later_start_of_another_writer: version("t", 2_000, 1), 6;
+    a_higher_sequence_of_another_writer: version("t", 1_000, 1 << 50), 6;
+    a_later_start_at_another_address:
+        Registration { address: "127.0.0.1:9".parse().expect("an address"), ..version("t", 2_000, 1) }, 6;
+    a_departure_that_another_writer_announces:
+        Registration { leaving: true, ..version("t", 1_000, 1 << 50) }, 20;
+    another_name_at_the_address_of_the_target: version("odd", 2_000, 1), 6;
+}
+
+#[test]
+fn a_target_that_has_restarted_is_not_replaced_by_late_heartbeats() {
+    let now = Instant::now();
+    let mut registry = hidden_by(version("t", 2_000, 1), now);
+    for number in 1..=20 {
+        let at = now + HEARTBEAT_INTERVAL * number;
+        let late = version("t", 1_000, 100 + u64::from(number));
+        assert!(!registry.record_heartbeat(at, late));
+        let sequence = 1 + u64::from(number);
+        assert!(registry.record_heartbeat(at, version("t", 2_000, sequence)));
+    }
+}
+
+#[test]
+fn late_heartbeats_that_arrive_together_replace_nothing() {
+    let now = Instant::now();
+    let mut registry = hidden_by(version("t", 2_000, 1), now);
+    for sequence in 101..120 {
+        let at = now + Duration::from_secs(4);
+        assert!(!registry.record_heartbeat(at, version("t", 1_000, sequence)));
+    }
+}
+
+#[test]
+fn a_target_that_leaves_is_not_brought_back_by_late_heartbeats() {
+    let now = Instant::now();
+    let leaving = Registration {
+        leaving: true,
+        ..version("t", 1_000, 110)
+    };
+    let mut registry = hidden_by(leaving, now);
+    assert_eq!(first_accepted(&mut registry, now, 9), None);
+}
+
+#[test]
+fn a_target_that_has_left_is_not_brought_back_by_its_heartbeats() {
+    let now = Instant::now();
+    let mut registry = Registry::default();
+    assert!(registry.record_heartbeat(now, version("t", 1_000, 100)));
+    registry.record_departure(now, "t", 0);
+    assert_eq!(first_accepted(&mut registry, now, 20), None);
+}
--- a/crates/flamingo-serve/tests/availability.rs
+++ b/crates/flamingo-serve/tests/availability.rs
@@ -178,3 +178,25 @@
     let choice = choose(&history.table, &required(&request, &tried), 1, now);
     assert_eq!(choice, Choice::NoTarget);
 }
+
+#[test]
+fn a_target_that_control_believes_again_replaces_the_registration_that_hid_it() {
+    let now = Instant::now();
+    let sound = registration("t");
+    let odd = Registration {
+        incarnation: 9,
+        sequence: 9,
+        address: "127.0.0.1:9".parse().expect("an address"),
+        ..sound.clone()
+    };
+    let believed = Registration {
+        revision: 1,
+        ..sound.clone()
+    };
+    let mut table = Table::default();
+    for registration in [&sound, &odd, &believed, &odd] {
+        table.apply(now, &Push::Targets(vec![registration.clone()]));
+    }
+    let known = &table.get("t").expect("known").registration;
+    assert_eq!(known, &believed);
+}
--- a/crates/flamingo-test-support/src/registration.rs
+++ b/crates/flamingo-test-support/src/registration.rs
@@ -12,6 +12,7 @@
 pub fn registration(id: &str) -> Registration {
     Registration {
         id: id.into(),
+        revision: 0,
         incarnation: 1,
         sequence: 1,
         service: "s".into(),
--- a/crates/flamingo-wire/src/target.rs
+++ b/crates/flamingo-wire/src/target.rs
@@ -20,6 +20,10 @@
 pub struct Registration {
     /// Name of the target.
     pub id: id::Target,
+    /// Grows when control believes the target again against a registration that hid it; a higher one
+    /// supersedes, whatever incarnation and sequence say.
+    #[serde(default)]
+    pub revision: u32,
     /// Start of the target; a registration with a higher incarnation supersedes.
     pub incarnation: id::Incarnation,
     /// Number of this message within the incarnation. A message that is delivered late has a
@@ -54,6 +58,9 @@
     /// Of two registrations of one incarnation, the one that says that the target has left wins.
     #[must_use]
     pub fn supersedes(&self, other: &Self) -> bool {
+        if self.revision != other.revision {
+            return self.revision > other.revision;
+        }
         if self.incarnation != other.incarnation {
             return self.incarnation > other.incarnation;
         }
