Heartbeats that no target can have sent are refused

Another writer's heartbeats with port 0, an address of no machine or of all, no slots or four billion, names of 3 MB, 200,000 adapters, or a start or sequence of 2^64-1 were accepted with 200 and used.

Cause: whatever had the right types was believed. The body is now checked against what a target can be; the answer is 400 with the reason.

--- a/crates/flamingo-control/src/lib.rs
+++ b/crates/flamingo-control/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod origins;
 pub mod packet;
 pub mod placement_task;
+pub mod plausibility;
 pub mod raft_actor;
 pub mod registry;
 pub mod software;
