A control instance starts although the folder of its stream origins can't be opened

Found on reading: on a full disk an instance that had no such folder yet would not have started. It now begins without what the folder holds, says so once, and tries the folder again with each batch. Test: a_store_on_a_failing_disk_answers_from_memory_and_returns_to_the_disk.

--- a/crates/flamingo-control/src/origins/store.rs
+++ b/crates/flamingo-control/src/origins/store.rs
@@ -4,7 +4,7 @@
 use flamingo_wire::stream::{Begun, Key, Knowledge};
 use slog::{Logger, error, info};
 use std::io;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::sync::mpsc::{self, Receiver, Sender};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::thread;
@@ -30,22 +30,29 @@
 }
 
 impl Store {
-    /// Reads the streams that the folder holds, and starts the thread that writes further ones.
+    /// Reads the streams that the folder holds, and starts the thread that writes further ones. Where
+    /// the disk fails, begins without them.
     ///
     /// # Errors
     ///
-    /// Returns an error where the folder can't be read or the thread can't be started.
+    /// Returns an error where the thread can't be started.
     pub fn open(folder: &Path, log: Logger) -> io::Result<Self> {
-        let Opened { journal, reports } = Journal::open(folder)?;
+        let mut writer = Writer {
+            folder: folder.to_owned(),
+            journal: None,
+            fails: false,
+            log,
+        };
+        let reports = writer.open();
         let streams: usize = reports.iter().map(|begun| begun.streams.len()).sum();
-        info!(log, "stream origins restored"; "streams" => streams);
-        let (writes, incoming) = mpsc::channel();
+        info!(writer.log, "stream origins restored"; "streams" => streams);
+        let (queue, incoming) = mpsc::channel();
         thread::Builder::new()
             .name("origin-writer".to_owned())
-            .spawn(move || write_all(journal, &incoming, &log))?;
+            .spawn(move || writer.run(&incoming))?;
         Ok(Self {
             origins: Mutex::new(Origins::new(Instant::now(), reports)),
-            writes,
+            writes: queue,
         })
     }
 
@@ -77,26 +84,67 @@
     }
 }
 
-/// Writes reports until the store is dropped. What arrives during a sync is written together by the
-/// next one.
-fn write_all(mut journal: Journal, incoming: &Receiver<Write>, log: &Logger) {
-    let mut fails = false;
-    while let Ok(first) = incoming.recv() {
-        let mut batch = vec![first];
-        batch.extend(incoming.try_iter());
+/// Writes reports to the journal, in a thread of its own.
+#[derive(Debug)]
+struct Writer {
+    folder: PathBuf,
+    /// `None` while it can't be opened.
+    journal: Option<Journal>,
+    /// Whether the last write failed; only the first of several failures is logged.
+    fails: bool,
+    log: Logger,
+}
+
+impl Writer {
+    /// Opens the journal, and returns the reports that it held.
+    fn open(&mut self) -> Vec<Begun> {
+        match Journal::open(&self.folder) {
+            Ok(Opened { journal, reports }) => {
+                self.journal = Some(journal);
+                reports
+            }
+            Err(error) => {
+                self.record_failure(&error);
+                Vec::new()
+            }
+        }
+    }
+
+    /// Writes reports until the store is dropped. What arrives during a sync is written together by the
+    /// next one.
+    fn run(mut self, incoming: &Receiver<Write>) {
+        while let Ok(first) = incoming.recv() {
+            let mut batch = vec![first];
+            batch.extend(incoming.try_iter());
+            self.write(&batch);
+            for write in batch {
+                // The entry that reported may have stopped waiting.
+                let _ = write.done.send(());
+            }
+            thread::sleep(SYNC_INTERVAL);
+        }
+    }
+
+    fn write(&mut self, batch: &[Write]) {
+        if self.journal.is_none() {
+            // What the files hold was lost to this process when it started.
+            self.open();
+        }
+        let Some(journal) = &mut self.journal else {
+            return;
+        };
         let newest = batch.iter().map(|write| write.generation).max();
         let reports = batch.iter().flat_map(|write| &write.reports);
-        let result = journal.append(newest.unwrap_or_default(), reports);
-        if let Err(error) = &result
-            && !fails
-        {
-            error!(log, "cannot keep stream origins on disk"; "error" => %error);
+        match journal.append(newest.unwrap_or_default(), reports) {
+            Ok(()) => self.fails = false,
+            Err(error) => self.record_failure(&error),
         }
-        fails = result.is_err();
-        for write in batch {
-            // The entry that reported may have stopped waiting.
-            let _ = write.done.send(());
+    }
+
+    fn record_failure(&mut self, error: &io::Error) {
+        if !self.fails {
+            error!(self.log, "cannot keep stream origins on disk"; "error" => %error);
         }
-        thread::sleep(SYNC_INTERVAL);
+        self.fails = true;
     }
 }
--- a/crates/flamingo-control/tests/origins.rs
+++ b/crates/flamingo-control/tests/origins.rs
@@ -1,12 +1,13 @@
 //! Origins of streams that entries report to a control instance.
 
-use flamingo_control::origins::{Journal, Opened, Origins, RETENTION};
+use flamingo_control::origins::{Journal, Opened, Origins, RETENTION, Store};
 use flamingo_test_support::cluster::{Cluster, KEY};
 use flamingo_test_support::wait;
 use flamingo_wire::control::{Reply, Request};
 use flamingo_wire::frame::Seal;
 use flamingo_wire::inner::control_client::ControlClient;
 use flamingo_wire::stream::{Begun, Key, Knowledge, Origin};
+use slog::{Discard, Logger, o};
 use std::fs::OpenOptions;
 use std::io::Write;
 use std::ops::Range;
@@ -202,6 +203,25 @@
     assert_eq!(restarted.find(now, 1), known("v1"));
 }
 
+#[actix_rt::test]
+async fn a_store_on_a_failing_disk_answers_from_memory_and_returns_to_the_disk() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let path = folder.path().join("origins");
+    std::fs::write(&path, "no folder").expect("written");
+    let log = Logger::root(Discard, o!());
+    let store = Store::open(&path, log.clone()).expect("a store");
+    store.record(begun("v1", 0..1)).await;
+    assert_eq!(store.find(0), known("v1"));
+    std::fs::remove_file(&path).expect("removed");
+    store.record(begun("v1", 1..2)).await;
+    drop(store);
+    let store = Store::open(&path, log).expect("a store");
+    assert_eq!(
+        [0, 1].map(|stream| store.find(stream)),
+        [Knowledge::Unknown, known("v1")]
+    );
+}
+
 /// Sends a request to an instance of a cluster and returns its reply.
 async fn ask(cluster: &Cluster, instance: usize, request: &Request) -> Reply {
     let control = &cluster.controls[instance];
