A stream of a target that was updated in place goes on nowhere

A server restarts under its id with new software, its heartbeat comes 2.5 s late, streams begin at it meanwhile, and when it goes down they go on at the version that it had registered before.

Cause: the version of a stream was that of the registration by which its target was chosen. When the truth came, the streams on record became uncertain, but those in progress kept the old version. And the withdrawal of the earlier incarnation counted as a heartbeat of it, so that streams from before were left out.

A stream looks at its record before it goes on.

--- a/crates/flamingo-serve/src/origins.rs
+++ b/crates/flamingo-serve/src/origins.rs
@@ -85,7 +85,7 @@
     /// assert_eq!(origins.find(7), Knowledge::Unknown);
     /// origins.record(7, origin.clone(), "engine-1", now);
     /// assert_eq!(origins.find(7), Knowledge::Known(origin));
-    /// origins.forget("engine-1", now);
+    /// origins.forget("engine-1", Some(now));
     /// assert_eq!(origins.find(7), Knowledge::Uncertain);
     /// ```
     #[must_use]
@@ -94,11 +94,13 @@
         record.map_or(Knowledge::Unknown, |record| record.origin.clone().into())
     }
 
-    /// Makes the origin of the streams uncertain that a target has begun since `since`: it turned out
-    /// to have restarted with other software, and either version may have begun them.
-    pub fn forget(&mut self, target: &str, since: Instant) {
+    /// Makes the origin of the streams uncertain that a target has begun since `since`, or of all where
+    /// that is `None`: it turned out to have restarted with other software, and either version may have
+    /// begun them.
+    pub fn forget(&mut self, target: &str, since: Option<Instant>) {
         for (stream, record) in &mut self.streams {
-            if record.target == target && record.begun_at >= since {
+            let may_be_later = since.is_none_or(|since| record.begun_at >= since);
+            if record.target == target && may_be_later {
                 record.origin = None;
                 record.holders.clear();
                 self.due.insert(*stream);
--- a/crates/flamingo-serve/src/proxy/resumption.rs
+++ b/crates/flamingo-serve/src/proxy/resumption.rs
@@ -69,6 +69,16 @@
             .then_some(origin)
     }
 
+    /// Returns whether a target's restart has made it uncertain which version began the stream of a
+    /// request.
+    pub(super) fn is_origin_uncertain(&self, request: &RequestHead) -> bool {
+        let attempt_id = request.attempt_id.as_deref();
+        attempt_id.is_some_and(|attempt_id| {
+            let origins = self.topology.origins.borrow();
+            origins.find(stream::key(attempt_id)) == Knowledge::Uncertain
+        })
+    }
+
     /// Asks all connected control instances for the origin of a stream, and the leader for the versions
     /// at which it can have begun, until it is known or [`REPORT_WAIT`] has passed; [`RETURN_WAIT`]
     /// where not all answer. A caller that does not name its stream has `None`. Returns what is known,
--- a/crates/flamingo-serve/src/proxy/successor.rs
+++ b/crates/flamingo-serve/src/proxy/successor.rs
@@ -59,6 +59,11 @@
         last_event_id: Option<u64>,
         first_event_timeout: Option<Duration>,
     ) -> Option<Begun> {
+        if self.is_origin_uncertain(&job.request) {
+            info!(self.log, "stream broken"; "request" => &job.request.attempt_id,
+                "why" => "the target had restarted with other software", "last" => last_event_id);
+            return None;
+        }
         let ask = async |candidate: Candidate| {
             let answered = self.ask(job, candidate, last_event_id).await?;
             let answered = self.check_answer(job, answered)?;
--- a/crates/flamingo-serve/src/table.rs
+++ b/crates/flamingo-serve/src/table.rs
@@ -137,7 +137,9 @@
         if !registration.supersedes(&known.registration) {
             return None;
         }
-        known.last_heartbeat = now;
+        if !registration.gone {
+            known.last_heartbeat = now;
+        }
         let restarted = known.registration.incarnation != registration.incarnation;
         if restarted {
             let replacement = Target::new(registration.clone(), now);
--- a/crates/flamingo-serve/src/topology.rs
+++ b/crates/flamingo-serve/src/topology.rs
@@ -18,9 +18,12 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 
+/// Longest time that a heartbeat of a target is on its way: the target may have restarted since.
+const MAX_HEARTBEAT_DELAY: Duration = Duration::from_secs(5);
+
 /// The current routes, indexed by host and service name.
 #[derive(Debug)]
 pub struct Routes {
@@ -144,8 +147,8 @@
         }
     }
 
-    /// Makes the origin of the streams uncertain that a target began after its last known heartbeat, if
-    /// it has restarted with other software since.
+    /// Makes the origin of the streams uncertain that a target began after it sent its last known
+    /// heartbeat, if it has restarted with other software since.
     fn forget_uncertain_streams(&self, registrations: &[Registration]) {
         let table = self.table.borrow();
         for registration in registrations {
@@ -155,7 +158,8 @@
             let other_software = known.registration.software != registration.software;
             if other_software && registration.supersedes(&known.registration) {
                 let mut origins = self.origins.borrow_mut();
-                origins.forget(&registration.id, known.last_heartbeat());
+                let since = known.last_heartbeat().checked_sub(MAX_HEARTBEAT_DELAY);
+                origins.forget(&registration.id, since);
             }
         }
     }
--- a/crates/flamingo-serve/tests/origins.rs
+++ b/crates/flamingo-serve/tests/origins.rs
@@ -141,7 +141,7 @@
     origins.record(1, origin("v1"), "i-0", now);
     origins.record(2, origin("v1"), "i-0", heartbeat);
     origins.record(3, origin("v1"), "i-1", heartbeat);
-    origins.forget("i-0", heartbeat);
+    origins.forget("i-0", Some(heartbeat));
     let known = |stream| origins.find(stream) == Knowledge::Known(origin("v1"));
     assert_eq!([1, 2, 3].map(known), [true, false, true]);
     assert_eq!(origins.find(2), Knowledge::Uncertain);
@@ -153,7 +153,7 @@
     let now = Instant::now();
     let mut origins = begun(1, now);
     let reports = origins.take_reports(&controls, 3, 0);
-    origins.forget("i-0", now);
+    origins.forget("i-0", None);
     // The late failure of the earlier report changes nothing.
     for (control, report) in &reports {
         origins.return_report(*control, report);
