Control: the messages of the Raft actor stand in a module of their own

raft_actor.rs had grown to 562 lines: state, periodic work, message types and their handlers. The types and handlers move to raft_actor/messages.rs unchanged.

--- a/crates/flamingo-control/src/raft_actor.rs
+++ b/crates/flamingo-control/src/raft_actor.rs
@@ -8,6 +8,7 @@
 
 mod actions;
 mod forward;
+mod messages;
 mod proposals;
 mod requests;
 
@@ -15,23 +16,26 @@
 use crate::link::Link;
 use crate::metrics::Metrics;
 use crate::watch::{ConfigSnapshot, LatestRoutes, RoutesUpdate};
-use crate::writer::{self, Writer};
-use actix::{Actor, AsyncContext, Context, Handler, Message, MessageResult, ResponseFuture};
+use crate::writer::Writer;
+use actix::{Actor, AsyncContext, Context};
 use flamingo_daemon::clock;
 use flamingo_guard::quarantine::Ledger;
-use flamingo_log::raft::{Change, Refusal, Seed};
 use flamingo_log::{Disk, Raft, Role};
+use flamingo_state::State;
 use flamingo_state::software::Software;
-use flamingo_state::{Command, State};
 use flamingo_wire::config::Snapshot;
-use flamingo_wire::control::{Heartbeat, Reply, Request};
+use flamingo_wire::control::{Heartbeat, Reply};
 use flamingo_wire::frame::Seal;
-use flamingo_wire::{Fault, id, route};
+use flamingo_wire::{id, route};
 use forward::Forwarder;
+pub use messages::{
+    ChangeMembers, FollowerHeartbeat, GetMembership, HandleRequest, IsReady, Membership,
+    PeerMessage, Propose, ReadState, StateReader, Stop, UpdateSeeds,
+};
+use messages::{Flush, WriterReport};
 use proposals::Proposals;
 use slog::{Logger, error, info};
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::watch;
@@ -327,236 +331,3 @@
         ctx.run_interval(TICK_INTERVAL, Self::tick);
     }
 }
-
-/// A message of the log from another member.
-#[derive(Debug, Message)]
-#[rtype(result = "()")]
-pub struct PeerMessage(pub flamingo_log::Message);
-
-/// A report of the disk thread.
-#[derive(Debug, Message)]
-#[rtype(result = "()")]
-struct WriterReport(writer::Event);
-
-/// Sends the proposals made since the last flush to the other members.
-#[derive(Debug, Message)]
-#[rtype(result = "()")]
-struct Flush;
-
-/// A heartbeat of a follower of the configuration.
-#[derive(Debug, Message)]
-#[rtype(result = "()")]
-pub struct FollowerHeartbeat(pub Heartbeat);
-
-/// Handles a request of an entry, an operator or another control instance.
-///
-/// A request that only the leader can answer is forwarded to the leader, but never twice: a
-/// request that another control instance forwarded is answered with a redirect.
-#[derive(Debug, Message)]
-#[rtype(result = "Reply")]
-pub struct HandleRequest {
-    /// The request.
-    pub request: Request,
-    /// Name of the sender; empty for an operator.
-    pub from: id::Node,
-}
-
-/// Proposes a command; the reply comes once the command is committed, or says why it was refused.
-#[derive(Debug, Message)]
-#[rtype(result = "Reply")]
-pub struct Propose(pub Command);
-
-/// Adds or removes one member of the log.
-#[derive(Debug, Message)]
-#[rtype(result = "Result<(), Fault>")]
-pub struct ChangeMembers(pub Change);
-
-/// Calls a function with the committed state and this instance's leadership.
-#[derive(Message)]
-#[rtype(result = "T")]
-pub struct ReadState<T: 'static>(pub StateReader<T>);
-
-/// A function for [`ReadState`]. The leadership is `None` where this instance does not lead now.
-pub type StateReader<T> = Box<dyn FnOnce(&State, Option<&Leadership>) -> T + Send>;
-
-/// The members of the log and the state of this instance; the reply to [`GetMembership`].
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct Membership {
-    /// Addresses of the members for the inner protocol.
-    pub addresses: Vec<SocketAddr>,
-    /// Address of the leader for the inner protocol; `None` where no leader is known.
-    pub leader: Option<SocketAddr>,
-    /// Number of entries that follow the routes on this instance.
-    pub followers: usize,
-    /// Whether the disk failed; if so, this instance acknowledges nothing any more.
-    pub disk_failed: bool,
-}
-
-/// Returns whether this instance can serve requests: it has a member list, knows a leader and is
-/// not stopping.
-#[derive(Debug, Message)]
-#[rtype(result = "bool")]
-pub struct IsReady;
-
-/// Returns the members and the leader of the log, as far as this instance knows them.
-#[derive(Debug, Message)]
-#[rtype(result = "Membership")]
-pub struct GetMembership;
-
-/// Replaces the control instances that the settings name.
-#[derive(Debug, Message)]
-#[rtype(result = "()")]
-pub struct UpdateSeeds(pub Vec<Seed>);
-
-/// Gives up leadership and takes no more proposals.
-#[derive(Debug, Message)]
-#[rtype(result = "()")]
-pub struct Stop;
-
-impl Handler<PeerMessage> for RaftActor {
-    type Result = ();
-
-    fn handle(&mut self, PeerMessage(message): PeerMessage, _: &mut Self::Context) {
-        let now = clock::now();
-        self.raft.receive(now, message);
-        self.process_actions(now);
-    }
-}
-
-impl Handler<WriterReport> for RaftActor {
-    type Result = ();
-
-    fn handle(&mut self, WriterReport(event): WriterReport, _: &mut Self::Context) {
-        let now = clock::now();
-        match event {
-            writer::Event::Synced(count) => self.raft.synced(now, count),
-            writer::Event::Failed(error) => {
-                error!(self.log, "the disk failed; nothing is acknowledged until a restart";
-                    "error" => %error);
-                self.raft.fail_disk(now);
-            }
-        }
-        self.process_actions(now);
-    }
-}
-
-impl Handler<Flush> for RaftActor {
-    type Result = ();
-
-    fn handle(&mut self, _: Flush, _: &mut Self::Context) {
-        let now = clock::now();
-        self.flush_queued = false;
-        self.raft.flush(now);
-        self.process_actions(now);
-    }
-}
-
-impl Handler<FollowerHeartbeat> for RaftActor {
-    type Result = ();
-
-    fn handle(&mut self, FollowerHeartbeat(heartbeat): FollowerHeartbeat, _: &mut Self::Context) {
-        let expires = clock::now() + FOLLOWER_TIMEOUT;
-        let follower = FollowerRecord { heartbeat, expires };
-        self.followers
-            .insert(follower.heartbeat.node.clone(), follower);
-    }
-}
-
-impl Handler<Propose> for RaftActor {
-    type Result = ResponseFuture<Reply>;
-
-    fn handle(&mut self, Propose(command): Propose, ctx: &mut Self::Context) -> Self::Result {
-        let now = clock::now();
-        let reply = self.propose_for_reply(now, command);
-        self.flush_soon(ctx);
-        reply
-    }
-}
-
-impl Handler<HandleRequest> for RaftActor {
-    type Result = ResponseFuture<Reply>;
-
-    fn handle(&mut self, message: HandleRequest, ctx: &mut Self::Context) -> Self::Result {
-        self.handle_request(clock::now(), message, ctx)
-    }
-}
-
-impl Handler<ChangeMembers> for RaftActor {
-    type Result = MessageResult<ChangeMembers>;
-
-    fn handle(
-        &mut self,
-        ChangeMembers(change): ChangeMembers,
-        _: &mut Self::Context,
-    ) -> Self::Result {
-        let now = clock::now();
-        let changed = self.raft.change(now, change);
-        self.process_actions(now);
-        MessageResult(changed.map_err(|refusal: Refusal| requests::refusal_fault(&refusal)))
-    }
-}
-
-impl<T: Send + 'static> Handler<ReadState<T>> for RaftActor {
-    type Result = MessageResult<ReadState<T>>;
-
-    fn handle(&mut self, ReadState(read): ReadState<T>, _: &mut Self::Context) -> Self::Result {
-        let leadership = self.leadership(clock::now());
-        MessageResult(read(&self.state, leadership.as_ref()))
-    }
-}
-
-impl Handler<IsReady> for RaftActor {
-    type Result = bool;
-
-    fn handle(&mut self, _: IsReady, _: &mut Self::Context) -> bool {
-        let has_leader = self.raft.leader().is_some() && !self.raft.members().is_empty();
-        has_leader && !self.stopping
-    }
-}
-
-impl Handler<GetMembership> for RaftActor {
-    type Result = MessageResult<GetMembership>;
-
-    fn handle(&mut self, _: GetMembership, _: &mut Self::Context) -> Self::Result {
-        let members = self.raft.members();
-        let leader = self.raft.leader();
-        let leader = members
-            .iter()
-            .find(|member| Some(&member.node) == leader)
-            .map(|member| member.address);
-        let addresses = members.iter().map(|member| member.address).collect();
-        let listed = |node: &str| members.iter().any(|member| member.node == node);
-        let followers = self.followers.values();
-        let followers = followers
-            .filter(|follower| {
-                follower.heartbeat.routes.is_some() && !listed(&follower.heartbeat.node)
-            })
-            .count();
-        MessageResult(Membership {
-            addresses,
-            leader,
-            followers,
-            disk_failed: self.raft.disk_failed(),
-        })
-    }
-}
-
-impl Handler<UpdateSeeds> for RaftActor {
-    type Result = ();
-
-    fn handle(&mut self, UpdateSeeds(seeds): UpdateSeeds, _: &mut Self::Context) {
-        self.raft.update_seeds(seeds);
-    }
-}
-
-impl Handler<Stop> for RaftActor {
-    type Result = ();
-
-    fn handle(&mut self, _: Stop, _: &mut Self::Context) {
-        info!(self.log, "stopping: giving up leadership");
-        let now = clock::now();
-        self.stopping = true;
-        self.raft.transfer_leadership(now);
-        self.process_actions(now);
-    }
-}
