--- a/crates/flamingo-control/tests/wont_start.rs
+++ b/crates/flamingo-control/tests/wont_start.rs
@@ -1,11 +1,8 @@
 //! A control instance that won't start says why, so that a person can act on it: a line for each
 //! problem.
 
-use flamingo_test_support::address::host;
 use flamingo_test_support::cases;
-use flamingo_test_support::refusal::Refusal;
-use std::net::TcpListener;
-use std::process::Command;
+use flamingo_test_support::refusal::{Ports, Refusal, check_bad_arguments};
 
 const NAME: &str = env!("CARGO_PKG_NAME");
 const PORT: &str = "stop the process that uses the address, or set another one";
@@ -46,12 +43,9 @@
     let folder = tempfile::tempdir().unwrap();
     std::fs::write(folder.path().join("file"), "").unwrap();
     let data = folder.path().join(below);
-    let host = host();
-    let listeners = [host, host].map(|host| TcpListener::bind((host, 0)).unwrap());
-    let addresses = [0, 1].map(|at: usize| listeners[at].local_addr().unwrap().to_string());
-    let kept = listeners.into_iter().zip(used);
-    let _kept: Vec<_> = kept.filter(|(_, used)| *used).collect();
-    let text = settings(&addresses[0], &addresses[1], data.to_str().unwrap());
+    let ports = Ports::with_use(used);
+    let [http, inner] = &ports.addresses;
+    let text = settings(http, inner, data.to_str().unwrap());
     Refusal::of(NAME, &text).check(problems);
 }
 
@@ -77,23 +71,6 @@
 }
 
 #[test]
-fn a_missing_settings_file_ends_with_the_code_of_bad_settings() {
-    let run = Command::new(env!("CARGO_BIN_EXE_flamingo-control"))
-        .args(["--settings", "no-such-file.ini"])
-        .output()
-        .unwrap();
-    let text = String::from_utf8_lossy(&run.stderr);
-    assert_eq!(run.status.code(), Some(5), "{text}");
-    assert!(text.starts_with("no-such-file.ini: "), "{text}");
-}
-
-#[test]
-fn a_wrong_command_line_is_said_in_words() {
-    let run = Command::new(env!("CARGO_BIN_EXE_flamingo-control"))
-        .arg("--colour")
-        .output()
-        .unwrap();
-    let text = String::from_utf8_lossy(&run.stderr);
-    assert_eq!(run.status.code(), Some(2), "{text}");
-    assert!(text.starts_with("invalid option '--colour'"), "{text}");
+fn arguments_that_cannot_be_used_are_said_in_words() {
+    check_bad_arguments(NAME);
 }
--- a/crates/flamingo-entry/tests/wont_start.rs
+++ b/crates/flamingo-entry/tests/wont_start.rs
@@ -1,10 +1,7 @@
 //! An entry that won't start says why, so that a person can act on it: a line for each problem.
 
-use flamingo_test_support::address::host;
 use flamingo_test_support::cases;
-use flamingo_test_support::refusal::Refusal;
-use std::net::TcpListener;
-use std::process::Command;
+use flamingo_test_support::refusal::{Ports, Refusal, check_bad_arguments};
 
 const NAME: &str = env!("CARGO_PKG_NAME");
 
@@ -41,12 +38,9 @@
 
 /// Starts an entry while these of its two ports are in use.
 fn port_in_use(used: [bool; 2], problems: &[&[&str]]) {
-    let host = host();
-    let listeners = [host, host].map(|host| TcpListener::bind((host, 0)).unwrap());
-    let addresses = [0, 1].map(|at: usize| listeners[at].local_addr().unwrap().to_string());
-    let kept = listeners.into_iter().zip(used);
-    let _kept: Vec<_> = kept.filter(|(_, used)| *used).collect();
-    Refusal::of(NAME, &settings(&addresses[0], &addresses[1])).check(problems);
+    let ports = Ports::with_use(used);
+    let [http, inner] = &ports.addresses;
+    Refusal::of(NAME, &settings(http, inner)).check(problems);
 }
 
 cases! { port_in_use:
@@ -92,23 +86,6 @@
 }
 
 #[test]
-fn a_missing_settings_file_ends_with_the_code_of_bad_settings() {
-    let run = Command::new(env!("CARGO_BIN_EXE_flamingo-entry"))
-        .args(["--settings", "no-such-file.ini"])
-        .output()
-        .unwrap();
-    let text = String::from_utf8_lossy(&run.stderr);
-    assert_eq!(run.status.code(), Some(5), "{text}");
-    assert!(text.starts_with("no-such-file.ini: "), "{text}");
-}
-
-#[test]
-fn a_wrong_command_line_is_said_in_words() {
-    let run = Command::new(env!("CARGO_BIN_EXE_flamingo-entry"))
-        .arg("--colour")
-        .output()
-        .unwrap();
-    let text = String::from_utf8_lossy(&run.stderr);
-    assert_eq!(run.status.code(), Some(2), "{text}");
-    assert!(text.starts_with("invalid option '--colour'"), "{text}");
+fn arguments_that_cannot_be_used_are_said_in_words() {
+    check_bad_arguments(NAME);
 }
--- a/crates/flamingo-test-support/src/refusal.rs
+++ b/crates/flamingo-test-support/src/refusal.rs
@@ -1,7 +1,9 @@
-//! What a daemon says when it will not start.
+//! What a daemon says when it will not start, and the checks that all daemons share.
 
+use crate::address::host;
 use crate::process::program;
 use std::io::{BufRead, BufReader};
+use std::net::TcpListener;
 use std::path::PathBuf;
 use std::process::{Command, Stdio};
 use tempfile::TempDir;
@@ -76,3 +78,63 @@
         assert_eq!(*last, format!("{} problem{plural}", problems.len()));
     }
 }
+
+/// Two addresses of which some are in use until this is dropped.
+#[derive(Debug)]
+pub struct Ports {
+    /// The addresses, as `ip:port`.
+    pub addresses: [String; 2],
+    _listeners: Vec<TcpListener>,
+}
+
+impl Ports {
+    /// Returns two addresses; `used` says which are in use.
+    ///
+    /// # Panics
+    ///
+    /// Panics where no port can be opened.
+    #[must_use]
+    pub fn with_use(used: [bool; 2]) -> Self {
+        let host = host();
+        let listeners = [host, host].map(|host| TcpListener::bind((host, 0)).expect("a port"));
+        let addresses = [0, 1].map(|at: usize| {
+            let address = listeners[at].local_addr().expect("bound");
+            address.to_string()
+        });
+        let in_use = listeners.into_iter().zip(used).filter(|(_, used)| *used);
+        Self {
+            addresses,
+            _listeners: in_use.map(|(listener, _)| listener).collect(),
+        }
+    }
+}
+
+/// Runs the daemon `name` with these arguments, and checks that it ends with `code` and that its
+/// standard error begins with `text`.
+///
+/// # Panics
+///
+/// Panics where it does not.
+pub fn check_arguments(name: &str, arguments: &[&str], code: i32, text: &str) {
+    let run = Command::new(program(name))
+        .args(arguments)
+        .output()
+        .unwrap_or_else(|error| panic!("can't start {name}: {error}"));
+    let printed = String::from_utf8_lossy(&run.stderr);
+    assert_eq!(run.status.code(), Some(code), "{printed}");
+    assert!(printed.starts_with(text), "{printed}");
+}
+
+/// Checks what the daemon `name` says of arguments that it can't use: a settings file that is
+/// missing, also if it is only to be checked, and an option that does not exist.
+///
+/// # Panics
+///
+/// Panics where it says something else.
+pub fn check_bad_arguments(name: &str) {
+    let missing = "no-such-file.ini";
+    let named = format!("{missing}: ");
+    check_arguments(name, &["--settings", missing], 5, &named);
+    check_arguments(name, &["--settings", missing, "--check"], 5, &named);
+    check_arguments(name, &["--colour"], 2, "invalid option '--colour'");
+}
