An earlier refusal is not believed by a request with the same id, or without one

Callers saw: a 503, "not run, try again", for requests that a target had run. A target that refuses a request may write that refusal once more on the kept connection after it got the next one. The entry tells the two apart by the attempt id, but two requests without an id, or two that a caller gave the same id, look alike: no id equals no id.

Change: a connection remembers which attempts it carried, as hashes, and is not taken for one that it carried before; "no id" counts as one id. An answer without an id is that of a request without an id only if nothing was sent on the connection before. A connection ends after 1,000 requests, which bounds the memory.

Why it works: an earlier answer on a connection now always has another id than the request that waits, or there is no earlier one.

--- a/crates/flamingo-serve/src/exchange.rs
+++ b/crates/flamingo-serve/src/exchange.rs
@@ -87,7 +87,7 @@
     Restarted,
     /// The connection ended after the target may have read the request.
     Broken,
-    /// The received bytes are not HTTP, or they answer another request.
+    /// The received bytes are not HTTP, or it is not certain that they answer this request.
     Foreign,
     /// No response head was received before the deadline.
     Late,
@@ -134,9 +134,13 @@
                 _ => return Err(Failure::Restarted),
             }
         }
+        let first = connection.begin(attempt_id);
         let answered = timeout_at(deadline.into(), connection.sender.try_send_request(request));
         match answered.await {
-            Ok(Ok(response)) => return accept(connection, response, attempt_id, codec, sent_at),
+            Ok(Ok(response)) => {
+                let pending = pending(connection, response, codec, sent_at);
+                return accept(pending, attempt_id, first);
+            }
             Ok(Err(mut error)) => match error.take_message() {
                 // A pooled connection was closed before the request was written to it: the
                 // request is sent on a new connection.
@@ -161,6 +165,7 @@
 ) -> Option<bool> {
     let deadline = deadline.min(Instant::now() + INCARNATION_TIMEOUT);
     let question = Request::from_parts(expected.question.clone(), Full::default());
+    connection.begin(None);
     let asked = async {
         let response = connection.sender.send_request(question).await.ok()?;
         let body = collect(response.into_body(), MAX_REPORT_BYTES).await.ok()?;
@@ -170,24 +175,35 @@
     timeout_at(deadline.into(), asked).await.ok()?
 }
 
-/// Parses the head of a response and checks that it belongs to the request.
-fn accept(
+/// Parses the head of a response.
+fn pending(
     connection: Connection,
     response: Response<Incoming>,
-    attempt_id: Option<&str>,
     codec: &dyn Codec,
     sent_at: Instant,
-) -> Result<PendingResponse, Failure> {
+) -> PendingResponse {
     let (head, body) = response.into_parts();
-    let parsed = codec.parse_response(&head);
-    if parsed.attempt_id.as_deref() != attempt_id {
-        return Err(Failure::Foreign);
-    }
-    Ok(PendingResponse {
+    PendingResponse {
+        parsed: codec.parse_response(&head),
         head,
-        parsed,
         body,
         connection,
         sent_at,
-    })
+    }
+}
+
+/// Checks that a response belongs to the request. `first` says that nothing was sent on its connection
+/// before the request.
+fn accept(
+    response: PendingResponse,
+    attempt_id: Option<&str>,
+    first: bool,
+) -> Result<PendingResponse, Failure> {
+    let parsed = &response.parsed;
+    let belongs = match parsed.attempt_id.as_deref() {
+        Some(id) => attempt_id == Some(id),
+        // Only its place on the connection tells whose response this is.
+        None => first && attempt_id.is_none(),
+    };
+    belongs.then_some(response).ok_or(Failure::Foreign)
 }
--- a/crates/flamingo-serve/src/pool.rs
+++ b/crates/flamingo-serve/src/pool.rs
@@ -2,13 +2,17 @@
 //!
 //! A connection carries one request at a time. It returns to the pool only after a complete
 //! response with no bytes after it; otherwise it is closed.
+//!
+//! A target may write an earlier response once more where the next one is expected. Only the attempt id
+//! tells the two apart, so a connection carries an id once, and one request without an id.
 
 use bytes::Bytes;
 use flamingo_wire::id;
 use http_body_util::Full;
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
@@ -20,6 +24,8 @@
 const DIAL_TIMEOUT: Duration = Duration::from_millis(300);
 /// Percentage of the target's idle timeout during which an idle connection is reused.
 const REUSE_PERCENT: u32 = 70;
+/// Requests after which a connection is not reused, since the ids of all of them are kept.
+const MAX_REQUESTS: usize = 1_000;
 /// `TCP_USER_TIMEOUT`: time without an acknowledgement after which the kernel closes a
 /// connection.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(2);
@@ -31,10 +37,34 @@
     pub sender: SendRequest<Full<Bytes>>,
     /// Whether the connection was dialled for the current request and not taken from the pool.
     pub newly_dialled: bool,
+    /// Hashes of the attempt ids of the requests that were sent on it.
+    carried: HashSet<u64>,
     /// When an idle connection expires; set when it returns to the pool.
     expires_at: Instant,
 }
 
+impl Connection {
+    /// Records that a request is sent. Returns whether it is the first one on this connection, so that
+    /// what the target sends next can't belong to another one.
+    pub fn begin(&mut self, attempt_id: Option<&str>) -> bool {
+        let first = self.carried.is_empty();
+        self.carried.insert(hash(attempt_id));
+        first
+    }
+
+    fn is_usable(&self, now: Instant) -> bool {
+        now < self.expires_at && !self.sender.is_closed()
+    }
+}
+
+/// Returns the hash by which a connection knows an attempt. An equal hash of another one costs no more
+/// than a new connection.
+fn hash(attempt_id: Option<&str>) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    attempt_id.hash(&mut hasher);
+    hasher.finish()
+}
+
 /// The idle connections of each target.
 #[derive(Debug, Default)]
 pub struct Pool {
@@ -45,17 +75,38 @@
     /// Removes and returns the most recently used idle connection to `target`; `None` if there
     /// is no usable one.
     pub fn take(&mut self, target: &str, now: Instant) -> Option<Connection> {
+        self.take_if(target, now, |_| true)
+    }
+
+    /// Removes and returns the most recently used idle connection to `target` that has not carried this
+    /// attempt; `None` if there is no usable one.
+    pub fn take_for(
+        &mut self,
+        target: &str,
+        attempt_id: Option<&str>,
+        now: Instant,
+    ) -> Option<Connection> {
+        let hash = hash(attempt_id);
+        self.take_if(target, now, |connection| {
+            !connection.carried.contains(&hash)
+        })
+    }
+
+    fn take_if(
+        &mut self,
+        target: &str,
+        now: Instant,
+        accepts: impl Fn(&Connection) -> bool,
+    ) -> Option<Connection> {
         let idle = self.idle.get_mut(target)?;
-        while let Some(connection) = idle.pop() {
-            if now < connection.expires_at && !connection.sender.is_closed() {
-                return Some(connection);
-            }
-        }
-        None
+        idle.retain(|connection| connection.is_usable(now));
+        let index = idle.iter().rposition(accepts)?;
+        Some(idle.remove(index))
     }
 
     /// Returns a connection to the pool. `idle_timeout` is the time after which the target
-    /// closes an idle connection, or `None` if the target did not announce it.
+    /// closes an idle connection, or `None` if the target did not announce it. The connection is closed
+    /// if it has carried `MAX_REQUESTS`.
     pub fn put(
         &mut self,
         target: &str,
@@ -63,6 +114,9 @@
         idle_timeout: Option<Duration>,
         now: Instant,
     ) {
+        if connection.carried.len() >= MAX_REQUESTS {
+            return;
+        }
         connection.expires_at =
             now + idle_timeout.unwrap_or(DEFAULT_IDLE_TIMEOUT) * REUSE_PERCENT / 100;
         connection.newly_dialled = false;
@@ -81,8 +135,7 @@
     /// Removes the connections that have expired or were closed by the target.
     pub fn remove_expired(&mut self, now: Instant) {
         for connections in self.idle.values_mut() {
-            connections
-                .retain(|connection| now < connection.expires_at && !connection.sender.is_closed());
+            connections.retain(|connection| connection.is_usable(now));
         }
         self.idle.retain(|_, connections| !connections.is_empty());
     }
@@ -106,6 +159,7 @@
     Some(Connection {
         sender,
         newly_dialled: true,
+        carried: HashSet::new(),
         expires_at: now,
     })
 }
--- a/crates/flamingo-serve/src/proxy/attempt.rs
+++ b/crates/flamingo-serve/src/proxy/attempt.rs
@@ -105,14 +105,16 @@
         *request.method_mut() = job.http_head.method.clone();
         *request.uri_mut() = origin_form(&job.http_head.uri);
         *request.headers_mut() = self.codec.request_headers(&job.http_head, &attempt);
-        let pooled = self.topology.pool.borrow_mut().take(&candidate.target, now);
+        let attempt_id = job.request.attempt_id.as_deref();
+        let mut pool = self.topology.pool.borrow_mut();
+        let pooled = pool.take_for(&candidate.target, attempt_id, now);
+        drop(pool);
         let how = if pooled.is_some() {
             "used_again"
         } else {
             "dialled"
         };
         self.metrics.connections.with_label_values(&[how]).inc();
-        let attempt_id = job.request.attempt_id.as_deref();
         let codec = self.codec.as_ref();
         job.begin_sending(&candidate.target);
         let result = exchange::send(
