A refusal without an attempt id counts where nothing else was sent on its connection

Callers saw: 502 for requests that must not repeat although nothing had run, where a target refused without an attempt id (421 of another target at that address, 400). The entry took it for the answer to another request, after which the request may have run.

Change: as the first answer on a connection that carried nothing before, such a refusal is the request's, so the request goes to another target. On a used connection it still can't be told from a copy of an earlier one, and the request counts as possibly run. The connection of an answer without an id is closed, so that the next one is a first one again.

Why it works: a target that has got one request can only refuse that one.

--- a/crates/flamingo-serve/src/exchange.rs
+++ b/crates/flamingo-serve/src/exchange.rs
@@ -202,8 +202,9 @@
     let parsed = &response.parsed;
     let belongs = match parsed.attempt_id.as_deref() {
         Some(id) => attempt_id == Some(id),
-        // Only its place on the connection tells whose response this is.
-        None => first && attempt_id.is_none(),
+        // A target may refuse before it has read the id. Without one, only its place on the connection
+        // tells whose response this is.
+        None => first && (attempt_id.is_none() || parsed.rejection.is_some()),
     };
     belongs.then_some(response).ok_or(Failure::Foreign)
 }
--- a/crates/flamingo-serve/src/proxy/release.rs
+++ b/crates/flamingo-serve/src/proxy/release.rs
@@ -31,14 +31,15 @@
     }
 
     /// Returns a connection to the pool once it can send another request. The response on it must
-    /// have been read to its end.
+    /// have been read to its end. The connection of a response without an attempt id is closed: the next
+    /// one on it could not be told from a copy of this one.
     pub(super) fn return_to_pool(
         self: &Rc<Self>,
         target: &str,
         mut connection: Connection,
         parsed: &ResponseHead,
     ) {
-        if parsed.closes_connection {
+        if parsed.closes_connection || parsed.attempt_id.is_none() {
             return;
         }
         let idle_timeout = parsed.idle_timeout;
