A target that answers with an earlier answer gets a connection for each request for a minute

Callers saw: 502 where a target writes an earlier refusal once more on a kept connection: the answer is not believed, and what the target does with the request is not known.

An answer on a new connection can't be an earlier one. The answer that was read in place of the right one can't be skipped: hyper's client pairs each request with the next response, and closes on anything more.

Weighed: to close a connection after each refusal would also save the first calls, but costs a new connection for each refusal of every sound target, at the very time at which it is full, resets connections beyond a number and a call that is reset may have run; a quiet time doesn't help, since the copy comes after the next request.

What a faulty target costs no longer grows with its requests.

--- a/crates/flamingo-serve/src/pool.rs
+++ b/crates/flamingo-serve/src/pool.rs
@@ -4,7 +4,8 @@
 //! response with no bytes after it; otherwise it is closed.
 //!
 //! A target may write an earlier response once more where the next one is expected. Only the attempt id
-//! tells the two apart, so a connection carries an id once, and one request without an id.
+//! tells the two apart, so a connection carries an id once, and one request without an id. A target that
+//! was caught with such a response gets a connection for each request for a time.
 
 use bytes::Bytes;
 use flamingo_wire::id;
@@ -26,6 +27,8 @@
 const REUSE_PERCENT: u32 = 70;
 /// Requests after which a connection is not reused, since the ids of all of them are kept.
 const MAX_REQUESTS: usize = 1_000;
+/// Time for which a target gets a connection for each request, after a response to another request.
+const DISTRUST_TIME: Duration = Duration::from_mins(1);
 /// `TCP_USER_TIMEOUT`: time without an acknowledgement after which the kernel closes a
 /// connection.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(2);
@@ -69,6 +72,9 @@
 #[derive(Debug, Default)]
 pub struct Pool {
     idle: HashMap<id::Target, Vec<Connection>>,
+    /// Targets that answered a request with the response to another one, and until when none of their
+    /// connections is kept.
+    distrusted: HashMap<id::Target, Instant>,
 }
 
 impl Pool {
@@ -104,9 +110,23 @@
         Some(idle.remove(index))
     }
 
+    /// Closes all idle connections to `target`, and keeps none for a time. Returns whether that is new.
+    pub fn distrust(&mut self, target: &str, now: Instant) -> bool {
+        let new = !self.is_distrusted(target, now);
+        self.remove(target);
+        self.distrusted
+            .insert(target.to_owned(), now + DISTRUST_TIME);
+        new
+    }
+
+    fn is_distrusted(&self, target: &str, now: Instant) -> bool {
+        let until = self.distrusted.get(target);
+        until.is_some_and(|until| now < *until)
+    }
+
     /// Returns a connection to the pool. `idle_timeout` is the time after which the target
     /// closes an idle connection, or `None` if the target did not announce it. The connection is closed
-    /// if it has carried `MAX_REQUESTS`.
+    /// if the target is distrusted, or if it has carried `MAX_REQUESTS`.
     pub fn put(
         &mut self,
         target: &str,
@@ -114,7 +134,7 @@
         idle_timeout: Option<Duration>,
         now: Instant,
     ) {
-        if connection.carried.len() >= MAX_REQUESTS {
+        if self.is_distrusted(target, now) || connection.carried.len() >= MAX_REQUESTS {
             return;
         }
         connection.expires_at =
@@ -137,6 +157,7 @@
         for connections in self.idle.values_mut() {
             connections.retain(|connection| connection.is_usable(now));
         }
+        self.distrusted.retain(|_, until| now < *until);
         self.idle.retain(|_, connections| !connections.is_empty());
     }
 }
--- a/crates/flamingo-serve/src/proxy/attempt.rs
+++ b/crates/flamingo-serve/src/proxy/attempt.rs
@@ -196,6 +196,9 @@
             }
             Failure::Late => AttemptError::MayHaveRun(Cause::Late),
             Failure::Broken | Failure::Foreign => {
+                if failure == Failure::Foreign {
+                    self.distrust(job, &candidate.target, now);
+                }
                 // A stream's head comes before its first event, so without one nothing was written.
                 if failure == Failure::Broken && job.route.kind != Kind::Stream {
                     self.record_break(job, candidate, sent_at, None);
@@ -206,6 +209,15 @@
         }
     }
 
+    /// Gives a target a connection for each request for a time, since the answers on a kept one may
+    /// belong to earlier requests.
+    fn distrust(&self, job: &Job, target: &str, now: Instant) {
+        if self.topology.pool.borrow_mut().distrust(target, now) {
+            info!(self.log, "target distrusted"; "request" => &job.request.attempt_id,
+                "target" => target);
+        }
+    }
+
     /// Records that a target could not be reached or disconnected.
     pub(super) fn record_failure(&self, target: &str, now: Instant) {
         self.topology.table.borrow_mut().record_failure(target, now);
