--- a/crates/flamingo-serve/src/proxy/permit.rs
+++ b/crates/flamingo-serve/src/proxy/permit.rs
@@ -72,9 +72,6 @@
             }
             _ => return None,
         };
-        if let Some(target) = self.topology.table.borrow_mut().get_mut(&candidate.target) {
-            target.drop_permits();
-        }
         Some(taken)
     }
 
