A load that is not recorded yet counts beside those of an earlier leader

Found by reading, in the class "counted over time and forgotten at a start": a new leader compares the loads in the log, of all leaders, with those that it counted itself, and takes the larger number. Its own loads are in the log only once they are committed, so those on their way don't count while earlier ones make up the larger number.

Evidence, virtual time, three loads of an earlier leader, commits that take 300 ms; before: a_load_that_is_not_recorded_yet_counts_beside_those_of_an_earlier_leader: 6 loads in a window that allows 4.

Change: as a leadership begins, the loads that the log holds are taken into the leader's own count.

Result: at most 4, and at least 45 loads in the minute that allows 48. Why it works: the leader's own count holds all loads of the window, whether they are committed or not.

--- a/crates/flamingo-control/src/controller/mod.rs
+++ b/crates/flamingo-control/src/controller/mod.rs
@@ -138,6 +138,15 @@
     loads: Vec<SystemTime>,
 }
 
+impl LeaderSnapshot {
+    /// Returns how long ago loads from the weight store started. A time ahead of this clock, from an
+    /// instance whose clock is ahead, counts as now.
+    fn load_ages(&self, wall: SystemTime) -> impl Iterator<Item = Duration> {
+        let loads = self.loads.iter();
+        loads.map(move |started| wall.duration_since(*started).unwrap_or_default())
+    }
+}
+
 /// State of the controller during one leadership; dropped when the leadership ends.
 #[derive(Debug, Default)]
 struct TermState {
@@ -158,7 +167,7 @@
     /// Models that no engine has resident, by service and model.
     missing: BTreeMap<(id::Service, id::Model), Missing>,
     routes: Option<Arc<Set>>,
-    /// Loads from the weight store that this leader planned or started.
+    /// Loads from the weight store that this leader planned, and that it or earlier ones started.
     store_loads: Loads,
     loads_published_at: Option<Instant>,
     /// Engines whose residency the entries have to get.
@@ -370,10 +379,13 @@
         };
         info!(self.log, "engine controller started"; "fence" => leader.fence, "wait_ms" => wait.as_millis());
         let demand = std::mem::take(&mut term.demand);
+        let mut store_loads = Loads::default();
+        store_loads.adopt(leader.load_ages(SystemTime::now()), now);
         *term = TermState {
             fence: leader.fence,
             orders_from: Some(now + wait),
             demand,
+            store_loads,
             ..TermState::default()
         };
     }
--- a/crates/flamingo-control/src/controller/store.rs
+++ b/crates/flamingo-control/src/controller/store.rs
@@ -13,7 +13,10 @@
     pub window: Duration,
 }
 
-/// Loads of one leader that are planned or have started.
+/// Loads that one leader planned or started, and those that earlier leaders started.
+///
+/// The log holds the loads of this leader only once they are committed, so those of earlier leaders are
+/// taken over from it as the leadership begins, and counted beside its own.
 ///
 /// A load starts once the unloads of its move are done, so it takes its place from its plan until
 /// `window` after its start.
@@ -24,6 +27,12 @@
 }
 
 impl Loads {
+    /// Records loads that earlier leaders started this long ago.
+    pub fn adopt(&mut self, ages: impl IntoIterator<Item = Duration>, now: Instant) {
+        let started = ages.into_iter().filter_map(|age| now.checked_sub(age));
+        self.started.extend(started);
+    }
+
     /// Returns how many more loads may be planned; a fraction or a negative number means none.
     /// `recorded` is the number of starts within the window that the log records, of this leader
     /// and of earlier ones.
--- a/crates/flamingo-control/tests/store.rs
+++ b/crates/flamingo-control/tests/store.rs
@@ -75,3 +75,33 @@
     let left = loads.available(CEILING, 0, now);
     assert!((left - 3.0).abs() < 1e-9, "{left}");
 }
+
+/// Time in which the log records a load.
+const COMMIT_TIME: Duration = Duration::from_millis(300);
+
+#[test]
+fn a_load_that_is_not_recorded_yet_counts_beside_those_of_an_earlier_leader() {
+    let begin = Instant::now();
+    let earlier: Vec<Instant> = (0..3).map(|number| begin + STEP * number).collect();
+    let takeover = begin + STEP * 3;
+    let mut loads = Loads::default();
+    loads.adopt(earlier.iter().map(|at| takeover - *at), takeover);
+    let mut started = earlier.clone();
+    for step in 3..600 {
+        let now = begin + STEP * step;
+        let recorded = started.iter().enumerate().filter(|(index, at)| {
+            let committed = *index < earlier.len() || now >= **at + COMMIT_TIME;
+            committed && now < **at + CEILING.window
+        });
+        let recorded = recorded.count();
+        if loads.available(CEILING, recorded, now) >= 1.0 {
+            let key = key(&format!("engine-{step}"), 1);
+            loads.plan(key.clone());
+            loads.begin(&key, now);
+            started.push(now);
+        }
+    }
+    let most = most_in_a_window(&started);
+    assert!(most <= 4, "{most} loads in a window that allows 4");
+    assert!(started.len() >= 45, "{} loads in a minute", started.len());
+}
