Test: a deadly part is forgotten where all processes are killed (known red)

Found in the audit of what is counted over time and forgotten at a start. The test fleet is killed once, 25 s into a minute in which one request in a hundred has a part that crashes targets; requests within 3 s of the kill don't count.

--- a/crates/flamingo-guard/tests/fleet.rs
+++ b/crates/flamingo-guard/tests/fleet.rs
@@ -43,6 +43,8 @@
     crash_together: usize,
     /// Position of the deadly part in the prompt.
     depth: usize,
+    /// When all processes are killed and start again, which then know nothing.
+    killed_at: Option<Duration>,
 }
 
 const QUIET: Scenario = Scenario {
@@ -54,6 +56,7 @@
     crashes_per_min: 0,
     crash_together: 1,
     depth: 2,
+    killed_at: None,
 };
 
 /// A request that is running on a target, or is being read there.
@@ -149,7 +152,10 @@
         }
         let known_at = self.outcome.known_at;
         let known = known_at.is_some_and(|at| self.elapsed > at + CONTACT);
-        self.outcome.sent_afterwards += usize::from(known && parts.contains(&DEADLY));
+        let killed_at = self.scenario.killed_at;
+        let out_of_touch = killed_at.is_some_and(|at| (at..=at + CONTACT).contains(&self.elapsed));
+        let counts = known && !out_of_touch && parts.contains(&DEADLY);
+        self.outcome.sent_afterwards += usize::from(counts);
         if self.elapsed < self.up_at[target] {
             return;
         }
@@ -262,11 +268,16 @@
     }
 }
 
-/// Runs a fleet for 30 seconds.
+/// Runs a fleet for 30 seconds, and 30 more if its processes are killed.
 fn run(scenario: Scenario, seed: u64) -> Outcome {
     let mut world = World::new(scenario, seed);
-    while world.elapsed < Duration::from_secs(30) {
+    let seconds = if scenario.killed_at.is_some() { 60 } else { 30 };
+    while world.elapsed < Duration::from_secs(seconds) {
         world.elapsed += STEP;
+        if scenario.killed_at == Some(world.elapsed) {
+            world.ledger = Ledger::default();
+            world.reports.clear();
+        }
         world.arrive();
         world.crash_targets();
         world.judge();
@@ -314,6 +325,8 @@
         Scenario { deadly_permille: 0, crashes_per_min: 30, crash_together: 4, ..QUIET };
     random_crashes_make_no_rare_part_suspect:
         Scenario { deadly_permille: 0, crashes_per_min: 60, seconds: 3_000, ..QUIET };
+    a_deadly_part_stays_known_where_all_processes_are_killed:
+        Scenario { deadly_permille: 10, killed_at: Some(Duration::from_secs(25)), ..QUIET };
     a_deadly_part_is_found_in_a_large_fleet:
         Scenario { targets: 90, requests_per_s: 180, seconds: 600, ..QUIET };
 }
