--- a/crates/flamingo-test-support/src/process.rs
+++ b/crates/flamingo-test-support/src/process.rs
@@ -18,16 +18,37 @@
     #[must_use]
     pub fn start(name: &str, args: &[&str], log: &Path) -> Self {
         let log = std::fs::File::options().create(true).append(true).open(log);
-        let child = Command::new(program(name))
+        let mut command = Command::new(program(name));
+        command
             .args(args)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
-            .stderr(log.expect("the log file can be written"))
-            .spawn()
-            .unwrap_or_else(|error| panic!("can't start {name}: {error}"));
+            .stderr(log.expect("the log file can be written"));
+        Self::spawn(&mut command)
+    }
+
+    /// Starts the program of a command.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the program can't be started.
+    #[must_use]
+    pub fn spawn(command: &mut Command) -> Self {
+        let child = command.spawn();
+        let child = child.unwrap_or_else(|error| panic!("can't start {command:?}: {error}"));
         Self { child }
     }
 
+    /// Returns whether the process has ended.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the process can't be waited for.
+    pub fn has_ended(&mut self) -> bool {
+        let status = self.child.try_wait();
+        status.expect("the process can be waited for").is_some()
+    }
+
     /// Sends a signal, such as [`libc::SIGSTOP`].
     ///
     /// # Panics
