Streams: a successor's bytes are passed on only with the next number

Callers saw: a stream broke off after its fifth event, the next target answered 200 with a seal, and its text stood in the caller's stream, which then ended as complete; the same with an empty answer, with an error behind a good event, and with an error that a target writes into its own stream.

Cause: what a successor sends was taken for the next piece without a proof. An event without a number followed any, an end ended any stream, and the content type was not looked at.

Change: EventStream returns an event only if its number proves it to be the next one; comments and blank lines are held back until the first proved event of a successor. A stream with numbers that gets an event without one, with another number, or with lines of something else in it, counts as broken: the next target is asked within attempts and budget, else the caller's stream breaks off. An end without an event proves nothing about a stream that the entry joins; a caller that asks for the rest itself gets a target's whole sealed answer, also that there is nothing more. A successor must have the stream's content type. Lines: "successor refused" with its reason, "stream resumed" with the number of the first event.

--- a/crates/flamingo-serve/src/event_stream.rs
+++ b/crates/flamingo-serve/src/event_stream.rs
@@ -1,7 +1,12 @@
 //! Reads the streamed response of a target event by event.
+//!
+//! A stream goes on with the bytes of another target, and a target may write anything into its own
+//! stream. So an event of a stream with numbers is returned only if its number proves that it is the
+//! next one; status, seal and content type of a response prove nothing about its events.
 
-use crate::events::{Event, Splitter};
+use crate::events::{Event, Flaw, MAX_EVENT_BYTES, Splitter};
 use crate::exchange::{Framing, PendingResponse};
+use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use std::time::Instant;
 use strum::IntoStaticStr;
@@ -31,8 +36,35 @@
     InsideEvent,
     /// The connection closed before the first event, and the response states no other end.
     BeforeFirstEvent,
-    /// An event exceeded [`MAX_EVENT_BYTES`](crate::events::MAX_EVENT_BYTES).
+    /// An event exceeded [`MAX_EVENT_BYTES`].
     Oversized,
+    /// An event has fields and no number, in a stream whose events have numbers.
+    Unnumbered,
+    /// The number of an event is not the next one.
+    OutOfSequence,
+    /// A numbered event has lines that belong to no event.
+    Malformed,
+}
+
+impl Break {
+    /// Returns whether the connection is sound, and what was received on it is not the stream.
+    #[must_use]
+    pub fn is_flaw(self) -> bool {
+        matches!(
+            self,
+            Self::Unnumbered | Self::OutOfSequence | Self::Malformed
+        )
+    }
+}
+
+impl From<Flaw> for Break {
+    fn from(flaw: Flaw) -> Self {
+        match flaw {
+            Flaw::Unnumbered => Self::Unnumbered,
+            Flaw::OutOfSequence => Self::OutOfSequence,
+            Flaw::Malformed => Self::Malformed,
+        }
+    }
 }
 
 /// A streamed response that is being read.
@@ -41,34 +73,44 @@
     /// The response and its connection.
     pub response: PendingResponse,
     splitter: Splitter,
+    /// Number of the last event of the stream, of this target or of the one before; `None` if no
+    /// event had a number.
+    last: Option<u64>,
     any_event: bool,
+    /// What precedes the first proved event of a stream that goes on.
+    held: BytesMut,
     /// Whether the body has ended normally.
     ended: bool,
 }
 
 impl EventStream {
-    /// Returns a reader for the body of `response`.
+    /// Returns a reader for the body of `response`, which goes on after the event `last` if there is
+    /// one.
     #[must_use]
-    pub fn new(response: PendingResponse) -> Self {
+    pub fn new(response: PendingResponse, last: Option<u64>) -> Self {
         Self {
             response,
             splitter: Splitter::default(),
+            last,
             any_event: false,
+            held: BytesMut::new(),
             ended: false,
         }
     }
 
-    /// Waits for the next event until `deadline`.
+    /// Waits until `deadline` for the next event that is proved to be one of the stream.
     pub async fn next(&mut self, deadline: Instant) -> Next {
         loop {
             if let Some(event) = self.splitter.next() {
-                self.any_event = true;
-                return Next::Event(event);
+                match self.judge(event) {
+                    Some(next) => return next,
+                    None => continue,
+                }
             }
             if self.ended {
                 return Next::End;
             }
-            if self.splitter.is_oversized() {
+            if self.splitter.is_oversized() || self.held.len() > MAX_EVENT_BYTES {
                 return Next::Broken(Break::Oversized);
             }
             let frame = timeout_at(deadline.into(), self.response.body.frame());
@@ -97,6 +139,31 @@
         self.splitter.buffered_bytes()
     }
 
+    /// Returns an event that is proved to be the next one, or its flaw. Holds back what precedes the
+    /// first event of a stream that goes on.
+    fn judge(&mut self, event: Event) -> Option<Next> {
+        if let Some(flaw) = event.flaw(self.last) {
+            return Some(Next::Broken(flaw.into()));
+        }
+        if self.last.is_some() && event.id.is_none() && !self.any_event {
+            self.held.extend_from_slice(&event.bytes);
+            return None;
+        }
+        self.any_event = true;
+        self.last = event.id.or(self.last);
+        let bytes = self.take_held(event.bytes);
+        Some(Next::Event(Event { bytes, ..event }))
+    }
+
+    /// Returns what was held back, followed by `bytes`.
+    fn take_held(&mut self, bytes: Bytes) -> Bytes {
+        if self.held.is_empty() {
+            return bytes;
+        }
+        self.held.extend_from_slice(&bytes);
+        self.held.split().freeze()
+    }
+
     /// Returns what the end of the body means. Blank lines after the last event count as one more
     /// event, so that the caller gets the whole body.
     fn end(&mut self) -> Next {
@@ -107,9 +174,11 @@
             return Next::Broken(Break::BeforeFirstEvent);
         }
         self.ended = true;
-        match self.splitter.take_blank_lines() {
-            Some(blank) => Next::Event(blank),
-            None => Next::End,
+        let blank = self.splitter.take_blank_lines();
+        let bytes = self.take_held(blank.map(|event| event.bytes).unwrap_or_default());
+        if bytes.is_empty() {
+            return Next::End;
         }
+        Next::Event(Event { bytes, id: None })
     }
 }
--- a/crates/flamingo-serve/src/events.rs
+++ b/crates/flamingo-serve/src/events.rs
@@ -1,6 +1,7 @@
 //! Splits the bytes of a server-sent event stream into whole events.
 
 use bytes::{Bytes, BytesMut};
+use strum::IntoStaticStr;
 
 /// Largest event that is accepted; a stream with a larger one counts as broken.
 pub const MAX_EVENT_BYTES: usize = 1024 * 1024;
@@ -15,28 +16,89 @@
     pub id: Option<u64>,
 }
 
+/// Why an event is not proved to be the next one of a stream of numbered events.
+#[derive(Clone, Copy, Debug, Eq, IntoStaticStr, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+pub enum Flaw {
+    /// It has fields, but no number.
+    Unnumbered,
+    /// Its number is not the next one.
+    OutOfSequence,
+    /// It has a number, and lines that belong to no event.
+    Malformed,
+}
+
 impl Event {
-    /// Returns whether the event directly follows the event `last`. An event without a number
-    /// follows any, and any event follows none.
+    /// Returns whether the event consists of comments and blank lines only. A receiver ignores it.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        lines(&self.bytes).all(|line| matches!(line, [] | [b':', ..]))
+    }
+
+    /// Returns why the event does not prove that it follows the event `last`; `None` if it does. In
+    /// a stream without a number so far, `last` is `None`, and any event may follow that has no number
+    /// or is well-formed. An empty event breaks no sequence.
     ///
     /// ```
-    /// use flamingo_serve::events::Splitter;
+    /// use flamingo_serve::events::{Flaw, Splitter};
     ///
     /// let mut splitter = Splitter::default();
-    /// splitter.push(b"id: 3\ndata: x\n\n");
+    /// splitter.push(b"id: 3\ndata: x\n\ndata: failed\n\n");
+    /// let event = splitter.next().unwrap();
+    /// assert_eq!(event.flaw(Some(2)), None);
+    /// assert_eq!(event.flaw(Some(3)), Some(Flaw::OutOfSequence));
     /// let event = splitter.next().unwrap();
-    /// assert!(event.follows(Some(2)));
-    /// assert!(!event.follows(Some(3)));
+    /// assert_eq!(event.flaw(Some(3)), Some(Flaw::Unnumbered));
     /// ```
     #[must_use]
-    pub fn follows(&self, last: Option<u64>) -> bool {
-        match (last, self.id) {
-            (Some(last), Some(id)) => id == last + 1,
-            _ => true,
+    pub fn flaw(&self, last: Option<u64>) -> Option<Flaw> {
+        if self.is_empty() {
+            return None;
         }
+        let Some(id) = self.id else {
+            return last.is_some().then_some(Flaw::Unnumbered);
+        };
+        if last.is_some_and(|last| last.checked_add(1) != Some(id)) {
+            return Some(Flaw::OutOfSequence);
+        }
+        (!self.is_well_formed()).then_some(Flaw::Malformed)
+    }
+
+    /// Returns whether the event has one `id` and only fields of the HTML Standard, section 9.2.6. The
+    /// first line may be a further field that has a number.
+    fn is_well_formed(&self) -> bool {
+        let mut ids = 0;
+        lines(&self.bytes).enumerate().all(|(index, line)| {
+            let (name, value) = field(line);
+            ids += usize::from(name == b"id");
+            let known = matches!(name, b"" | b"id" | b"data" | b"event" | b"retry");
+            let extra = index == 0 && is_lower_case(name) && is_number(value);
+            ids <= 1 && (known || extra)
+        })
     }
 }
 
+/// Returns the lines of an event, of which those between the two bytes of a line end are empty.
+fn lines(bytes: &[u8]) -> impl Iterator<Item = &[u8]> {
+    bytes.split(|byte| is_line_end(*byte))
+}
+
+/// Returns the name and the value of a field. A comment has an empty name.
+fn field(line: &[u8]) -> (&[u8], &[u8]) {
+    let colon = line.iter().position(|byte| *byte == b':');
+    colon.map_or((line, &[][..]), |at| (&line[..at], &line[at + 1..]))
+}
+
+fn is_lower_case(name: &[u8]) -> bool {
+    name.iter()
+        .all(|byte| matches!(byte, b'a'..=b'z' | b'-' | b'_'))
+}
+
+fn is_number(value: &[u8]) -> bool {
+    let value = value.trim_ascii();
+    !value.is_empty() && value.iter().all(u8::is_ascii_digit)
+}
+
 /// Buffers received bytes until an event is complete.
 #[derive(Debug, Default)]
 pub struct Splitter {
@@ -136,7 +198,7 @@
 
 /// Parses the `id` field of an event.
 fn event_id(bytes: &[u8]) -> Option<u64> {
-    for line in bytes.split(|byte| is_line_end(*byte)) {
+    for line in lines(bytes) {
         if let Some(value) = line.strip_prefix(b"id:") {
             let text = std::str::from_utf8(value).ok()?;
             return text.trim().parse().ok();
--- a/crates/flamingo-serve/src/proxy.rs
+++ b/crates/flamingo-serve/src/proxy.rs
@@ -9,6 +9,7 @@
 mod load_guard;
 mod loading;
 mod permit;
+mod proof;
 mod refusal;
 mod release;
 mod resumption;
@@ -35,7 +36,7 @@
 use job::{AttemptError, Job};
 pub use loading::LATE_LOAD_TIMEOUT;
 use slog::{Logger, info};
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::HashMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
@@ -205,6 +206,7 @@
             parts,
             fingerprint,
             software: RefCell::new(software),
+            content_type: OnceCell::new(),
             tried: RefCell::default(),
             sent: Cell::new(0),
             unreachable: Cell::new(0),
--- a/crates/flamingo-serve/src/proxy/begin.rs
+++ b/crates/flamingo-serve/src/proxy/begin.rs
@@ -4,6 +4,7 @@
 use super::forward::Answered;
 use super::job::{AttemptError, Job};
 use super::load_guard::LoadGuard;
+use super::proof;
 use super::stream::Stream;
 use crate::body::{self, Body, Chunks, Error};
 use crate::choice::Candidate;
@@ -12,7 +13,7 @@
 use crate::wire::Cause;
 use flamingo_wire::stream::{Origin, key};
 use futures_util::stream;
-use http::{Response, Version};
+use http::{Response, Version, header};
 use slog::info;
 use std::rc::Rc;
 use std::time::Instant;
@@ -46,19 +47,20 @@
             load_guard,
             response,
         } = answered;
-        let mut source = EventStream::new(response);
-        let next = source.next(deadline).await;
+        let last = last_event_id.filter(|_| job.route.resumable);
         let target = &load_guard.target;
-        self.log_stream_end(job, target, &source, &next, last_event_id);
+        if last.is_some() && !proof::has_type_of_stream(job, &response.head) {
+            return Err(self.refuse_successor(job, target, last, "content_type"));
+        }
+        let mut source = EventStream::new(response, last);
+        let next = source.next(deadline).await;
+        self.log_stream_end(job, target, &source, &next, last);
         let first = match next {
-            Next::Event(event) if !continues(job, &event, last_event_id) => {
-                info!(self.log, "stream broken"; "request" => &job.request.attempt_id,
-                    "target" => target, "why" => "the target did not go on after the last event",
-                    "last" => last_event_id);
-                return Err(AttemptError::MayHaveRun(Cause::Broken));
-            }
             Next::Event(event) => Some(event),
             Next::End => None,
+            Next::Broken(cause) if cause.is_flaw() => {
+                return Err(self.refuse_successor(job, target, last, cause.into()));
+            }
             Next::Broken(_) => {
                 self.record_break(job, &candidate, source.response.sent_at, None);
                 return Err(AttemptError::MayHaveRun(Cause::Broken));
@@ -90,6 +92,9 @@
         let head = self.caller_head(job, &source.response.head);
         let sent_at = source.response.sent_at;
         let done = first.is_none();
+        let content_type = source.response.head.headers.get(header::CONTENT_TYPE);
+        // The value is set once: a job begins one stream for its caller.
+        let _ = job.content_type.set(content_type.cloned());
         self.begin_stream(job, &candidate);
         let rate = self.observe_prefill(job, &candidate, sent_at);
         info!(self.log, "stream begun"; "request" => &job.request.attempt_id,
@@ -111,7 +116,7 @@
             begun_at: Some(Instant::now()),
             last_event_at: Instant::now(),
             first,
-            last_event_id: job.request.last_event_id,
+            last_event_id: job.request.last_event_id.filter(|_| job.route.resumable),
             done,
             stalled: false,
         };
@@ -170,12 +175,6 @@
     }
 }
 
-/// Returns whether the first event of a response directly follows the last one that the caller has, if
-/// the stream goes on.
-fn continues(job: &Job, event: &Event, last_event_id: Option<u64>) -> bool {
-    !job.route.resumable || event.follows(last_event_id)
-}
-
 /// Returns whether the caller can tell a streamed response that breaks off from a complete one. In
 /// HTTP/1.0 a body without a length ends with its connection.
 fn can_receive_chunks(job: &Job) -> bool {
--- a/crates/flamingo-serve/src/proxy/job.rs
+++ b/crates/flamingo-serve/src/proxy/job.rs
@@ -8,10 +8,10 @@
 use flamingo_wire::id;
 use flamingo_wire::prompt::Parts;
 use flamingo_wire::route::Route;
-use http::request;
 use http::uri::PathAndQuery;
+use http::{HeaderValue, request};
 use smallvec::SmallVec;
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -41,6 +41,8 @@
     pub deadline: Instant,
     /// Version of the software at which the stream began; `None` before its first event.
     pub software: RefCell<Option<id::Software>>,
+    /// Content type of the response that began the stream, if it states one; empty before.
+    pub content_type: OnceCell<Option<HeaderValue>>,
     /// Targets that are not chosen again for this request.
     pub tried: RefCell<SmallVec<[id::Target; 2]>>,
     /// Number of attempts that a target may have read or may be reading.
--- /dev/null
+++ b/crates/flamingo-serve/src/proxy/proof.rs
@@ -0,0 +1,54 @@
+//! Checks that the response of another target goes on with a stream.
+//!
+//! The proof is the number of its first event, which must be the next one. Without an event there is
+//! none: an end proves nothing about the events before it. An entry joins nothing without a proof; the
+//! stream breaks off, and the caller may ask for the rest itself. What a target then says, also that
+//! there is nothing more, is its own whole answer and is passed on with its seal.
+
+use super::Proxy;
+use super::begin::Begun;
+use super::job::{AttemptError, Job};
+use crate::wire::Cause;
+use http::{HeaderValue, header, response};
+use slog::info;
+
+/// Content type of a stream of events (HTML Standard, section 9.2.5).
+const EVENT_STREAM: &str = "text/event-stream";
+
+impl Proxy {
+    /// Logs why a target's response is not taken for the next piece of a stream, and returns the error
+    /// of the attempt.
+    pub(super) fn refuse_successor(
+        &self,
+        job: &Job,
+        target: &str,
+        last: Option<u64>,
+        why: &str,
+    ) -> AttemptError {
+        info!(self.log, "successor refused"; "request" => &job.request.attempt_id,
+            "target" => target, "after" => last, "why" => why);
+        AttemptError::MayHaveRun(Cause::Broken)
+    }
+}
+
+/// Returns the number of the event with which a target goes on; `None` if its stream ended without one.
+pub(super) fn first_number(begun: &Begun) -> Option<u64> {
+    begun.first.as_ref().and_then(|event| event.id)
+}
+
+/// Returns whether a response has the content type of the stream with which it goes on. Where the
+/// stream began with another request, it may state that of events, or none.
+pub(super) fn has_type_of_stream(job: &Job, head: &response::Parts) -> bool {
+    let found = head.headers.get(header::CONTENT_TYPE);
+    match job.content_type.get() {
+        Some(begun) => found.map(media_type) == begun.as_ref().map(media_type),
+        None => found.is_none_or(|found| media_type(found) == EVENT_STREAM),
+    }
+}
+
+/// Returns a content type without its parameters, in lower case.
+fn media_type(value: &HeaderValue) -> String {
+    let text = String::from_utf8_lossy(value.as_bytes());
+    let name = text.split(';').next().unwrap_or_default();
+    name.trim().to_ascii_lowercase()
+}
--- a/crates/flamingo-serve/src/proxy/stream.rs
+++ b/crates/flamingo-serve/src/proxy/stream.rs
@@ -87,9 +87,6 @@
             return None;
         }
         match self.next_event().await {
-            Next::Event(event) if !event.follows(self.last_event_id) => {
-                Some(self.abort("an event is out of sequence"))
-            }
             Next::Event(event) => {
                 self.last_event_id = event.id.or(self.last_event_id);
                 self.last_event_at = Instant::now();
@@ -103,6 +100,9 @@
                 self.record_outcome("late");
                 Some((Err(Error::DeadlineExceeded), None))
             }
+            Next::Broken(cause) if cause.is_flaw() => {
+                Some(self.abort("what the target sent is not the next event"))
+            }
             Next::Broken(_) => Some(self.abort("the target's stream broke off")),
         }
     }
@@ -115,10 +115,10 @@
             self.stalled = true;
             next = self.wait_or_replace().await;
         }
-        if !matches!(next, Next::Broken(_)) {
+        let Next::Broken(cause) = next else {
             return next;
-        }
-        let source = self.source.as_ref();
+        };
+        let source = self.source.as_ref().filter(|_| !cause.is_flaw());
         if let Some(sent_at) = source.map(|source| source.response.sent_at) {
             let proxy = &self.proxy;
             proxy.record_break(&self.job, &self.candidate, sent_at, self.begun_at);
--- a/crates/flamingo-serve/src/proxy/successor.rs
+++ b/crates/flamingo-serve/src/proxy/successor.rs
@@ -2,10 +2,10 @@
 
 use super::Proxy;
 use super::begin::Begun;
-use super::job::{AttemptError, Job};
+use super::job::Job;
+use super::proof;
 use crate::choice::Candidate;
 use crate::pool;
-use crate::wire::Cause;
 use slog::info;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -51,8 +51,8 @@
     }
 
     /// Requests the events after `last_event_id` from other targets. Returns the stream of the first
-    /// one that sends an event, or the end of the stream, within `first_event_timeout` after its head;
-    /// `None` if there is none.
+    /// one that sends the next event within `first_event_timeout` after its head; `None` if there is
+    /// none.
     pub(super) async fn find_successor(
         self: &Rc<Self>,
         job: &Rc<Job>,
@@ -65,20 +65,28 @@
             return None;
         }
         let ask = async |candidate: Candidate| {
+            let target = candidate.target.clone();
+            let refuse = |why: &str| self.refuse_successor(job, &target, last_event_id, why);
             let answered = self.ask(job, candidate, last_event_id).await?;
-            let answered = self.check_answer(job, answered)?;
+            let answered = self.check_answer(job, answered).inspect_err(|_| {
+                refuse("failure");
+            })?;
             if !answered.response.head.status.is_success() {
-                return Err(AttemptError::MayHaveRun(Cause::Broken));
+                return Err(refuse("failure"));
             }
             let until = first_event_timeout.map(|timeout| Instant::now() + timeout);
             let deadline = until.map_or(job.deadline, |until| until.min(job.deadline));
             let begun = self.first_event(job, answered, last_event_id, deadline);
-            begun.await
+            let begun = begun.await?;
+            match proof::first_number(&begun) {
+                Some(_) => Ok(begun),
+                None => Err(refuse("no_event")),
+            }
         };
         let begun = self.find_other(job, ask).await?;
         info!(self.log, "stream resumed"; "request" => &job.request.attempt_id,
             "target" => &begun.candidate.target, "software" => &begun.candidate.software,
-            "after" => last_event_id);
+            "after" => last_event_id, "first" => proof::first_number(&begun));
         Some(begun)
     }
 }
