Answers: a success that states no end and has no body is not whole

Callers saw: a target closed after a head without a length and before its first byte of body; the caller got a 200 with an empty body, framed as whole by the entry.

Cause: an end by connection was taken for the end of an empty body, as it is for streams only after an event.

Change: such a success counts as broken off, unless its method or status has no body. A Transfer-Encoding whose last coding is not chunked ends with its connection (RFC 9112, section 6.3), and is treated so.

A body cut later, without a stated end and closed in order, can't be told from a whole one.

--- a/crates/flamingo-serve/src/exchange.rs
+++ b/crates/flamingo-serve/src/exchange.rs
@@ -41,8 +41,14 @@
     /// ```
     #[must_use]
     pub fn of(head: &response::Parts) -> Self {
-        if head.headers.contains_key(header::TRANSFER_ENCODING) {
-            Self::Chunks
+        let mut encodings = head.headers.get_all(header::TRANSFER_ENCODING).iter();
+        if let Some(last) = encodings.next_back() {
+            let last = last.as_bytes().trim_ascii_end().to_ascii_lowercase();
+            if last.ends_with(b"chunked") {
+                Self::Chunks
+            } else {
+                Self::Connection
+            }
         } else if head.headers.contains_key(header::CONTENT_LENGTH) {
             Self::Length
         } else {
--- a/crates/flamingo-serve/src/proxy/forward.rs
+++ b/crates/flamingo-serve/src/proxy/forward.rs
@@ -6,10 +6,10 @@
 use super::load_guard::LoadGuard;
 use crate::body::{Body, collect};
 use crate::choice::Candidate;
-use crate::exchange::PendingResponse;
+use crate::exchange::{Framing, PendingResponse};
 use crate::wire::{Cause, Rejection};
 use flamingo_wire::route::Kind;
-use http::{Method, Response, header, response};
+use http::{Method, Response, StatusCode, header, response};
 use slog::info;
 use std::rc::Rc;
 use std::time::Instant;
@@ -145,8 +145,8 @@
         } = response;
         let collected = timeout_at(job.deadline.into(), collect(body, MAX_BUFFERED_BYTES)).await;
         let bytes = match collected {
-            Ok(Ok(bytes)) => bytes,
-            Ok(Err(_)) => {
+            Ok(Ok(bytes)) if !bytes.is_empty() || states_empty_body(job, &head) => bytes,
+            Ok(_) => {
                 self.record_break(job, &candidate, sent_at, None);
                 return Err(AttemptError::MayHaveRun(Cause::Broken));
             }
@@ -184,6 +184,15 @@
     }
 }
 
+/// Returns whether an answer with this head is whole without a body. A success that states no end may
+/// have broken off after its head.
+fn states_empty_body(job: &Job, head: &response::Parts) -> bool {
+    let no_content = [StatusCode::NO_CONTENT, StatusCode::RESET_CONTENT];
+    let has_body = head.status.is_success() && !no_content.contains(&head.status);
+    let stated = Framing::of(head) != Framing::Connection;
+    !has_body || stated || job.http_head.method == Method::HEAD
+}
+
 /// Clones the status and headers of a response head.
 fn clone_head(head: &response::Parts) -> response::Parts {
     let mut response = Response::new(());
