What a target said holds when control hears of it again

Found in the audit of what is forgotten at a start. An entry removes a target of which control heard nothing for 30 s, and with it that the target leaves, or the end of its pause. Registered again in the same incarnation it got requests.

Evidence: what_a_target_said_holds_after_control_did_not_hear_of_it_for_long, a target that leaves and one with a pause of 90 s, back after 40 s; before: left: Send(i-0), right: Paused.

Change: both are kept for ten minutes, the longest pause, by target and incarnation, and hold when it registers again. A new incarnation begins with nothing, as before.

--- a/crates/flamingo-serve/src/table.rs
+++ b/crates/flamingo-serve/src/table.rs
@@ -5,6 +5,7 @@
 
 pub use state::{InFlight, Target};
 
+use crate::availability::Availability;
 use crate::prefill::Estimator;
 use crate::wire::{Limit, Load, Pause};
 use flamingo_place::rate::Rate;
@@ -19,6 +20,8 @@
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(4);
 /// Time without a heartbeat after which a target is removed.
 const TARGET_RETENTION: Duration = Duration::from_secs(30);
+/// Time for which what a target said is kept after the target was removed; the longest pause.
+const AVAILABILITY_RETENTION: Duration = Duration::from_mins(10);
 /// Time after a failure during which a target is used only if there is no other. The time
 /// doubles with each further failure.
 const FAILURE_BACKOFF: Duration = Duration::from_millis(500);
@@ -37,6 +40,8 @@
 #[derive(Debug, Default)]
 pub struct Table {
     targets: BTreeMap<id::Target, Target>,
+    /// What removed targets said that still holds if they register again, and until when it is kept.
+    departed: HashMap<(id::Target, id::Incarnation), (Availability, Instant)>,
     prefill: HashMap<id::Service, Estimator>,
     /// Rate of prompt tokens that this entry sends, by service and model. It serves as an
     /// estimate of what each other entry sends: between two reports, all entries see the same
@@ -130,7 +135,11 @@
         registration: &Registration,
     ) -> Option<id::Target> {
         let Some(known) = self.targets.get_mut(&registration.id) else {
-            let target = Target::new(registration.clone(), now);
+            let mut target = Target::new(registration.clone(), now);
+            let life = (registration.id.clone(), registration.incarnation);
+            if let Some((availability, _)) = self.departed.remove(&life) {
+                target.availability = availability;
+            }
             self.targets.insert(registration.id.clone(), target);
             return None;
         };
@@ -183,15 +192,25 @@
 
     /// Removes targets that had no heartbeat for `TARGET_RETENTION` before the last message of a
     /// control instance. A target that has gone and has no request of this entry is removed
-    /// `TARGET_RETENTION` after its last heartbeat, whether or not control is reachable.
+    /// `TARGET_RETENTION` after its last heartbeat, whether or not control is reachable. That a target
+    /// leaves or has asked for a pause is kept for its return.
     pub fn remove_expired(&mut self, now: Instant) {
         let last_push = self.last_push.unwrap_or(now);
-        self.targets.retain(|_, target| {
+        let removed = self.targets.extract_if(.., |_, target| {
             let gone = target.registration.gone && target.own.running == 0;
             let overdue = last_push > target.last_heartbeat + TARGET_RETENTION;
             let gone_expired = gone && now > target.last_heartbeat + TARGET_RETENTION;
-            !gone_expired && !overdue
+            gone_expired || overdue
+        });
+        let closed = removed.filter(|(_, target)| {
+            target.availability.is_leaving() || target.availability.paused_until(now).is_some()
+        });
+        let kept = closed.map(|(id, target)| {
+            let life = (id, target.registration.incarnation);
+            (life, (target.availability, now + AVAILABILITY_RETENTION))
         });
+        self.departed.extend(kept);
+        self.departed.retain(|_, (_, until)| now < *until);
     }
 
     /// Returns the targets of a service.
--- a/crates/flamingo-serve/tests/availability.rs
+++ b/crates/flamingo-serve/tests/availability.rs
@@ -200,3 +200,31 @@
     let known = &table.get("t").expect("known").registration;
     assert_eq!(known, &believed);
 }
+
+#[test]
+fn what_a_target_said_holds_after_control_did_not_hear_of_it_for_long() {
+    let now = Instant::now();
+    let second = Duration::from_secs(1);
+    let mut table = Table::default();
+    let leaving = registration("i-0");
+    let paused = registration("i-1");
+    let targets = Push::Targets(vec![leaving.clone(), paused.clone()]);
+    table.apply(now, &targets);
+    table.record_leaving(&leaving.id, leaving.incarnation);
+    table.record_pause(&paused.id, paused.incarnation, Pause::For(90 * second), now);
+    let later = now + 40 * second;
+    table.apply(later, &Push::Targets(Vec::new()));
+    table.remove_expired(later);
+    assert_eq!(table.iter().count(), 0);
+    table.apply(later + second, &targets);
+    let request = RequestHead::default();
+    let choice = choose(&table, &required(&request, &[]), 1, later + second);
+    assert_eq!(choice, Choice::Paused(now + 90 * second));
+    let restarted = Registration {
+        incarnation: leaving.incarnation + 1,
+        ..leaving
+    };
+    table.apply(later + second, &Push::Targets(vec![restarted]));
+    let choice = choose(&table, &required(&request, &[]), 1, later + second);
+    assert!(matches!(choice, Choice::Send(_)), "{choice:?}");
+}
