--- a/crates/flamingo-serve/src/proxy/attempt.rs
+++ b/crates/flamingo-serve/src/proxy/attempt.rs
@@ -106,9 +106,10 @@
         *request.uri_mut() = origin_form(&job.http_head.uri);
         *request.headers_mut() = self.codec.request_headers(&job.http_head, &attempt);
         let attempt_id = job.request.attempt_id.as_deref();
-        let mut pool = self.topology.pool.borrow_mut();
-        let pooled = pool.take_for(&candidate.target, attempt_id, now);
-        drop(pool);
+        let pooled = {
+            let mut pool = self.topology.pool.borrow_mut();
+            pool.take_for(&candidate.target, attempt_id, now)
+        };
         let how = if pooled.is_some() {
             "used_again"
         } else {
