Entry: text that an engine writes into its stream is not passed on

Callers saw: the head or text of an error that an engine wrote into its stream, and an answer of another content type that stated the right place to go on, in the midst of their stream.

Cause: as in flamingo-serve, a block that ends with a blank line was taken for an event; the entry counted only those with data, and passed on all. A resumed answer's content type was not looked at.

Change: a block with a line that is neither a comment nor a field of an event ends the engine's stream as broken off, and the next engine is asked; a resumed answer must be a stream of events.

Evidence: four new tests in tests/outer/upstream.rs. On the code before all four failed: a_text_in_a_stream_is_not_passed_on, the_head_of_an_error_inside_an_event_is_not_passed_on, the_head_of_an_error_in_a_stream_is_not_passed_on, a_text_of_another_engine_is_not_passed_on_in_a_stream test result: FAILED. 18 passed; 4 failed After: 22 passed, 0 failed.

--- a/crates/flamingo-entry/src/completion.rs
+++ b/crates/flamingo-entry/src/completion.rs
@@ -8,7 +8,8 @@
 use crate::http::{AppState, request_id};
 use crate::prompt::Prompt;
 use crate::relay::{CALLER_BUFFER, Relay};
-use actix_web::http::{StatusCode, header};
+use actix_web::http::StatusCode;
+use actix_web::http::header::{self, HeaderValue};
 use actix_web::web::{Data, Payload};
 use actix_web::{HttpRequest, HttpResponse};
 use awc::{Client, ClientResponse};
@@ -94,7 +95,7 @@
         Err(fault) => return answer::refuse(&fault, &id),
     };
     let mut headers = header::HeaderMap::new();
-    let json = header::HeaderValue::from_static("application/json");
+    let json = HeaderValue::from_static("application/json");
     headers.insert(header::CONTENT_TYPE, json);
     let engine_request = EngineRequest {
         client: client.get_ref().clone(),
@@ -152,6 +153,11 @@
     }
 }
 
+/// Returns whether a content type is that of a stream of events.
+pub fn is_event_stream(content_type: &HeaderValue) -> bool {
+    content_type.as_bytes().starts_with(b"text/event-stream")
+}
+
 /// Builds the caller's response from the response that has begun. Returns the handle if the
 /// target's response breaks off, so that the router can order another attempt.
 async fn respond(
@@ -162,10 +168,7 @@
     mut response: ClientResponse,
 ) -> Result<HttpResponse, Handle> {
     let content_type = response.headers().get(header::CONTENT_TYPE).cloned();
-    let streamed = content_type.as_ref().is_some_and(|content_type| {
-        let content_type = content_type.as_bytes();
-        content_type.starts_with(b"text/event-stream")
-    });
+    let streamed = content_type.as_ref().is_some_and(is_event_stream);
     let mut caller_response = HttpResponse::build(response.status());
     caller_response.insert_header((REQUEST_ID, handle.request()));
     if let Some(content_type) = content_type {
--- a/crates/flamingo-entry/src/relay.rs
+++ b/crates/flamingo-entry/src/relay.rs
@@ -4,12 +4,12 @@
 //! already sent to the caller.
 
 use crate::chunks;
-use crate::completion::EngineRequest;
+use crate::completion::{EngineRequest, is_event_stream};
 use crate::dispatcher::Command;
 use crate::exchange::{self, RESUMABLE, RESUMED_FROM, SOFTWARE};
 use crate::handle::Handle;
 use crate::sse::Splitter;
-use actix_web::http::header::HeaderValue;
+use actix_web::http::header::{self, HeaderValue};
 use awc::ClientResponse;
 use bytes::Bytes;
 use flamingo_daemon::answer::{Body, Detail};
@@ -135,6 +135,9 @@
             if complete.done {
                 return Outcome::Complete;
             }
+            if complete.foreign {
+                return Outcome::Broken("the stream holds what is no event".to_owned());
+            }
         }
     }
 
@@ -174,9 +177,11 @@
         let resumed_from = response.headers().get(RESUMED_FROM);
         let resumed_from = resumed_from.and_then(|count| count.to_str().ok()?.parse::<u64>().ok());
         let same_software = response.headers().get(SOFTWARE) == self.software.as_ref();
+        let content_type = response.headers().get(header::CONTENT_TYPE);
+        let is_stream = content_type.is_some_and(is_event_stream);
         let continues = resumed_from == Some(self.events_sent) && same_software;
         let continues = self.events_sent == 0 || continues;
-        if response.status().is_success() && continues {
+        if response.status().is_success() && is_stream && continues {
             self.handle.begun(dispatch.attempt);
             return Ok(response);
         }
--- a/crates/flamingo-entry/src/sse.rs
+++ b/crates/flamingo-entry/src/sse.rs
@@ -19,6 +19,9 @@
     pub data_events: u64,
     /// Whether the stream is complete: the events include the final `[DONE]`.
     pub done: bool,
+    /// Whether what follows the events is no event, such as the head of an error that an engine writes
+    /// into its stream.
+    pub foreign: bool,
 }
 
 /// Collects chunks of a stream and returns complete events.
@@ -52,6 +55,10 @@
         let mut complete = Events::default();
         let mut end = 0;
         while let Some(length) = event_length(&pending[end..]) {
+            if !is_event(&pending[end..end + length]) {
+                complete.foreign = true;
+                break;
+            }
             let data = event_data(&pending[end..end + length]);
             end += length;
             if data == Some(DONE) {
@@ -64,7 +71,7 @@
         if pending.len() > MAX_EVENT_BYTES {
             return None;
         }
-        if !complete.done {
+        if !complete.done && !complete.foreign {
             self.tail.extend_from_slice(&pending);
         }
         Some(complete)
@@ -86,6 +93,14 @@
     None
 }
 
+/// Returns whether all lines are comments or fields of an event (HTML Standard, section 9.2.6).
+fn is_event(bytes: &[u8]) -> bool {
+    let mut names = bytes
+        .split(|byte| matches!(byte, b'\r' | b'\n'))
+        .filter_map(|line| line.split(|byte| *byte == b':').next());
+    names.all(|name| matches!(name, b"" | b"data" | b"event" | b"id" | b"retry"))
+}
+
 /// Returns the trimmed data of an event's first data line, or `None` if the event has no data.
 fn event_data(event: &[u8]) -> Option<&[u8]> {
     let mut lines = event.split(|byte| *byte == b'\n');
--- a/crates/flamingo-entry/tests/outer/upstream.rs
+++ b/crates/flamingo-entry/tests/outer/upstream.rs
@@ -79,6 +79,64 @@
     assert_eq!((first.requests().len(), second.requests().len()), (1, 1));
 }
 
+/// Runs two engines that break off after two events, and write `text` behind them. Each can go on.
+async fn check_foreign_text(text: &'static str) {
+    let harness = Harness::start().await;
+    let engine = move || {
+        FakeTarget::start(move |count, request, stream| {
+            if request.header("x-flamingo-resume-from").is_some() {
+                return breaking(count, request, stream);
+            }
+            stream_head(stream, "x-flamingo-resumable: 1\r\n");
+            chunk(stream, &format!("{}{text}", events(0, 2)));
+            close(stream);
+        })
+    };
+    let (first, second) = (engine(), engine());
+    harness.engine("engine-1", first.address).await;
+    harness.engine("engine-2", second.address).await;
+    let reply = harness.stream().await;
+    assert_eq!(reply.text, events(0, 5) + DONE);
+}
+
+macro_rules! foreign_texts {
+    ($($name:ident: $text:expr;)*) => {
+        $(#[actix_rt::test]
+        async fn $name() {
+            check_foreign_text($text).await;
+        })*
+    };
+}
+
+foreign_texts! {
+    the_head_of_an_error_in_a_stream_is_not_passed_on: "HTTP/1.1 500 X\r\ncontent-type: text/plain\r\n\r\nfailed\n\n";
+    the_head_of_an_error_inside_an_event_is_not_passed_on: "data: {\"toHTTP/1.1 500 X\r\ncontent-length: 6\r\n\r\nfailed";
+    a_text_in_a_stream_is_not_passed_on: "upstream failed\n\n";
+}
+
+#[actix_rt::test]
+async fn a_text_of_another_engine_is_not_passed_on_in_a_stream() {
+    let harness = Harness::start().await;
+    let engine = || {
+        FakeTarget::start(|_, request, stream| {
+            if request.header("x-flamingo-resume-from").is_none() {
+                stream_head(stream, "x-flamingo-resumable: 1\r\n");
+                chunk(stream, &events(0, 2));
+                return close(stream);
+            }
+            let headers = "content-type: text/plain\r\nx-flamingo-resumed-from: 2\r\n";
+            answer(stream, "200 OK", headers, "data: upstream failed\n\n");
+        })
+    };
+    let (first, second) = (engine(), engine());
+    harness.engine("engine-1", first.address).await;
+    harness.engine("engine-2", second.address).await;
+    let reply = harness.stream().await;
+    assert!(reply.text.starts_with(&events(0, 2)), "{reply:?}");
+    assert!(!reply.text.contains("upstream failed"), "{reply:?}");
+    assert_eq!(reply.verdict(), "may-have-run");
+}
+
 /// As `breaking`, for an engine of a software version.
 fn breaking_at(
     software: &'static str,
