Streams: a silent target that goes on with an error is left at once

Change: the connection of a target that sent what is not the next event is closed at once, as for a target that breaks off. "successor refused" is logged only where a stream goes on.

--- a/crates/flamingo-serve/src/proxy/proof.rs
+++ b/crates/flamingo-serve/src/proxy/proof.rs
@@ -16,8 +16,8 @@
 const EVENT_STREAM: &str = "text/event-stream";
 
 impl Proxy {
-    /// Logs why a target's response is not taken for the next piece of a stream, and returns the error
-    /// of the attempt.
+    /// Returns the error of an attempt whose response is not taken for the next piece of a stream, and
+    /// logs why if the stream goes on after the event `last`.
     pub(super) fn refuse_successor(
         &self,
         job: &Job,
@@ -25,8 +25,10 @@
         last: Option<u64>,
         why: &str,
     ) -> AttemptError {
-        info!(self.log, "successor refused"; "request" => &job.request.attempt_id,
-            "target" => target, "after" => last, "why" => why);
+        if last.is_some() {
+            info!(self.log, "successor refused"; "request" => &job.request.attempt_id,
+                "target" => target, "after" => last, "why" => why);
+        }
         AttemptError::MayHaveRun(Cause::Broken)
     }
 }
--- a/crates/flamingo-serve/src/proxy/stream.rs
+++ b/crates/flamingo-serve/src/proxy/stream.rs
@@ -135,6 +135,10 @@
         let target = &self.load_guard.target;
         self.proxy
             .log_stream_end(&self.job, target, source, &next, self.last_event_id);
+        if matches!(next, Next::Broken(cause) if cause.is_flaw()) {
+            // Closes the connection, so that the target stops before another one continues.
+            self.source = None;
+        }
         next
     }
 
