Streams: a caller's stream ends with an empty answer only if two targets say so

Class: an end is taken for the stream's without a proof. Within one answer an empty successor was refused already; for a caller's Last-Event-Id its word was passed on.

Now the first such answer is an attempt without a proof: the next target is asked, within the attempts and the retry budget. If that one says the same, its whole answer is passed on, so that a caller that has all events and lacks the end alone can still finish. A route with one attempt, or one target of the version, gets 502.

--- a/crates/flamingo-serve/src/proxy.rs
+++ b/crates/flamingo-serve/src/proxy.rs
@@ -207,6 +207,7 @@
             fingerprint,
             software: RefCell::new(software),
             content_type: OnceCell::new(),
+            said_to_end: Cell::new(false),
             tried: RefCell::default(),
             sent: Cell::new(0),
             unreachable: Cell::new(0),
--- a/crates/flamingo-serve/src/proxy/begin.rs
+++ b/crates/flamingo-serve/src/proxy/begin.rs
@@ -67,6 +67,9 @@
             }
             Next::TimedOut => return Err(AttemptError::MayHaveRun(Cause::Late)),
         };
+        if last.is_some() && proof::is_first_unproved_end(job, first.as_ref()) {
+            return Err(self.refuse_successor(job, target, last, "no_event"));
+        }
         load_guard.finish_prefill();
         self.record_answered(job);
         Ok(Begun {
--- a/crates/flamingo-serve/src/proxy/job.rs
+++ b/crates/flamingo-serve/src/proxy/job.rs
@@ -43,6 +43,8 @@
     pub software: RefCell<Option<id::Software>>,
     /// Content type of the response that began the stream, if it states one; empty before.
     pub content_type: OnceCell<Option<HeaderValue>>,
+    /// Whether a target has said that the stream has no further event.
+    pub said_to_end: Cell<bool>,
     /// Targets that are not chosen again for this request.
     pub tried: RefCell<SmallVec<[id::Target; 2]>>,
     /// Number of attempts that a target may have read or may be reading.
--- a/crates/flamingo-serve/src/proxy/proof.rs
+++ b/crates/flamingo-serve/src/proxy/proof.rs
@@ -2,12 +2,13 @@
 //!
 //! The proof is the number of its first event, which must be the next one. Without an event there is
 //! none: an end proves nothing about the events before it. An entry joins nothing without a proof; the
-//! stream breaks off, and the caller may ask for the rest itself. What a target then says, also that
-//! there is nothing more, is its own whole answer and is passed on with its seal.
+//! stream breaks off, and the caller may ask for the rest itself. That there is nothing more is then
+//! believed if a second target says so as well, and its whole answer is passed on with its seal.
 
 use super::Proxy;
 use super::begin::Begun;
 use super::job::{AttemptError, Job};
+use crate::events::Event;
 use crate::wire::Cause;
 use http::{HeaderValue, header, response};
 use slog::info;
@@ -33,6 +34,13 @@
     }
 }
 
+/// Returns whether a target ends a stream that goes on without a further event, and no other target has
+/// done so for this request. Records that one has.
+pub(super) fn is_first_unproved_end(job: &Job, first: Option<&Event>) -> bool {
+    let is_end = first.is_none_or(|event| event.id.is_none());
+    is_end && !job.said_to_end.replace(true)
+}
+
 /// Returns the number of the event with which a target goes on; `None` if its stream ended without one.
 pub(super) fn first_number(begun: &Begun) -> Option<u64> {
     begun.first.as_ref().and_then(|event| event.id)
