--- a/crates/flamingo-guard/src/permits.rs
+++ b/crates/flamingo-guard/src/permits.rs
@@ -6,13 +6,11 @@
 //! number of entries.
 //!
 //! Buckets begin empty: what was sent before the limit was known, or under another leader, is not
-//! known here. Parts of entries are no buckets: what each saves up while idle would add up over the
-//! entries, so a part that is not used in its time is lost.
+//! known here.
 
 use flamingo_wire::id;
 use flamingo_wire::target::Limit;
 use std::collections::HashMap;
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::{Duration, Instant};
 
 /// Least rate of permits, in requests a second: a target that names less would not be asked again
@@ -24,11 +22,6 @@
 const MAX_WAIT: Duration = Duration::from_secs(10);
 /// Time for which a limit is believed after a sender last heard it from the target.
 const LIMIT_RETENTION: Duration = Duration::from_secs(2);
-/// Fraction of a limit that entries without a leader share. The leader may hand out the whole limit to
-/// others at the same time, and a part is drawn at random.
-const SHARED_FRACTION: f64 = 0.5;
-/// Time after which a permit of an entry's part that was not used is lost.
-const SLOT: Duration = Duration::from_secs(1);
 /// Time after which the bucket of a limit that nobody names any more is dropped.
 const BUCKET_RETENTION: Duration = Duration::from_mins(1);
 /// Largest number of buckets; further targets get no permits.
@@ -92,106 +85,6 @@
     }
 }
 
-/// An entry's part of a limit, for the time in which it reaches no leader.
-///
-/// Each slot of time has the whole number of permits that the part comes to, and one more at random by
-/// the fraction that is left. With many entries most slots of an entry have none, and the number of all
-/// entries together stays near its mean, whatever they did before.
-#[derive(Clone, Copy, Debug)]
-pub struct Share {
-    seed: u64,
-    begun_at: Instant,
-    slot: u32,
-    taken: u32,
-}
-
-impl Share {
-    /// Returns the part of one entry, which has permits from the next slot on. Entries need different
-    /// seeds.
-    #[must_use]
-    pub fn new(seed: u64, now: Instant) -> Self {
-        Self {
-            seed,
-            begun_at: now,
-            slot: 0,
-            taken: 0,
-        }
-    }
-
-    /// Takes a permit to send a request to a target that takes `limit` requests a second from `entries`
-    /// together.
-    ///
-    /// # Errors
-    ///
-    /// Returns when the next permit can be there.
-    ///
-    /// ```
-    /// use flamingo_guard::permits::Share;
-    /// use std::time::{Duration, Instant};
-    ///
-    /// let start = Instant::now();
-    /// let mut share = Share::new(1, start);
-    /// let next = start + Duration::from_secs(1);
-    /// assert_eq!(share.try_take(4.0, 2, start), Err(next));
-    /// assert_eq!(share.try_take(4.0, 2, next), Ok(()));
-    /// assert!(share.try_take(4.0, 2, next).is_err());
-    /// ```
-    pub fn try_take(&mut self, limit: f64, entries: usize, now: Instant) -> Result<(), Instant> {
-        let entries = u32::try_from(entries.max(1)).unwrap_or(u32::MAX);
-        let part = limit.max(MIN_PER_S) * SHARED_FRACTION / f64::from(entries);
-        let slot = self.slot_at(now);
-        if slot != self.slot {
-            self.slot = slot;
-            self.taken = 0;
-        }
-        if self.taken < self.permits(slot, part) {
-            self.taken += 1;
-            return Ok(());
-        }
-        Err(self.next_slot(part, now))
-    }
-
-    fn slot_at(&self, now: Instant) -> u32 {
-        let elapsed = now.saturating_duration_since(self.begun_at);
-        u32::try_from(elapsed.as_secs() / SLOT.as_secs()).unwrap_or(u32::MAX)
-    }
-
-    /// Returns the number of permits in a slot, where a part comes to `part` a second. The first slot has
-    /// none: an entry may have begun many parts one after the other.
-    fn permits(&self, slot: u32, part: f64) -> u32 {
-        if slot == 0 {
-            return 0;
-        }
-        let permits = part * SLOT.as_secs_f64();
-        let mut hasher = DefaultHasher::new();
-        (self.seed, slot).hash(&mut hasher);
-        #[allow(
-            clippy::cast_possible_truncation,
-            reason = "the upper half has 32 bits"
-        )]
-        let bits = (hasher.finish() >> 32) as u32;
-        let drawn = f64::from(bits) / (f64::from(u32::MAX) + 1.0);
-        let more = u32::from(drawn < permits.fract());
-        #[allow(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "a positive number, which the cast limits"
-        )]
-        let whole = permits as u32;
-        whole.saturating_add(more)
-    }
-
-    /// Returns the begin of the next slot that has a permit, at most `MAX_WAIT` from now.
-    fn next_slot(&self, part: f64, now: Instant) -> Instant {
-        let latest = now + MAX_WAIT;
-        let mut slot = self.slot + 1;
-        while self.permits(slot, part) == 0 && self.begun_at + SLOT * slot < latest {
-            slot += 1;
-        }
-        (self.begun_at + SLOT * slot).min(latest)
-    }
-}
-
 /// The limit of one incarnation of a target.
 #[derive(Debug)]
 struct Record {
--- a/crates/flamingo-serve/src/proxy/permit.rs
+++ b/crates/flamingo-serve/src/proxy/permit.rs
@@ -72,6 +72,9 @@
             }
             _ => return None,
         };
+        if let Some(target) = self.topology.table.borrow_mut().get_mut(&candidate.target) {
+            target.drop_permits();
+        }
         Some(taken)
     }
 
--- a/crates/flamingo-serve/src/table/state.rs
+++ b/crates/flamingo-serve/src/table/state.rs
@@ -3,13 +3,12 @@
 use crate::availability::Availability;
 use crate::proxy::LATE_LOAD_TIMEOUT;
 use crate::wire::PromptPart;
-use flamingo_guard::permits::Share;
+use flamingo_guard::permits::Bucket;
 use flamingo_wire::id;
 use flamingo_wire::prompt::PartId;
 use flamingo_wire::route::Rank;
 use flamingo_wire::target::{Backlog, RANKS, Registration, Resident};
 use std::collections::{BTreeMap, HashMap};
-use std::hash::{BuildHasher, RandomState};
 use std::time::Instant;
 
 /// Fraction of a target's prompt cache that is assumed to hold the most recent prompts.
@@ -79,7 +78,7 @@
     /// Limit that other entries have heard from this incarnation, as the leader says.
     pub(super) shared_limit: Option<f64>,
     /// Permits that this entry takes while it reaches no leader.
-    share: Share,
+    pub(super) bucket: Option<Bucket>,
     pub(super) last_heartbeat: Instant,
     pub(super) avoid_until: Option<Instant>,
     /// Consecutive failures since the last response.
@@ -106,7 +105,7 @@
             reported: InFlight::default(),
             availability: Availability::default(),
             shared_limit: None,
-            share: Share::new(RandomState::new().hash_one(()), now),
+            bucket: None,
             last_heartbeat: now,
             avoid_until: None,
             failures: 0,
@@ -146,7 +145,16 @@
         let Some(limit) = self.limit() else {
             return Ok(());
         };
-        self.share.try_take(limit, entries, now)
+        let entries = u32::try_from(entries.max(1)).unwrap_or(u32::MAX);
+        let per_s = limit / f64::from(entries);
+        let bucket = self.bucket.get_or_insert_with(|| Bucket::new(per_s, now));
+        bucket.set_rate(per_s, now);
+        bucket.try_take(now)
+    }
+
+    /// Empties this entry's part of the limit: the leader hands out permits again.
+    pub fn drop_permits(&mut self) {
+        self.bucket = None;
     }
 
     /// Returns whether `model` is resident and was not reported as missing a short time ago.
