--- a/crates/flamingo-guard/tests/permits.rs
+++ b/crates/flamingo-guard/tests/permits.rs
@@ -219,3 +219,18 @@
         assert_eq!(permits.try_take("t", 1, Some(2.0), refilled), Ok(()));
     };
 }
+
+#[test]
+fn a_limit_holds_after_an_idle_time_of_many_entries_without_a_leader() {
+    let start = Instant::now();
+    let mut own = vec![Bucket::new(2.0 / 64.0, start); 64];
+    let later = start + Duration::from_secs(70);
+    let taken = own
+        .iter_mut()
+        .flat_map(|bucket| [bucket.try_take(later), bucket.try_take(later)]);
+    let sent = taken.filter(Result::is_ok).count();
+    assert!(
+        sent <= 17,
+        "{sent} requests at once, 17 allowed in four seconds"
+    );
+}
