A stream waits for its software version, and asks for its model there

Such a request, and a stream that breaks off midway, now waits for a load or a return that comes before its caller leaves, tells the leader which model its version lacks, or is refused at once with the time of a load. A target that has restarted since is no longer excluded. `given up` names the version and what its targets offer; `waits for version` is new.

The tests of choice name incarnations in `tried`, as the type does now.

--- a/crates/flamingo-serve/src/choice.rs
+++ b/crates/flamingo-serve/src/choice.rs
@@ -10,9 +10,11 @@
 use crate::admission::Timing;
 use crate::table::{Table, Target};
 use crate::wire::RequestHead;
+use flamingo_guard::observer::Life;
 use flamingo_place::water_filling::fill;
 use flamingo_wire::id;
 use flamingo_wire::route::{Engine, Rank};
+use flamingo_wire::target::Registration;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::{Duration, Instant};
 
@@ -48,8 +50,9 @@
     /// Version of the software at which the stream began that the request goes on with; `None` if
     /// any version will do.
     pub software: Option<&'a str>,
-    /// Targets that are excluded because the request was already sent there or could not be.
-    pub tried: &'a [id::Target],
+    /// Incarnations of targets that are excluded because the request was already sent there or could
+    /// not be.
+    pub tried: &'a [Life],
     /// Whether a leader is known that can load an adapter.
     pub can_load_adapters: bool,
     /// Number of entries that send requests, including this one.
@@ -64,6 +67,16 @@
         self.software
             .is_none_or(|software| software == target.registration.software)
     }
+
+    /// Returns whether the request was sent to a target, or could not be. A stream may go on at a target
+    /// that has restarted since.
+    fn was_tried(&self, target: &Target) -> bool {
+        let Registration {
+            id, incarnation, ..
+        } = &target.registration;
+        let mut tried = self.tried.iter();
+        tried.any(|(tried, life)| tried == id && (self.software.is_none() || life == incarnation))
+    }
 }
 
 /// Result of choosing a target.
@@ -110,6 +123,12 @@
 }
 
 impl Candidate {
+    /// Returns the incarnation of the target.
+    #[must_use]
+    pub fn life(&self) -> Life {
+        (self.target.clone(), self.incarnation)
+    }
+
     /// Returns whether a request with these times is admitted at this target. A request without
     /// times is always admitted.
     fn admits(&self, timing: Option<Timing>) -> bool {
@@ -171,7 +190,7 @@
             continue;
         }
         any_open = true;
-        if required.tried.contains(&target.registration.id) {
+        if required.was_tried(target) {
             continue;
         }
         let mut candidate = predict(target, required, tokens_per_ms);
--- a/crates/flamingo-serve/src/demand.rs
+++ b/crates/flamingo-serve/src/demand.rs
@@ -6,7 +6,7 @@
 use flamingo_link::subscription::ControlClient;
 use flamingo_wire::control::{Reply, Request};
 use flamingo_wire::id;
-use flamingo_wire::target::{Demand, Usage};
+use flamingo_wire::target::{Demand, Need, Usage};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -29,6 +29,7 @@
 #[derive(Debug, Default)]
 pub struct Counter {
     demand: RefCell<BTreeMap<Key, Demand>>,
+    needs: RefCell<BTreeMap<(Key, id::Software), Need>>,
 }
 
 impl Counter {
@@ -45,6 +46,43 @@
         self.change(service, request, |demand| demand.refused += 1);
     }
 
+    /// Counts a stream that began at a version of the software, and may have to go on there.
+    pub fn record_begun(&self, service: &str, request: &RequestHead, software: &str) {
+        self.change_need(service, request, software, |need| need.begun += 1);
+    }
+
+    /// Counts a stream that can't go on, since no target of its version has the model.
+    pub fn record_stranded(&self, service: &str, request: &RequestHead, software: &str) {
+        self.change_need(service, request, software, |need| need.stranded += 1);
+    }
+
+    fn change_need(
+        &self,
+        service: &str,
+        request: &RequestHead,
+        software: &str,
+        change: impl FnOnce(&mut Need),
+    ) {
+        let Some(model) = request.model.clone() else {
+            return;
+        };
+        let key = ((service.to_owned(), model.clone()), software.to_owned());
+        let mut needs = self.needs.borrow_mut();
+        let need = needs.entry(key).or_insert_with(|| Need {
+            service: service.to_owned(),
+            model,
+            software: software.to_owned(),
+            ..Need::default()
+        });
+        change(need);
+    }
+
+    /// Returns what streams have needed since the last call and resets the counts.
+    fn take_needs(&self) -> Vec<Need> {
+        let needs = std::mem::take(&mut *self.needs.borrow_mut());
+        needs.into_values().collect()
+    }
+
     fn change(&self, service: &str, request: &RequestHead, change: impl FnOnce(&mut Demand)) {
         let Some(model) = request.model.clone() else {
             return;
@@ -97,6 +135,7 @@
             demand: counter.take(),
             loads: topology.table.borrow_mut().report_loads(),
             evidence: evidence.clone(),
+            needs: counter.take_needs(),
         };
         if usage == Usage::default() {
             continue;
--- a/crates/flamingo-serve/src/lib.rs
+++ b/crates/flamingo-serve/src/lib.rs
@@ -1,7 +1,8 @@
 //! Accepts callers' requests and routes them to targets that register with control instances.
 //!
 //! HTTP heads are translated by a [`wire::Codec`], which the users' platform implements. Routing
-//! decisions are made without I/O in [`table`], [`choice`], [`admission`] and [`budget`]. The
+//! decisions are made without I/O in [`table`], [`choice`], [`admission`], [`outlook`]
+//! and [`budget`]. The
 //! other modules handle connections and tasks. Everything runs on a single thread.
 
 pub mod admission;
@@ -16,6 +17,7 @@
 pub mod lifecycle;
 pub mod metrics;
 pub mod origins;
+pub mod outlook;
 pub mod pool;
 pub mod prefill;
 pub mod proxy;
--- a/crates/flamingo-serve/src/proxy.rs
+++ b/crates/flamingo-serve/src/proxy.rs
@@ -15,6 +15,7 @@
 mod silence;
 mod stream;
 mod successor;
+mod version;
 
 use crate::admission::Timing;
 use crate::body::{Body, collect};
@@ -206,6 +207,10 @@
             fingerprint,
             software: RefCell::new(software),
             tried: RefCell::default(),
+            lost: RefCell::default(),
+            progress_at: Cell::new(arrived_at),
+            waits: Cell::new(false),
+            stranded_since: Cell::new(None),
             sent: Cell::new(0),
             unreachable: Cell::new(0),
             may_have_run: Cell::new(false),
@@ -307,7 +312,7 @@
             elapsed: job.earlier_wait + now.saturating_duration_since(job.arrived_at),
             objective: Duration::from_millis(job.route.objective_ms),
             remaining: job.deadline.saturating_duration_since(now),
-            has_begun: job.software.borrow().is_some(),
+            has_begun: job.goes_on(),
             queueing_delay: Duration::ZERO,
         })
     }
--- a/crates/flamingo-serve/src/proxy/adapter.rs
+++ b/crates/flamingo-serve/src/proxy/adapter.rs
@@ -69,7 +69,7 @@
     fn adapter_not_loaded(&self, job: &Job, candidate: &Candidate, why: &str) -> AttemptError {
         info!(self.log, "adapter not brought"; "request" => &job.request.attempt_id,
             "target" => &candidate.target, "why" => why);
-        job.exclude(&candidate.target);
+        job.exclude(candidate);
         AttemptError::NotRun(Cause::NoModel)
     }
 }
--- a/crates/flamingo-serve/src/proxy/attempt.rs
+++ b/crates/flamingo-serve/src/proxy/attempt.rs
@@ -29,14 +29,21 @@
     }
 
     /// Chooses a target, and waits for a load of the model that is under way if the request has the time.
-    async fn find_target(&self, job: &Job) -> Result<Candidate, AttemptError> {
+    /// A request that goes on with a stream waits for the targets of its version.
+    pub(super) async fn find_target(&self, job: &Job) -> Result<Candidate, AttemptError> {
         loop {
             match self.choose_target(job, Instant::now()) {
                 Choice::Send(candidate) => return Ok(candidate),
+                Choice::Loading(_) | Choice::NoModel if job.goes_on() => {
+                    self.wait_for_version(job, Cause::NoModel).await?;
+                }
+                Choice::NoTarget if job.goes_on() => {
+                    self.wait_for_version(job, Cause::NoTarget).await?;
+                }
                 Choice::Loading(ready_at) => self.wait_for_model(job, ready_at).await?,
                 Choice::QueueTooLong(delay) => return Err(AttemptError::QueueTooLong(delay)),
                 Choice::Paused(_) => return Err(AttemptError::NoAlternative(Cause::Paused)),
-                Choice::NoTarget => self.wait_for_software(job).await?,
+                Choice::NoTarget => return Err(AttemptError::NoAlternative(Cause::NoTarget)),
                 Choice::NoModel => return Err(AttemptError::NoAlternative(Cause::NoModel)),
             }
         }
@@ -80,7 +87,7 @@
                     && target.registration.incarnation == candidate.incarnation
                     && target.registration.software == candidate.software
             }) else {
-                job.exclude(&candidate.target);
+                job.exclude(candidate);
                 return Err(AttemptError::NotRun(Cause::NoTarget));
             };
             target.record_prompt(
@@ -114,7 +121,7 @@
         self.metrics.connections.with_label_values(&[how]).inc();
         let attempt_id = job.request.attempt_id.as_deref();
         let codec = self.codec.as_ref();
-        job.begin_sending(&candidate.target);
+        job.begin_sending(candidate);
         let result = exchange::send(
             pooled,
             address,
@@ -182,6 +189,9 @@
             "target" => &candidate.target, "failure" => name,
             "parts" => job.request.part_names(),
             "fingerprint" => format!("{:016x}", job.fingerprint));
+        if failure != Failure::Late {
+            job.record_lost(candidate);
+        }
         match failure {
             Failure::Restarted => {
                 job.record_unsent();
--- a/crates/flamingo-serve/src/proxy/begin.rs
+++ b/crates/flamingo-serve/src/proxy/begin.rs
@@ -91,6 +91,7 @@
         let sent_at = source.response.sent_at;
         let done = first.is_none();
         self.begin_stream(job, &candidate);
+        job.progress_at.set(Instant::now());
         let rate = self.observe_prefill(job, &candidate, sent_at);
         info!(self.log, "stream begun"; "request" => &job.request.attempt_id,
             "target" => &load_guard.target, "route" => &job.route.name,
@@ -147,6 +148,8 @@
         else {
             return;
         };
+        self.demand
+            .record_begun(&job.service, &job.request, &candidate.software);
         let origin = Origin {
             service: job.service.clone(),
             software: candidate.software.clone(),
--- a/crates/flamingo-serve/src/proxy/crash.rs
+++ b/crates/flamingo-serve/src/proxy/crash.rs
@@ -86,7 +86,8 @@
         sent_at: Instant,
         begun_at: Option<Instant>,
     ) {
-        let life = (candidate.target.clone(), candidate.incarnation);
+        job.record_lost(candidate);
+        let life = candidate.life();
         let request = Interrupted {
             service: &job.service,
             parts: &job.parts,
--- a/crates/flamingo-serve/src/proxy/job.rs
+++ b/crates/flamingo-serve/src/proxy/job.rs
@@ -1,9 +1,11 @@
 //! State of a caller's request while it is being handled.
 
+use crate::choice::Candidate;
 use crate::server::Guard;
 use crate::topology::Routes;
 use crate::wire::{Cause, RequestHead};
 use bytes::Bytes;
+use flamingo_guard::observer::Life;
 use flamingo_wire::fingerprint::{Fingerprint, fingerprint};
 use flamingo_wire::id;
 use flamingo_wire::prompt::Parts;
@@ -15,6 +17,13 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+/// Gap in a stream after which callers leave, at least.
+const MIN_CALLER_GAP: Duration = Duration::from_secs(2);
+/// The same, in objectives of the route.
+const CALLER_GAP_OBJECTIVES: u64 = 4;
+/// The same, in longest pauses of the route.
+const CALLER_GAP_PAUSES: u64 = 8;
+
 /// A caller's request with the state of its attempts.
 pub struct Job {
     /// HTTP head as received from the caller.
@@ -41,8 +50,16 @@
     pub deadline: Instant,
     /// Version of the software at which the stream began; `None` before its first event.
     pub software: RefCell<Option<id::Software>>,
-    /// Targets that are not chosen again for this request.
-    pub tried: RefCell<SmallVec<[id::Target; 2]>>,
+    /// Incarnations of targets that are not chosen again for this request.
+    pub tried: RefCell<SmallVec<[Life; 2]>>,
+    /// Incarnations of targets that broke off under this request or could not be reached.
+    pub lost: RefCell<SmallVec<[Life; 2]>>,
+    /// When the caller last got something, or came.
+    pub progress_at: Cell<Instant>,
+    /// Whether the log says that the request waits for a target of its version.
+    pub waits: Cell<bool>,
+    /// Since when the leader is asked for the model at the version of the stream.
+    pub stranded_since: Cell<Option<Instant>>,
     /// Number of attempts that a target may have read or may be reading.
     pub sent: Cell<u32>,
     /// Number of targets that could not be reached or could not take the request.
@@ -63,9 +80,9 @@
 
     /// Counts an attempt, also one that is abandoned before its end, and excludes its target from
     /// further choices.
-    pub fn begin_sending(&self, target: &str) {
+    pub fn begin_sending(&self, candidate: &Candidate) {
         self.sent.set(self.sent.get() + 1);
-        self.tried.borrow_mut().push(target.to_owned());
+        self.tried.borrow_mut().push(candidate.life());
     }
 
     /// Counts the target of an attempt as unreachable in place of the attempt, of which nothing was
@@ -82,17 +99,36 @@
         }
     }
 
+    /// Returns whether the request goes on with a stream that has begun.
+    pub fn goes_on(&self) -> bool {
+        self.software.borrow().is_some()
+    }
+
+    /// Returns when the caller leaves if it gets nothing until then.
+    pub fn patience_end(&self) -> Instant {
+        let route = &self.route;
+        let gap =
+            (route.objective_ms * CALLER_GAP_OBJECTIVES).max(route.pause_ms * CALLER_GAP_PAUSES);
+        let gap = Duration::from_millis(gap).max(MIN_CALLER_GAP);
+        self.deadline.min(self.progress_at.get() + gap)
+    }
+
     /// Returns whether a target must state its incarnation before it gets the request. A stream must
     /// not go on at a target that has restarted, perhaps with other software, since it registered.
     pub fn must_check_incarnation(&self) -> bool {
         let service = self.routes.service(&self.service);
         let is_engine = service.is_some_and(|service| service.engine.is_some());
-        is_engine && self.software.borrow().is_some()
+        is_engine && self.goes_on()
+    }
+
+    /// Records that a target broke off or could not be reached.
+    pub fn record_lost(&self, candidate: &Candidate) {
+        self.lost.borrow_mut().push(candidate.life());
     }
 
     /// Excludes a target that can't take the request from further choices.
-    pub fn exclude(&self, target: &str) {
-        self.tried.borrow_mut().push(target.to_owned());
+    pub fn exclude(&self, candidate: &Candidate) {
+        self.tried.borrow_mut().push(candidate.life());
         self.unreachable.set(self.unreachable.get() + 1);
     }
 }
--- a/crates/flamingo-serve/src/proxy/loading.rs
+++ b/crates/flamingo-serve/src/proxy/loading.rs
@@ -1,5 +1,5 @@
 //! Requests whose model no target has yet: they wait for a load that is under way, or learn when the
-//! model can be there. Callers that go on with a stream wait for a target of its software version.
+//! model can be there.
 
 use super::Proxy;
 use super::job::{AttemptError, Job};
@@ -15,25 +15,21 @@
 /// Time after its expected end in which a load still counts as under way.
 pub const LATE_LOAD_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Time for which a caller's stream waits for a target of its software version: more than the interval
-/// between two heartbeats of a target.
-const SOFTWARE_WAIT: Duration = Duration::from_millis(1_500);
-
 /// A model of a service.
-type Key = (id::Service, id::Model);
+pub(super) type Key = (id::Service, id::Model);
 
 /// Prompt tokens of the requests of this entry that wait for each model.
 pub type Waiting = RefCell<HashMap<Key, u32>>;
 
 /// Counts a request that waits for its model until it is dropped.
-struct Guard<'a> {
+pub(super) struct Guard<'a> {
     waiting: &'a Waiting,
     key: Key,
     tokens: u32,
 }
 
 impl<'a> Guard<'a> {
-    fn new(waiting: &'a Waiting, key: Key, tokens: u32) -> Self {
+    pub(super) fn new(waiting: &'a Waiting, key: Key, tokens: u32) -> Self {
         *waiting.borrow_mut().entry(key.clone()).or_default() += tokens;
         Self {
             waiting,
@@ -89,29 +85,6 @@
         Ok(())
     }
 
-    /// Waits until what is known of the targets changes, if the request goes on with a stream at a software
-    /// version of which this entry has not heard of any target: after a restart the first targets to
-    /// register are not all that there are.
-    ///
-    /// # Errors
-    ///
-    /// Returns that there is no target, or none any more.
-    pub(super) async fn wait_for_software(&self, job: &Job) -> Result<(), AttemptError> {
-        let until = job.deadline.min(job.arrived_at + SOFTWARE_WAIT);
-        let software = job.software.borrow().clone();
-        let is_unheard_of = software.is_some_and(|software| {
-            let table = self.topology.table.borrow();
-            !table.has_software(&job.service, &software)
-        });
-        if !is_unheard_of || Instant::now() >= until {
-            return Err(AttemptError::NoAlternative(Cause::NoTarget));
-        }
-        let changed = self.topology.models_changed.notified();
-        // Whether a target has registered or the time is over, the next choice finds out.
-        let _ = tokio::time::timeout_at(until.into(), changed).await;
-        Ok(())
-    }
-
     /// Predicts the time for the prompts of requests that already wait for a model. Each other entry is
     /// assumed to have as many of them as this one.
     fn waiting_delay(&self, key: &Key) -> Duration {
@@ -123,16 +96,20 @@
     }
 
     /// Returns the time that a load of the request's model takes if it begins now: from a target's own
-    /// memory or disk where one has the weights there. `None` for requests without a model.
+    /// memory or disk where one that may be sent the request has the weights there. `None` for requests
+    /// without a model.
     pub(super) fn load_time(&self, job: &Job) -> Option<Duration> {
         let service = job.routes.service(&job.service)?;
         let engine: &Engine = service.engine.as_ref()?;
         let name = job.request.model.as_ref()?;
         let model = engine.models.iter().find(|model| model.name == *name)?;
         let table = self.topology.table.borrow();
+        let software = job.software.borrow();
         let mut targets = table
             .of_service(&job.service)
-            .map(|target| &target.registration);
+            .filter(|target| target.accepts_requests())
+            .map(|target| &target.registration)
+            .filter(|target| software.as_ref().is_none_or(|it| *it == target.software));
         let cached =
             targets.any(|target| target.in_memory.contains(name) || target.on_disk.contains(name));
         let seconds = if cached { model.disk_s } else { model.load_s };
--- a/crates/flamingo-serve/src/proxy/permit.rs
+++ b/crates/flamingo-serve/src/proxy/permit.rs
@@ -45,7 +45,7 @@
         if let Some(target) = self.topology.table.borrow_mut().get_mut(&candidate.target) {
             target.availability.record_no_permit(permit_at);
         }
-        job.exclude(&candidate.target);
+        job.exclude(candidate);
         Err(AttemptError::NotRun(Cause::Paused))
     }
 
--- a/crates/flamingo-serve/src/proxy/refusal.rs
+++ b/crates/flamingo-serve/src/proxy/refusal.rs
@@ -4,6 +4,7 @@
 use super::job::Job;
 use crate::body::Body;
 use crate::choice::Choice;
+use crate::outlook::Outlook;
 use crate::wire::{Cause, Refusal, RequestHead};
 use bytes::Bytes;
 use flamingo_wire::route::Route;
@@ -39,9 +40,11 @@
         }
         let retry_after = not_run.then(|| self.retry_after(job, now));
         let name: &str = cause.into();
+        let outlook: Option<&str> = self.outlook(job, now).map(Into::into);
         info!(self.log, "given up"; "request" => &job.request.attempt_id, "route" => &job.route.name,
             "cause" => name, "not_run" => not_run, "sent" => job.sent.get(),
-            "model" => &job.request.model, "after_ms" => (now - job.arrived_at).as_millis());
+            "model" => &job.request.model, "software" => &*job.software.borrow(),
+            "outlook" => outlook, "after_ms" => (now - job.arrived_at).as_millis());
         self.metrics.record_outcome(&job.route.name, name);
         self.refuse(Refusal { cause, retry_after }, Some(&job.request))
     }
@@ -54,6 +57,9 @@
         let until = quarantined_until.or_else(|| match self.choose_target(job, now) {
             Choice::Paused(until) | Choice::Loading(until) => Some(until),
             Choice::NoModel => self.load_time(job).map(|load_time| now + load_time),
+            _ if self.outlook(job, now) == Some(Outlook::NoModel) => {
+                self.load_time(job).map(|load_time| now + load_time)
+            }
             _ => None,
         });
         let earliest = until.map(|until| until.saturating_duration_since(now));
--- a/crates/flamingo-serve/src/proxy/silence.rs
+++ b/crates/flamingo-serve/src/proxy/silence.rs
@@ -162,9 +162,7 @@
         ask: impl AsyncFn(Candidate) -> Result<T, AttemptError>,
     ) -> Option<T> {
         while job.unreachable.get() < MAX_UNREACHABLE {
-            let Choice::Send(candidate) = self.choose_target(job, Instant::now()) else {
-                return None;
-            };
+            let candidate = self.find_target(job).await.ok()?;
             let sent_before = job.sent.get();
             let error = match ask(candidate).await {
                 Ok(found) => return Some(found),
--- a/crates/flamingo-serve/src/proxy/stream.rs
+++ b/crates/flamingo-serve/src/proxy/stream.rs
@@ -93,6 +93,7 @@
             Next::Event(event) => {
                 self.last_event_id = event.id.or(self.last_event_id);
                 self.last_event_at = Instant::now();
+                self.job.progress_at.set(self.last_event_at);
                 Some((Ok(event.bytes), Some(self)))
             }
             Next::End => {
--- a/crates/flamingo-serve/src/table.rs
+++ b/crates/flamingo-serve/src/table.rs
@@ -200,14 +200,6 @@
         targets.filter(move |target| target.registration.service == service)
     }
 
-    /// Returns whether targets of a service with this software have registered, including those that
-    /// have gone and were not removed yet.
-    #[must_use]
-    pub fn has_software(&self, service: &str, software: &str) -> bool {
-        let mut targets = self.of_service(service);
-        targets.any(|target| target.registration.software == software)
-    }
-
     /// Returns the target named `id`; `None` if it is unknown.
     #[must_use]
     pub fn get(&self, id: &str) -> Option<&Target> {
--- a/crates/flamingo-serve/src/table/state.rs
+++ b/crates/flamingo-serve/src/table/state.rs
@@ -216,6 +216,12 @@
         self.avoid_until.is_some_and(|until| now < until)
     }
 
+    /// Returns whether the target has failed since its last response.
+    #[must_use]
+    pub fn has_failed(&self) -> bool {
+        self.failures > 0
+    }
+
     /// Estimates the number of tokens at the beginning of a prompt that the target has cached.
     /// `cache_key` identifies the model and adapter, and `capacity` is the size of the target's
     /// prompt cache in tokens.
--- a/crates/flamingo-serve/tests/availability.rs
+++ b/crates/flamingo-serve/tests/availability.rs
@@ -1,5 +1,6 @@
 //! Targets that leave, pause and restart in random orders, in virtual time.
 
+use flamingo_guard::observer::Life;
 use flamingo_serve::choice::{Choice, Requirements, choose};
 use flamingo_serve::table::Table;
 use flamingo_serve::wire::{Pause, RequestHead};
@@ -19,7 +20,7 @@
 const MAX_STEP_MS: u64 = 800;
 
 /// Requirements of a request to a plain service.
-fn required<'a>(request: &'a RequestHead, tried: &'a [String]) -> Requirements<'a> {
+fn required<'a>(request: &'a RequestHead, tried: &'a [Life]) -> Requirements<'a> {
     Requirements {
         service: "s",
         engine: None,
@@ -174,7 +175,7 @@
         history.table.record_pause(target, 1, pause, now);
     }
     let request = RequestHead::default();
-    let tried = ["i-2".to_owned()];
+    let tried = [("i-2".to_owned(), 1)];
     let choice = choose(&history.table, &required(&request, &tried), 1, now);
     assert_eq!(choice, Choice::NoTarget);
 }
--- a/crates/flamingo-serve/tests/load.rs
+++ b/crates/flamingo-serve/tests/load.rs
@@ -1,5 +1,6 @@
 //! Admission and choice of targets under load, in virtual time.
 
+use flamingo_guard::observer::Life;
 use flamingo_serve::admission::Timing;
 use flamingo_serve::choice::{Candidate, Choice, Requirements, choose};
 use flamingo_serve::table::Table;
@@ -34,7 +35,7 @@
 fn required<'a>(
     request: &'a RequestHead,
     engine: &'a Engine,
-    tried: &'a [String],
+    tried: &'a [Life],
 ) -> Requirements<'a> {
     Requirements {
         service: "s",
--- a/crates/flamingo-wire/src/target.rs
+++ b/crates/flamingo-wire/src/target.rs
@@ -121,6 +121,21 @@
     pub refused: u32,
 }
 
+/// What streams of one software version need of one model, at an entry since the entry's last report.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Need {
+    /// The service that serves the model.
+    pub service: id::Service,
+    /// The model.
+    pub model: id::Model,
+    /// The version of the targets' software at which the streams began.
+    pub software: id::Software,
+    /// Number of streams that began.
+    pub begun: u32,
+    /// Number of times that a stream could not go on, because no target of the version has the model.
+    pub stranded: u32,
+}
+
 /// Number of ranks that are counted separately; less urgent ranks count as the last one.
 pub const RANKS: usize = 4;
 
@@ -191,4 +206,7 @@
     /// What this entry has seen of prompt parts.
     #[serde(default)]
     pub evidence: Evidence,
+    /// What streams need of models at the versions at which they began, since the last report.
+    #[serde(default)]
+    pub needs: Vec<Need>,
 }
