A model is brought back to the software version whose streams need it

Copies were counted over all versions, so a version could lose its last copy of a model for good. Where callers ask in vain, an engine of that version loads it, from a cache first and never in the place of a last copy; the only copy at a version that its streams need makes no room for further copies of others, for 10 s after the last need, and only while several versions serve.

--- a/crates/flamingo-control/src/controller/demand.rs
+++ b/crates/flamingo-control/src/controller/demand.rs
@@ -5,6 +5,7 @@
 //! mean nothing.
 
 use flamingo_place::rate::Rate;
+use flamingo_place::rebalance::Need;
 use flamingo_wire::id;
 use flamingo_wire::target::{self, Load, Resident, Usage};
 use std::collections::BTreeMap;
@@ -24,6 +25,10 @@
 /// Time after a request in which callers are assumed to still want the model.
 const INTEREST_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Time after the last stream that began at a version, or could not go on there, in which streams are
+/// assumed to need the model at that version.
+const NEED_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// The demand for one model.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Estimate {
@@ -73,10 +78,24 @@
 /// A model of a service.
 type ModelKey = (id::Service, id::Model);
 
+/// A model at a version of the software of a service.
+type VersionKey = (id::Service, id::Software, id::Model);
+
+/// Until when streams are assumed to need a model at a version.
+#[derive(Clone, Copy, Debug, Default)]
+struct Needed {
+    /// Until when some may have to go on there.
+    until: Option<Instant>,
+    /// Until when callers are assumed to ask for it in vain.
+    stranded_until: Option<Instant>,
+}
+
 /// Tracks the demand for each model, and the loads that each entry reports.
 #[derive(Debug, Default)]
 pub struct Tracker {
     estimates: BTreeMap<ModelKey, Estimate>,
+    /// What streams need at the version at which they began; dropped after `NEED_TIMEOUT`.
+    needed: BTreeMap<VersionKey, Needed>,
     /// When the first report of any entry arrived.
     first_report: Option<Instant>,
     /// The newest loads of each entry, with the time of their report.
@@ -93,9 +112,36 @@
             let estimate = self.estimates.entry(key).or_insert(Estimate::new(now));
             estimate.add(demand.work_ms / 1_000.0, demand.requests, now);
         }
+        for need in usage.needs {
+            let key = (need.service, need.software, need.model);
+            let needed = self.needed.entry(key).or_default();
+            let until = Some(now + NEED_TIMEOUT);
+            needed.until = until;
+            if need.stranded > 0 {
+                needed.stranded_until = until;
+            }
+        }
         self.entries.insert(from.to_owned(), (now, usage.loads));
     }
 
+    /// Forgets what streams have not needed for `NEED_TIMEOUT`.
+    pub fn remove_expired(&mut self, now: Instant) {
+        self.needed
+            .retain(|_, needed| needed.until.is_some_and(|until| now < until));
+    }
+
+    /// Returns what streams of a service need, by version: the model, and whether callers ask for it
+    /// in vain.
+    pub fn needed<'a>(&'a self, service: &'a str, now: Instant) -> impl Iterator<Item = Need> + 'a {
+        let needed = self.needed.iter();
+        let needed = needed.filter(move |((of, _, _), _)| of == service);
+        needed.map(move |((_, software, model), needed)| Need {
+            software: software.clone(),
+            model: model.clone(),
+            stranded: needed.stranded_until.is_some_and(|until| now < until),
+        })
+    }
+
     /// Returns the forecast demand for a model, in busy engines; 0 for an unknown model.
     #[must_use]
     pub fn forecast(&self, service: &str, model: &str, now: Instant) -> f64 {
--- a/crates/flamingo-control/src/controller/moves.rs
+++ b/crates/flamingo-control/src/controller/moves.rs
@@ -57,6 +57,7 @@
                 continue;
             };
             self.update_missing_models(service, engine, now);
+            self.term.borrow_mut().demand.remove_expired(now);
             let count = self.term.borrow().engines_of(&service.name).count();
             for _ in 0..=count / ENGINES_PER_NEW_MOVE {
                 let loads_left = self.available_store_loads(leader, engine, now);
@@ -108,6 +109,8 @@
         let engines =
             remaining.map(|state| planner_engine(state, &least_stays, free_megabytes, now));
         let engines: Vec<_> = engines.collect();
+        let needs: Vec<_> = term.demand.needed(&service.name, now).collect();
+        let engines = rebalance::hold_needed(engines, &needs);
         self.log_demand(&service.name, &models, &engines, now);
         let prefetch = || {
             let total_demand: f64 = models.iter().map(|model| model.demand).sum();
@@ -124,7 +127,10 @@
                 total_demand >= IDLE_DEMAND || state.is_some_and(|state| state.moves_started == 0)
             })
         };
-        rebalance::next_move(&models, &engines, loads_left >= 1.0).or_else(prefetch)
+        let store = loads_left >= 1.0;
+        rebalance::bring_back(&models, &engines, &needs, store)
+            .or_else(|| rebalance::next_move(&models, &engines, store))
+            .or_else(prefetch)
     }
 
     /// Records since when each model of a service has had no replica on any engine, and since when
@@ -422,10 +428,12 @@
     let stored = registration.in_memory.iter().chain(&registration.on_disk);
     Engine {
         target: registration.id.clone(),
+        software: registration.software.clone(),
         models: engine_state.expected_models(),
         loading: engine_state.loading.clone(),
         settled: engine_state.settled_models(least_stays, now),
         cached: stored.cloned().collect(),
+        held: Vec::new(),
         executing: engine_state.is_occupied(now),
         megabytes,
     }
--- a/crates/flamingo-control/tests/demand.rs
+++ b/crates/flamingo-control/tests/demand.rs
@@ -1,7 +1,7 @@
 //! The forecast of demand under random arrivals, in virtual time.
 
 use flamingo_control::controller::demand::Tracker;
-use flamingo_wire::target::{Demand, Usage};
+use flamingo_wire::target::{Demand, Need, Usage};
 use rand_chacha::ChaCha8Rng;
 use rand_core::{Rng, SeedableRng};
 use std::time::{Duration, Instant};
@@ -118,3 +118,37 @@
         );
     }
 }
+
+#[test]
+fn what_streams_need_at_a_version_is_forgotten_after_a_time() {
+    let mut tracker = Tracker::default();
+    let begun = Instant::now();
+    let need = |software: &str, stranded| Need {
+        service: "s".into(),
+        model: "m".into(),
+        software: software.into(),
+        begun: 1,
+        stranded,
+    };
+    let mut report = |at, needs| {
+        let usage = Usage {
+            needs,
+            ..Usage::default()
+        };
+        tracker.record(at, "entry", usage);
+    };
+    report(begun, vec![need("v1", 1), need("v2", 0)]);
+    let later = begun + Duration::from_secs(6);
+    report(later, vec![need("v1", 0)]);
+    let found = |tracker: &Tracker, at| {
+        let needed = tracker.needed("s", at);
+        let needed = needed.map(|need| (need.software, need.stranded));
+        needed.collect::<Vec<_>>()
+    };
+    let both = vec![("v1".to_owned(), true), ("v2".to_owned(), false)];
+    assert_eq!(found(&tracker, later), both);
+    let latest = begun + Duration::from_secs(12);
+    tracker.remove_expired(latest);
+    assert_eq!(found(&tracker, latest), [("v1".to_owned(), false)]);
+    assert_eq!(tracker.needed("other", latest).count(), 0);
+}
--- a/crates/flamingo-place/src/rebalance.rs
+++ b/crates/flamingo-place/src/rebalance.rs
@@ -10,9 +10,11 @@
 mod move_search;
 mod prefetch;
 mod turns;
+mod versions;
 
 pub use prefetch::prefetch;
 pub use turns::least_stay_s;
+pub use versions::{Need, bring_back, hold_needed};
 
 use assignment::{Assignment, Evicted, Index};
 use flamingo_wire::id;
@@ -52,6 +54,8 @@
 pub struct Engine {
     /// Identity of the engine.
     pub target: id::Target,
+    /// Version of the engine's software.
+    pub software: id::Software,
     /// Models that are resident on the engine or being loaded.
     pub models: Vec<id::Model>,
     /// The entry of `models` that is still being loaded; `None` if all are resident.
@@ -60,6 +64,9 @@
     pub settled: Vec<id::Model>,
     /// Models whose weights the engine caches in host memory or on disk.
     pub cached: Vec<id::Model>,
+    /// Models that no other engine of the same version has and that streams of this version need, see
+    /// [`hold_needed`]. They make room only for models without a copy.
+    pub held: Vec<id::Model>,
     /// Whether the engine is executing an order, so that it can't take another one.
     pub executing: bool,
     /// Accelerator memory for weights, in megabytes.
--- a/crates/flamingo-place/src/rebalance/assignment.rs
+++ b/crates/flamingo-place/src/rebalance/assignment.rs
@@ -208,6 +208,10 @@
     fn is_evictable(&self, engine: Index, resident: Index, model: Index, evicted: Evicted) -> bool {
         let spare = self.ready[resident] > 1;
         let name = &self.models[resident].name;
+        let has_copy = !self.by_model[model].is_empty();
+        if has_copy && self.engines[engine].held.contains(name) {
+            return false;
+        }
         let settled = self.engines[engine].settled.contains(name);
         let idle = || spare || (settled && self.demand(resident) <= IDLE_DEMAND);
         let in_turn = || (spare || settled) && turns::may_replace(self, model, resident);
