--- a/crates/flamingo-serve/src/proxy.rs
+++ b/crates/flamingo-serve/src/proxy.rs
@@ -17,6 +17,7 @@
 mod silence;
 mod stream;
 mod successor;
+mod version;
 
 use crate::admission::Timing;
 use crate::body::{Body, collect};
@@ -211,6 +212,10 @@
             content_type: OnceCell::new(),
             said_to_end: Cell::new(false),
             tried: RefCell::default(),
+            lost: RefCell::default(),
+            progress_at: Cell::new(arrived_at),
+            waits: Cell::new(false),
+            stranded_since: Cell::new(None),
             sent: Cell::new(0),
             unreachable: Cell::new(0),
             may_have_run: Cell::new(false),
@@ -284,7 +289,7 @@
             elapsed: job.earlier_wait + now.saturating_duration_since(job.arrived_at),
             objective: Duration::from_millis(job.route.objective_ms),
             remaining: job.deadline.saturating_duration_since(now),
-            has_begun: job.software.borrow().is_some(),
+            has_begun: job.goes_on(),
             queueing_delay: Duration::ZERO,
         })
     }
--- a/crates/flamingo-serve/src/proxy/begin.rs
+++ b/crates/flamingo-serve/src/proxy/begin.rs
@@ -99,6 +99,7 @@
         // The value is set once: a job begins one stream for its caller.
         let _ = job.content_type.set(content_type.cloned());
         self.begin_stream(job, &candidate);
+        job.progress_at.set(Instant::now());
         let rate = self.observe_prefill(job, &candidate, sent_at);
         info!(self.log, "stream begun"; "request" => &job.request.attempt_id,
             "target" => &load_guard.target, "route" => &job.route.name,
@@ -155,6 +156,8 @@
         else {
             return;
         };
+        self.demand
+            .record_begun(&job.service, &job.request, &candidate.software);
         let origin = Origin {
             service: job.service.clone(),
             software: candidate.software.clone(),
