Budget: the check of a retry takes one pass over the steps

The requests of the window before each step were summed anew for each step, 40 x 40 steps for each retry, also for those that are not paid. They are carried along now.

--- a/crates/flamingo-serve/src/budget.rs
+++ b/crates/flamingo-serve/src/budget.rs
@@ -132,20 +132,25 @@
         let length = self.step_length();
         // Requests and retries of the window that begins in a step, up to now.
         let (mut requests, mut retries) = (0, 1);
+        // Requests of the window before, which are those of the steps from `first` to the current one.
+        let (mut prior, mut first) = (0, self.steps.len());
         for (index, step) in self.steps.iter().enumerate().rev() {
             if now >= step.started_at + length + window {
                 break;
             }
             retries += step.retries;
+            if first <= index {
+                prior -= step.requests;
+            }
+            first = first.min(index);
             // The window may begin anywhere in its step: the requests of the step belong to it or
             // to the window before, and only whole steps count for either.
-            let prior: u32 = self
-                .steps
-                .range(..index)
-                .rev()
-                .take_while(|prior| prior.started_at + window >= step.started_at + length)
-                .map(|prior| prior.requests)
-                .sum();
+            while let Some(earlier) = first.checked_sub(1).map(|earlier| &self.steps[earlier])
+                && earlier.started_at + window >= step.started_at + length
+            {
+                prior += earlier.requests;
+                first -= 1;
+            }
             let within = f64::from(step.requests) * CURRENT_FRACTION.min(PRIOR_FRACTION);
             let earned =
                 CURRENT_FRACTION * f64::from(requests) + within + PRIOR_FRACTION * f64::from(prior);
