Events: a line about the version of the weights may follow a comment or a blank line

By a review, on the pure parts: a sound event counted as malformed, and its stream would have been broken off, where the line with a number that may come first stood behind a blank line (the rest of a CRLF that a read had split, or one blank line more) or behind a comment. Cause: the position was counted in lines and not in fields.

a_number_after_a_comment_is_no_flaw and a_number_after_a_blank_line_is_no_flaw fail with lines counted, by the review's run of the function; they pass.

--- a/crates/flamingo-serve/src/events.rs
+++ b/crates/flamingo-serve/src/events.rs
@@ -32,7 +32,7 @@
     /// Returns whether the event consists of comments and blank lines only. A receiver ignores it.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        lines(&self.bytes).all(|line| matches!(line, [] | [b':', ..]))
+        lines(&self.bytes).all(is_ignored)
     }
 
     /// Returns why the event does not prove that it follows the event `last`; `None` if it does. In
@@ -64,14 +64,15 @@
         (!self.is_well_formed()).then_some(Flaw::Malformed)
     }
 
-    /// Returns whether the event has one `id` and only fields of the HTML Standard, section 9.2.6. The
-    /// first line may be a further field that has a number.
+    /// Returns whether the event has one `id` and only fields of the HTML Standard, section 9.2.6. Its
+    /// first field may be a further one that has a number.
     fn is_well_formed(&self) -> bool {
         let mut ids = 0;
-        lines(&self.bytes).enumerate().all(|(index, line)| {
+        let fields = lines(&self.bytes).filter(|line| !is_ignored(line));
+        fields.enumerate().all(|(index, line)| {
             let (name, value) = field(line);
             ids += usize::from(name == b"id");
-            let known = matches!(name, b"" | b"id" | b"data" | b"event" | b"retry");
+            let known = matches!(name, b"id" | b"data" | b"event" | b"retry");
             let extra = index == 0 && is_lower_case(name) && is_number(value);
             ids <= 1 && (known || extra)
         })
@@ -83,7 +84,12 @@
     bytes.split(|byte| is_line_end(*byte))
 }
 
-/// Returns the name and the value of a field. A comment has an empty name.
+/// Returns whether a line is blank or a comment.
+fn is_ignored(line: &[u8]) -> bool {
+    matches!(line, [] | [b':', ..])
+}
+
+/// Returns the name and the value of a field.
 fn field(line: &[u8]) -> (&[u8], &[u8]) {
     let colon = line.iter().position(|byte| *byte == b':');
     colon.map_or((line, &[][..]), |at| (&line[..at], &line[at + 1..]))
--- a/crates/flamingo-serve/tests/events.rs
+++ b/crates/flamingo-serve/tests/events.rs
@@ -67,6 +67,8 @@
     the_next_event_has_no_flaw: "id: 3\ndata: a\n\n" => None;
     fields_of_the_standard_are_no_flaw: "event: x\r\nid:3\r\nretry: 9\r\ndata: a\r\ndata\r\n: hi\r\n\r\n" => None;
     a_first_line_with_a_number_is_no_flaw: "some-name: 7\nid: 3\ndata: a\n\n" => None;
+    a_number_after_a_comment_is_no_flaw: ": hi\nsome-name: 7\nid: 3\ndata: a\n\n" => None;
+    a_number_after_a_blank_line_is_no_flaw: "\nsome-name: 7\nid: 3\ndata: a\n\n" => None;
     a_comment_is_no_flaw: ": hi\n\n" => None;
     blank_lines_are_no_flaw: "\n\n" => None;
     a_repeated_number_is_a_flaw: "id: 2\ndata: a\n\n" => Some(Flaw::OutOfSequence);
