A stream whose only target crashes midway waits for its return

Cause: a break midway said nothing to the table of targets, so the target counted for four seconds as one that had broken off this stream and answers others, for which nothing waits. Class: a conclusion before the answer to the question is in: the probe that tells a crash from a break was still under way.

A stream waits for the end of the probe, at most 330 ms. A target that accepts no connection counts as unreached, as after a failed connection, and its return is waited for.

--- a/crates/flamingo-serve/src/proxy.rs
+++ b/crates/flamingo-serve/src/proxy.rs
@@ -213,6 +213,7 @@
             said_to_end: Cell::new(false),
             tried: RefCell::default(),
             lost: RefCell::default(),
+            lost_at: Cell::new(None),
             progress_at: Cell::new(arrived_at),
             waits: Cell::new(false),
             stranded_since: Cell::new(None),
--- a/crates/flamingo-serve/src/proxy/crash.rs
+++ b/crates/flamingo-serve/src/proxy/crash.rs
@@ -21,6 +21,8 @@
 const PROBE_DELAY: Duration = Duration::from_millis(10);
 /// Time within which a target must accept the probe's connection.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time after a broken connection by which the probe of its target has ended.
+pub(super) const PROBE_DURATION: Duration = Duration::from_millis(330);
 
 impl Proxy {
     /// Returns when the last quarantine of these parts and whole requests ends; `None` if there is none.
@@ -122,7 +124,12 @@
                 let mut pool = self.topology.pool.borrow_mut();
                 pool.put(&life.0, connection, None, Instant::now());
             }
-            None => self.topology.record_crash(&life),
+            None => {
+                self.topology.record_crash(&life);
+                self.record_failure(&life.0, Instant::now());
+                // Streams wait for its return.
+                self.topology.models_changed.notify_waiters();
+            }
         }
     }
 }
--- a/crates/flamingo-serve/src/proxy/job.rs
+++ b/crates/flamingo-serve/src/proxy/job.rs
@@ -58,6 +58,8 @@
     pub tried: RefCell<SmallVec<[Life; 2]>>,
     /// Incarnations of targets that broke off under this request or could not be reached.
     pub lost: RefCell<SmallVec<[Life; 2]>>,
+    /// When a target last broke off under this request or could not be reached; `None` if none has.
+    pub lost_at: Cell<Option<Instant>>,
     /// When the caller last got something, or came.
     pub progress_at: Cell<Instant>,
     /// Whether the log says that the request waits for a target of its version.
@@ -128,6 +130,7 @@
     /// Records that a target broke off or could not be reached.
     pub fn record_lost(&self, candidate: &Candidate) {
         self.lost.borrow_mut().push(candidate.life());
+        self.lost_at.set(Some(Instant::now()));
     }
 
     /// Excludes a target that can't take the request from further choices.
--- a/crates/flamingo-serve/src/proxy/version.rs
+++ b/crates/flamingo-serve/src/proxy/version.rs
@@ -5,6 +5,7 @@
 //! bring it there while targets of another version have it.
 
 use super::Proxy;
+use super::crash::PROBE_DURATION;
 use super::job::{AttemptError, Job};
 use super::loading::{Guard, Key, LATE_LOAD_TIMEOUT};
 use crate::outlook::{Outlook, Stream};
@@ -42,7 +43,8 @@
             Some(Outlook::Unheard | Outlook::Unreached) => Some(return_deadline(job)),
             Some(Outlook::Loading(Reverse(ready_at))) => load_deadline(job, ready_at),
             Some(Outlook::NoModel) => self.ask_for_load(job, now),
-            Some(Outlook::Left | Outlook::BrokenOff | Outlook::Serving) | None => None,
+            Some(Outlook::BrokenOff) => probe_deadline(job),
+            Some(Outlook::Left | Outlook::Serving) | None => None,
         };
         let Some(until) = until.filter(|until| now < *until) else {
             return Err(AttemptError::NoAlternative(cause));
@@ -101,6 +103,12 @@
     (ready_at <= latest).then(|| patience_end.min(ready_at + LATE_LOAD_TIMEOUT))
 }
 
+/// Returns until when it is known whether a target that broke off has crashed, and may return.
+fn probe_deadline(job: &Job) -> Option<Instant> {
+    let until = job.lost_at.get()? + PROBE_DURATION;
+    Some(until.min(job.patience_end()))
+}
+
 /// Returns until when a request may wait for a target that registers or returns.
 fn return_deadline(job: &Job) -> Instant {
     let until = job.progress_at.get() + RETURN_WAIT;
