A stream waits for a target that states another incarnation

It counted as one that had broken off under this stream and answers others.

a_stream_goes_on_at_a_target_that_states_another_incarnation_once_that_has_registered failed before (503), and passes.

--- a/crates/flamingo-serve/src/proxy/attempt.rs
+++ b/crates/flamingo-serve/src/proxy/attempt.rs
@@ -197,6 +197,8 @@
         }
         match failure {
             Failure::Restarted => {
+                // It is not known yet what it is now: it can't be chosen before it has registered.
+                self.record_failure(&candidate.target, now);
                 job.record_unsent();
                 AttemptError::NotRun(Cause::NoTarget)
             }
