A refusal without an id is believed behind the question for the incarnation

A caller that took up a stream got 502 after 1.5 s where the target had refused without an attempt id, on a new connection (found by the review). The question for the incarnation, which goes first on that connection, counted as an earlier request whose refusal this might be. Its answer was read whole and is no refusal, so a refusal behind it can only be this request's. A request without an id is held to the connection as before.

--- a/crates/flamingo-serve/src/exchange.rs
+++ b/crates/flamingo-serve/src/exchange.rs
@@ -140,7 +140,9 @@
                 _ => return Err(Failure::Restarted),
             }
         }
-        let first = connection.begin(attempt_id);
+        // An answer to the question for the incarnation is no refusal, and has no id.
+        let only_asked = expected.is_some() && newly_dialled && attempt_id.is_some();
+        let first = connection.begin(attempt_id) || only_asked;
         let answered = timeout_at(deadline.into(), connection.sender.try_send_request(request));
         match answered.await {
             Ok(Ok(response)) => {
