A stream that waits for a load is refused before its caller leaves

The wait ended with the caller's gap, so that the refusal and the time to come back reached nobody (found by the review by reading: 4.0 of 4.0 s with a load that is 1.1 s late). It ends at the 80% of the gap that a load must be predicted to make. No test of its own: the path tests assert no times.

--- a/crates/flamingo-serve/src/proxy/version.rs
+++ b/crates/flamingo-serve/src/proxy/version.rs
@@ -100,7 +100,7 @@
     let patience_end = job.patience_end();
     let patience = patience_end.saturating_duration_since(job.progress_at.get());
     let latest = job.progress_at.get() + patience * MAX_PATIENCE_PERCENT / 100;
-    (ready_at <= latest).then(|| patience_end.min(ready_at + LATE_LOAD_TIMEOUT))
+    (ready_at <= latest).then(|| latest.min(ready_at + LATE_LOAD_TIMEOUT))
 }
 
 /// Returns until when it is known whether a target that broke off has crashed, and may return.
