Retries: what is read after the process stood still brings no allowance

Class: an allowance that is filled again. The entries counted at the thaw what callers had sent in windows before, all in one step; the test left those out.

An entry beats every 100 ms. After more than 500 ms without a beat, requests that it reads in the next 250 ms bring no allowance. The property test now counts what a frozen entry reads late, as the program does.

--- a/crates/flamingo-serve/src/lib.rs
+++ b/crates/flamingo-serve/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod proxy;
 pub mod server;
 pub mod sharers;
+pub mod stillness;
 pub mod table;
 pub mod topology;
 pub mod wire;
--- a/crates/flamingo-serve/src/lifecycle.rs
+++ b/crates/flamingo-serve/src/lifecycle.rs
@@ -2,6 +2,7 @@
 
 use crate::proxy::Proxy;
 use crate::server::{ConnectionLimits, Drain, Stage};
+use crate::stillness::BEAT_INTERVAL;
 use crate::topology::Topology;
 use slog::{Logger, info};
 use std::cell::Cell;
@@ -34,6 +35,14 @@
     has_routes && has_target && drain.stage() == Stage::Serving
 }
 
+/// Records that the process runs, so that a time in which it did not is noticed. Never returns.
+pub async fn beat(proxy: Rc<Proxy>) {
+    loop {
+        proxy.beat();
+        tokio::time::sleep(BEAT_INTERVAL).await;
+    }
+}
+
 /// Periodically removes expired connections and targets, and applies the connection limits of
 /// the current routes. Logs when the timers of the process are late. Never returns.
 pub async fn maintain(proxy: Rc<Proxy>, limits: Rc<Cell<ConnectionLimits>>, log: Logger) {
--- a/crates/flamingo-serve/src/proxy/crash.rs
+++ b/crates/flamingo-serve/src/proxy/crash.rs
@@ -118,18 +118,14 @@
         let Some(address) = address else {
             return self.topology.record_crash(&life);
         };
-        match pool::dial(address, Instant::now() + PROBE_TIMEOUT).await {
-            Some(connection) => {
-                self.topology.crashes.borrow_mut().record_reachable(&life);
-                let mut pool = self.topology.pool.borrow_mut();
-                pool.put(&life.0, connection, None, Instant::now());
-            }
-            None => {
-                self.topology.record_crash(&life);
-                self.record_failure(&life.0, Instant::now());
-                // Streams wait for its return.
-                self.topology.models_changed.notify_waiters();
-            }
-        }
+        let Some(connection) = pool::dial(address, Instant::now() + PROBE_TIMEOUT).await else {
+            self.topology.record_crash(&life);
+            self.record_failure(&life.0, Instant::now());
+            // Streams wait for its return.
+            return self.topology.models_changed.notify_waiters();
+        };
+        self.topology.crashes.borrow_mut().record_reachable(&life);
+        let mut pool = self.topology.pool.borrow_mut();
+        pool.put(&life.0, connection, None, Instant::now());
     }
 }
--- a/crates/flamingo-serve/src/proxy/retry.rs
+++ b/crates/flamingo-serve/src/proxy/retry.rs
@@ -3,6 +3,7 @@
 use super::job::Job;
 use super::{MAX_UNREACHABLE, Proxy};
 use crate::budget::{Allowance, Budget, Refusal};
+use crate::stillness::Stillness;
 use flamingo_wire::id;
 use slog::info;
 use std::cell::RefCell;
@@ -25,6 +26,7 @@
 pub(super) struct Retries {
     allowance: Allowance,
     accounts: RefCell<HashMap<id::Service, Account>>,
+    stillness: RefCell<Stillness>,
 }
 
 impl Retries {
@@ -32,11 +34,16 @@
         Self {
             allowance,
             accounts: RefCell::default(),
+            stillness: RefCell::new(Stillness::new(Instant::now())),
         }
     }
 
-    pub(super) fn record_request(&self, service: &str, now: Instant) {
-        self.with(service, |account| account.budget.record_request(now));
+    /// Counts a request that arrived at `arrived_at`, unless it may have waited while this process
+    /// stood still: its caller sent it in an earlier window.
+    pub(super) fn record_request(&self, service: &str, arrived_at: Instant) {
+        if !self.stillness.borrow_mut().catches_up(arrived_at) {
+            self.with(service, |account| account.budget.record_request(arrived_at));
+        }
     }
 
     fn with<T>(&self, service: &str, action: impl FnOnce(&mut Account) -> T) -> T {
@@ -52,6 +59,12 @@
 }
 
 impl Proxy {
+    /// Records that this process runs. Must be called every
+    /// [`BEAT_INTERVAL`](crate::stillness::BEAT_INTERVAL).
+    pub fn beat(&self) {
+        self.retries.stillness.borrow_mut().beat(Instant::now());
+    }
+
     /// Returns whether another attempt is allowed by the limits of the request, its route and the
     /// retry budget. Spends a retry of the budget if the request was already sent.
     pub(super) fn try_retry(&self, job: &Job, now: Instant) -> bool {
--- a/crates/flamingo-serve/tests/budget_fleet/fleet.rs
+++ b/crates/flamingo-serve/tests/budget_fleet/fleet.rs
@@ -68,6 +68,8 @@
     wanted: BTreeMap<u64, Vec<Wanted>>,
     /// Words that wait while the process is frozen.
     waiting: Vec<Word>,
+    /// Requests that wait while the process is frozen.
+    unread: u32,
     /// Times of the requests of the last streams.
     streams: VecDeque<u64>,
 }
@@ -144,6 +146,7 @@
                     place.frozen_until_ms = 0;
                     place.wanted.clear();
                     place.waiting.clear();
+                    place.unread = 0;
                     place.streams.clear();
                 }
             }
@@ -217,7 +220,8 @@
     fn start_processes(&mut self, at_ms: u64) {
         for place in &mut self.places {
             if place.joined && place.process.is_none() && place.down_until_ms <= at_ms {
-                place.process = Some(Process::new(allowance()));
+                let now = self.start + Duration::from_millis(at_ms);
+                place.process = Some(Process::new(allowance(), now));
             }
         }
     }
@@ -318,6 +322,9 @@
         {
             process.record_request(now);
         }
+        if read_ms > at_ms && place.process.is_some() {
+            place.unread += 1;
+        }
         place.streams.push_back(at_ms);
         if chance(&mut self.random, self.plan.failing(at_ms)) {
             let failed_ms = read_ms + attempt_ms(&mut self.random);
@@ -339,6 +346,10 @@
             let Some(process) = &mut place.process else {
                 continue;
             };
+            for _ in 0..std::mem::take(&mut place.unread) {
+                process.record_request(now);
+            }
+            process.beat(now);
             for Wanted { remaining } in due.into_values().flatten() {
                 self.wanted += 1;
                 if !process.try_retry(now) {
--- a/crates/flamingo-serve/tests/budget_fleet/main.rs
+++ b/crates/flamingo-serve/tests/budget_fleet/main.rs
@@ -77,3 +77,9 @@
     };
     check("joined", plan.with(14_000, Fault::Join { count: 59 }));
 }
+
+#[test]
+fn requests_that_are_read_after_a_freeze_bring_no_second_allowance() {
+    // Five of eight entries are frozen for 14.75 s while the traffic falls.
+    check("frozen", Plan::generated(117));
+}
--- a/crates/flamingo-serve/tests/budget_fleet/process.rs
+++ b/crates/flamingo-serve/tests/budget_fleet/process.rs
@@ -3,19 +3,22 @@
 use crate::fleet::Word;
 use flamingo_serve::budget::{Allowance, Budget};
 use flamingo_serve::sharers::Sharers;
+use flamingo_serve::stillness::Stillness;
 use std::time::Instant;
 
 #[derive(Debug)]
 pub struct Process {
     budget: Budget,
     sharers: Sharers,
+    stillness: Stillness,
 }
 
 impl Process {
-    pub fn new(allowance: Allowance) -> Self {
+    pub fn new(allowance: Allowance, now: Instant) -> Self {
         Self {
             budget: Budget::new(allowance),
             sharers: Sharers::new(allowance.window),
+            stillness: Stillness::new(now),
         }
     }
 
@@ -25,8 +28,14 @@
         }
     }
 
+    pub fn beat(&mut self, now: Instant) {
+        self.stillness.beat(now);
+    }
+
     pub fn record_request(&mut self, now: Instant) {
-        self.budget.record_request(now);
+        if !self.stillness.catches_up(now) {
+            self.budget.record_request(now);
+        }
     }
 
     pub fn try_retry(&mut self, now: Instant) -> bool {
