--- a/crates/flamingo-serve/src/proxy/resumption.rs
+++ b/crates/flamingo-serve/src/proxy/resumption.rs
@@ -22,7 +22,7 @@
 const REPORT_WAIT: Duration = Duration::from_millis(300);
 /// Time for which a request waits for control instances that are not connected or do not answer:
 /// one may be about to return with what it keeps on disk.
-const RETURN_WAIT: Duration = Duration::from_secs(1);
+const CONTROL_RETURN_WAIT: Duration = Duration::from_secs(1);
 /// Interval between two questions about the same stream.
 const ASK_INTERVAL: Duration = Duration::from_millis(50);
 /// Time within which a control instance must answer.
@@ -80,7 +80,7 @@
     }
 
     /// Asks all connected control instances for the origin of a stream, and the leader for the versions
-    /// at which it can have begun, until it is known or [`REPORT_WAIT`] has passed; [`RETURN_WAIT`]
+    /// at which it can have begun, until it is known or [`REPORT_WAIT`] has passed; [`CONTROL_RETURN_WAIT`]
     /// where not all answer. A caller that does not name its stream has `None`. Returns what is known,
     /// and the name of the source.
     async fn ask_for_origin(
@@ -107,7 +107,7 @@
                 Versions::One(origin) => return (Knowledge::Known(origin), "only_version"),
                 Versions::Several if stream.is_none() => Duration::ZERO,
                 Versions::Several if all_answered => REPORT_WAIT,
-                Versions::Several | Versions::Unanswered => RETURN_WAIT,
+                Versions::Several | Versions::Unanswered => CONTROL_RETURN_WAIT,
             };
             if Instant::now() >= deadline.min(asked_at + wait) {
                 return (Knowledge::Unknown, "unknown");
--- a/crates/flamingo-serve/src/proxy/version.rs
+++ b/crates/flamingo-serve/src/proxy/version.rs
@@ -17,7 +17,7 @@
 
 /// Time for which a stream waits for a target of its version that has not registered yet or can't be
 /// reached: more than the interval between two heartbeats of a target.
-const RETURN_WAIT: Duration = Duration::from_millis(1_500);
+const TARGET_RETURN_WAIT: Duration = Duration::from_millis(1_500);
 /// Time from a question to the leader until it has ordered a load: a report of this entry and a round of
 /// planning.
 const ORDER_DELAY: Duration = Duration::from_millis(250);
@@ -111,7 +111,7 @@
 
 /// Returns until when a request may wait for a target that registers or returns.
 fn return_deadline(job: &Job) -> Instant {
-    let until = job.progress_at.get() + RETURN_WAIT;
+    let until = job.progress_at.get() + TARGET_RETURN_WAIT;
     until.min(job.patience_end())
 }
 
