Crashes under tries that follow each other are events of their own

Cause: crashes that are no more than 20 ms apart counted as one event, as if a rack had been lost. The three tries of one request crash three targets within 4 ms, so that a caller's whole try counted once. It is not the distance that tells one cause from three: the later try was sent once the earlier target had crashed.

Change: an entry reports whether a request was sent after a target had broken off under it. Two crashes of one moment are two events where the later one is under what was sent after the earlier one, unless another target crashed at that moment without it, as in a rack. Requests that all waited for no time no longer each 'stand out' from the others.

--- a/crates/flamingo-control/tests/controller/main.rs
+++ b/crates/flamingo-control/tests/controller/main.rs
@@ -270,8 +270,8 @@
         let exposure = Exposure {
             parts: [7, 100 + number].into_iter().collect(),
             answered: false,
-            request: None,
             waited_ms: 40,
+            ..Exposure::default()
         };
         let crash = Crash {
             service: "s".into(),
--- a/crates/flamingo-control/tests/quarantines.rs
+++ b/crates/flamingo-control/tests/quarantines.rs
@@ -41,8 +41,8 @@
     let exposure = Exposure {
         parts: [DEADLY, 100 + number].into_iter().collect(),
         answered: false,
-        request: None,
         waited_ms: 40,
+        ..Exposure::default()
     };
     let crash = Crash {
         service: "notes".into(),
--- a/crates/flamingo-guard/src/observer.rs
+++ b/crates/flamingo-guard/src/observer.rs
@@ -29,6 +29,8 @@
 const MAX_TARGETS: usize = 64;
 /// Largest number of requests that are kept of one target.
 const MAX_EXPOSURES: usize = 64;
+/// Largest number of requests that are kept as interrupted; the oldest are dropped.
+const MAX_BROKEN: usize = 1_024;
 
 /// Name of a leader.
 pub type Leader = id::Node;
@@ -46,6 +48,8 @@
     pub request: Fingerprint,
     /// When it was sent to the target.
     pub sent_at: Instant,
+    /// Whether it is a stream whose head had not come.
+    pub headless: bool,
     /// When its first event came; `None` before.
     pub answered_at: Option<Instant>,
 }
@@ -77,6 +81,8 @@
     /// In the order of their answers.
     answered_requests: VecDeque<(id::Service, Fingerprint)>,
     breaks: HashMap<Life, Break>,
+    /// Requests under which connections to targets broke, with the time of each, in order.
+    broken: VecDeque<(Fingerprint, Instant)>,
     crashes: Vec<Seen>,
     /// The leader that has acknowledged the quarantines known here.
     informed: Option<Leader>,
@@ -129,6 +135,8 @@
     pub fn record_break(&mut self, life: &Life, request: &Interrupted<'_>, now: Instant) -> bool {
         let answered_at = request.answered_at;
         let writes = answered_at.is_none_or(|at| now < at + POINT_OF_WRITING);
+        let follows = self.was_broken(request.request, request.sent_at);
+        self.keep_broken(request.request, now);
         let known = self.breaks.contains_key(life);
         if !writes || (!known && self.breaks.len() >= MAX_TARGETS) {
             return false;
@@ -149,11 +157,26 @@
                 answered: answered_at.is_some(),
                 request: Some(request.request),
                 waited_ms: age_ms(request.sent_at, now),
+                headless: request.headless,
+                follows,
             });
         }
         !probing
     }
 
+    /// Returns whether a connection had broken under a request by the time at which it was sent.
+    fn was_broken(&self, request: Fingerprint, sent_at: Instant) -> bool {
+        let mut broken = self.broken.iter();
+        broken.any(|(known, at)| *known == request && *at <= sent_at)
+    }
+
+    fn keep_broken(&mut self, request: Fingerprint, now: Instant) {
+        if self.broken.len() >= MAX_BROKEN {
+            self.broken.pop_front();
+        }
+        self.broken.push_back((request, now));
+    }
+
     /// Records that a target with broken connections accepted a new one.
     pub fn record_reachable(&mut self, life: &Life) {
         if let Some(broken) = self.breaks.get_mut(life) {
@@ -293,6 +316,7 @@
         self.ledger.remove_expired(now);
         self.breaks
             .retain(|_, broken| now < broken.at + BREAK_RETENTION);
+        self.broken.retain(|(_, at)| now < *at + BREAK_RETENTION);
         self.crashes.retain(|seen| now < seen.at + CRASH_RETENTION);
     }
 }
--- a/crates/flamingo-guard/src/quarantine.rs
+++ b/crates/flamingo-guard/src/quarantine.rs
@@ -7,28 +7,34 @@
 //!
 //! A part is quarantined after [`MIN_EVENTS`] crashes in which a request with it was at the point of
 //! writing, if next to no request with it was answered since the first of them. A crash counts once
-//! the answers of its time have been reported. Crashes at the same moment are one event, since they
-//! have a common cause. Of several parts that qualify, the one that explains most crashes with
+//! the answers of its time have been reported. Crashes with a common cause are one event; see the
+//! module `event`. Where none of these requests had a head, they may just as well have waited for their
+//! turn, and [`MIN_HEADLESS_EVENTS`] are needed. Of several parts that qualify, the one that explains most crashes with
 //! fewest answers is taken, or else the last in its prompt, which fewer requests share. The crashes
 //! that it explains no longer count against any other.
 //!
 //! It answers a second load as well: a whole request that crashes each target that begins to run it
 //! and comes again, at any entry; see the module `request`.
 
+mod event;
 mod request;
 mod suspect;
 
+use event::Timeline;
 use flamingo_wire::fingerprint::Fingerprint;
 use flamingo_wire::id;
 use flamingo_wire::prompt::{Answered, Crash, Evidence, Exposure, PartId, Parts, Quarantine};
+use request::MAX_WAIT_MS;
 use smallvec::SmallVec;
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::time::{Duration, Instant};
 use strum::IntoStaticStr;
-use suspect::{Record, Score, Suspect};
+use suspect::{Record, Score, Suspect, Unanswered};
 
 /// Number of crash events after which a part is quarantined.
 pub const MIN_EVENTS: usize = 4;
+/// The same, where requests with the part had no head in some of these events.
+pub const MIN_HEADLESS_EVENTS: usize = 5;
 /// Number of different requests with a part that must have been at the point of writing: one request
 /// that comes again says nothing of its parts.
 const MIN_REQUESTS: usize = 2;
@@ -95,7 +101,9 @@
     pub kind: Kind,
     /// The part.
     pub key: Key,
-    /// Crash events in which a request with the part was at the point of writing.
+    /// Crashes in which a request with the part was at the point of writing.
+    pub crashes: usize,
+    /// Events that these crashes are.
     pub events: usize,
     /// Requests with the part that were answered since the first of these events.
     pub answered: u32,
@@ -178,8 +186,8 @@
     ///     let exposures = vec![Exposure {
     ///         parts: [7].into_iter().collect(),
     ///         answered: false,
-    ///         request: None,
     ///         waited_ms: 40,
+    ///         ..Exposure::default()
     ///     }];
     ///     let crash = Crash {
     ///         service: "s".into(),
@@ -231,7 +239,12 @@
                     part: request,
                 };
                 let answered = *self.answered_requests.entry(key).or_default();
-                record.add_request(request, exposure.waited_ms, answered);
+                let unanswered = Unanswered {
+                    answered_before: answered,
+                    waited_ms: exposure.waited_ms,
+                    follows: exposure.follows,
+                };
+                record.add_request(request, unanswered);
             }
             record.exposures.push(Exposure { parts, ..*exposure });
         }
@@ -255,10 +268,16 @@
         index
     }
 
+    /// Returns whether there is evidence that has not been judged and counts by now.
+    #[must_use]
+    pub fn is_due(&self, now: Instant) -> bool {
+        self.judge_at.is_some_and(|judge_at| now >= judge_at)
+    }
+
     /// Quarantines the parts and requests against which the evidence suffices, and returns them. Does nothing
     /// while there is no new evidence.
     pub fn judge(&mut self, now: Instant) -> Vec<Finding> {
-        if self.judge_at.is_none_or(|judge_at| now < judge_at) {
+        if !self.is_due(now) {
             return Vec::new();
         }
         self.remove_expired(now);
@@ -279,14 +298,35 @@
         findings
     }
 
+    /// Returns the part and the request against which most speaks, whether or not it suffices.
+    #[must_use]
+    pub fn leading(&self, now: Instant) -> Vec<Finding> {
+        let parts = self.scores(now).into_iter();
+        let part = parts.max_by_key(|(score, _)| *score);
+        let part = part.map(|(score, key)| part_finding(&score, key, now));
+        let leading = [part, self.leading_request(now)].into_iter().flatten();
+        leading.filter(|finding| finding.events > 0).collect()
+    }
+
     /// Returns the part against which most speaks, if that suffices for a quarantine.
     fn worst(&self, now: Instant) -> Option<Finding> {
+        let (score, key) = self
+            .scores(now)
+            .into_iter()
+            .filter(|(score, key)| self.suffices(key, score, now))
+            .max_by_key(|(score, _)| *score)?;
+        Some(part_finding(&score, key, now))
+    }
+
+    /// Returns what speaks against each part that was in a crash which nothing explains.
+    fn scores(&self, now: Instant) -> Vec<(Score, Key)> {
+        let timeline = Timeline(&self.crashes);
         let settled = self.crashes.iter();
         let settled = settled.filter(|crash| now >= crash.at + SETTLING_TIME);
         let open = settled.filter(|crash| !self.is_explained(crash));
         let mut suspects: BTreeMap<(&str, PartId), Suspect<'_>> = BTreeMap::new();
         for crash in open {
-            for exposure in &crash.exposures {
+            for exposure in crash.exposures.iter().filter(|exposure| is_close(exposure)) {
                 for (depth, part) in exposure.parts.iter().enumerate() {
                     let suspect = suspects.entry((&crash.service, *part));
                     suspect.or_default().add(crash, exposure, depth);
@@ -299,26 +339,17 @@
                 part,
             };
             let answered = self.answered.get(&key).copied().unwrap_or(0);
-            let (score, answered) = suspect.score(part, answered);
-            (score, answered, key)
+            (suspect.score(&timeline, &key, answered), key)
         });
-        let (score, answered, key) = scored
-            .filter(|(score, _, key)| self.suffices(key, score, now))
-            .max_by_key(|(score, _, _)| *score)?;
-        Some(Finding {
-            kind: Kind::Part,
-            key,
-            events: score.events,
-            answered,
-            until: now,
-        })
+        scored.collect()
     }
 
     fn suffices(&self, key: &Key, score: &Score, now: Instant) -> bool {
         if self.is_on_probation(key, now) {
             return score.events >= 1;
         }
-        score.events >= MIN_EVENTS && score.requests >= MIN_REQUESTS
+        let enough = score.events_with_head >= MIN_EVENTS || score.events >= MIN_HEADLESS_EVENTS;
+        enough && score.requests >= MIN_REQUESTS
     }
 
     fn is_on_probation(&self, key: &Key, now: Instant) -> bool {
@@ -440,3 +471,20 @@
             .retain(|key, _| requests.contains(&(key.service.as_str(), key.part)));
     }
 }
+
+/// Returns whether a request may have begun to run shortly before its target crashed: it had a head, or
+/// had not been there for long.
+fn is_close(exposure: &Exposure) -> bool {
+    !exposure.headless || exposure.waited_ms <= MAX_WAIT_MS
+}
+
+fn part_finding(score: &Score, key: Key, now: Instant) -> Finding {
+    Finding {
+        kind: Kind::Part,
+        key,
+        crashes: score.crashes,
+        events: score.events,
+        answered: score.answered,
+        until: now,
+    }
+}
--- a/crates/flamingo-guard/src/quarantine/suspect.rs
+++ b/crates/flamingo-guard/src/quarantine/suspect.rs
@@ -1,17 +1,16 @@
-//! What crashes say against one prompt part.
+//! What crashes say against one prompt part or whole request.
 
 use super::Key;
+use super::event::{Involvement, Timeline};
 use flamingo_wire::fingerprint::Fingerprint;
 use flamingo_wire::id;
 use flamingo_wire::prompt::{Exposure, PartId};
 use smallvec::SmallVec;
 use std::collections::{HashMap, HashSet};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 /// Requests at the point of writing beside which one answer is taken for an exception.
 const REQUESTS_PER_ANSWER: u32 = 4;
-/// Crashes that are no further apart count as one event.
-pub(super) const SAME_EVENT: Duration = Duration::from_millis(20);
 
 /// A crash, as the entries that saw it have reported it.
 #[derive(Debug)]
@@ -36,20 +35,36 @@
     pub answered_before: u32,
     /// Time from its sending to the crash, in milliseconds; the shortest if it was there twice.
     pub waited_ms: u64,
+    /// Whether it was sent there after another target had broken off under it.
+    pub follows: bool,
 }
 
 impl Record {
-    pub fn add_request(&mut self, request: Fingerprint, waited_ms: u64, answered_before: u32) {
-        let known = self.requests.entry(request).or_insert(Unanswered {
-            answered_before,
-            waited_ms,
-        });
-        known.waited_ms = known.waited_ms.min(waited_ms);
+    pub fn add_request(&mut self, request: Fingerprint, new: Unanswered) {
+        let known = self.requests.entry(request).or_insert(new);
+        known.waited_ms = known.waited_ms.min(new.waited_ms);
+        known.follows |= new.follows;
     }
 
     pub fn contains(&self, key: &Key) -> bool {
         self.service == key.service && self.answered_before.contains_key(&key.part)
     }
+
+    /// Returns whether a part or whole request was at the target.
+    pub fn involves(&self, key: &Key) -> bool {
+        self.contains(key) || (self.service == key.service && self.requests.contains_key(&key.part))
+    }
+}
+
+/// The most recent crashes of a part.
+#[derive(Clone, Copy, Debug, Default)]
+struct Tally {
+    crashes: usize,
+    events: usize,
+    /// Those of `events` in which a response to a request with the part had a head.
+    events_with_head: usize,
+    /// Requests that were answered since the first of these crashes.
+    answered: u32,
 }
 
 /// What speaks against a part.
@@ -58,10 +73,15 @@
     /// Crash events less answers.
     unanswered_events: i64,
     pub events: usize,
+    /// Those of `events` in which a response to a request with the part had a head.
+    pub events_with_head: usize,
     /// Different requests.
     pub requests: usize,
     /// Position in the prompt.
     depth: usize,
+    pub crashes: usize,
+    /// Requests that were answered since the first of these crashes.
+    pub answered: u32,
 }
 
 /// The crashes in which requests with one part were at the point of writing.
@@ -73,16 +93,18 @@
     /// Requests whose identity is not known; they count as different.
     unnamed: usize,
     /// In the order of their times.
-    crashes: Vec<Involvement<'a>>,
+    crashes: Vec<Requests<'a>>,
 }
 
 /// Requests with one part that were at the point of writing in one crash.
 #[derive(Debug)]
-struct Involvement<'a> {
-    crash: &'a Record,
+struct Requests<'a> {
+    involvement: Involvement<'a>,
     requests: u32,
     /// Those of `requests` whose first event had come.
     answered: u32,
+    /// Whether one of them had a head.
+    has_head: bool,
 }
 
 impl<'a> Suspect<'a> {
@@ -95,48 +117,59 @@
             None => self.unnamed += 1,
         }
         let known = self.crashes.last();
-        if known.is_none_or(|known| !std::ptr::eq(known.crash, crash)) {
-            self.crashes.push(Involvement {
-                crash,
+        if known.is_none_or(|known| !std::ptr::eq(known.involvement.crash, crash)) {
+            self.crashes.push(Requests {
+                involvement: Involvement::new(crash),
                 requests: 0,
                 answered: 0,
+                has_head: false,
             });
         }
-        if let Some(involvement) = self.crashes.last_mut() {
-            involvement.requests += 1;
-            involvement.answered += u32::from(exposure.answered);
+        if let Some(requests) = self.crashes.last_mut() {
+            requests
+                .involvement
+                .add(exposure.waited_ms, exposure.follows);
+            requests.requests += 1;
+            requests.answered += u32::from(exposure.answered);
+            requests.has_head |= !exposure.headless;
         }
     }
 
     /// Returns what the most recent crashes say together: as many as possible of those since which
     /// next to none of the part's requests was answered. `answered_now` is the number of answers
-    /// until now. Returns the number of these answers, too.
-    pub fn score(&self, part: PartId, answered_now: u32) -> (Score, u32) {
-        let mut events = 0;
+    /// until now.
+    pub fn score(&self, timeline: &Timeline<'_>, key: &Key, answered_now: u32) -> Score {
+        let mut tally = Tally::default();
         let mut requests = 0;
         let mut answered_requests = 0;
-        let mut best = (0, 0);
-        let mut later: Option<Instant> = None;
-        for involvement in self.crashes.iter().rev() {
-            let crash = involvement.crash;
-            let same_event = later.is_some_and(|at| at <= crash.at + SAME_EVENT);
-            events += usize::from(!same_event);
-            later = Some(crash.at);
-            requests += involvement.requests;
-            answered_requests += involvement.answered;
-            let before = crash.answered_before.get(&part).copied().unwrap_or(0);
-            let answered = answered_now.saturating_sub(before + answered_requests);
-            if answered <= requests / REQUESTS_PER_ANSWER {
-                best = (events, answered);
+        let mut best = Tally::default();
+        let mut later: Option<&Requests<'_>> = None;
+        for earlier in self.crashes.iter().rev() {
+            let is_event = later.is_none_or(|later| {
+                timeline.are_separate(key, &earlier.involvement, &later.involvement)
+            });
+            tally.crashes += 1;
+            tally.events += usize::from(is_event);
+            tally.events_with_head += usize::from(is_event && earlier.has_head);
+            later = Some(earlier);
+            requests += earlier.requests;
+            answered_requests += earlier.answered;
+            let before = earlier.involvement.crash.answered_before.get(&key.part);
+            let before = before.copied().unwrap_or(0);
+            tally.answered = answered_now.saturating_sub(before + answered_requests);
+            if tally.answered <= requests / REQUESTS_PER_ANSWER {
+                best = tally;
             }
         }
-        let (events, answered) = best;
-        let score = Score {
-            unanswered_events: i64::try_from(events).unwrap_or(i64::MAX) - i64::from(answered),
-            events,
+        let events = i64::try_from(best.events).unwrap_or(i64::MAX);
+        Score {
+            unanswered_events: events - i64::from(best.answered),
+            events: best.events,
+            events_with_head: best.events_with_head,
             requests: self.fingerprints.len() + self.unnamed,
             depth: self.depth,
-        };
-        (score, answered)
+            crashes: best.crashes,
+            answered: best.answered,
+        }
     }
 }
--- a/crates/flamingo-guard/tests/fleet.rs
+++ b/crates/flamingo-guard/tests/fleet.rs
@@ -20,6 +20,8 @@
 const STEPS_PER_S: u64 = 200;
 /// Time from the head of a response to its first event, or to the crash of its target.
 const TIME_TO_EVENT: Duration = Duration::from_millis(40);
+/// Time from the arrival of a request to the crash of its target, if that comes before the head.
+const TIME_TO_HARM: Duration = Duration::from_millis(20);
 /// Time that a target is down after a crash.
 const DOWN: Duration = Duration::from_secs(3);
 /// Time after its first event for which a request is at the point of writing.
@@ -43,6 +45,8 @@
     crash_together: usize,
     /// Position of the deadly part in the prompt.
     depth: usize,
+    /// Whether targets crash as they get the deadly part, before the head of their answer.
+    before_head: bool,
     /// When all processes are killed and start again, which then know nothing.
     killed_at: Option<Duration>,
 }
@@ -56,12 +60,14 @@
     crashes_per_min: 0,
     crash_together: 1,
     depth: 2,
+    before_head: false,
     killed_at: None,
 };
 
 /// A request that is running on a target, or is being read there.
 struct Running {
     parts: Parts,
+    sent_at: Duration,
     begins_at: Duration,
     ends_at: Duration,
     answered: bool,
@@ -163,6 +169,7 @@
         let ends_at = begins_at + Duration::from_millis(200) + self.random_ms(2_000);
         self.running[target].push(Running {
             parts,
+            sent_at: self.elapsed,
             begins_at,
             ends_at,
             answered: false,
@@ -175,6 +182,11 @@
         let mut running = std::mem::take(&mut self.running[target]);
         let mut crashes = false;
         for request in &mut running {
+            let has_come = elapsed >= request.sent_at + TIME_TO_HARM;
+            if self.scenario.before_head && has_come && request.parts.contains(&DEADLY) {
+                crashes = true;
+                continue;
+            }
             if request.answered || elapsed < request.begins_at + TIME_TO_EVENT {
                 continue;
             }
@@ -208,13 +220,14 @@
         self.up_at[target] = elapsed + DOWN;
         let struck = self.running[target].drain(..).filter(|request| {
             let first_event_at = request.begins_at + TIME_TO_EVENT;
-            elapsed >= request.begins_at && elapsed < first_event_at + POINT_OF_WRITING
+            elapsed < first_event_at + POINT_OF_WRITING
         });
         let exposures = struck.map(|request| Exposure {
             answered: request.answered,
             parts: request.parts,
-            request: None,
-            waited_ms: 40,
+            waited_ms: u64::try_from((elapsed - request.sent_at).as_millis()).expect("short"),
+            headless: elapsed < request.begins_at,
+            ..Exposure::default()
         });
         let crash = Crash {
             service: "s".into(),
@@ -327,6 +340,9 @@
         Scenario { deadly_permille: 0, crashes_per_min: 60, seconds: 3_000, ..QUIET };
     a_deadly_part_stays_known_where_all_processes_are_killed:
         Scenario { deadly_permille: 10, killed_at: Some(Duration::from_secs(25)), ..QUIET };
+    a_part_that_crashes_targets_before_the_head_is_found: Scenario { before_head: true, ..QUIET };
+    a_part_that_crashes_targets_before_the_head_is_found_while_targets_also_crash_at_random:
+        Scenario { before_head: true, crashes_per_min: 30, ..QUIET };
     a_deadly_part_is_found_in_a_large_fleet:
         Scenario { targets: 90, requests_per_s: 180, seconds: 600, ..QUIET };
 }
--- a/crates/flamingo-guard/tests/quarantine.rs
+++ b/crates/flamingo-guard/tests/quarantine.rs
@@ -1,6 +1,6 @@
 //! Single rules of the quarantine of prompt parts.
 
-use flamingo_guard::quarantine::{Key, Ledger, MIN_EVENTS, SETTLING_TIME};
+use flamingo_guard::quarantine::{Key, Ledger, MIN_EVENTS, MIN_HEADLESS_EVENTS, SETTLING_TIME};
 use flamingo_wire::prompt::{Answered, Crash, Exposure, PartId, Quarantine};
 use std::time::{Duration, Instant};
 
@@ -33,6 +33,18 @@
         self.ledger.record_crash("entry-1", &crash, self.now);
     }
 
+    /// A target crashes a second after the last event under a request that had no head yet.
+    fn crash_before_head(&mut self, parts: &[PartId], waited_ms: u64) {
+        self.crashes += 1;
+        self.now += SECOND;
+        let mut crash = crash(self.crashes, &[parts]);
+        for exposure in &mut crash.exposures {
+            exposure.headless = true;
+            exposure.waited_ms = waited_ms;
+        }
+        self.ledger.record_crash("entry-1", &crash, self.now);
+    }
+
     fn answer(&mut self, parts: &[PartId]) {
         let answered = Answered {
             service: "s".into(),
@@ -57,8 +69,8 @@
     let exposures = exposures.iter().map(|parts| Exposure {
         parts: (*parts).into(),
         answered: false,
-        request: None,
         waited_ms: 40,
+        ..Exposure::default()
     });
     Crash {
         service: "s".into(),
@@ -89,6 +101,22 @@
         assert_eq!(world.judge(), [DEADLY]);
     };
 
+    a_part_that_crashes_targets_before_the_head_takes_one_crash_more: |world| {
+        for _ in 1..MIN_HEADLESS_EVENTS {
+            world.crash_before_head(&[DEADLY], 20);
+            assert_eq!(world.judge(), []);
+        }
+        world.crash_before_head(&[DEADLY], 20);
+        assert_eq!(world.judge(), [DEADLY]);
+    };
+
+    a_part_that_waited_for_long_without_a_head_is_not_suspected: |world| {
+        for _ in 0..20 {
+            world.crash_before_head(&[DEADLY], 3_000);
+            assert_eq!(world.judge(), []);
+        }
+    };
+
     a_part_whose_requests_are_answered_is_sound: |world| {
         for _ in 0..20 {
             world.crash(SECOND, &[DEADLY]);
--- a/crates/flamingo-guard/tests/request.rs
+++ b/crates/flamingo-guard/tests/request.rs
@@ -34,20 +34,35 @@
     }
 
     fn crash_with(&mut self, requests: &[(Fingerprint, u64)], parts: &[PartId]) {
-        self.now += SECOND;
-        self.crashes += 1;
         let exposures = requests.iter().map(|(request, waited_ms)| Exposure {
             parts: Parts::from_slice(parts),
-            answered: false,
             request: Some(*request),
             waited_ms: *waited_ms,
+            ..Exposure::default()
+        });
+        self.crash_under(SECOND, exposures.collect());
+    }
+
+    /// A target crashes two milliseconds after the last event, under requests that were sent to it
+    /// once another target had broken off under them.
+    fn crash_next(&mut self, requests: &[Fingerprint]) {
+        let exposures = requests.iter().map(|request| Exposure {
+            request: Some(*request),
+            follows: true,
+            ..Exposure::default()
         });
+        self.crash_under(Duration::from_millis(2), exposures.collect());
+    }
+
+    fn crash_under(&mut self, gap: Duration, exposures: Vec<Exposure>) {
+        self.now += gap;
+        self.crashes += 1;
         let crash = Crash {
             service: "s".into(),
             target: "t".into(),
             incarnation: self.crashes,
             age_ms: 0,
-            exposures: exposures.collect(),
+            exposures,
         };
         let entry = format!("entry-{}", self.crashes % 3);
         self.ledger.record_crash(&entry, &crash, self.now);
@@ -86,6 +101,67 @@
         assert!(!world.is_quarantined(SOUND));
     };
 
+    crashes_within_milliseconds_of_tries_that_follow_each_other_count_each: |world| {
+        world.crash(&[(DEADLY, 0)]);
+        world.crash_next(&[DEADLY]);
+        assert_eq!(world.judge(), []);
+        world.crash(&[(DEADLY, 0)]);
+        assert_eq!(world.judge(), [DEADLY]);
+    };
+
+    one_caller_s_three_tries_within_milliseconds_suffice: |world| {
+        world.crash(&[(DEADLY, 0), (SOUND, 30)]);
+        world.crash_next(&[DEADLY]);
+        world.crash_next(&[DEADLY]);
+        assert_eq!(world.judge(), [DEADLY]);
+    };
+
+    crashes_of_one_moment_without_an_order_are_one_event: |world| {
+        for _ in 0..6 {
+            let exposure = Exposure {
+                request: Some(SOUND),
+                waited_ms: 40,
+                ..Exposure::default()
+            };
+            world.crash_under(Duration::from_millis(2), vec![exposure]);
+        }
+        assert_eq!(world.judge(), []);
+    };
+
+    a_rack_that_is_lost_under_a_request_and_its_retries_is_one_event: |world| {
+        world.crash(&[(SOUND, 40)]);
+        world.crash_next(&[SOUND]);
+        world.crash_next(&[SOUND]);
+        let other = Exposure {
+            request: Some(DEADLY),
+            waited_ms: 90,
+            ..Exposure::default()
+        };
+        world.crash_under(Duration::from_millis(2), vec![other]);
+        assert_eq!(world.judge(), []);
+    };
+
+    a_try_at_another_entry_that_was_sent_after_a_crash_counts_by_itself: |world| {
+        for _ in 0..3 {
+            let exposure = Exposure {
+                request: Some(DEADLY),
+                waited_ms: 3,
+                ..Exposure::default()
+            };
+            world.crash_under(Duration::from_millis(8), vec![exposure]);
+        }
+        assert_eq!(world.judge(), [DEADLY]);
+    };
+
+    of_requests_that_all_waited_for_no_time_none_stands_out: |world| {
+        for _ in 0..3 {
+            world.crash(&[(SOUND, 0), (DEADLY, 0)]);
+        }
+        assert_eq!(world.judge(), []);
+        world.crash(&[(DEADLY, 0)]);
+        assert_eq!(world.judge(), [DEADLY]);
+    };
+
     a_request_that_was_answered_since_is_sound: |world| {
         for _ in 0..20 {
             world.crash(&[(SOUND, 40)]);
@@ -181,6 +257,7 @@
         parts: &[],
         request,
         sent_at,
+        headless: false,
         answered_at: None,
     }
 }
@@ -205,6 +282,29 @@
     assert_eq!(again.answered_requests[0].requests, [SOUND]);
 }
 
+#[test]
+fn a_try_that_was_sent_after_a_broken_connection_says_so() {
+    let mut observer = Observer::default();
+    let now = Instant::now();
+    let lives = [
+        ("t".to_owned(), 1),
+        ("u".to_owned(), 1),
+        ("v".to_owned(), 1),
+    ];
+    // The third try was on its way when the second target broke off.
+    let sent_at = [now, now + SECOND, now + SECOND / 2];
+    for (life, sent_at) in lives.iter().zip(sent_at) {
+        observer.record_break(life, &interrupted(DEADLY, sent_at), sent_at + SECOND);
+        observer.record_crash(life, sent_at + SECOND);
+    }
+    let evidence = observer.take_evidence("leader", now + 2 * SECOND);
+    let follows = evidence
+        .crashes
+        .iter()
+        .map(|crash| crash.exposures[0].follows);
+    assert_eq!(follows.collect::<Vec<_>>(), [false, true, false]);
+}
+
 #[test]
 fn answered_requests_that_nobody_takes_are_bounded() {
     let mut observer = Observer::default();
--- a/crates/flamingo-route/src/router/crash.rs
+++ b/crates/flamingo-route/src/router/crash.rs
@@ -93,6 +93,7 @@
             parts: &parts,
             request: admitted.fingerprint,
             sent_at: in_flight.began,
+            headless: false,
             answered_at: in_flight.begun_at.filter(|_| is_answering),
         };
         if self.crashes.record_break(&life, &interrupted, now) {
--- a/crates/flamingo-serve/src/proxy/attempt.rs
+++ b/crates/flamingo-serve/src/proxy/attempt.rs
@@ -1,6 +1,7 @@
 //! Chooses a target and sends a request to it.
 
 use super::Proxy;
+use super::crash::Progress;
 use super::forward::Reply;
 use super::job::{AttemptError, Job};
 use super::load_guard::LoadGuard;
@@ -214,7 +215,7 @@
                 }
                 // A stream's head comes before its first event, so without one nothing was written.
                 if failure == Failure::Broken && job.route.kind != Kind::Stream {
-                    self.record_break(job, candidate, sent_at, None);
+                    self.record_break(job, candidate, sent_at, Progress::Nothing);
                 }
                 self.record_failure(&candidate.target, now);
                 AttemptError::MayHaveRun(Cause::Broken)
--- a/crates/flamingo-serve/src/proxy/begin.rs
+++ b/crates/flamingo-serve/src/proxy/begin.rs
@@ -1,6 +1,7 @@
 //! Begins the stream of a target: waits for its first event, and returns the response to the caller.
 
 use super::Proxy;
+use super::crash::Progress;
 use super::forward::Answered;
 use super::job::{AttemptError, Job};
 use super::load_guard::LoadGuard;
@@ -62,7 +63,7 @@
                 return Err(self.refuse_successor(job, target, last, cause.into()));
             }
             Next::Broken(_) => {
-                self.record_break(job, &candidate, source.response.sent_at, None);
+                self.record_break(job, &candidate, source.response.sent_at, Progress::Head);
                 return Err(AttemptError::MayHaveRun(Cause::Broken));
             }
             Next::TimedOut => return Err(AttemptError::MayHaveRun(Cause::Late)),
--- a/crates/flamingo-serve/src/proxy/crash.rs
+++ b/crates/flamingo-serve/src/proxy/crash.rs
@@ -10,7 +10,7 @@
 use flamingo_guard::observer::{Interrupted, Life};
 use flamingo_wire::fingerprint::Fingerprint;
 use flamingo_wire::prompt::PartId;
-use flamingo_wire::route::Route;
+use flamingo_wire::route::{Kind, Route};
 use http::Response;
 use slog::info;
 use std::rc::Rc;
@@ -24,6 +24,17 @@
 /// Time after a broken connection by which the probe of its target has ended.
 pub(super) const PROBE_DURATION: Duration = Duration::from_millis(330);
 
+/// How far the answer of a target had come when its connection broke.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Progress {
+    /// There was no head.
+    Nothing,
+    /// The head had come.
+    Head,
+    /// The first event had come at this time.
+    Event(Instant),
+}
+
 impl Proxy {
     /// Returns when the last quarantine of these parts and whole requests ends; `None` if there is none.
     pub(super) fn quarantined_until(&self, service: &str, parts: &[PartId]) -> Option<Instant> {
@@ -80,13 +91,13 @@
     }
 
     /// Records that the connection of a request broke, and probes the target if it may have crashed
-    /// under this request. `begun_at` is the time of the target's first event.
+    /// under this request.
     pub(super) fn record_break(
         self: &Rc<Self>,
         job: &Job,
         candidate: &Candidate,
         sent_at: Instant,
-        begun_at: Option<Instant>,
+        progress: Progress,
     ) {
         job.record_lost(candidate);
         let life = candidate.life();
@@ -95,7 +106,11 @@
             parts: &job.parts,
             request: job.fingerprint,
             sent_at,
-            answered_at: begun_at,
+            headless: progress == Progress::Nothing && job.route.kind == Kind::Stream,
+            answered_at: match progress {
+                Progress::Event(at) => Some(at),
+                Progress::Nothing | Progress::Head => None,
+            },
         };
         let mut crashes = self.topology.crashes.borrow_mut();
         let probes = crashes.record_break(&life, &request, Instant::now());
--- a/crates/flamingo-serve/src/proxy/forward.rs
+++ b/crates/flamingo-serve/src/proxy/forward.rs
@@ -2,6 +2,7 @@
 
 use super::Proxy;
 use super::begin::Begun;
+use super::crash::Progress;
 use super::job::{AttemptError, Job};
 use super::load_guard::LoadGuard;
 use crate::body::{Body, collect};
@@ -147,7 +148,7 @@
         let bytes = match collected {
             Ok(Ok(bytes)) if !bytes.is_empty() || states_empty_body(job, &head) => bytes,
             Ok(_) => {
-                self.record_break(job, &candidate, sent_at, None);
+                self.record_break(job, &candidate, sent_at, Progress::Head);
                 return Err(AttemptError::MayHaveRun(Cause::Broken));
             }
             Err(_) => return Err(AttemptError::MayHaveRun(Cause::Late)),
--- a/crates/flamingo-serve/src/proxy/stream.rs
+++ b/crates/flamingo-serve/src/proxy/stream.rs
@@ -3,6 +3,7 @@
 
 use super::Proxy;
 use super::begin::Begun;
+use super::crash::Progress;
 use super::job::Job;
 use super::load_guard::LoadGuard;
 use super::silence::{Winner, race};
@@ -122,7 +123,8 @@
         let source = self.source.as_ref().filter(|_| !cause.is_flaw());
         if let Some(sent_at) = source.map(|source| source.response.sent_at) {
             let proxy = &self.proxy;
-            proxy.record_break(&self.job, &self.candidate, sent_at, self.begun_at);
+            let progress = self.begun_at.map_or(Progress::Head, Progress::Event);
+            proxy.record_break(&self.job, &self.candidate, sent_at, progress);
         }
         self.resume().await.unwrap_or(next)
     }
--- a/crates/flamingo-serve/src/topology.rs
+++ b/crates/flamingo-serve/src/topology.rs
@@ -192,6 +192,7 @@
         for Finding {
             kind,
             key,
+            crashes: count,
             events,
             answered,
             until,
@@ -199,7 +200,8 @@
         {
             let kind: &str = kind.into();
             info!(self.log, "quarantined"; "kind" => kind, "service" => key.service,
-                "part" => format!("{:x}", key.part), "events" => events, "answered" => answered,
+                "part" => format!("{:x}", key.part), "crashes" => count, "events" => events,
+                "answered" => answered,
                 "for_ms" => (until - now).as_millis());
         }
         crashes.quarantined_until(service, parts, now)
--- a/crates/flamingo-wire/src/prompt.rs
+++ b/crates/flamingo-wire/src/prompt.rs
@@ -14,9 +14,9 @@
 /// Parts of one prompt that other prompts may contain as well, in order.
 pub type Parts = SmallVec<[PartId; 4]>;
 
-/// A request that was at the point of writing when its target crashed: its response had a head and
-/// no event, or its first event only just.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+/// A request that its target may have been about to answer when it crashed: it had no event, or its
+/// first event only just.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Exposure {
     /// Parts of its prompt.
     pub parts: Parts,
@@ -28,6 +28,13 @@
     /// Time from its sending to the crash, in milliseconds.
     #[serde(default)]
     pub waited_ms: u64,
+    /// Whether its stream had no head yet, so that it may just as well have waited for its turn.
+    #[serde(default)]
+    pub headless: bool,
+    /// Whether it was sent here after another target had broken off under it: the two crashes have no
+    /// common cause from outside, however close they are.
+    #[serde(default)]
+    pub follows: bool,
 }
 
 /// A crash of a target, as one entry saw it.
