A stream that crashes its target before the head of the answer is evidence

What callers saw: the same stream, or streams with one prompt part, crash target after target and are never known, where the crash comes before the head: 24 and 28 crashes in 14 s, 16 and 18 of them late.

Cause: 'without a head nothing was written' was taken for 'nothing ran'. A target that dies as it begins has written nothing, or what it wrote is lost in its buffers.

--- a/crates/flamingo-serve/src/proxy/attempt.rs
+++ b/crates/flamingo-serve/src/proxy/attempt.rs
@@ -9,7 +9,6 @@
 use crate::choice::{self, Candidate, Choice};
 use crate::exchange::{self, Expected, Failure, PendingResponse};
 use crate::wire::{Attempt, Cause, Pause, ResponseHead};
-use flamingo_wire::route::Kind;
 use http::{Request, Response, Uri};
 use http_body_util::Full;
 use slog::info;
@@ -213,8 +212,7 @@
                 if failure == Failure::Foreign {
                     self.distrust(job, &candidate.target, now);
                 }
-                // A stream's head comes before its first event, so without one nothing was written.
-                if failure == Failure::Broken && job.route.kind != Kind::Stream {
+                if failure == Failure::Broken {
                     self.record_break(job, candidate, sent_at, Progress::Nothing);
                 }
                 self.record_failure(&candidate.target, now);
