Evidence against what crashes targets outlives the processes, and is kept for longer

Cause: quarantines and evidence stood in the memory of the instance that got the reports; the others had the quarantines only, and a new leader was told of crashes again without the answers since.

Change: one ledger an instance, in its registry. The instance that entries report to pushes its evidence to the other control instances, with the answers counted since each crash; each writes it to a file (replaced, synced) and restores it at its start; a new follower gets it before the first target. Crashes count for 15 minutes; what was answered since is taken out of them, and a crash that speaks against nothing stays known for two minutes only, so that a second report adds nothing. When a probation ends, the crashes that its quarantine explained go with it. Entries are not sent the evidence. Ages stand still while a process is down: its clock may have been set.

--- a/crates/flamingo-control/src/controller/mod.rs
+++ b/crates/flamingo-control/src/controller/mod.rs
@@ -24,7 +24,6 @@
 use engine_api::{EngineClient, Operation, Order, Outcome};
 use flamingo_daemon::clock;
 use flamingo_guard::permits::Permits;
-use flamingo_guard::quarantine::Ledger;
 use flamingo_wire::control::{Permit, Push, Reply, Request};
 use flamingo_wire::fault::Reason;
 use flamingo_wire::route::{Engine, Set};
@@ -236,8 +235,6 @@
     engine_client: Rc<dyn EngineClient>,
     bounds: Bounds,
     term: RefCell<TermState>,
-    /// Evidence against prompt parts, from the reports of entries under any leadership.
-    evidence: RefCell<Ledger>,
     planning_pace: RefCell<Pace>,
     demand_log_limit: RefCell<LogRateLimit>,
     log: Logger,
@@ -251,7 +248,6 @@
         engine_client: options.engine_client,
         bounds: options.bounds,
         term: RefCell::default(),
-        evidence: RefCell::default(),
         planning_pace: RefCell::new(Pace::new(PLANNING_TIME_DIVISOR)),
         demand_log_limit: RefCell::default(),
         log: options.log,
--- a/crates/flamingo-control/src/daemon.rs
+++ b/crates/flamingo-control/src/daemon.rs
@@ -10,6 +10,7 @@
 use crate::raft_actor::{GetMembership, HandleRequest, Options, RaftActor, Stop};
 use crate::registry::Registry;
 use crate::software::{self, Gate, Passage};
+use crate::suspicions::{self, Keeper};
 use crate::watch::{MAX_FULL_TRANSFERS, Publisher, lock_registry};
 use actix::{Actor, Addr};
 use actix_web::web::Data;
@@ -205,6 +206,7 @@
         let controller = setup.controller.clone();
         let inner = setup.inner;
         let origins_folder = setup.data.join(ORIGINS_FOLDER);
+        let evidence = suspicions::File::new(&setup.data);
         let log = setup.log.clone();
         let raft_actor = build_raft_actor(setup)?;
         let origins = origins::Store::open(&origins_folder, log.clone())?;
@@ -214,6 +216,7 @@
         let raft_actor = raft_actor.start();
         let listener = TcpListener::bind(inner).await?;
         let registry = Arc::new(Mutex::new(Registry::default()));
+        let keeper = Keeper::open(evidence, Arc::clone(&registry), log.clone());
         let publisher = Publisher {
             seal: seal.clone(),
             raft_actor: raft_actor.clone(),
@@ -235,6 +238,7 @@
             log,
         };
         actix_rt::spawn(core.clone().adopt_software(software));
+        actix_rt::spawn(keeper.run());
         Ok(core)
     }
 
--- a/crates/flamingo-control/src/lib.rs
+++ b/crates/flamingo-control/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod raft_actor;
 pub mod registry;
 pub mod software;
+pub mod suspicions;
 pub mod transfer;
 pub mod watch;
 pub mod writer;
--- a/crates/flamingo-control/src/registry.rs
+++ b/crates/flamingo-control/src/registry.rs
@@ -7,11 +7,11 @@
 mod dispute;
 
 use dispute::{Disputes, Hiding};
-use flamingo_guard::quarantine::Ledger;
+use flamingo_guard::quarantine::{Finding, Ledger};
 use flamingo_wire::control::Push;
 use flamingo_wire::frame::{Frame, Seal};
 use flamingo_wire::id;
-use flamingo_wire::prompt::Quarantine;
+use flamingo_wire::prompt::{Dossier, Evidence, Quarantine};
 use flamingo_wire::target::{Registration, Residency};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, OnceLock};
@@ -22,6 +22,8 @@
 const PUSH_QUEUE: usize = 1_024;
 /// Time without a heartbeat after which a target is removed.
 const EXPIRY: Duration = Duration::from_secs(30);
+/// Time after an entry's last report by which entries report to another instance.
+const EVIDENCE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// A push for all followers, which is encoded and signed once.
 #[derive(Debug)]
@@ -84,8 +86,10 @@
     unchanged: BTreeSet<id::Target>,
     /// Targets whose heartbeats are outdated.
     disputes: Disputes,
-    /// Prompt parts that any control instance has quarantined.
-    quarantines: Ledger,
+    /// Evidence against what crashes targets, and what any control instance has quarantined.
+    ledger: Ledger,
+    /// When an entry last reported evidence to this instance; `None` if none has.
+    evidence_at: Option<Instant>,
     pushes: Sender<Arc<Broadcast>>,
 }
 
@@ -96,7 +100,8 @@
             targets: BTreeMap::new(),
             unchanged: BTreeSet::new(),
             disputes: Disputes::default(),
-            quarantines: Ledger::default(),
+            ledger: Ledger::default(),
+            evidence_at: None,
             pushes,
         }
     }
@@ -219,7 +224,7 @@
     pub fn publish_unchanged(&mut self, now: Instant) {
         self.targets
             .retain(|_, record| now < record.last_heartbeat + EXPIRY);
-        self.quarantines.remove_expired(now);
+        self.ledger.remove_expired(now);
         if !self.unchanged.is_empty() {
             let unchanged = std::mem::take(&mut self.unchanged);
             self.publish(Push::Unchanged(unchanged.into_iter().collect()));
@@ -231,16 +236,73 @@
         self.publish(Push::Residency(residencies));
     }
 
-    /// Publishes prompt parts that this instance has quarantined.
-    pub fn publish_quarantines(&mut self, now: Instant, quarantines: Vec<Quarantine>) {
-        self.quarantines.adopt(&quarantines, now);
-        self.publish(Push::Quarantines(quarantines));
+    /// Records what the entry `from` has seen of targets that crash, and publishes what the entry knows
+    /// to be quarantined and was not here.
+    pub fn record_evidence(&mut self, now: Instant, from: &str, evidence: &Evidence) {
+        self.evidence_at = Some(now);
+        if !self.ledger.record(from, evidence, now).is_empty() {
+            self.publish(Push::Quarantines(self.ledger.quarantines(now)));
+        }
+    }
+
+    /// Returns whether there is evidence that has not been judged and counts by now.
+    #[must_use]
+    pub fn is_judgement_due(&self, now: Instant) -> bool {
+        self.ledger.is_due(now)
+    }
+
+    /// Judges by the evidence, and publishes what this puts in quarantine.
+    pub fn judge(&mut self, now: Instant) -> Vec<Finding> {
+        let findings = self.ledger.judge(now);
+        if !findings.is_empty() {
+            self.publish(Push::Quarantines(self.ledger.quarantines(now)));
+        }
+        findings
     }
 
-    /// Returns the prompt parts that any control instance has quarantined.
+    /// Returns the part and the request against which most speaks, whether or not it suffices.
+    #[must_use]
+    pub fn leading_suspects(&self, now: Instant) -> Vec<Finding> {
+        self.ledger.leading(now)
+    }
+
+    /// Returns what any control instance has quarantined.
     #[must_use]
     pub fn quarantines(&self, now: Instant) -> Vec<Quarantine> {
-        self.quarantines.quarantines(now)
+        self.ledger.quarantines(now)
+    }
+
+    /// Returns all evidence against what crashes targets.
+    #[must_use]
+    pub fn dossier(&self, now: Instant) -> Dossier {
+        self.ledger.dossier(now)
+    }
+
+    /// Returns the number of changes of the evidence so far.
+    #[must_use]
+    pub fn evidence_revision(&self) -> u64 {
+        self.ledger.revision()
+    }
+
+    /// Returns whether there is any evidence or quarantine.
+    #[must_use]
+    pub fn has_evidence(&self) -> bool {
+        !self.ledger.is_empty()
+    }
+
+    /// Returns whether entries report their evidence to this instance.
+    #[must_use]
+    pub fn gets_evidence(&self, now: Instant) -> bool {
+        self.evidence_at
+            .is_some_and(|at| now < at + EVIDENCE_TIMEOUT)
+    }
+
+    /// Adopts the evidence of another instance, or of this one before its restart, and publishes what
+    /// was in no quarantine here.
+    pub fn restore_evidence(&mut self, now: Instant, dossier: &Dossier) {
+        if !self.ledger.restore(dossier, now).is_empty() {
+            self.publish(Push::Quarantines(self.ledger.quarantines(now)));
+        }
     }
 
     /// Sends a push to all followers of this instance.
@@ -280,8 +342,9 @@
                 }
             }
             Push::Quarantines(quarantines) => {
-                self.quarantines.adopt(quarantines, now);
+                self.ledger.adopt(quarantines, now);
             }
+            Push::Dossier(dossier) => self.restore_evidence(now, dossier),
             _ => {}
         }
     }
--- a/crates/flamingo-control/src/watch.rs
+++ b/crates/flamingo-control/src/watch.rs
@@ -108,6 +108,8 @@
     config_due: Instant,
     /// Transfer of the routes; `None` where the follower follows no routes and targets.
     routes: Option<Transfer>,
+    /// Whether the follower keeps the evidence against what crashes targets.
+    keeps_evidence: bool,
     out: Sender<Result<Frame, Status>>,
 }
 
@@ -132,6 +134,7 @@
             version: heartbeat.version,
             config_due: Instant::now(),
             routes: heartbeat.routes.map(Transfer::new),
+            keeps_evidence: heartbeat.keeps_evidence,
             out,
         };
         let mut updates = self.subscribe_targets(&stream).await;
@@ -197,20 +200,24 @@
         (heartbeat.node == frame.from).then_some(heartbeat)
     }
 
-    /// Sends the quarantined prompt parts and all known targets to a follower, in this order, so that
-    /// it uses no target before. Returns the receiver of later updates. Returns
+    /// Sends the quarantined prompt parts, with the evidence to one that keeps it, and all known targets
+    /// to a follower, in this order, so that it uses no target before. Returns the receiver of later updates. Returns
     /// `None` for a follower that follows no targets, or whose stream has ended.
     async fn subscribe_targets(&self, stream: &FollowerStream) -> Option<Updates> {
         stream.routes.as_ref()?;
-        let (all, quarantines, updates) = {
+        let (all, dossier, updates) = {
             let registry = lock_registry(&self.registry);
             let (all, updates) = registry.subscribe();
-            (all, registry.quarantines(Instant::now()), updates)
+            (all, registry.dossier(Instant::now()), updates)
         };
+        let quarantines = dossier.quarantines.clone();
         if !quarantines.is_empty() {
             let push = Push::Quarantines(quarantines);
             self.send_push(stream, &push).await?;
         }
+        if stream.keeps_evidence {
+            self.send_push(stream, &Push::Dossier(dossier)).await?;
+        }
         self.send_push(stream, &Push::Targets(all)).await?;
         Some(updates)
     }
@@ -223,6 +230,10 @@
 
     /// Sends a push for all followers; returns `None` where the stream has ended.
     async fn send_broadcast(&self, stream: &FollowerStream, update: &Broadcast) -> Option<()> {
+        let is_evidence = matches!(update.push(), Push::Dossier(_));
+        if is_evidence && !stream.keeps_evidence {
+            return Some(());
+        }
         send_frame(&stream.out, update.frame(&self.seal)?).await
     }
 
--- a/crates/flamingo-control/tests/watch.rs
+++ b/crates/flamingo-control/tests/watch.rs
@@ -61,6 +61,7 @@
         zone: "zone-a".into(),
         version,
         routes: None,
+        keeps_evidence: false,
     };
     seal.seal(to, &heartbeat, SystemTime::now()).unwrap()
 }
--- a/crates/flamingo-guard/src/quarantine.rs
+++ b/crates/flamingo-guard/src/quarantine.rs
@@ -16,6 +16,7 @@
 //! It answers a second load as well: a whole request that crashes each target that begins to run it
 //! and comes again, at any entry; see the module `request`.
 
+mod dossier;
 mod event;
 mod request;
 mod suspect;
@@ -25,7 +26,6 @@
 use flamingo_wire::id;
 use flamingo_wire::prompt::{Answered, Crash, Evidence, Exposure, PartId, Parts, Quarantine};
 use request::MAX_WAIT_MS;
-use smallvec::SmallVec;
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::time::{Duration, Instant};
 use strum::IntoStaticStr;
@@ -40,8 +40,13 @@
 const MIN_REQUESTS: usize = 2;
 /// Time after which a crash counts: entries report their answers several times in it.
 pub const SETTLING_TIME: Duration = Duration::from_millis(400);
-/// Time for which a crash counts.
-const CRASH_RETENTION: Duration = Duration::from_mins(1);
+/// Time for which a crash counts: a request that comes every few minutes must become known.
+const CRASH_RETENTION: Duration = Duration::from_mins(15);
+/// Time for which entries may report a crash; one that speaks against nothing any more is kept so long,
+/// so that a second report of it is known as such.
+const REPORT_RETENTION: Duration = Duration::from_mins(2);
+/// Answers since a crash beyond which it no longer speaks against a part.
+const CLEARING_ANSWERS: u32 = 16;
 /// Largest number of crashes that are kept; the oldest are dropped.
 const MAX_CRASHES: usize = 64;
 /// Largest number of requests that are kept of one crash.
@@ -123,6 +128,8 @@
     terms: BTreeMap<Key, Term>,
     /// When the next crash counts; `None` if all have been judged.
     judge_at: Option<Instant>,
+    /// Number of changes that an instance which takes over has to know.
+    revision: u64,
 }
 
 impl Ledger {
@@ -136,6 +143,7 @@
             };
             if let Some(total) = self.answered.get_mut(&key) {
                 *total = total.saturating_add(*count);
+                self.revision += 1;
             }
         }
     }
@@ -151,6 +159,7 @@
         };
         if let Some(total) = self.answered_requests.get_mut(&key) {
             *total = total.saturating_add(1);
+            self.revision += 1;
         }
     }
 
@@ -210,16 +219,14 @@
         if crash.exposures.is_empty() || now >= at + CRASH_RETENTION {
             return;
         }
-        let mut known = self.crashes.iter();
-        let index = known.position(|known| {
-            known.target == crash.target && known.incarnation == crash.incarnation
-        });
-        let index = index.unwrap_or_else(|| self.insert(crash, at));
+        let known = self.position(crash);
+        let index = known.unwrap_or_else(|| self.insert(Record::new(crash, at)));
         let record = &mut self.crashes[index];
         if record.reporters.iter().any(|reporter| reporter == from) {
             return;
         }
         record.reporters.push(from.to_owned());
+        self.revision += 1;
         let counts_at = (record.at + SETTLING_TIME).max(now);
         self.judge_at = Some(self.judge_at.map_or(counts_at, |at| at.min(counts_at)));
         let room = MAX_EXPOSURES.saturating_sub(record.exposures.len());
@@ -251,19 +258,16 @@
         self.remove_excess();
     }
 
-    /// Inserts a crash without exposures in the order of time, and returns its index.
-    fn insert(&mut self, crash: &Crash, at: Instant) -> usize {
-        let index = self.crashes.partition_point(|known| known.at <= at);
-        let record = Record {
-            service: crash.service.clone(),
-            target: crash.target.clone(),
-            incarnation: crash.incarnation,
-            at,
-            reporters: SmallVec::new(),
-            exposures: Vec::new(),
-            answered_before: HashMap::new(),
-            requests: HashMap::new(),
-        };
+    /// Returns the index of a crash that is known.
+    fn position(&self, crash: &Crash) -> Option<usize> {
+        self.crashes.iter().position(|known| {
+            known.target == crash.target && known.incarnation == crash.incarnation
+        })
+    }
+
+    /// Inserts a crash in the order of time, and returns its index.
+    fn insert(&mut self, record: Record) -> usize {
+        let index = self.crashes.partition_point(|known| known.at <= record.at);
         self.crashes.insert(index, record);
         index
     }
@@ -289,6 +293,7 @@
             let length = length.unwrap_or(FIRST_QUARANTINE).min(MAX_QUARANTINE);
             let term = Term::new(now, length);
             self.terms.insert(finding.key.clone(), term);
+            self.revision += 1;
             findings.push(Finding {
                 until: term.until,
                 ..finding
@@ -403,6 +408,7 @@
             }
             if known.is_none_or(|known| known.until < term.until) {
                 self.terms.insert(key, term);
+                self.revision += 1;
             }
         }
         self.remove_excess();
@@ -425,19 +431,87 @@
 
     /// Removes crashes, answers and quarantines that no longer count.
     pub fn remove_expired(&mut self, now: Instant) {
-        self.terms.retain(|_, term| now < term.probation_until);
+        self.remove_ended_terms(now);
+        self.remove_cleared();
         let before = self.crashes.len();
-        self.crashes
-            .retain(|crash| now < crash.at + CRASH_RETENTION);
+        self.crashes.retain(|crash| {
+            let retention = if crash.speaks_against_nothing() {
+                REPORT_RETENTION
+            } else {
+                CRASH_RETENTION
+            };
+            now < crash.at + retention
+        });
         if self.crashes.len() < before {
+            self.revision += 1;
+            self.remove_answers();
+        }
+    }
+
+    /// Removes the quarantines whose probation has ended, with the crashes that they explained.
+    fn remove_ended_terms(&mut self, now: Instant) {
+        let ended = self
+            .terms
+            .extract_if(.., |_, term| now >= term.probation_until);
+        for (key, term) in ended {
+            self.crashes
+                .retain(|crash| crash.at >= term.until || !crash.involves(&key));
+        }
+    }
+
+    /// Removes from crashes the parts and requests that were answered since.
+    fn remove_cleared(&mut self) {
+        let mut has_cleared = false;
+        for crash in &mut self.crashes {
+            let Record {
+                service,
+                exposures,
+                answered_before,
+                requests,
+                ..
+            } = crash;
+            let key = |part: u64| Key {
+                service: service.clone(),
+                part,
+            };
+            let before = (answered_before.len(), requests.len());
+            answered_before.retain(|part, before| {
+                let now = self.answered.get(&key(*part)).copied().unwrap_or(0);
+                now <= before.saturating_add(CLEARING_ANSWERS)
+            });
+            requests.retain(|request, unanswered| {
+                let now = self.answered_requests.get(&key(*request));
+                now.copied().unwrap_or(0) == unanswered.answered_before
+            });
+            if before == (answered_before.len(), requests.len()) {
+                continue;
+            }
+            has_cleared = true;
+            for exposure in exposures.iter_mut() {
+                exposure
+                    .parts
+                    .retain(|part| answered_before.contains_key(part));
+            }
+            exposures.retain(|exposure| {
+                let mut request = exposure.request.iter();
+                !exposure.parts.is_empty() || request.any(|request| requests.contains_key(request))
+            });
+        }
+        if has_cleared {
+            self.revision += 1;
             self.remove_answers();
         }
     }
 
     /// Removes the oldest crashes and the quarantines that end first, beyond the largest numbers.
+    /// Crashes that speak against nothing any more go before the others.
     fn remove_excess(&mut self) {
         if self.crashes.len() > MAX_CRASHES {
-            self.crashes.drain(..self.crashes.len() - MAX_CRASHES);
+            self.remove_cleared();
+            while self.crashes.len() > MAX_CRASHES {
+                let cleared = self.crashes.iter().position(Record::speaks_against_nothing);
+                self.crashes.remove(cleared.unwrap_or(0));
+            }
             self.remove_answers();
         }
         while self.terms.len() > MAX_TERMS {
--- a/crates/flamingo-guard/src/quarantine/suspect.rs
+++ b/crates/flamingo-guard/src/quarantine/suspect.rs
@@ -4,7 +4,7 @@
 use super::event::{Involvement, Timeline};
 use flamingo_wire::fingerprint::Fingerprint;
 use flamingo_wire::id;
-use flamingo_wire::prompt::{Exposure, PartId};
+use flamingo_wire::prompt::{Crash, Exposure, PartId};
 use smallvec::SmallVec;
 use std::collections::{HashMap, HashSet};
 use std::time::Instant;
@@ -40,6 +40,20 @@
 }
 
 impl Record {
+    /// Returns the record of a crash without its requests.
+    pub fn new(crash: &Crash, at: Instant) -> Self {
+        Self {
+            service: crash.service.clone(),
+            target: crash.target.clone(),
+            incarnation: crash.incarnation,
+            at,
+            reporters: SmallVec::new(),
+            exposures: Vec::new(),
+            answered_before: HashMap::new(),
+            requests: HashMap::new(),
+        }
+    }
+
     pub fn add_request(&mut self, request: Fingerprint, new: Unanswered) {
         let known = self.requests.entry(request).or_insert(new);
         known.waited_ms = known.waited_ms.min(new.waited_ms);
@@ -50,6 +64,11 @@
         self.service == key.service && self.answered_before.contains_key(&key.part)
     }
 
+    /// Returns whether all that was at the target has been answered since.
+    pub fn speaks_against_nothing(&self) -> bool {
+        self.answered_before.is_empty() && self.requests.is_empty()
+    }
+
     /// Returns whether a part or whole request was at the target.
     pub fn involves(&self, key: &Key) -> bool {
         self.contains(key) || (self.service == key.service && self.requests.contains_key(&key.part))
--- a/crates/flamingo-guard/tests/request.rs
+++ b/crates/flamingo-guard/tests/request.rs
@@ -162,6 +162,28 @@
         assert_eq!(world.judge(), [DEADLY]);
     };
 
+    a_request_that_comes_once_in_some_minutes_becomes_known: |world| {
+        for _ in 0..2 {
+            world.crash(&[(DEADLY, 40)]);
+            world.now += Duration::from_secs(200);
+            world.ledger.remove_expired(world.now);
+        }
+        world.crash(&[(DEADLY, 40)]);
+        assert_eq!(world.judge(), [DEADLY]);
+    };
+
+    a_request_that_is_rare_is_not_forgotten_over_many_ordinary_crashes: |world| {
+        for number in 0..3 {
+            world.crash(&[(DEADLY, 40)]);
+            for other in 0..40 {
+                let sound = 10_000 + 100 * number + other;
+                world.crash(&[(sound, 40)]);
+                world.ledger.record_answered_request("s", sound);
+            }
+        }
+        assert_eq!(world.judge(), [DEADLY]);
+    };
+
     a_request_that_was_answered_since_is_sound: |world| {
         for _ in 0..20 {
             world.crash(&[(SOUND, 40)]);
--- a/crates/flamingo-link/src/subscription.rs
+++ b/crates/flamingo-link/src/subscription.rs
@@ -35,6 +35,10 @@
     /// Returns the version of the routes in force, or 0 where there are none. Heartbeats carry it,
     /// so that instances do not push routes that are already in force.
     fn routes_version(&self) -> id::Version;
+    /// Returns whether pushes of evidence against what crashes targets are wanted.
+    fn keeps_evidence(&self) -> bool {
+        false
+    }
     /// Handles a push of the instance at `from`.
     fn on_push(&self, from: SocketAddr, push: Push);
     /// Handles the end of the stream from the instance at `from`.
@@ -180,6 +184,7 @@
             zone: self.identity.zone.clone(),
             version: 0,
             routes: Some(self.handler.routes_version()),
+            keeps_evidence: self.handler.keeps_evidence(),
         };
         let seal = &self.identity.seal;
         if let Ok(frame) = seal.seal(&address.to_string(), &heartbeat, SystemTime::now()) {
--- a/crates/flamingo-wire/src/control.rs
+++ b/crates/flamingo-wire/src/control.rs
@@ -90,6 +90,9 @@
     /// `None` means that the follower subscribes to neither routes nor targets.
     #[serde(default)]
     pub routes: Option<id::Version>,
+    /// Whether the follower keeps the evidence against what crashes targets.
+    #[serde(default)]
+    pub keeps_evidence: bool,
 }
 
 /// A message from a control instance to its followers, sent at least once a second.
@@ -116,6 +119,8 @@
     Peers(Peers),
     /// Prompt parts that requests must not contain.
     Quarantines(Vec<prompt::Quarantine>),
+    /// Evidence against what crashes targets, for followers that keep it.
+    Dossier(prompt::Dossier),
 }
 
 /// The processes of the system.
--- a/crates/flamingo-wire/src/prompt.rs
+++ b/crates/flamingo-wire/src/prompt.rs
@@ -38,7 +38,7 @@
 }
 
 /// A crash of a target, as one entry saw it.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Crash {
     /// The target's service.
     pub service: id::Service,
@@ -86,6 +86,28 @@
     pub quarantines: Vec<Quarantine>,
 }
 
+/// A crash of a target with what it still speaks against.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Suspicion {
+    /// The crash, with the requests of all entries that reported it.
+    pub crash: Crash,
+    /// The entries that reported it.
+    pub reporters: Vec<id::Node>,
+    /// How many requests with each part were answered since.
+    pub answered: Vec<(PartId, u32)>,
+    /// The requests that were never answered since.
+    pub unanswered: Vec<Fingerprint>,
+}
+
+/// All evidence of one instance, for one that takes over from it or restarts.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Dossier {
+    /// The crashes, the oldest first.
+    pub suspicions: Vec<Suspicion>,
+    /// The parts and requests in quarantine.
+    pub quarantines: Vec<Quarantine>,
+}
+
 /// A part that requests must not contain, or a whole request that must not be sent.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Quarantine {
