New connections to an entry that stops are answered

Cause: each connection was closed gracefully as soon as the entry no longer takes requests, also one that was only just accepted and whose first request is still on its way.

Change: a connection that begins in that stage is served: the refusal of its first request closes it.

Test: stop.rs, two cases; on the code before: 'panicked at stop.rs: 1:' (an empty answer) in both.

--- a/crates/flamingo-serve/src/server.rs
+++ b/crates/flamingo-serve/src/server.rs
@@ -180,7 +180,7 @@
 }
 
 /// Serves one connection until it ends, and closes it gracefully once the stage is
-/// [`Stage::Closing`].
+/// [`Stage::Closing`]. A connection that begins later is closed by the response to its first request.
 async fn serve_connection(
     io: TokioIo<tokio::net::TcpStream>,
     handler: Rc<dyn Handler>,
@@ -203,6 +203,7 @@
         }
     });
     let mut stage = drain.stage.subscribe();
+    let is_late = *stage.borrow() >= Stage::Closing;
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout)
@@ -210,6 +211,9 @@
         .max_headers(MAX_HEADERS)
         .serve_connection(io, service);
     let mut connection = std::pin::pin!(connection);
+    if is_late {
+        return connection.await;
+    }
     tokio::select! {
         ended = connection.as_mut() => return ended,
         // `wait_for` does not fail: the sender lives as long as the process.
