An entry that stops takes only what it can finish

Cause: the stop bounded when requests are taken, but not how long they may last.

Change: the stop has a time at which it ends. A request whose caller and route would wait longer is refused with 503 and Retry-After 0, which is true: other entries serve. What is still in flight at the end (it came before the stop) is answered with 504, or with 503 if it was sent nowhere, before the process ends.

Test: stop.rs; with the rule taken out, two cases are passed on ('HTTP/1.1 200 OK'), with the last answer taken out 'the process ended without an answer'.

--- a/crates/flamingo-serve/src/lifecycle.rs
+++ b/crates/flamingo-serve/src/lifecycle.rs
@@ -16,9 +16,10 @@
 /// Time after the start of the shutdown during which new callers are still accepted: long enough
 /// for a load balancer to poll the readiness of this entry twice.
 const ACCEPT_GRACE: Duration = Duration::from_millis(2_300);
-/// Time before the end of the grace period at which the process exits even if requests are still
-/// in progress.
+/// Time before the end of the grace period at which requests that are still in flight are given up.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
+/// Time in which the answers to these are written.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(100);
 /// Interval for checking whether connections are still open.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -68,18 +69,24 @@
 
 /// Shuts the entry down within `grace`, and returns once the process may exit.
 ///
-/// New callers are accepted until the load balancer has seen that this entry is not ready. Then
-/// idle connections are closed, and the function returns when the last connection has closed or
-/// shortly before `grace` is over.
+/// New callers are accepted until the load balancer has seen that this entry is not ready, if their
+/// requests end in time. Then idle connections are closed, and the function returns when the last
+/// connection has closed or shortly before `grace` is over.
 pub async fn shut_down(drain: &Drain, grace: Duration) {
-    drain.enter_stage(Stage::Draining);
-    let started_at = Instant::now();
-    let exit_at = started_at + grace.saturating_sub(EXIT_MARGIN);
+    let ends_at = Instant::now() + grace.saturating_sub(EXIT_MARGIN);
+    drain.begin(ends_at);
     tokio::time::sleep(ACCEPT_GRACE.min(grace / 2)).await;
     drain.enter_stage(Stage::Closing);
     // Bytes written last may still be in the buffers of the process.
     tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
-    while Instant::now() < exit_at && drain.open_connections() > 0 {
+    wait_for_connections(drain, ends_at).await;
+    drain.enter_stage(Stage::Ending);
+    wait_for_connections(drain, Instant::now() + LAST_ANSWERS_TIME).await;
+}
+
+/// Waits until no connection is open, until `deadline` at the latest.
+async fn wait_for_connections(drain: &Drain, deadline: Instant) {
+    while Instant::now() < deadline && drain.open_connections() > 0 {
         tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
 }
--- a/crates/flamingo-serve/src/proxy.rs
+++ b/crates/flamingo-serve/src/proxy.rs
@@ -15,6 +15,7 @@
 mod resumption;
 mod retry;
 mod silence;
+mod stop;
 mod stream;
 mod successor;
 mod version;
@@ -150,7 +151,7 @@
                 return self.refuse(Refusal::new(Cause::Unreadable), None);
             }
         };
-        if self.drain.stage() == Stage::Closing {
+        if self.drain.stage() >= Stage::Closing {
             let refusal = Refusal {
                 cause: Cause::Stopping,
                 retry_after: Some(Duration::ZERO),
@@ -176,6 +177,9 @@
         let max_wait = request.max_wait.unwrap_or(DEFAULT_MAX_WAIT);
         let timeout = Duration::from_millis(route.timeout_ms) + RESPONSE_GRACE;
         let deadline = arrived_at + max_wait.min(timeout);
+        if self.may_outlast_stop(&route, deadline) {
+            return self.refuse_stopping(&route, &request, deadline);
+        }
         let max_bytes = routes.set.limits.body_bytes;
         let body = match timeout_at(deadline.into(), collect(body, max_bytes)).await {
             Ok(Ok(body)) => body,
@@ -227,10 +231,19 @@
         self.run(Rc::new(job)).await
     }
 
-    /// Sends a request to targets until one responds or no further attempt is allowed.
+    /// Returns the response of a target, or gives up at the end of the process.
     async fn run(self: Rc<Self>, job: Rc<Job>) -> Response<Body> {
+        tokio::select! {
+            biased;
+            response = self.try_targets(&job) => response,
+            () = self.drain.reach(Stage::Ending) => self.give_up_at_end(&job),
+        }
+    }
+
+    /// Sends a request to targets until one responds or no further attempt is allowed.
+    async fn try_targets(self: &Rc<Self>, job: &Rc<Job>) -> Response<Body> {
         loop {
-            let error = match self.attempt(&job).await {
+            let error = match self.attempt(job).await {
                 Ok(response) => return response,
                 Err(error) => error,
             };
@@ -238,17 +251,17 @@
             let now = Instant::now();
             let expired = now >= job.deadline;
             let cause = match error {
-                AttemptError::NoAlternative(cause) => return self.give_up(&job, cause),
+                AttemptError::NoAlternative(cause) => return self.give_up(job, cause),
                 AttemptError::QueueTooLong(delay) => {
                     info!(self.log, "no room"; "request" => &job.request.attempt_id,
                         "wait_ms" => delay.as_millis());
-                    return self.give_up(&job, Cause::NoRoom);
+                    return self.give_up(job, Cause::NoRoom);
                 }
                 AttemptError::NotRun(cause) | AttemptError::MayHaveRun(cause) => cause,
             };
             let repeatable = !job.may_have_run.get() || job.route.repeatable();
-            if expired || !repeatable || !self.try_retry(&job, now) {
-                return self.give_up(&job, cause);
+            if expired || !repeatable || !self.try_retry(job, now) {
+                return self.give_up(job, cause);
             }
         }
     }
--- a/crates/flamingo-serve/src/server.rs
+++ b/crates/flamingo-serve/src/server.rs
@@ -15,7 +15,7 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
@@ -66,16 +66,20 @@
 pub enum Stage {
     /// The process is not shutting down.
     Serving,
-    /// Requests are accepted, and each response closes its connection.
+    /// Requests that end in time are accepted, and each response closes its connection.
     Draining,
     /// Idle connections are closed, and requests are refused.
     Closing,
+    /// Requests that are still in flight are answered with a failure.
+    Ending,
 }
 
 /// Stage of the shutdown, with the number of open connections and of requests in flight.
 #[derive(Debug)]
 pub struct Drain {
     stage: watch::Sender<Stage>,
+    /// When the process ends; `None` while it is not shutting down.
+    ends_at: Cell<Option<Instant>>,
     open_connections: Cell<usize>,
     requests_in_flight: Cell<usize>,
 }
@@ -84,6 +88,7 @@
     fn default() -> Self {
         Self {
             stage: watch::channel(Stage::Serving).0,
+            ends_at: Cell::default(),
             open_connections: Cell::new(0),
             requests_in_flight: Cell::new(0),
         }
@@ -91,6 +96,25 @@
 }
 
 impl Drain {
+    /// Begins the shutdown. Requests in flight at `ends_at` are given up.
+    pub fn begin(&self, ends_at: Instant) {
+        self.ends_at.set(Some(ends_at));
+        self.enter_stage(Stage::Draining);
+    }
+
+    /// Returns when requests in flight are given up; `None` while the process is not shutting down.
+    #[must_use]
+    pub fn ends_at(&self) -> Option<Instant> {
+        self.ends_at.get()
+    }
+
+    /// Waits until a stage is reached.
+    pub async fn reach(&self, stage: Stage) {
+        let mut stages = self.stage.subscribe();
+        // `wait_for` does not fail: the sender lives as long as the process.
+        let _ = stages.wait_for(|reached| *reached >= stage).await;
+    }
+
     /// Sets the stage and notifies all connections.
     pub fn enter_stage(&self, stage: Stage) {
         self.stage.send_replace(stage);
@@ -202,8 +226,7 @@
             Ok::<_, Infallible>(response)
         }
     });
-    let mut stage = drain.stage.subscribe();
-    let is_late = *stage.borrow() >= Stage::Closing;
+    let is_late = drain.stage() >= Stage::Closing;
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout)
@@ -216,8 +239,7 @@
     }
     tokio::select! {
         ended = connection.as_mut() => return ended,
-        // `wait_for` does not fail: the sender lives as long as the process.
-        _ = stage.wait_for(|stage| *stage == Stage::Closing) => {}
+        () = drain.reach(Stage::Closing) => {}
     }
     connection.as_mut().graceful_shutdown();
     connection.await
