--- a/crates/flamingo-guard/src/quarantine.rs
+++ b/crates/flamingo-guard/src/quarantine.rs
@@ -344,7 +344,7 @@
                 part,
             };
             let answered = self.answered.get(&key).copied().unwrap_or(0);
-            (suspect.score(&timeline, &key, answered), key)
+            (suspect.score(timeline, &key, answered), key)
         });
         scored.collect()
     }
--- a/crates/flamingo-guard/src/quarantine/event.rs
+++ b/crates/flamingo-guard/src/quarantine/event.rs
@@ -46,7 +46,7 @@
 impl Timeline<'_> {
     /// Returns whether two crashes that `key` was involved in are two events.
     pub fn are_separate(
-        &self,
+        self,
         key: &Key,
         earlier: &Involvement<'_>,
         later: &Involvement<'_>,
@@ -62,7 +62,7 @@
 
     /// Returns whether no target crashed at the moment of these crashes without `key`.
     fn crashed_only_under(
-        &self,
+        self,
         key: &Key,
         earlier: &Involvement<'_>,
         later: &Involvement<'_>,
--- a/crates/flamingo-guard/src/quarantine/request.rs
+++ b/crates/flamingo-guard/src/quarantine/request.rs
@@ -35,7 +35,7 @@
 
 impl<'a> Suspect<'a> {
     /// Adds a crash that is earlier than those before.
-    fn add(&mut self, timeline: &Timeline<'_>, key: &Key, crash: &'a Record, request: Unanswered) {
+    fn add(&mut self, timeline: Timeline<'_>, key: &Key, crash: &'a Record, request: Unanswered) {
         let mut involvement = Involvement::new(crash);
         involvement.add(request.waited_ms, request.follows);
         let later = self.earliest.replace(involvement);
@@ -116,7 +116,7 @@
                     continue;
                 }
                 let suspect = suspects.entry(key.clone()).or_default();
-                suspect.add(&timeline, &key, crash, *unanswered);
+                suspect.add(timeline, &key, crash, *unanswered);
             }
         }
         suspects
--- a/crates/flamingo-guard/src/quarantine/suspect.rs
+++ b/crates/flamingo-guard/src/quarantine/suspect.rs
@@ -119,8 +119,8 @@
 #[derive(Debug)]
 struct Requests<'a> {
     involvement: Involvement<'a>,
-    requests: u32,
-    /// Those of `requests` whose first event had come.
+    count: u32,
+    /// Those of `count` whose first event had come.
     answered: u32,
     /// Whether one of them had a head.
     has_head: bool,
@@ -139,7 +139,7 @@
         if known.is_none_or(|known| !std::ptr::eq(known.involvement.crash, crash)) {
             self.crashes.push(Requests {
                 involvement: Involvement::new(crash),
-                requests: 0,
+                count: 0,
                 answered: 0,
                 has_head: false,
             });
@@ -148,7 +148,7 @@
             requests
                 .involvement
                 .add(exposure.waited_ms, exposure.follows);
-            requests.requests += 1;
+            requests.count += 1;
             requests.answered += u32::from(exposure.answered);
             requests.has_head |= !exposure.headless;
         }
@@ -157,7 +157,7 @@
     /// Returns what the most recent crashes say together: as many as possible of those since which
     /// next to none of the part's requests was answered. `answered_now` is the number of answers
     /// until now.
-    pub fn score(&self, timeline: &Timeline<'_>, key: &Key, answered_now: u32) -> Score {
+    pub fn score(&self, timeline: Timeline<'_>, key: &Key, answered_now: u32) -> Score {
         let mut tally = Tally::default();
         let mut requests = 0;
         let mut answered_requests = 0;
@@ -171,7 +171,7 @@
             tally.events += usize::from(is_event);
             tally.events_with_head += usize::from(is_event && earlier.has_head);
             later = Some(earlier);
-            requests += earlier.requests;
+            requests += earlier.count;
             answered_requests += earlier.answered;
             let before = earlier.involvement.crash.answered_before.get(&key.part);
             let before = before.copied().unwrap_or(0);
--- a/crates/flamingo-guard/tests/fleet.rs
+++ b/crates/flamingo-guard/tests/fleet.rs
@@ -230,7 +230,8 @@
         let exposures = struck.map(|request| Exposure {
             answered: request.answered,
             parts: request.parts,
-            waited_ms: u64::try_from((elapsed - request.sent_at).as_millis()).expect("short"),
+            waited_ms: u64::try_from(elapsed.saturating_sub(request.sent_at).as_millis())
+                .expect("short"),
             headless: elapsed < request.begins_at,
             ..Exposure::default()
         });
