A disk without room is not a broken one

What callers saw: control instances whose disks were full for a few seconds each, one after another, ended by themselves with code 1 some 3 s later; where nobody starts them again, three full disks in turn leave no control. The product's own daemon stays, and acknowledges nothing until a restart.

Cause: any failed write was final. A lack of room passes: a write that was refused whole or in part can be taken back to the last synced record and made again.

A failed sync stays final. Lines and a metric say when a disk is full and when there is room.

--- a/crates/flamingo-control/src/metrics.rs
+++ b/crates/flamingo-control/src/metrics.rs
@@ -28,6 +28,8 @@
     pub followers: IntGauge,
     /// 1 once the disk has failed.
     pub disk_failed: IntGauge,
+    /// 1 while the disk has no room.
+    pub disk_full: IntGauge,
     /// Commands proposed to the log by this instance.
     pub proposals: IntCounter,
     /// Time from the proposal of a command to the reply, in seconds.
@@ -73,6 +75,8 @@
             )?,
             disk_failed: registry
                 .gauge("flamingo_control_disk_failed", "1 once the disk has failed")?,
+            disk_full: registry
+                .gauge("flamingo_control_disk_full", "1 while the disk has no room")?,
             proposals: registry.counter(
                 "flamingo_control_proposals_total",
                 "commands proposed by this instance",
--- a/crates/flamingo-control/src/raft_actor.rs
+++ b/crates/flamingo-control/src/raft_actor.rs
@@ -293,6 +293,7 @@
         metrics.orders_outstanding.set(number(outstanding as u64));
         metrics.followers.set(number(self.followers.len() as u64));
         metrics.disk_failed.set(i64::from(self.raft.disk_failed()));
+        metrics.disk_full.set(i64::from(self.raft.disk_full()));
     }
 }
 
--- a/crates/flamingo-control/src/raft_actor/messages.rs
+++ b/crates/flamingo-control/src/raft_actor/messages.rs
@@ -9,7 +9,7 @@
 use flamingo_state::{Command, State};
 use flamingo_wire::control::{Heartbeat, Reply, Request};
 use flamingo_wire::{Fault, id};
-use slog::{error, info};
+use slog::{error, info, warn};
 use std::net::SocketAddr;
 
 /// A message of the log from another member.
@@ -113,7 +113,17 @@
     fn handle(&mut self, WriterReport(event): WriterReport, _: &mut Self::Context) {
         let now = clock::now();
         match event {
-            writer::Event::Synced(count) => self.raft.synced(now, count),
+            writer::Event::Synced(count) => {
+                if self.raft.disk_full() {
+                    info!(self.log, "there is room on the disk again");
+                }
+                self.raft.synced(now, count);
+            }
+            writer::Event::Full(error) => {
+                warn!(self.log, "the disk is full; this instance neither leads nor votes until there is room";
+                    "error" => %error);
+                self.raft.fill_disk(now);
+            }
             writer::Event::Failed(error) => {
                 error!(self.log, "the disk failed; nothing is acknowledged until a restart";
                     "error" => %error);
--- a/crates/flamingo-log/src/disk.rs
+++ b/crates/flamingo-log/src/disk.rs
@@ -17,6 +17,11 @@
             display("{}: {err}; free or replace the disk, then restart", path.display())
             source(err)
         }
+        /// The disk has no room for a write. Nothing of it was kept.
+        Full(path: PathBuf, err: io::Error) {
+            display("{}: {err}; free some room on the disk", path.display())
+            source(err)
+        }
         /// A record that had been synced can't be read.
         Corrupt(path: PathBuf, offset: u64, what: String) {
             display(
@@ -50,7 +55,9 @@
     ///
     /// # Errors
     ///
-    /// Returns an error where the write or the sync failed. It is then unknown which
-    /// records were written, and the disk rejects all writes until it is opened again.
+    /// Returns [`Error::Full`] where there is no room: no record was written, and the same
+    /// records, with later ones behind them, must be written before any other. Any other error
+    /// means that the write or the sync failed: it is then unknown which records were written, and
+    /// the disk rejects all writes until it is opened again.
     fn write(&mut self, records: &[Record]) -> Result<(), Error>;
 }
--- a/crates/flamingo-log/src/file.rs
+++ b/crates/flamingo-log/src/file.rs
@@ -25,6 +25,8 @@
 pub struct Folder {
     path: PathBuf,
     log: File,
+    /// Bytes of `log` that are synced.
+    synced_bytes: u64,
     vote: Vote,
     entries: Vec<Entry>,
     commit: id::Index,
@@ -83,13 +85,14 @@
                 _ => {}
             }
         }
-        replace(path, LOG, &[])?;
+        replace(path, LOG, &[]).map_err(Problem::into_error)?;
         let mut bytes = Vec::new();
         segment::push(&mut bytes, &storage).map_err(io::Error::other)?;
-        replace(path, IDENTITY, &bytes)?;
+        replace(path, IDENTITY, &bytes).map_err(Problem::into_error)?;
         let folder = Self {
             path: path.to_owned(),
             log: open_for_append(path)?,
+            synced_bytes: 0,
             vote: Vote::default(),
             entries: Vec::new(),
             commit: 0,
@@ -120,6 +123,7 @@
         let mut folder = Self {
             path: path.to_owned(),
             log,
+            synced_bytes: scan.valid_bytes as u64,
             vote: Vote::default(),
             entries: Vec::new(),
             commit: 0,
@@ -183,7 +187,8 @@
         }
     }
 
-    fn try_write(&mut self, records: &[Record]) -> io::Result<()> {
+    /// Writes records and syncs them. They may be those of an earlier call that found no room.
+    fn try_write(&mut self, records: &[Record]) -> Result<(), Problem> {
         let mut bytes = Vec::new();
         for record in records {
             self.apply(record);
@@ -197,13 +202,25 @@
         if bytes.is_empty() {
             return Ok(());
         }
-        self.log.write_all(&bytes)?;
-        self.log.sync_data()
+        self.append(&bytes)
+    }
+
+    /// Appends to the log and syncs it. Where there is no room, takes back what was written.
+    fn append(&mut self, bytes: &[u8]) -> Result<(), Problem> {
+        let written = self.log.write_all(bytes).map_err(Problem::of_write);
+        if let Err(Problem::Full(error)) = written {
+            self.log.set_len(self.synced_bytes)?;
+            return Err(Problem::Full(error));
+        }
+        written?;
+        self.log.sync_data()?;
+        self.synced_bytes += bytes.len() as u64;
+        Ok(())
     }
 
     /// Replaces the snapshot file, then the log by the vote, the commit index and the
     /// entries after the snapshot.
-    fn rewrite(&mut self, snapshot: &Snapshot) -> io::Result<()> {
+    fn rewrite(&mut self, snapshot: &Snapshot) -> Result<(), Problem> {
         let mut bytes = Vec::new();
         segment::push(&mut bytes, snapshot).map_err(io::Error::other)?;
         replace(&self.path, SNAPSHOT, &bytes)?;
@@ -218,19 +235,58 @@
         }
         replace(&self.path, LOG, &bytes)?;
         self.log = open_for_append(&self.path)?;
+        self.synced_bytes = bytes.len() as u64;
         Ok(())
     }
 }
 
+/// Why a write did not succeed.
+#[derive(Debug)]
+enum Problem {
+    /// There is no room, and the files are as before.
+    Full(io::Error),
+    /// It is unknown what the files hold.
+    Failed(io::Error),
+}
+
+impl Problem {
+    /// Tells a lack of room from other reasons why a file could not be created or written.
+    fn of_write(error: io::Error) -> Self {
+        match error.kind() {
+            io::ErrorKind::StorageFull
+            | io::ErrorKind::QuotaExceeded
+            | io::ErrorKind::FileTooLarge => Self::Full(error),
+            _ => Self::Failed(error),
+        }
+    }
+}
+
+impl Problem {
+    fn into_error(self) -> io::Error {
+        match self {
+            Self::Full(error) | Self::Failed(error) => error,
+        }
+    }
+}
+
+impl From<io::Error> for Problem {
+    fn from(error: io::Error) -> Self {
+        Self::Failed(error)
+    }
+}
+
 impl Disk for Folder {
     fn write(&mut self, records: &[Record]) -> Result<(), Error> {
         if self.failed {
             let error = io::Error::other("an earlier write failed");
             return Err(Error::Disk(self.path.clone(), error));
         }
-        self.try_write(records).map_err(|error| {
-            self.failed = true;
-            Error::Disk(self.path.clone(), error)
+        self.try_write(records).map_err(|problem| match problem {
+            Problem::Full(error) => Error::Full(self.path.clone(), error),
+            Problem::Failed(error) => {
+                self.failed = true;
+                Error::Disk(self.path.clone(), error)
+            }
         })
     }
 }
@@ -253,14 +309,18 @@
     Ok(scan.records.pop())
 }
 
-/// Replaces a file so that a crash leaves either the old or the new content.
-fn replace(folder: &Path, name: &str, bytes: &[u8]) -> io::Result<()> {
+/// Replaces a file so that a crash, or a lack of room, leaves either the old or the new content.
+fn replace(folder: &Path, name: &str, bytes: &[u8]) -> Result<(), Problem> {
     let temporary = folder.join(format!("{name}.new"));
-    let mut file = File::create(&temporary)?;
-    file.write_all(bytes)?;
+    let mut file = File::create(&temporary).map_err(Problem::of_write)?;
+    if let Err(error) = file.write_all(bytes) {
+        // The part that was written takes room.
+        std::fs::remove_file(&temporary)?;
+        return Err(Problem::of_write(error));
+    }
     file.sync_all()?;
-    std::fs::rename(&temporary, folder.join(name))?;
-    sync_folder(folder)
+    std::fs::rename(&temporary, folder.join(name)).map_err(Problem::of_write)?;
+    Ok(sync_folder(folder)?)
 }
 
 fn sync_folder(folder: &Path) -> io::Result<()> {
--- a/crates/flamingo-log/src/raft.rs
+++ b/crates/flamingo-log/src/raft.rs
@@ -29,6 +29,9 @@
 use std::time::Instant;
 use strum::{Display, IntoStaticStr};
 
+/// Largest number of messages that wait for a disk without room.
+const MAX_UNSYNCED_MESSAGES: usize = 256;
+
 /// An action that the caller must carry out.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Action {
@@ -192,6 +195,8 @@
     issued_writes: u64,
     synced_writes: u64,
     disk_failed: bool,
+    /// Whether the disk has no room for what was issued.
+    disk_full: bool,
     actions: Vec<Action>,
 }
 
@@ -224,6 +229,7 @@
             issued_writes: 0,
             synced_writes: 0,
             disk_failed: false,
+            disk_full: false,
             actions: Vec::new(),
         };
         if raft.has_member_list() {
@@ -329,6 +335,7 @@
     /// Sends the votes and acknowledgements that waited for these records.
     pub fn synced(&mut self, now: Instant, count: u64) {
         self.step_down_if_expired(now);
+        self.disk_full = false;
         self.synced_writes = self.synced_writes.max(count);
         while self
             .unsynced_messages
@@ -359,6 +366,16 @@
         }
     }
 
+    /// Reports that the disk has no room for the records that were issued, which are still to be
+    /// written. Until the next [`Raft::synced`] this member neither leads nor stands for election, and
+    /// acknowledges nothing.
+    pub fn fill_disk(&mut self, now: Instant) {
+        self.disk_full = true;
+        if !matches!(self.role(), Role::Follower | Role::Unformed) {
+            self.become_follower(now, None);
+        }
+    }
+
     /// Appends a command to the log of the leader; [`Raft::flush`] sends it to the
     /// followers.
     ///
@@ -411,7 +428,7 @@
     }
 
     fn check_leadership(&self) -> Result<(), Refusal> {
-        if self.disk_failed {
+        if self.disk_failed || self.disk_full {
             return Err(Refusal::Disk);
         }
         match &self.role_state {
@@ -461,6 +478,10 @@
             return;
         }
         let after = self.issued_writes;
+        if self.disk_full && self.unsynced_messages.len() >= MAX_UNSYNCED_MESSAGES {
+            // The sender of the request sends it again.
+            return;
+        }
         self.unsynced_messages
             .push_back(PendingMessage { after, message });
     }
--- a/crates/flamingo-log/src/raft/election.rs
+++ b/crates/flamingo-log/src/raft/election.rs
@@ -135,7 +135,7 @@
             // The leader may have removed this member while it was unreachable.
             self.request_join();
         }
-        if self.disk_failed {
+        if self.disk_failed || self.disk_full {
             return;
         }
         if !pre {
--- a/crates/flamingo-log/src/raft/view.rs
+++ b/crates/flamingo-log/src/raft/view.rs
@@ -104,6 +104,12 @@
         }
     }
 
+    /// Returns whether this member's disk has no room.
+    #[must_use]
+    pub fn disk_full(&self) -> bool {
+        self.disk_full
+    }
+
     /// Returns whether a write to this member's disk failed.
     #[must_use]
     pub fn disk_failed(&self) -> bool {
--- a/crates/flamingo-log/tests/safety.rs
+++ b/crates/flamingo-log/tests/safety.rs
@@ -24,12 +24,15 @@
     Compact(u8),
     Resign(u8),
     Fill(u8),
+    /// A disk has no room for a while.
+    Starve(u8),
+    Relieve(u8),
 }
 
 impl Arbitrary for Op {
     fn arbitrary(source: &mut Gen) -> Self {
         let n = u8::arbitrary(source);
-        match u8::arbitrary(source) % 32 {
+        match u8::arbitrary(source) % 35 {
             0..=7 => Self::Propose(n),
             8..=15 => Self::Pass(n),
             16 | 17 => Self::Crash(n),
@@ -43,7 +46,9 @@
             27 => Self::Network(n),
             28 | 29 => Self::Compact(n),
             30 => Self::Resign(n),
-            _ => Self::Fill(n),
+            31 => Self::Fill(n),
+            32 => Self::Starve(n),
+            _ => Self::Relieve(n),
         }
     }
 }
@@ -85,6 +90,8 @@
             Op::Compact(n) => group.compact(at(n)),
             Op::Resign(n) => group.with_raft(at(n), flamingo_log::Raft::transfer_leadership),
             Op::Fill(n) => group.nodes[at(n)].full = true,
+            Op::Starve(n) => group.nodes[at(n)].no_room = true,
+            Op::Relieve(n) => group.nodes[at(n)].no_room = false,
         }
     }
     group.recover();
--- a/crates/flamingo-log/tests/scenarios.rs
+++ b/crates/flamingo-log/tests/scenarios.rs
@@ -93,6 +93,8 @@
             "freeze" => self.group.nodes[n].frozen = true,
             "thaw" => self.group.nodes[n].frozen = false,
             "fill" => self.group.nodes[n].full = true,
+            "starve" => self.group.nodes[n].no_room = true,
+            "relieve" => self.group.nodes[n].no_room = false,
             "compact" => self.group.compact(n),
             "wipe" => return yes_or_no(self.group.wipe(n)),
             _ => panic!("no step '{step}'"),
--- a/crates/flamingo-test-support/src/group.rs
+++ b/crates/flamingo-test-support/src/group.rs
@@ -52,6 +52,8 @@
     pub frozen: bool,
     /// Whether the disk is full, so that the next write fails.
     pub full: bool,
+    /// Whether the disk has no room for a while, so that writes wait.
+    pub no_room: bool,
     stored: Stored,
     pending: Vec<Record>,
     synced: u64,
@@ -125,6 +127,7 @@
                 applied: Vec::new(),
                 frozen: false,
                 full: false,
+                no_room: false,
                 stored: Stored {
                     storage,
                     ..Stored::default()
@@ -180,6 +183,7 @@
         node.synced = 0;
         node.frozen = false;
         node.full = false;
+        node.no_room = false;
         node.applied = decode(&node.stored.snapshot.data);
         node.raft = Some(Raft::new(options, self.now));
         // Entries that the disk recorded as committed are applied first.
@@ -370,6 +374,10 @@
             self.with_raft(n, Raft::fail_disk);
             return;
         }
+        if node.no_room {
+            self.with_raft(n, Raft::fill_disk);
+            return;
+        }
         for record in std::mem::take(&mut node.pending) {
             store(&mut node.stored, record);
             node.synced += 1;
@@ -488,6 +496,7 @@
                 self.crash(n);
             }
             self.nodes[n].frozen = false;
+            self.nodes[n].no_room = false;
             self.start(n);
         }
         assert!(
--- a/crates/flamingo-test-support/src/process.rs
+++ b/crates/flamingo-test-support/src/process.rs
@@ -62,6 +62,30 @@
         assert_eq!(sent, 0, "the process is gone");
     }
 
+    /// Limits the size of files that the process writes; `None` ends the limit.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the process has ended.
+    #[allow(unsafe_code)]
+    pub fn limit_files(&self, bytes: Option<u64>) {
+        let pid = libc::pid_t::try_from(self.child.id()).expect("a pid fits");
+        let limit = libc::rlimit {
+            rlim_cur: bytes.unwrap_or(libc::RLIM_INFINITY),
+            rlim_max: libc::RLIM_INFINITY,
+        };
+        // SAFETY: prlimit reads the limit, which outlives the call, and writes nowhere.
+        let done = unsafe {
+            libc::prlimit(
+                pid,
+                libc::RLIMIT_FSIZE,
+                &raw const limit,
+                std::ptr::null_mut(),
+            )
+        };
+        assert_eq!(done, 0, "the process is gone");
+    }
+
     /// Kills the process and waits until it has ended.
     ///
     /// # Panics
