--- a/crates/flamingo-guard/src/quarantine.rs
+++ b/crates/flamingo-guard/src/quarantine.rs
@@ -8,9 +8,9 @@
 //! A part is quarantined after [`MIN_EVENTS`] crashes in which a request with it was at the point of
 //! writing, if next to no request with it was answered since the first of them. A crash counts once
 //! the answers of its time have been reported. Crashes with a common cause are one event; see the
-//! module `event`. Where none of these requests had a head, they may just as well have waited for their
-//! turn, and [`MIN_HEADLESS_EVENTS`] are needed. Of several parts that qualify, the one that explains most crashes with
-//! fewest answers is taken, or else the last in its prompt, which fewer requests share. The crashes
+//! module `event`. Where such a request had no head, it may just as well have waited for its turn, and
+//! [`MIN_HEADLESS_EVENTS`] are needed. Of several parts that qualify, the one that explains most crashes
+//! with fewest answers is taken, or else the last in its prompt, which fewer requests share. The crashes
 //! that it explains no longer count against any other.
 //!
 //! It answers a second load as well: a whole request that crashes each target that begins to run it
@@ -18,35 +18,27 @@
 
 mod dossier;
 mod event;
+mod part;
 mod request;
+mod retention;
 mod suspect;
 
-use event::Timeline;
 use flamingo_wire::fingerprint::Fingerprint;
 use flamingo_wire::id;
 use flamingo_wire::prompt::{Answered, Crash, Evidence, Exposure, PartId, Parts, Quarantine};
-use request::MAX_WAIT_MS;
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::{Duration, Instant};
 use strum::IntoStaticStr;
-use suspect::{Record, Score, Suspect, Unanswered};
+use suspect::{Record, Unanswered};
 
 /// Number of crash events after which a part is quarantined.
 pub const MIN_EVENTS: usize = 4;
 /// The same, where requests with the part had no head in some of these events.
 pub const MIN_HEADLESS_EVENTS: usize = 5;
-/// Number of different requests with a part that must have been at the point of writing: one request
-/// that comes again says nothing of its parts.
-const MIN_REQUESTS: usize = 2;
 /// Time after which a crash counts: entries report their answers several times in it.
 pub const SETTLING_TIME: Duration = Duration::from_millis(400);
 /// Time for which a crash counts: a request that comes every few minutes must become known.
 const CRASH_RETENTION: Duration = Duration::from_mins(15);
-/// Time for which entries may report a crash; one that speaks against nothing any more is kept so long,
-/// so that a second report of it is known as such.
-const REPORT_RETENTION: Duration = Duration::from_mins(2);
-/// Answers since a crash beyond which it no longer speaks against a part.
-const CLEARING_ANSWERS: u32 = 16;
 /// Largest number of crashes that are kept; the oldest are dropped.
 const MAX_CRASHES: usize = 64;
 /// Largest number of requests that are kept of one crash.
@@ -288,7 +280,7 @@
         let settling = self.crashes.iter().map(|crash| crash.at + SETTLING_TIME);
         self.judge_at = settling.filter(|counts_at| now < *counts_at).min();
         let mut findings = Vec::new();
-        while let Some(finding) = self.worst_request(now).or_else(|| self.worst(now)) {
+        while let Some(finding) = self.worst_request(now).or_else(|| self.worst_part(now)) {
             let length = self.terms.get(&finding.key).map(|term| term.length * 2);
             let length = length.unwrap_or(FIRST_QUARANTINE).min(MAX_QUARANTINE);
             let term = Term::new(now, length);
@@ -306,71 +298,16 @@
     /// Returns the part and the request against which most speaks, whether or not it suffices.
     #[must_use]
     pub fn leading(&self, now: Instant) -> Vec<Finding> {
-        let parts = self.scores(now).into_iter();
-        let part = parts.max_by_key(|(score, _)| *score);
-        let part = part.map(|(score, key)| part_finding(&score, key, now));
-        let leading = [part, self.leading_request(now)].into_iter().flatten();
+        let leading = [self.leading_part(now), self.leading_request(now)];
+        let leading = leading.into_iter().flatten();
         leading.filter(|finding| finding.events > 0).collect()
     }
 
-    /// Returns the part against which most speaks, if that suffices for a quarantine.
-    fn worst(&self, now: Instant) -> Option<Finding> {
-        let (score, key) = self
-            .scores(now)
-            .into_iter()
-            .filter(|(score, key)| self.suffices(key, score, now))
-            .max_by_key(|(score, _)| *score)?;
-        Some(part_finding(&score, key, now))
-    }
-
-    /// Returns what speaks against each part that was in a crash which nothing explains.
-    fn scores(&self, now: Instant) -> Vec<(Score, Key)> {
-        let timeline = Timeline(&self.crashes);
-        let settled = self.crashes.iter();
-        let settled = settled.filter(|crash| now >= crash.at + SETTLING_TIME);
-        let open = settled.filter(|crash| !self.is_explained(crash));
-        let mut suspects: BTreeMap<(&str, PartId), Suspect<'_>> = BTreeMap::new();
-        for crash in open {
-            for exposure in crash.exposures.iter().filter(|exposure| is_close(exposure)) {
-                for (depth, part) in exposure.parts.iter().enumerate() {
-                    let suspect = suspects.entry((&crash.service, *part));
-                    suspect.or_default().add(crash, exposure, depth);
-                }
-            }
-        }
-        let scored = suspects.into_iter().map(|((service, part), suspect)| {
-            let key = Key {
-                service: service.to_owned(),
-                part,
-            };
-            let answered = self.answered.get(&key).copied().unwrap_or(0);
-            (suspect.score(timeline, &key, answered), key)
-        });
-        scored.collect()
-    }
-
-    fn suffices(&self, key: &Key, score: &Score, now: Instant) -> bool {
-        if self.is_on_probation(key, now) {
-            return score.events >= 1;
-        }
-        let enough = score.events_with_head >= MIN_EVENTS || score.events >= MIN_HEADLESS_EVENTS;
-        enough && score.requests >= MIN_REQUESTS
-    }
-
     fn is_on_probation(&self, key: &Key, now: Instant) -> bool {
         let term = self.terms.get(key);
         term.is_some_and(|term| (term.until..term.probation_until).contains(&now))
     }
 
-    /// Returns whether a request with a quarantined part was at the point of writing in a crash.
-    fn is_explained(&self, crash: &Record) -> bool {
-        let mut terms = self.terms.iter();
-        terms.any(|(key, term)| {
-            let in_term = crash.at < term.until;
-            in_term && crash.contains(key)
-        })
-    }
-
     /// Returns when the last quarantine of these parts and whole requests ends; `None` if there is
     /// none.
     #[must_use]
@@ -428,137 +365,4 @@
             })
             .collect()
     }
-
-    /// Removes crashes, answers and quarantines that no longer count.
-    pub fn remove_expired(&mut self, now: Instant) {
-        self.remove_ended_terms(now);
-        self.remove_cleared();
-        let before = self.crashes.len();
-        self.crashes.retain(|crash| {
-            let retention = if crash.speaks_against_nothing() {
-                REPORT_RETENTION
-            } else {
-                CRASH_RETENTION
-            };
-            now < crash.at + retention
-        });
-        if self.crashes.len() < before {
-            self.revision += 1;
-            self.remove_answers();
-        }
-    }
-
-    /// Removes the quarantines whose probation has ended, with the crashes that they explained.
-    fn remove_ended_terms(&mut self, now: Instant) {
-        let ended = self
-            .terms
-            .extract_if(.., |_, term| now >= term.probation_until);
-        for (key, term) in ended {
-            self.crashes
-                .retain(|crash| crash.at >= term.until || !crash.involves(&key));
-        }
-    }
-
-    /// Removes from crashes the parts and requests that were answered since.
-    fn remove_cleared(&mut self) {
-        let mut has_cleared = false;
-        for crash in &mut self.crashes {
-            let Record {
-                service,
-                exposures,
-                answered_before,
-                requests,
-                ..
-            } = crash;
-            let key = |part: u64| Key {
-                service: service.clone(),
-                part,
-            };
-            let before = (answered_before.len(), requests.len());
-            answered_before.retain(|part, before| {
-                let now = self.answered.get(&key(*part)).copied().unwrap_or(0);
-                now <= before.saturating_add(CLEARING_ANSWERS)
-            });
-            requests.retain(|request, unanswered| {
-                let now = self.answered_requests.get(&key(*request));
-                now.copied().unwrap_or(0) == unanswered.answered_before
-            });
-            if before == (answered_before.len(), requests.len()) {
-                continue;
-            }
-            has_cleared = true;
-            for exposure in exposures.iter_mut() {
-                exposure
-                    .parts
-                    .retain(|part| answered_before.contains_key(part));
-            }
-            exposures.retain(|exposure| {
-                let mut request = exposure.request.iter();
-                !exposure.parts.is_empty() || request.any(|request| requests.contains_key(request))
-            });
-        }
-        if has_cleared {
-            self.revision += 1;
-            self.remove_answers();
-        }
-    }
-
-    /// Removes the oldest crashes and the quarantines that end first, beyond the largest numbers.
-    /// Crashes that speak against nothing any more go before the others.
-    fn remove_excess(&mut self) {
-        if self.crashes.len() > MAX_CRASHES {
-            self.remove_cleared();
-            while self.crashes.len() > MAX_CRASHES {
-                let cleared = self.crashes.iter().position(Record::speaks_against_nothing);
-                self.crashes.remove(cleared.unwrap_or(0));
-            }
-            self.remove_answers();
-        }
-        while self.terms.len() > MAX_TERMS {
-            let first = self.terms.iter().min_by_key(|(_, term)| term.until);
-            let Some(key) = first.map(|(key, _)| key.clone()) else {
-                return;
-            };
-            self.terms.remove(&key);
-        }
-    }
-
-    /// Removes the answers to parts that are in no crash.
-    fn remove_answers(&mut self) {
-        let crashes = self.crashes.iter();
-        let suspects: HashSet<(&str, PartId)> = crashes
-            .flat_map(|crash| {
-                let parts = crash.answered_before.keys();
-                parts.map(|part| (crash.service.as_str(), *part))
-            })
-            .collect();
-        self.answered
-            .retain(|key, _| suspects.contains(&(key.service.as_str(), key.part)));
-        let crashes = self.crashes.iter();
-        let requests: HashSet<(&str, Fingerprint)> = crashes
-            .flat_map(|crash| {
-                let requests = crash.requests.keys();
-                requests.map(|request| (crash.service.as_str(), *request))
-            })
-            .collect();
-        self.answered_requests
-            .retain(|key, _| requests.contains(&(key.service.as_str(), key.part)));
-    }
-}
-
-/// Returns whether a request may have begun to run shortly before its target crashed: it had a head, or
-/// had not been there for long.
-fn is_close(exposure: &Exposure) -> bool {
-    !exposure.headless || exposure.waited_ms <= MAX_WAIT_MS
-}
-
-fn part_finding(score: &Score, key: Key, now: Instant) -> Finding {
-    Finding {
-        kind: Kind::Part,
-        key,
-        crashes: score.crashes,
-        events: score.events,
-        answered: score.answered,
-        until: now,
-    }
 }
