A start that tries an address takes no connection there

Cause: the check of the settings listens on each address and closes it again, before the listener proper is opened. Who connects in between is accepted and then reset, and can't know whether the request was read.

Change: the check binds without listening, so that such a caller is refused; addresses that exclude each other are found by comparing them.

--- a/crates/flamingo-daemon/src/startup.rs
+++ b/crates/flamingo-daemon/src/startup.rs
@@ -69,16 +69,23 @@
 #[derive(Debug, Default)]
 pub struct Check {
     problems: Vec<Problem>,
-    /// Open until the check ends, so that an address that is set twice is found.
-    listeners: Vec<std::net::TcpListener>,
+    /// Addresses that were tried.
+    tried: Vec<SocketAddr>,
 }
 
 impl Check {
-    /// Tries to listen on `address`, which comes from `field` of the settings.
+    /// Tries to bind `address`, which comes from `field` of the settings, without listening there:
+    /// a caller that connects meanwhile is refused, and is not cut off once the check ends.
     pub fn listener(&mut self, field: &'static str, address: SocketAddr) {
-        match std::net::TcpListener::bind(address) {
-            Ok(listener) => self.listeners.push(listener),
-            Err(error) => self.problems.push(Problem::Listener(field, address, error)),
+        let is_taken = self.tried.iter().any(|tried| overlap(*tried, address));
+        let bound = if is_taken {
+            Err(io::ErrorKind::AddrInUse.into())
+        } else {
+            try_binding(address)
+        };
+        self.tried.push(address);
+        if let Err(error) = bound {
+            self.problems.push(Problem::Listener(field, address, error));
         }
     }
 
@@ -100,7 +107,7 @@
         }
     }
 
-    /// Frees the listeners and returns `value` if there was no problem.
+    /// Returns `value` if there was no problem.
     ///
     /// # Errors
     ///
@@ -113,6 +120,23 @@
     }
 }
 
+/// Returns whether listeners on two addresses exclude each other.
+fn overlap(one: SocketAddr, other: SocketAddr) -> bool {
+    let same_port = one.port() == other.port() && one.port() != 0;
+    let is_any = one.ip().is_unspecified() || other.ip().is_unspecified();
+    same_port && (is_any || one.ip() == other.ip())
+}
+
+/// Binds an address as a listener would, and frees it.
+fn try_binding(address: SocketAddr) -> io::Result<()> {
+    let socket = match address {
+        SocketAddr::V4(_) => tokio::net::TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => tokio::net::TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)
+}
+
 /// Listens on `address`, which comes from `field` of the settings.
 ///
 /// # Errors
