A push is signed for those that get it now

Cause: a push to all followers was signed once, with its time, and that frame was sent to each later follower, which refuses it once it is 30 s old, subscribes again, and is refused again.

Change: a frame is reused for a second, then signed anew; also where the clock was set back. The guard against replays is as it was.

--- a/crates/flamingo-control/src/registry.rs
+++ b/crates/flamingo-control/src/registry.rs
@@ -14,22 +14,41 @@
 use flamingo_wire::prompt::{Dossier, Evidence, Quarantine};
 use flamingo_wire::target::{Registration, Residency};
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::{Arc, OnceLock};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant, SystemTime};
 use tokio::sync::broadcast::{self, Receiver, Sender};
 
 /// Pushes that are queued for a slow follower before it gets all targets again.
 const PUSH_QUEUE: usize = 1_024;
+/// Time for which a signed frame is sent to further followers; far shorter than the age at which they
+/// refuse it.
+const SEAL_REUSE: Duration = Duration::from_secs(1);
 /// Time without a heartbeat after which a target is removed.
 const EXPIRY: Duration = Duration::from_secs(30);
 /// Time after an entry's last report by which entries report to another instance.
 const EVIDENCE_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// A push for all followers, which is encoded and signed once.
+/// A push for all followers, which is encoded and signed once for those that get it at the same time.
 #[derive(Debug)]
 pub struct Broadcast {
     push: Push,
-    frame: OnceLock<Option<Frame>>,
+    sealed: Mutex<Option<Sealed>>,
+}
+
+/// A frame for any receiver, which receivers refuse once it is too old.
+#[derive(Clone, Debug)]
+struct Sealed {
+    /// `None` where the push can't be encoded.
+    frame: Option<Frame>,
+    at: SystemTime,
+}
+
+impl Sealed {
+    /// Returns whether the frame may still be sent. A clock that was set back makes it too new.
+    fn is_current(&self, now: SystemTime) -> bool {
+        now.duration_since(self.at)
+            .is_ok_and(|age| age < SEAL_REUSE)
+    }
 }
 
 impl Broadcast {
@@ -38,7 +57,7 @@
     pub fn new(push: Push) -> Self {
         Self {
             push,
-            frame: OnceLock::new(),
+            sealed: Mutex::default(),
         }
     }
 
@@ -48,7 +67,8 @@
         &self.push
     }
 
-    /// Returns the push as a frame for any receiver, or `None` where it can't be encoded.
+    /// Returns the push as a frame for any receiver that is sent now, or `None` where it can't be
+    /// encoded.
     ///
     /// ```
     /// use flamingo_control::registry::Broadcast;
@@ -57,17 +77,25 @@
     /// use std::time::SystemTime;
     ///
     /// let broadcast = Broadcast::new(Push::Heartbeat(7));
-    /// let frame = broadcast.frame(&Seal::new("control", b"secret")).unwrap();
+    /// let now = SystemTime::now();
+    /// let frame = broadcast.frame(&Seal::new("control", b"secret"), now).unwrap();
     /// let entry = Seal::new("entry", b"secret");
-    /// let push: Push = entry.open(&frame, SystemTime::now()).unwrap();
+    /// let push: Push = entry.open(&frame, now).unwrap();
     /// assert!(matches!(push, Push::Heartbeat(7)));
     /// ```
     #[must_use]
-    pub fn frame(&self, seal: &Seal) -> Option<Frame> {
-        let frame = self
-            .frame
-            .get_or_init(|| seal.seal("", &self.push, SystemTime::now()).ok());
-        frame.clone()
+    pub fn frame(&self, seal: &Seal, now: SystemTime) -> Option<Frame> {
+        // A panic of another holder leaves the frame consistent.
+        let mut sealed = self.sealed.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(sealed) = sealed.as_ref().filter(|sealed| sealed.is_current(now)) {
+            return sealed.frame.clone();
+        }
+        let frame = seal.seal("", &self.push, now).ok();
+        *sealed = Some(Sealed {
+            frame: frame.clone(),
+            at: now,
+        });
+        frame
     }
 }
 
--- a/crates/flamingo-control/src/watch.rs
+++ b/crates/flamingo-control/src/watch.rs
@@ -234,7 +234,8 @@
         if is_evidence && !stream.keeps_evidence {
             return Some(());
         }
-        send_frame(&stream.out, update.frame(&self.seal)?).await
+        let frame = update.frame(&self.seal, SystemTime::now())?;
+        send_frame(&stream.out, frame).await
     }
 
     /// Schedules newer routes for a follower that follows routes and lacks them.
--- a/crates/flamingo-control/tests/registry.rs
+++ b/crates/flamingo-control/tests/registry.rs
@@ -1,10 +1,11 @@
 //! Which registration of a target is the newest, and what is published about it.
 
-use flamingo_control::registry::Registry;
+use flamingo_control::registry::{Broadcast, Registry};
 use flamingo_test_support::registration::registration;
 use flamingo_wire::control::Push;
+use flamingo_wire::frame::Seal;
 use flamingo_wire::target::Registration;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 fn version(id: &str, incarnation: u64, sequence: u64) -> Registration {
     Registration {
@@ -195,3 +196,33 @@
     registry.record_departure(now, "t", 0);
     assert_eq!(first_accepted(&mut registry, now, 20), None);
 }
+
+/// Times from the first sending of a push to a later one, in seconds.
+const LATER_S: [u64; 5] = [28, 31, 90, 3_600, 86_400];
+
+#[test]
+fn a_push_is_accepted_however_long_after_its_first_sending_a_follower_gets_it() {
+    let control = Seal::new("control", b"secret");
+    let entry = Seal::new("entry", b"secret");
+    let broadcast = Broadcast::new(Push::Heartbeat(7));
+    let first = SystemTime::now();
+    for later in [0].into_iter().chain(LATER_S) {
+        let now = first + Duration::from_secs(later);
+        let frame = broadcast.frame(&control, now).expect("a frame");
+        let opened: Result<Push, _> = entry.open(&frame, now);
+        assert!(opened.is_ok(), "after {later} s: {opened:?}");
+    }
+}
+
+#[test]
+fn a_push_is_accepted_after_the_clock_was_set_back() {
+    let control = Seal::new("control", b"secret");
+    let entry = Seal::new("entry", b"secret");
+    let broadcast = Broadcast::new(Push::Heartbeat(7));
+    let first = SystemTime::now();
+    broadcast.frame(&control, first).expect("a frame");
+    let now = first - Duration::from_hours(1);
+    let frame = broadcast.frame(&control, now).expect("a frame");
+    let opened: Result<Push, _> = entry.open(&frame, now);
+    assert!(opened.is_ok(), "{opened:?}");
+}
