The second model in demand is hedged by one engine at most

Cause: the forecast raised the second highest demand to 0.6 of the highest, by rank.

The hedge now adds one engine's worth at most: one more copy bridges the time until further ones are loaded. Ruled out: no hedge at all, which would change small fleets, where 0.6 of the highest stays.

Test: the_second_highest_demand_of_a_large_fleet_is_given_one_engine_more (before: 30 in place of 5).

--- a/crates/flamingo-place/src/rebalance.rs
+++ b/crates/flamingo-place/src/rebalance.rs
@@ -25,6 +25,9 @@
 const NEGLIGIBLE_DEMAND: f64 = 0.03;
 /// Fraction of the highest demand to which [`hedge_demand`] raises the second highest.
 const HEDGE_FRACTION: f64 = 0.6;
+/// Most by which [`hedge_demand`] raises a demand, in fully used engines: one more replica bridges the
+/// time until further ones are loaded, whatever the size of the fleet.
+const MAX_HEDGE: f64 = 1.0;
 
 /// A model and its demand, as input of the planner.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -86,7 +89,7 @@
     pub from_store: bool,
 }
 
-/// Raises the second highest demand to at least `HEDGE_FRACTION` of the highest.
+/// Raises the second highest demand to `HEDGE_FRACTION` of the highest, by at most `MAX_HEDGE`.
 ///
 /// The two models may swap ranks before a replica could be loaded. A second highest demand of
 /// `NEGLIGIBLE_DEMAND` or less stays unchanged.
@@ -96,8 +99,9 @@
     if let [first, second, ..] = ranks[..]
         && models[second].demand > NEGLIGIBLE_DEMAND
     {
-        let least = models[first].demand * HEDGE_FRACTION;
-        models[second].demand = models[second].demand.max(least);
+        let wanted = models[first].demand * HEDGE_FRACTION;
+        let hedge = (wanted - models[second].demand).clamp(0.0, MAX_HEDGE);
+        models[second].demand += hedge;
     }
 }
 
--- a/crates/flamingo-place/tests/rebalance.rs
+++ b/crates/flamingo-place/tests/rebalance.rs
@@ -211,6 +211,14 @@
     assert!(models[2].demand < 0.01);
 }
 
+#[test]
+fn the_second_highest_demand_of_a_large_fleet_is_given_one_engine_more() {
+    let mut models = [model("a", 50.0), model("b", 4.0), model("c", 1.0)];
+    hedge_demand(&mut models);
+    assert!((models[1].demand - 5.0).abs() < 1e-9);
+    assert!((models[2].demand - 1.0).abs() < 1e-9);
+}
+
 #[test]
 fn a_prefetch_loads_a_model_that_the_engine_has_not_cached() {
     let models = [model("a", 0.0), model("b", 0.0)];
