The bodies that a process holds have a bound together

Reported by other operators, and shown here: peers that send large messages and never end them take the memory of a process from all its callers. Each message had a bound, the process had none.

A request whose body finds no room is refused at once as not run, with Retry-After; a response is not read on until there is room.

--- a/crates/flamingo-serve/src/body.rs
+++ b/crates/flamingo-serve/src/body.rs
@@ -1,7 +1,8 @@
 //! Response bodies, either complete or streamed in chunks.
 
+use crate::memory::{Buffer, Memory, Refused};
 use crate::wire::Cause;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures_util::{Stream, StreamExt};
 use http_body::{Frame, SizeHint};
 use http_body_util::BodyExt;
@@ -87,39 +88,79 @@
     }
 }
 
+impl From<Refused> for Cause {
+    fn from(refused: Refused) -> Self {
+        match refused {
+            Refused::TooLarge => Self::TooLarge,
+            Refused::NoRoom => Self::NoMemory,
+        }
+    }
+}
+
+/// What is done with a body while the bodies of the process leave no room for it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum WhenFull {
+    /// It is given up.
+    Refuse,
+    /// It is not read on until there is room.
+    Wait,
+}
+
 /// Reads a whole body into memory.
 ///
 /// # Errors
 ///
-/// Returns [`Cause::TooLarge`] if the body has more than `max_bytes`, and [`Cause::Unreadable`]
-/// if it can't be read to its end.
-pub async fn collect(mut body: Incoming, max_bytes: usize) -> Result<Bytes, Cause> {
-    let mut bytes = BytesMut::new();
+/// Returns [`Cause::TooLarge`] if the body is larger than the buffer may be, [`Cause::NoMemory`] if
+/// it is given up for lack of memory, and [`Cause::Unreadable`] if it can't be read to its end.
+pub async fn collect(
+    mut body: Incoming,
+    mut buffer: Buffer,
+    when_full: WhenFull,
+) -> Result<Bytes, Cause> {
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| Cause::Unreadable)?;
         if let Ok(data) = frame.into_data() {
-            if bytes.len() + data.len() > max_bytes {
-                return Err(Cause::TooLarge);
+            match when_full {
+                WhenFull::Refuse => buffer.push(&data)?,
+                WhenFull::Wait => buffer.push_when_free(&data).await?,
             }
-            bytes.extend_from_slice(&data);
         }
     }
-    Ok(bytes.freeze())
+    Ok(buffer.freeze())
+}
+
+/// Reads a body to its end without keeping it.
+///
+/// # Errors
+///
+/// Returns [`Cause::TooLarge`] if the body has more than `max_bytes`, and [`Cause::Unreadable`]
+/// if it can't be read to its end.
+pub async fn discard(mut body: Incoming, max_bytes: usize) -> Result<(), Cause> {
+    let mut count = 0;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| Cause::Unreadable)?;
+        count += frame.data_ref().map_or(0, Bytes::len);
+        if count > max_bytes {
+            return Err(Cause::TooLarge);
+        }
+    }
+    Ok(())
 }
 
-/// Reads all chunks of a streamed body into memory.
+/// Reads all chunks of a streamed body into memory, once there is room for them.
 ///
 /// # Errors
 ///
 /// Returns [`Error::TooLarge`] if the chunks have more than `max_bytes`, or why the body ends early.
-pub async fn collect_chunks(chunks: &mut Chunks, max_bytes: usize) -> Result<Bytes, Error> {
-    let mut bytes = BytesMut::new();
+pub async fn collect_chunks(
+    chunks: &mut Chunks,
+    max_bytes: usize,
+    memory: &Memory,
+) -> Result<Bytes, Error> {
+    let mut buffer = memory.buffer(max_bytes);
     while let Some(chunk) = chunks.next().await {
-        let chunk = chunk?;
-        if bytes.len() + chunk.len() > max_bytes {
-            return Err(Error::TooLarge);
-        }
-        bytes.extend_from_slice(&chunk);
+        let pushed = buffer.push_when_free(&chunk?).await;
+        pushed.map_err(|_| Error::TooLarge)?;
     }
-    Ok(bytes.freeze())
+    Ok(buffer.freeze())
 }
--- a/crates/flamingo-serve/src/exchange.rs
+++ b/crates/flamingo-serve/src/exchange.rs
@@ -1,6 +1,7 @@
 //! Sends a request to a target and receives the head of its response.
 
-use crate::body::collect;
+use crate::body::{WhenFull, collect};
+use crate::memory::Memory;
 use crate::pool::{Connection, dial};
 use crate::wire::{Codec, ResponseHead};
 use bytes::Bytes;
@@ -106,6 +107,8 @@
     pub question: request::Parts,
     /// The only incarnation that may get the request.
     pub incarnation: id::Incarnation,
+    /// Memory for the target's answer.
+    pub memory: Memory,
 }
 
 /// Sends a request on the pooled connection, or on a new one if there is none or if the pooled
@@ -176,7 +179,9 @@
     connection.begin(None);
     let asked = async {
         let response = connection.sender.send_request(question).await.ok()?;
-        let body = collect(response.into_body(), MAX_REPORT_BYTES).await.ok()?;
+        let buffer = expected.memory.buffer(MAX_REPORT_BYTES);
+        let body = collect(response.into_body(), buffer, WhenFull::Wait);
+        let body = body.await.ok()?;
         connection.sender.ready().await.ok()?;
         Some(codec.parse_incarnation(&body) == Some(expected.incarnation))
     };
--- a/crates/flamingo-serve/src/proxy.rs
+++ b/crates/flamingo-serve/src/proxy.rs
@@ -21,10 +21,11 @@
 mod version;
 
 use crate::admission::Timing;
-use crate::body::{Body, collect};
+use crate::body::{Body, WhenFull, collect};
 use crate::budget::Allowance;
 use crate::choice::{self, Choice, Requirements};
 use crate::demand::Counter;
+use crate::memory::Memory;
 use crate::metrics::Metrics;
 use crate::server::{Drain, Handler, Stage};
 use crate::sharers::Sharers;
@@ -70,6 +71,8 @@
     pub allowance: Allowance,
     /// Counts demand for the reports to the leader.
     pub demand: Rc<Counter>,
+    /// Memory for the bodies of requests and responses.
+    pub memory: Memory,
     /// Metrics of this entry.
     pub metrics: Metrics,
     /// Stage of the shutdown.
@@ -91,6 +94,7 @@
     /// Requests that wait for their model.
     waiting: loading::Waiting,
     demand: Rc<Counter>,
+    memory: Memory,
     metrics: Metrics,
     drain: Rc<Drain>,
     /// Number of target choices so far.
@@ -128,6 +132,7 @@
             longest_waits: RefCell::default(),
             waiting: loading::Waiting::default(),
             demand: options.demand,
+            memory: options.memory,
             metrics: options.metrics,
             drain: options.drain,
             choices: Cell::new(0),
@@ -180,9 +185,11 @@
         if self.may_outlast_stop(&route, deadline) {
             return self.refuse_stopping(&route, &request, deadline);
         }
-        let max_bytes = routes.set.limits.body_bytes;
-        let body = match timeout_at(deadline.into(), collect(body, max_bytes)).await {
+        let buffer = self.memory.buffer(routes.set.limits.body_bytes);
+        let collected = collect(body, buffer, WhenFull::Refuse);
+        let body = match timeout_at(deadline.into(), collected).await {
             Ok(Ok(body)) => body,
+            Ok(Err(Cause::NoMemory)) => return self.refuse_for_memory(&route, &request),
             Ok(Err(cause)) => return self.refuse(Refusal::new(cause), Some(&request)),
             Err(_) => return self.refuse(Refusal::new(Cause::Unreadable), Some(&request)),
         };
--- a/crates/flamingo-serve/src/proxy/attempt.rs
+++ b/crates/flamingo-serve/src/proxy/attempt.rs
@@ -100,6 +100,7 @@
         let expected = job.must_check_incarnation().then(|| Expected {
             question: self.codec.incarnation_request(&candidate.target),
             incarnation: candidate.incarnation,
+            memory: self.memory.clone(),
         });
         let attempt = Attempt {
             target: &candidate.target,
--- a/crates/flamingo-serve/src/proxy/begin.rs
+++ b/crates/flamingo-serve/src/proxy/begin.rs
@@ -133,7 +133,7 @@
         if can_receive_chunks(job) {
             return Ok(Response::from_parts(head, Body::Chunks(chunks)));
         }
-        let bytes = body::collect_chunks(&mut chunks, MAX_BUFFERED_STREAM_BYTES)
+        let bytes = body::collect_chunks(&mut chunks, MAX_BUFFERED_STREAM_BYTES, &self.memory)
             .await
             .map_err(|error| match error {
                 Error::TargetFailed | Error::TooLarge => AttemptError::MayHaveRun(Cause::Broken),
--- a/crates/flamingo-serve/src/proxy/forward.rs
+++ b/crates/flamingo-serve/src/proxy/forward.rs
@@ -5,7 +5,7 @@
 use super::crash::Progress;
 use super::job::{AttemptError, Job};
 use super::load_guard::LoadGuard;
-use crate::body::{Body, collect};
+use crate::body::{Body, WhenFull, collect};
 use crate::choice::Candidate;
 use crate::exchange::{Framing, PendingResponse};
 use crate::wire::{Cause, Rejection};
@@ -144,8 +144,9 @@
             connection,
             sent_at,
         } = response;
-        let collected = timeout_at(job.deadline.into(), collect(body, MAX_BUFFERED_BYTES)).await;
-        let bytes = match collected {
+        let buffer = self.memory.buffer(MAX_BUFFERED_BYTES);
+        let collected = collect(body, buffer, WhenFull::Wait);
+        let bytes = match timeout_at(job.deadline.into(), collected).await {
             Ok(Ok(bytes)) if !bytes.is_empty() || states_empty_body(job, &head) => bytes,
             Ok(_) => {
                 self.record_break(job, &candidate, sent_at, Progress::Head);
--- a/crates/flamingo-serve/src/proxy/refusal.rs
+++ b/crates/flamingo-serve/src/proxy/refusal.rs
@@ -87,6 +87,19 @@
         self.refuse(refusal, Some(request))
     }
 
+    /// Logs and counts a request whose body finds no memory, and returns the refusal.
+    pub(super) fn refuse_for_memory(&self, route: &Route, request: &RequestHead) -> Response<Body> {
+        let cause = Cause::NoMemory;
+        info!(self.log, "no memory for a body"; "request" => &request.attempt_id,
+            "route" => &route.name, "held" => self.memory.held());
+        self.metrics.record_outcome(&route.name, cause.into());
+        let refusal = Refusal {
+            cause,
+            retry_after: Some(RETRY_AFTER_MIN + self.retry_spread(request)),
+        };
+        self.refuse(refusal, Some(request))
+    }
+
     /// Returns an error response whose body is the name of the cause.
     pub(super) fn refuse(&self, refusal: Refusal, request: Option<&RequestHead>) -> Response<Body> {
         let head = self.codec.refusal_head(&refusal, request);
--- a/crates/flamingo-serve/src/proxy/release.rs
+++ b/crates/flamingo-serve/src/proxy/release.rs
@@ -1,7 +1,7 @@
 //! Releases connections to targets whose response has been read or is not wanted.
 
 use super::Proxy;
-use crate::body::collect;
+use crate::body;
 use crate::exchange::PendingResponse;
 use crate::pool::Connection;
 use crate::wire::ResponseHead;
@@ -22,9 +22,12 @@
         let target = target.to_owned();
         tokio::task::spawn_local(async move {
             let deadline = Instant::now() + CONNECTION_RESET_TIMEOUT;
-            let rest =
-                timeout_at(deadline.into(), collect(response.body, MAX_DISCARDED_BYTES)).await;
-            if matches!(rest, Ok(Ok(_))) {
+            let rest = timeout_at(
+                deadline.into(),
+                body::discard(response.body, MAX_DISCARDED_BYTES),
+            )
+            .await;
+            if matches!(rest, Ok(Ok(()))) {
                 proxy.return_to_pool(&target, response.connection, &response.parsed);
             }
         });
--- a/crates/flamingo-serve/src/server.rs
+++ b/crates/flamingo-serve/src/server.rs
@@ -3,6 +3,7 @@
 //! When a caller disconnects, the handling of its request is cancelled by dropping its future.
 
 use crate::body::Body;
+use crate::write_stall::Guarded;
 use flamingo_wire::route::Limits;
 use futures_util::future::LocalBoxFuture;
 use http::{Request, Response};
@@ -16,7 +17,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
 /// Delay before the next `accept` after one has failed.
@@ -184,7 +185,8 @@
         let log = log.clone();
         tokio::task::spawn_local(async move {
             drain.open_connections.set(drain.open_connections.get() + 1);
-            let result = serve_connection(TokioIo::new(stream), handler, limits, &drain).await;
+            let io = TokioIo::new(Guarded::new(stream));
+            let result = serve_connection(io, handler, limits, &drain).await;
             drain.open_connections.set(drain.open_connections.get() - 1);
             if let Err(error) = result {
                 log_error(&log, peer, &error);
@@ -206,7 +208,7 @@
 /// Serves one connection until it ends, and closes it gracefully once the stage is
 /// [`Stage::Closing`]. A connection that begins later is closed by the response to its first request.
 async fn serve_connection(
-    io: TokioIo<tokio::net::TcpStream>,
+    io: TokioIo<Guarded<TcpStream>>,
     handler: Rc<dyn Handler>,
     limits: ConnectionLimits,
     drain: &Rc<Drain>,
--- a/crates/flamingo-serve/src/wire.rs
+++ b/crates/flamingo-serve/src/wire.rs
@@ -169,6 +169,8 @@
     Unreadable,
     /// The body exceeds the size limit.
     TooLarge,
+    /// The bodies of other requests leave no memory for the body.
+    NoMemory,
     /// No route matches the host and path.
     NoRoute,
     /// This entry has not received any routes yet.
--- a/crates/flamingo-test-support/src/process.rs
+++ b/crates/flamingo-test-support/src/process.rs
@@ -105,6 +105,20 @@
         self.child.wait().expect("the process can be waited for")
     }
 
+    /// Returns the greatest memory that the process has used, in bytes.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the process has ended.
+    #[must_use]
+    pub fn peak_memory(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.expect("the process runs");
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes = peak.and_then(|peak| peak.split_whitespace().next()?.parse::<u64>().ok());
+        kilobytes.expect("the kernel states the peak") * 1_024
+    }
+
     /// Returns the process id.
     #[must_use]
     pub fn id(&self) -> u32 {
