A target whose answers have no end holds up nobody and leaves the rotation

Cause: nothing counted what comes before the head of a response; and a response head ended the backoff of a target, whatever followed it.

A connection now counts the bytes (64 kB) and interim responses (32) before a head, and ends beyond them. A broken answer counts as a failure of its target like a refused connection, and only a whole answer or the first event of a stream ends the backoff; a head ends the one after silence. Requests that fail together count once. A stated length beyond what is buffered is no fault of the target.

--- a/crates/flamingo-serve/src/choice.rs
+++ b/crates/flamingo-serve/src/choice.rs
@@ -197,7 +197,7 @@
         let load_impossible =
             candidate.needs_adapter_load && (target.executing || !required.can_load_adapters);
         candidate.last_resort =
-            target.failed_recently(now) || table.heartbeat_overdue(target) || load_impossible;
+            target.is_avoided(now) || table.heartbeat_overdue(target) || load_impossible;
         candidates.push(candidate);
     }
     retain_preferred(&mut candidates, |candidate| !candidate.last_resort);
--- a/crates/flamingo-serve/src/exchange.rs
+++ b/crates/flamingo-serve/src/exchange.rs
@@ -96,6 +96,8 @@
     Broken,
     /// The received bytes are not HTTP, or it is not certain that they answer this request.
     Foreign,
+    /// The target sent more than any head needs, and no head.
+    Flooded,
     /// No response head was received before the deadline.
     Late,
 }
@@ -146,7 +148,7 @@
         // An answer to the question for the incarnation is no refusal, and has no id.
         let only_asked = expected.is_some() && newly_dialled && attempt_id.is_some();
         let first = connection.begin(attempt_id) || only_asked;
-        let answered = timeout_at(deadline.into(), connection.sender.try_send_request(request));
+        let answered = timeout_at(deadline.into(), connection.send(request));
         match answered.await {
             Ok(Ok(response)) => {
                 let pending = pending(connection, response, codec, sent_at);
@@ -157,6 +159,7 @@
                 // request is sent on a new connection.
                 Some(unsent) if !newly_dialled => request = unsent,
                 Some(_) => return Err(Failure::Unsent),
+                None if connection.is_flooded() => return Err(Failure::Flooded),
                 None if error.error().is_parse() => return Err(Failure::Foreign),
                 None => return Err(Failure::Broken),
             },
@@ -178,7 +181,7 @@
     let question = Request::from_parts(expected.question.clone(), Full::default());
     connection.begin(None);
     let asked = async {
-        let response = connection.sender.send_request(question).await.ok()?;
+        let response = connection.send(question).await.ok()?;
         let buffer = expected.memory.buffer(MAX_REPORT_BYTES);
         let body = collect(response.into_body(), buffer, WhenFull::Wait);
         let body = body.await.ok()?;
--- a/crates/flamingo-serve/src/lib.rs
+++ b/crates/flamingo-serve/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod origins;
 pub mod outlook;
 pub mod pool;
+pub mod preamble;
 pub mod prefill;
 pub mod proxy;
 pub mod server;
--- a/crates/flamingo-serve/src/outlook.rs
+++ b/crates/flamingo-serve/src/outlook.rs
@@ -71,7 +71,7 @@
             return Self::Left;
         }
         let unreached = lost && target.has_failed();
-        if unreached || target.failed_recently(now) || table.heartbeat_overdue(target) {
+        if unreached || target.is_avoided(now) || table.heartbeat_overdue(target) {
             return Self::Unreached;
         }
         if lost {
--- a/crates/flamingo-serve/src/pool.rs
+++ b/crates/flamingo-serve/src/pool.rs
@@ -7,14 +7,20 @@
 //! tells the two apart, so a connection carries an id once, and one request without an id. A target that
 //! was caught with such a response gets a connection for each request for a time.
 
+use crate::preamble::{Counted, Counter};
 use bytes::Bytes;
 use flamingo_wire::id;
+use http::{Request, Response};
 use http_body_util::Full;
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
+use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper::ext::on_informational;
 use hyper_util::rt::TokioIo;
 use std::collections::{HashMap, HashSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 use tokio::time::timeout_at;
@@ -32,6 +38,8 @@
 /// `TCP_USER_TIMEOUT`: time without an acknowledgement after which the kernel closes a
 /// connection.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Largest read buffer of a connection, and largest response head, in bytes.
+const MAX_BUFFER_BYTES: usize = 64 * 1024;
 
 /// A connection to a target.
 #[derive(Debug)]
@@ -42,6 +50,8 @@
     pub newly_dialled: bool,
     /// Hashes of the attempt ids of the requests that were sent on it.
     carried: HashSet<u64>,
+    /// Counts what comes before the head of a response.
+    preamble: Arc<Counter>,
     /// When an idle connection expires; set when it returns to the pool.
     expires_at: Instant,
 }
@@ -55,6 +65,29 @@
         first
     }
 
+    /// Sends a request and returns its response, whose body has not been read yet.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no response, with the request if nothing of it was sent.
+    pub async fn send(
+        &mut self,
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        self.preamble.begin();
+        let preamble = Arc::clone(&self.preamble);
+        on_informational(&mut request, move |_| preamble.record_interim_response());
+        let response = self.sender.try_send_request(request).await?;
+        self.preamble.end();
+        Ok(response)
+    }
+
+    /// Returns whether the target has sent too much before the head of the last response.
+    #[must_use]
+    pub fn is_flooded(&self) -> bool {
+        self.preamble.is_exceeded()
+    }
+
     fn is_usable(&self, now: Instant) -> bool {
         now < self.expires_at && !self.sender.is_closed()
     }
@@ -172,7 +205,11 @@
     // Errors are ignored: a connection without these options still works.
     let _ = stream.set_nodelay(true);
     let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
-    let (sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
+    let preamble = Arc::new(Counter::default());
+    let io = TokioIo::new(Counted::new(stream, Arc::clone(&preamble)));
+    let mut builder = Builder::new();
+    let handshake = builder.max_buf_size(MAX_BUFFER_BYTES).handshake(io);
+    let (sender, connection) = handshake.await.ok()?;
     tokio::task::spawn_local(async move {
         // An error of the connection also reaches the sender and the pending response.
         let _ = connection.await;
@@ -181,6 +218,7 @@
         sender,
         newly_dialled: true,
         carried: HashSet::new(),
+        preamble,
         expires_at: now,
     })
 }
--- a/crates/flamingo-serve/src/proxy/attempt.rs
+++ b/crates/flamingo-serve/src/proxy/attempt.rs
@@ -140,7 +140,7 @@
             Ok(response) => {
                 let mut table = self.topology.table.borrow_mut();
                 self.metrics.sendings.with_label_values(&["answered"]).inc();
-                table.record_response(&candidate.target);
+                table.record_sign_of_life(&candidate.target);
                 if let Some(load) = response.parsed.load {
                     table.record_load(&candidate.target, load);
                 }
@@ -209,8 +209,8 @@
                 AttemptError::NotRun(Cause::NoTarget)
             }
             Failure::Late => AttemptError::MayHaveRun(Cause::Late),
-            Failure::Broken | Failure::Foreign => {
-                if failure == Failure::Foreign {
+            Failure::Broken | Failure::Foreign | Failure::Flooded => {
+                if failure != Failure::Broken {
                     self.distrust(job, &candidate.target, now);
                 }
                 if failure == Failure::Broken {
@@ -231,10 +231,15 @@
         }
     }
 
-    /// Records that a target could not be reached or disconnected.
+    /// Records that a target could not be reached, disconnected, or sent a broken response.
     pub(super) fn record_failure(&self, target: &str, now: Instant) {
         self.topology.table.borrow_mut().record_failure(target, now);
     }
+
+    /// Records that a target has given a whole response or the first event of a stream.
+    pub(super) fn record_response(&self, target: &str) {
+        self.topology.table.borrow_mut().record_response(target);
+    }
 }
 
 /// Returns a request target in origin form: path and query only (RFC 9112, section 3.2.1).
--- a/crates/flamingo-serve/src/proxy/begin.rs
+++ b/crates/flamingo-serve/src/proxy/begin.rs
@@ -64,6 +64,7 @@
             }
             Next::Broken(_) => {
                 self.record_break(job, &candidate, source.response.sent_at, Progress::Head);
+                self.record_failure(&candidate.target, Instant::now());
                 return Err(AttemptError::MayHaveRun(Cause::Broken));
             }
             Next::TimedOut => return Err(AttemptError::MayHaveRun(Cause::Late)),
@@ -72,6 +73,7 @@
             return Err(self.refuse_successor(job, target, last, "no_event"));
         }
         load_guard.finish_prefill();
+        self.record_response(&candidate.target);
         self.record_answered(job);
         Ok(Begun {
             candidate,
--- a/crates/flamingo-serve/src/proxy/forward.rs
+++ b/crates/flamingo-serve/src/proxy/forward.rs
@@ -11,6 +11,8 @@
 use crate::wire::{Cause, Rejection};
 use flamingo_wire::route::Kind;
 use http::{Method, Response, StatusCode, header, response};
+use http_body::Body as _;
+use hyper::body::Incoming;
 use slog::info;
 use std::rc::Rc;
 use std::time::Instant;
@@ -85,6 +87,7 @@
             return Err(AttemptError::NotRun(Cause::NoRoom));
         }
         if !parsed.sealed && answered.response.head.status.is_success() {
+            self.record_failure(&answered.load_guard.target, Instant::now());
             return Err(AttemptError::MayHaveRun(Cause::Broken));
         }
         Ok(answered)
@@ -144,17 +147,22 @@
             connection,
             sent_at,
         } = response;
+        if states_too_much(&body) {
+            return Err(AttemptError::MayHaveRun(Cause::Broken));
+        }
         let buffer = self.memory.buffer(MAX_BUFFERED_BYTES);
         let collected = collect(body, buffer, WhenFull::Wait);
         let bytes = match timeout_at(job.deadline.into(), collected).await {
             Ok(Ok(bytes)) if !bytes.is_empty() || states_empty_body(job, &head) => bytes,
             Ok(_) => {
                 self.record_break(job, &candidate, sent_at, Progress::Head);
+                self.record_failure(&candidate.target, Instant::now());
                 return Err(AttemptError::MayHaveRun(Cause::Broken));
             }
             Err(_) => return Err(AttemptError::MayHaveRun(Cause::Late)),
         };
         self.record_answered(job);
+        self.record_response(&candidate.target);
         self.return_to_pool(&load_guard.target, connection, &parsed);
         let now = Instant::now();
         if head.status.is_server_error() && job.route.repeatable() && self.try_retry(job, now) {
@@ -186,6 +194,12 @@
     }
 }
 
+/// Returns whether a response states a longer body than is buffered. That is no fault of the target.
+fn states_too_much(body: &Incoming) -> bool {
+    let stated = body.size_hint().lower();
+    usize::try_from(stated).map_or(true, |stated| stated > MAX_BUFFERED_BYTES)
+}
+
 /// Returns whether an answer with this head is whole without a body. A success that states no end may
 /// have broken off after its head.
 fn states_empty_body(job: &Job, head: &response::Parts) -> bool {
--- a/crates/flamingo-serve/src/proxy/release.rs
+++ b/crates/flamingo-serve/src/proxy/release.rs
@@ -16,7 +16,7 @@
 
 impl Proxy {
     /// Reads the rest of a discarded response in the background, so that its connection can be
-    /// reused.
+    /// reused. One that does not end as it should is a failure of the target.
     pub(super) fn discard(self: &Rc<Self>, target: &str, response: PendingResponse) {
         let proxy = Rc::clone(self);
         let target = target.to_owned();
@@ -27,8 +27,13 @@
                 body::discard(response.body, MAX_DISCARDED_BYTES),
             )
             .await;
-            if matches!(rest, Ok(Ok(()))) {
-                proxy.return_to_pool(&target, response.connection, &response.parsed);
+            match rest {
+                Ok(Ok(())) => {
+                    proxy.record_response(&target);
+                    proxy.return_to_pool(&target, response.connection, &response.parsed);
+                }
+                Ok(Err(_)) => proxy.record_failure(&target, Instant::now()),
+                Err(_) => {}
             }
         });
     }
--- a/crates/flamingo-serve/src/table.rs
+++ b/crates/flamingo-serve/src/table.rs
@@ -263,29 +263,41 @@
         self.targets.values()
     }
 
-    /// Records that a target was unreachable or disconnected during a response.
+    /// Records that a target was unreachable, disconnected during a response, or sent a broken one.
     pub fn record_failure(&mut self, id: &str, now: Instant) {
         if let Some(target) = self.targets.get_mut(id) {
-            let doublings = target.failures.min(MAX_BACKOFF_DOUBLINGS);
-            target.failures += 1;
+            // Requests that were sent before the first failure fail together with it.
+            if !target.failed_recently(now) {
+                target.failures += 1;
+            }
+            let doublings = target.failures.saturating_sub(1).min(MAX_BACKOFF_DOUBLINGS);
             target.avoid_until = Some(now + FAILURE_BACKOFF * 2u32.pow(doublings));
         }
     }
 
-    /// Records that a target is silent. Others are preferred for a short time, or until it responds;
-    /// many silent requests of one target count no more than one.
+    /// Records that a target is silent. Others are preferred for a short time, or until it gives a
+    /// sign of life.
     pub fn record_silence(&mut self, id: &str, now: Instant) {
         if let Some(target) = self.targets.get_mut(id) {
-            let until = now + FAILURE_BACKOFF;
-            target.avoid_until = Some(target.avoid_until.map_or(until, |at| at.max(until)));
+            target.silent_until = Some(now + FAILURE_BACKOFF);
+        }
+    }
+
+    /// Records that something of a response has come, which ends the backoff after silence. The rest of
+    /// the response may be broken.
+    pub fn record_sign_of_life(&mut self, id: &str) {
+        if let Some(target) = self.targets.get_mut(id) {
+            target.silent_until = None;
         }
     }
 
-    /// Records that a target responded, which ends the backoff after failures and silence.
+    /// Records that a whole response or the first event of a stream has come, which ends the backoff
+    /// after failures and silence.
     pub fn record_response(&mut self, id: &str) {
         if let Some(target) = self.targets.get_mut(id) {
             target.failures = 0;
             target.avoid_until = None;
+            target.silent_until = None;
         }
     }
 
--- a/crates/flamingo-serve/src/table/state.rs
+++ b/crates/flamingo-serve/src/table/state.rs
@@ -80,8 +80,11 @@
     /// Permits that this entry takes while it reaches no leader.
     pub(super) bucket: Option<Bucket>,
     pub(super) last_heartbeat: Instant,
+    /// Until when others are preferred after a failure.
     pub(super) avoid_until: Option<Instant>,
-    /// Consecutive failures since the last response.
+    /// Until when others are preferred because of silence.
+    pub(super) silent_until: Option<Instant>,
+    /// Consecutive failures since the last whole response.
     pub(super) failures: u32,
     /// Models that the target reported as missing, and until when they are not requested.
     pub(super) missing_models: HashMap<id::Model, Instant>,
@@ -108,6 +111,7 @@
             bucket: None,
             last_heartbeat: now,
             avoid_until: None,
+            silent_until: None,
             failures: 0,
             missing_models: HashMap::new(),
             sent_tokens: 0,
@@ -210,13 +214,19 @@
         adapters.collect()
     }
 
-    /// Returns whether the target is avoided because of a recent failure.
+    /// Returns whether the target is avoided because of a recent failure or silence.
     #[must_use]
-    pub fn failed_recently(&self, now: Instant) -> bool {
+    pub fn is_avoided(&self, now: Instant) -> bool {
+        let silent = self.silent_until.is_some_and(|until| now < until);
+        silent || self.failed_recently(now)
+    }
+
+    /// Returns whether the target is avoided because of a recent failure.
+    pub(super) fn failed_recently(&self, now: Instant) -> bool {
         self.avoid_until.is_some_and(|until| now < until)
     }
 
-    /// Returns whether the target has failed since its last response.
+    /// Returns whether the target has failed since its last whole response.
     #[must_use]
     pub fn has_failed(&self) -> bool {
         self.failures > 0
--- a/crates/flamingo-serve/tests/load.rs
+++ b/crates/flamingo-serve/tests/load.rs
@@ -265,6 +265,40 @@
     assert_eq!(choose_target(&table, &request(100), now).target, "1");
 }
 
+#[test]
+fn a_target_whose_heads_are_sound_and_whose_bodies_break_stays_avoided() {
+    let start = Instant::now();
+    let mut table = table(start, &["1", "2"]);
+    let mut tries = 0;
+    for ms in (0..20_000).step_by(100) {
+        let now = start + Duration::from_millis(ms);
+        if table.get("1").expect("target is known").is_avoided(now) {
+            continue;
+        }
+        // Three requests at a time.
+        for _ in 0..3 {
+            table.record_sign_of_life("1");
+            table.record_failure("1", now);
+        }
+        tries += 1;
+    }
+    assert!(tries <= 6, "{tries} tries in 20 s");
+    table.record_response("1");
+    let later = start + Duration::from_secs(20);
+    assert!(!table.get("1").expect("target is known").is_avoided(later));
+}
+
+#[test]
+fn requests_that_fail_together_count_once() {
+    let now = Instant::now();
+    let mut table = table(now, &["1", "2"]);
+    for _ in 0..60 {
+        table.record_failure("1", now);
+    }
+    let later = now + Duration::from_secs(1);
+    assert!(!table.get("1").expect("target is known").is_avoided(later));
+}
+
 #[test]
 fn a_target_that_lacks_the_model_is_passed_over_for_a_while() {
     let now = Instant::now();
