A caller that comes back after a rejection counts once as demand

Entries now tell how many of the requests are of callers that have waited before, and the leader takes those off as far as rejections of the last seconds explain them. Others that state less time than most callers of their route stay first tries. Ruled out: leaving out all that have waited, since callers may state different times.

Tests: callers_that_come_back_after_a_rejection_count_once (20 engines forecast in place of 10 before), callers_that_state_less_time_count_while_nobody_is_rejected.

--- a/crates/flamingo-control/src/controller/demand.rs
+++ b/crates/flamingo-control/src/controller/demand.rs
@@ -7,7 +7,7 @@
 use flamingo_place::rate::Rate;
 use flamingo_place::rebalance::Need;
 use flamingo_wire::id;
-use flamingo_wire::target::{self, Load, Resident, Usage};
+use flamingo_wire::target::{self, Demand, Load, Resident, Usage};
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
@@ -22,6 +22,8 @@
 /// Time after which the loads that an entry reported no longer count.
 const LOADS_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time constant in which a rejected caller that has not come back is forgotten: it may have given up.
+const RETURN_WINDOW: Duration = Duration::from_secs(5);
 /// Time after a request in which callers are assumed to still want the model.
 const INTEREST_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -40,6 +42,8 @@
     request_s: f64,
     /// Until when callers are assumed to want the model.
     wanted_until: Instant,
+    /// Rejected callers that have not come back yet, in callers a second over `RETURN_WINDOW`.
+    absent: Rate,
 }
 
 impl Estimate {
@@ -49,19 +53,32 @@
             long: Rate::new(LONG_WINDOW, now),
             request_s: 0.0,
             wanted_until: now,
+            absent: Rate::new(RETURN_WINDOW, now),
         }
     }
 
-    /// Adds `requests` requests that need `work` seconds of an engine together.
-    fn add(&mut self, work: f64, requests: u32, now: Instant) {
-        if requests > 0 {
-            self.request_s = work / f64::from(requests);
-            self.wanted_until = now + INTEREST_TIMEOUT;
+    /// Adds the demand of a report. A caller that comes back after a rejection counts once.
+    fn add(&mut self, demand: &Demand, now: Instant) {
+        let repeated = self.match_returns(demand, now);
+        if demand.requests == 0 {
+            return;
         }
+        self.request_s = demand.work_ms / 1_000.0 / f64::from(demand.requests);
+        self.wanted_until = now + INTEREST_TIMEOUT;
+        let work = self.request_s * (f64::from(demand.requests) - repeated);
         self.short.add(work, now);
         self.long.add(work, now);
     }
 
+    /// Returns how many requests of a report are of callers that were rejected and counted before.
+    /// Others that have waited are first tries of callers that state less time.
+    fn match_returns(&mut self, demand: &Demand, now: Instant) -> f64 {
+        let absent = self.absent.at(now) * RETURN_WINDOW.as_secs_f64();
+        let repeated = f64::from(demand.returned.min(demand.requests)).min(absent);
+        self.absent.add(f64::from(demand.refused) - repeated, now);
+        repeated
+    }
+
     /// Returns the demand that is expected next, in busy engines, after entries have reported for
     /// `age`: the demand over the long window, plus a trend where the demand over the short window
     /// is higher by more than requests that arrive at random would make it.
@@ -108,9 +125,9 @@
     pub fn record(&mut self, now: Instant, from: &str, usage: Usage) {
         self.first_report.get_or_insert(now);
         for demand in usage.demand {
-            let key = (demand.service, demand.model);
+            let key = (demand.service.clone(), demand.model.clone());
             let estimate = self.estimates.entry(key).or_insert(Estimate::new(now));
-            estimate.add(demand.work_ms / 1_000.0, demand.requests, now);
+            estimate.add(&demand, now);
         }
         for need in usage.needs {
             let key = (need.service, need.software, need.model);
--- a/crates/flamingo-control/tests/controller/main.rs
+++ b/crates/flamingo-control/tests/controller/main.rs
@@ -352,6 +352,7 @@
         work_ms: 20.0,
         requests: 1,
         refused: 1,
+        returned: 0,
     };
     let usage = Usage {
         demand: vec![demand],
--- a/crates/flamingo-control/tests/demand.rs
+++ b/crates/flamingo-control/tests/demand.rs
@@ -40,7 +40,7 @@
                         model: model.clone(),
                         work_ms: WORK_MS * f64::from(requests),
                         requests,
-                        refused: 0,
+                        ..Demand::default()
                     });
                 }
             }
@@ -76,6 +76,66 @@
     (0..count).map(|n| format!("m{n}")).collect()
 }
 
+/// Reports of a model whose callers are all rejected at first and come back a second later.
+fn forecast_of_returning_callers(returned: u32) -> f64 {
+    let mut tracker = Tracker::default();
+    let start = Instant::now();
+    let mut now = start;
+    for report in 0..100 {
+        now += REPORT_INTERVAL;
+        let first = 10;
+        let back = if report >= 10 { 10 } else { 0 };
+        let requests = first + back;
+        let demand = Demand {
+            service: "s".into(),
+            model: "m".into(),
+            work_ms: WORK_MS * f64::from(requests),
+            requests,
+            refused: first,
+            returned: returned.min(back),
+        };
+        let usage = Usage {
+            demand: vec![demand],
+            ..Usage::default()
+        };
+        tracker.record(now, "e", usage);
+    }
+    tracker.forecast("s", "m", now)
+}
+
+#[test]
+fn callers_that_come_back_after_a_rejection_count_once() {
+    // 100 first tries a second of a tenth of a second each.
+    let forecast = forecast_of_returning_callers(10);
+    assert!((9.0..12.5).contains(&forecast), "{forecast}");
+    let unmarked = forecast_of_returning_callers(0);
+    assert!(unmarked > 18.0, "{unmarked}");
+}
+
+#[test]
+fn callers_that_state_less_time_count_while_nobody_is_rejected() {
+    let mut tracker = Tracker::default();
+    let mut now = Instant::now();
+    for _ in 0..100 {
+        now += REPORT_INTERVAL;
+        let demand = Demand {
+            service: "s".into(),
+            model: "m".into(),
+            work_ms: WORK_MS * 10.0,
+            requests: 10,
+            refused: 0,
+            returned: 10,
+        };
+        let usage = Usage {
+            demand: vec![demand],
+            ..Usage::default()
+        };
+        tracker.record(now, "e", usage);
+    }
+    let forecast = tracker.forecast("s", "m", now);
+    assert!((9.0..11.0).contains(&forecast), "{forecast}");
+}
+
 #[test]
 fn demand_for_many_rare_models_is_not_overestimated() {
     let models = models(200);
--- a/crates/flamingo-serve/src/demand.rs
+++ b/crates/flamingo-serve/src/demand.rs
@@ -1,6 +1,7 @@
 //! Counts the demand for models and reports it to the leader, together with this entry's load on
 //! targets. The leader uses the reports to place models and informs all entries of the total load.
 
+use crate::proxy::RETRY_AFTER_MIN;
 use crate::topology::Topology;
 use crate::wire::RequestHead;
 use flamingo_link::subscription::ControlClient;
@@ -33,10 +34,12 @@
 }
 
 impl Counter {
-    /// Counts a request that arrived. Requests without a model are not counted.
-    pub fn record_arrival(&self, service: &str, request: &RequestHead) {
+    /// Counts a request that arrived, whose caller has waited for `earlier_wait` before. Requests
+    /// without a model are not counted.
+    pub fn record_arrival(&self, service: &str, request: &RequestHead, earlier_wait: Duration) {
         self.change(service, request, |demand| {
             demand.requests += 1;
+            demand.returned += u32::from(earlier_wait >= RETRY_AFTER_MIN);
             demand.work_ms += work_ms(request);
         });
     }
--- a/crates/flamingo-serve/src/proxy.rs
+++ b/crates/flamingo-serve/src/proxy.rs
@@ -40,6 +40,7 @@
 use hyper::body::Incoming;
 use job::{AttemptError, Job};
 pub use loading::LATE_LOAD_TIMEOUT;
+pub use refusal::RETRY_AFTER_MIN;
 use slog::{Logger, info};
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::HashMap;
@@ -234,7 +235,9 @@
             guard,
         };
         self.retries.record_request(&job.service, arrived_at);
-        self.demand.record_arrival(&job.service, &job.request);
+        let earlier_wait = job.earlier_wait;
+        self.demand
+            .record_arrival(&job.service, &job.request, earlier_wait);
         self.run(Rc::new(job)).await
     }
 
--- a/crates/flamingo-wire/src/target.rs
+++ b/crates/flamingo-wire/src/target.rs
@@ -119,6 +119,10 @@
     /// Number of requests that were rejected because no target had the model resident or had
     /// capacity for it.
     pub refused: u32,
+    /// Number of those of `requests` whose callers have waited before, so that they may come back after
+    /// a rejection.
+    #[serde(default)]
+    pub returned: u32,
 }
 
 /// What streams of one software version need of one model, at an entry since the entry's last report.
