--- a/crates/flamingo-serve/src/proxy/attempt.rs
+++ b/crates/flamingo-serve/src/proxy/attempt.rs
@@ -8,7 +8,7 @@
 use crate::body::Body;
 use crate::choice::{self, Candidate, Choice};
 use crate::exchange::{self, Expected, Failure, PendingResponse};
-use crate::wire::{Attempt, Cause, Pause, ResponseHead};
+use crate::wire::{Attempt, AttemptId, Cause, Pause, ResponseHead};
 use http::{Request, Response, Uri};
 use http_body_util::Full;
 use slog::info;
@@ -236,6 +236,17 @@
         self.topology.table.borrow_mut().record_failure(target, now);
     }
 
+    /// Records that a target has sent a response that is no answer: `part` is what is wrong with it.
+    pub(super) fn record_broken_answer(
+        &self,
+        request: Option<&AttemptId>,
+        target: &str,
+        part: &str,
+    ) {
+        info!(self.log, "answer broken"; "request" => request, "target" => target, "part" => part);
+        self.record_failure(target, Instant::now());
+    }
+
     /// Records that a target has given a whole response or the first event of a stream.
     pub(super) fn record_response(&self, target: &str) {
         self.topology.table.borrow_mut().record_response(target);
--- a/crates/flamingo-serve/src/proxy/forward.rs
+++ b/crates/flamingo-serve/src/proxy/forward.rs
@@ -87,7 +87,8 @@
             return Err(AttemptError::NotRun(Cause::NoRoom));
         }
         if !parsed.sealed && answered.response.head.status.is_success() {
-            self.record_failure(&answered.load_guard.target, Instant::now());
+            let request = job.request.attempt_id.as_ref();
+            self.record_broken_answer(request, &answered.load_guard.target, "seal");
             return Err(AttemptError::MayHaveRun(Cause::Broken));
         }
         Ok(answered)
@@ -156,7 +157,8 @@
             Ok(Ok(bytes)) if !bytes.is_empty() || states_empty_body(job, &head) => bytes,
             Ok(_) => {
                 self.record_break(job, &candidate, sent_at, Progress::Head);
-                self.record_failure(&candidate.target, Instant::now());
+                let request = job.request.attempt_id.as_ref();
+                self.record_broken_answer(request, &candidate.target, "body");
                 return Err(AttemptError::MayHaveRun(Cause::Broken));
             }
             Err(_) => return Err(AttemptError::MayHaveRun(Cause::Late)),
--- a/crates/flamingo-serve/src/proxy/release.rs
+++ b/crates/flamingo-serve/src/proxy/release.rs
@@ -32,7 +32,10 @@
                     proxy.record_response(&target);
                     proxy.return_to_pool(&target, response.connection, &response.parsed);
                 }
-                Ok(Err(_)) => proxy.record_failure(&target, Instant::now()),
+                Ok(Err(_)) => {
+                    let request = response.parsed.attempt_id.as_ref();
+                    proxy.record_broken_answer(request, &target, "refusal");
+                }
                 Err(_) => {}
             }
         });
