A model larger than every engine costs others no last copies

With such a model in the configuration the packing of all models failed, so that the fleet counted as one where not all fit, and idle models lost their last copies to busy ones; their next callers had to wait for a load. Cause: the packing took in the model that no engine can ever hold. It leaves it out now.

Its other finding stays: callers of such a model are told to come back after a load.

--- a/crates/flamingo-place/src/rebalance/assignment.rs
+++ b/crates/flamingo-place/src/rebalance/assignment.rs
@@ -344,10 +344,14 @@
     }
 }
 
-/// Returns whether all models fit on the engines at once, by packing the largest first where the least
-/// room is left (best fit decreasing). A packing that this misses counts as none.
+/// Returns whether all models that fit an engine do so at once, by packing the largest first where the
+/// least room is left (best fit decreasing). A packing that this misses counts as none. A model larger
+/// than each engine can never be served and takes no place from others.
 fn all_fit(models: &[Model], engines: &[Engine]) -> bool {
-    let mut sizes: Vec<f64> = models.iter().map(|model| model.megabytes).collect();
+    let largest = engines.iter().map(|engine| engine.megabytes);
+    let largest = largest.fold(0.0, f64::max);
+    let sizes = models.iter().map(|model| model.megabytes);
+    let mut sizes: Vec<f64> = sizes.filter(|size| *size <= largest).collect();
     sizes.sort_by(|a, b| b.total_cmp(a));
     let mut free: Vec<f64> = engines.iter().map(|engine| engine.megabytes).collect();
     sizes.into_iter().all(|size| {
