A body that the memory can never hold is too large, and not told to come back

Found in a read of the whole change: a body larger than the share of all bodies found no room however empty it was, and its caller was told to come back for room that never comes; an answer waited for it until its deadline.

Test: a_body_that_the_empty_memory_cannot_hold_is_too_large (before: no room, by reading).

--- a/crates/flamingo-serve/src/memory.rs
+++ b/crates/flamingo-serve/src/memory.rs
@@ -73,6 +73,12 @@
         reservation.grow_to(bytes).then_some(reservation)
     }
 
+    /// Returns whether there is room for `bytes` bytes of one body once nothing else is held.
+    #[must_use]
+    pub fn could_hold(&self, bytes: usize) -> bool {
+        bytes <= self.limit_for(bytes)
+    }
+
     /// Returns an empty buffer for one body of at most `max_bytes`.
     #[must_use]
     pub fn buffer(&self, max_bytes: usize) -> Buffer {
@@ -128,7 +134,7 @@
 /// Why bytes were not added to a buffer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Refused {
-    /// The body is larger than its own limit.
+    /// The body is larger than its own limit, or than the memory of all bodies.
     TooLarge,
     /// The bodies of the process leave no room.
     NoRoom,
@@ -163,7 +169,7 @@
     /// ```
     pub fn push(&mut self, bytes: &[u8]) -> Result<(), Refused> {
         let needed = self.bytes.len().saturating_add(bytes.len());
-        if needed > self.max_bytes {
+        if needed > self.max_bytes || !self.reservation.memory.could_hold(needed) {
             return Err(Refused::TooLarge);
         }
         if needed > self.bytes.capacity() {
--- a/crates/flamingo-serve/tests/memory.rs
+++ b/crates/flamingo-serve/tests/memory.rs
@@ -115,3 +115,13 @@
         assert_eq!(waiting.await, Ok(()));
     });
 }
+
+/// It would wait, or be told to come back, for room that never comes.
+#[test]
+fn a_body_that_the_empty_memory_cannot_hold_is_too_large() {
+    let memory = Memory::new(SHORT_BODY_BYTES);
+    let mut buffer = memory.buffer(MAX_BODY);
+    let body = vec![0; SHORT_BODY_BYTES + 1];
+    assert_eq!(buffer.push(&body), Err(Refused::TooLarge));
+    assert!(!memory.could_hold(body.len()));
+}
