--- a/crates/flamingo-control/src/raft_actor.rs
+++ b/crates/flamingo-control/src/raft_actor.rs
@@ -306,6 +306,7 @@
         routes: set.routes.clone(),
         services: set.services.clone(),
         limits: set.limits,
+        workspaces: set.workspaces.clone(),
         text: String::new(),
     };
     RoutesUpdate::new(set, from_leader, bytes)
--- a/crates/flamingo-wire/src/id.rs
+++ b/crates/flamingo-wire/src/id.rs
@@ -14,6 +14,8 @@
 pub type Adapter = String;
 /// Name of a profile.
 pub type Profile = String;
+/// Name of a workspace: the callers that share keys and a quota.
+pub type Workspace = String;
 /// Name of a plain service.
 pub type Service = String;
 /// Version of the software that a target runs. Versions have no order.
--- a/crates/flamingo-wire/src/lib.rs
+++ b/crates/flamingo-wire/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod route;
 pub mod stream;
 pub mod target;
+pub mod workspace;
 
 /// Code generated from `proto/inner.proto`; see `flamingo-codegen`.
 #[allow(clippy::pedantic, missing_docs)]
--- a/crates/flamingo-wire/src/route.rs
+++ b/crates/flamingo-wire/src/route.rs
@@ -3,6 +3,7 @@
 //! Operators replace a whole [`Set`] at a time; the set with the highest version is in force.
 
 use crate::id;
+use crate::workspace::Workspace;
 use serde::{Deserialize, Serialize};
 use strum::{Display, IntoStaticStr};
 
@@ -64,6 +65,9 @@
     pub sticky: bool,
     /// Whether a broken stream may be resumed on another target.
     pub resumable: bool,
+    /// Whether requests need no key where the set has workspaces.
+    #[serde(default)]
+    pub anonymous: bool,
     /// The services that serve the route, with their weights.
     pub shares: Vec<Share>,
 }
@@ -173,6 +177,9 @@
     pub services: Vec<Service>,
     /// Limits on requests and connections of callers.
     pub limits: Limits,
+    /// The workspaces; `None` where requests need no key.
+    #[serde(default)]
+    pub workspaces: Option<Vec<Workspace>>,
     /// The set as the operator wrote it, so that it can be read back unchanged.
     pub text: String,
 }
