Check of a set of routes: entries without effect, contradicting limits, differences

A set that is valid may still hold routes that match nothing, services that no route leads to, models larger than any engine or a timeout below the objective; operators saw that only after it was in force. The check names such entries and, by name, what differs from another set. Keys are named by four bytes of their digests. Tested without a network; no command uses it yet.

--- a/crates/flamingo-wire/src/lib.rs
+++ b/crates/flamingo-wire/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod frame;
 pub mod gossip;
 pub mod id;
+pub mod lint;
 pub mod outcome;
 pub mod place;
 pub mod prompt;
