Load times of adapters are learned, and a request that came too early is sent again

The leader now learns the time by model from requests that came too early, and a request that a target rejects for lack of the adapter that was just ordered is sent to the same target once more, paid by the retry budget. An adapter that was not used for a second is ordered again in place of being believed.

--- a/crates/flamingo-control/src/controller/engine.rs
+++ b/crates/flamingo-control/src/controller/engine.rs
@@ -370,14 +370,12 @@
         self.models.contains_key(model) && self.unloading.as_deref() != Some(model)
     }
 
-    /// Returns whether an adapter is resident, and records that it is used.
-    pub fn use_adapter(&mut self, model: &str, adapter: &str, now: Instant) -> bool {
-        let adapters = self.models.get_mut(model);
-        let last_used = adapters.and_then(|adapters| adapters.get_mut(adapter));
-        last_used.is_some_and(|last_used| {
-            *last_used = now;
-            true
-        })
+    /// Records that an adapter is used. Returns when it was used before, or `None` if it is not
+    /// resident.
+    pub fn use_adapter(&mut self, model: &str, adapter: &str, now: Instant) -> Option<Instant> {
+        let adapters = self.models.get_mut(model)?;
+        let last_used = adapters.get_mut(adapter)?;
+        Some(std::mem::replace(last_used, now))
     }
 
     /// Returns the number of adapters that are resident or may be.
--- a/crates/flamingo-control/src/controller/mod.rs
+++ b/crates/flamingo-control/src/controller/mod.rs
@@ -5,6 +5,7 @@
 //! order carries the fencing number of the leadership and the number of orders that the engine
 //! must have accepted before, so that an order that arrives late changes nothing.
 
+pub mod adapter_time;
 pub mod demand;
 pub mod engine;
 pub mod engine_api;
@@ -19,6 +20,7 @@
 use crate::daemon::Core;
 use crate::raft_actor::ReadState;
 use crate::watch::lock_registry;
+use adapter_time::AdapterTimes;
 use demand::Tracker;
 use engine::{EngineState, Key};
 use engine_api::{EngineClient, Operation, Order, Outcome};
@@ -163,6 +165,8 @@
     demand: Tracker,
     /// Permits to send requests to targets that name a limit.
     permits: Permits,
+    /// Times that the adapters of models take to load.
+    adapter_times: AdapterTimes,
     /// Models that no engine has resident, by service and model.
     missing: BTreeMap<(id::Service, id::Model), Missing>,
     routes: Option<Arc<Set>>,
@@ -360,7 +364,7 @@
     }
 
     /// Resets the state where `leader` is a new leadership, and sets when orders may begin. The
-    /// demand that entries reported before is kept.
+    /// demand that entries reported before and the times of adapters are kept.
     fn start_term(&self, leader: &LeaderSnapshot, now: Instant) {
         let mut term = self.term.borrow_mut();
         if term.fence == leader.fence {
@@ -375,12 +379,14 @@
         };
         info!(self.log, "engine controller started"; "fence" => leader.fence, "wait_ms" => wait.as_millis());
         let demand = std::mem::take(&mut term.demand);
+        let adapter_times = std::mem::take(&mut term.adapter_times);
         let mut store_loads = Loads::default();
         store_loads.adopt(leader.load_ages(SystemTime::now()), now);
         *term = TermState {
             fence: leader.fence,
             orders_from: Some(now + wait),
             demand,
+            adapter_times,
             store_loads,
             ..TermState::default()
         };
--- a/crates/flamingo-control/src/controller/orders.rs
+++ b/crates/flamingo-control/src/controller/orders.rs
@@ -1,5 +1,6 @@
 //! Sends single orders to engines, loads adapters, and fetches reports of engines.
 
+use super::adapter_time;
 use super::engine::{Denial, EngineState, Key};
 use super::engine_api::{Operation, Order, Outcome, Report};
 use super::{Controller, LeaderSnapshot, engine_config};
@@ -18,8 +19,11 @@
 const MIN_LEADERSHIP_LEFT: Duration = Duration::from_millis(100);
 /// Adapters that are unloaded at most for one load.
 const MAX_EVICTIONS: usize = 2;
-/// Time after which an adapter whose load was accepted counts as resident.
-const ADAPTER_LOAD_DELAY: Duration = Duration::from_millis(12);
+/// Time since its last use after which an adapter that a target lacks is loaded again. One that was used
+/// later is believed to be on its way.
+const ADAPTER_RECENT: Duration = Duration::from_secs(1);
+/// Shortest wait for an adapter that is on its way.
+const MIN_ADAPTER_WAIT: Duration = Duration::from_millis(4);
 
 /// What the controller knew of an engine when it gave an order, for the log.
 struct Belief {
@@ -181,20 +185,15 @@
         };
         let lock = self.order_lock(&key.target);
         let _turn = lock.lock().await;
-        {
-            let mut term = self.term.borrow_mut();
-            let engine_state = term
-                .engine_mut(&key)
-                .ok_or("no such incarnation of the engine")?;
-            if !engine_state.has_model(&request.model) {
-                return Err("the engine does not have the model resident");
-            }
-            if engine_state.loading.is_some() || engine_state.unloading.is_some() {
-                return Err("the engine is executing another order");
-            }
-            if engine_state.use_adapter(&request.model, &request.adapter, clock::now()) {
+        let (times_key, used_at) = self.use_adapter(&key, request)?;
+        let is_recent = used_at.is_some_and(|used_at| clock::now() < used_at + ADAPTER_RECENT);
+        match (used_at, request.missed) {
+            (Some(_), false) => return Ok(()),
+            (Some(_), true) if is_recent => {
+                self.await_missed_adapter(&times_key).await;
                 return Ok(());
             }
+            _ => {}
         }
         for _ in 0..MAX_EVICTIONS {
             if let Some((model, adapter)) = self.adapter_to_evict(&key)? {
@@ -215,11 +214,53 @@
         if !matches!(outcome, Outcome::Started | Outcome::AlreadyDone) {
             return Err("the engine did not accept the order");
         }
-        tokio::time::sleep(ADAPTER_LOAD_DELAY).await;
+        let delay = {
+            let adapter_times = &mut self.term.borrow_mut().adapter_times;
+            adapter_times.record_load(&times_key);
+            adapter_times.delay(&times_key)
+        };
+        tokio::time::sleep(delay).await;
         self.publish_residency(&key.target);
         Ok(())
     }
 
+    /// Records that an adapter is used. Returns the key of its load time, and when it was used before;
+    /// `None` if it is not resident.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the engine can't load adapters of the model now.
+    fn use_adapter(
+        &self,
+        key: &Key,
+        request: &LoadAdapter,
+    ) -> Result<(adapter_time::Key, Option<Instant>), &'static str> {
+        let mut term = self.term.borrow_mut();
+        let engine_state = term
+            .engine_mut(key)
+            .ok_or("no such incarnation of the engine")?;
+        if !engine_state.has_model(&request.model) {
+            return Err("the engine does not have the model resident");
+        }
+        if engine_state.loading.is_some() || engine_state.unloading.is_some() {
+            return Err("the engine is executing another order");
+        }
+        let service = engine_state.registration.service.clone();
+        let used_at = engine_state.use_adapter(&request.model, &request.adapter, clock::now());
+        Ok(((service, request.model.clone()), used_at))
+    }
+
+    /// Records that the wait for an adapter was too short, and waits for the difference.
+    async fn await_missed_adapter(&self, times_key: &adapter_time::Key) {
+        let wait = {
+            let adapter_times = &mut self.term.borrow_mut().adapter_times;
+            let before = adapter_times.delay(times_key);
+            adapter_times.record_miss(times_key, clock::now());
+            adapter_times.delay(times_key).saturating_sub(before)
+        };
+        tokio::time::sleep(wait.max(MIN_ADAPTER_WAIT)).await;
+    }
+
     /// Returns the adapter to evict before another one can be loaded; `None` where a slot is
     /// free.
     ///
--- a/crates/flamingo-control/tests/controller/main.rs
+++ b/crates/flamingo-control/tests/controller/main.rs
@@ -152,6 +152,7 @@
     let world = World::new(config(&models, 1), [("e", engine)], script);
     let harness = Harness::start(&world).await;
     let request = LoadAdapter {
+        missed: false,
         target: "e".into(),
         incarnation: 1,
         model: "a".into(),
--- a/crates/flamingo-control/tests/engine_state.rs
+++ b/crates/flamingo-control/tests/engine_state.rs
@@ -72,7 +72,7 @@
     let mut engine = engine_state(now);
     engine.apply_outcome(&order(Operation::Load, "y", 4), Outcome::Started, now);
     assert!(!engine.apply_report(&report(4, &["x"]), now));
-    assert!(engine.use_adapter("m", "y", now));
+    assert!(engine.use_adapter("m", "y", now).is_some());
     assert_eq!(engine.sequence(), Some(5));
 }
 
@@ -86,7 +86,7 @@
     // The engine has not accepted the order yet, and still may.
     assert!(engine.apply_report(&report(4, &["x"]), now));
     assert_eq!(engine.adapter_count(), 2);
-    assert!(!engine.use_adapter("m", "y", now));
+    assert!(engine.use_adapter("m", "y", now).is_none());
     // The engine has accepted another order: the late one now expects a past sequence.
     assert!(engine.apply_report(&report(5, &["x"]), now));
     assert_eq!(engine.adapter_count(), 1);
--- a/crates/flamingo-serve/src/proxy.rs
+++ b/crates/flamingo-serve/src/proxy.rs
@@ -229,6 +229,7 @@
             progress_at: Cell::new(arrived_at),
             waits: Cell::new(false),
             stranded_since: Cell::new(None),
+            resent: Cell::new(false),
             sent: Cell::new(0),
             unreachable: Cell::new(0),
             may_have_run: Cell::new(false),
@@ -252,8 +253,9 @@
 
     /// Sends a request to targets until one responds or no further attempt is allowed.
     async fn try_targets(self: &Rc<Self>, job: &Rc<Job>) -> Response<Body> {
+        let mut resend_to = None;
         loop {
-            let error = match self.attempt(job).await {
+            let error = match self.attempt(job, resend_to.take()).await {
                 Ok(response) => return response,
                 Err(error) => error,
             };
@@ -267,6 +269,13 @@
                         "wait_ms" => delay.as_millis());
                     return self.give_up(job, Cause::NoRoom);
                 }
+                AttemptError::AdapterMissing(candidate) => {
+                    if !expired && self.may_resend(job, now) {
+                        resend_to = Some(*candidate);
+                        continue;
+                    }
+                    Cause::NoRoom
+                }
                 AttemptError::NotRun(cause) | AttemptError::MayHaveRun(cause) => cause,
             };
             let repeatable = !job.may_have_run.get() || job.route.repeatable();
--- a/crates/flamingo-serve/src/proxy/adapter.rs
+++ b/crates/flamingo-serve/src/proxy/adapter.rs
@@ -45,6 +45,7 @@
             incarnation,
             model: model.clone(),
             adapter: adapter.clone(),
+            missed: job.resent.get(),
         });
         let deadline = job.deadline.min(Instant::now() + ADAPTER_LOAD_TIMEOUT);
         match self.control_client.ask(leader, &request, deadline).await {
--- a/crates/flamingo-serve/src/proxy/attempt.rs
+++ b/crates/flamingo-serve/src/proxy/attempt.rs
@@ -16,12 +16,17 @@
 use std::time::Instant;
 
 impl Proxy {
-    /// Chooses a target, sends the request to it and returns its response.
+    /// Chooses a target, sends the request to it and returns its response. With `resend_to`, sends the
+    /// request to that target again, after its adapter has been loaded there.
     pub(super) async fn attempt(
         self: &Rc<Self>,
         job: &Rc<Job>,
+        resend_to: Option<Candidate>,
     ) -> Result<Response<Body>, AttemptError> {
-        let candidate = self.find_target(job).await?;
+        let candidate = match resend_to {
+            Some(candidate) => candidate,
+            None => self.find_target(job).await?,
+        };
         match self.ask_or_replace(job, candidate).await? {
             Reply::Answered(answered) => self.forward(job, answered).await,
             Reply::Begun(begun) => self.stream_response(job, begun).await,
--- a/crates/flamingo-serve/src/proxy/forward.rs
+++ b/crates/flamingo-serve/src/proxy/forward.rs
@@ -81,10 +81,19 @@
         answered: Answered,
     ) -> Result<Answered, AttemptError> {
         let parsed = &answered.response.parsed;
-        if parsed.rejection.is_some() {
+        if let Some(rejection) = parsed.rejection {
             self.record_rejection(job, &answered);
             self.discard(&answered.load_guard.target, answered.response);
-            return Err(AttemptError::NotRun(Cause::NoRoom));
+            let adapter_missing =
+                rejection == Rejection::Misdirected && job.request.adapter.is_some();
+            return Err(if adapter_missing {
+                AttemptError::AdapterMissing(Box::new(Candidate {
+                    needs_adapter_load: true,
+                    ..answered.candidate
+                }))
+            } else {
+                AttemptError::NotRun(Cause::NoRoom)
+            });
         }
         if !parsed.sealed && answered.response.head.status.is_success() {
             let request = job.request.attempt_id.as_ref();
@@ -172,7 +181,7 @@
                 "target" => &load_guard.target, "status" => head.status.as_u16());
             drop(load_guard);
             // The caller gets the server error if the next attempt has no response.
-            if let Ok(replacement) = Box::pin(self.attempt(job)).await {
+            if let Ok(replacement) = Box::pin(self.attempt(job, None)).await {
                 return Ok(replacement);
             }
         }
--- a/crates/flamingo-serve/src/proxy/job.rs
+++ b/crates/flamingo-serve/src/proxy/job.rs
@@ -66,6 +66,8 @@
     pub waits: Cell<bool>,
     /// Since when the leader is asked for the model at the version of the stream.
     pub stranded_since: Cell<Option<Instant>>,
+    /// Whether the request was sent again to a target that lacked its adapter.
+    pub resent: Cell<bool>,
     /// Number of attempts that a target may have read or may be reading.
     pub sent: Cell<u32>,
     /// Number of targets that could not be reached or could not take the request.
@@ -163,6 +165,8 @@
 pub enum AttemptError {
     /// The request did not run.
     NotRun(Cause),
+    /// The target did not run the request, since it does not have the adapter that was to be loaded there.
+    AdapterMissing(Box<Candidate>),
     /// The request did not run, and there is no other target for it.
     NoAlternative(Cause),
     /// The request was not sent, since this queueing delay at the best target is too long.
--- a/crates/flamingo-serve/src/proxy/retry.rs
+++ b/crates/flamingo-serve/src/proxy/retry.rs
@@ -79,6 +79,19 @@
         if job.sent.get() >= job.route.attempts.max(1) {
             return false;
         }
+        self.pay_retry(job, now)
+    }
+
+    /// Returns whether a request that a target rejected for lack of an adapter is sent to this target
+    /// again. Spends a retry of the budget if so. It is no further target, so the route's number of
+    /// attempts does not count.
+    pub(super) fn may_resend(&self, job: &Job, now: Instant) -> bool {
+        let first = !job.resent.replace(true);
+        first && !job.may_have_run.get() && self.pay_retry(job, now)
+    }
+
+    /// Spends a retry of the budget. Returns `false` if there is none.
+    fn pay_retry(&self, job: &Job, now: Instant) -> bool {
         let sharers = self.topology.peers.borrow().sharers.count(now);
         let paid = self.retries.with(&job.service, |account| {
             account.budget.try_retry(now, sharers)
--- a/crates/flamingo-serve/src/proxy/silence.rs
+++ b/crates/flamingo-serve/src/proxy/silence.rs
@@ -169,9 +169,15 @@
                 Err(error) => error,
             };
             job.record_error(&error);
-            let (AttemptError::NotRun(_) | AttemptError::MayHaveRun(_)) = error else {
+            let may_go_on = matches!(
+                error,
+                AttemptError::NotRun(_)
+                    | AttemptError::AdapterMissing(_)
+                    | AttemptError::MayHaveRun(_)
+            );
+            if !may_go_on {
                 return None;
-            };
+            }
             let was_sent = job.sent.get() > sent_before;
             if was_sent && !self.try_retry(job, Instant::now()) {
                 return None;
--- a/crates/flamingo-wire/src/control.rs
+++ b/crates/flamingo-wire/src/control.rs
@@ -61,6 +61,10 @@
     pub model: id::Model,
     /// The adapter to load.
     pub adapter: id::Adapter,
+    /// Whether the target has rejected the request for lack of the adapter, after the leader had said
+    /// that it is loaded.
+    #[serde(default)]
+    pub missed: bool,
 }
 
 /// A request for the permit to send one request to a target that names a limit.
