--- a/crates/flamingo-wire/src/lint.rs
+++ b/crates/flamingo-wire/src/lint.rs
@@ -8,10 +8,13 @@
 use crate::workspace::{Quota, Workspace};
 use serde::Serialize;
 use std::collections::{BTreeMap, BTreeSet};
-use strum::{Display, IntoStaticStr};
+use std::fmt::{Display, Write};
+use strum::IntoStaticStr;
 
 /// How serious a finding is.
-#[derive(Clone, Copy, Debug, Display, Eq, IntoStaticStr, Ord, PartialEq, PartialOrd, Serialize)]
+#[derive(
+    Clone, Copy, Debug, strum::Display, Eq, IntoStaticStr, Ord, PartialEq, PartialOrd, Serialize,
+)]
 #[serde(rename_all = "lowercase")]
 #[strum(serialize_all = "lowercase")]
 pub enum Severity {
@@ -281,7 +284,7 @@
     format!("workspace '{}'", workspace.name)
 }
 
-fn field(name: &str, value: impl ToString) -> (String, String) {
+fn field(name: &str, value: &dyn Display) -> (String, String) {
     (name.to_owned(), value.to_string())
 }
 
@@ -294,32 +297,32 @@
     Fields::from([
         field("host", &route.host),
         field("prefix", &route.prefix),
-        field("kind", route.kind),
-        field("timeout ms", route.timeout_ms),
-        field("objective ms", route.objective_ms),
-        field("pause ms", route.pause_ms),
-        field("rank", route.rank),
-        field("attempts", route.attempts),
-        field("sticky", route.sticky),
-        field("resumable", route.resumable),
-        field("anonymous", route.anonymous),
-        field("shares", shares.join(", ")),
+        field("kind", &route.kind),
+        field("timeout ms", &route.timeout_ms),
+        field("objective ms", &route.objective_ms),
+        field("pause ms", &route.pause_ms),
+        field("rank", &route.rank),
+        field("attempts", &route.attempts),
+        field("sticky", &route.sticky),
+        field("resumable", &route.resumable),
+        field("anonymous", &route.anonymous),
+        field("shares", &shares.join(", ")),
     ])
 }
 
 fn service_fields(service: &Service) -> Fields {
-    let mut fields = Fields::from([field("connections", service.connections)]);
+    let mut fields = Fields::from([field("connections", &service.connections)]);
     let Some(engine) = &service.engine else {
         return fields;
     };
     fields.extend([
-        field("slots", engine.slots),
-        field("cache tokens", engine.tokens),
-        field("megabytes", engine.megabytes),
-        field("adapter places", engine.adapters),
-        field("loads per s", engine.loads_per_s),
-        field("disk megabytes", engine.disk_megabytes),
-        field("memory megabytes", engine.memory_megabytes),
+        field("slots", &engine.slots),
+        field("cache tokens", &engine.tokens),
+        field("megabytes", &engine.megabytes),
+        field("adapter places", &engine.adapters),
+        field("loads per s", &engine.loads_per_s),
+        field("disk megabytes", &engine.disk_megabytes),
+        field("memory megabytes", &engine.memory_megabytes),
     ]);
     fields.extend(engine.models.iter().map(|model| {
         let value = format!(
@@ -331,7 +334,7 @@
             model.adapters,
             model.adapter_megabytes
         );
-        field(&format!("model '{}'", model.name), value)
+        field(&format!("model '{}'", model.name), &value)
     }));
     fields
 }
@@ -349,9 +352,9 @@
         .collect();
     let keys: Vec<String> = keys.into_iter().collect();
     Fields::from([
-        field("rank", rank),
-        field("quota", quota),
-        field("key digests", keys.join(", ")),
+        field("rank", &rank),
+        field("quota", &quota),
+        field("key digests", &keys.join(", ")),
     ])
 }
 
@@ -367,16 +370,20 @@
 
 fn key_text(digest: &[u8]) -> String {
     let bytes = digest.iter().take(KEY_NAME_BYTES);
-    bytes.map(|byte| format!("{byte:02x}")).collect()
+    bytes.fold(String::new(), |mut text, byte| {
+        // Writing to a string does not fail.
+        let _ = write!(text, "{byte:02x}");
+        text
+    })
 }
 
 fn limit_fields(set: &Set) -> Fields {
     let limits = &set.limits;
     Fields::from([
-        field("head bytes", limits.head_bytes),
-        field("body bytes", limits.body_bytes),
-        field("head ms", limits.head_ms),
-        field("idle ms", limits.idle_ms),
-        field("keys needed", set.workspaces.is_some()),
+        field("head bytes", &limits.head_bytes),
+        field("body bytes", &limits.body_bytes),
+        field("head ms", &limits.head_ms),
+        field("idle ms", &limits.idle_ms),
+        field("keys needed", &set.workspaces.is_some()),
     ])
 }
