--- a/crates/flamingo-wire/src/lib.rs
+++ b/crates/flamingo-wire/src/lib.rs
@@ -15,12 +15,14 @@
 pub mod frame;
 pub mod gossip;
 pub mod id;
+pub mod lint;
 pub mod outcome;
 pub mod place;
 pub mod prompt;
 pub mod route;
 pub mod stream;
 pub mod target;
+pub mod workspace;
 
 /// Code generated from `proto/inner.proto`; see `flamingo-codegen`.
 #[allow(clippy::pedantic, missing_docs)]
