Requests are admitted by the key of a workspace where the routes have workspaces

Nothing used the types of workspaces. A request's key is now digested while its head is parsed, looked up after the route was found, and decides between a workspace, a refusal (401), and "can't know" (503) where no leader was heard for two seconds. The workspace stands on `Job::workspace`, its rank replaces the route's, and the key is taken out of the head. Streams have a key of their own for each workspace. proxy.rs marks the place for the check of quotas, after the quarantine checks.

The configuration can't yet contain workspaces, so behaviour is unchanged, except that the fingerprint of a request holds the digest of the Authorization header in place of its text.

--- /dev/null
+++ b/crates/flamingo-serve/src/authentication.rs
@@ -0,0 +1,110 @@
+//! Decides whether a caller's key admits a request, and as which workspace.
+//!
+//! Load: any caller may guess keys at the full rate of requests, and operators add and remove keys at
+//! any time. An entry that may have missed a newer configuration must not turn away a key as unknown.
+
+use flamingo_wire::workspace::{KeyDigest, Workspace};
+use smallvec::SmallVec;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Time without a sign of a leader after which an entry does not know whether a newer configuration
+/// is in force. A change must be in force everywhere within 2.5 s, and the leader speaks twice a
+/// second.
+pub const MAX_LEADER_SILENCE: Duration = Duration::from_secs(2);
+
+/// First bytes of a digest.
+type Prefix = [u8; 8];
+/// Keys whose digests begin alike, with their workspaces: one, unless someone has searched for more.
+type Bucket = SmallVec<[(KeyDigest, Rc<Workspace>); 1]>;
+
+/// The workspaces of a configuration by the digests of their keys.
+#[derive(Debug)]
+pub struct Index {
+    buckets: HashMap<Prefix, Bucket>,
+}
+
+impl Index {
+    /// Builds the index.
+    #[must_use]
+    pub fn new(workspaces: &[Workspace]) -> Self {
+        let mut buckets: HashMap<Prefix, Bucket> = HashMap::new();
+        for workspace in workspaces {
+            let workspace = Rc::new(workspace.clone());
+            for key in &workspace.keys {
+                let bucket = buckets.entry(prefix(key)).or_default();
+                bucket.push((*key, Rc::clone(&workspace)));
+            }
+        }
+        Self { buckets }
+    }
+
+    /// Returns the workspace that has this key; `None` if no workspace has it.
+    ///
+    /// ```
+    /// use flamingo_serve::authentication::Index;
+    /// use flamingo_wire::workspace::{KeyDigest, Workspace};
+    ///
+    /// let keys = vec![KeyDigest::of("k")];
+    /// let index = Index::new(&[Workspace { name: "a".into(), keys, ..Workspace::default() }]);
+    /// assert_eq!(index.find(&KeyDigest::of("k")).expect("known").name, "a");
+    /// assert!(index.find(&KeyDigest::of("l")).is_none());
+    /// ```
+    #[must_use]
+    pub fn find(&self, key: &KeyDigest) -> Option<&Rc<Workspace>> {
+        let bucket = self.buckets.get(&prefix(key))?;
+        let mut found = None;
+        for (digest, workspace) in bucket {
+            if digest.matches(key) {
+                found = Some(workspace);
+            }
+        }
+        found
+    }
+}
+
+fn prefix(key: &KeyDigest) -> Prefix {
+    key.as_bytes().first_chunk().copied().unwrap_or_default()
+}
+
+/// Whether a request is admitted.
+#[derive(Clone, Copy, Debug, PartialEq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Decision<'a> {
+    /// As a request of this workspace, or without one.
+    Allowed(Option<&'a Rc<Workspace>>),
+    /// No workspace has the key, or the caller has sent none.
+    Unknown,
+    /// No workspace that this entry knows has the key; a newer configuration may have one.
+    Unsure,
+}
+
+/// Decides on a request with this key. `anonymous` says that its route needs none, and
+/// `hears_leader` that this entry gets newer configurations.
+///
+/// ```
+/// use flamingo_serve::authentication::{Decision, Index, decide};
+///
+/// let index = Index::new(&[]);
+/// assert_eq!(decide(&index, None, true, true), Decision::Allowed(None));
+/// assert_eq!(decide(&index, None, false, true), Decision::Unknown);
+/// ```
+#[must_use]
+pub fn decide<'a>(
+    index: &'a Index,
+    key: Option<&KeyDigest>,
+    anonymous: bool,
+    hears_leader: bool,
+) -> Decision<'a> {
+    let workspace = key.and_then(|key| index.find(key));
+    if workspace.is_some() || anonymous {
+        return Decision::Allowed(workspace);
+    }
+    // No configuration has a workspace for a request without a key.
+    if key.is_none() || hears_leader {
+        Decision::Unknown
+    } else {
+        Decision::Unsure
+    }
+}
--- a/crates/flamingo-serve/src/lib.rs
+++ b/crates/flamingo-serve/src/lib.rs
@@ -1,11 +1,11 @@
 //! Accepts callers' requests and routes them to targets that register with control instances.
 //!
 //! HTTP heads are translated by a [`wire::Codec`], which the users' platform implements. Routing
-//! decisions are made without I/O in [`table`], [`choice`], [`admission`], [`outlook`]
-//! and [`budget`]. The
-//! other modules handle connections and tasks. Everything runs on a single thread.
+//! decisions are made without I/O in [`authentication`], [`table`], [`choice`], [`admission`],
+//! [`outlook`] and [`budget`]. The other modules handle connections and tasks. Everything runs on a single thread.
 
 pub mod admission;
+pub mod authentication;
 pub mod availability;
 pub mod body;
 pub mod budget;
--- a/crates/flamingo-serve/src/metrics.rs
+++ b/crates/flamingo-serve/src/metrics.rs
@@ -1,8 +1,12 @@
 //! Metrics of an entry in the Prometheus format.
 
+use crate::authentication::Decision;
 use crate::topology::Topology;
 use flamingo_daemon::metrics::Registry;
 use prometheus::{HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts};
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 /// Bucket bounds of the latency histograms, in seconds.
@@ -10,6 +14,14 @@
     0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0, 30.0,
 ];
 
+/// Largest number of workspaces that have a time series of their own, over all configurations since the
+/// start. Four times the workspaces of the largest deployment known.
+const MAX_WORKSPACES: usize = 64;
+/// Label of the workspaces beyond [`MAX_WORKSPACES`].
+const OTHER_WORKSPACES: &str = "(other)";
+/// Label of callers without a workspace.
+const NO_WORKSPACE: &str = "(none)";
+
 /// The metrics of one entry. Labels have values from the configuration and from fixed sets only,
 /// so callers can't increase the number of time series.
 #[derive(Clone, Debug)]
@@ -17,6 +29,10 @@
     registry: Registry,
     /// Requests by route and outcome.
     requests: IntCounterVec,
+    /// Requests by workspace and the decision on their key.
+    authentications: IntCounterVec,
+    /// Workspaces that have a time series of their own.
+    workspaces: Rc<RefCell<BTreeSet<String>>>,
     /// Time to the first event or to the complete response, by route.
     first_event: HistogramVec,
     /// Attempts to send a request to a target, by how they ended.
@@ -52,6 +68,12 @@
                 "Requests by route and outcome.",
                 &["route", "outcome"],
             )?,
+            authentications: registry.counters(
+                "flamingo_authentications_total",
+                "Requests by workspace and the decision on their key.",
+                &["workspace", "decision"],
+            )?,
+            workspaces: Rc::default(),
             sendings: registry.counters(
                 "flamingo_sendings_total",
                 "Attempts to send a request to a target, by how they ended.",
@@ -85,6 +107,28 @@
         self.requests.with_label_values(&[route, outcome]).inc();
     }
 
+    /// Counts a decision on the key of a request of `workspace`.
+    pub fn record_authentication(&self, workspace: Option<&str>, decision: Decision<'_>) {
+        let workspace = workspace.map_or(NO_WORKSPACE, |name| self.workspace_label(name));
+        let decision: &str = decision.into();
+        let labels = [workspace, decision];
+        self.authentications.with_label_values(&labels).inc();
+    }
+
+    /// Returns the label of a workspace, so that new names don't add time series without bound.
+    #[must_use]
+    pub fn workspace_label<'a>(&self, name: &'a str) -> &'a str {
+        let mut workspaces = self.workspaces.borrow_mut();
+        if workspaces.contains(name) {
+            return name;
+        }
+        if workspaces.len() >= MAX_WORKSPACES {
+            return OTHER_WORKSPACES;
+        }
+        workspaces.insert(name.to_owned());
+        name
+    }
+
     /// Records the time to a first event or to a complete response.
     pub fn observe_first_event(&self, route: &str, time: Duration) {
         let first_event = self.first_event.with_label_values(&[route]);
--- a/crates/flamingo-serve/src/proxy.rs
+++ b/crates/flamingo-serve/src/proxy.rs
@@ -5,6 +5,7 @@
 mod begin;
 mod crash;
 mod forward;
+mod identity;
 mod job;
 mod load_guard;
 mod loading;
@@ -149,8 +150,8 @@
 
     async fn respond(self: Rc<Self>, request: Request<Incoming>) -> Response<Body> {
         let arrived_at = Instant::now();
-        let (http_head, body) = request.into_parts();
-        let request = match self.codec.parse_request(&http_head) {
+        let (mut http_head, body) = request.into_parts();
+        let mut request = match self.codec.parse_request(&http_head) {
             Ok(request) => request,
             Err(problem) => {
                 info!(self.log, "request unreadable"; "problem" => problem);
@@ -158,23 +159,22 @@
             }
         };
         if self.drain.stage() >= Stage::Closing {
-            let refusal = Refusal {
-                cause: Cause::Stopping,
-                retry_after: Some(Duration::ZERO),
-            };
+            let refusal = Refusal::not_run(Cause::Stopping, Duration::ZERO);
             return self.refuse(refusal, Some(&request));
         }
         let guard = self.drain.track_request();
         let Some(routes) = self.topology.routes.borrow().clone() else {
-            let refusal = Refusal {
-                cause: Cause::NoRoutes,
-                retry_after: Some(refusal::RETRY_AFTER_MIN),
-            };
+            let refusal = Refusal::not_run(Cause::NoRoutes, refusal::RETRY_AFTER_MIN);
             return self.refuse(refusal, Some(&request));
         };
-        let Some(route) = routes.find(&request.host, &request.path).cloned() else {
+        let Some(mut route) = routes.find(&request.host, &request.path).cloned() else {
             return self.refuse(Refusal::new(Cause::NoRoute), Some(&request));
         };
+        let found = self.authenticate(&routes, &mut route, &mut http_head, &mut request);
+        let workspace = match found {
+            Ok(workspace) => workspace,
+            Err(cause) => return self.refuse_key(&route, &request, cause),
+        };
         let mut service = choose_service(&route, &request);
         let parts = request.shared_parts();
         if let Some(until) = self.quarantined_until(&service, &parts) {
@@ -197,7 +197,8 @@
         let earlier_wait = self.earlier_wait(&route, max_wait);
         let mut software = None;
         if route.resumable && request.last_event_id.is_some() {
-            let origin = self.find_origin(&route, &request, deadline).await;
+            let scope = job::scope(&routes, workspace.as_deref());
+            let origin = self.find_origin(&route, &request, scope, deadline).await;
             let Some(origin) = origin else {
                 return self.refuse_resumption(&route, &request);
             };
@@ -208,11 +209,13 @@
         if let Some(until) = self.quarantined_until(&service, &[fingerprint]) {
             return self.refuse_deadly(&route, &request, fingerprint, until);
         }
+        // The quota of a workspace is checked here: the request would be sent now.
         let job = Job {
             http_head,
             body,
             service,
             route,
+            workspace,
             routes,
             arrived_at,
             earlier_wait,
@@ -264,7 +267,7 @@
                 AttemptError::NoAlternative(cause) => return self.give_up(job, cause),
                 AttemptError::QueueTooLong(delay) => {
                     info!(self.log, "no room"; "request" => &job.request.attempt_id,
-                        "wait_ms" => delay.as_millis());
+                        "workspace" => &job.request.workspace, "wait_ms" => delay.as_millis());
                     return self.give_up(job, Cause::NoRoom);
                 }
                 AttemptError::NotRun(cause) | AttemptError::MayHaveRun(cause) => cause,
--- a/crates/flamingo-serve/src/proxy/begin.rs
+++ b/crates/flamingo-serve/src/proxy/begin.rs
@@ -12,7 +12,7 @@
 use crate::event_stream::{EventStream, Next};
 use crate::events::Event;
 use crate::wire::Cause;
-use flamingo_wire::stream::{Origin, key};
+use flamingo_wire::stream::{Origin, Scope, key};
 use futures_util::stream;
 use http::{Response, Version, header};
 use slog::info;
@@ -165,8 +165,15 @@
             service: job.service.clone(),
             software: candidate.software.clone(),
         };
+        let now = Instant::now();
         let mut origins = self.topology.origins.borrow_mut();
-        origins.record(key(attempt_id), origin, &candidate.target, Instant::now());
+        if job.scope() != Scope::Open {
+            // Tells the other workspaces that the stream is not theirs.
+            let any = key(Scope::Any, attempt_id);
+            origins.record(any, origin.clone(), &candidate.target, now);
+        }
+        let own = key(job.scope(), attempt_id);
+        origins.record(own, origin, &candidate.target, now);
     }
 
     /// Adds the time to a first event to the estimate of the prefill rate, and returns the
--- a/crates/flamingo-serve/src/proxy/crash.rs
+++ b/crates/flamingo-serve/src/proxy/crash.rs
@@ -51,7 +51,7 @@
     ) -> Response<Body> {
         let remaining = until.saturating_duration_since(Instant::now());
         info!(self.log, "prompt refused"; "request" => &request.attempt_id, "route" => &route.name,
-            "parts" => request.part_names(), "for_ms" => remaining.as_millis());
+            "workspace" => &request.workspace, "parts" => request.part_names(), "for_ms" => remaining.as_millis());
         self.quarantine_refusal(route, request, remaining)
     }
 
@@ -65,7 +65,7 @@
     ) -> Response<Body> {
         let remaining = until.saturating_duration_since(Instant::now());
         info!(self.log, "request refused"; "request" => &request.attempt_id, "route" => &route.name,
-            "fingerprint" => format!("{fingerprint:016x}"), "for_ms" => remaining.as_millis());
+            "workspace" => &request.workspace, "fingerprint" => format!("{fingerprint:016x}"), "for_ms" => remaining.as_millis());
         self.quarantine_refusal(route, request, remaining)
     }
 
--- a/crates/flamingo-serve/src/proxy/job.rs
+++ b/crates/flamingo-serve/src/proxy/job.rs
@@ -10,6 +10,8 @@
 use flamingo_wire::id;
 use flamingo_wire::prompt::Parts;
 use flamingo_wire::route::Route;
+use flamingo_wire::stream::Scope;
+use flamingo_wire::workspace::Workspace;
 use http::uri::PathAndQuery;
 use http::{HeaderValue, request};
 use smallvec::SmallVec;
@@ -36,8 +38,10 @@
     pub parts: Parts,
     /// Identity of the whole request, which its repeats share.
     pub fingerprint: Fingerprint,
-    /// Route of the request.
+    /// Route of the request, with the rank of the workspace where that has one.
     pub route: Route,
+    /// Workspace of the caller; `None` for a caller without one, and where requests need no key.
+    pub workspace: Option<Rc<Workspace>>,
     /// Service that was chosen by the shares of the route.
     pub service: id::Service,
     /// Routes that were current when the request arrived.
@@ -78,6 +82,11 @@
 }
 
 impl Job {
+    /// Returns whose stream the request begins or goes on with.
+    pub fn scope(&self) -> Scope<'_> {
+        scope(&self.routes, self.workspace.as_deref())
+    }
+
     /// Returns what may be quarantined of the request: the parts of its prompt and itself.
     pub fn identities(&self) -> Parts {
         let parts = self.parts.iter().copied();
@@ -140,6 +149,15 @@
     }
 }
 
+/// Returns whose stream a request begins or goes on with, if the caller was found to be of
+/// `workspace`.
+pub fn scope<'a>(routes: &Routes, workspace: Option<&'a Workspace>) -> Scope<'a> {
+    if routes.keys.is_none() {
+        return Scope::Open;
+    }
+    Scope::Workspace(workspace.map(|workspace| workspace.name.as_str()))
+}
+
 /// Returns the identity of a request by its method, host, path, query, caller, model, prompt and body.
 pub fn identify(http_head: &request::Parts, request: &RequestHead, body: &[u8]) -> Fingerprint {
     let text = |text: &Option<String>| text.clone().unwrap_or_default().into_bytes();
@@ -147,11 +165,19 @@
     let path = path.map_or("", PathAndQuery::as_str);
     let parts = request.prompt_parts.iter();
     let prompt: Vec<u8> = parts.flat_map(|part| part.id.to_be_bytes()).collect();
+    // The name of a workspace stays when the caller gets another key.
+    let caller = match &request.workspace {
+        Some(workspace) => workspace.as_bytes(),
+        None => request
+            .caller
+            .as_ref()
+            .map_or(&[][..], |caller| caller.as_bytes()),
+    };
     fingerprint(&[
         http_head.method.as_str().as_bytes(),
         request.host.as_bytes(),
         path.as_bytes(),
-        &text(&request.caller),
+        caller,
         &text(&request.model),
         &text(&request.adapter),
         &prompt,
--- a/crates/flamingo-serve/src/proxy/refusal.rs
+++ b/crates/flamingo-serve/src/proxy/refusal.rs
@@ -42,7 +42,7 @@
         let name: &str = cause.into();
         let outlook: Option<&str> = self.outlook(job, now).map(Into::into);
         info!(self.log, "given up"; "request" => &job.request.attempt_id, "route" => &job.route.name,
-            "cause" => name, "not_run" => not_run, "sent" => job.sent.get(),
+            "workspace" => &job.request.workspace, "cause" => name, "not_run" => not_run, "sent" => job.sent.get(),
             "model" => &job.request.model, "software" => &*job.software.borrow(),
             "outlook" => outlook, "after_ms" => (now - job.arrived_at).as_millis());
         self.metrics.record_outcome(&job.route.name, name);
@@ -91,7 +91,7 @@
     pub(super) fn refuse_for_memory(&self, route: &Route, request: &RequestHead) -> Response<Body> {
         let cause = Cause::NoMemory;
         info!(self.log, "no memory for a body"; "request" => &request.attempt_id,
-            "route" => &route.name, "held" => self.memory.held());
+            "route" => &route.name, "workspace" => &request.workspace, "held" => self.memory.held());
         self.metrics.record_outcome(&route.name, cause.into());
         let refusal = Refusal {
             cause,
--- a/crates/flamingo-serve/src/proxy/resumption.rs
+++ b/crates/flamingo-serve/src/proxy/resumption.rs
@@ -4,13 +4,17 @@
 //! entry's own memory, from a control instance, or because the leader's committed state holds one
 //! version of the service only. The targets that a process has heard of prove nothing: it may have
 //! started, connected or gone on a moment ago.
+//!
+//! Where the configuration has workspaces, a stream goes on only for the one that began it. A stream that
+//! is known, but not under the caller's workspace, is another one's.
 
 use super::Proxy;
+use super::job::Job;
 use crate::wire::RequestHead;
 use flamingo_wire::control::{Reply, Request};
 use flamingo_wire::id;
 use flamingo_wire::route::Route;
-use flamingo_wire::stream::{self, Knowledge, Origin};
+use flamingo_wire::stream::{self, Knowledge, Origin, Scope};
 use futures_util::future::join_all;
 use futures_util::join;
 use slog::info;
@@ -28,6 +32,9 @@
 /// Time within which a control instance must answer.
 const ASK_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// Source in the log where a stream is another workspace's.
+const FOREIGN: &str = "other_workspace";
+
 /// What the leader's committed state says of the origin of any stream of a route.
 enum Versions {
     /// All streams begin here.
@@ -38,6 +45,24 @@
     Unanswered,
 }
 
+/// The stream that a request names.
+#[derive(Clone, Copy, Debug)]
+struct Stream {
+    /// Its key if the caller's workspace began it.
+    own: stream::Key,
+    /// Its key whoever began it; `None` where there are no workspaces.
+    any: Option<stream::Key>,
+}
+
+impl Stream {
+    fn new(scope: Scope<'_>, resumed: &str) -> Self {
+        Self {
+            own: stream::key(scope, resumed),
+            any: (scope != Scope::Open).then(|| stream::key(Scope::Any, resumed)),
+        }
+    }
+}
+
 impl Proxy {
     /// Returns where the stream began that a request goes on with. Returns `None` if the origin is
     /// not known by `deadline`.
@@ -45,15 +70,14 @@
         &self,
         route: &Route,
         request: &RequestHead,
+        scope: Scope<'_>,
         deadline: Instant,
     ) -> Option<Origin> {
-        let stream = request.resumes.as_deref().map(stream::key);
-        let own = stream.map_or(Knowledge::Unknown, |stream| {
-            self.topology.origins.borrow().find(stream)
-        });
-        let (knowledge, source) = match own {
-            Knowledge::Unknown => self.ask_for_origin(route, stream, deadline).await,
-            known => (known, "own"),
+        let stream = request.resumes.as_deref();
+        let stream = stream.map(|resumed| Stream::new(scope, resumed));
+        let (knowledge, source) = match stream.and_then(|stream| self.find_own(stream)) {
+            Some(found) => found,
+            None => self.ask_for_origin(route, stream, deadline).await,
         };
         let origin = match knowledge {
             Knowledge::Known(origin) => Some(origin),
@@ -71,14 +95,27 @@
 
     /// Returns whether a target's restart has made it uncertain which version began the stream of a
     /// request.
-    pub(super) fn is_origin_uncertain(&self, request: &RequestHead) -> bool {
-        let attempt_id = request.attempt_id.as_deref();
+    pub(super) fn is_origin_uncertain(&self, job: &Job) -> bool {
+        let attempt_id = job.request.attempt_id.as_deref();
         attempt_id.is_some_and(|attempt_id| {
             let origins = self.topology.origins.borrow();
-            origins.find(stream::key(attempt_id)) == Knowledge::Uncertain
+            origins.find(stream::key(job.scope(), attempt_id)) == Knowledge::Uncertain
         })
     }
 
+    /// Returns what this entry itself knows of a stream, and the name of the source; `None` if nothing.
+    fn find_own(&self, stream: Stream) -> Option<(Knowledge, &'static str)> {
+        let origins = self.topology.origins.borrow();
+        let known = origins.find(stream.own);
+        if known != Knowledge::Unknown {
+            return Some((known, "own"));
+        }
+        let any = stream
+            .any
+            .map_or(Knowledge::Unknown, |any| origins.find(any));
+        (any != Knowledge::Unknown).then_some((Knowledge::Unknown, FOREIGN))
+    }
+
     /// Asks all connected control instances for the origin of a stream, and the leader for the versions
     /// at which it can have begun, until it is known or [`REPORT_WAIT`] has passed; [`CONTROL_RETURN_WAIT`]
     /// where not all answer. A caller that does not name its stream has `None`. Returns what is known,
@@ -86,14 +123,18 @@
     async fn ask_for_origin(
         &self,
         route: &Route,
-        stream: Option<stream::Key>,
+        stream: Option<Stream>,
         deadline: Instant,
     ) -> (Knowledge, &'static str) {
         let asked_at = Instant::now();
+        let own = stream.map(|stream| stream.own);
+        let any = stream.and_then(|stream| stream.any);
+        let mut was_foreign = false;
         loop {
             let controls = self.topology.peers.borrow().connected();
-            let (answers, versions) = join!(
-                self.ask_all(&controls, stream),
+            let (answers, answers_for_any, versions) = join!(
+                self.ask_all(&controls, own),
+                self.ask_all(&controls, any),
                 self.ask_for_versions(route, &controls)
             );
             let all_answered = self.topology.peers.borrow().are_all(answers.len());
@@ -103,13 +144,25 @@
             if joined != Knowledge::Unknown {
                 return (joined, "control");
             }
+            // A report may arrive between the two questions, so the answer must come twice.
+            let is_foreign = answers_for_any.iter().any(|any| *any != Knowledge::Unknown);
+            if is_foreign && was_foreign {
+                return (Knowledge::Unknown, FOREIGN);
+            }
+            was_foreign = is_foreign;
+            let waited_for = |wait| Instant::now() >= deadline.min(asked_at + wait);
             let wait = match versions {
-                Versions::One(origin) => return (Knowledge::Known(origin), "only_version"),
+                // Another workspace's stream may be about to be reported.
+                Versions::One(origin)
+                    if !is_foreign && (any.is_none() || waited_for(REPORT_WAIT)) =>
+                {
+                    return (Knowledge::Known(origin), "only_version");
+                }
                 Versions::Several if stream.is_none() => Duration::ZERO,
                 Versions::Several if all_answered => REPORT_WAIT,
-                Versions::Several | Versions::Unanswered => CONTROL_RETURN_WAIT,
+                Versions::One(_) | Versions::Several | Versions::Unanswered => CONTROL_RETURN_WAIT,
             };
-            if Instant::now() >= deadline.min(asked_at + wait) {
+            if waited_for(wait) {
                 return (Knowledge::Unknown, "unknown");
             }
             tokio::time::sleep(ASK_INTERVAL).await;
--- a/crates/flamingo-serve/src/proxy/stop.rs
+++ b/crates/flamingo-serve/src/proxy/stop.rs
@@ -33,7 +33,8 @@
             .ends_at()
             .map(|at| at.saturating_duration_since(now));
         info!(self.log, "refused while stopping"; "request" => &request.attempt_id,
-            "route" => &route.name, "left_ms" => left.map(|left| left.as_millis()),
+            "route" => &route.name, "workspace" => &request.workspace,
+            "left_ms" => left.map(|left| left.as_millis()),
             "may_last_ms" => deadline.saturating_duration_since(now).as_millis());
         self.metrics
             .record_outcome(&route.name, Cause::Stopping.into());
--- a/crates/flamingo-serve/src/proxy/successor.rs
+++ b/crates/flamingo-serve/src/proxy/successor.rs
@@ -59,7 +59,7 @@
         last_event_id: Option<u64>,
         first_event_timeout: Option<Duration>,
     ) -> Option<Begun> {
-        if self.is_origin_uncertain(&job.request) {
+        if self.is_origin_uncertain(job) {
             info!(self.log, "stream broken"; "request" => &job.request.attempt_id,
                 "why" => "the target had restarted with other software", "last" => last_event_id);
             return None;
--- a/crates/flamingo-serve/src/topology.rs
+++ b/crates/flamingo-serve/src/topology.rs
@@ -1,10 +1,12 @@
 //! What an entry knows of the system: routes, targets, connections to them, and other processes.
 //! Control instances send this state and its changes.
 
+use crate::authentication::{Index, MAX_LEADER_SILENCE};
 use crate::origins::Origins;
 use crate::pool::Pool;
 use crate::sharers::Sharers;
 use crate::table::Table;
+use flamingo_daemon::clock;
 use flamingo_guard::observer::{Life, Observer};
 use flamingo_guard::quarantine::Finding;
 use flamingo_link::subscription::PushHandler;
@@ -30,6 +32,8 @@
 pub struct Routes {
     /// The set of routes and services.
     pub set: Arc<Set>,
+    /// The workspaces by their keys; `None` where requests need no key.
+    pub keys: Option<Index>,
     /// Indices of each host's routes in `set`, the longest path prefix first.
     hosts: HashMap<String, Vec<usize>>,
     /// Indices of the services in `set`.
@@ -50,8 +54,10 @@
         let services = set.services.iter().enumerate();
         let services = services.map(|(index, service)| (service.name.clone(), index));
         let services = services.collect();
+        let keys = set.workspaces.as_deref().map(Index::new);
         Self {
             set,
+            keys,
             hosts,
             services,
         }
@@ -78,6 +84,8 @@
 pub struct Peers {
     /// Control instance that leads; `None` while no leader is known.
     pub leader: Option<SocketAddr>,
+    /// When a control instance last named a leader, or the leader sent anything.
+    leader_heard_at: Option<Instant>,
     /// Number of entries that each control instance counts.
     entries: HashMap<SocketAddr, usize>,
     /// Number of control instances in the newest list of any of them; `None` before the first.
@@ -94,6 +102,14 @@
         self.leader = self.leader.filter(|leader| *leader != control);
     }
 
+    /// Records when a push shows that there is a leader.
+    fn record_leader(&mut self, from: SocketAddr, push: &Push, now: Instant) {
+        let names_leader = matches!(push, Push::Peers(peers) if peers.leader.is_some());
+        if names_leader || self.leader == Some(from) {
+            self.leader_heard_at = Some(now);
+        }
+    }
+
     /// Returns the control instances whose pushes are being received.
     #[must_use]
     pub fn connected(&self) -> Vec<SocketAddr> {
@@ -150,6 +166,14 @@
         }
     }
 
+    /// Returns whether a leader was heard so recently that this entry gets newer configurations. `now` is
+    /// a time of [`clock::now`], which counts suspensions.
+    #[must_use]
+    pub fn hears_leader(&self, now: Instant) -> bool {
+        let heard_at = self.peers.borrow().leader_heard_at;
+        heard_at.is_some_and(|at| now.saturating_duration_since(at) <= MAX_LEADER_SILENCE)
+    }
+
     /// Makes the origin of the streams uncertain that a target began after it sent its last known
     /// heartbeat, if it has restarted with other software since.
     fn forget_uncertain_streams(&self, registrations: &[Registration]) {
@@ -235,7 +259,11 @@
 
     fn on_push(&self, from: SocketAddr, push: Push) {
         let now = Instant::now();
-        self.peers.borrow_mut().connected.insert(from);
+        {
+            let mut peers = self.peers.borrow_mut();
+            peers.connected.insert(from);
+            peers.record_leader(from, &push, clock::now());
+        }
         if let Push::Targets(registrations) = &push {
             self.forget_uncertain_streams(registrations);
             for registration in registrations {
--- a/crates/flamingo-serve/src/wire.rs
+++ b/crates/flamingo-serve/src/wire.rs
@@ -6,6 +6,7 @@
 use flamingo_wire::id;
 use flamingo_wire::prompt::{PartId, Parts};
 use flamingo_wire::route::Rank;
+use flamingo_wire::workspace::KeyDigest;
 use http::{request, response};
 use smallvec::SmallVec;
 use std::time::{Duration, Instant};
@@ -29,8 +30,12 @@
     pub host: String,
     /// Path, without the query.
     pub path: String,
-    /// What identifies the caller, such as its credentials; `None` if it states none.
-    pub caller: Option<String>,
+    /// Digest of all that the caller states of its identity; `None` if it states nothing.
+    pub caller: Option<KeyDigest>,
+    /// Digest of the caller's key; `None` if it sends none, or none that can be read.
+    pub key: Option<KeyDigest>,
+    /// Workspace of the caller, which is set once its key was found; `None` before and without one.
+    pub workspace: Option<id::Workspace>,
     /// Identity of this try, which the target returns in its response; `None` if the caller
     /// sent none.
     pub attempt_id: Option<AttemptId>,
@@ -173,6 +178,10 @@
     NoMemory,
     /// No route matches the host and path.
     NoRoute,
+    /// The route needs a key, and the caller has sent none, or one that no workspace has.
+    Unauthenticated,
+    /// A newer configuration, of which this entry would not know, may contain the caller's key.
+    UnsureKey,
     /// This entry has not received any routes yet.
     NoRoutes,
     /// The service has no target that can take the request.
@@ -217,6 +226,15 @@
             retry_after: None,
         }
     }
+
+    /// Returns a refusal of a request that has not run and should be retried after this time.
+    #[must_use]
+    pub fn not_run(cause: Cause, retry_after: Duration) -> Self {
+        Self {
+            cause,
+            retry_after: Some(retry_after),
+        }
+    }
 }
 
 /// Translates between HTTP heads and the types of this module. Makes no routing decisions.
@@ -228,6 +246,10 @@
     /// Returns a message that names the header that can't be parsed.
     fn parse_request(&self, head: &request::Parts) -> Result<RequestHead, String>;
 
+    /// Replaces what a caller states of its identity, its key included, by the workspace that its key
+    /// was found to belong to; by nothing where that is `None`.
+    fn replace_identity(&self, head: &mut request::Parts, workspace: Option<&str>);
+
     /// Returns the headers for sending a caller's request to a target.
     fn request_headers(&self, head: &request::Parts, attempt: &Attempt<'_>) -> http::HeaderMap;
 
--- a/crates/flamingo-wire/src/route.rs
+++ b/crates/flamingo-wire/src/route.rs
@@ -3,7 +3,7 @@
 //! Operators replace a whole [`Set`] at a time; the set with the highest version is in force.
 
 use crate::id;
-use crate::workspace::Workspace;
+use crate::workspace::{self, Workspace};
 use serde::{Deserialize, Serialize};
 use strum::{Display, IntoStaticStr};
 
@@ -167,7 +167,7 @@
 }
 
 /// All routes and services of one version.
-#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Default, Deserialize, PartialEq, Serialize)]
 pub struct Set {
     /// Version of the set; the highest version is in force.
     pub version: id::Version,
@@ -184,6 +184,19 @@
     pub text: String,
 }
 
+impl std::fmt::Debug for Set {
+    /// Formats counts only: the operator's text contains keys.
+    fn fmt(&self, out: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let workspaces = self.workspaces.as_ref().map(Vec::len);
+        out.debug_struct("Set")
+            .field("version", &self.version)
+            .field("routes", &self.routes.len())
+            .field("services", &self.services.len())
+            .field("workspaces", &workspaces)
+            .finish_non_exhaustive()
+    }
+}
+
 impl Set {
     /// Returns the problems that keep the set from being applied; empty where there are none.
     ///
@@ -219,6 +232,9 @@
                 }
             }
         }
+        problems.extend(workspace::problems(
+            self.workspaces.as_deref().unwrap_or_default(),
+        ));
         problems
     }
 }
--- a/crates/flamingo-wire/src/stream.rs
+++ b/crates/flamingo-wire/src/stream.rs
@@ -1,6 +1,7 @@
 //! Where streams began. Targets of different software versions may serve side by side, and a stream
 //! goes on only at the version that began it, also through another entry.
 
+use crate::fingerprint::fingerprint;
 use crate::id;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
@@ -8,16 +9,41 @@
 /// Identity of a stream: a digest of the caller's try that brought its first event.
 pub type Key = u64;
 
+/// Whose a stream is. Streams of the same try in different scopes have different keys.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Scope<'a> {
+    /// Nobody's in particular: the configuration has no workspaces.
+    Open,
+    /// The stream of a workspace, or of callers without one.
+    Workspace(Option<&'a str>),
+    /// The stream of any workspace: known wherever that of a workspace is.
+    Any,
+}
+
 /// Returns the key of the stream that a caller's try begins.
 ///
 /// ```
-/// use flamingo_wire::stream::key;
+/// use flamingo_wire::stream::{Scope, key};
 ///
-/// assert_eq!(key("9c41d07be2a35f68"), key("9c41d07be2a35f68"));
-/// assert_ne!(key("9c41d07be2a35f68"), key("9c41d07be2a35f69"));
+/// let of = |workspace, attempt_id| key(Scope::Workspace(workspace), attempt_id);
+/// assert_eq!(of(Some("a"), "9c41d07be2a35f68"), of(Some("a"), "9c41d07be2a35f68"));
+/// assert_ne!(of(Some("a"), "9c41d07be2a35f68"), of(Some("a"), "9c41d07be2a35f69"));
+/// assert_ne!(of(Some("a"), "9c41d07be2a35f68"), of(Some("b"), "9c41d07be2a35f68"));
+/// assert_ne!(of(None, "9c41d07be2a35f68"), key(Scope::Open, "9c41d07be2a35f68"));
 /// ```
 #[must_use]
-pub fn key(attempt_id: &str) -> Key {
+pub fn key(scope: Scope<'_>, attempt_id: &str) -> Key {
+    // Each field is preceded by its length, which begins with a zero byte. No attempt id does, so no
+    // caller can choose one that has the key of another scope.
+    let attempt = attempt_id.as_bytes();
+    match scope {
+        Scope::Open => {}
+        Scope::Workspace(None) => return fingerprint(&[b"no workspace", attempt]),
+        Scope::Workspace(Some(name)) => {
+            return fingerprint(&[b"workspace", name.as_bytes(), attempt]);
+        }
+        Scope::Any => return fingerprint(&[b"any workspace", attempt]),
+    }
     let digest = Sha256::digest(attempt_id);
     let bytes = digest.first_chunk().copied().unwrap_or_default();
     Key::from_be_bytes(bytes)
--- a/crates/flamingo-wire/src/workspace.rs
+++ b/crates/flamingo-wire/src/workspace.rs
@@ -4,6 +4,8 @@
 use crate::route::Rank;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest as _, Sha256};
+use std::collections::{BTreeMap, BTreeSet};
+use subtle::ConstantTimeEq as _;
 
 /// SHA-256 digest of a caller's key. Entries hold digests only, so that a dump of an entry's memory
 /// or of a message reveals no key.
@@ -29,6 +31,19 @@
     pub fn as_bytes(&self) -> &[u8; 32] {
         &self.0
     }
+
+    /// Returns whether both digests are equal. The time does not depend on where they differ.
+    ///
+    /// ```
+    /// use flamingo_wire::workspace::KeyDigest;
+    ///
+    /// assert!(KeyDigest::of("a").matches(&KeyDigest::of("a")));
+    /// assert!(!KeyDigest::of("a").matches(&KeyDigest::of("b")));
+    /// ```
+    #[must_use]
+    pub fn matches(&self, other: &Self) -> bool {
+        self.0.ct_eq(&other.0).into()
+    }
 }
 
 /// What a quota counts.
@@ -66,3 +81,80 @@
     /// Limit on its use; `None` where there is none.
     pub quota: Option<Quota>,
 }
+
+/// Returns why these workspaces can't be applied; empty where they can. The problems name workspaces and
+/// never a key.
+///
+/// ```
+/// use flamingo_wire::workspace::{KeyDigest, Workspace, problems};
+///
+/// let workspace = |name: &str| Workspace {
+///     name: name.into(),
+///     keys: vec![KeyDigest::of("a key")],
+///     ..Workspace::default()
+/// };
+/// assert_eq!(problems(&[workspace("a")]), Vec::<String>::new());
+/// let shared = problems(&[workspace("a"), workspace("b")]);
+/// assert_eq!(shared, ["workspaces 'a' and 'b' share a key"]);
+/// ```
+#[must_use]
+pub fn problems(workspaces: &[Workspace]) -> Vec<String> {
+    let mut problems = Vec::new();
+    let mut names = BTreeSet::new();
+    for (index, workspace) in workspaces.iter().enumerate() {
+        let name = &workspace.name;
+        if name.is_empty() {
+            problems.push(format!("workspace {}: the name is empty", index + 1));
+        } else if !names.insert(name) {
+            problems.push(format!("workspace '{name}': another one has this name"));
+        }
+        if name.trim() != name || name.contains(char::is_control) {
+            let name = name.escape_debug();
+            problems.push(format!("workspace '{name}': no header can carry the name"));
+        }
+        if workspace.keys.contains(&KeyDigest::of("")) {
+            problems.push(format!("workspace '{name}': a key is empty"));
+        }
+        problems.extend(quota_problems(workspace));
+    }
+    problems.extend(shared_keys(workspaces));
+    problems
+}
+
+/// Returns which figures of a workspace's quota are negative or no numbers.
+fn quota_problems(workspace: &Workspace) -> Vec<String> {
+    let name = &workspace.name;
+    let quota = workspace.quota.unwrap_or_default();
+    let figures = [
+        ("rate", quota.per_s),
+        ("burst", quota.burst),
+        ("cost of a request without token counts", quota.plain_units),
+    ];
+    let wrong = figures
+        .iter()
+        .filter(|(_, figure)| !figure.is_finite() || *figure < 0.0);
+    wrong
+        .map(|(what, figure)| {
+            format!("workspace '{name}': the {what} is {figure}, expected a number from 0")
+        })
+        .collect()
+}
+
+/// Returns each pair of workspaces that have a key in common.
+fn shared_keys(workspaces: &[Workspace]) -> Vec<String> {
+    let mut owners: BTreeMap<&KeyDigest, usize> = BTreeMap::new();
+    let mut pairs = BTreeSet::new();
+    for (index, workspace) in workspaces.iter().enumerate() {
+        for key in &workspace.keys {
+            let owner = *owners.entry(key).or_insert(index);
+            if owner != index {
+                pairs.insert((owner, index));
+            }
+        }
+    }
+    let pairs = pairs.into_iter().map(|(one, other)| {
+        let (one, other) = (&workspaces[one].name, &workspaces[other].name);
+        format!("workspaces '{one}' and '{other}' share a key")
+    });
+    pairs.collect()
+}
