--- a/crates/flamingo-serve/src/metrics.rs
+++ b/crates/flamingo-serve/src/metrics.rs
@@ -15,7 +15,7 @@
 ];
 
 /// Largest number of workspaces that have a time series of their own, over all configurations since the
-/// start. Four times the workspaces of the largest deployment known.
+/// start, which bounds the size of a scrape.
 const MAX_WORKSPACES: usize = 64;
 /// Label of the workspaces beyond [`MAX_WORKSPACES`].
 const OTHER_WORKSPACES: &str = "(other)";
