Quotas of workspaces: ledger of the leader, account of an entry, messages

Workspaces have limits over all entries, and nothing kept them. The leader's ledger has a token bucket for each workspace and grants credit and leased shares; an entry's account spends them. Both are pure. The bucket is somewhat larger than the burst, as small buckets were full between two requests and gave 90% of the limit; promises leave room for three requests for the same reason.

Nothing uses them yet.

--- a/crates/flamingo-guard/src/lib.rs
+++ b/crates/flamingo-guard/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod observer;
 pub mod permits;
 pub mod quarantine;
+pub mod quota;
--- /dev/null
+++ b/crates/flamingo-guard/src/quota/ledger/bucket.rs
@@ -0,0 +1,212 @@
+//! The token bucket of one workspace.
+
+use super::super::{bucket_size, max_debt};
+use super::holdings::{Holdings, positive};
+use super::promises::Promises;
+use super::{Entry, Key, Level};
+use flamingo_wire::quota::{Decision, Grant, Use, Want};
+use flamingo_wire::workspace::Quota;
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+/// Interval at which expired and silent holdings are looked for. An entry uses its share half a
+/// second after it counts as silent, so that a delay of this length does no harm.
+const REFRESH_INTERVAL: Duration = Duration::from_millis(20);
+/// Longest time that a request is told to wait.
+const MAX_WAIT: Duration = Duration::from_mins(1);
+/// Part of the bucket that stays full when credit is granted ahead of use, and that credit which is
+/// held leaves free.
+const KEPT_PART: f64 = 0.5;
+/// Requests for which promises leave room in the bucket: with half of the bucket left, 10% of the limit was lost where the bucket holds only
+/// a few requests.
+const ROOM_REQUESTS: f64 = 3.0;
+/// Part of the rate that is taken to refill the bucket, at least, when a wait is computed: withheld
+/// parts come back within seconds.
+const MIN_REFILL_PART: f64 = 0.5;
+/// Rounding error of a bucket's level, as a part of what is compared.
+const TOLERANCE: f64 = 1e-9;
+
+/// The bucket of one workspace, with what entries hold of it.
+#[derive(Debug)]
+pub(super) struct Bucket {
+    quota: Quota,
+    units: f64,
+    filled_at: Instant,
+    refreshed_at: Instant,
+    holdings: Holdings,
+    promises: Promises,
+    /// Part of the rate that shares of an earlier leader may be using, and until when.
+    inherited: f64,
+    inherited_until: Instant,
+}
+
+impl Bucket {
+    /// Returns the bucket of a leadership that began at `start`. With an earlier leader, whose
+    /// bucket may have been in debt, it begins with the largest debt, and the whole rate may be in
+    /// use as shares until `inherited_until`.
+    pub fn new(quota: Quota, start: Instant, inherited_until: Option<Instant>) -> Self {
+        Self {
+            quota,
+            units: inherited_until.map_or(0.0, |_| -max_debt(&quota)),
+            filled_at: start,
+            refreshed_at: start,
+            holdings: Holdings::default(),
+            promises: Promises::default(),
+            inherited: inherited_until.map_or(0.0, |_| quota.per_s),
+            inherited_until: inherited_until.unwrap_or(start),
+        }
+    }
+
+    /// Fills the bucket until `now` and changes the limit from then on.
+    pub fn set_quota(&mut self, quota: Quota, entries: &HashMap<Key, Entry>, now: Instant) {
+        self.fill(entries, now);
+        self.quota = quota;
+        self.cap();
+    }
+
+    /// Decides on what an entry asks for.
+    ///
+    /// `is_silent` says that the entry may not have heard from this leader lately.
+    pub fn serve(&mut self, key: &Key, usage: &Use, is_silent: bool, now: Instant) -> Grant {
+        let stated = self.holdings.adopt(key, usage, now);
+        self.inherited = (self.inherited - stated.inherited).max(0.0);
+        self.units += stated.refund;
+        self.cap();
+        self.promises.expire(now);
+        let wants = usage.wants.iter();
+        let decisions = wants.map(|want| self.decide(*want, now)).collect();
+        let credit = self.credit(usage, now);
+        self.holdings.add_credit(key, credit, now);
+        let share = self.share(key, stated.share, is_silent, now);
+        self.holdings.lease(key, share, now);
+        Grant {
+            credit,
+            renewed: self.holdings.sums.credit <= bucket_size(&self.quota) * KEPT_PART,
+            share,
+            per_s: self.quota.per_s,
+            decisions,
+            ..Grant::default()
+        }
+    }
+
+    /// Returns the state for logs and metrics.
+    pub fn level(&mut self, entries: &HashMap<Key, Entry>, now: Instant) -> Level {
+        self.fill(entries, now);
+        self.promises.expire(now);
+        Level {
+            units: self.units,
+            withheld: self.quota.per_s - self.refill_per_s(now),
+            leased: self.holdings.sums.shares,
+            promised: self.promises.total(),
+            ..Level::default()
+        }
+    }
+
+    /// Fills the bucket in steps that are short enough to withhold the shares of entries that fall
+    /// silent.
+    pub fn fill(&mut self, entries: &HashMap<Key, Entry>, now: Instant) {
+        while self.filled_at < now {
+            let before = self.filled_at;
+            let idle = self.holdings.is_empty() && before >= self.inherited_until;
+            let next = if idle {
+                now
+            } else {
+                now.min(before + REFRESH_INTERVAL)
+            };
+            if next >= self.refreshed_at + REFRESH_INTERVAL {
+                self.holdings.refresh(entries, before, next);
+                self.refreshed_at = next;
+            }
+            let elapsed_s = (next - before).as_secs_f64();
+            self.units += self.refill_per_s(before) * elapsed_s;
+            self.cap();
+            self.filled_at = next;
+        }
+    }
+
+    /// Keeps the bucket and the credit ahead of use within the size of the bucket together.
+    fn cap(&mut self) {
+        self.units = self.units.min(self.capacity());
+    }
+
+    fn capacity(&self) -> f64 {
+        (bucket_size(&self.quota) - self.holdings.sums.credit).max(0.0)
+    }
+
+    /// Returns the part of the rate that no share may be using.
+    fn refill_per_s(&self, at: Instant) -> f64 {
+        let withheld = self.holdings.sums.silent + self.inherited_at(at);
+        (self.quota.per_s - withheld).max(0.0)
+    }
+
+    fn inherited_at(&self, at: Instant) -> f64 {
+        if at < self.inherited_until {
+            self.inherited
+        } else {
+            0.0
+        }
+    }
+
+    /// Decides on a request that lacks credit.
+    fn decide(&mut self, want: Want, now: Instant) -> Decision {
+        let cost = positive(want.units);
+        let max_debt = max_debt(&self.quota);
+        if cost > bucket_size(&self.quota) + max_debt {
+            return Decision::TooLarge;
+        }
+        let capacity = self.capacity();
+        // A request above the burst leaves a debt.
+        let needed = cost.min(self.quota.burst).max(cost - max_debt);
+        let needed = needed.min(capacity) * (1.0 - TOLERANCE);
+        let per_s = self.refill_per_s(now);
+        let full = self.units >= capacity * (1.0 - TOLERANCE);
+        let kept = want.returning && self.promises.redeem(cost, now);
+        let available = if kept || full {
+            self.units
+        } else {
+            // Most callers may never come back: promises must not keep the bucket full, as what it
+            // gains then is lost.
+            let kept = (capacity - cost * ROOM_REQUESTS).min(capacity * KEPT_PART);
+            let surplus = self.promises.surplus(self.units, per_s, now);
+            surplus.max(self.units - kept.max(0.0))
+        };
+        if available >= needed && self.units - cost >= -max_debt {
+            self.units -= cost;
+            return Decision::Admitted;
+        }
+        let missing = (self.promises.total() + needed - self.units).max(0.0);
+        let per_s = per_s.max(self.quota.per_s * MIN_REFILL_PART);
+        let delay = Duration::try_from_secs_f64(missing / per_s).unwrap_or(MAX_WAIT);
+        let delay = delay.min(MAX_WAIT);
+        self.promises.add(now + delay, cost, now);
+        // Rounded up, so that a caller that comes back at that time is not early.
+        let wait_ms = delay.as_nanos().div_ceil(1_000_000).max(1);
+        Decision::Wait(u64::try_from(wait_ms).unwrap_or(u64::MAX))
+    }
+
+    /// Takes credit ahead of use, as far as the bucket stays half full. Credit that does not pay for
+    /// a request is not granted.
+    fn credit(&mut self, usage: &Use, now: Instant) -> f64 {
+        let per_s = self.refill_per_s(now);
+        let surplus = self.promises.surplus(self.units, per_s, now);
+        let available = (surplus - bucket_size(&self.quota) * KEPT_PART).max(0.0);
+        let credit = positive(usage.ahead).min(available);
+        if credit + positive(usage.held) < positive(usage.mean) {
+            return 0.0;
+        }
+        self.units -= credit;
+        credit
+    }
+
+    /// Returns the new share of an entry. It grows only by what nobody else may hold, and only where
+    /// the entry has confirmed an answer lately: otherwise it would be withheld at once.
+    fn share(&mut self, key: &Key, stated: f64, is_silent: bool, now: Instant) -> f64 {
+        let fair = self.holdings.fair_share(key, &self.quota, now);
+        if is_silent {
+            return fair.min(stated);
+        }
+        let others = self.holdings.sums.shares - stated;
+        let free = self.quota.per_s - self.inherited_at(now) - others;
+        fair.min(free.max(0.0))
+    }
+}
--- a/crates/flamingo-wire/src/control.rs
+++ b/crates/flamingo-wire/src/control.rs
@@ -6,7 +6,7 @@
 use crate::fault::Fault;
 use crate::id;
 use crate::outcome::Verdict;
-use crate::{prompt, route, stream, target};
+use crate::{prompt, quota, route, stream, target};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -48,6 +48,8 @@
     /// Return the software versions with which targets of a service serve or served a short time ago.
     /// Only a leader whose lease is valid answers, so that the answer is never outdated.
     Versions(id::Service),
+    /// What an entry holds and wants of the quotas of workspaces.
+    Quota(quota::Question),
 }
 
 /// A request to load an adapter on a target.
@@ -243,4 +245,6 @@
     NoPermit(u64),
     /// The report was received; these prompt parts are in quarantine.
     Quarantines(Vec<prompt::Quarantine>),
+    /// What an entry gets of the quotas of workspaces.
+    Quota(quota::Answer),
 }
--- a/crates/flamingo-wire/src/lib.rs
+++ b/crates/flamingo-wire/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod outcome;
 pub mod place;
 pub mod prompt;
+pub mod quota;
 pub mod route;
 pub mod stream;
 pub mod target;
