Quotas of workspaces: leader answers, entries ask, requests wait or are refused

The leader answers Request::Quota with its ledger; an entry's task asks while workspaces with a quota are in use, and the proxy takes a request's cost before it counts the request as demand or for the retry budget. Over the quota: 429 with the time at which it can be served; 503 where no leader answers and there is no share. The workspace of a request is not known yet here (one line in Proxy::respond), so nothing changes for callers.

--- a/crates/flamingo-control/src/controller/mod.rs
+++ b/crates/flamingo-control/src/controller/mod.rs
@@ -14,6 +14,7 @@
 mod evidence;
 mod moves;
 mod orders;
+mod quota;
 mod residents;
 
 use crate::daemon::Core;
@@ -24,6 +25,7 @@
 use engine_api::{EngineClient, Operation, Order, Outcome};
 use flamingo_daemon::clock;
 use flamingo_guard::permits::Permits;
+use flamingo_guard::quota::ledger::Ledger;
 use flamingo_wire::control::{Permit, Push, Reply, Request};
 use flamingo_wire::fault::Reason;
 use flamingo_wire::route::{Engine, Set};
@@ -31,7 +33,7 @@
 use flamingo_wire::{Fault, id};
 use pace::Pace;
 use slog::{Logger, info};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -60,7 +62,8 @@
 pub struct EntryRequest {
     /// The entry that sent the request.
     pub from: id::Node,
-    /// The request; the controller handles loads of adapters, reports of usage and permits, and
+    /// The request; the controller handles loads of adapters, reports of usage, permits and
+    /// quotas, and
     /// refuses all others.
     pub request: Request,
     /// Receives the reply.
@@ -163,6 +166,9 @@
     demand: Tracker,
     /// Permits to send requests to targets that name a limit.
     permits: Permits,
+    /// Quotas of workspaces; `None` before the first question of an entry.
+    quotas: Option<Ledger>,
+    quotas_logged_at: Option<Instant>,
     /// Models that no engine has resident, by service and model.
     missing: BTreeMap<(id::Service, id::Model), Missing>,
     routes: Option<Arc<Set>>,
@@ -235,6 +241,8 @@
     engine_client: Rc<dyn EngineClient>,
     bounds: Bounds,
     term: RefCell<TermState>,
+    /// Whether this process has led before.
+    has_led: Cell<bool>,
     planning_pace: RefCell<Pace>,
     demand_log_limit: RefCell<LogRateLimit>,
     log: Logger,
@@ -248,6 +256,7 @@
         engine_client: options.engine_client,
         bounds: options.bounds,
         term: RefCell::default(),
+        has_led: Cell::new(false),
         planning_pace: RefCell::new(Pace::new(PLANNING_TIME_DIVISOR)),
         demand_log_limit: RefCell::default(),
         log: options.log,
@@ -287,6 +296,7 @@
                 Reply::Acknowledged
             }
             Request::Permit(permit) => self.permit(&permit).await,
+            Request::Quota(question) => self.quota(&entry_request.from, &question).await,
             _ => Reply::Refused(busy("it does not handle requests of this kind")),
         };
         // The entry may have disconnected.
@@ -345,6 +355,7 @@
         self.refresh_engines(&routes, now);
         self.flush_residencies();
         self.publish_loads(now);
+        self.log_quotas(now);
         if self.may_order(now) {
             self.plan_if_due(&leader, &routes, now).await;
         }
@@ -382,6 +393,7 @@
             orders_from: Some(now + wait),
             demand,
             store_loads,
+            quotas: Some(self.new_quotas(leader, now)),
             ..TermState::default()
         };
     }
--- a/crates/flamingo-control/src/inner.rs
+++ b/crates/flamingo-control/src/inner.rs
@@ -82,7 +82,10 @@
             (_, Request::Origin(stream)) => Reply::Origin(self.origins.find(stream)),
             (
                 Some(controller),
-                request @ (Request::Usage(_) | Request::LoadAdapter(_) | Request::Permit(_)),
+                request @ (Request::Usage(_)
+                | Request::LoadAdapter(_)
+                | Request::Permit(_)
+                | Request::Quota(_)),
             ) => controller::send_request(controller, &from, request).await,
             (_, request) => self
                 .raft_actor
--- a/crates/flamingo-control/src/raft_actor/requests.rs
+++ b/crates/flamingo-control/src/raft_actor/requests.rs
@@ -62,6 +62,7 @@
             | Request::Versions(_)
             | Request::Usage(_)
             | Request::Permit(_)
+            | Request::Quota(_)
             | Request::LoadAdapter(_)
             | Request::Begun(_)
             | Request::Origin(_) => ready(Reply::Refused(leaderless_fault())),
--- a/crates/flamingo-guard/src/quota/account.rs
+++ b/crates/flamingo-guard/src/quota/account.rs
@@ -243,6 +243,13 @@
                 purse.adopt(grant, *stated, asked.at, now);
             }
         }
+        for workspace in asked.stated.keys() {
+            let granted = answer.grants.iter();
+            if granted.clone().all(|grant| grant.workspace != *workspace) {
+                // The leader has no quota for it, so it counts nothing of what is held here.
+                self.purses.remove(workspace);
+            }
+        }
         let mut decisions: BTreeMap<&str, std::slice::Iter<'_, Decision>> = BTreeMap::new();
         for grant in &answer.grants {
             decisions.insert(&grant.workspace, grant.decisions.iter());
--- a/crates/flamingo-serve/src/lib.rs
+++ b/crates/flamingo-serve/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod preamble;
 pub mod prefill;
 pub mod proxy;
+pub mod quota;
 pub mod server;
 pub mod sharers;
 pub mod stillness;
--- a/crates/flamingo-serve/src/metrics.rs
+++ b/crates/flamingo-serve/src/metrics.rs
@@ -2,7 +2,11 @@
 
 use crate::topology::Topology;
 use flamingo_daemon::metrics::Registry;
+use flamingo_wire::id;
 use prometheus::{HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts};
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 /// Bucket bounds of the latency histograms, in seconds.
@@ -10,6 +14,11 @@
     0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0, 30.0,
 ];
 
+/// Largest number of workspaces that are counted by name.
+const MAX_WORKSPACES: usize = 64;
+/// Name under which all further workspaces are counted.
+const OTHER_WORKSPACES: &str = "(others)";
+
 /// The metrics of one entry. Labels have values from the configuration and from fixed sets only,
 /// so callers can't increase the number of time series.
 #[derive(Clone, Debug)]
@@ -25,6 +34,14 @@
     pub unaffordable: IntCounterVec,
     /// Connections to targets that requests used, newly dialled or reused.
     pub connections: IntCounterVec,
+    /// Requests of workspaces with a quota, by workspace and outcome.
+    quota_requests: IntCounterVec,
+    /// Cost of the requests that a quota admitted, by workspace.
+    quota_units: IntCounterVec,
+    /// Questions to the leader about quotas, by how they ended.
+    pub quota_questions: IntCounterVec,
+    /// Workspaces that have metrics of their own.
+    workspaces: Rc<RefCell<BTreeSet<id::Workspace>>>,
     targets: IntGaugeVec,
     version: IntGauge,
     entries: IntGauge,
@@ -62,6 +79,22 @@
                 "Connections to targets that requests used, newly dialled or reused.",
                 &["how"],
             )?,
+            quota_requests: registry.counters(
+                "flamingo_quota_requests_total",
+                "Requests of workspaces with a quota, by workspace and outcome.",
+                &["workspace", "outcome"],
+            )?,
+            quota_units: registry.counters(
+                "flamingo_quota_units_total",
+                "Units that requests have taken of quotas, by workspace.",
+                &["workspace"],
+            )?,
+            quota_questions: registry.counters(
+                "flamingo_quota_questions_total",
+                "Questions to the leader about quotas, by how they ended.",
+                &["ended"],
+            )?,
+            workspaces: Rc::default(),
             version: registry
                 .gauge("flamingo_routes_version", "Version of the routes in force.")?,
             entries: registry.gauge("flamingo_entries", "Entries that control counts.")?,
@@ -85,6 +118,32 @@
         self.requests.with_label_values(&[route, outcome]).inc();
     }
 
+    /// Counts a request of a workspace with a quota, and its cost if it was admitted.
+    pub fn record_quota(&self, workspace: &str, outcome: &str, units: Option<f64>) {
+        let label = self.workspace_label(workspace);
+        let requests = self.quota_requests.with_label_values(&[label, outcome]);
+        requests.inc();
+        if let Some(units) = units {
+            // A float is cast to the nearest integer; a cost is neither negative nor larger than that.
+            #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+            let units = units.round() as u64;
+            self.quota_units.with_label_values(&[label]).inc_by(units);
+        }
+    }
+
+    /// Returns the name under which a workspace is counted.
+    fn workspace_label<'a>(&self, workspace: &'a str) -> &'a str {
+        let mut workspaces = self.workspaces.borrow_mut();
+        if workspaces.contains(workspace) {
+            return workspace;
+        }
+        if workspaces.len() >= MAX_WORKSPACES {
+            return OTHER_WORKSPACES;
+        }
+        workspaces.insert(workspace.to_owned());
+        workspace
+    }
+
     /// Records the time to a first event or to a complete response.
     pub fn observe_first_event(&self, route: &str, time: Duration) {
         let first_event = self.first_event.with_label_values(&[route]);
--- a/crates/flamingo-serve/src/proxy.rs
+++ b/crates/flamingo-serve/src/proxy.rs
@@ -10,6 +10,7 @@
 mod loading;
 mod permit;
 mod proof;
+mod quota;
 mod refusal;
 mod release;
 mod resumption;
@@ -27,6 +28,7 @@
 use crate::demand::Counter;
 use crate::memory::Memory;
 use crate::metrics::Metrics;
+use crate::quota::Quotas;
 use crate::server::{Drain, Handler, Stage};
 use crate::sharers::Sharers;
 use crate::topology::Topology;
@@ -34,6 +36,7 @@
 use flamingo_link::subscription::ControlClient;
 use flamingo_wire::id;
 use flamingo_wire::route::{self, Route};
+use flamingo_wire::workspace::Workspace;
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
 use http::{Request, Response};
@@ -95,6 +98,8 @@
     /// Requests that wait for their model.
     waiting: loading::Waiting,
     demand: Rc<Counter>,
+    /// Quotas of workspaces.
+    quotas: Rc<Quotas>,
     memory: Memory,
     metrics: Metrics,
     drain: Rc<Drain>,
@@ -133,6 +138,7 @@
             longest_waits: RefCell::default(),
             waiting: loading::Waiting::default(),
             demand: options.demand,
+            quotas: Rc::default(),
             memory: options.memory,
             metrics: options.metrics,
             drain: options.drain,
@@ -147,6 +153,12 @@
         &self.topology
     }
 
+    /// Returns the quotas, whose questions [`quota::run`](crate::quota::run) asks.
+    #[must_use]
+    pub fn quotas(&self) -> &Rc<Quotas> {
+        &self.quotas
+    }
+
     async fn respond(self: Rc<Self>, request: Request<Incoming>) -> Response<Body> {
         let arrived_at = Instant::now();
         let (http_head, body) = request.into_parts();
@@ -208,6 +220,13 @@
         if let Some(until) = self.quarantined_until(&service, &[fingerprint]) {
             return self.refuse_deadly(&route, &request, fingerprint, until);
         }
+        // Filled with the request's workspace once keys are checked here.
+        let workspace: Option<Rc<Workspace>> = None;
+        let taken = self.take_quota(workspace.as_deref(), &route, &request, earlier_wait);
+        let ticket = match taken.await {
+            Ok(ticket) => ticket,
+            Err(response) => return response,
+        };
         let job = Job {
             http_head,
             body,
@@ -232,6 +251,7 @@
             sent: Cell::new(0),
             unreachable: Cell::new(0),
             may_have_run: Cell::new(false),
+            ticket: RefCell::new(ticket),
             guard,
         };
         self.retries.record_request(&job.service, arrived_at);
--- a/crates/flamingo-serve/src/proxy/job.rs
+++ b/crates/flamingo-serve/src/proxy/job.rs
@@ -6,6 +6,7 @@
 use crate::wire::{Cause, RequestHead};
 use bytes::Bytes;
 use flamingo_guard::observer::Life;
+use flamingo_guard::quota::account::Ticket;
 use flamingo_wire::fingerprint::{Fingerprint, fingerprint};
 use flamingo_wire::id;
 use flamingo_wire::prompt::Parts;
@@ -72,6 +73,8 @@
     pub unreachable: Cell<usize>,
     /// Whether a target may have run the request.
     pub may_have_run: Cell<bool>,
+    /// What the request has taken of its workspace's quota; `None` if there is none.
+    pub ticket: RefCell<Option<Ticket>>,
     /// Counts the request as in flight.
     #[allow(dead_code, reason = "held for its drop")]
     pub guard: Guard,
--- /dev/null
+++ b/crates/flamingo-serve/src/proxy/quota.rs
@@ -0,0 +1,104 @@
+//! Holds requests of a workspace within its quota.
+
+use super::job::Job;
+use super::{Proxy, RETRY_AFTER_MIN};
+use crate::body::Body;
+use crate::wire::{Cause, Refusal, RequestHead};
+use flamingo_guard::quota::account::{Refusal as Denial, Source, Ticket};
+use flamingo_guard::quota::{cost, limits};
+use flamingo_wire::quota::Want;
+use flamingo_wire::route::Route;
+use flamingo_wire::workspace::{Quota, Workspace};
+use http::Response;
+use slog::info;
+use std::time::Duration;
+
+/// Shortest time that a caller has spent on earlier tries from which on it counts as one that comes
+/// back after a rejection. Less is a difference between callers and networks.
+const RETURNING_MIN: Duration = Duration::from_millis(20);
+/// Unit of the time after which callers are told to retry: it is written with two decimals.
+const RETRY_AFTER_UNIT_MS: u128 = 10;
+
+impl Proxy {
+    /// Takes the cost of a request from the quota of its workspace, if there is one. Returns the
+    /// refusal of a request that is over the quota.
+    ///
+    /// # Errors
+    ///
+    /// Returns the response to a request that may not be sent.
+    pub(super) async fn take_quota(
+        &self,
+        workspace: Option<&Workspace>,
+        route: &Route,
+        request: &RequestHead,
+        earlier_wait: Duration,
+    ) -> Result<Option<Ticket>, Response<Body>> {
+        let Some(workspace) = workspace else {
+            return Ok(None);
+        };
+        let Some(quota) = workspace.quota.filter(limits) else {
+            return Ok(None);
+        };
+        let name = &workspace.name;
+        let want = Want {
+            units: units(&quota, request),
+            returning: earlier_wait >= RETURNING_MIN,
+        };
+        match self.quotas.take(name, quota, want).await {
+            Ok(ticket) => {
+                self.metrics
+                    .record_quota(name, "admitted", Some(want.units));
+                Ok(Some(ticket))
+            }
+            Err(denial) => Err(self.refuse_over_quota(name, want.units, denial, route, request)),
+        }
+    }
+
+    /// Gives back what a request has taken of its quota, as it was not sent.
+    pub(super) fn give_back_quota(&self, job: &Job) {
+        if let Some(ticket) = job.ticket.take() {
+            self.quotas.give_back(&ticket);
+        }
+    }
+
+    /// Logs and counts a request that is not within its quota, and returns the refusal.
+    fn refuse_over_quota(
+        &self,
+        workspace: &str,
+        units: f64,
+        denial: Denial,
+        route: &Route,
+        request: &RequestHead,
+    ) -> Response<Body> {
+        let (cause, retry_after, source) = match denial {
+            Denial::Over(delay, source) => (Cause::OverQuota, Some(round_up(delay)), Some(source)),
+            Denial::TooLarge => (Cause::OverQuota, None, Some(Source::Leader)),
+            Denial::Unknown => {
+                let retry_after = RETRY_AFTER_MIN + self.retry_spread(request);
+                (Cause::QuotaUnknown, Some(retry_after), None)
+            }
+        };
+        let name: &str = cause.into();
+        let source: Option<&str> = source.map(Into::into);
+        info!(self.log, "not within the quota"; "request" => &request.attempt_id,
+            "workspace" => workspace, "cause" => name, "cost" => units.round(),
+            "wait_ms" => retry_after.map(|wait| wait.as_millis()), "source" => source);
+        self.metrics.record_quota(workspace, name, None);
+        self.metrics.record_outcome(&route.name, name);
+        self.refuse(Refusal { cause, retry_after }, Some(request))
+    }
+}
+
+/// Returns the cost of a request in units of its quota.
+fn units(quota: &Quota, request: &RequestHead) -> f64 {
+    let tokens = request
+        .prompt_tokens
+        .saturating_add(request.max_output_tokens);
+    cost(quota, request.model.is_some(), tokens)
+}
+
+/// Rounds a time up to what a caller can be told, so that it does not come back too early.
+fn round_up(time: Duration) -> Duration {
+    let units = time.as_millis().div_ceil(RETRY_AFTER_UNIT_MS) * RETRY_AFTER_UNIT_MS;
+    Duration::from_millis(u64::try_from(units).unwrap_or(u64::MAX))
+}
--- a/crates/flamingo-serve/src/proxy/refusal.rs
+++ b/crates/flamingo-serve/src/proxy/refusal.rs
@@ -38,6 +38,9 @@
         if matches!(cause, Cause::NoModel | Cause::NoRoom) {
             self.demand.record_refusal(&job.service, &job.request);
         }
+        if job.sent.get() == 0 {
+            self.give_back_quota(job);
+        }
         let retry_after = not_run.then(|| self.retry_after(job, now));
         let name: &str = cause.into();
         let outlook: Option<&str> = self.outlook(job, now).map(Into::into);
--- /dev/null
+++ b/crates/flamingo-serve/src/quota.rs
@@ -0,0 +1,143 @@
+//! Keeps this entry's part of the quotas of workspaces: asks the leader for credit, and tells requests
+//! whether they are within the quota.
+
+use crate::metrics::Metrics;
+use crate::topology::Topology;
+use flamingo_daemon::clock;
+use flamingo_guard::quota::ANSWER_TIMEOUT;
+use flamingo_guard::quota::account::{Account, Admission, Decided, Refusal, Ticket, WantId};
+use flamingo_link::subscription::ControlClient;
+use flamingo_wire::control::{Reply, Request};
+use flamingo_wire::quota::{Question, Want};
+use flamingo_wire::workspace::Quota;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::{Instant, SystemTime};
+use tokio::sync::{Notify, oneshot};
+use tokio::time::{sleep_until, timeout};
+
+/// Whether a request may be sent.
+type Decision = Result<Ticket, Refusal>;
+
+/// The quotas as this entry knows them, and the requests that wait for the leader.
+#[derive(Debug)]
+pub struct Quotas {
+    account: RefCell<Account>,
+    waiting: RefCell<HashMap<WantId, oneshot::Sender<Decision>>>,
+    /// Wakes the task that asks the leader.
+    wanted: Notify,
+}
+
+impl Default for Quotas {
+    fn default() -> Self {
+        // Two starts of an entry are not in the same nanosecond, unless the wall clock is set back;
+        // then the leader refuses the questions of at most one of them.
+        let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+        let incarnation = since_epoch.unwrap_or_default().as_nanos();
+        let incarnation = u64::try_from(incarnation).unwrap_or(u64::MAX);
+        Self {
+            account: RefCell::new(Account::new(incarnation, clock::now())),
+            waiting: RefCell::default(),
+            wanted: Notify::new(),
+        }
+    }
+}
+
+impl Quotas {
+    /// Decides whether a request may be sent. One without credit waits for the leader's answer, for
+    /// [`ANSWER_TIMEOUT`] at most.
+    pub(crate) async fn take(&self, workspace: &str, quota: Quota, want: Want) -> Decision {
+        let now = clock::now();
+        let admission = self.account.borrow_mut().admit(workspace, quota, want, now);
+        // The use of credit may make a question due.
+        self.wanted.notify_one();
+        let id = match admission {
+            Admission::Decided(decision) => return decision,
+            Admission::Waits(id) => id,
+        };
+        let (sender, decision) = oneshot::channel();
+        self.waiting.borrow_mut().insert(id, sender);
+        let decision = timeout(ANSWER_TIMEOUT, decision).await;
+        match decision {
+            Ok(Ok(decision)) => decision,
+            Ok(Err(_)) | Err(_) => Err(Refusal::Unknown),
+        }
+    }
+
+    /// Gives back the cost of a request that was not sent.
+    pub(crate) fn give_back(&self, ticket: &Ticket) {
+        let mut account = self.account.borrow_mut();
+        account.give_back(ticket, clock::now());
+    }
+
+    /// Tells requests what was decided.
+    fn tell(&self, decided: Decided) {
+        for (id, decision) in decided {
+            let sender = self.waiting.borrow_mut().remove(&id);
+            let untold = match sender {
+                Some(sender) => sender.send(decision).err(),
+                None => Some(decision),
+            };
+            // The request has given up, so it is not sent.
+            if let Some(Ok(ticket)) = untold {
+                self.give_back(&ticket);
+            }
+        }
+    }
+
+    /// Waits until a question is due.
+    async fn next_question(&self) -> Question {
+        loop {
+            let now = clock::now();
+            let due_at = self.account.borrow().due_at(now);
+            let Some(due_at) = due_at else {
+                self.wanted.notified().await;
+                continue;
+            };
+            let question = self.account.borrow_mut().question(now);
+            if let Some(question) = question {
+                return question;
+            }
+            let wake_at = Instant::now() + due_at.saturating_duration_since(now);
+            tokio::select! {
+                () = sleep_until(wake_at.into()) => {}
+                () = self.wanted.notified() => {}
+            }
+        }
+    }
+}
+
+/// Asks the leader for what requests of this entry need. Never returns.
+pub async fn run(
+    quotas: Rc<Quotas>,
+    topology: Rc<Topology>,
+    control_client: Rc<ControlClient>,
+    metrics: Metrics,
+) {
+    loop {
+        let question = quotas.next_question().await;
+        let sequence = question.sequence;
+        let leader = topology.peers.borrow().leader;
+        let reply = match leader {
+            Some(leader) => {
+                let deadline = Instant::now() + ANSWER_TIMEOUT;
+                let request = Request::Quota(question);
+                Some(control_client.ask(leader, &request, deadline).await)
+            }
+            None => None,
+        };
+        let now = clock::now();
+        let (ended, decided) = {
+            let mut account = quotas.account.borrow_mut();
+            match reply {
+                Some(Reply::Quota(answer)) => ("answered", account.adopt(&answer, now)),
+                // Another leader becomes known by a push.
+                Some(_) => ("refused", account.lose(sequence, now)),
+                None => ("no_leader", account.lose(sequence, now)),
+            }
+        };
+        metrics.quota_questions.with_label_values(&[ended]).inc();
+        quotas.tell(decided);
+    }
+}
--- a/crates/flamingo-serve/src/wire.rs
+++ b/crates/flamingo-serve/src/wire.rs
@@ -188,6 +188,10 @@
     UnknownOrigin,
     /// A part of the prompt has crashed targets and is kept from them.
     Quarantined,
+    /// The workspace has used up its quota.
+    OverQuota,
+    /// Whether the workspace has used up its quota is unknown, as no leader answers.
+    QuotaUnknown,
     /// The retry budget is exhausted.
     NoBudget,
     /// A target failed after it may have started the request.
