Quotas: requests that waited too long are admitted anew; tests of both sides

A request that waits for its model after its quota admitted it would count in a later window. It must be sent within 0.5 s, or takes its cost anew.

--- a/crates/flamingo-control/tests/controller/harness.rs
+++ b/crates/flamingo-control/tests/controller/harness.rs
@@ -15,6 +15,7 @@
 use flamingo_wire::frame::Seal;
 use flamingo_wire::prompt::Quarantine;
 use flamingo_wire::route::{Service, Set};
+use flamingo_wire::workspace::{Quota, Unit, Workspace};
 use slog::Logger;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -27,6 +28,14 @@
 /// Interval of the engines' heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Quota of the workspace `w`.
+pub const QUOTA: Quota = Quota {
+    unit: Unit::Requests,
+    per_s: 20.0,
+    burst: 5.0,
+    plain_units: 0.0,
+};
+
 /// A running controller.
 pub struct Harness {
     requests: mpsc::Sender<EntryRequest>,
@@ -115,6 +124,11 @@
             connections: 8,
             engine: Some((*world.config).clone()),
         }],
+        workspaces: Some(vec![Workspace {
+            name: "w".into(),
+            quota: Some(QUOTA),
+            ..Workspace::default()
+        }]),
         ..Set::default()
     });
     wait::until("the routes to be accepted", || async {
--- a/crates/flamingo-control/tests/controller/main.rs
+++ b/crates/flamingo-control/tests/controller/main.rs
@@ -9,6 +9,7 @@
 use flamingo_test_support::wait;
 use flamingo_wire::control::{LoadAdapter, Permit, Push, Reply, Request};
 use flamingo_wire::prompt::{Crash, Evidence, Exposure};
+use flamingo_wire::quota::{Decision, Question, Use, Want};
 use flamingo_wire::route;
 use flamingo_wire::target::{Demand, Usage};
 use harness::Harness;
@@ -339,6 +340,56 @@
     assert!((1.0..=allowed).contains(&f64::from(granted)), "{granted}");
 }
 
+/// Two entries ask for requests of one workspace; a question of one comes again late.
+async fn quotas_of_several_entries() {
+    let engines = [("e", Engine::new(0, &[]))];
+    let world = World::new(config(&[], 0), engines, Box::new(|_, _| None));
+    let harness = Harness::start(&world).await;
+    let question = |sequence, workspace: &str, requests| {
+        let want = Want {
+            units: 1.0,
+            returning: false,
+        };
+        let usage = Use {
+            workspace: workspace.into(),
+            wants: vec![want; requests],
+            ..Use::default()
+        };
+        Request::Quota(Question {
+            incarnation: 1,
+            sequence,
+            uses: vec![usage],
+            ..Question::default()
+        })
+    };
+    let mut sequence = 0;
+    let mut ask = async |entry: &str, requests| {
+        sequence += 1;
+        match harness
+            .ask_as(entry, question(sequence, "w", requests))
+            .await
+        {
+            Reply::Quota(answer) => Some(answer.grants[0].decisions.clone()),
+            _ => None,
+        }
+    };
+    while ask("entry-0", 0).await.is_none() {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    // More than the bucket ever holds.
+    let first = ask("entry-0", 40).await.expect("a leader");
+    assert!(matches!(first[39], Decision::Wait(1..)), "{first:?}");
+    let second = ask("entry-1", 1).await.expect("a leader");
+    assert!(matches!(second[0], Decision::Wait(1..)), "{second:?}");
+    let late = harness.ask_as("entry-0", question(1, "w", 1)).await;
+    assert!(matches!(late, Reply::Refused(_)), "{late:?}");
+    let other = harness.ask_as("entry-2", question(1, "x", 1)).await;
+    let Reply::Quota(answer) = other else {
+        panic!("{other:?}");
+    };
+    assert!(answer.grants.is_empty());
+}
+
 /// One engine has room for one of two models, and callers ask for the other one.
 async fn asked_for_without_a_place() {
     let models = [("a", 150.0), ("b", 150.0)];
@@ -379,6 +430,7 @@
 cases! {
     a_model_that_is_asked_for_takes_the_place_of_an_idle_one: asked_for_without_a_place(),
     crashes_that_several_entries_saw_quarantine_a_part: crashes_that_several_entries_saw(),
+    quotas_of_several_entries_come_from_one_bucket: quotas_of_several_entries(),
     permits_of_several_entries_come_from_one_count: permits_of_several_entries(),
     a_late_load_of_an_earlier_incarnation_has_room: late_load_of_an_earlier_incarnation(),
     a_retried_load_does_not_overfill_an_engine: retry_after_an_earlier_load(),
--- a/crates/flamingo-guard/src/quota.rs
+++ b/crates/flamingo-guard/src/quota.rs
@@ -13,6 +13,11 @@
 /// Time from the sending of a question after which the credit of its answer has expired. Rate × time
 /// is half of the overage that the platform allows in a window.
 pub const CREDIT_LIFETIME: Duration = Duration::from_millis(500);
+/// Time from its admission within which a request must be sent. What waits for longer adds to a later
+/// window, and must be admitted anew.
+pub const SEND_TIMEOUT: Duration = Duration::from_millis(500);
+/// The same for a request that a share has paid for: shares also save up.
+pub const SHARE_SEND_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time from the sending of a question after which its answer no longer counts.
 pub const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
 /// Interval of the questions of an entry that uses quotas. Two fit into the lifetime of credit.
--- a/crates/flamingo-guard/src/quota/account.rs
+++ b/crates/flamingo-guard/src/quota/account.rs
@@ -4,7 +4,7 @@
 
 mod purse;
 
-use super::{ANSWER_TIMEOUT, CREDIT_LIFETIME, QUESTION_INTERVAL, SHARE_DELAY};
+use super::{ANSWER_TIMEOUT, QUESTION_INTERVAL, SEND_TIMEOUT, SHARE_DELAY, SHARE_SEND_TIMEOUT};
 use flamingo_wire::id;
 use flamingo_wire::quota::{Answer, Decision, Question, Want};
 use flamingo_wire::workspace::Quota;
@@ -42,7 +42,7 @@
     pub workspace: id::Workspace,
     /// Cost of the request.
     pub units: f64,
-    /// Until when the cost can be given back.
+    /// Until when the request may be sent, or its cost given back.
     pub until: Instant,
     /// Who admitted the request.
     pub source: Source,
@@ -154,12 +154,13 @@
                 .or_insert_with(|| Purse::new(quota, now)),
         };
         purse.set_quota(quota);
-        if let Some(until) = purse.take_credit(want.units, now) {
+        if purse.take_credit(want.units, now) {
             purse.record_use(want.units, now);
             if purse.runs_low() {
                 let earliest = self.asked_at.map_or(now, |at| at + TOP_UP_INTERVAL);
                 self.periodic_at = self.periodic_at.min(earliest);
             }
+            let until = now + SEND_TIMEOUT;
             return Admission::Decided(Ok(ticket(workspace, want.units, until, Source::Credit)));
         }
         if let Some(decision) = self.decide_by_share(workspace, want, now) {
@@ -263,7 +264,7 @@
                     if let Some(purse) = self.purses.get_mut(&item.workspace) {
                         purse.record_use(item.want.units, now);
                     }
-                    let until = asked.at + CREDIT_LIFETIME;
+                    let until = asked.at + SEND_TIMEOUT;
                     Ok(ticket(
                         &item.workspace,
                         item.want.units,
@@ -296,8 +297,12 @@
         self.decide_alone(waiting, now)
     }
 
-    /// Gives back the cost of a request that was not sent.
+    /// Gives back the cost of a request that was not sent. What a share has paid for is not saved up
+    /// again.
     pub fn give_back(&mut self, ticket: &Ticket, now: Instant) {
+        if ticket.source == Source::Share {
+            return;
+        }
         if let Some(purse) = self.purses.get_mut(&ticket.workspace) {
             purse.give_back(ticket.units, ticket.until, now);
         }
@@ -327,8 +332,8 @@
         match purse.take_share(want.units, heard_at, now) {
             FromShare::Taken => {
                 purse.record_use(want.units, now);
-                // What a share has paid for is not saved up again.
-                Some(Ok(ticket(workspace, want.units, now, Source::Share)))
+                let until = now + SHARE_SEND_TIMEOUT;
+                Some(Ok(ticket(workspace, want.units, until, Source::Share)))
             }
             FromShare::Wait(delay) => Some(Err(Refusal::Over(delay, Source::Share))),
             FromShare::Nothing => None,
--- a/crates/flamingo-guard/src/quota/account/purse.rs
+++ b/crates/flamingo-guard/src/quota/account/purse.rs
@@ -106,14 +106,13 @@
         self.mean > 0.0 && now < self.used_at + ACTIVE
     }
 
-    /// Takes the cost of a request from credit. Returns when that credit expires; `None` if there
-    /// is too little.
-    pub fn take_credit(&mut self, units: f64, now: Instant) -> Option<Instant> {
-        if now >= self.credit_until || self.credit < units {
-            return None;
+    /// Takes the cost of a request from credit. Returns whether there is enough.
+    pub fn take_credit(&mut self, units: f64, now: Instant) -> bool {
+        let is_enough = now < self.credit_until && self.credit >= units;
+        if is_enough {
+            self.credit -= units;
         }
-        self.credit -= units;
-        Some(self.credit_until)
+        is_enough
     }
 
     /// Returns whether the credit may be too little for the next request.
--- a/crates/flamingo-guard/tests/quota/failures.rs
+++ b/crates/flamingo-guard/tests/quota/failures.rs
@@ -3,6 +3,8 @@
 use super::fleet::{Fleet, Link, allowed, largest_window};
 use super::quota;
 use flamingo_guard::quota::account::{Refusal, Source};
+use flamingo_guard::quota::ledger::Ledger;
+use flamingo_wire::quota::{Question, Use};
 use rand_chacha::ChaCha8Rng;
 use rand_core::SeedableRng;
 use std::time::{Duration, Instant};
@@ -138,6 +140,19 @@
     assert!(outcome.is_none(), "{outcome:?}");
 }
 
+/// Guards against credit that lasts for longer than the leader counts it.
+#[test]
+fn credit_ends_while_its_holder_is_suspended() {
+    let mut load = loaded();
+    load.0.run_idle(seconds(1));
+    load.run(seconds(1), 1);
+    load.0.entries[1].frozen = true;
+    load.0.run_idle(Duration::from_millis(510));
+    load.0.entries[1].frozen = false;
+    let outcome = load.0.request(1, 0, 500.0, false);
+    assert!(outcome.is_none(), "{outcome:?}");
+}
+
 /// Guards against credit of an earlier incarnation that a restarted entry gives back.
 #[test]
 fn restarts_of_entries_do_not_exceed_the_quota() {
@@ -153,8 +168,8 @@
 #[test]
 fn debts_hold_over_changes_of_the_leader() {
     let mut load = Load::new(4_200.0, 500.0);
-    for _ in 0..20 {
-        for _ in 0..200 {
+    for _ in 0..50 {
+        for _ in 0..80 {
             let _ = load.0.step(STEP);
             let _ = load.0.request(0, 0, 6_000.0, false);
         }
@@ -228,3 +243,61 @@
     let outcome = load.0.request(2, 0, 500.0, false);
     assert!(outcome.is_some_and(|outcome| outcome.result.is_ok()));
 }
+
+/// Guards against a bucket that saves up while nobody asks.
+#[test]
+fn an_idle_time_is_not_saved_up() {
+    let mut load = loaded();
+    load.0.run_idle(seconds(60));
+    load.run(seconds(8), 8);
+    load.check();
+}
+
+/// Returns a question of an entry about one workspace.
+fn question(sequence: u64, heard: u64, usage: Use) -> Question {
+    Question {
+        incarnation: 1,
+        sequence,
+        heard,
+        uses: vec![usage],
+    }
+}
+
+/// Guards against credit that comes from nowhere.
+#[test]
+fn no_more_is_taken_back_than_was_granted() {
+    let now = Instant::now();
+    let mut ledger = Ledger::new(now, false);
+    let quota = |_: &str| Some(quota(1_000.0, 1_000.0));
+    let usage = Use {
+        workspace: "w".into(),
+        returned: 1e9,
+        ..Use::default()
+    };
+    ledger.answer("e", &question(1, 0, usage), quota, now);
+    assert!(ledger.levels(now)[0].units <= 0.0);
+}
+
+/// Guards against a share that counts as unused because its holder has asked about another workspace.
+#[test]
+fn shares_of_all_workspaces_are_withheld_until_their_holder_is_heard() {
+    let now = Instant::now();
+    let mut ledger = Ledger::new(now, false);
+    let quota = |_: &str| Some(quota(1_000.0, 50_000.0));
+    let usage = |workspace: &str| Use {
+        workspace: workspace.into(),
+        rate: 1_000.0,
+        mean: 1.0,
+        ..Use::default()
+    };
+    let at = |millis| now + Duration::from_millis(millis);
+    ledger.answer("e", &question(1, 0, usage("w")), quota, now);
+    let answer = ledger.answer("e", &question(2, 1, usage("w")), quota, at(200));
+    assert!(answer.expect("new").grants[0].share >= 1_000.0);
+    ledger.answer("e", &question(3, 2, usage("v")), quota, at(6_000));
+    ledger.answer("e", &question(4, 3, usage("v")), quota, at(6_200));
+    let levels = ledger.levels(at(6_200));
+    let level = levels.iter().find(|level| level.workspace == "w");
+    let units = level.expect("known").units;
+    assert!(units <= 1_000.0, "{units} after 6.2 s, 5.5 of them silent");
+}
--- a/crates/flamingo-serve/src/proxy/attempt.rs
+++ b/crates/flamingo-serve/src/proxy/attempt.rs
@@ -72,6 +72,7 @@
         last_event_id: Option<u64>,
     ) -> Result<PendingResponse, AttemptError> {
         self.take_permit(job, candidate).await?;
+        self.renew_quota(job).await?;
         let now = Instant::now();
         if self
             .quarantined_until(&job.service, &job.identities())
--- a/crates/flamingo-serve/src/proxy/quota.rs
+++ b/crates/flamingo-serve/src/proxy/quota.rs
@@ -1,9 +1,11 @@
 //! Holds requests of a workspace within its quota.
 
-use super::job::Job;
+use super::job::{AttemptError, Job};
 use super::{Proxy, RETRY_AFTER_MIN};
 use crate::body::Body;
+use crate::topology::Routes;
 use crate::wire::{Cause, Refusal, RequestHead};
+use flamingo_daemon::clock;
 use flamingo_guard::quota::account::{Refusal as Denial, Source, Ticket};
 use flamingo_guard::quota::{cost, limits};
 use flamingo_wire::quota::Want;
@@ -54,6 +56,37 @@
         }
     }
 
+    /// Takes the cost anew of a request that has waited for too long since it was admitted, such as for
+    /// its model: it would count in a window whose quota others have used.
+    pub(super) async fn renew_quota(&self, job: &Job) -> Result<(), AttemptError> {
+        let now = clock::now();
+        let outdated = job.ticket.borrow().clone();
+        let Some(outdated) = outdated.filter(|ticket| now >= ticket.until) else {
+            return Ok(());
+        };
+        if job.may_have_run.get() {
+            return Ok(());
+        }
+        let Some(quota) = find_quota(&job.routes, &outdated.workspace) else {
+            return Ok(());
+        };
+        let want = Want {
+            units: outdated.units,
+            returning: true,
+        };
+        let taken = self.quotas.take(&outdated.workspace, quota, want).await;
+        let denial = match taken {
+            Ok(ticket) => {
+                job.ticket.replace(Some(ticket));
+                return Ok(());
+            }
+            Err(denial) => denial,
+        };
+        let name = &outdated.workspace;
+        let refusal = self.record_denial(name, want.units, denial, &job.request);
+        Err(AttemptError::NoAlternative(refusal.cause))
+    }
+
     /// Gives back what a request has taken of its quota, as it was not sent.
     pub(super) fn give_back_quota(&self, job: &Job) {
         if let Some(ticket) = job.ticket.take() {
@@ -70,6 +103,20 @@
         route: &Route,
         request: &RequestHead,
     ) -> Response<Body> {
+        let refusal = self.record_denial(workspace, units, denial, request);
+        self.metrics
+            .record_outcome(&route.name, refusal.cause.into());
+        self.refuse(refusal, Some(request))
+    }
+
+    /// Logs and counts a request that is not within its quota.
+    fn record_denial(
+        &self,
+        workspace: &str,
+        units: f64,
+        denial: Denial,
+        request: &RequestHead,
+    ) -> Refusal {
         let (cause, retry_after, source) = match denial {
             Denial::Over(delay, source) => (Cause::OverQuota, Some(round_up(delay)), Some(source)),
             Denial::TooLarge => (Cause::OverQuota, None, Some(Source::Leader)),
@@ -84,11 +131,17 @@
             "workspace" => workspace, "cause" => name, "cost" => units.round(),
             "wait_ms" => retry_after.map(|wait| wait.as_millis()), "source" => source);
         self.metrics.record_quota(workspace, name, None);
-        self.metrics.record_outcome(&route.name, name);
-        self.refuse(Refusal { cause, retry_after }, Some(request))
+        Refusal { cause, retry_after }
     }
 }
 
+/// Returns the quota of a workspace; `None` if it has none.
+fn find_quota(routes: &Routes, workspace: &str) -> Option<Quota> {
+    let mut workspaces = routes.set.workspaces.as_ref()?.iter();
+    let found = workspaces.find(|known| known.name == workspace)?;
+    found.quota.filter(limits)
+}
+
 /// Returns the cost of a request in units of its quota.
 fn units(quota: &Quota, request: &RequestHead) -> f64 {
     let tokens = request
--- a/crates/flamingo-serve/src/quota.rs
+++ b/crates/flamingo-serve/src/quota.rs
@@ -47,7 +47,11 @@
 impl Quotas {
     /// Decides whether a request may be sent. One without credit waits for the leader's answer, for
     /// [`ANSWER_TIMEOUT`] at most.
-    pub(crate) async fn take(&self, workspace: &str, quota: Quota, want: Want) -> Decision {
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request may not be sent.
+    pub async fn take(&self, workspace: &str, quota: Quota, want: Want) -> Decision {
         let now = clock::now();
         let admission = self.account.borrow_mut().admit(workspace, quota, want, now);
         // The use of credit may make a question due.
@@ -66,7 +70,7 @@
     }
 
     /// Gives back the cost of a request that was not sent.
-    pub(crate) fn give_back(&self, ticket: &Ticket) {
+    pub fn give_back(&self, ticket: &Ticket) {
         let mut account = self.account.borrow_mut();
         account.give_back(ticket, clock::now());
     }
