--- a/crates/flamingo-serve/src/metrics.rs
+++ b/crates/flamingo-serve/src/metrics.rs
@@ -41,6 +41,12 @@
     pub unaffordable: IntCounterVec,
     /// Connections to targets that requests used, newly dialled or reused.
     pub connections: IntCounterVec,
+    /// Requests of workspaces with a quota, by workspace and outcome.
+    quota_requests: IntCounterVec,
+    /// Cost of the requests that a quota admitted, by workspace.
+    quota_units: IntCounterVec,
+    /// Questions to the leader about quotas, by how they ended.
+    pub quota_questions: IntCounterVec,
     targets: IntGaugeVec,
     version: IntGauge,
     entries: IntGauge,
@@ -84,6 +90,21 @@
                 "Connections to targets that requests used, newly dialled or reused.",
                 &["how"],
             )?,
+            quota_requests: registry.counters(
+                "flamingo_quota_requests_total",
+                "Requests of workspaces with a quota, by workspace and outcome.",
+                &["workspace", "outcome"],
+            )?,
+            quota_units: registry.counters(
+                "flamingo_quota_units_total",
+                "Units that requests have taken of quotas, by workspace.",
+                &["workspace"],
+            )?,
+            quota_questions: registry.counters(
+                "flamingo_quota_questions_total",
+                "Questions to the leader about quotas, by how they ended.",
+                &["ended"],
+            )?,
             version: registry
                 .gauge("flamingo_routes_version", "Version of the routes in force.")?,
             entries: registry.gauge("flamingo_entries", "Entries that control counts.")?,
@@ -115,6 +136,19 @@
         self.authentications.with_label_values(&labels).inc();
     }
 
+    /// Counts a request of a workspace with a quota, and its cost if it was admitted.
+    pub fn record_quota(&self, workspace: &str, outcome: &str, units: Option<f64>) {
+        let label = self.workspace_label(workspace);
+        let requests = self.quota_requests.with_label_values(&[label, outcome]);
+        requests.inc();
+        if let Some(units) = units {
+            // A float is cast to the nearest integer; a cost is neither negative nor larger than that.
+            #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+            let units = units.round() as u64;
+            self.quota_units.with_label_values(&[label]).inc_by(units);
+        }
+    }
+
     /// Returns the label of a workspace, so that new names don't add time series without bound.
     #[must_use]
     pub fn workspace_label<'a>(&self, name: &'a str) -> &'a str {
--- a/crates/flamingo-wire/src/lib.rs
+++ b/crates/flamingo-wire/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod outcome;
 pub mod place;
 pub mod prompt;
+pub mod quota;
 pub mod route;
 pub mod stream;
 pub mod target;
