Quotas: a new leader does not renew shares of a higher limit

Entries held shares of a limit that had been lowered and stated them as they were leased; a new leader confirmed to each entry a share up to the whole lower limit, without counting the others. Shares now shrink for good with the limit in force at their holder, and the leader never grants more than the rest.

--- a/crates/flamingo-guard/src/quota/account/purse.rs
+++ b/crates/flamingo-guard/src/quota/account/purse.rs
@@ -32,21 +32,23 @@
 }
 
 impl Share {
-    /// Returns the rate of the share by the limit in force here, which may be lower than when the
-    /// share was leased.
-    fn rate(&self, quota: &Quota) -> f64 {
-        self.per_s * (quota.per_s / self.of_per_s).min(1.0)
+    /// Reduces the share to its part of a limit that is lower than when the share was leased.
+    fn lower(&mut self, quota: &Quota) {
+        if quota.per_s < self.of_per_s {
+            self.per_s *= quota.per_s / self.of_per_s;
+            self.of_per_s = quota.per_s;
+        }
     }
 
     fn saving(&self, quota: &Quota) -> f64 {
-        share_saving(quota) * self.rate(quota) / quota.per_s
+        share_saving(quota) * self.per_s / self.of_per_s
     }
 
     fn fill(&mut self, quota: &Quota, usable_from: Instant, now: Instant) {
         let from = self.saved_at.max(usable_from);
         let until = now.min(self.until);
         let elapsed_s = until.saturating_duration_since(from).as_secs_f64();
-        let saved = self.saved + self.rate(quota) * elapsed_s;
+        let saved = self.saved + self.per_s * elapsed_s;
         self.saved = saved.min(self.saving(quota));
         self.saved_at = self.saved_at.max(now);
     }
@@ -95,6 +97,9 @@
 
     pub fn set_quota(&mut self, quota: Quota) {
         self.quota = quota;
+        if let Some(share) = &mut self.share {
+            share.lower(&quota);
+        }
     }
 
     /// Returns whether the leader has to hear of this workspace.
@@ -136,7 +141,7 @@
         if units > share.saving(&quota) {
             return FromShare::Nothing;
         }
-        let wait_s = (units - share.saved) / share.rate(&quota);
+        let wait_s = (units - share.saved) / share.per_s;
         match Duration::try_from_secs_f64(wait_s) {
             Ok(wait) if now + wait < share.until => FromShare::Wait(wait),
             _ => FromShare::Nothing,
@@ -220,13 +225,14 @@
             self.credit_until = asked_at + CREDIT_LIFETIME;
         }
         self.credit += grant.credit;
-        let share = Share {
+        let mut share = Share {
             per_s: grant.share,
             of_per_s: grant.per_s,
             until: asked_at + LEASE,
             saved: 0.0,
             saved_at: now,
         };
+        share.lower(&self.quota);
         self.share = (grant.share > 0.0).then_some(share);
     }
 }
--- a/crates/flamingo-guard/src/quota/ledger/bucket.rs
+++ b/crates/flamingo-guard/src/quota/ledger/bucket.rs
@@ -201,12 +201,10 @@
     /// Returns the new share of an entry. It grows only by what nobody else may hold, and only where
     /// the entry has confirmed an answer lately: otherwise it would be withheld at once.
     fn share(&mut self, key: &Key, stated: f64, is_silent: bool, now: Instant) -> f64 {
-        let fair = self.holdings.fair_share(key, &self.quota, now);
-        if is_silent {
-            return fair.min(stated);
-        }
         let others = self.holdings.sums.shares - stated;
         let free = self.quota.per_s - self.inherited_at(now) - others;
-        fair.min(free.max(0.0))
+        let fair = self.holdings.fair_share(key, &self.quota, now);
+        let most = if is_silent { fair.min(stated) } else { fair };
+        most.min(free.max(0.0))
     }
 }
--- a/crates/flamingo-guard/tests/quota/failures.rs
+++ b/crates/flamingo-guard/tests/quota/failures.rs
@@ -212,6 +212,25 @@
     assert!(largest <= allowed(&lower), "{largest}");
 }
 
+/// Guards against a new leader that confirms to each entry a share of a higher limit: together they were
+/// several times the lower one.
+#[test]
+fn a_new_leader_does_not_renew_shares_of_a_higher_limit() {
+    let mut load = loaded();
+    let lower = quota(PER_S / 10.0, PER_S / 10.0);
+    load.0.quotas = vec![lower];
+    for entry in &mut load.0.entries {
+        entry.quotas = vec![lower];
+    }
+    let begin = load.0.now;
+    load.0.elect();
+    load.run(Duration::from_millis(15), 2);
+    load.0.leader = None;
+    load.run(seconds(18), 2);
+    let largest = largest_window(&load.0.sent[0], begin + seconds(1));
+    assert!(largest <= allowed(&lower), "{largest}");
+}
+
 /// Guards against requests that wait for good because no refill can ever pay for them.
 #[test]
 fn a_request_far_above_the_burst_is_refused() {
