Predictions learn the speed of each model and each target

Missing: the fourth figure of the load header (how long work takes now) was dropped; one prefill rate per service was wrong where models differ up to seven times; targets counted as equally fast; the work from which copies are planned was the same for each model; the delay by running requests and the time of a plain request were constants.

Change: `pace` keeps what a target tells, relative to its usual figure, halves it every 300 ms and weighs it by how far it explains the observed times. `speed` fits the rates of all models of a service by weighted least squares with one common constant and the service's rate as prior, the delay by running requests by model, and the time of plain requests by service. `table::Target` has a slowly fitted factor. `predict` uses them. Backlogs count in tokens at the service's rate. `work_ms` is multiplied by the model's time per token relative to the service. Streams that go on or were sent before are no samples.

Tried before and dropped: the mean of logarithms by model, with the constant of the service's regression (a model seven times as fast came out 5.5 times as fast).

--- a/crates/flamingo-serve/src/choice.rs
+++ b/crates/flamingo-serve/src/choice.rs
@@ -8,6 +8,7 @@
 //! entries have sent and not reported yet.
 
 use crate::admission::Timing;
+use crate::speed::Rates;
 use crate::table::{Table, Target};
 use crate::wire::RequestHead;
 use flamingo_guard::observer::Life;
@@ -18,14 +19,10 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::{Duration, Instant};
 
-/// Time by which each running request delays a first event, in milliseconds.
-const RUNNING_REQUEST_MS: f64 = 0.3;
 /// Time for loading an adapter on a target, in milliseconds.
 const ADAPTER_LOAD_MS: f64 = 12.0;
 /// Time added for a target in another zone, in milliseconds.
 const CROSS_ZONE_MS: f64 = 10.0;
-/// Assumed time of a request to a plain service, in milliseconds, since none is observed.
-const SERVICE_REQUEST_MS: f64 = 60.0;
 
 /// Least amount of work that is spread over the targets, in milliseconds. Targets whose predicted
 /// times differ by less are nearly equal, and all of them take part in the draw.
@@ -98,6 +95,21 @@
     NoModel,
 }
 
+/// Figures from which the delays of a request at a target are predicted.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Basis {
+    /// Prefill rate of the model, in tokens per millisecond.
+    pub tokens_per_ms: f64,
+    /// Time of work at the target relative to others, at its usual pace.
+    pub factor: f64,
+    /// Time of work at the target now, relative to its usual one.
+    pub pace: f64,
+    /// Age of the target's last report of its pace; `None` if there was none.
+    pub pace_age: Option<Duration>,
+    /// Requests that run at the target.
+    pub running: u32,
+}
+
 /// A target that is considered for a request, with the prediction for this request.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Candidate {
@@ -115,6 +127,10 @@
     pub first_event_delay: Duration,
     /// Part of `first_event_delay` that is due to `backlog_tokens`.
     pub queueing_delay: Duration,
+    /// `uncached_tokens` at the prefill rate of the service, as they count in the backlog.
+    pub work_tokens: u32,
+    /// What the prediction is made from.
+    pub basis: Basis,
     /// Whether the adapter must be loaded on the target first.
     pub needs_adapter_load: bool,
     /// Whether the target is used only if there is no other: it failed a short time ago, its
@@ -172,7 +188,10 @@
     let mut first_load: Option<Instant> = None;
     let mut candidates: Vec<Candidate> = Vec::new();
     let model = required.request.model.as_deref();
-    let tokens_per_ms = table.prefill(required.service).tokens_per_ms();
+    let rates = table
+        .speed(required.service)
+        .rates(model.unwrap_or_default());
+    let tokens_per_ms = rates.tokens_per_ms;
     for target in table
         .of_service(required.service)
         .filter(|target| target.accepts_requests() && required.runs_software(target))
@@ -193,7 +212,7 @@
         if required.was_tried(target) {
             continue;
         }
-        let mut candidate = predict(target, required, tokens_per_ms);
+        let mut candidate = predict(target, required, &rates, now);
         let load_impossible =
             candidate.needs_adapter_load && (target.executing || !required.can_load_adapters);
         candidate.last_resort =
@@ -270,24 +289,27 @@
     (f64::from(bits) + 1.0) / (f64::from(u32::MAX) + 2.0)
 }
 
-/// Predicts the delays of a request at a target that processes `tokens_per_ms` prompt tokens per
-/// millisecond.
-fn predict(target: &Target, required: &Requirements<'_>, tokens_per_ms: f64) -> Candidate {
-    let mut first_event_ms = 0.0;
+/// Predicts the delays of a request at a target, from the rates of its model and the speed of the target.
+fn predict(target: &Target, required: &Requirements<'_>, rates: &Rates, now: Instant) -> Candidate {
+    let mut first_event_ms;
     let mut queueing_ms = 0.0;
     let mut uncached_tokens = 0;
+    let mut work_tokens = 0.0;
     let mut backlog_tokens = 0;
     let mut needs_adapter_load = false;
-    let running = f64::from(target.own.running + target.others.running);
+    let running = target.own.running + target.others.running;
     if let Some(engine) = required.engine {
         let request = required.request;
         let cached = target.cached_tokens(cache_key(request), &request.prompt_parts, engine.tokens);
         uncached_tokens = request.prompt_tokens.saturating_sub(cached).max(1);
+        work_tokens = f64::from(uncached_tokens) * rates.ratio;
         backlog_tokens =
             target.own.backlog_before(required.rank) + target.others.backlog_before(required.rank);
-        queueing_ms = f64::from(backlog_tokens) / tokens_per_ms;
-        first_event_ms +=
-            queueing_ms + f64::from(uncached_tokens) / tokens_per_ms + running * RUNNING_REQUEST_MS;
+        let backlog_ms = f64::from(backlog_tokens) / rates.service_tokens_per_ms;
+        let decoding_ms = f64::from(running) * rates.running_request_ms;
+        let prompt_ms = f64::from(uncached_tokens) / rates.tokens_per_ms;
+        queueing_ms = target.predict_ms(backlog_ms, now);
+        first_event_ms = target.predict_ms(backlog_ms + prompt_ms + decoding_ms, now);
         let model = request.model.as_deref().unwrap_or_default();
         needs_adapter_load = request
             .adapter
@@ -297,12 +319,17 @@
             first_event_ms += ADAPTER_LOAD_MS;
         }
     } else {
-        let slots = f64::from(target.registration.slots.max(1));
-        first_event_ms += (running / slots).floor() * SERVICE_REQUEST_MS + running / slots;
+        first_event_ms = service_delay_ms(target, running, rates.request_ms, now);
     }
     if target.registration.zone != required.zone {
         first_event_ms += CROSS_ZONE_MS;
     }
+    #[allow(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "not negative, and saturates"
+    )]
+    let work_tokens = work_tokens.ceil() as u32;
     Candidate {
         target: target.registration.id.clone(),
         incarnation: target.registration.incarnation,
@@ -311,11 +338,29 @@
         backlog_tokens,
         first_event_delay: Duration::from_secs_f64(first_event_ms / 1_000.0),
         queueing_delay: Duration::from_secs_f64(queueing_ms / 1_000.0),
+        work_tokens,
+        basis: Basis {
+            tokens_per_ms: rates.tokens_per_ms,
+            factor: target.factor(),
+            pace: target.pace.at(now),
+            pace_age: target.pace.age(now),
+            running,
+        },
         needs_adapter_load,
         last_resort: false,
     }
 }
 
+/// Predicts by how much later than at an idle target that is as fast as others a request of a plain
+/// service is answered, in milliseconds.
+fn service_delay_ms(target: &Target, running: u32, request_ms: f64, now: Instant) -> f64 {
+    let slots = f64::from(target.registration.slots.max(1));
+    let running = f64::from(running);
+    let rounds = (running / slots).floor();
+    let delay_ms = target.predict_ms((rounds + 1.0) * request_ms, now) - request_ms;
+    delay_ms.max(0.0) + running / slots
+}
+
 fn salted_hash(salt: u64, id: &str) -> u64 {
     let mut hasher = DefaultHasher::new();
     salt.hash(&mut hasher);
--- a/crates/flamingo-serve/src/demand.rs
+++ b/crates/flamingo-serve/src/demand.rs
@@ -34,13 +34,19 @@
 }
 
 impl Counter {
-    /// Counts a request that arrived, whose caller has waited for `earlier_wait` before. Requests
-    /// without a model are not counted.
-    pub fn record_arrival(&self, service: &str, request: &RequestHead, earlier_wait: Duration) {
+    /// Counts a request that arrived, whose caller has waited for `earlier_wait` before. `ratio` is the
+    /// time of work of its model relative to the service. Requests without a model are not counted.
+    pub fn record_arrival(
+        &self,
+        service: &str,
+        request: &RequestHead,
+        earlier_wait: Duration,
+        ratio: f64,
+    ) {
         self.change(service, request, |demand| {
             demand.requests += 1;
             demand.returned += u32::from(earlier_wait >= RETRY_AFTER_MIN);
-            demand.work_ms += work_ms(request);
+            demand.work_ms += work_ms(request) * ratio;
         });
     }
 
@@ -101,14 +107,16 @@
     }
 
     /// Returns the demand since the last call and resets the counts.
-    fn take(&self) -> Vec<Demand> {
+    #[must_use]
+    pub fn take(&self) -> Vec<Demand> {
         std::mem::take(&mut *self.demand.borrow_mut())
             .into_values()
             .collect()
     }
 }
 
-/// Estimates the time that an engine needs for a request, in milliseconds.
+/// Estimates the time that an engine needs for a request of a model that is as fast as its service, in
+/// milliseconds.
 fn work_ms(request: &RequestHead) -> f64 {
     let output_tokens = request
         .expected_output_tokens
--- a/crates/flamingo-serve/src/metrics.rs
+++ b/crates/flamingo-serve/src/metrics.rs
@@ -1,8 +1,11 @@
 //! Metrics of an entry in the Prometheus format.
 
+use crate::table::{Table, Target};
 use crate::topology::Topology;
 use flamingo_daemon::metrics::Registry;
-use prometheus::{HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts};
+use prometheus::{
+    GaugeVec, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+};
 use std::time::{Duration, Instant};
 
 /// Bucket bounds of the latency histograms, in seconds.
@@ -26,6 +29,10 @@
     /// Connections to targets that requests used, newly dialled or reused.
     pub connections: IntCounterVec,
     targets: IntGaugeVec,
+    /// Fitted prefill rates, by service: of the service, and of its slowest and fastest model.
+    prefill_rates: GaugeVec,
+    /// Least and largest fitted factor of a target, by service.
+    target_factors: GaugeVec,
     version: IntGauge,
     entries: IntGauge,
     quarantined: IntGauge,
@@ -46,7 +53,17 @@
         let first_event =
             HistogramVec::new(first_event.buckets(LATENCY_BUCKETS_S.to_vec()), &["route"])?;
         let targets = Opts::new("flamingo_targets", "Known targets by standing.");
+        let prefill_rates = Opts::new(
+            "flamingo_prefill_tokens_per_ms",
+            "Fitted prefill rate of a service, and of its slowest and fastest model.",
+        );
+        let target_factors = Opts::new(
+            "flamingo_target_factor",
+            "Fitted time of work at the fastest and the slowest target, relative to others.",
+        );
         Ok(Self {
+            prefill_rates: registry.add(GaugeVec::new(prefill_rates, &["service", "of"])?)?,
+            target_factors: registry.add(GaugeVec::new(target_factors, &["service", "of"])?)?,
             requests: registry.counters(
                 "flamingo_requests_total",
                 "Requests by route and outcome.",
@@ -125,6 +142,7 @@
             let gauge = self.targets.with_label_values(&[standing]);
             gauge.set(number(count));
         }
+        self.update_speeds(&table);
         let routes = topology.routes.borrow();
         let version = routes.as_ref().map_or(0, |routes| routes.set.version);
         self.version.set(i64::try_from(version).unwrap_or(i64::MAX));
@@ -133,4 +151,32 @@
         let quarantined = topology.crashes.borrow().quarantined(now);
         self.quarantined.set(number(quarantined));
     }
+
+    /// Sets the gauges of fitted speeds: five for each service, however many models and targets it has.
+    fn update_speeds(&self, table: &Table) {
+        for (service, speed) in table.speeds() {
+            let rate = speed.prefill.tokens_per_ms();
+            let slowest = speed.model_rates().fold(rate, f64::min);
+            let fastest = speed.model_rates().fold(rate, f64::max);
+            for (of, rate) in [
+                ("service", rate),
+                ("slowest", slowest),
+                ("fastest", fastest),
+            ] {
+                let gauge = self
+                    .prefill_rates
+                    .with_label_values(&[service.as_str(), of]);
+                gauge.set(rate);
+            }
+            let factors = || table.of_service(service).map(Target::factor);
+            let least = factors().fold(1.0, f64::min);
+            let largest = factors().fold(1.0, f64::max);
+            for (of, factor) in [("fastest", least), ("slowest", largest)] {
+                let gauge = self
+                    .target_factors
+                    .with_label_values(&[service.as_str(), of]);
+                gauge.set(factor);
+            }
+        }
+    }
 }
--- a/crates/flamingo-serve/src/prefill.rs
+++ b/crates/flamingo-serve/src/prefill.rs
@@ -23,28 +23,59 @@
 /// Time that is never an outlier, however short the predicted time is, in milliseconds.
 const OUTLIER_MIN_MS: f64 = 300.0;
 
-/// Linear regression of the time to the first event over prompt tokens, kept as weighted sums.
+/// Linear regression of a time over a number, kept as weighted sums.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Estimator {
+pub struct Line {
     weight: f64,
-    tokens: f64,
+    numbers: f64,
     times: f64,
     squares: f64,
     products: f64,
 }
 
-impl Default for Estimator {
-    fn default() -> Self {
-        // Half of the assumed samples have no tokens, the other half have `PRIOR_TOKENS`.
-        let half = PRIOR_SAMPLES / 2.0;
+impl Line {
+    /// Returns a line through the origin that counts `samples` samples, half of them at 0 and half of
+    /// them at `range`.
+    #[must_use]
+    pub fn assumed(samples: f64, range: f64, slope: f64) -> Self {
+        let half = samples / 2.0;
         Self {
-            weight: PRIOR_SAMPLES,
-            tokens: half * PRIOR_TOKENS,
-            times: half * PRIOR_TOKENS / DEFAULT_TOKENS_PER_MS,
-            squares: half * PRIOR_TOKENS * PRIOR_TOKENS,
-            products: half * PRIOR_TOKENS * PRIOR_TOKENS / DEFAULT_TOKENS_PER_MS,
+            weight: samples,
+            numbers: half * range,
+            times: half * range * slope,
+            squares: half * range * range,
+            products: half * range * range * slope,
         }
     }
+
+    /// Adds a sample. The weight of earlier ones decays.
+    pub fn add(&mut self, number: f64, time: f64) {
+        let decay = 1.0 - 1.0 / SAMPLE_DECAY;
+        self.weight = self.weight * decay + 1.0;
+        self.numbers = self.numbers * decay + number;
+        self.times = self.times * decay + time;
+        self.squares = self.squares * decay + number * number;
+        self.products = self.products * decay + number * time;
+    }
+
+    /// Returns the time that each unit of the number adds; `None` if the samples do not tell.
+    #[must_use]
+    pub fn slope(&self) -> Option<f64> {
+        let variance = self.weight * self.squares - self.numbers * self.numbers;
+        let covariance = self.weight * self.products - self.numbers * self.times;
+        (variance > 0.0).then(|| covariance / variance)
+    }
+}
+
+/// Estimate of the prefill rate.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Estimator(Line);
+
+impl Default for Estimator {
+    fn default() -> Self {
+        let slope = 1.0 / DEFAULT_TOKENS_PER_MS;
+        Self(Line::assumed(PRIOR_SAMPLES, PRIOR_TOKENS, slope))
+    }
 }
 
 impl Estimator {
@@ -68,23 +99,14 @@
         if time > tokens / self.tokens_per_ms() * OUTLIER_FACTOR + OUTLIER_MIN_MS {
             return;
         }
-        let decay = 1.0 - 1.0 / SAMPLE_DECAY;
-        self.weight = self.weight * decay + 1.0;
-        self.tokens = self.tokens * decay + tokens;
-        self.times = self.times * decay + time;
-        self.squares = self.squares * decay + tokens * tokens;
-        self.products = self.products * decay + tokens * time;
+        self.0.add(tokens, time);
     }
 
     /// Returns the estimated prefill rate in tokens per millisecond.
     #[must_use]
     pub fn tokens_per_ms(&self) -> f64 {
-        let variance = self.weight * self.squares - self.tokens * self.tokens;
-        let covariance = self.weight * self.products - self.tokens * self.times;
         let (min, max) = TOKENS_PER_MS_BOUNDS;
-        if variance <= 0.0 || covariance <= 0.0 {
-            return DEFAULT_TOKENS_PER_MS;
-        }
-        (variance / covariance).clamp(min, max)
+        let slope = self.0.slope().filter(|slope| *slope > 0.0);
+        slope.map_or(DEFAULT_TOKENS_PER_MS, |slope| (1.0 / slope).clamp(min, max))
     }
 }
--- a/crates/flamingo-serve/src/proxy.rs
+++ b/crates/flamingo-serve/src/proxy.rs
@@ -236,8 +236,9 @@
         };
         self.retries.record_request(&job.service, arrived_at);
         let earlier_wait = job.earlier_wait;
+        let ratio = self.work_ratio(&job);
         self.demand
-            .record_arrival(&job.service, &job.request, earlier_wait);
+            .record_arrival(&job.service, &job.request, earlier_wait, ratio);
         self.run(Rc::new(job)).await
     }
 
@@ -276,6 +277,13 @@
         }
     }
 
+    /// Returns the time of work of a request's model relative to its service.
+    fn work_ratio(&self, job: &Job) -> f64 {
+        let model = job.request.model.as_deref().unwrap_or_default();
+        let table = self.topology.table.borrow();
+        table.speed(&job.service).ratio(model)
+    }
+
     /// Returns the number of entries, or `ASSUMED_ENTRIES` until a control instance has sent it.
     fn entries(&self) -> usize {
         let entries = self.topology.peers.borrow().entries();
--- a/crates/flamingo-serve/src/proxy/attempt.rs
+++ b/crates/flamingo-serve/src/proxy/attempt.rs
@@ -142,7 +142,7 @@
                 self.metrics.sendings.with_label_values(&["answered"]).inc();
                 table.record_sign_of_life(&candidate.target);
                 if let Some(load) = response.parsed.load {
-                    table.record_load(&candidate.target, load);
+                    table.record_load(&candidate.target, load, Instant::now());
                 }
                 drop(table);
                 self.record_availability(job, candidate, &response.parsed);
--- a/crates/flamingo-serve/src/proxy/begin.rs
+++ b/crates/flamingo-serve/src/proxy/begin.rs
@@ -11,6 +11,7 @@
 use crate::choice::Candidate;
 use crate::event_stream::{EventStream, Next};
 use crate::events::Event;
+use crate::speed::Sample;
 use crate::wire::Cause;
 use flamingo_wire::stream::{Origin, key};
 use futures_util::stream;
@@ -103,13 +104,15 @@
         let _ = job.content_type.set(content_type.cloned());
         self.begin_stream(job, &candidate);
         job.progress_at.set(Instant::now());
-        let rate = self.observe_prefill(job, &candidate, sent_at);
+        self.observe_speed(job, &candidate, sent_at);
+        let basis = &candidate.basis;
         info!(self.log, "stream begun"; "request" => &job.request.attempt_id,
             "target" => &load_guard.target, "route" => &job.route.name,
             "software" => &candidate.software,
             "resumes" => &job.request.resumes, "after" => job.request.last_event_id,
             "sent" => job.sent.get(), "fresh" => candidate.uncached_tokens,
-            "rate" => rate, "queue_ms" => candidate.queueing_delay.as_millis(),
+            "rate" => basis.tokens_per_ms, "factor" => basis.factor, "pace" => basis.pace,
+            "pace_age_ms" => basis.pace_age.map(|age| age.as_millis()), "queue_ms" => candidate.queueing_delay.as_millis(),
             "wait_ms" => candidate.first_event_delay.as_millis(),
             "took_ms" => job.arrived_at.elapsed().as_millis());
         self.metrics
@@ -169,18 +172,24 @@
         origins.record(key(attempt_id), origin, &candidate.target, Instant::now());
     }
 
-    /// Adds the time to a first event to the estimate of the prefill rate, and returns the
-    /// estimated rate in tokens per millisecond.
-    fn observe_prefill(&self, job: &Job, candidate: &Candidate, sent_at: Instant) -> f64 {
-        let time = sent_at.elapsed();
-        let mut table = self.topology.table.borrow_mut();
-        let estimator = table.prefill_mut(&job.service);
+    /// Adds the time to a first event to the fitted speed of the model and the target. A stream that
+    /// goes on with an earlier one, or that was sent before, does not count.
+    fn observe_speed(&self, job: &Job, candidate: &Candidate, sent_at: Instant) {
         // With a backlog, the time also depends on requests of other entries that are not known
         // exactly.
-        if candidate.backlog_tokens == 0 {
-            estimator.observe(candidate.uncached_tokens, time);
+        let first = job.sent.get() <= 1 && job.request.last_event_id.is_none();
+        if candidate.backlog_tokens > 0 || !first {
+            return;
         }
-        estimator.tokens_per_ms()
+        let sample = Sample {
+            tokens: candidate.uncached_tokens,
+            running: candidate.basis.running,
+            time: sent_at.elapsed(),
+        };
+        let model = job.request.model.as_deref().unwrap_or_default();
+        let mut table = self.topology.table.borrow_mut();
+        let now = Instant::now();
+        table.observe_first_event(&job.service, model, &candidate.target, &sample, now);
     }
 }
 
--- a/crates/flamingo-serve/src/proxy/forward.rs
+++ b/crates/flamingo-serve/src/proxy/forward.rs
@@ -15,7 +15,7 @@
 use hyper::body::Incoming;
 use slog::info;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tokio::time::timeout_at;
 
 /// Largest response body that is buffered before it is returned, in bytes.
@@ -167,6 +167,7 @@
         self.record_response(&candidate.target);
         self.return_to_pool(&load_guard.target, connection, &parsed);
         let now = Instant::now();
+        self.observe_request(job, &candidate, head.status, now.duration_since(sent_at));
         if head.status.is_server_error() && job.route.repeatable() && self.try_retry(job, now) {
             info!(self.log, "answer replaced"; "request" => &job.request.attempt_id,
                 "target" => &load_guard.target, "status" => head.status.as_u16());
@@ -183,6 +184,23 @@
         Ok(Response::from_parts(head, Body::whole(bytes)))
     }
 
+    /// Adds the time of a successful request to the fitted speed of a plain service. A request that was
+    /// sent before does not count.
+    fn observe_request(
+        &self,
+        job: &Job,
+        candidate: &Candidate,
+        status: StatusCode,
+        time: Duration,
+    ) {
+        if job.request.model.is_some() || !status.is_success() || job.sent.get() > 1 {
+            return;
+        }
+        let mut table = self.topology.table.borrow_mut();
+        let (target, running) = (&candidate.target, candidate.basis.running);
+        table.observe_request(&job.service, target, running, time, Instant::now());
+    }
+
     /// Returns the head of the caller's response for a target's response. How the target delimited
     /// its body is not passed on: the server delimits the body that it sends.
     pub(super) fn caller_head(&self, job: &Job, head: &response::Parts) -> response::Parts {
--- a/crates/flamingo-serve/src/proxy/load_guard.rs
+++ b/crates/flamingo-serve/src/proxy/load_guard.rs
@@ -15,7 +15,7 @@
     /// The target.
     pub target: id::Target,
     rank: Rank,
-    /// Prompt tokens that count as backlog; 0 after the first event.
+    /// Prompt tokens that count as backlog, at the prefill rate of the service; 0 after the first event.
     backlog_tokens: Cell<u32>,
     adapter: Option<(id::Model, id::Adapter)>,
 }
@@ -37,7 +37,7 @@
         }
         if let Some(target) = table.get_mut(&candidate.target) {
             target.own.running += 1;
-            target.own.add_backlog(rank, candidate.uncached_tokens);
+            target.own.add_backlog(rank, candidate.work_tokens);
             if let Some((model, adapter)) = &adapter {
                 target.begin_adapter_use(model, adapter);
             }
@@ -47,7 +47,7 @@
             topology: Rc::clone(topology),
             target: candidate.target.clone(),
             rank,
-            backlog_tokens: Cell::new(candidate.uncached_tokens),
+            backlog_tokens: Cell::new(candidate.work_tokens),
             adapter,
         }
     }
--- a/crates/flamingo-serve/src/proxy/loading.rs
+++ b/crates/flamingo-serve/src/proxy/loading.rs
@@ -90,7 +90,8 @@
     fn waiting_delay(&self, key: &Key) -> Duration {
         let tokens = self.waiting.borrow().get(key).copied().unwrap_or(0);
         let entries = u32::try_from(self.entries()).unwrap_or(u32::MAX);
-        let tokens_per_ms = self.topology.table.borrow().prefill(&key.0).tokens_per_ms();
+        let table = self.topology.table.borrow();
+        let tokens_per_ms = table.speed(&key.0).tokens_per_ms(&key.1);
         let ms = f64::from(tokens) * f64::from(entries) / tokens_per_ms;
         Duration::from_secs_f64(ms / 1_000.0)
     }
--- a/crates/flamingo-serve/src/table.rs
+++ b/crates/flamingo-serve/src/table.rs
@@ -7,6 +7,7 @@
 
 use crate::availability::Availability;
 use crate::prefill::Estimator;
+use crate::speed::{Sample, Speed};
 use crate::wire::{Limit, Load, Pause};
 use flamingo_place::rate::Rate;
 use flamingo_wire::control::Push;
@@ -42,7 +43,9 @@
     targets: BTreeMap<id::Target, Target>,
     /// What removed targets said that still holds if they register again, and until when it is kept.
     departed: HashMap<(id::Target, id::Incarnation), (Availability, Instant)>,
-    prefill: HashMap<id::Service, Estimator>,
+    speeds: HashMap<id::Service, Speed>,
+    /// Speed of services without samples.
+    assumed_speed: Speed,
     /// Rate of prompt tokens that this entry sends, by service and model. It serves as an
     /// estimate of what each other entry sends: between two reports, all entries see the same
     /// target as the least loaded one.
@@ -233,12 +236,75 @@
     /// Returns the estimate of the prefill rate of a service's engines.
     #[must_use]
     pub fn prefill(&self, service: &str) -> Estimator {
-        self.prefill.get(service).copied().unwrap_or_default()
+        self.speed(service).prefill
     }
 
     /// Returns the estimate of the prefill rate of a service's engines, for adding samples.
     pub fn prefill_mut(&mut self, service: &str) -> &mut Estimator {
-        self.prefill.entry(service.to_owned()).or_default()
+        &mut self.speed_mut(service).prefill
+    }
+
+    /// Returns the fitted speed of a service.
+    #[must_use]
+    pub fn speed(&self, service: &str) -> &Speed {
+        self.speeds.get(service).unwrap_or(&self.assumed_speed)
+    }
+
+    /// Returns the fitted speeds of services that have samples.
+    pub fn speeds(&self) -> impl Iterator<Item = (&id::Service, &Speed)> {
+        self.speeds.iter()
+    }
+
+    fn speed_mut(&mut self, service: &str) -> &mut Speed {
+        self.speeds.entry(service.to_owned()).or_default()
+    }
+
+    /// Adds the time to a first event, at a target without backlog, to the speed of the model and the
+    /// target.
+    pub fn observe_first_event(
+        &mut self,
+        service: &str,
+        model: &str,
+        id: &str,
+        sample: &Sample,
+        now: Instant,
+    ) {
+        let speed = self.speeds.entry(service.to_owned()).or_default();
+        let Some(target) = self.targets.get_mut(id) else {
+            return;
+        };
+        let Some(prefill) = speed.prefill_of(model, sample) else {
+            return;
+        };
+        let stretch = target.predict_ms(prefill.predicted_ms, now) / prefill.predicted_ms;
+        if prefill.settled {
+            target.observe_work(prefill.time_ms, prefill.predicted_ms, prefill.weight, now);
+        }
+        speed.observe(model, sample, &prefill, stretch);
+    }
+
+    /// Adds the time of a request of a plain service, of which `running` others ran at the target when it
+    /// was sent. Requests that had to queue do not count.
+    pub fn observe_request(
+        &mut self,
+        service: &str,
+        id: &str,
+        running: u32,
+        time: Duration,
+        now: Instant,
+    ) {
+        let speed = self.speeds.entry(service.to_owned()).or_default();
+        let Some(target) = self.targets.get_mut(id) else {
+            return;
+        };
+        if running >= target.registration.slots.max(1) {
+            return;
+        }
+        let request_ms = speed.request_ms();
+        let stretch = target.predict_ms(request_ms, now) / request_ms;
+        if let Some(ratio) = speed.observe_request(time, stretch) {
+            target.observe_work(ratio * request_ms, request_ms, 1.0, now);
+        }
     }
 
     /// Returns the rate at which this entry sends prompt tokens to a model, in tokens per
@@ -374,10 +440,13 @@
         }
     }
 
-    /// Records the load that a target reported in a response: what exceeds the requests of this
+    /// Records the load and pace that a target reported in a response: what exceeds the requests of this
     /// entry belongs to the other entries.
-    pub fn record_load(&mut self, id: &str, load: Load) {
+    pub fn record_load(&mut self, id: &str, load: Load, now: Instant) {
         if let Some(target) = self.targets.get_mut(id) {
+            if let Some(pace) = load.pace {
+                target.pace.report(pace, now);
+            }
             let total = load.running + load.waiting;
             target.others.running = total.saturating_sub(target.own.running);
         }
--- a/crates/flamingo-serve/src/table/state.rs
+++ b/crates/flamingo-serve/src/table/state.rs
@@ -1,7 +1,9 @@
 //! State of one target as one entry knows it.
 
 use crate::availability::Availability;
+use crate::pace::Pace;
 use crate::proxy::LATE_LOAD_TIMEOUT;
+use crate::speed::Ratio;
 use crate::wire::PromptPart;
 use flamingo_guard::permits::Bucket;
 use flamingo_wire::id;
@@ -16,12 +18,21 @@
 /// Number of prompt parts remembered for one target; all are forgotten when it is exceeded.
 const MAX_PROMPT_PARTS: usize = 4_096;
 
+/// Number of samples that a target's being as fast as others counts for. Its models differ as well, and
+/// their rates are fitted first.
+const FACTOR_PRIOR: f64 = 10.0;
+/// Number of samples that the factor of a target is taken from: it changes with the machine only.
+const FACTOR_MEMORY: f64 = 500.0;
+/// Largest factor between a sample and the fitted factor of its target that counts.
+const MAX_FACTOR_STEP: f64 = 4.0;
+
 /// Requests that were sent to a target and have not ended.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct InFlight {
     /// Number of requests.
     pub running: u32,
-    /// Uncached prompt tokens of those requests that have no first event yet, by rank.
+    /// Uncached prompt tokens of those requests that have no first event yet, by rank. They count at the
+    /// prefill rate of the service: a prompt of a model that is twice as fast counts half its tokens.
     pub backlog: Backlog,
 }
 
@@ -73,6 +84,10 @@
     pub(super) adapters_in_use: BTreeMap<(id::Model, id::Adapter), u32>,
     /// Requests of this entry, as last reported to the leader.
     pub(super) reported: InFlight,
+    /// How long work takes now, relative to the usual time.
+    pub pace: Pace,
+    /// Time of work relative to other targets.
+    factor: Ratio,
     /// What this incarnation of the target said in its responses.
     pub availability: Availability,
     /// Limit that other entries have heard from this incarnation, as the leader says.
@@ -106,6 +121,8 @@
             loading: None,
             adapters_in_use: BTreeMap::new(),
             reported: InFlight::default(),
+            pace: Pace::default(),
+            factor: Ratio::default(),
             availability: Availability::default(),
             shared_limit: None,
             bucket: None,
@@ -214,6 +231,30 @@
         adapters.collect()
     }
 
+    /// Returns the time of work at this target relative to others, at the usual pace.
+    #[must_use]
+    pub fn factor(&self) -> f64 {
+        self.factor.relative(1.0, FACTOR_PRIOR)
+    }
+
+    /// Returns how long work takes that begins at `now` and takes `work_ms` milliseconds at other targets.
+    #[must_use]
+    pub fn predict_ms(&self, work_ms: f64, now: Instant) -> f64 {
+        self.pace.stretch(work_ms * self.factor(), now)
+    }
+
+    /// Compares work that took `time_ms` milliseconds with the prediction of `work_ms` for other targets;
+    /// `weight`, 0 to 1, is how far the sample tells the speed.
+    pub(super) fn observe_work(&mut self, time_ms: f64, work_ms: f64, weight: f64, now: Instant) {
+        let factor = self.factor();
+        let usual_ms = work_ms * factor;
+        let (least, most) = (1.0 / MAX_FACTOR_STEP, MAX_FACTOR_STEP);
+        let without_pace = (time_ms / usual_ms).clamp(least, most);
+        let with_pace = (time_ms / self.pace.stretch(usual_ms, now)).clamp(least, most);
+        self.pace.observe(without_pace, weight, now);
+        self.factor.add(factor * with_pace, weight, FACTOR_MEMORY);
+    }
+
     /// Returns whether the target is avoided because of a recent failure or silence.
     #[must_use]
     pub fn is_avoided(&self, now: Instant) -> bool {
--- a/crates/flamingo-serve/src/wire.rs
+++ b/crates/flamingo-serve/src/wire.rs
@@ -99,7 +99,7 @@
 }
 
 /// Load that a target reports in the head of a response.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Load {
     /// Number of running requests.
     pub running: u32,
@@ -107,6 +107,8 @@
     pub waiting: u32,
     /// Largest number of requests that run at the same time.
     pub slots: u32,
+    /// How long work takes now, where 1 is as usual; `None` if the target does not tell.
+    pub pace: Option<f64>,
 }
 
 /// A pause that a target asks for when it turns a request away.
