Gauge of targets by how their pace is taken; delay by running requests fitted on its own spread

Missing: an operator could not see whether targets tell a pace and are believed.

Change: `flamingo_target_paces{standing}`; the prior counts by its spread around the mean of the samples.

--- a/crates/flamingo-serve/src/metrics.rs
+++ b/crates/flamingo-serve/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of an entry in the Prometheus format.
 
+use crate::pace::Standing;
 use crate::table::{Table, Target};
 use crate::topology::Topology;
 use flamingo_daemon::metrics::Registry;
@@ -7,6 +8,7 @@
     GaugeVec, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts,
 };
 use std::time::{Duration, Instant};
+use strum::IntoEnumIterator as _;
 
 /// Bucket bounds of the latency histograms, in seconds.
 const LATENCY_BUCKETS_S: [f64; 12] = [
@@ -33,6 +35,8 @@
     prefill_rates: GaugeVec,
     /// Least and largest fitted factor of a target, by service.
     target_factors: GaugeVec,
+    /// Targets by whether they tell their pace.
+    paces: IntGaugeVec,
     version: IntGauge,
     entries: IntGauge,
     quarantined: IntGauge,
@@ -61,7 +65,12 @@
             "flamingo_target_factor",
             "Fitted time of work at the fastest and the slowest target, relative to others.",
         );
+        let paces = Opts::new(
+            "flamingo_target_paces",
+            "Known targets by whether they tell their pace and are believed.",
+        );
         Ok(Self {
+            paces: registry.add(IntGaugeVec::new(paces, &["standing"])?)?,
             prefill_rates: registry.add(GaugeVec::new(prefill_rates, &["service", "of"])?)?,
             target_factors: registry.add(GaugeVec::new(target_factors, &["service", "of"])?)?,
             requests: registry.counters(
@@ -142,6 +151,12 @@
             let gauge = self.targets.with_label_values(&[standing]);
             gauge.set(number(count));
         }
+        for standing in Standing::iter() {
+            let targets = table.iter().map(|target| target.pace.standing());
+            let count = targets.filter(|of| *of == standing).count();
+            let gauge = self.paces.with_label_values(&[<&str>::from(standing)]);
+            gauge.set(number(count));
+        }
         self.update_speeds(&table);
         let routes = topology.routes.borrow();
         let version = routes.as_ref().map_or(0, |routes| routes.set.version);
--- a/crates/flamingo-serve/src/pace.rs
+++ b/crates/flamingo-serve/src/pace.rs
@@ -40,6 +40,23 @@
     valid.then(|| pace.clamp(min, max))
 }
 
+/// Trust below which a target's reports count as not believed.
+const MIN_TRUST: f64 = 0.5;
+
+/// Whether a target tells its pace, for operators.
+#[derive(
+    Clone, Copy, Debug, Eq, PartialEq, strum::Display, strum::EnumIter, strum::IntoStaticStr,
+)]
+#[strum(serialize_all = "snake_case")]
+pub enum Standing {
+    /// It has told none.
+    Silent,
+    /// Its reports explain most of the observed times, or too few times were observed yet.
+    Believed,
+    /// Its reports do not explain the observed times.
+    Disbelieved,
+}
+
 /// Pace of one target.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Pace {
@@ -100,6 +117,16 @@
         Some(now.saturating_duration_since(at))
     }
 
+    /// Returns whether the target tells its pace.
+    #[must_use]
+    pub fn standing(&self) -> Standing {
+        match self.last {
+            None => Standing::Silent,
+            Some(_) if self.trust() < MIN_TRUST => Standing::Disbelieved,
+            Some(_) => Standing::Believed,
+        }
+    }
+
     /// Compares the pace with an observed time: `ratio` is that time divided by the one that is
     /// expected without the pace, and `weight`, 0 to 1, the part of the time that depends on the pace.
     pub fn observe(&mut self, ratio: f64, weight: f64, now: Instant) {
--- a/crates/flamingo-serve/src/prefill.rs
+++ b/crates/flamingo-serve/src/prefill.rs
@@ -24,7 +24,7 @@
 const OUTLIER_MIN_MS: f64 = 300.0;
 
 /// Linear regression of a time over a number, kept as weighted sums.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Line {
     weight: f64,
     numbers: f64,
@@ -36,8 +36,7 @@
 impl Line {
     /// Returns a line through the origin that counts `samples` samples, half of them at 0 and half of
     /// them at `range`.
-    #[must_use]
-    pub fn assumed(samples: f64, range: f64, slope: f64) -> Self {
+    fn assumed(samples: f64, range: f64, slope: f64) -> Self {
         let half = samples / 2.0;
         Self {
             weight: samples,
@@ -59,12 +58,21 @@
     }
 
     /// Returns the time that each unit of the number adds; `None` if the samples do not tell.
-    #[must_use]
-    pub fn slope(&self) -> Option<f64> {
+    fn slope(&self) -> Option<f64> {
         let variance = self.weight * self.squares - self.numbers * self.numbers;
         let covariance = self.weight * self.products - self.numbers * self.times;
         (variance > 0.0).then(|| covariance / variance)
     }
+
+    /// Returns the time that each unit of the number adds, where an assumed `slope` counts as many
+    /// samples as have `squares` as the sum of their squared deviations from the mean.
+    #[must_use]
+    pub fn slope_with_prior(&self, slope: f64, squares: f64) -> f64 {
+        let mean = self.numbers / self.weight.max(1.0);
+        let variance = self.squares - mean * self.numbers;
+        let covariance = self.products - mean * self.times;
+        (covariance + slope * squares) / (variance + squares)
+    }
 }
 
 /// Estimate of the prefill rate.
--- a/crates/flamingo-serve/src/speed.rs
+++ b/crates/flamingo-serve/src/speed.rs
@@ -45,11 +45,9 @@
 const HALF_WEIGHT_MS: f64 = 10.0;
 /// Standard deviation of the constant part from the assumed one of 0, in milliseconds.
 const CONSTANT_DEVIATION_MS: f64 = 5.0;
-/// Number of samples that [`RUNNING_REQUEST_MS`] counts for. The delay is small against the variation
-/// of a single sample.
-const RUNNING_PRIOR: f64 = 100.0;
-/// Range of running requests that the samples of [`RUNNING_REQUEST_MS`] cover.
-const RUNNING_RANGE: f64 = 30.0;
+/// Sum of squared deviations of running requests that [`RUNNING_REQUEST_MS`] counts for: a hundred
+/// samples that differ by six requests. The delay is small against the variation of a single sample.
+const RUNNING_PRIOR: f64 = 3_600.0;
 
 /// Weighted mean of positive numbers, as the mean of their logarithms.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -166,7 +164,7 @@
 }
 
 /// Speed of one model.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 struct Model {
     sums: Sums,
     /// Number of samples.
@@ -176,17 +174,6 @@
     running: Line,
 }
 
-impl Default for Model {
-    fn default() -> Self {
-        Self {
-            sums: Sums::default(),
-            samples: 0,
-            outliers: Outliers::default(),
-            running: Line::assumed(RUNNING_PRIOR, RUNNING_RANGE, RUNNING_REQUEST_MS),
-        }
-    }
-}
-
 /// A first event that was observed.
 #[derive(Clone, Copy, Debug)]
 pub struct Sample {
@@ -283,11 +270,11 @@
     /// milliseconds.
     #[must_use]
     pub fn running_request_ms(&self, model: &str) -> f64 {
-        let slope = self
-            .models
-            .get(model)
-            .and_then(|model| model.running.slope());
-        let slope = slope.unwrap_or(RUNNING_REQUEST_MS);
+        let Some(model) = self.models.get(model) else {
+            return RUNNING_REQUEST_MS;
+        };
+        let running = &model.running;
+        let slope = running.slope_with_prior(RUNNING_REQUEST_MS, RUNNING_PRIOR);
         slope.clamp(0.0, MAX_RUNNING_REQUEST_MS)
     }
 
--- a/crates/flamingo-serve/tests/speed.rs
+++ b/crates/flamingo-serve/tests/speed.rs
@@ -2,6 +2,7 @@
 
 use flamingo_serve::choice::{Candidate, Choice, Requirements, choose};
 use flamingo_serve::demand::Counter;
+use flamingo_serve::pace::Standing;
 use flamingo_serve::prefill::Estimator;
 use flamingo_serve::speed::Sample;
 use flamingo_serve::table::Table;
@@ -250,7 +251,7 @@
 type Lie = fn(&mut Fleet) -> Option<f64>;
 
 /// Guards against false reports that a target is predicted worse by than by none.
-fn a_lie_is_worth_no_more_than_silence(lie: Lie) {
+fn a_lie_is_worth_no_more_than_silence(lie: Lie, standing: Standing) {
     let mut fleet = Fleet::new();
     for n in 0..1_500 {
         let target = TARGETS[n % 3];
@@ -261,6 +262,8 @@
         fleet.observe(MODELS[n % 4], target, 20.0);
     }
     let silent = fleet.predict("a", "2", fleet.now);
+    let pace = fleet.table.get("1").expect("a known target").pace;
+    assert_eq!(pace.standing(), standing);
     for age_ms in [0, 100, 300, 1_000, 10_000] {
         let now = fleet.now + Duration::from_millis(age_ms);
         assert_near(fleet.predict("a", "1", now), silent, 12.0);
@@ -268,14 +271,18 @@
 }
 
 cases! { a_lie_is_worth_no_more_than_silence:
-    a_target_that_always_tells_one_is_predicted_as_a_silent_one(|_| Some(1.0));
-    a_target_that_always_tells_a_hundredth_is_predicted_as_a_silent_one(|_| Some(0.01));
-    a_target_that_always_tells_a_billion_is_predicted_as_a_silent_one(|_| Some(1e9));
-    a_target_that_tells_no_number_is_predicted_as_a_silent_one(|_| Some(f64::NAN));
-    a_target_that_tells_zero_is_predicted_as_a_silent_one(|_| Some(0.0));
-    a_target_that_stops_telling_is_predicted_as_a_silent_one(|_| None);
+    a_target_that_always_tells_one_is_predicted_as_a_silent_one(|_| Some(1.0), Standing::Believed);
+    a_target_that_always_tells_a_hundredth_is_predicted_as_a_silent_one(
+        |_| Some(0.01), Standing::Believed,
+    );
+    a_target_that_always_tells_a_billion_is_predicted_as_a_silent_one(
+        |_| Some(1e9), Standing::Believed,
+    );
+    a_target_that_tells_no_number_is_predicted_as_a_silent_one(|_| Some(f64::NAN), Standing::Silent);
+    a_target_that_tells_zero_is_predicted_as_a_silent_one(|_| Some(0.0), Standing::Silent);
+    a_target_that_tells_nothing_is_predicted_as_a_silent_one(|_| None, Standing::Silent);
     a_target_that_tells_anything_is_predicted_as_a_silent_one(
-        |fleet| Some(if fleet.random() < 0.2 { 2.5 } else { 1.0 }),
+        |fleet| Some(if fleet.random() < 0.2 { 2.5 } else { 1.0 }), Standing::Disbelieved,
     );
 }
 
@@ -302,6 +309,25 @@
     assert_near(fleet.predict("a", "1", later), mean, 10.0);
 }
 
+/// Guards against an assumed delay by running requests where steps of a model take much longer.
+#[test]
+fn the_delay_by_running_requests_is_fitted() {
+    let mut fleet = Fleet::new();
+    for n in 0..900 {
+        let running = n * 7 % 24;
+        let sample = Sample {
+            tokens: 1_000,
+            running,
+            time: Duration::from_millis(u64::from(50 + running)),
+        };
+        let now = fleet.now;
+        fleet.table.observe_first_event("s", "a", "1", &sample, now);
+    }
+    let speed = fleet.table.speed("s");
+    assert_near(speed.running_request_ms("a"), 1.0, 15.0);
+    assert_near(speed.running_request_ms("b"), 0.3, 0.1);
+}
+
 /// Guards against an assumed time for services whose requests take much longer or shorter.
 #[test]
 fn the_time_of_a_request_of_a_plain_service_is_fitted() {
