--- a/crates/flamingo-serve/src/metrics.rs
+++ b/crates/flamingo-serve/src/metrics.rs
@@ -1,13 +1,18 @@
 //! Metrics of an entry in the Prometheus format.
 
 use crate::authentication::Decision;
+use crate::pace::Standing;
+use crate::table::{Table, Target};
 use crate::topology::Topology;
 use flamingo_daemon::metrics::Registry;
-use prometheus::{HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts};
+use prometheus::{
+    GaugeVec, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+};
 use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use strum::IntoEnumIterator as _;
 
 /// Bucket bounds of the latency histograms, in seconds.
 const LATENCY_BUCKETS_S: [f64; 12] = [
@@ -48,6 +53,12 @@
     /// Questions to the leader about quotas, by how they ended.
     pub quota_questions: IntCounterVec,
     targets: IntGaugeVec,
+    /// Fitted prefill rates, by service: of the service, and of its slowest and fastest model.
+    prefill_rates: GaugeVec,
+    /// Least and largest fitted factor of a target, by service.
+    target_factors: GaugeVec,
+    /// Targets by whether they tell their pace.
+    paces: IntGaugeVec,
     version: IntGauge,
     entries: IntGauge,
     quarantined: IntGauge,
@@ -68,7 +79,22 @@
         let first_event =
             HistogramVec::new(first_event.buckets(LATENCY_BUCKETS_S.to_vec()), &["route"])?;
         let targets = Opts::new("flamingo_targets", "Known targets by standing.");
+        let prefill_rates = Opts::new(
+            "flamingo_prefill_tokens_per_ms",
+            "Fitted prefill rate of a service, and of its slowest and fastest model.",
+        );
+        let target_factors = Opts::new(
+            "flamingo_target_factor",
+            "Fitted time of work at the fastest and the slowest target, relative to others.",
+        );
+        let paces = Opts::new(
+            "flamingo_target_paces",
+            "Known targets by whether they tell their pace and are believed.",
+        );
         Ok(Self {
+            paces: registry.add(IntGaugeVec::new(paces, &["standing"])?)?,
+            prefill_rates: registry.add(GaugeVec::new(prefill_rates, &["service", "of"])?)?,
+            target_factors: registry.add(GaugeVec::new(target_factors, &["service", "of"])?)?,
             requests: registry.counters(
                 "flamingo_requests_total",
                 "Requests by route and outcome.",
@@ -203,6 +229,13 @@
             let gauge = self.targets.with_label_values(&[standing]);
             gauge.set(number(count));
         }
+        for standing in Standing::iter() {
+            let targets = table.iter().map(|target| target.pace.standing());
+            let count = targets.filter(|of| *of == standing).count();
+            let gauge = self.paces.with_label_values(&[<&str>::from(standing)]);
+            gauge.set(number(count));
+        }
+        self.update_speeds(&table);
         let routes = topology.routes.borrow();
         let version = routes.as_ref().map_or(0, |routes| routes.set.version);
         self.version.set(i64::try_from(version).unwrap_or(i64::MAX));
@@ -211,4 +244,32 @@
         let quarantined = topology.crashes.borrow().quarantined(now);
         self.quarantined.set(number(quarantined));
     }
+
+    /// Sets the gauges of fitted speeds: five for each service, however many models and targets it has.
+    fn update_speeds(&self, table: &Table) {
+        for (service, speed) in table.speeds() {
+            let rate = speed.prefill.tokens_per_ms();
+            let slowest = speed.model_rates().fold(rate, f64::min);
+            let fastest = speed.model_rates().fold(rate, f64::max);
+            for (of, rate) in [
+                ("service", rate),
+                ("slowest", slowest),
+                ("fastest", fastest),
+            ] {
+                let gauge = self
+                    .prefill_rates
+                    .with_label_values(&[service.as_str(), of]);
+                gauge.set(rate);
+            }
+            let factors = || table.of_service(service).map(Target::factor);
+            let least = factors().fold(1.0, f64::min);
+            let largest = factors().fold(1.0, f64::max);
+            for (of, factor) in [("fastest", least), ("slowest", largest)] {
+                let gauge = self
+                    .target_factors
+                    .with_label_values(&[service.as_str(), of]);
+                gauge.set(factor);
+            }
+        }
+    }
 }
