--- a/crates/flamingo-wire/src/quota.rs
+++ b/crates/flamingo-wire/src/quota.rs
@@ -1,4 +1,7 @@
 //! Messages by which entries keep the quotas of workspaces together with the leader.
+//!
+//! What is sent for each workspace is written as a row, without the names of its fields: these were
+//! more than half of a question.
 
 use crate::id;
 use serde::{Deserialize, Serialize};
@@ -18,6 +21,7 @@
 
 /// What an entry holds and wants for one workspace.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(from = "UseRow", into = "UseRow")]
 pub struct Use {
     /// The workspace.
     pub workspace: id::Workspace,
@@ -41,6 +45,7 @@
 
 /// A request that lacks credit.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(from = "(f64, bool)", into = "(f64, bool)")]
 pub struct Want {
     /// Cost of the request, in units.
     pub units: f64,
@@ -59,6 +64,7 @@
 
 /// What an entry gets for one workspace.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(from = "GrantRow", into = "GrantRow")]
 pub struct Grant {
     /// The workspace.
     pub workspace: id::Workspace,
@@ -84,3 +90,85 @@
     /// It never is: it costs far more than the burst.
     TooLarge,
 }
+
+/// The fields of [`Use`] in their order.
+type UseRow = (id::Workspace, f64, f64, f64, f64, f64, f64, u64, Vec<Want>);
+
+impl From<UseRow> for Use {
+    fn from(row: UseRow) -> Self {
+        let (workspace, held, returned, rate, mean, ahead, share, share_ms, wants) = row;
+        Self {
+            workspace,
+            held,
+            returned,
+            rate,
+            mean,
+            ahead,
+            share,
+            share_ms,
+            wants,
+        }
+    }
+}
+
+impl From<Use> for UseRow {
+    fn from(record: Use) -> Self {
+        let Use {
+            workspace,
+            held,
+            returned,
+            rate,
+            mean,
+            ahead,
+            share,
+            share_ms,
+            wants,
+        } = record;
+        (
+            workspace, held, returned, rate, mean, ahead, share, share_ms, wants,
+        )
+    }
+}
+
+impl From<(f64, bool)> for Want {
+    fn from((units, returning): (f64, bool)) -> Self {
+        Self { units, returning }
+    }
+}
+
+impl From<Want> for (f64, bool) {
+    fn from(want: Want) -> Self {
+        (want.units, want.returning)
+    }
+}
+
+/// The fields of [`Grant`] in their order.
+type GrantRow = (id::Workspace, f64, bool, f64, f64, Vec<Decision>);
+
+impl From<GrantRow> for Grant {
+    fn from(row: GrantRow) -> Self {
+        let (workspace, credit, renewed, share, per_s, decisions) = row;
+        Self {
+            workspace,
+            credit,
+            renewed,
+            share,
+            per_s,
+            decisions,
+        }
+    }
+}
+
+impl From<Grant> for GrantRow {
+    fn from(record: Grant) -> Self {
+        let Grant {
+            workspace,
+            credit,
+            renewed,
+            share,
+            per_s,
+            decisions,
+        } = record;
+        (workspace, credit, renewed, share, per_s, decisions)
+    }
+}
