--- a/crates/flamingo-guard/src/quota.rs
+++ b/crates/flamingo-guard/src/quota.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 /// Time from the sending of a question after which the credit of its answer has expired. Rate × time
-/// is half of the overage that the platform allows in a window.
+/// stays within the overage that the platform allows in a window.
 pub const CREDIT_LIFETIME: Duration = Duration::from_millis(500);
 /// Time from its admission within which a request must be sent. What waits for longer adds to a later
 /// window, and must be admitted anew.
