Models are told apart only as far as the samples are certain

Cause, seen in trials of the herd test with prompts of 300 to 2,700 tokens: waits behind prompts that other entries have not reported yet were taken for the rate of the model.

Change: the part of the variance that does not depend on the length is fitted and weighs the samples; the constant part may be long (standard deviation 200 ms); a model's difference from its service counts only as far as it exceeds 3.5 standard deviations of the fit.

--- a/crates/flamingo-serve/src/speed.rs
+++ b/crates/flamingo-serve/src/speed.rs
@@ -24,7 +24,7 @@
 const RATIO_BOUNDS: (f64, f64) = (1.0 / 16.0, 16.0);
 /// Number of samples that the rate of the service counts for in the rate of a model. Ten samples must
 /// show a model that is seven times as fast.
-const MODEL_PRIOR: f64 = 1.0;
+const MODEL_PRIOR: f64 = 2.0;
 /// Number of samples that the rate of a model is taken from.
 const MODEL_MEMORY: f64 = 300.0;
 /// Number of samples that the assumed time of a request of a plain service counts for.
@@ -39,12 +39,21 @@
 const OUTLIER_MIN_MS: f64 = 300.0;
 /// Number of outliers in a row from which on the prediction is taken for wrong rather than the samples.
 const OUTLIER_RUN: u8 = 3;
-/// Prefill time of a sample that counts half for the rate of its model and half for the constant part of
-/// the time to a first event, in milliseconds: a shorter one disappears in the variation of the network
-/// and of the engine's steps.
-const HALF_WEIGHT_MS: f64 = 10.0;
-/// Standard deviation of the constant part from the assumed one of 0, in milliseconds.
-const CONSTANT_DEVIATION_MS: f64 = 5.0;
+/// Number of standard deviations by which a model must differ from its service to be told apart. In trials
+/// with unseen waits and one speed, 2.5 made more requests late than one rate for all, 3.5 did not.
+const CERTAIN_DEVIATIONS: f64 = 3.5;
+/// Standard deviation of a prefill time relative to its length.
+const RELATIVE_DEVIATION: f64 = 0.2;
+/// Standard deviation that does not depend on the length, before any sample was observed, in
+/// milliseconds.
+const ASSUMED_NOISE_MS: f64 = 80.0;
+/// Number of samples that [`ASSUMED_NOISE_MS`] counts for.
+const NOISE_PRIOR: f64 = 5.0;
+/// Number of standard deviations from which on a sample counts less.
+const NOISE_LIMIT: f64 = 3.0;
+/// Standard deviation of the constant part from the assumed one of 0, in milliseconds. It contains waits
+/// behind prompts of other entries that were not reported yet, which must not be taken for the rate.
+const CONSTANT_DEVIATION_MS: f64 = 200.0;
 /// Sum of squared deviations of running requests that [`RUNNING_REQUEST_MS`] counts for: a hundred
 /// samples that differ by six requests. The delay is small against the variation of a single sample.
 const RUNNING_PRIOR: f64 = 3_600.0;
@@ -106,9 +115,9 @@
 }
 
 /// Weighted sums of the samples of one model. Together with those of the other models they give the
-/// least squares fit of a line for each model, where all lines have the same constant part: network and
-/// first steps. Each sample weighs by the inverse of its expected variance, since times vary in
-/// proportion to their length.
+/// least squares fit of a line for each model, where all lines have the same constant part: network,
+/// first steps and waits that the entry does not know of. Each sample weighs by the inverse of its
+/// expected variance.
 #[derive(Clone, Copy, Debug, Default)]
 struct Sums {
     weight: f64,
@@ -119,8 +128,8 @@
 }
 
 impl Sums {
-    fn add(&mut self, tokens: f64, time_ms: f64, predicted_ms: f64) {
-        let weight = 1.0 / (predicted_ms.powi(2) + HALF_WEIGHT_MS.powi(2));
+    fn add(&mut self, tokens: f64, time_ms: f64, variance: f64) {
+        let weight = 1.0 / variance;
         let decay = 1.0 - 1.0 / MODEL_MEMORY;
         self.weight = self.weight * decay + weight;
         self.tokens = self.tokens * decay + weight * tokens;
@@ -145,22 +154,84 @@
         }
     }
 
-    /// Returns the time of a token in milliseconds, where `constant_ms` is the constant part.
-    fn token_ms(&self, constant_ms: f64) -> f64 {
-        (self.products - constant_ms * self.tokens) / self.squares
+    /// Returns the time of a token in milliseconds. A difference from the service's counts only as far as
+    /// it exceeds the uncertainty of the fit (positive-part James-Stein shrinkage): prompts that wait
+    /// unseen would make models differ that do not.
+    fn token_ms(&self, constant: Constant, service_token_ms: f64) -> f64 {
+        let fitted = (self.products - constant.ms * self.tokens) / self.squares;
+        let by_constant = (self.tokens / self.squares).powi(2) * constant.variance;
+        let variance = 1.0 / self.squares + by_constant;
+        let difference = fitted - service_token_ms;
+        let certain = 1.0 - CERTAIN_DEVIATIONS.powi(2) * variance / difference.powi(2);
+        if difference == 0.0 || certain <= 0.0 {
+            return service_token_ms;
+        }
+        service_token_ms + difference * certain
+    }
+}
+
+/// Part of the variance of times that does not depend on their length, in square milliseconds.
+#[derive(Clone, Copy, Debug)]
+struct Noise {
+    samples: f64,
+    squares: f64,
+}
+
+impl Default for Noise {
+    fn default() -> Self {
+        Self {
+            samples: NOISE_PRIOR,
+            squares: NOISE_PRIOR * ASSUMED_NOISE_MS.powi(2),
+        }
+    }
+}
+
+impl Noise {
+    fn add(&mut self, residual_ms: f64, predicted_ms: f64) {
+        let relative = (RELATIVE_DEVIATION * predicted_ms).powi(2);
+        let decay = 1.0 - 1.0 / MODEL_MEMORY;
+        self.samples = self.samples * decay + 1.0;
+        self.squares = self.squares * decay + (residual_ms.powi(2) - relative).max(0.0);
+    }
+
+    fn variance(&self) -> f64 {
+        self.squares / self.samples
+    }
+}
+
+/// Part of the time to a first event that does not depend on the prompt.
+#[derive(Clone, Copy, Debug)]
+struct Constant {
+    /// The time, in milliseconds.
+    ms: f64,
+    /// Variance of the estimate, in square milliseconds.
+    variance: f64,
+}
+
+impl Default for Constant {
+    fn default() -> Self {
+        Self {
+            ms: 0.0,
+            variance: CONSTANT_DEVIATION_MS.powi(2),
+        }
     }
 }
 
-/// Returns the constant part of the times of all models, in milliseconds.
-fn fit_constant(models: impl Iterator<Item = Sums>) -> f64 {
-    let mut times = 0.0;
-    let mut weight = 1.0 / CONSTANT_DEVIATION_MS.powi(2);
-    for sums in models {
-        let tokens = sums.tokens / sums.squares;
-        times += sums.times - tokens * sums.products;
-        weight += sums.weight - tokens * sums.tokens;
+impl Constant {
+    /// Fits the constant part of the times of all models.
+    fn fit(models: impl Iterator<Item = Sums>) -> Self {
+        let mut times = 0.0;
+        let mut weight = 1.0 / CONSTANT_DEVIATION_MS.powi(2);
+        for sums in models {
+            let tokens = sums.tokens / sums.squares;
+            times += sums.times - tokens * sums.products;
+            weight += sums.weight - tokens * sums.tokens;
+        }
+        Self {
+            ms: (times / weight).max(0.0),
+            variance: 1.0 / weight,
+        }
     }
-    (times / weight).max(0.0)
 }
 
 /// Speed of one model.
@@ -220,8 +291,8 @@
     /// Prefill rate over all models.
     pub prefill: Estimator,
     models: HashMap<id::Model, Model>,
-    /// Part of the time to a first event that does not depend on the prompt, in milliseconds.
-    constant_ms: f64,
+    constant: Constant,
+    noise: Noise,
     /// Time of a request of a plain service relative to [`SERVICE_REQUEST_MS`].
     request: Ratio,
     request_outliers: Outliers,
@@ -238,7 +309,8 @@
         let service_token_ms = 1.0 / self.prefill.tokens_per_ms();
         let sums = model.sums.with_prior(service_token_ms);
         let (min, max) = RATIO_BOUNDS;
-        (sums.token_ms(self.constant_ms) / service_token_ms).clamp(min, max)
+        let token_ms = sums.token_ms(self.constant, service_token_ms);
+        (token_ms / service_token_ms).clamp(min, max)
     }
 
     /// Returns the figures of a model for a prediction.
@@ -297,8 +369,8 @@
             return None;
         }
         // The constant part may exceed the whole time of a fast model.
-        let constant_ms = self.constant_ms.min(time_ms / 2.0);
-        let weight = predicted_ms.powi(2) / (predicted_ms.powi(2) + HALF_WEIGHT_MS.powi(2));
+        let constant_ms = self.constant.ms.min(time_ms / 2.0);
+        let weight = predicted_ms.powi(2) / (predicted_ms.powi(2) + self.noise.variance());
         Some(Prefill {
             time_ms: time_ms - constant_ms,
             predicted_ms,
@@ -315,15 +387,22 @@
         let fit = self.models.entry(model.to_owned()).or_default();
         let residual_ms = usual_ms - prefill.predicted_ms;
         fit.running.add(f64::from(sample.running), residual_ms);
-        let (least, most) = if prefill.settled {
-            (1.0 / OUTLIER_FACTOR, OUTLIER_FACTOR)
+        let variance = self.noise.variance();
+        let limit_ms = NOISE_LIMIT * variance.sqrt();
+        let least_ms = prefill.predicted_ms / OUTLIER_FACTOR - limit_ms;
+        let most_ms = prefill.predicted_ms * OUTLIER_FACTOR + limit_ms;
+        let limited_ms = usual_ms.clamp(least_ms, most_ms);
+        self.noise
+            .add(limited_ms - prefill.predicted_ms, prefill.predicted_ms);
+        let counted_ms = if prefill.settled {
+            limited_ms
         } else {
-            RATIO_BOUNDS
+            usual_ms
         };
-        let observed = (usual_ms / prefill.predicted_ms).clamp(least, most);
-        let total_ms = constant_ms + observed * prefill.predicted_ms;
+        let relative = (RELATIVE_DEVIATION * prefill.predicted_ms).powi(2);
         let tokens = f64::from(sample.tokens);
-        fit.sums.add(tokens, total_ms, prefill.predicted_ms);
+        fit.sums
+            .add(tokens, constant_ms + counted_ms, relative + variance);
         fit.samples = fit.samples.saturating_add(1);
         let total_ms = constant_ms + usual_ms;
         let usual = Duration::from_secs_f64(total_ms / 1_000.0);
@@ -331,7 +410,7 @@
         let service_token_ms = 1.0 / self.prefill.tokens_per_ms();
         let models = self.models.values();
         let sums = models.map(|model| model.sums.with_prior(service_token_ms));
-        self.constant_ms = fit_constant(sums);
+        self.constant = Constant::fit(sums);
     }
 
     /// Adds the time of a request of a plain service to a target that had a free slot. `stretch` is the
--- a/crates/flamingo-serve/tests/herd.rs
+++ b/crates/flamingo-serve/tests/herd.rs
@@ -317,7 +317,7 @@
     let late = targets.iter().map(|target| target.late).sum::<f64>() / received;
     println!("{entries} entries: busiest {busiest:.3}, rejected {rejected:.4}, late {late:.4}");
     // The page names no bound of late ones. Over a whole run a herd moves on from target to target, so it
-    // shows here only: 32 in 1,000 without the estimate of unreported requests.
+    // shows here only: 34 in 1,000 without the estimate of unreported requests.
     assert!(late <= 0.02, "{late:.3} of the requests late");
     assert!(
         busiest <= 1.3,
--- a/crates/flamingo-serve/tests/speed.rs
+++ b/crates/flamingo-serve/tests/speed.rs
@@ -24,6 +24,8 @@
     table: Table,
     now: Instant,
     numbers: u32,
+    /// Mean time for which prompts wait behind others that the entry does not know of, in milliseconds.
+    unseen_wait_ms: f64,
 }
 
 impl Fleet {
@@ -44,6 +46,7 @@
             table,
             now,
             numbers: 1,
+            unseen_wait_ms: 0.0,
         }
     }
 
@@ -63,7 +66,8 @@
         let tokens = [400, 900, 1_500, 3_000]
             [usize::from(self.random() > 0.5) * 2 + usize::from(self.random() > 0.5)];
         let noise = 0.8 + 0.4 * self.random();
-        let ms = 5.0 + f64::from(tokens) / tokens_per_ms * noise;
+        let wait_ms = -self.unseen_wait_ms * (1.0 - self.random()).ln();
+        let ms = 5.0 + f64::from(tokens) / tokens_per_ms * noise + wait_ms;
         let sample = Sample {
             tokens,
             running: 0,
@@ -166,6 +170,19 @@
     three_times_the_assumed_speed_is_predicted_as_before(60.0);
 }
 
+/// Guards against waits behind unreported prompts that are taken for a difference of the models: a trial of
+/// the fleet of herd.rs then fitted 7 to 270 tokens in a millisecond where all models had 20.
+#[test]
+fn unseen_waits_do_not_make_models_differ() {
+    let mut fleet = Fleet::new();
+    fleet.unseen_wait_ms = 150.0;
+    for n in 0..2_000 {
+        fleet.observe(MODELS[n % 4], TARGETS[n % 3], 20.0);
+        let ratio = fleet.table.speed("s").ratio(MODELS[n % 4]);
+        assert!((0.6..1.6).contains(&ratio), "{n}: {ratio}");
+    }
+}
+
 /// Guards against a prior or bounds that hide how far a model differs from its service.
 fn ten_samples_show_the_speed_of_a_model(times: f64) {
     let mut fleet = Fleet::new();
