--- a/crates/flamingo-guard/src/quota.rs
+++ b/crates/flamingo-guard/src/quota.rs
@@ -29,6 +29,10 @@
 /// Time without a confirmed answer after which the leader withholds an entry's share. It is shorter
 /// than [`SHARE_DELAY`], so that a share is withheld before it is used.
 pub const SILENCE: Duration = Duration::from_millis(500);
+/// Part of the rate that is leased as shares. A new leader can't give out what an earlier one has leased
+/// until the leases end; with the whole rate leased, no workspace whose entries had restarted was served
+/// for ten seconds.
+pub const SHARED_PART: f64 = 0.3;
 /// Time for which shares save up what they are not used for, in seconds.
 const SHARE_SAVING_S: f64 = 0.4;
 /// Tokens that all shares of a workspace may save up beyond `SHARE_SAVING_S`, so that shares of
@@ -92,6 +96,11 @@
     quota.burst + quota.per_s * RESERVE_S + in_units(quota, RESERVE_TOKENS)
 }
 
+/// Returns the units a second that all shares of a workspace are leased together.
+fn shared_rate(quota: &Quota) -> f64 {
+    quota.per_s * SHARED_PART
+}
+
 /// Returns the units that all shares of a workspace may save up together.
 fn share_saving(quota: &Quota) -> f64 {
     quota.per_s * SHARE_SAVING_S + in_units(quota, SHARE_SAVING_TOKENS)
--- a/crates/flamingo-guard/src/quota/account/purse.rs
+++ b/crates/flamingo-guard/src/quota/account/purse.rs
@@ -1,6 +1,6 @@
 //! What an entry holds of one workspace's quota.
 
-use super::super::{CREDIT_LIFETIME, LEASE, SHARE_DELAY, share_saving};
+use super::super::{CREDIT_LIFETIME, LEASE, SHARE_DELAY, SHARED_PART, share_saving};
 use flamingo_wire::quota::{Grant, Use, Want};
 use flamingo_wire::workspace::Quota;
 use std::time::{Duration, Instant};
@@ -41,7 +41,7 @@
     }
 
     fn saving(&self, quota: &Quota) -> f64 {
-        share_saving(quota) * self.per_s / self.of_per_s
+        share_saving(quota) * self.per_s / (self.of_per_s * SHARED_PART)
     }
 
     fn fill(&mut self, quota: &Quota, usable_from: Instant, now: Instant) {
--- a/crates/flamingo-guard/src/quota/ledger/bucket.rs
+++ b/crates/flamingo-guard/src/quota/ledger/bucket.rs
@@ -1,6 +1,6 @@
 //! The token bucket of one workspace.
 
-use super::super::{bucket_size, max_debt};
+use super::super::{bucket_size, max_debt, shared_rate};
 use super::holdings::{Holdings, positive};
 use super::promises::Promises;
 use super::{Entry, Key, Level};
@@ -42,8 +42,8 @@
 
 impl Bucket {
     /// Returns the bucket of a leadership that began at `start`. With an earlier leader, whose
-    /// bucket may have been in debt, it begins with the largest debt, and the whole rate may be in
-    /// use as shares until `inherited_until`.
+    /// bucket may have been in debt, it begins with the largest debt, and all that is leased may be
+    /// in use until `inherited_until`.
     pub fn new(quota: Quota, start: Instant, inherited_until: Option<Instant>) -> Self {
         Self {
             quota,
@@ -52,7 +52,7 @@
             refreshed_at: start,
             holdings: Holdings::default(),
             promises: Promises::default(),
-            inherited: inherited_until.map_or(0.0, |_| quota.per_s),
+            inherited: inherited_until.map_or(0.0, |_| shared_rate(&quota)),
             inherited_until: inherited_until.unwrap_or(start),
         }
     }
@@ -202,7 +202,7 @@
     /// the entry has confirmed an answer lately: otherwise it would be withheld at once.
     fn share(&mut self, key: &Key, stated: f64, is_silent: bool, now: Instant) -> f64 {
         let others = self.holdings.sums.shares - stated;
-        let free = self.quota.per_s - self.inherited_at(now) - others;
+        let free = shared_rate(&self.quota) - self.inherited_at(now) - others;
         let fair = self.holdings.fair_share(key, &self.quota, now);
         let most = if is_silent { fair.min(stated) } else { fair };
         most.min(free.max(0.0))
--- a/crates/flamingo-guard/src/quota/ledger/holdings.rs
+++ b/crates/flamingo-guard/src/quota/ledger/holdings.rs
@@ -1,6 +1,6 @@
 //! What entries may hold of one workspace: credit that has not expired, and leased shares.
 
-use super::super::{CREDIT_LIFETIME, LEASE, share_saving};
+use super::super::{CREDIT_LIFETIME, LEASE, share_saving, shared_rate};
 use super::{Entry, Key};
 use flamingo_wire::quota::Use;
 use flamingo_wire::workspace::Quota;
@@ -182,7 +182,7 @@
         if rate <= 0.0 || rate < self.least_per_s * LEAST_PART {
             return 0.0;
         }
-        quota.per_s * (rate / self.used_per_s.max(rate))
+        shared_rate(quota) * (rate / self.used_per_s.max(rate))
     }
 
     /// Chooses the entries that get shares: those that use most, and no more of them than can each
