Requests leave their zone only if that pays

Missing: 10 ms were added to the predicted time of targets in other zones. At load, queues differ by more, so balanced zones exchanged requests; and zones whose targets did not suffice could be drawn upon without regard to their own requests or to bytes.

Change: a target in another zone enters the water filling with its round trip, measured by the time to connect, and the price of the request's bytes (--leaving-price), at least 100 ms and at most half of the time left to be on time. Unreported work is attributed to the zones of its entries. Targets elsewhere with a queue above half of the objective take no request while there are home targets. A zone to which connections fail is a last resort for a second. Metrics and a log line show what leaves, where to and why.

--- a/crates/flamingo-serve/src/choice.rs
+++ b/crates/flamingo-serve/src/choice.rs
@@ -8,13 +8,15 @@
 //! entries have sent and not reported yet.
 
 use crate::admission::Timing;
+use crate::departure::{self, Place, Reason, Terms};
+use crate::round_trip::RoundTrips;
 use crate::table::{Table, Target};
 use crate::wire::RequestHead;
 use flamingo_guard::observer::Life;
-use flamingo_place::water_filling::fill;
 use flamingo_wire::id;
 use flamingo_wire::route::{Engine, Rank};
 use flamingo_wire::target::Registration;
+use smallvec::SmallVec;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::{Duration, Instant};
 
@@ -22,8 +24,6 @@
 const RUNNING_REQUEST_MS: f64 = 0.3;
 /// Time for loading an adapter on a target, in milliseconds.
 const ADAPTER_LOAD_MS: f64 = 12.0;
-/// Time added for a target in another zone, in milliseconds.
-const CROSS_ZONE_MS: f64 = 10.0;
 /// Assumed time of a request to a plain service, in milliseconds, since none is observed.
 const SERVICE_REQUEST_MS: f64 = 60.0;
 
@@ -47,6 +47,8 @@
     pub rank: Rank,
     /// Zone of this entry.
     pub zone: &'a str,
+    /// What leaving the zone is judged by; `None` if only the assumed round trip counts.
+    pub leaving: Option<Terms<'a>>,
     /// Version of the software at which the stream began that the request goes on with; `None` if
     /// any version will do.
     pub software: Option<&'a str>,
@@ -62,6 +64,37 @@
 }
 
 impl Requirements<'_> {
+    /// Returns whether a candidate is in the zone of this entry.
+    fn is_home(&self, candidate: &Candidate) -> bool {
+        candidate.zone == self.zone
+    }
+
+    /// Returns the additional round trip to a zone.
+    fn round_trip(&self, zone: &str) -> Duration {
+        let assumed = RoundTrips::default();
+        let round_trips = self.leaving.map_or(&assumed, |terms| terms.round_trips);
+        round_trips.additional(self.zone, zone)
+    }
+
+    /// Returns the cost of sending the request to a zone beyond the round trip, in milliseconds.
+    fn offset_ms(&self, zone: &str) -> f64 {
+        if zone == self.zone {
+            return 0.0;
+        }
+        self.leaving.map_or(0.0, |terms| terms.cost_ms())
+    }
+
+    /// Returns whether requests are kept in the zone for a price.
+    fn keeps_home(&self) -> bool {
+        self.leaving.is_some_and(|terms| !terms.is_free())
+    }
+
+    /// Returns whether another zone can't be reached.
+    fn is_cut_off(&self, zone: &str, now: Instant) -> bool {
+        let terms = self.leaving.filter(|_| zone != self.zone);
+        terms.is_some_and(|terms| terms.round_trips.is_unreachable(zone, now))
+    }
+
     /// Returns whether a target runs the required version of the software.
     fn runs_software(&self, target: &Target) -> bool {
         self.software
@@ -107,6 +140,10 @@
     pub incarnation: id::Incarnation,
     /// Version of the target's software.
     pub software: id::Software,
+    /// Zone of the target.
+    pub zone: id::Zone,
+    /// Why the request leaves the entry's zone; `None` if it doesn't.
+    pub departure: Option<Reason>,
     /// Prompt tokens that the target does not have cached.
     pub uncached_tokens: u32,
     /// Tokens of other prompts that the target processes before this one.
@@ -173,11 +210,13 @@
     let mut candidates: Vec<Candidate> = Vec::new();
     let model = required.request.model.as_deref();
     let tokens_per_ms = table.prefill(required.service).tokens_per_ms();
+    let mut zones = Zones::new(required.zone);
     for target in table
         .of_service(required.service)
         .filter(|target| target.accepts_requests() && required.runs_software(target))
     {
         any_target = true;
+        zones.add(&target.registration.zone);
         if let Some(model) = model.filter(|_| required.engine.is_some())
             && !target.has_model(model, now)
         {
@@ -185,6 +224,7 @@
             continue;
         }
         any_with_model = true;
+        zones.home_has_model |= target.registration.zone == required.zone;
         if let Some(until) = target.availability.closed_until(now) {
             first_opening = earlier(first_opening, Some(until));
             continue;
@@ -194,13 +234,19 @@
             continue;
         }
         let mut candidate = predict(target, required, tokens_per_ms);
+        candidate.first_event_delay += required.round_trip(&candidate.zone);
         let load_impossible =
             candidate.needs_adapter_load && (target.executing || !required.can_load_adapters);
         candidate.last_resort =
             target.is_avoided(now) || table.heartbeat_overdue(target) || load_impossible;
+        candidate.last_resort |= required.is_cut_off(&candidate.zone, now);
         candidates.push(candidate);
     }
     retain_preferred(&mut candidates, |candidate| !candidate.last_resort);
+    retain_spare(&mut candidates, required);
+    let home_remains = candidates
+        .iter()
+        .any(|candidate| required.is_home(candidate));
     // A request must not be rejected at the drawn target while another target would admit it.
     retain_preferred(&mut candidates, |candidate| {
         candidate.admits(required.timing)
@@ -208,11 +254,9 @@
     let rate = model.map_or(0.0, |model| {
         table.prompt_tokens_per_ms(required.service, model, now)
     });
-    match draw(
-        candidates,
-        unreported_tokens(rate, required.entries) / tokens_per_ms,
-        salt,
-    ) {
+    let work_ms = unreported_tokens(rate, required.entries) / tokens_per_ms;
+    set_departures(&mut candidates, required, &zones, home_remains);
+    match draw(candidates, required, zones.known.len(), work_ms, salt) {
         Some(candidate) if candidate.admits(required.timing) => Choice::Send(candidate),
         Some(candidate) => Choice::QueueTooLong(candidate.queueing_delay),
         None if any_target && !any_with_model => {
@@ -225,6 +269,85 @@
     }
 }
 
+/// The zones of the targets of a service.
+struct Zones<'a> {
+    /// The home zone first, then the others.
+    known: SmallVec<[&'a str; 4]>,
+    /// Whether a target in the home zone accepts requests.
+    home_accepts: bool,
+    /// Whether such a target has the model.
+    home_has_model: bool,
+}
+
+impl<'a> Zones<'a> {
+    fn new(home: &'a str) -> Self {
+        Self {
+            known: SmallVec::from_iter([home]),
+            home_accepts: false,
+            home_has_model: false,
+        }
+    }
+
+    /// Adds the zone of a target that accepts requests.
+    fn add(&mut self, zone: &'a str) {
+        self.home_accepts |= self.known[0] == zone;
+        if !self.known.contains(&zone) {
+            self.known.push(zone);
+        }
+    }
+
+    /// Returns why requests leave if no home target is a candidate.
+    fn reason_without_home(&self) -> Reason {
+        if self.home_accepts && !self.home_has_model {
+            Reason::NoHomeModel
+        } else {
+            Reason::NoHomeTarget
+        }
+    }
+}
+
+/// Removes targets of other zones that have no spare capacity, if there is one in the home zone.
+fn retain_spare(candidates: &mut Vec<Candidate>, required: &Requirements<'_>) {
+    let Some(terms) = required.leaving else {
+        return;
+    };
+    if candidates
+        .iter()
+        .any(|candidate| required.is_home(candidate))
+    {
+        candidates.retain(|candidate| {
+            required.is_home(candidate) || terms.is_spare(candidate.queueing_delay)
+        });
+    }
+}
+
+/// Sets for each candidate why the request would leave the zone. `home_remains` says whether there
+/// was a candidate in the home zone before admission.
+fn set_departures(
+    candidates: &mut [Candidate],
+    required: &Requirements<'_>,
+    zones: &Zones<'_>,
+    home_remains: bool,
+) {
+    let home_admits = candidates
+        .iter()
+        .any(|candidate| required.is_home(candidate));
+    for candidate in candidates {
+        if required.is_home(candidate) {
+            continue;
+        }
+        let reason = if home_admits {
+            let terms = required.leaving;
+            terms.map_or(Reason::Cheap, |terms| terms.reason())
+        } else if home_remains {
+            Reason::HomeLate
+        } else {
+            zones.reason_without_home()
+        };
+        candidate.departure = Some(reason);
+    }
+}
+
 /// Returns the earlier one of the times that are known.
 fn earlier(first: Option<Instant>, second: Option<Instant>) -> Option<Instant> {
     first.into_iter().chain(second).min()
@@ -245,13 +368,24 @@
 }
 
 /// Draws a candidate with a probability proportional to its share when `work_ms` milliseconds of
-/// work are spread over the candidates. Returns `None` if there are no candidates.
-fn draw(candidates: Vec<Candidate>, work_ms: f64, salt: u64) -> Option<Candidate> {
-    let delays: Vec<f64> = candidates
-        .iter()
-        .map(|candidate| candidate.first_event_delay.as_secs_f64() * 1_000.0)
-        .collect();
-    let shares = fill(&delays, work_ms.max(MIN_SPREAD_MS));
+/// work of the entries in `zones` zones are spread over the candidates. Returns `None` if there are
+/// no candidates.
+fn draw(
+    candidates: Vec<Candidate>,
+    required: &Requirements<'_>,
+    zones: usize,
+    work_ms: f64,
+    salt: u64,
+) -> Option<Candidate> {
+    let places = candidates.iter().map(|candidate| Place {
+        zone: &candidate.zone,
+        delay_ms: candidate.first_event_delay.as_secs_f64() * 1_000.0,
+        offset_ms: required.offset_ms(&candidate.zone),
+    });
+    let places: Vec<Place<'_>> = places.collect();
+    // Without a price, all entries send to all zones.
+    let zones = if required.keeps_home() { zones } else { 1 };
+    let shares = departure::spread(&places, required.zone, zones, work_ms.max(MIN_SPREAD_MS));
     let scored = candidates
         .into_iter()
         .zip(shares)
@@ -300,13 +434,12 @@
         let slots = f64::from(target.registration.slots.max(1));
         first_event_ms += (running / slots).floor() * SERVICE_REQUEST_MS + running / slots;
     }
-    if target.registration.zone != required.zone {
-        first_event_ms += CROSS_ZONE_MS;
-    }
     Candidate {
         target: target.registration.id.clone(),
         incarnation: target.registration.incarnation,
         software: target.registration.software.clone(),
+        zone: target.registration.zone.clone(),
+        departure: None,
         uncached_tokens,
         backlog_tokens,
         first_event_delay: Duration::from_secs_f64(first_event_ms / 1_000.0),
--- a/crates/flamingo-serve/src/pool.rs
+++ b/crates/flamingo-serve/src/pool.rs
@@ -48,6 +48,8 @@
     pub sender: SendRequest<Full<Bytes>>,
     /// Whether the connection was dialled for the current request and not taken from the pool.
     pub newly_dialled: bool,
+    /// Time in which the connection was established.
+    pub connect_time: Duration,
     /// Hashes of the attempt ids of the requests that were sent on it.
     carried: HashSet<u64>,
     /// Counts what comes before the head of a response.
@@ -202,6 +204,7 @@
     let give_up_at = deadline.min(now + DIAL_TIMEOUT);
     let dialled = timeout_at(give_up_at.into(), TcpStream::connect(address)).await;
     let stream = dialled.ok()?.ok()?;
+    let connect_time = now.elapsed();
     // Errors are ignored: a connection without these options still works.
     let _ = stream.set_nodelay(true);
     let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
@@ -217,6 +220,7 @@
     Some(Connection {
         sender,
         newly_dialled: true,
+        connect_time,
         carried: HashSet::new(),
         preamble,
         expires_at: now,
--- a/crates/flamingo-serve/src/proxy.rs
+++ b/crates/flamingo-serve/src/proxy.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod begin;
 mod crash;
+mod departure;
 mod forward;
 mod job;
 mod load_guard;
@@ -25,8 +26,10 @@
 use crate::budget::Allowance;
 use crate::choice::{self, Choice, Requirements};
 use crate::demand::Counter;
+use crate::departure::{Price, Terms, expected_bytes};
 use crate::memory::Memory;
 use crate::metrics::Metrics;
+use crate::round_trip::RoundTrips;
 use crate::server::{Drain, Handler, Stage};
 use crate::sharers::Sharers;
 use crate::topology::Topology;
@@ -68,6 +71,8 @@
     pub control_client: Rc<ControlClient>,
     /// Zone of this entry.
     pub zone: id::Zone,
+    /// Price of traffic to other zones.
+    pub leaving_price: Price,
     /// Retries that all entries together may send.
     pub allowance: Allowance,
     /// Counts demand for the reports to the leader.
@@ -88,6 +93,8 @@
     topology: Rc<Topology>,
     control_client: Rc<ControlClient>,
     zone: id::Zone,
+    leaving_price: Price,
+    round_trips: RefCell<RoundTrips>,
     retries: retry::Retries,
     /// Longest wait that any caller of a route has stated. Callers state the time that remains,
     /// so the longest wait is that of a first try.
@@ -129,6 +136,8 @@
             topology: options.topology,
             control_client: options.control_client,
             zone: options.zone,
+            leaving_price: options.leaving_price,
+            round_trips: RefCell::default(),
             retries: retry::Retries::new(options.allowance),
             longest_waits: RefCell::default(),
             waiting: loading::Waiting::default(),
@@ -286,12 +295,20 @@
         let service = job.routes.service(&job.service);
         let tried = job.tried.borrow();
         let software = job.software.borrow();
+        let round_trips = self.round_trips.borrow();
         let required = Requirements {
             service: &job.service,
             engine: service.and_then(|service| service.engine.as_ref()),
             request: &job.request,
             rank: job.route.rank,
             zone: &self.zone,
+            leaving: Some(Terms {
+                price: self.leaving_price,
+                bytes: expected_bytes(&job.request, job.body.len()),
+                objective: Duration::from_millis(job.route.objective_ms),
+                elapsed: Self::elapsed(job, now),
+                round_trips: &round_trips,
+            }),
             software: software.as_deref(),
             tried: &tried,
             can_load_adapters: self.topology.peers.borrow().leader.is_some(),
@@ -303,6 +320,11 @@
         choice::choose(&self.topology.table.borrow(), &required, salt, now)
     }
 
+    /// Returns the time since the caller's first try.
+    fn elapsed(job: &Job, now: Instant) -> Duration {
+        job.earlier_wait + now.saturating_duration_since(job.arrived_at)
+    }
+
     /// Returns the times for the admission decision. Returns `None`, which admits the request, if
     /// it was already sent or goes to a plain service.
     fn timing(job: &Job, now: Instant) -> Option<Timing> {
@@ -310,7 +332,7 @@
             return None;
         }
         Some(Timing {
-            elapsed: job.earlier_wait + now.saturating_duration_since(job.arrived_at),
+            elapsed: Self::elapsed(job, now),
             objective: Duration::from_millis(job.route.objective_ms),
             remaining: job.deadline.saturating_duration_since(now),
             has_begun: job.goes_on(),
--- a/crates/flamingo-serve/src/proxy/attempt.rs
+++ b/crates/flamingo-serve/src/proxy/attempt.rs
@@ -126,6 +126,7 @@
         self.metrics.connections.with_label_values(&[how]).inc();
         let codec = self.codec.as_ref();
         job.begin_sending(candidate);
+        self.record_departure(job, candidate);
         let result = exchange::send(
             pooled,
             address,
@@ -145,6 +146,7 @@
                     table.record_load(&candidate.target, load);
                 }
                 drop(table);
+                self.record_connection(candidate, &response.connection, now);
                 self.record_availability(job, candidate, &response.parsed);
                 Ok(response)
             }
@@ -204,6 +206,9 @@
                 AttemptError::NotRun(Cause::NoTarget)
             }
             Failure::Unreached | Failure::Unsent => {
+                if failure == Failure::Unreached {
+                    self.record_unreached(candidate, now);
+                }
                 self.record_failure(&candidate.target, now);
                 job.record_unsent();
                 AttemptError::NotRun(Cause::NoTarget)
--- a/crates/flamingo-serve/src/proxy/forward.rs
+++ b/crates/flamingo-serve/src/proxy/forward.rs
@@ -165,6 +165,7 @@
         };
         self.record_answered(job);
         self.record_response(&candidate.target);
+        self.record_departed_answer(&candidate, bytes.len());
         self.return_to_pool(&load_guard.target, connection, &parsed);
         let now = Instant::now();
         if head.status.is_server_error() && job.route.repeatable() && self.try_retry(job, now) {
--- a/crates/flamingo-serve/src/proxy/stream.rs
+++ b/crates/flamingo-serve/src/proxy/stream.rs
@@ -80,6 +80,8 @@
     /// at the normal end. After an error there is no further stream.
     pub async fn next_chunk(mut self) -> Option<(Result<Bytes, Error>, Option<Self>)> {
         if let Some(first) = self.first.take() {
+            self.proxy
+                .record_departed_answer(&self.candidate, first.bytes.len());
             self.last_event_id = first.id.or(self.last_event_id);
             return Some((Ok(first.bytes), Some(self)));
         }
@@ -89,6 +91,8 @@
         }
         match self.next_event().await {
             Next::Event(event) => {
+                self.proxy
+                    .record_departed_answer(&self.candidate, event.bytes.len());
                 self.last_event_id = event.id.or(self.last_event_id);
                 self.last_event_at = Instant::now();
                 self.job.progress_at.set(self.last_event_at);
--- a/crates/flamingo-serve/tests/availability.rs
+++ b/crates/flamingo-serve/tests/availability.rs
@@ -27,6 +27,7 @@
         request,
         rank: 0,
         zone: "z",
+        leaving: None,
         software: None,
         tried,
         can_load_adapters: false,
--- a/crates/flamingo-serve/tests/herd.rs
+++ b/crates/flamingo-serve/tests/herd.rs
@@ -50,6 +50,7 @@
         request: &request(),
         rank: 1,
         zone: "z",
+        leaving: None,
         software: None,
         tried: &[],
         can_load_adapters: true,
--- a/crates/flamingo-serve/tests/load.rs
+++ b/crates/flamingo-serve/tests/load.rs
@@ -43,6 +43,7 @@
         request,
         rank: 1,
         zone: "z",
+        leaving: None,
         software: None,
         tried,
         can_load_adapters: true,
--- a/crates/flamingo-serve/tests/urgency.rs
+++ b/crates/flamingo-serve/tests/urgency.rs
@@ -139,6 +139,7 @@
             request: &request,
             rank,
             zone: "z",
+            leaving: None,
             software: None,
             tried: &[],
             can_load_adapters: true,
