--- a/crates/flamingo-serve/src/choice.rs
+++ b/crates/flamingo-serve/src/choice.rs
@@ -383,8 +383,9 @@
         offset_ms: required.offset_ms(&candidate.zone),
     });
     let places: Vec<Place<'_>> = places.collect();
-    // Without a price, all entries send to all zones.
-    let zones = if required.keeps_home() { zones } else { 1 };
+    // Without a price or a home target, entries of all zones send to the same targets.
+    let has_home = places.iter().any(|place| place.zone == required.zone);
+    let zones = if required.keeps_home() && has_home { zones } else { 1 };
     let shares = departure::spread(&places, required.zone, zones, work_ms.max(MIN_SPREAD_MS));
     let scored = candidates
         .into_iter()
