Late answers before refusals, where the entry is set to do so

Missing: a request that can't meet its objective is refused at once, though its caller still waits and targets are idle soon after a burst.

The candidate carries the rank, from which the header, the counted backlog and the prediction are taken. A late request doesn't count as running before its first event, since that changed the draw of others.

--- a/crates/flamingo-serve/src/choice.rs
+++ b/crates/flamingo-serve/src/choice.rs
@@ -7,12 +7,13 @@
 //! random with weights that equalize the predicted times, taking into account the load that other
 //! entries have sent and not reported yet.
 
-use crate::admission::Timing;
+use crate::admission::{LATE_RANK, Timing};
 use crate::departure::{self, Place, Reason, Terms};
 use crate::round_trip::RoundTrips;
 use crate::table::{Table, Target};
 use crate::wire::RequestHead;
 use flamingo_guard::observer::Life;
+use flamingo_wire::config::LatePolicy;
 use flamingo_wire::id;
 use flamingo_wire::route::{Engine, Rank};
 use flamingo_wire::target::Registration;
@@ -61,6 +62,9 @@
     pub entries: usize,
     /// Times for the admission decision; `None` if the request is admitted in any case.
     pub timing: Option<Timing>,
+    /// Whether the request is to be answered late: by what its caller still waits for, not by its
+    /// objective. Its rank is then the last one.
+    pub late: bool,
 }
 
 impl Requirements<'_> {
@@ -142,6 +146,8 @@
     pub software: id::Software,
     /// Zone of the target.
     pub zone: id::Zone,
+    /// Rank that was predicted for, with which the request is sent and counted.
+    pub rank: Rank,
     /// Why the request leaves the entry's zone; `None` if it doesn't.
     pub departure: Option<Reason>,
     /// Prompt tokens that the target does not have cached.
@@ -166,9 +172,13 @@
         (self.target.clone(), self.incarnation)
     }
 
-    /// Returns whether a request with these times is admitted at this target. A request without
-    /// times is always admitted.
-    fn admits(&self, timing: Option<Timing>) -> bool {
+    /// Returns whether the request is admitted at this target. A request without times is always
+    /// admitted.
+    fn admits(&self, required: &Requirements<'_>) -> bool {
+        let timing = required.timing;
+        if required.late {
+            return timing.is_none_or(|timing| timing.admitted_late(self.first_event_delay));
+        }
         let timing = timing.map(|timing| Timing {
             queueing_delay: self.queueing_delay,
             ..timing
@@ -230,7 +240,7 @@
             continue;
         }
         any_open = true;
-        if required.was_tried(target) {
+        if required.was_tried(target) || required.late && target.is_full() {
             continue;
         }
         let mut candidate = predict(target, required, tokens_per_ms);
@@ -248,16 +258,14 @@
         .iter()
         .any(|candidate| required.is_home(candidate));
     // A request must not be rejected at the drawn target while another target would admit it.
-    retain_preferred(&mut candidates, |candidate| {
-        candidate.admits(required.timing)
-    });
+    retain_preferred(&mut candidates, |candidate| candidate.admits(required));
     let rate = model.map_or(0.0, |model| {
         table.prompt_tokens_per_ms(required.service, model, now)
     });
     let work_ms = unreported_tokens(rate, required.entries) / tokens_per_ms;
     set_departures(&mut candidates, required, &zones, home_remains);
     match draw(candidates, required, zones.known.len(), work_ms, salt) {
-        Some(candidate) if candidate.admits(required.timing) => Choice::Send(candidate),
+        Some(candidate) if candidate.admits(required) => Choice::Send(candidate),
         Some(candidate) => Choice::QueueTooLong(candidate.queueing_delay),
         None if any_target && !any_with_model => {
             first_load.map_or(Choice::NoModel, Choice::Loading)
@@ -348,6 +356,31 @@
     }
 }
 
+/// As [`choose`]. Where the queues of all targets are too long for the request, `policy` decides whether
+/// it is sent to be answered late.
+#[must_use]
+pub fn choose_by_policy(
+    table: &Table,
+    required: &Requirements<'_>,
+    policy: LatePolicy,
+    salt: u64,
+    now: Instant,
+) -> Choice {
+    let choice = choose(table, required, salt, now);
+    if policy == LatePolicy::Refuse || !matches!(choice, Choice::QueueTooLong(_)) {
+        return choice;
+    }
+    let late = Requirements {
+        rank: LATE_RANK,
+        late: true,
+        ..*required
+    };
+    match choose(table, &late, salt, now) {
+        sent @ Choice::Send(_) => sent,
+        _ => choice,
+    }
+}
+
 /// Returns the earlier one of the times that are known.
 fn earlier(first: Option<Instant>, second: Option<Instant>) -> Option<Instant> {
     first.into_iter().chain(second).min()
@@ -385,7 +418,11 @@
     let places: Vec<Place<'_>> = places.collect();
     // Without a price or a home target, entries of all zones send to the same targets.
     let has_home = places.iter().any(|place| place.zone == required.zone);
-    let zones = if required.keeps_home() && has_home { zones } else { 1 };
+    let zones = if required.keeps_home() && has_home {
+        zones
+    } else {
+        1
+    };
     let shares = departure::spread(&places, required.zone, zones, work_ms.max(MIN_SPREAD_MS));
     let scored = candidates
         .into_iter()
@@ -440,6 +477,7 @@
         incarnation: target.registration.incarnation,
         software: target.registration.software.clone(),
         zone: target.registration.zone.clone(),
+        rank: required.rank,
         departure: None,
         uncached_tokens,
         backlog_tokens,
--- a/crates/flamingo-serve/src/metrics.rs
+++ b/crates/flamingo-serve/src/metrics.rs
@@ -34,6 +34,8 @@
     pub unaffordable: IntCounterVec,
     /// Connections to targets that requests used, newly dialled or reused.
     pub connections: IntCounterVec,
+    /// Requests that were sent to be answered late, by route.
+    late: IntCounterVec,
     /// Requests that were sent to another zone, by the zones of entry and target and the reason.
     departures: IntCounterVec,
     /// Bytes of bodies that were exchanged with another zone, by zones, reason and direction.
@@ -77,6 +79,11 @@
                 "Connections to targets that requests used, newly dialled or reused.",
                 &["how"],
             )?,
+            late: registry.counters(
+                "flamingo_sent_late_total",
+                "Requests sent at the last rank since they can't meet their objective, by route.",
+                &["route"],
+            )?,
             departures: registry.counters(
                 "flamingo_departures_total",
                 "Requests sent to a target in another zone, by zone and reason.",
@@ -117,6 +124,11 @@
         first_event.observe(time.as_secs_f64());
     }
 
+    /// Counts a request that is sent to be answered late.
+    pub fn record_late(&self, route: &str) {
+        self.late.with_label_values(&[route]).inc();
+    }
+
     /// Counts a request that was sent from the zone `from` to the zone `to`, with the bytes of its body.
     pub fn record_departure(&self, from: &str, to: &str, reason: &str, bytes: usize) {
         let to = self.zone_label(to);
--- a/crates/flamingo-serve/src/proxy.rs
+++ b/crates/flamingo-serve/src/proxy.rs
@@ -35,6 +35,7 @@
 use crate::topology::Topology;
 use crate::wire::{AttemptId, Cause, Codec, Refusal, RequestHead};
 use flamingo_link::subscription::ControlClient;
+use flamingo_wire::config::LatePolicy;
 use flamingo_wire::id;
 use flamingo_wire::route::{self, Route};
 use futures_util::FutureExt;
@@ -73,6 +74,8 @@
     pub zone: id::Zone,
     /// Price of traffic to other zones.
     pub leaving_price: Price,
+    /// What happens to requests that can't meet their objective.
+    pub late_policy: LatePolicy,
     /// Retries that all entries together may send.
     pub allowance: Allowance,
     /// Counts demand for the reports to the leader.
@@ -94,6 +97,7 @@
     control_client: Rc<ControlClient>,
     zone: id::Zone,
     leaving_price: Price,
+    late_policy: LatePolicy,
     round_trips: RefCell<RoundTrips>,
     retries: retry::Retries,
     /// Longest wait that any caller of a route has stated. Callers state the time that remains,
@@ -137,6 +141,7 @@
             control_client: options.control_client,
             zone: options.zone,
             leaving_price: options.leaving_price,
+            late_policy: options.late_policy,
             round_trips: RefCell::default(),
             retries: retry::Retries::new(options.allowance),
             longest_waits: RefCell::default(),
@@ -239,6 +244,7 @@
             waits: Cell::new(false),
             stranded_since: Cell::new(None),
             sent: Cell::new(0),
+            late: Cell::new(false),
             unreachable: Cell::new(0),
             may_have_run: Cell::new(false),
             guard,
@@ -300,7 +306,7 @@
             service: &job.service,
             engine: service.and_then(|service| service.engine.as_ref()),
             request: &job.request,
-            rank: job.route.rank,
+            rank: job.rank(),
             zone: &self.zone,
             leaving: Some(Terms {
                 price: self.leaving_price,
@@ -314,10 +320,12 @@
             can_load_adapters: self.topology.peers.borrow().leader.is_some(),
             entries: self.entries(),
             timing: Self::timing(job, now),
+            late: false,
         };
         self.choices.set(self.choices.get() + 1);
         let salt = choice::salt(&job.request, self.choices.get());
-        choice::choose(&self.topology.table.borrow(), &required, salt, now)
+        let table = self.topology.table.borrow();
+        choice::choose_by_policy(&table, &required, self.late_policy, salt, now)
     }
 
     /// Returns the time since the caller's first try.
--- a/crates/flamingo-serve/src/proxy/attempt.rs
+++ b/crates/flamingo-serve/src/proxy/attempt.rs
@@ -106,7 +106,7 @@
             target: &candidate.target,
             deadline: job.deadline,
             now,
-            rank: job.request.model.is_some().then_some(job.route.rank),
+            rank: job.request.model.is_some().then_some(candidate.rank),
             last_event_id,
         };
         let mut request = Request::new(Full::new(job.body.clone()));
@@ -127,6 +127,7 @@
         let codec = self.codec.as_ref();
         job.begin_sending(candidate);
         self.record_departure(job, candidate);
+        self.record_late(job, candidate);
         let result = exchange::send(
             pooled,
             address,
@@ -154,6 +155,17 @@
         }
     }
 
+    /// Logs and counts a request that is sent to be answered late.
+    fn record_late(&self, job: &Job, candidate: &Candidate) {
+        if candidate.rank == job.route.rank {
+            return;
+        }
+        info!(self.log, "request sent late"; "request" => &job.request.attempt_id,
+            "target" => &candidate.target, "rank" => candidate.rank,
+            "wait_ms" => candidate.first_event_delay.as_millis());
+        self.metrics.record_late(&job.route.name);
+    }
+
     /// Records what a target says in a response about further requests.
     fn record_availability(&self, job: &Job, candidate: &Candidate, parsed: &ResponseHead) {
         let target = &candidate.target;
--- a/crates/flamingo-serve/src/proxy/job.rs
+++ b/crates/flamingo-serve/src/proxy/job.rs
@@ -1,5 +1,6 @@
 //! State of a caller's request while it is being handled.
 
+use crate::admission::LATE_RANK;
 use crate::choice::Candidate;
 use crate::server::Guard;
 use crate::topology::Routes;
@@ -9,7 +10,7 @@
 use flamingo_wire::fingerprint::{Fingerprint, fingerprint};
 use flamingo_wire::id;
 use flamingo_wire::prompt::Parts;
-use flamingo_wire::route::Route;
+use flamingo_wire::route::{Rank, Route};
 use http::uri::PathAndQuery;
 use http::{HeaderValue, request};
 use smallvec::SmallVec;
@@ -68,6 +69,8 @@
     pub stranded_since: Cell<Option<Instant>>,
     /// Number of attempts that a target may have read or may be reading.
     pub sent: Cell<u32>,
+    /// Whether the request was sent to be answered late.
+    pub late: Cell<bool>,
     /// Number of targets that could not be reached or could not take the request.
     pub unreachable: Cell<usize>,
     /// Whether a target may have run the request.
@@ -88,6 +91,7 @@
     /// further choices.
     pub fn begin_sending(&self, candidate: &Candidate) {
         self.sent.set(self.sent.get() + 1);
+        self.late.set(candidate.rank == LATE_RANK);
         self.tried.borrow_mut().push(candidate.life());
     }
 
@@ -105,6 +109,15 @@
         }
     }
 
+    /// Returns the rank of the next attempt. A late request keeps the last rank until its stream begins.
+    pub fn rank(&self) -> Rank {
+        if self.late.get() && !self.goes_on() {
+            LATE_RANK
+        } else {
+            self.route.rank
+        }
+    }
+
     /// Returns whether the request goes on with a stream that has begun.
     pub fn goes_on(&self) -> bool {
         self.software.borrow().is_some()
--- a/crates/flamingo-serve/src/proxy/load_guard.rs
+++ b/crates/flamingo-serve/src/proxy/load_guard.rs
@@ -17,17 +17,21 @@
     rank: Rank,
     /// Prompt tokens that count as backlog; 0 after the first event.
     backlog_tokens: Cell<u32>,
+    /// Whether the request is to be answered late and waits for its first event. It delays no other one
+    /// until then, so it doesn't count as running.
+    waits: Cell<bool>,
     adapter: Option<(id::Model, id::Adapter)>,
 }
 
 impl LoadGuard {
     /// Adds a request to the load of the chosen target.
     pub fn new(topology: &Rc<Topology>, candidate: &Candidate, job: &Job) -> Self {
-        let rank = job.route.rank;
+        let rank = candidate.rank;
         let request = &job.request;
         let adapter = request.model.clone().zip(request.adapter.clone());
         let mut table = topology.table.borrow_mut();
-        if let Some(model) = &request.model {
+        let waits = rank != job.route.rank;
+        if let Some(model) = request.model.as_ref().filter(|_| !waits) {
             table.record_prompt_tokens(
                 &job.service,
                 model,
@@ -36,7 +40,7 @@
             );
         }
         if let Some(target) = table.get_mut(&candidate.target) {
-            target.own.running += 1;
+            target.own.running += u32::from(!waits);
             target.own.add_backlog(rank, candidate.uncached_tokens);
             if let Some((model, adapter)) = &adapter {
                 target.begin_adapter_use(model, adapter);
@@ -48,6 +52,7 @@
             target: candidate.target.clone(),
             rank,
             backlog_tokens: Cell::new(candidate.uncached_tokens),
+            waits: Cell::new(waits),
             adapter,
         }
     }
@@ -57,6 +62,7 @@
         let tokens = self.backlog_tokens.take();
         if let Some(target) = self.topology.table.borrow_mut().get_mut(&self.target) {
             target.own.remove_backlog(self.rank, tokens);
+            target.own.running += u32::from(self.waits.take());
         }
     }
 }
--- a/crates/flamingo-serve/src/table/state.rs
+++ b/crates/flamingo-serve/src/table/state.rs
@@ -133,6 +133,12 @@
         !leaving && !self.registration.gone
     }
 
+    /// Returns whether all slots of the target have requests, as far as is known.
+    #[must_use]
+    pub fn is_full(&self) -> bool {
+        self.own.running + self.others.running >= self.registration.slots
+    }
+
     /// Returns the requests a second that the target takes from all entries together, as it or the
     /// leader said last; `None` if there is no limit.
     #[must_use]
--- a/crates/flamingo-serve/tests/availability.rs
+++ b/crates/flamingo-serve/tests/availability.rs
@@ -29,6 +29,7 @@
         zone: "z",
         leaving: None,
         software: None,
+        late: false,
         tried,
         can_load_adapters: false,
         entries: 1,
--- a/crates/flamingo-serve/tests/departure.rs
+++ b/crates/flamingo-serve/tests/departure.rs
@@ -280,6 +280,7 @@
         zone,
         leaving: Some(terms),
         software: None,
+        late: false,
         tried: &[],
         can_load_adapters: true,
         entries,
--- a/crates/flamingo-serve/tests/herd.rs
+++ b/crates/flamingo-serve/tests/herd.rs
@@ -52,6 +52,7 @@
         zone: "z",
         leaving: None,
         software: None,
+        late: false,
         tried: &[],
         can_load_adapters: true,
         entries,
--- a/crates/flamingo-serve/tests/load.rs
+++ b/crates/flamingo-serve/tests/load.rs
@@ -45,6 +45,7 @@
         zone: "z",
         leaving: None,
         software: None,
+        late: false,
         tried,
         can_load_adapters: true,
         entries: 1,
--- a/crates/flamingo-serve/tests/urgency.rs
+++ b/crates/flamingo-serve/tests/urgency.rs
@@ -141,6 +141,7 @@
             zone: "z",
             leaving: None,
             software: None,
+            late: false,
             tried: &[],
             can_load_adapters: true,
             entries: ENTRIES,
