--- a/crates/flamingo-serve/tests/departure.rs
+++ b/crates/flamingo-serve/tests/departure.rs
@@ -448,6 +448,21 @@
     }
 }
 
+/// Guards against a preference for home at a price of 0.
+#[test]
+fn without_a_price_the_zones_share_their_targets() {
+    let outcomes = run(&Load {
+        targets: [17, TARGETS, TARGETS, TARGETS],
+        price: Price { ms_per_kb: 0.0 },
+        duration_ms: 6_000,
+        ..Load::default()
+    });
+    for outcome in &outcomes {
+        assert_eq!(outcome.refused, 0);
+        assert!(ratio(outcome.left, outcome.sent) > 0.5, "{}", outcome.left);
+    }
+}
+
 /// Guards against requests that go on leaving when the home targets are back.
 #[test]
 fn requests_stay_again_in_a_zone_that_has_recovered() {
@@ -464,7 +479,9 @@
     }
 }
 
-fn single_choice(queues: [Option<u32>; 4], price: Price) -> Choice {
+/// Chooses for a request of the first zone between one target of each zone with these queues. No
+/// connection to the zones `cut_off` can be established.
+fn single_choice(queues: [Option<u32>; 4], price: Price, cut_off: &[&str]) -> Choice {
     let now = Instant::now();
     let mut table = Table::default();
     for (zone, tokens) in queues.into_iter().enumerate() {
@@ -480,6 +497,10 @@
     for (zone, ms) in ZONES.into_iter().zip([1, 30, 2, 60]) {
         round_trips.record(zone, Duration::from_millis(ms), now);
     }
+    for zone in cut_off {
+        round_trips.record_failure(zone, now);
+        round_trips.record_failure(zone, now);
+    }
     let terms = Terms {
         price,
         bytes: BYTES,
@@ -492,14 +513,17 @@
 
 /// Checks the zone and the reason of a choice; `None` if the request is refused.
 fn departs(queues: [Option<u32>; 4], ms_per_kb: f64, expected: Option<(&str, Option<Reason>)>) {
-    let choice = single_choice(queues, Price { ms_per_kb });
-    let chosen = match &choice {
+    let choice = single_choice(queues, Price { ms_per_kb }, &[]);
+    assert_eq!(chosen(&choice), expected);
+}
+
+fn chosen(choice: &Choice) -> Option<(&str, Option<Reason>)> {
+    match choice {
         Choice::Send(Candidate {
             zone, departure, ..
         }) => Some((zone.as_str(), *departure)),
         _ => None,
-    };
-    assert_eq!(chosen, expected);
+    }
 }
 
 const DEFAULT_MS_PER_KB: f64 = 10.0;
@@ -526,3 +550,54 @@
     a_late_request_takes_no_place_of_a_long_queue_elsewhere(
         [Some(LATE_TOKENS), Some(24_000), None, None], DEFAULT_MS_PER_KB, None);
 }
+
+/// Guards against requests that try each target of a zone that is cut off.
+#[test]
+fn a_zone_that_is_cut_off_is_the_last_resort() {
+    let price = Price::default();
+    let late = Some(LATE_TOKENS);
+    let choice = single_choice([late, Some(0), Some(0), None], price, &["c"]);
+    assert_eq!(chosen(&choice), Some(("b", Some(Reason::HomeLate))));
+    let choice = single_choice([Some(10_000), Some(0), Some(0), None], price, &["b", "c"]);
+    assert_eq!(chosen(&choice), Some(("a", None)));
+    let choice = single_choice([None, Some(0), None, None], price, &["b"]);
+    assert_eq!(chosen(&choice), Some(("b", Some(Reason::NoHomeTarget))));
+}
+
+/// Checks where a request to a plain service goes, if home targets have this many requests for each slot.
+fn plain_requests_depart(requests_per_slot: u32, expected: (&str, Option<Reason>)) {
+    let now = Instant::now();
+    let mut table = Table::default();
+    for zone in 0..2 {
+        table.apply(now, &Push::Targets(registered(zone, 0..1)));
+    }
+    let home = table.get_mut("a0").expect("a known target");
+    home.own.running = home.registration.slots * requests_per_slot;
+    let required = Requirements {
+        service: "s",
+        engine: None,
+        request: &RequestHead::default(),
+        rank: 1,
+        zone: "a",
+        leaving: Some(Terms {
+            price: Price::default(),
+            bytes: 1_200,
+            objective: OBJECTIVE,
+            elapsed: Duration::ZERO,
+            round_trips: &RoundTrips::default(),
+        }),
+        software: None,
+        late: false,
+        tried: &[],
+        can_load_adapters: true,
+        entries: 134,
+        timing: None,
+    };
+    let choice = choose(&table, &required, 1, now);
+    assert_eq!(chosen(&choice), Some(expected));
+}
+
+cases! { plain_requests_depart:
+    a_plain_request_stays_while_home_targets_have_few_requests(1, ("a", None));
+    a_plain_request_leaves_home_targets_with_many_requests(8, ("b", Some(Reason::Cheap)));
+}
