--- a/crates/flamingo-serve/src/choice.rs
+++ b/crates/flamingo-serve/src/choice.rs
@@ -7,22 +7,23 @@
 //! random with weights that equalize the predicted times, taking into account the load that other
 //! entries have sent and not reported yet.
 
-use crate::admission::Timing;
+use crate::admission::{LATE_RANK, Timing};
+use crate::departure::{self, Place, Reason, Terms};
+use crate::round_trip::RoundTrips;
 use crate::speed::Rates;
 use crate::table::{Table, Target};
 use crate::wire::RequestHead;
 use flamingo_guard::observer::Life;
-use flamingo_place::water_filling::fill;
+use flamingo_wire::config::LatePolicy;
 use flamingo_wire::id;
 use flamingo_wire::route::{Engine, Rank};
 use flamingo_wire::target::Registration;
+use smallvec::SmallVec;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::{Duration, Instant};
 
 /// Time for loading an adapter on a target, in milliseconds.
 const ADAPTER_LOAD_MS: f64 = 12.0;
-/// Time added for a target in another zone, in milliseconds.
-const CROSS_ZONE_MS: f64 = 10.0;
 
 /// Least amount of work that is spread over the targets, in milliseconds. Targets whose predicted
 /// times differ by less are nearly equal, and all of them take part in the draw.
@@ -44,6 +45,8 @@
     pub rank: Rank,
     /// Zone of this entry.
     pub zone: &'a str,
+    /// What leaving the zone is judged by; `None` if only the assumed round trip counts.
+    pub leaving: Option<Terms<'a>>,
     /// Version of the software at which the stream began that the request goes on with; `None` if
     /// any version will do.
     pub software: Option<&'a str>,
@@ -56,9 +59,43 @@
     pub entries: usize,
     /// Times for the admission decision; `None` if the request is admitted in any case.
     pub timing: Option<Timing>,
+    /// Whether the request is to be answered late: by what its caller still waits for, not by its
+    /// objective. Its rank is then the last one.
+    pub late: bool,
 }
 
 impl Requirements<'_> {
+    /// Returns whether a candidate is in the zone of this entry.
+    fn is_home(&self, candidate: &Candidate) -> bool {
+        candidate.zone == self.zone
+    }
+
+    /// Returns the additional round trip to a zone.
+    fn round_trip(&self, zone: &str) -> Duration {
+        let assumed = RoundTrips::default();
+        let round_trips = self.leaving.map_or(&assumed, |terms| terms.round_trips);
+        round_trips.additional(self.zone, zone)
+    }
+
+    /// Returns the cost of sending the request to a zone beyond the round trip, in milliseconds.
+    fn offset_ms(&self, zone: &str) -> f64 {
+        if zone == self.zone {
+            return 0.0;
+        }
+        self.leaving.map_or(0.0, |terms| terms.cost_ms())
+    }
+
+    /// Returns whether requests are kept in the zone for a price.
+    fn keeps_home(&self) -> bool {
+        self.leaving.is_some_and(|terms| !terms.is_free())
+    }
+
+    /// Returns whether another zone can't be reached.
+    fn is_cut_off(&self, zone: &str, now: Instant) -> bool {
+        let terms = self.leaving.filter(|_| zone != self.zone);
+        terms.is_some_and(|terms| terms.round_trips.is_unreachable(zone, now))
+    }
+
     /// Returns whether a target runs the required version of the software.
     fn runs_software(&self, target: &Target) -> bool {
         self.software
@@ -119,6 +156,12 @@
     pub incarnation: id::Incarnation,
     /// Version of the target's software.
     pub software: id::Software,
+    /// Zone of the target.
+    pub zone: id::Zone,
+    /// Rank that was predicted for, with which the request is sent and counted.
+    pub rank: Rank,
+    /// Why the request leaves the entry's zone; `None` if it doesn't.
+    pub departure: Option<Reason>,
     /// Prompt tokens that the target does not have cached.
     pub uncached_tokens: u32,
     /// Tokens of other prompts that the target processes before this one.
@@ -145,9 +188,13 @@
         (self.target.clone(), self.incarnation)
     }
 
-    /// Returns whether a request with these times is admitted at this target. A request without
-    /// times is always admitted.
-    fn admits(&self, timing: Option<Timing>) -> bool {
+    /// Returns whether the request is admitted at this target. A request without times is always
+    /// admitted.
+    fn admits(&self, required: &Requirements<'_>) -> bool {
+        let timing = required.timing;
+        if required.late {
+            return timing.is_none_or(|timing| timing.admitted_late(self.first_event_delay));
+        }
         let timing = timing.map(|timing| Timing {
             queueing_delay: self.queueing_delay,
             ..timing
@@ -192,11 +239,13 @@
         .speed(required.service)
         .rates(model.unwrap_or_default());
     let tokens_per_ms = rates.tokens_per_ms;
+    let mut zones = Zones::new(required.zone);
     for target in table
         .of_service(required.service)
         .filter(|target| target.accepts_requests() && required.runs_software(target))
     {
         any_target = true;
+        zones.add(&target.registration.zone);
         if let Some(model) = model.filter(|_| required.engine.is_some())
             && !target.has_model(model, now)
         {
@@ -204,35 +253,38 @@
             continue;
         }
         any_with_model = true;
+        zones.home_has_model |= target.registration.zone == required.zone;
         if let Some(until) = target.availability.closed_until(now) {
             first_opening = earlier(first_opening, Some(until));
             continue;
         }
         any_open = true;
-        if required.was_tried(target) {
+        if required.was_tried(target) || required.late && target.is_full() {
             continue;
         }
         let mut candidate = predict(target, required, &rates, now);
+        candidate.first_event_delay += required.round_trip(&candidate.zone);
         let load_impossible =
             candidate.needs_adapter_load && (target.executing || !required.can_load_adapters);
         candidate.last_resort =
             target.is_avoided(now) || table.heartbeat_overdue(target) || load_impossible;
+        candidate.last_resort |= required.is_cut_off(&candidate.zone, now);
         candidates.push(candidate);
     }
     retain_preferred(&mut candidates, |candidate| !candidate.last_resort);
+    retain_spare(&mut candidates, required);
+    let home_remains = candidates
+        .iter()
+        .any(|candidate| required.is_home(candidate));
     // A request must not be rejected at the drawn target while another target would admit it.
-    retain_preferred(&mut candidates, |candidate| {
-        candidate.admits(required.timing)
-    });
+    retain_preferred(&mut candidates, |candidate| candidate.admits(required));
     let rate = model.map_or(0.0, |model| {
         table.prompt_tokens_per_ms(required.service, model, now)
     });
-    match draw(
-        candidates,
-        unreported_tokens(rate, required.entries) / tokens_per_ms,
-        salt,
-    ) {
-        Some(candidate) if candidate.admits(required.timing) => Choice::Send(candidate),
+    let work_ms = unreported_tokens(rate, required.entries) / tokens_per_ms;
+    set_departures(&mut candidates, required, &zones, home_remains);
+    match draw(candidates, required, zones.known.len(), work_ms, salt) {
+        Some(candidate) if candidate.admits(required) => Choice::Send(candidate),
         Some(candidate) => Choice::QueueTooLong(candidate.queueing_delay),
         None if any_target && !any_with_model => {
             first_load.map_or(Choice::NoModel, Choice::Loading)
@@ -244,6 +296,110 @@
     }
 }
 
+/// The zones of the targets of a service.
+struct Zones<'a> {
+    /// The home zone first, then the others.
+    known: SmallVec<[&'a str; 4]>,
+    /// Whether a target in the home zone accepts requests.
+    home_accepts: bool,
+    /// Whether such a target has the model.
+    home_has_model: bool,
+}
+
+impl<'a> Zones<'a> {
+    fn new(home: &'a str) -> Self {
+        Self {
+            known: SmallVec::from_iter([home]),
+            home_accepts: false,
+            home_has_model: false,
+        }
+    }
+
+    /// Adds the zone of a target that accepts requests.
+    fn add(&mut self, zone: &'a str) {
+        self.home_accepts |= self.known[0] == zone;
+        if !self.known.contains(&zone) {
+            self.known.push(zone);
+        }
+    }
+
+    /// Returns why requests leave if no home target is a candidate.
+    fn reason_without_home(&self) -> Reason {
+        if self.home_accepts && !self.home_has_model {
+            Reason::NoHomeModel
+        } else {
+            Reason::NoHomeTarget
+        }
+    }
+}
+
+/// Removes targets of other zones that have no spare capacity, if there is one in the home zone.
+fn retain_spare(candidates: &mut Vec<Candidate>, required: &Requirements<'_>) {
+    let Some(terms) = required.leaving else {
+        return;
+    };
+    if candidates
+        .iter()
+        .any(|candidate| required.is_home(candidate))
+    {
+        candidates.retain(|candidate| {
+            required.is_home(candidate) || terms.is_spare(candidate.queueing_delay)
+        });
+    }
+}
+
+/// Sets for each candidate why the request would leave the zone. `home_remains` says whether there
+/// was a candidate in the home zone before admission.
+fn set_departures(
+    candidates: &mut [Candidate],
+    required: &Requirements<'_>,
+    zones: &Zones<'_>,
+    home_remains: bool,
+) {
+    let home_admits = candidates
+        .iter()
+        .any(|candidate| required.is_home(candidate));
+    for candidate in candidates {
+        if required.is_home(candidate) {
+            continue;
+        }
+        let reason = if home_admits {
+            let terms = required.leaving;
+            terms.map_or(Reason::Cheap, |terms| terms.reason())
+        } else if home_remains {
+            Reason::HomeLate
+        } else {
+            zones.reason_without_home()
+        };
+        candidate.departure = Some(reason);
+    }
+}
+
+/// As [`choose`]. Where the queues of all targets are too long for the request, `policy` decides whether
+/// it is sent to be answered late.
+#[must_use]
+pub fn choose_by_policy(
+    table: &Table,
+    required: &Requirements<'_>,
+    policy: LatePolicy,
+    salt: u64,
+    now: Instant,
+) -> Choice {
+    let choice = choose(table, required, salt, now);
+    if policy == LatePolicy::Refuse || !matches!(choice, Choice::QueueTooLong(_)) {
+        return choice;
+    }
+    let late = Requirements {
+        rank: LATE_RANK,
+        late: true,
+        ..*required
+    };
+    match choose(table, &late, salt, now) {
+        sent @ Choice::Send(_) => sent,
+        _ => choice,
+    }
+}
+
 /// Returns the earlier one of the times that are known.
 fn earlier(first: Option<Instant>, second: Option<Instant>) -> Option<Instant> {
     first.into_iter().chain(second).min()
@@ -264,13 +420,29 @@
 }
 
 /// Draws a candidate with a probability proportional to its share when `work_ms` milliseconds of
-/// work are spread over the candidates. Returns `None` if there are no candidates.
-fn draw(candidates: Vec<Candidate>, work_ms: f64, salt: u64) -> Option<Candidate> {
-    let delays: Vec<f64> = candidates
-        .iter()
-        .map(|candidate| candidate.first_event_delay.as_secs_f64() * 1_000.0)
-        .collect();
-    let shares = fill(&delays, work_ms.max(MIN_SPREAD_MS));
+/// work of the entries in `zones` zones are spread over the candidates. Returns `None` if there are
+/// no candidates.
+fn draw(
+    candidates: Vec<Candidate>,
+    required: &Requirements<'_>,
+    zones: usize,
+    work_ms: f64,
+    salt: u64,
+) -> Option<Candidate> {
+    let places = candidates.iter().map(|candidate| Place {
+        zone: &candidate.zone,
+        delay_ms: candidate.first_event_delay.as_secs_f64() * 1_000.0,
+        offset_ms: required.offset_ms(&candidate.zone),
+    });
+    let places: Vec<Place<'_>> = places.collect();
+    // Without a price or a home target, entries of all zones send to the same targets.
+    let has_home = places.iter().any(|place| place.zone == required.zone);
+    let zones = if required.keeps_home() && has_home {
+        zones
+    } else {
+        1
+    };
+    let shares = departure::spread(&places, required.zone, zones, work_ms.max(MIN_SPREAD_MS));
     let scored = candidates
         .into_iter()
         .zip(shares)
@@ -321,9 +493,6 @@
     } else {
         first_event_ms = service_delay_ms(target, running, rates.request_ms, now);
     }
-    if target.registration.zone != required.zone {
-        first_event_ms += CROSS_ZONE_MS;
-    }
     #[allow(
         clippy::cast_possible_truncation,
         clippy::cast_sign_loss,
@@ -334,6 +503,9 @@
         target: target.registration.id.clone(),
         incarnation: target.registration.incarnation,
         software: target.registration.software.clone(),
+        zone: target.registration.zone.clone(),
+        rank: required.rank,
+        departure: None,
         uncached_tokens,
         backlog_tokens,
         first_event_delay: Duration::from_secs_f64(first_event_ms / 1_000.0),
--- a/crates/flamingo-serve/src/metrics.rs
+++ b/crates/flamingo-serve/src/metrics.rs
@@ -5,6 +5,7 @@
 use crate::table::{Table, Target};
 use crate::topology::Topology;
 use flamingo_daemon::metrics::Registry;
+use flamingo_wire::id;
 use prometheus::{
     GaugeVec, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts,
 };
@@ -18,6 +19,11 @@
 const LATENCY_BUCKETS_S: [f64; 12] = [
     0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0, 30.0,
 ];
+/// Largest number of zones that departures are counted by; others are counted together. Targets state
+/// their zone themselves.
+const MAX_ZONES: usize = 32;
+/// Label of the zones above `MAX_ZONES`.
+const OTHER_ZONES: &str = "other";
 
 /// Largest number of workspaces that have a time series of their own, over all configurations since the
 /// start, which bounds the size of a scrape.
@@ -52,6 +58,14 @@
     quota_units: IntCounterVec,
     /// Questions to the leader about quotas, by how they ended.
     pub quota_questions: IntCounterVec,
+    /// Requests that were sent to be answered late, by route.
+    late: IntCounterVec,
+    /// Requests that were sent to another zone, by the zones of entry and target and the reason.
+    departures: IntCounterVec,
+    /// Bytes of bodies that were exchanged with another zone, by zones, reason and direction.
+    departed_bytes: IntCounterVec,
+    /// Zones that departures are counted by.
+    zones: Rc<RefCell<BTreeSet<id::Zone>>>,
     targets: IntGaugeVec,
     /// Fitted prefill rates, by service: of the service, and of its slowest and fastest model.
     prefill_rates: GaugeVec,
@@ -131,6 +145,22 @@
                 "Questions to the leader about quotas, by how they ended.",
                 &["ended"],
             )?,
+            late: registry.counters(
+                "flamingo_sent_late_total",
+                "Requests sent at the last rank since they can't meet their objective, by route.",
+                &["route"],
+            )?,
+            departures: registry.counters(
+                "flamingo_departures_total",
+                "Requests sent to a target in another zone, by zone and reason.",
+                &["from", "to", "reason"],
+            )?,
+            departed_bytes: registry.counters(
+                "flamingo_departed_bytes_total",
+                "Bytes of request and response bodies exchanged with another zone.",
+                &["from", "to", "reason", "direction"],
+            )?,
+            zones: Rc::default(),
             version: registry
                 .gauge("flamingo_routes_version", "Version of the routes in force.")?,
             entries: registry.gauge("flamingo_entries", "Entries that control counts.")?,
@@ -195,6 +225,40 @@
         first_event.observe(time.as_secs_f64());
     }
 
+    /// Counts a request that is sent to be answered late.
+    pub fn record_late(&self, route: &str) {
+        self.late.with_label_values(&[route]).inc();
+    }
+
+    /// Counts a request that was sent from the zone `from` to the zone `to`, with the bytes of its body.
+    pub fn record_departure(&self, from: &str, to: &str, reason: &str, bytes: usize) {
+        let to = self.zone_label(to);
+        let counter = self.departures.with_label_values(&[from, &to, reason]);
+        counter.inc();
+        self.count_bytes([from, &to, reason, "request"], bytes);
+    }
+
+    /// Counts bytes of the answer to a request that was sent from the zone `from` to the zone `to`.
+    pub fn record_departed_answer(&self, from: &str, to: &str, reason: &str, bytes: usize) {
+        let to = self.zone_label(to);
+        self.count_bytes([from, &to, reason, "response"], bytes);
+    }
+
+    fn count_bytes(&self, labels: [&str; 4], bytes: usize) {
+        let counter = self.departed_bytes.with_label_values(&labels);
+        counter.inc_by(u64::try_from(bytes).unwrap_or(u64::MAX));
+    }
+
+    /// Returns the label of a zone.
+    fn zone_label(&self, zone: &str) -> String {
+        let mut zones = self.zones.borrow_mut();
+        if zones.len() < MAX_ZONES {
+            zones.insert(zone.to_owned());
+        }
+        let known = zones.contains(zone);
+        if known { zone } else { OTHER_ZONES }.to_owned()
+    }
+
     /// Returns the metrics in the text format, with gauges set from the current topology.
     #[must_use]
     pub fn text(&self, topology: &Topology) -> String {
--- a/crates/flamingo-serve/src/proxy.rs
+++ b/crates/flamingo-serve/src/proxy.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod begin;
 mod crash;
+mod departure;
 mod forward;
 mod identity;
 mod job;
@@ -27,14 +28,17 @@
 use crate::budget::Allowance;
 use crate::choice::{self, Choice, Requirements};
 use crate::demand::Counter;
+use crate::departure::{Price, Terms, expected_bytes};
 use crate::memory::Memory;
 use crate::metrics::Metrics;
 use crate::quota::Quotas;
+use crate::round_trip::RoundTrips;
 use crate::server::{Drain, Handler, Stage};
 use crate::sharers::Sharers;
 use crate::topology::Topology;
 use crate::wire::{AttemptId, Cause, Codec, Refusal, RequestHead};
 use flamingo_link::subscription::ControlClient;
+use flamingo_wire::config::LatePolicy;
 use flamingo_wire::id;
 use flamingo_wire::route::{self, Route};
 use futures_util::FutureExt;
@@ -71,6 +75,10 @@
     pub control_client: Rc<ControlClient>,
     /// Zone of this entry.
     pub zone: id::Zone,
+    /// Price of traffic to other zones.
+    pub leaving_price: Price,
+    /// What happens to requests that can't meet their objective.
+    pub late_policy: LatePolicy,
     /// Retries that all entries together may send.
     pub allowance: Allowance,
     /// Counts demand for the reports to the leader.
@@ -91,6 +99,9 @@
     topology: Rc<Topology>,
     control_client: Rc<ControlClient>,
     zone: id::Zone,
+    leaving_price: Price,
+    late_policy: LatePolicy,
+    round_trips: RefCell<RoundTrips>,
     retries: retry::Retries,
     /// Longest wait that any caller of a route has stated. Callers state the time that remains,
     /// so the longest wait is that of a first try.
@@ -134,6 +145,9 @@
             topology: options.topology,
             control_client: options.control_client,
             zone: options.zone,
+            leaving_price: options.leaving_price,
+            late_policy: options.late_policy,
+            round_trips: RefCell::default(),
             retries: retry::Retries::new(options.allowance),
             longest_waits: RefCell::default(),
             waiting: loading::Waiting::default(),
@@ -249,6 +263,7 @@
             stranded_since: Cell::new(None),
             resent: Cell::new(false),
             sent: Cell::new(0),
+            late: Cell::new(false),
             unreachable: Cell::new(0),
             may_have_run: Cell::new(false),
             ticket: RefCell::new(ticket),
@@ -322,21 +337,36 @@
         let service = job.routes.service(&job.service);
         let tried = job.tried.borrow();
         let software = job.software.borrow();
+        let round_trips = self.round_trips.borrow();
         let required = Requirements {
             service: &job.service,
             engine: service.and_then(|service| service.engine.as_ref()),
             request: &job.request,
-            rank: job.route.rank,
+            rank: job.rank(),
             zone: &self.zone,
+            leaving: Some(Terms {
+                price: self.leaving_price,
+                bytes: expected_bytes(&job.request, job.body.len()),
+                objective: Duration::from_millis(job.route.objective_ms),
+                elapsed: Self::elapsed(job, now),
+                round_trips: &round_trips,
+            }),
             software: software.as_deref(),
             tried: &tried,
             can_load_adapters: self.topology.peers.borrow().leader.is_some(),
             entries: self.entries(),
             timing: Self::timing(job, now),
+            late: false,
         };
         self.choices.set(self.choices.get() + 1);
         let salt = choice::salt(&job.request, self.choices.get());
-        choice::choose(&self.topology.table.borrow(), &required, salt, now)
+        let table = self.topology.table.borrow();
+        choice::choose_by_policy(&table, &required, self.late_policy, salt, now)
+    }
+
+    /// Returns the time since the caller's first try.
+    fn elapsed(job: &Job, now: Instant) -> Duration {
+        job.earlier_wait + now.saturating_duration_since(job.arrived_at)
     }
 
     /// Returns the times for the admission decision. Returns `None`, which admits the request, if
@@ -346,7 +376,7 @@
             return None;
         }
         Some(Timing {
-            elapsed: job.earlier_wait + now.saturating_duration_since(job.arrived_at),
+            elapsed: Self::elapsed(job, now),
             objective: Duration::from_millis(job.route.objective_ms),
             remaining: job.deadline.saturating_duration_since(now),
             has_begun: job.goes_on(),
--- a/crates/flamingo-serve/src/proxy/forward.rs
+++ b/crates/flamingo-serve/src/proxy/forward.rs
@@ -174,6 +174,7 @@
         };
         self.record_answered(job);
         self.record_response(&candidate.target);
+        self.record_departed_answer(&candidate, bytes.len());
         self.return_to_pool(&load_guard.target, connection, &parsed);
         let now = Instant::now();
         self.observe_request(job, &candidate, head.status, now.duration_since(sent_at));
--- a/crates/flamingo-serve/tests/speed.rs
+++ b/crates/flamingo-serve/tests/speed.rs
@@ -110,6 +110,8 @@
     let others = TARGETS.into_iter().filter(|id| *id != target);
     let tried: Vec<_> = others.map(|id| (id.to_owned(), 1)).collect();
     let required = Requirements {
+        late: false,
+        leaving: None,
         service: "s",
         engine: model.map(|_| &engine),
         request: &request,
