Loads and demand are written as rows without field names

Serialize writes the fields in order; the derived Deserialize reads both forms, so that instances of two versions understand each other.

--- a/crates/flamingo-wire/src/target.rs
+++ b/crates/flamingo-wire/src/target.rs
@@ -2,6 +2,7 @@
 
 use crate::id;
 use crate::prompt::Evidence;
+use serde::ser::{SerializeTuple, Serializer};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -106,7 +107,9 @@
 }
 
 /// Demand for one model at an entry since the entry's last report.
-#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+///
+/// It is written as a row of its fields in their order, without their names.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq)]
 pub struct Demand {
     /// The service that serves the model.
     pub service: id::Service,
@@ -125,6 +128,19 @@
     pub returned: u32,
 }
 
+impl Serialize for Demand {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let mut row = serializer.serialize_tuple(6)?;
+        row.serialize_element(&self.service)?;
+        row.serialize_element(&self.model)?;
+        row.serialize_element(&self.work_ms)?;
+        row.serialize_element(&self.requests)?;
+        row.serialize_element(&self.refused)?;
+        row.serialize_element(&self.returned)?;
+        row.end()
+    }
+}
+
 /// What streams of one software version need of one model, at an entry since the entry's last report.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Need {
@@ -156,7 +172,11 @@
 }
 
 /// Load of one target by requests of one or more entries.
-#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+///
+/// It is written as a row of its fields in their order, without their names, since many are sent
+/// several times a second: 21 instead of 53 bytes for a target with a name of ten characters. The limit
+/// is left out where there is none.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq)]
 pub struct Load {
     /// The target.
     pub target: id::Target,
@@ -168,10 +188,25 @@
     /// Adapters that these requests use, by model.
     pub adapters: Vec<Resident>,
     /// Limit that the target named lately; known to the leader only.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(default)]
     pub limit: Option<Limit>,
 }
 
+impl Serialize for Load {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let fields = if self.limit.is_some() { 5 } else { 4 };
+        let mut row = serializer.serialize_tuple(fields)?;
+        row.serialize_element(&self.target)?;
+        row.serialize_element(&self.running)?;
+        row.serialize_element(&self.backlog)?;
+        row.serialize_element(&self.adapters)?;
+        if self.limit.is_some() {
+            row.serialize_element(&self.limit)?;
+        }
+        row.end()
+    }
+}
+
 /// Sums loads by target. The sums do not list adapters in use.
 ///
 /// ```
