--- a/crates/flamingo-control/src/controller/mod.rs
+++ b/crates/flamingo-control/src/controller/mod.rs
@@ -17,7 +17,7 @@
 mod residents;
 
 use crate::daemon::Core;
-use crate::raft_actor::ReadState;
+use crate::raft_actor::{EntryReport, ReadState};
 use crate::watch::lock_registry;
 use demand::Tracker;
 use engine::{EngineState, Key};
@@ -27,7 +27,7 @@
 use flamingo_wire::control::{Permit, Push, Reply, Request};
 use flamingo_wire::fault::Reason;
 use flamingo_wire::route::{Engine, Set};
-use flamingo_wire::target::Load;
+use flamingo_wire::target::{Load, Usage};
 use flamingo_wire::{Fault, id};
 use pace::Pace;
 use slog::{Logger, info};
@@ -55,6 +55,10 @@
 /// Time without a heartbeat after which a target's replicas no longer count.
 const TARGET_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Time after which an entry that reports its usage is counted again; far shorter than the time for
+/// which it counts.
+const COUNT_INTERVAL: Duration = Duration::from_millis(500);
+
 /// A request of an entry to the controller.
 #[derive(Debug)]
 pub struct EntryRequest {
@@ -237,6 +241,8 @@
     term: RefCell<TermState>,
     planning_pace: RefCell<Pace>,
     demand_log_limit: RefCell<LogRateLimit>,
+    /// When each entry that reports its usage was last counted.
+    counted: RefCell<BTreeMap<id::Node, Instant>>,
     log: Logger,
 }
 
@@ -250,6 +256,7 @@
         term: RefCell::default(),
         planning_pace: RefCell::new(Pace::new(PLANNING_TIME_DIVISOR)),
         demand_log_limit: RefCell::default(),
+        counted: RefCell::default(),
         log: options.log,
     });
     let mut requests = options.requests;
@@ -279,11 +286,14 @@
                     Reply::Refused(busy(why))
                 }
             },
-            Request::Usage(mut usage) => {
-                let evidence = std::mem::take(&mut usage.evidence);
-                self.record_evidence(&entry_request.from, &evidence);
-                let mut term = self.term.borrow_mut();
-                term.demand.record(clock::now(), &entry_request.from, usage);
+            Request::Usage(usage) => {
+                self.record_usage(&entry_request.from, usage);
+                Reply::Acknowledged
+            }
+            Request::Usages(reports) => {
+                for (entry, usage) in reports {
+                    self.record_usage(&entry, usage);
+                }
                 Reply::Acknowledged
             }
             Request::Permit(permit) => self.permit(&permit).await,
@@ -293,6 +303,30 @@
         let _ = entry_request.reply.send(reply);
     }
 
+    /// Records what the entry `from` reports.
+    fn record_usage(&self, from: &str, mut usage: Usage) {
+        let evidence = std::mem::take(&mut usage.evidence);
+        self.record_evidence(from, &evidence);
+        self.count_reporter(from);
+        let mut term = self.term.borrow_mut();
+        term.demand.record(clock::now(), from, usage);
+    }
+
+    /// Has an entry counted among those that share the retry budget, before its report is
+    /// acknowledged. The actor hears of each entry a few times in the time for which it counts.
+    fn count_reporter(&self, from: &str) {
+        let now = clock::now();
+        let mut counted = self.counted.borrow_mut();
+        let due = counted
+            .get(from)
+            .is_none_or(|counted_at| now >= *counted_at + COUNT_INTERVAL);
+        if due {
+            counted.retain(|_, counted_at| now < *counted_at + COUNT_INTERVAL);
+            counted.insert(from.to_owned(), now);
+            self.core.raft_actor.do_send(EntryReport(from.to_owned()));
+        }
+    }
+
     /// Takes a permit to send a request to a target, if this instance leads.
     async fn permit(&self, permit: &Permit) -> Reply {
         if self.leader_snapshot().await.is_none() {
@@ -488,7 +522,7 @@
             .map(|engine_state| engine_state.residency(now))
             .collect();
         if !residencies.is_empty() {
-            lock_registry(&self.core.registry).publish_residency(residencies);
+            lock_registry(&self.core.registry).publish_residency(now, residencies);
         }
     }
 }
--- a/crates/flamingo-control/src/daemon.rs
+++ b/crates/flamingo-control/src/daemon.rs
@@ -11,6 +11,7 @@
 use crate::registry::Registry;
 use crate::software::{self, Gate, Passage};
 use crate::suspicions::{self, Keeper};
+use crate::usage_relay::UsageRelay;
 use crate::watch::{MAX_FULL_TRANSFERS, Publisher, lock_registry};
 use actix::{Actor, Addr};
 use actix_web::web::Data;
@@ -208,6 +209,7 @@
         let origins_folder = setup.data.join(ORIGINS_FOLDER);
         let evidence = suspicions::File::new(&setup.data);
         let log = setup.log.clone();
+        let metrics = setup.metrics.clone();
         let raft_actor = build_raft_actor(setup)?;
         let origins = origins::Store::open(&origins_folder, log.clone())?;
         let config = raft_actor.subscribe_config();
@@ -224,8 +226,17 @@
             transfer_permits: Arc::new(Semaphore::new(MAX_FULL_TRANSFERS)),
             routes,
             registry: Arc::clone(&registry),
+            metrics,
         };
-        let inner = InnerService::new(seal, raft_actor.clone(), publisher, controller, origins);
+        let usage_relay = UsageRelay::start(seal.clone(), log.clone());
+        let inner = InnerService::new(
+            seal,
+            raft_actor.clone(),
+            publisher,
+            controller,
+            origins,
+            usage_relay,
+        );
         let limit = MAX_BODY + FRAME_OVERHEAD;
         let inner = Server::builder()
             .add_service(ControlServer::new(inner.clone()).max_decoding_message_size(limit))
--- a/crates/flamingo-control/src/inner.rs
+++ b/crates/flamingo-control/src/inner.rs
@@ -4,6 +4,7 @@
 use crate::origins::Store;
 use crate::packet::{HEARTBEAT_INTERVAL, Packet, STREAM_TIMEOUT};
 use crate::raft_actor::{HandleRequest, PeerMessage, RaftActor};
+use crate::usage_relay::UsageRelay;
 use crate::watch::Publisher;
 use actix::Addr;
 use flamingo_wire::Frame;
@@ -31,6 +32,7 @@
     publisher: Publisher,
     controller: Option<mpsc::Sender<EntryRequest>>,
     origins: Arc<Store>,
+    usage_relay: UsageRelay,
 }
 
 impl InnerService {
@@ -43,8 +45,10 @@
         publisher: Publisher,
         controller: Option<mpsc::Sender<EntryRequest>>,
         origins: Store,
+        usage_relay: UsageRelay,
     ) -> Self {
         Self {
+            usage_relay,
             seal,
             raft_actor,
             publisher,
@@ -82,8 +86,12 @@
             (_, Request::Origin(stream)) => Reply::Origin(self.origins.find(stream)),
             (
                 Some(controller),
-                request @ (Request::Usage(_) | Request::LoadAdapter(_) | Request::Permit(_)),
+                request @ (Request::Usage(_)
+                | Request::Usages(_)
+                | Request::LoadAdapter(_)
+                | Request::Permit(_)),
             ) => controller::send_request(controller, &from, request).await,
+            (Some(_), Request::PassUsage(report)) => self.usage_relay.pass(&from, report).await,
             (_, request) => self
                 .raft_actor
                 .send(HandleRequest {
--- a/crates/flamingo-control/src/lib.rs
+++ b/crates/flamingo-control/src/lib.rs
@@ -20,5 +20,6 @@
 pub mod software;
 pub mod suspicions;
 pub mod transfer;
+pub mod usage_relay;
 pub mod watch;
 pub mod writer;
--- a/crates/flamingo-control/src/metrics.rs
+++ b/crates/flamingo-control/src/metrics.rs
@@ -1,7 +1,8 @@
 //! Prometheus metrics of a control instance.
 
 use flamingo_daemon::metrics::Registry;
-use prometheus::{Histogram, HistogramOpts, IntCounter, IntGauge};
+use flamingo_wire::control::Push;
+use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge};
 
 /// Bucket bounds of the histogram of commit latency, in seconds.
 const LATENCY_BUCKETS: [f64; 10] = [
@@ -32,6 +33,8 @@
     pub disk_full: IntGauge,
     /// Commands proposed to the log by this instance.
     pub proposals: IntCounter,
+    /// Bytes of pushes to followers, by kind and by whether another instance pushed them first.
+    push_bytes: IntCounterVec,
     /// Time from the proposal of a command to the reply, in seconds.
     pub commit_seconds: Histogram,
 }
@@ -81,11 +84,26 @@
                 "flamingo_control_proposals_total",
                 "commands proposed by this instance",
             )?,
+            push_bytes: registry.counters(
+                "flamingo_control_push_bytes_total",
+                "bytes of pushes to followers, by kind and by whether they were relayed",
+                &["kind", "relayed"],
+            )?,
             commit_seconds: registry.add(commit_seconds)?,
             registry,
         })
     }
 
+    /// Counts a push of so many bytes that was sent to a follower.
+    pub fn record_push(&self, push: &Push, bytes: usize) {
+        let (push, relayed) = match push {
+            Push::Relayed(relayed) => (&*relayed.push, "yes"),
+            push => (push, "no"),
+        };
+        let counter = self.push_bytes.with_label_values(&[push.into(), relayed]);
+        counter.inc_by(bytes as u64);
+    }
+
     /// Returns the metrics in the text format of Prometheus.
     #[must_use]
     pub fn text(&self) -> String {
--- a/crates/flamingo-control/src/raft_actor.rs
+++ b/crates/flamingo-control/src/raft_actor.rs
@@ -27,10 +27,10 @@
 use flamingo_wire::control::{Heartbeat, Reply};
 use flamingo_wire::frame::Seal;
 use flamingo_wire::{id, route};
-use forward::Forwarder;
+pub(crate) use forward::Forwarder;
 pub use messages::{
-    ChangeMembers, FollowerHeartbeat, GetMembership, HandleRequest, IsReady, Membership,
-    PeerMessage, Propose, ReadState, StateReader, Stop, UpdateSeeds,
+    ChangeMembers, EntryReport, FollowerHeartbeat, GetMembership, HandleRequest, IsReady,
+    Membership, PeerMessage, Propose, ReadState, StateReader, Stop, UpdateSeeds,
 };
 use messages::{Flush, WriterReport};
 use proposals::Proposals;
@@ -117,6 +117,11 @@
     forwarder: Forwarder,
     proposals: Proposals,
     followers: BTreeMap<id::Node, FollowerRecord>,
+    /// Entries that report their usage to this instance, and until when they count.
+    reporters: BTreeMap<id::Node, Instant>,
+    /// Zones of other control instances, from their heartbeats. They are kept while an instance is
+    /// down, so that entries of its zone know where to expect it.
+    control_zones: BTreeMap<id::Node, id::Zone>,
     config: watch::Sender<ConfigSnapshot>,
     routes: watch::Sender<LatestRoutes>,
     software: watch::Sender<Arc<Software>>,
@@ -167,6 +172,8 @@
             forwarder: Forwarder::new(options.node, options.seal),
             proposals: Proposals::default(),
             followers: BTreeMap::new(),
+            reporters: BTreeMap::new(),
+            control_zones: BTreeMap::new(),
             config,
             routes,
             software,
@@ -241,6 +248,7 @@
         self.process_actions(now);
         self.proposals.expire(now);
         self.followers.retain(|_, follower| now < follower.expires);
+        self.reporters.retain(|_, expires| now < *expires);
         self.update_links();
         self.run_leader_tasks(now, ctx);
         self.update_metrics(now);
--- a/crates/flamingo-control/src/raft_actor/messages.rs
+++ b/crates/flamingo-control/src/raft_actor/messages.rs
@@ -10,6 +10,7 @@
 use flamingo_wire::control::{Heartbeat, Reply, Request};
 use flamingo_wire::{Fault, id};
 use slog::{error, info, warn};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 /// A message of the log from another member.
@@ -32,6 +33,11 @@
 #[rtype(result = "()")]
 pub struct FollowerHeartbeat(pub Heartbeat);
 
+/// An entry has reported its usage to this instance, which counts it from now on.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct EntryReport(pub id::Node);
+
 /// Handles a request of an entry, an operator or another control instance.
 ///
 /// A request that only the leader can answer is forwarded to the leader, but never twice: a
@@ -68,9 +74,12 @@
 pub struct Membership {
     /// Addresses of the members for the inner protocol.
     pub addresses: Vec<SocketAddr>,
+    /// Zones of the members in the same order, from the heartbeats that they send to this instance;
+    /// `None` where none has come, and for this instance itself.
+    pub zones: Vec<Option<id::Zone>>,
     /// Address of the leader for the inner protocol; `None` where no leader is known.
     pub leader: Option<SocketAddr>,
-    /// Number of entries that follow the routes on this instance.
+    /// Number of entries that follow the routes on this instance or report their usage to it.
     pub followers: usize,
     /// Whether the disk failed; if so, this instance acknowledges nothing any more.
     pub disk_failed: bool,
@@ -150,12 +159,24 @@
 
     fn handle(&mut self, FollowerHeartbeat(heartbeat): FollowerHeartbeat, _: &mut Self::Context) {
         let expires = clock::now() + FOLLOWER_TIMEOUT;
+        if self.is_control(&heartbeat.node) {
+            let zone = heartbeat.zone.clone();
+            self.control_zones.insert(heartbeat.node.clone(), zone);
+        }
         let follower = FollowerRecord { heartbeat, expires };
         self.followers
             .insert(follower.heartbeat.node.clone(), follower);
     }
 }
 
+impl Handler<EntryReport> for RaftActor {
+    type Result = ();
+
+    fn handle(&mut self, EntryReport(node): EntryReport, _: &mut Self::Context) {
+        self.reporters.insert(node, clock::now() + FOLLOWER_TIMEOUT);
+    }
+}
+
 impl Handler<Propose> for RaftActor {
     type Result = ResponseFuture<Reply>;
 
@@ -220,14 +241,18 @@
             .map(|member| member.address);
         let addresses = members.iter().map(|member| member.address).collect();
         let listed = |node: &str| members.iter().any(|member| member.node == node);
-        let followers = self.followers.values();
-        let followers = followers
-            .filter(|follower| {
-                follower.heartbeat.routes.is_some() && !listed(&follower.heartbeat.node)
-            })
-            .count();
+        let zones = members
+            .iter()
+            .map(|member| self.control_zones.get(&member.node).cloned())
+            .collect();
+        let followers = self.followers.iter();
+        let followers = followers.filter(|(_, follower)| follower.heartbeat.routes.is_some());
+        let entries = followers.map(|(node, _)| node).chain(self.reporters.keys());
+        let entries: BTreeSet<_> = entries.filter(|node| !listed(node)).collect();
+        let followers = entries.len();
         MessageResult(Membership {
             addresses,
+            zones,
             leader,
             followers,
             disk_failed: self.raft.disk_failed(),
--- a/crates/flamingo-control/src/raft_actor/requests.rs
+++ b/crates/flamingo-control/src/raft_actor/requests.rs
@@ -61,6 +61,8 @@
             Request::Routes
             | Request::Versions(_)
             | Request::Usage(_)
+            | Request::PassUsage(_)
+            | Request::Usages(_)
             | Request::Permit(_)
             | Request::LoadAdapter(_)
             | Request::Begun(_)
@@ -126,7 +128,7 @@
     }
 
     /// Returns whether a node is a control instance that this instance knows of.
-    fn is_control(&self, node: &str) -> bool {
+    pub(super) fn is_control(&self, node: &str) -> bool {
         let member = self.raft.members().iter().any(|member| member.node == node);
         member || self.raft.seeds().iter().any(|seed| seed.node == node)
     }
--- a/crates/flamingo-control/src/registry.rs
+++ b/crates/flamingo-control/src/registry.rs
@@ -5,15 +5,18 @@
 //! address is reused.
 
 mod dispute;
+mod relay;
 
 use dispute::{Disputes, Hiding};
 use flamingo_guard::quarantine::{Finding, Ledger};
-use flamingo_wire::control::Push;
+use flamingo_wire::control::{Peers, Push, Relayed};
 use flamingo_wire::frame::{Frame, Seal};
 use flamingo_wire::id;
 use flamingo_wire::prompt::{Dossier, Evidence, Quarantine};
 use flamingo_wire::target::{Registration, Residency};
+use relay::{Reach, Residencies};
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant, SystemTime};
 use tokio::sync::broadcast::{self, Receiver, Sender};
@@ -27,6 +30,8 @@
 const EXPIRY: Duration = Duration::from_secs(30);
 /// Time after an entry's last report by which entries report to another instance.
 const EVIDENCE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Age up to which a new follower gets the last list of the processes, instead of waiting for the next.
+const PEERS_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// A push for all followers, which is encoded and signed once for those that get it at the same time.
 #[derive(Debug)]
@@ -118,6 +123,12 @@
     ledger: Ledger,
     /// When an entry last reported evidence to this instance; `None` if none has.
     evidence_at: Option<Instant>,
+    /// The other control instances that this one reaches.
+    reach: Reach,
+    /// The newest residency of each target, for new followers.
+    residencies: Residencies,
+    /// The last list of the processes that this instance published, and when.
+    peers: Option<(Peers, Instant)>,
     pushes: Sender<Arc<Broadcast>>,
 }
 
@@ -130,6 +141,9 @@
             disputes: Disputes::default(),
             ledger: Ledger::default(),
             evidence_at: None,
+            reach: Reach::default(),
+            residencies: Residencies::default(),
+            peers: None,
             pushes,
         }
     }
@@ -147,11 +161,7 @@
         let id = registration.id.clone();
         let record = self.targets.get(&id);
         let changed = record.is_none_or(|record| !record.registration.same_state(&registration));
-        let record = Record {
-            registration: registration.clone(),
-            last_heartbeat: now,
-        };
-        self.targets.insert(id.clone(), record);
+        self.store(now, registration.clone());
         if changed {
             self.publish(Push::Targets(vec![registration]));
         } else {
@@ -160,6 +170,19 @@
         true
     }
 
+    /// Makes a registration the newest one of its target.
+    fn store(&mut self, now: Instant, registration: Registration) {
+        let known = self.targets.get(&registration.id);
+        let known = known.map(|record| &record.registration);
+        self.residencies.apply(known, &registration);
+        let record = Record {
+            registration,
+            last_heartbeat: now,
+        };
+        let id = record.registration.id.clone();
+        self.targets.insert(id, record);
+    }
+
     /// Returns whether a newer registration is known, of the same target or of a target that took
     /// over its address.
     #[must_use]
@@ -252,6 +275,8 @@
     pub fn publish_unchanged(&mut self, now: Instant) {
         self.targets
             .retain(|_, record| now < record.last_heartbeat + EXPIRY);
+        self.residencies
+            .retain(|target| self.targets.contains_key(target));
         self.ledger.remove_expired(now);
         if !self.unchanged.is_empty() {
             let unchanged = std::mem::take(&mut self.unchanged);
@@ -260,10 +285,17 @@
     }
 
     /// Publishes which models and adapters targets have resident.
-    pub fn publish_residency(&self, residencies: Vec<Residency>) {
+    pub fn publish_residency(&mut self, now: Instant, residencies: Vec<Residency>) {
+        self.residencies.record(&residencies, true, now);
         self.publish(Push::Residency(residencies));
     }
 
+    /// Publishes the processes of the system.
+    pub fn publish_peers(&mut self, now: Instant, peers: Peers) {
+        self.peers = Some((peers.clone(), now));
+        self.publish(Push::Peers(peers));
+    }
+
     /// Records what the entry `from` has seen of targets that crash, and publishes what the entry knows
     /// to be quarantined and was not here.
     pub fn record_evidence(&mut self, now: Instant, from: &str, evidence: &Evidence) {
@@ -347,18 +379,99 @@
         (all, self.pushes.subscribe())
     }
 
-    /// Merges a push of another control instance about targets or prompt parts. It is not published
-    /// again, because followers follow that instance too.
+    /// Returns what a new follower gets after the targets, besides the later pushes: residencies,
+    /// and for one that wants relayed pushes the processes and which other instances are reached.
+    #[must_use]
+    pub fn state_after_targets(&self, relays: bool, now: Instant) -> Vec<Push> {
+        let mut state = Vec::new();
+        let residencies = self.residencies.newest(relays, now);
+        if !residencies.is_empty() {
+            state.push(Push::Residency(residencies));
+        }
+        if relays {
+            let peers = self.peers.iter();
+            let recent = peers.filter(|(_, published_at)| now < *published_at + PEERS_TIMEOUT);
+            state.extend(recent.map(|(peers, _)| Push::Peers(peers.clone())));
+            state.push(Push::Reached(self.reach.current(now)));
+        }
+        state
+    }
+
+    /// Handles a push of the control instance at `origin`: merges it, and relays it to the followers
+    /// that do not follow that instance.
+    pub fn receive(&mut self, now: Instant, origin: SocketAddr, push: Push) {
+        let is_state = matches!(push, Push::Targets(_));
+        match push {
+            Push::Targets(registrations) => self.receive_targets(now, origin, registrations),
+            Push::Residency(residencies) => {
+                self.residencies.record(&residencies, false, now);
+                self.relay(origin, Push::Residency(residencies));
+            }
+            Push::Unchanged(_) | Push::Quarantines(_) => {
+                self.merge(now, &push);
+                self.relay(origin, push);
+            }
+            Push::Loads(_) => self.relay(origin, push),
+            // Only the leader's count of entries matters to others than its followers.
+            Push::Peers(peers) if peers.leader == Some(origin) => {
+                self.relay(origin, Push::Peers(peers));
+            }
+            other => self.merge(now, &other),
+        }
+        self.reach.record(origin, is_state, now);
+        self.publish_reached(now);
+    }
+
+    /// Handles the end of the stream from the control instance at `origin`.
+    pub fn disconnect(&mut self, now: Instant, origin: SocketAddr) {
+        self.reach.remove(origin);
+        self.publish_reached(now);
+    }
+
+    /// Publishes which other control instances are reached, if that has changed.
+    pub fn publish_reached(&mut self, now: Instant) {
+        if let Some(reached) = self.reach.take_change(now) {
+            self.publish(Push::Reached(reached));
+        }
+    }
+
+    fn relay(&self, origin: SocketAddr, push: Push) {
+        let push = Box::new(push);
+        self.publish(Push::Relayed(Relayed { origin, push }));
+    }
+
+    /// Merges registrations of another instance and relays those that change something. A new stream
+    /// brings all of them, of which most are known.
+    fn receive_targets(&mut self, now: Instant, origin: SocketAddr, all: Vec<Registration>) {
+        let mut changed = Vec::new();
+        let mut unchanged = Vec::new();
+        for registration in all {
+            if self.is_outdated(&registration) {
+                continue;
+            }
+            let known = self.get(&registration.id);
+            if known.is_some_and(|known| known.same_state(&registration)) {
+                unchanged.push(registration.id.clone());
+            } else {
+                changed.push(registration.clone());
+            }
+            self.store(now, registration);
+        }
+        if !changed.is_empty() {
+            self.relay(origin, Push::Targets(changed));
+        }
+        if !unchanged.is_empty() {
+            self.relay(origin, Push::Unchanged(unchanged));
+        }
+    }
+
+    /// Merges a push of another control instance about targets or prompt parts, without relaying it.
     pub fn merge(&mut self, now: Instant, push: &Push) {
         match push {
             Push::Targets(registrations) => {
                 for registration in registrations {
                     if !self.is_outdated(registration) {
-                        let record = Record {
-                            registration: registration.clone(),
-                            last_heartbeat: now,
-                        };
-                        self.targets.insert(registration.id.clone(), record);
+                        self.store(now, registration.clone());
                     }
                 }
             }
--- /dev/null
+++ b/crates/flamingo-control/src/registry/relay.rs
@@ -0,0 +1,111 @@
+//! What a control instance keeps to relay the pushes of the others: which of them it reaches, and the
+//! newest residency of each target for followers that subscribe later.
+
+use flamingo_wire::id;
+use flamingo_wire::target::{Registration, Residency};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// Time without a push after which another control instance counts as not reached. Pushes come at
+/// least every half second.
+pub const REACH_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The other control instances whose state and pushes arrive here.
+#[derive(Debug, Default)]
+pub(super) struct Reach {
+    heard_at: BTreeMap<SocketAddr, Instant>,
+    published: Vec<SocketAddr>,
+}
+
+impl Reach {
+    /// Records a push of an instance. It counts as reached from its first state on.
+    pub(super) fn record(&mut self, origin: SocketAddr, is_state: bool, now: Instant) {
+        if is_state || self.heard_at.contains_key(&origin) {
+            self.heard_at.insert(origin, now);
+        }
+    }
+
+    /// Removes an instance, since its stream has ended.
+    pub(super) fn remove(&mut self, origin: SocketAddr) {
+        self.heard_at.remove(&origin);
+    }
+
+    /// Returns the instances that are reached now.
+    pub(super) fn current(&self, now: Instant) -> Vec<SocketAddr> {
+        let heard = self.heard_at.iter();
+        heard
+            .filter(|(_, heard_at)| now < **heard_at + REACH_TIMEOUT)
+            .map(|(origin, _)| *origin)
+            .collect()
+    }
+
+    /// Returns the instances that are reached now, if that has changed since the last call.
+    pub(super) fn take_change(&mut self, now: Instant) -> Option<Vec<SocketAddr>> {
+        let current = self.current(now);
+        if current == self.published {
+            return None;
+        }
+        self.published.clone_from(&current);
+        Some(current)
+    }
+}
+
+/// The newest residency of each target.
+#[derive(Debug, Default)]
+pub(super) struct Residencies {
+    newest: BTreeMap<id::Target, (Residency, Instant)>,
+    /// Whether this instance published the last ones.
+    is_own: bool,
+}
+
+impl Residencies {
+    /// Records residencies that this instance (`is_own`) or another one has published.
+    pub(super) fn record(&mut self, residencies: &[Residency], is_own: bool, now: Instant) {
+        self.is_own = is_own;
+        for residency in residencies {
+            let key = residency.target.clone();
+            self.newest.insert(key, (residency.clone(), now));
+        }
+    }
+
+    /// Drops the residency of a target whose registration overrides it, by the rule by which entries
+    /// apply the two.
+    pub(super) fn apply(&mut self, known: Option<&Registration>, registration: &Registration) {
+        let Some((residency, _)) = self.newest.get(&registration.id) else {
+            return;
+        };
+        let is_other = residency.incarnation != registration.incarnation;
+        let is_changed = known.is_none_or(|known| known.models != registration.models);
+        if registration.gone || is_other || is_changed && !residency.executing {
+            self.newest.remove(&registration.id);
+        }
+    }
+
+    /// Returns the residencies for a new follower. One without relays gets only those that this
+    /// instance published last, so that an older state of another instance never replaces them.
+    pub(super) fn newest(&self, relays: bool, now: Instant) -> Vec<Residency> {
+        if !relays && !self.is_own {
+            return Vec::new();
+        }
+        let newest = self.newest.values();
+        newest
+            .map(|(residency, at)| aged(residency, now.saturating_duration_since(*at)))
+            .collect()
+    }
+
+    /// Drops the residencies of targets that `is_known` does not know.
+    pub(super) fn retain(&mut self, is_known: impl Fn(&str) -> bool) {
+        self.newest.retain(|target, _| is_known(target));
+    }
+}
+
+/// Returns a residency with the time that a load still takes after `age`.
+fn aged(residency: &Residency, age: Duration) -> Residency {
+    let mut residency = residency.clone();
+    if let Some(loading) = &mut residency.loading {
+        let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+        loading.remaining_ms = loading.remaining_ms.saturating_sub(age_ms);
+    }
+    residency
+}
--- a/crates/flamingo-control/src/watch.rs
+++ b/crates/flamingo-control/src/watch.rs
@@ -5,11 +5,13 @@
 //! [`HEARTBEAT_INTERVAL`]. [`MAX_BYTES_PER_S`] bounds the bytes of configuration for one follower,
 //! and [`MAX_FULL_TRANSFERS`] the number of followers that get a whole configuration at a time.
 
+use crate::metrics::Metrics;
 use crate::packet::{HEARTBEAT_INTERVAL, STREAM_TIMEOUT};
 use crate::raft_actor::{FollowerHeartbeat, RaftActor};
 use crate::registry::{Broadcast, Registry};
 use crate::transfer::{BACKOFF_SLOTS, Offer, Transfer};
 use actix::Addr;
+use flamingo_daemon::clock;
 use flamingo_wire::config::Snapshot;
 use flamingo_wire::control::{Heartbeat, Push};
 use flamingo_wire::frame::Seal;
@@ -96,6 +98,8 @@
     pub routes: Receiver<LatestRoutes>,
     /// The targets known to this instance.
     pub registry: Arc<Mutex<Registry>>,
+    /// Counts the bytes that are sent.
+    pub metrics: Metrics,
 }
 
 /// The stream to one follower, and what the follower has received.
@@ -110,6 +114,8 @@
     routes: Option<Transfer>,
     /// Whether the follower keeps the evidence against what crashes targets.
     keeps_evidence: bool,
+    /// Whether the follower gets what the other control instances push.
+    relays: bool,
     out: Sender<Result<Frame, Status>>,
 }
 
@@ -135,6 +141,7 @@
             config_due: Instant::now(),
             routes: heartbeat.routes.map(Transfer::new),
             keeps_evidence: heartbeat.keeps_evidence,
+            relays: heartbeat.relays,
             out,
         };
         let mut updates = self.subscribe_targets(&stream).await;
@@ -152,6 +159,11 @@
                         deadline = Instant::now() + STREAM_TIMEOUT;
                         stream.version = stream.version.max(heartbeat.version);
                         self.record_routes(&mut stream, heartbeat.routes);
+                        let begins = heartbeat.relays && !stream.relays;
+                        stream.relays = heartbeat.relays;
+                        if begins {
+                            updates = self.subscribe_targets(&stream).await;
+                        }
                         self.raft_actor.do_send(FollowerHeartbeat(heartbeat));
                     }
                 }
@@ -201,14 +213,16 @@
     }
 
     /// Sends the quarantined prompt parts, with the evidence to one that keeps it, and all known targets
-    /// to a follower, in this order, so that it uses no target before. Returns the receiver of later updates. Returns
-    /// `None` for a follower that follows no targets, or whose stream has ended.
+    /// to a follower, in this order, so that it uses no target before. The rest of the state follows.
+    /// Returns the receiver of later updates, or `None` for a follower that follows no targets, or whose stream has ended.
     async fn subscribe_targets(&self, stream: &FollowerStream) -> Option<Updates> {
         stream.routes.as_ref()?;
-        let (all, dossier, updates) = {
+        let (all, rest, dossier, updates) = {
+            let now = clock::now();
             let registry = lock_registry(&self.registry);
             let (all, updates) = registry.subscribe();
-            (all, registry.dossier(Instant::now()), updates)
+            let rest = registry.state_after_targets(stream.relays, now);
+            (all, rest, registry.dossier(Instant::now()), updates)
         };
         let quarantines = dossier.quarantines.clone();
         if !quarantines.is_empty() {
@@ -219,22 +233,31 @@
             self.send_push(stream, &Push::Dossier(dossier)).await?;
         }
         self.send_push(stream, &Push::Targets(all)).await?;
+        for push in rest {
+            self.send_push(stream, &push).await?;
+        }
         Some(updates)
     }
 
     /// Sends one push; returns `None` where the stream has ended.
     async fn send_push(&self, stream: &FollowerStream, push: &Push) -> Option<()> {
         let frame = self.seal_frame(&stream.node, push)?;
+        self.metrics.record_push(push, frame.body.len());
         send_frame(&stream.out, frame).await
     }
 
     /// Sends a push for all followers; returns `None` where the stream has ended.
     async fn send_broadcast(&self, stream: &FollowerStream, update: &Broadcast) -> Option<()> {
-        let is_evidence = matches!(update.push(), Push::Dossier(_));
-        if is_evidence && !stream.keeps_evidence {
+        let is_wanted = match update.push() {
+            Push::Dossier(_) => stream.keeps_evidence,
+            Push::Relayed(_) | Push::Reached(_) => stream.relays,
+            _ => true,
+        };
+        if !is_wanted {
             return Some(());
         }
         let frame = update.frame(&self.seal, SystemTime::now())?;
+        self.metrics.record_push(update.push(), frame.body.len());
         send_frame(&stream.out, frame).await
     }
 
@@ -281,6 +304,7 @@
             let permit = self.transfer_permits.acquire().await.ok()?;
             let push = Push::Config(Snapshot::clone(&newest));
             let frame = self.seal_frame(&stream.node, &push)?;
+            self.metrics.record_push(&push, frame.body.len());
             let cost = frame.body.len() as u64 * 1_000 / MAX_BYTES_PER_S;
             stream.config_due = now + Duration::from_millis(cost);
             send_frame(&stream.out, frame).await?;
@@ -290,8 +314,7 @@
         }
         if heartbeat {
             let push = Push::Heartbeat(stream.version);
-            let frame = self.seal_frame(&stream.node, &push)?;
-            send_frame(&stream.out, frame).await?;
+            self.send_push(stream, &push).await?;
         }
         Some(())
     }
--- a/crates/flamingo-control/tests/watch.rs
+++ b/crates/flamingo-control/tests/watch.rs
@@ -62,6 +62,7 @@
         version,
         routes: None,
         keeps_evidence: false,
+        relays: false,
     };
     seal.seal(to, &heartbeat, SystemTime::now()).unwrap()
 }
--- a/crates/flamingo-link/src/config_stream.rs
+++ b/crates/flamingo-link/src/config_stream.rs
@@ -124,6 +124,7 @@
         version: shared.machine().version(),
         routes: None,
         keeps_evidence: false,
+        relays: false,
     };
     if let Ok(frame) = shared.seal.seal(&peer.node, &heartbeat, SystemTime::now()) {
         let _ = heartbeats.try_send(frame);
--- a/crates/flamingo-link/src/lib.rs
+++ b/crates/flamingo-link/src/lib.rs
@@ -6,6 +6,7 @@
 //! forever on a connection whose peer does not answer.
 
 pub mod ask;
+pub mod feeds;
 pub mod link;
 pub mod report;
 pub mod status;
--- a/crates/flamingo-link/src/subscription.rs
+++ b/crates/flamingo-link/src/subscription.rs
@@ -1,21 +1,24 @@
 //! Subscriptions to the control instances, which push routes, targets and peers.
 //!
-//! A process subscribes to every control instance by a separate stream, so that it receives a
-//! target's registration from whichever instance the target registered with.
+//! A process subscribes to control instances by a separate stream each. A control instance subscribes
+//! to every other one, so that it receives a target's registration from whichever instance the target
+//! registered with. An entry chooses by [`Feeds`].
 
+use crate::feeds::{Feeds, Plan, Role};
 use crate::pool::{MAX_MESSAGE_BYTES, Pool, dial};
-use flamingo_wire::control::{Heartbeat, Push, Reply, Request};
+use flamingo_wire::control::{Heartbeat, Push, Relayed, Reply, Request};
 use flamingo_wire::fault::Reason;
 use flamingo_wire::frame::Seal;
 use flamingo_wire::inner::control_client;
 use flamingo_wire::{Fault, id};
 use slog::{Logger, info, warn};
 use std::cell::RefCell;
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime};
 use tokio::sync::{mpsc, watch};
+use tokio::task::AbortHandle;
 use tokio::time::timeout_at;
 use tokio_stream::wrappers::ReceiverStream;
 
@@ -27,6 +30,8 @@
 const DIAL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time between the end of a stream and the next attempt to open one.
 const REDIAL_INTERVAL: Duration = Duration::from_millis(150);
+/// Interval at which an entry reconsiders which control instances it follows.
+const PLANNING_INTERVAL: Duration = Duration::from_millis(100);
 /// Maximum number of heartbeats that wait to be sent on a stream.
 const MAX_QUEUED_HEARTBEATS: usize = 4;
 
@@ -43,6 +48,10 @@
     fn on_push(&self, from: SocketAddr, push: Push);
     /// Handles the end of the stream from the instance at `from`.
     fn on_disconnect(&self, from: SocketAddr);
+    /// Handles that the instance at `from` is not followed any more, since others relay its pushes.
+    fn on_close(&self, _from: SocketAddr) {}
+    /// Handles a change of the numbers of followed instances in the own zone and in other zones.
+    fn on_followed(&self, _own: usize, _other: usize) {}
 }
 
 /// Identity of this process towards the control instances.
@@ -56,13 +65,16 @@
     pub seal: Seal,
 }
 
-/// Subscribes to every control instance that becomes known.
+/// Subscribes to every control instance that becomes known, or to those that [`Feeds`] chooses.
 pub struct Subscriber {
     identity: Identity,
     handler: Rc<dyn PushHandler>,
-    followed: RefCell<BTreeSet<SocketAddr>>,
-    /// Notifies all streams when other routes come into force.
-    routes_changed: watch::Sender<()>,
+    /// `None` where every instance is followed.
+    feeds: Option<RefCell<Feeds>>,
+    plan: RefCell<Plan>,
+    followed: RefCell<BTreeMap<SocketAddr, AbortHandle>>,
+    /// Notifies all streams when other routes come into force or an instance is asked for relaying.
+    heartbeat_due: watch::Sender<()>,
     log: Logger,
 }
 
@@ -73,31 +85,106 @@
 }
 
 impl Subscriber {
-    /// Creates a subscriber without subscriptions.
+    /// Creates a subscriber without subscriptions, for a control instance: it follows every other one.
     #[must_use]
     pub fn new(identity: Identity, handler: Rc<dyn PushHandler>, log: Logger) -> Rc<Self> {
+        Self::with_feeds(None, identity, handler, log)
+    }
+
+    /// Creates a subscriber without subscriptions, for an entry: it follows an instance of its zone that
+    /// relays what the others push. Must be called within a [`tokio::task::LocalSet`].
+    #[must_use]
+    pub fn relayed(identity: Identity, handler: Rc<dyn PushHandler>, log: Logger) -> Rc<Self> {
+        let feeds = Feeds::new(&identity.node, &identity.zone);
+        let feeds = Some(RefCell::new(feeds));
+        let subscriber = Self::with_feeds(feeds, identity, handler, log);
+        tokio::task::spawn_local(Rc::clone(&subscriber).keep_planning());
+        subscriber
+    }
+
+    fn with_feeds(
+        feeds: Option<RefCell<Feeds>>,
+        identity: Identity,
+        handler: Rc<dyn PushHandler>,
+        log: Logger,
+    ) -> Rc<Self> {
         Rc::new(Self {
             identity,
             handler,
+            feeds,
+            plan: RefCell::default(),
             followed: RefCell::default(),
-            routes_changed: watch::channel(()).0,
+            heartbeat_due: watch::channel(()).0,
             log,
         })
     }
 
-    /// Subscribes to the instances at `addresses`, except those that already have a subscription.
+    /// Makes the instances at `addresses` known, and subscribes to those that are to be followed.
     pub fn follow(self: &Rc<Self>, addresses: &[SocketAddr]) {
+        if let Some(feeds) = &self.feeds {
+            feeds.borrow_mut().add_seeds(addresses);
+            self.apply_plan();
+        } else {
+            self.open(addresses);
+        }
+    }
+
+    /// Subscribes to the instances at `addresses`, except those that already have a subscription.
+    fn open<'a>(self: &Rc<Self>, addresses: impl IntoIterator<Item = &'a SocketAddr>) {
         for address in addresses {
             // The name of a control instance is its address; an instance does not follow itself.
             let is_self = address.to_string() == self.identity.node;
             if is_self {
                 continue;
             }
-            if self.followed.borrow_mut().insert(*address) {
-                let subscriber = Rc::clone(self);
-                tokio::task::spawn_local(subscriber.keep_following(*address));
+            let mut followed = self.followed.borrow_mut();
+            followed.entry(*address).or_insert_with(|| {
+                let following = Rc::clone(self).keep_following(*address);
+                tokio::task::spawn_local(following).abort_handle()
+            });
+        }
+    }
+
+    /// Reconsiders periodically which instances are followed. Never returns.
+    async fn keep_planning(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(PLANNING_INTERVAL).await;
+            self.apply_plan();
+        }
+    }
+
+    /// Follows the instances that the feeds choose now, and no others.
+    fn apply_plan(self: &Rc<Self>) {
+        let Some(feeds) = &self.feeds else {
+            return;
+        };
+        let plan = feeds.borrow_mut().plan(Instant::now());
+        let previous = self.plan.replace(plan.clone());
+        if previous == plan {
+            return;
+        }
+        let (own, other) = feeds.borrow().count(&plan);
+        let relays = plan.iter().filter(|(_, role)| **role == Role::Relay);
+        let relays: Vec<String> = relays.map(|(relay, _)| relay.to_string()).collect();
+        info!(self.log, "control instances chosen"; "own_zone" => own, "other_zones" => other,
+            "relays" => relays.join(","));
+        self.handler.on_followed(own, other);
+        for closed in previous.keys().filter(|known| !plan.contains_key(known)) {
+            if let Some(following) = self.followed.borrow_mut().remove(closed) {
+                following.abort();
+                self.handler.on_close(*closed);
             }
         }
+        self.open(plan.keys());
+        self.heartbeat_due.send_replace(());
+    }
+
+    /// Tells the feeds that an instance can't be followed now.
+    fn record_disconnect(self: &Rc<Self>, address: SocketAddr) {
+        if let Some(feeds) = &self.feeds {
+            feeds.borrow_mut().disconnect(address, Instant::now());
+            self.apply_plan();
+        }
     }
 
     /// Follows the instance at `address` and reopens the stream whenever it ends.
@@ -108,6 +195,7 @@
                 warn!(self.log, "subscription to control instance ended"; "control" => %address, "why" => reason);
                 self.handler.on_disconnect(address);
             }
+            self.record_disconnect(address);
             tokio::time::sleep(REDIAL_INTERVAL).await;
         }
     }
@@ -118,6 +206,8 @@
         let deadline = Instant::now() + DIAL_TIMEOUT;
         let channel = dial(address, deadline).await?;
         let (heartbeats, outgoing) = mpsc::channel(MAX_QUEUED_HEARTBEATS);
+        // Before the first heartbeat, so that a change after it is not missed.
+        let mut heartbeat_due = self.heartbeat_due.subscribe();
         self.send_heartbeat(address, &heartbeats);
         let mut client = control_client::ControlClient::new(channel)
             .max_decoding_message_size(MAX_MESSAGE_BYTES);
@@ -127,18 +217,20 @@
         info!(self.log, "subscribed to control instance"; "control" => %address);
         let mut next_heartbeat = Instant::now() + HEARTBEAT_INTERVAL;
         let mut stream_deadline = Instant::now() + STREAM_TIMEOUT;
-        let mut routes_changed = self.routes_changed.subscribe();
         loop {
             let next = next_heartbeat.min(stream_deadline);
             let received = tokio::select! {
                 received = timeout_at(next.into(), stream.message()) => received,
                 // The sender lives as long as the subscriber, so this does not fail.
-                _ = routes_changed.changed() => {
+                _ = heartbeat_due.changed() => {
                     self.send_heartbeat(address, &heartbeats);
                     continue;
                 }
             };
             match received {
+                // What arrives after the deadline was sent before this process or the connection stood
+                // still, and must neither be taken for current nor relayed.
+                Ok(Ok(Some(_))) if Instant::now() >= stream_deadline => return Some("held up"),
                 Ok(Ok(Some(frame))) => {
                     match self.identity.seal.open(&frame, SystemTime::now()) {
                         Ok(push) => self.handle(address, push),
@@ -165,17 +257,45 @@
     }
 
     fn handle(self: &Rc<Self>, address: SocketAddr, push: Push) {
-        if let Push::Peers(peers) = &push {
-            self.follow(&peers.controls);
-        }
+        let replan = self.record(address, &push);
         let before = self.handler.routes_version();
         self.handler.on_push(address, push);
         if self.handler.routes_version() != before {
             // A heartbeat tells every instance at once that it need not push these routes.
-            self.routes_changed.send_replace(());
+            self.heartbeat_due.send_replace(());
+        }
+        if replan {
+            self.apply_plan();
         }
     }
 
+    /// Records what a push says of the control instances. Returns whether that may change the plan.
+    fn record(self: &Rc<Self>, address: SocketAddr, push: &Push) -> bool {
+        let Some(feeds) = &self.feeds else {
+            if let Push::Peers(peers) = push {
+                self.open(&peers.controls);
+            }
+            return false;
+        };
+        let mut feeds = feeds.borrow_mut();
+        feeds.record_push(address, Instant::now());
+        match push {
+            Push::Peers(peers) => feeds.record_peers(peers),
+            Push::Reached(reached) => feeds.record_reached(address, reached),
+            Push::Relayed(Relayed { push, .. }) => match &**push {
+                Push::Peers(peers) => feeds.record_peers(peers),
+                _ => return false,
+            },
+            _ => return false,
+        }
+        true
+    }
+
+    /// Returns whether the instance at `address` is asked for what the others push.
+    fn wants_relays(&self, address: SocketAddr) -> bool {
+        self.plan.borrow().get(&address) == Some(&Role::Relay)
+    }
+
     /// Queues a heartbeat with the version of the routes in force. It is dropped where the queue is
     /// full: the instance then reads nothing, and the stream ends at its deadline.
     fn send_heartbeat(&self, address: SocketAddr, heartbeats: &mpsc::Sender<flamingo_wire::Frame>) {
@@ -185,6 +305,7 @@
             version: 0,
             routes: Some(self.handler.routes_version()),
             keeps_evidence: self.handler.keeps_evidence(),
+            relays: self.wants_relays(address),
         };
         let seal = &self.identity.seal;
         if let Ok(frame) = seal.seal(&address.to_string(), &heartbeat, SystemTime::now()) {
--- a/crates/flamingo-serve/src/demand.rs
+++ b/crates/flamingo-serve/src/demand.rs
@@ -5,7 +5,7 @@
 use crate::topology::Topology;
 use crate::wire::RequestHead;
 use flamingo_link::subscription::ControlClient;
-use flamingo_wire::control::{Reply, Request};
+use flamingo_wire::control::{Reply, Request, UsageReport};
 use flamingo_wire::id;
 use flamingo_wire::target::{Demand, Need, Usage};
 use std::cell::RefCell;
@@ -15,8 +15,13 @@
 
 /// Interval between two reports.
 const REPORT_INTERVAL: Duration = Duration::from_millis(100);
+/// Longest time between two reports to a leader that this entry does not follow: the leader counts the
+/// entries by their reports, and this entry needs a recent acknowledgement.
+const MAX_REPORT_INTERVAL: Duration = Duration::from_millis(500);
 /// Time within which the leader must acknowledge a report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for which reports go to the leader directly after a control instance has not passed one on.
+const DIRECT_TIME: Duration = Duration::from_secs(2);
 /// Time that an engine needs for a prompt token, in milliseconds.
 const PROMPT_TOKEN_MS: f64 = 0.04;
 /// Time that an engine needs for an output token while it processes other requests as well, in
@@ -123,6 +128,8 @@
     counter: Rc<Counter>,
     control_client: Rc<ControlClient>,
 ) {
+    let mut reported_at: Option<Instant> = None;
+    let mut direct_until: Option<Instant> = None;
     loop {
         tokio::time::sleep(REPORT_INTERVAL).await;
         let Some(leader) = topology.peers.borrow().leader else {
@@ -140,16 +147,28 @@
             evidence: evidence.clone(),
             needs: counter.take_needs(),
         };
-        if usage == Usage::default() {
+        let is_due = reported_at.is_none_or(|last| now >= last + MAX_REPORT_INTERVAL);
+        let is_counted = topology.peers.borrow().follows(leader);
+        if usage == Usage::default() && (is_counted || !is_due) {
             continue;
         }
+        reported_at = Some(now);
         let deadline = now + REPORT_TIMEOUT;
-        let request = Request::Usage(usage);
-        let reply = control_client.ask(leader, &request, deadline).await;
+        let relay = topology.peers.borrow().relay_to(leader);
+        let relay = relay.filter(|_| direct_until.is_none_or(|until| now >= until));
+        let (receiver, request) = match relay {
+            Some(relay) => (relay, Request::PassUsage(UsageReport { leader, usage })),
+            None => (leader, Request::Usage(usage)),
+        };
+        let reply = control_client.ask(receiver, &request, deadline).await;
+        if relay.is_some() && reply != Reply::Acknowledged {
+            direct_until = Some(Instant::now() + DIRECT_TIME);
+        }
         // Of a lost report only the evidence is resent: the next report has the current load.
         let mut crashes = topology.crashes.borrow_mut();
         if reply == Reply::Acknowledged {
             crashes.acknowledge(&leader_name, &evidence);
+            topology.peers.borrow_mut().record_acknowledged(leader, now);
         } else {
             crashes.return_answered(evidence);
         }
--- a/crates/flamingo-serve/src/metrics.rs
+++ b/crates/flamingo-serve/src/metrics.rs
@@ -28,6 +28,10 @@
     targets: IntGaugeVec,
     version: IntGauge,
     entries: IntGauge,
+    /// Followed control instances in the own zone and in others.
+    controls: IntGaugeVec,
+    /// Age of the leader's last push, in milliseconds; -1 before the first.
+    leader_age: IntGauge,
     quarantined: IntGauge,
 }
 
@@ -46,6 +50,10 @@
         let first_event =
             HistogramVec::new(first_event.buckets(LATENCY_BUCKETS_S.to_vec()), &["route"])?;
         let targets = Opts::new("flamingo_targets", "Known targets by standing.");
+        let controls = Opts::new(
+            "flamingo_controls_followed",
+            "Followed control instances in the entry's zone and in others.",
+        );
         Ok(Self {
             requests: registry.counters(
                 "flamingo_requests_total",
@@ -65,6 +73,11 @@
             version: registry
                 .gauge("flamingo_routes_version", "Version of the routes in force.")?,
             entries: registry.gauge("flamingo_entries", "Entries that control counts.")?,
+            controls: registry.add(IntGaugeVec::new(controls, &["zone"])?)?,
+            leader_age: registry.gauge(
+                "flamingo_leader_age_ms",
+                "Time since the leader's last push, direct or relayed; -1 before the first.",
+            )?,
             quarantined: registry.gauge(
                 "flamingo_quarantined_parts",
                 "Prompt parts that are kept from targets since they crash them.",
@@ -130,6 +143,14 @@
         self.version.set(i64::try_from(version).unwrap_or(i64::MAX));
         let entries = topology.peers.borrow().entries().unwrap_or(0);
         self.entries.set(number(entries));
+        let (own, other) = topology.peers.borrow().followed;
+        self.controls.with_label_values(&["own"]).set(number(own));
+        self.controls
+            .with_label_values(&["other"])
+            .set(number(other));
+        let age = topology.peers.borrow().leader_age(now);
+        let age_ms = age.and_then(|age| i64::try_from(age.as_millis()).ok());
+        self.leader_age.set(age_ms.unwrap_or(-1));
         let quarantined = topology.crashes.borrow().quarantined(now);
         self.quarantined.set(number(quarantined));
     }
--- a/crates/flamingo-serve/src/sharers.rs
+++ b/crates/flamingo-serve/src/sharers.rs
@@ -30,6 +30,8 @@
     last_heard_at: Option<Instant>,
     /// The last counts, without those that are followed by an equal or a larger one.
     counts: VecDeque<Count>,
+    /// Whether entries may get the counts through a relay.
+    may_be_relayed: bool,
 }
 
 impl Default for Sharers {
@@ -48,9 +50,15 @@
             counted_since: None,
             last_heard_at: None,
             counts: VecDeque::new(),
+            may_be_relayed: false,
         }
     }
 
+    /// Sets whether entries, this one or others, may get the counts through a relay.
+    pub fn set_relayed(&mut self, may_be_relayed: bool) {
+        self.may_be_relayed = may_be_relayed;
+    }
+
     /// Records a count that the leader has sent.
     pub fn record(&mut self, entries: usize, now: Instant) {
         // The others remember this entry for longer than a window after the leader has ceased to
@@ -119,8 +127,11 @@
     }
 
     /// Returns the time for which counts are remembered, and for which this entry must have been
-    /// counted: a window, and the time that two entries may be behind the leader.
+    /// counted: a window, and the time that two entries may be behind the leader. Each hop adds the
+    /// time after which a silent stream is dropped, and the first count that arrives through a relay
+    /// after a report may have been made before it.
     fn memory(&self) -> Duration {
-        self.window.saturating_add(COUNT_TIMEOUT * 2)
+        let hops = if self.may_be_relayed { 4 } else { 2 };
+        self.window.saturating_add(COUNT_TIMEOUT * hops)
     }
 }
--- a/crates/flamingo-serve/src/topology.rs
+++ b/crates/flamingo-serve/src/topology.rs
@@ -3,12 +3,12 @@
 
 use crate::origins::Origins;
 use crate::pool::Pool;
-use crate::sharers::Sharers;
+use crate::sharers::{COUNT_TIMEOUT, Sharers};
 use crate::table::Table;
 use flamingo_guard::observer::{Life, Observer};
 use flamingo_guard::quarantine::Finding;
 use flamingo_link::subscription::PushHandler;
-use flamingo_wire::control::Push;
+use flamingo_wire::control::{self, Push, Relayed};
 use flamingo_wire::id;
 use flamingo_wire::prompt::{PartId, Quarantine};
 use flamingo_wire::route::{Route, Service, Set};
@@ -22,6 +22,9 @@
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 
+/// Time for which a count of entries that a control instance sent is used. A new leader counts all that
+/// report to it long before.
+const ENTRIES_TIMEOUT: Duration = Duration::from_secs(10);
 /// Longest time that a heartbeat of a target is on its way: the target may have restarted since.
 const MAX_HEARTBEAT_DELAY: Duration = Duration::from_secs(5);
 
@@ -78,12 +81,20 @@
 pub struct Peers {
     /// Control instance that leads; `None` while no leader is known.
     pub leader: Option<SocketAddr>,
-    /// Number of entries that each control instance counts.
-    entries: HashMap<SocketAddr, usize>,
+    /// Number of entries that each control instance counts, and when it was heard.
+    entries: HashMap<SocketAddr, (usize, Instant)>,
     /// Number of control instances in the newest list of any of them; `None` before the first.
     controls: Option<usize>,
     /// Control instances whose pushes are being received.
     connected: BTreeSet<SocketAddr>,
+    /// Control instances that each followed relay reaches.
+    reached: HashMap<SocketAddr, BTreeSet<SocketAddr>>,
+    /// The last report that a leader has acknowledged: the leader, and when the report was sent.
+    acknowledged: Option<(SocketAddr, Instant)>,
+    /// When something that the leader sent was last received, directly or through a relay.
+    leader_heard_at: Option<Instant>,
+    /// Numbers of followed control instances in this entry's zone and in others.
+    pub followed: (usize, usize),
     /// Entries that share the retry budget, by the counts of the leader.
     pub sharers: Sharers,
 }
@@ -94,10 +105,99 @@
         self.leader = self.leader.filter(|leader| *leader != control);
     }
 
-    /// Returns the control instances whose pushes are being received.
+    /// Returns the control instances whose pushes are being received, directly or through a relay.
     #[must_use]
     pub fn connected(&self) -> Vec<SocketAddr> {
-        self.connected.iter().copied().collect()
+        self.all_connected().into_iter().collect()
+    }
+
+    fn all_connected(&self) -> BTreeSet<SocketAddr> {
+        let reached = self.reached.values().flatten();
+        self.connected.iter().chain(reached).copied().collect()
+    }
+
+    /// Returns whether pushes of this control instance arrive without a relay.
+    #[must_use]
+    pub fn follows(&self, control: SocketAddr) -> bool {
+        self.connected.contains(&control)
+    }
+
+    /// Records that the leader has acknowledged a report that was sent at `sent_at`: from then on it
+    /// counts this entry.
+    pub fn record_acknowledged(&mut self, leader: SocketAddr, sent_at: Instant) {
+        self.acknowledged = Some((leader, sent_at));
+    }
+
+    /// Returns the followed control instance that reaches the leader for this entry; `None` where this
+    /// entry follows the leader itself, or no relay reaches it.
+    #[must_use]
+    pub fn relay_to(&self, leader: SocketAddr) -> Option<SocketAddr> {
+        if self.follows(leader) {
+            return None;
+        }
+        let mut relays = self.connected.iter().copied();
+        relays.find(|relay| {
+            let reached = self.reached.get(relay);
+            reached.is_some_and(|reached| reached.contains(&leader))
+        })
+    }
+
+    /// Returns the time since the leader's last push; `None` before the first.
+    #[must_use]
+    pub fn leader_age(&self, now: Instant) -> Option<Duration> {
+        let heard_at = self.leader_heard_at?;
+        Some(now.saturating_duration_since(heard_at))
+    }
+
+    /// Returns whether the leader surely counts this entry, as a follower or for its reports.
+    fn is_counted(&self, leader: SocketAddr, now: Instant) -> bool {
+        let acknowledged = self.acknowledged.filter(|(by, _)| *by == leader);
+        let recently = acknowledged
+            .is_some_and(|(_, sent_at)| now.saturating_duration_since(sent_at) <= COUNT_TIMEOUT);
+        self.follows(leader) || recently
+    }
+
+    /// Records a list of the processes that the control instance at `origin` sent.
+    fn record(&mut self, origin: SocketAddr, peers: &control::Peers, now: Instant) {
+        if peers.leader.is_some() {
+            self.leader = peers.leader;
+        }
+        let entries = peers.entries as usize;
+        self.entries
+            .retain(|_, (_, heard_at)| now < *heard_at + ENTRIES_TIMEOUT);
+        self.entries.insert(origin, (entries, now));
+        if peers.leader == Some(origin) && self.is_counted(origin, now) {
+            let may_be_relayed = peers
+                .zones
+                .iter()
+                .any(|zone| Some(zone) != peers.zones.first());
+            self.sharers.set_relayed(may_be_relayed);
+            self.sharers.record(entries, now);
+        }
+        self.controls = Some(peers.controls.len());
+    }
+
+    /// Records which others a relay reaches. Returns those that are not connected any more.
+    fn record_reached(&mut self, relay: SocketAddr, reached: Vec<SocketAddr>) -> Vec<SocketAddr> {
+        let before = self.all_connected();
+        let connected = &self.connected;
+        self.reached.retain(|relay, _| connected.contains(relay));
+        self.reached.insert(relay, reached.into_iter().collect());
+        let after = self.all_connected();
+        before.difference(&after).copied().collect()
+    }
+
+    /// Records the end of the stream from `control`. Returns the instances that are not connected any
+    /// more. What a relay reached is kept until another one says what it reaches, or none is left.
+    fn disconnect(&mut self, control: SocketAddr) -> Vec<SocketAddr> {
+        self.connected.remove(&control);
+        if !self.connected.is_empty() {
+            return vec![control];
+        }
+        let mut lost = self.all_connected();
+        lost.insert(control);
+        self.reached.clear();
+        lost.into_iter().collect()
     }
 
     /// Returns whether `answered` control instances are all that there are, as far as is known.
@@ -110,7 +210,7 @@
     /// was received.
     #[must_use]
     pub fn entries(&self) -> Option<usize> {
-        self.entries.values().copied().max()
+        self.entries.values().map(|(entries, _)| *entries).max()
     }
 }
 
@@ -227,15 +327,12 @@
     }
 }
 
-impl PushHandler for Topology {
-    fn routes_version(&self) -> id::Version {
-        let routes = self.routes.borrow();
-        routes.as_ref().map_or(0, |routes| routes.set.version)
-    }
-
-    fn on_push(&self, from: SocketAddr, push: Push) {
-        let now = Instant::now();
-        self.peers.borrow_mut().connected.insert(from);
+impl Topology {
+    /// Handles a push that the control instance at `origin` sent, directly or through a relay.
+    fn apply(&self, origin: SocketAddr, push: Push, now: Instant) {
+        if self.peers.borrow().leader == Some(origin) {
+            self.peers.borrow_mut().leader_heard_at = Some(now);
+        }
         if let Push::Targets(registrations) = &push {
             self.forget_uncertain_streams(registrations);
             for registration in registrations {
@@ -257,25 +354,52 @@
         match push {
             Push::Routes(set) => self.replace_routes(set),
             Push::Quarantines(quarantines) => self.adopt_quarantines(&quarantines, now),
-            Push::Peers(peers) => {
-                let mut known = self.peers.borrow_mut();
-                if peers.leader.is_some() {
-                    known.leader = peers.leader;
-                }
-                known.entries.insert(from, peers.entries as usize);
-                if peers.leader == Some(from) {
-                    known.sharers.record(peers.entries as usize, now);
-                }
-                known.controls = Some(peers.controls.len());
-            }
+            Push::Peers(peers) => self.peers.borrow_mut().record(origin, &peers, now),
             _ => {}
         }
     }
 
+    /// Handles that the pushes of control instances do not arrive any more. They may have lost what
+    /// they were told.
+    fn forget_controls(&self, lost: &[SocketAddr]) {
+        for control in lost {
+            self.peers.borrow_mut().remove_leader(*control);
+            self.origins.borrow_mut().remove_holder(*control);
+        }
+    }
+}
+
+impl PushHandler for Topology {
+    fn routes_version(&self) -> id::Version {
+        let routes = self.routes.borrow();
+        routes.as_ref().map_or(0, |routes| routes.set.version)
+    }
+
+    fn on_push(&self, from: SocketAddr, push: Push) {
+        let now = Instant::now();
+        self.peers.borrow_mut().connected.insert(from);
+        match push {
+            Push::Relayed(Relayed { origin, push }) => self.apply(origin, *push, now),
+            Push::Reached(reached) => {
+                let lost = self.peers.borrow_mut().record_reached(from, reached);
+                self.forget_controls(&lost);
+            }
+            push => self.apply(from, push, now),
+        }
+    }
+
     fn on_disconnect(&self, from: SocketAddr) {
+        let lost = self.peers.borrow_mut().disconnect(from);
+        self.forget_controls(&lost);
+    }
+
+    fn on_close(&self, from: SocketAddr) {
         let mut peers = self.peers.borrow_mut();
-        peers.remove_leader(from);
         peers.connected.remove(&from);
-        self.origins.borrow_mut().remove_holder(from);
+        peers.reached.remove(&from);
+    }
+
+    fn on_followed(&self, own: usize, other: usize) {
+        self.peers.borrow_mut().followed = (own, other);
     }
 }
--- a/crates/flamingo-wire/src/control.rs
+++ b/crates/flamingo-wire/src/control.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use strum::IntoStaticStr;
 
 /// A request to a control instance.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -34,6 +35,11 @@
     /// Demand at one entry and the load that it puts on targets.
     #[serde(rename = "Tally")]
     Usage(target::Usage),
+    /// A usage report of an entry, for a control instance to pass on to the leader. The reply is the
+    /// leader's.
+    PassUsage(UsageReport),
+    /// Usage reports that a control instance passes on, with the entry that sent each.
+    Usages(Vec<(id::Node, target::Usage)>),
     /// Load an adapter on a target that already has the model resident.
     #[serde(rename = "Adapt")]
     LoadAdapter(LoadAdapter),
@@ -50,6 +56,15 @@
     Versions(id::Service),
 }
 
+/// A usage report that another control instance passes on.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct UsageReport {
+    /// The leader that the report is for, as the entry knows it.
+    pub leader: SocketAddr,
+    /// The report.
+    pub usage: target::Usage,
+}
+
 /// A request to load an adapter on a target.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LoadAdapter {
@@ -93,10 +108,14 @@
     /// Whether the follower keeps the evidence against what crashes targets.
     #[serde(default)]
     pub keeps_evidence: bool,
+    /// Whether the follower wants what the other control instances push relayed to it.
+    #[serde(default)]
+    pub relays: bool,
 }
 
 /// A message from a control instance to its followers, sent at least once a second.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
 pub enum Push {
     /// Heartbeat: no configuration newer than this version is known.
     #[serde(rename = "Beat")]
@@ -121,6 +140,21 @@
     Quarantines(Vec<prompt::Quarantine>),
     /// Evidence against what crashes targets, for followers that keep it.
     Dossier(prompt::Dossier),
+    /// What another control instance pushed, for followers that want it relayed. A relayed push is
+    /// never relayed again.
+    Relayed(Relayed),
+    /// The other control instances from which this instance received something within the last
+    /// second. It ends the state that a follower gets first, and is sent again when it changes.
+    Reached(Vec<SocketAddr>),
+}
+
+/// A push that a control instance relays.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Relayed {
+    /// Address of the control instance that pushed it.
+    pub origin: SocketAddr,
+    /// The push.
+    pub push: Box<Push>,
 }
 
 /// The processes of the system.
@@ -128,7 +162,10 @@
 pub struct Peers {
     /// Addresses on which control instances accept the inner protocol.
     pub controls: Vec<SocketAddr>,
-    /// Number of entries that follow this instance.
+    /// Availability zones of `controls`, in the same order; empty where a zone is not known yet.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub zones: Vec<id::Zone>,
+    /// Number of entries that follow this instance or report their usage to it.
     pub entries: u32,
     /// Address of the leader; `None` where no leader is known.
     pub leader: Option<SocketAddr>,
