Relays: streams stay while member lists differ, and failed dials wait for the next planning

Two lists that differ while the members of the log change would have closed and reopened streams by turns: an instance now counts for five seconds after any list has named it. Where all control instances refuse connections, each failed dial led to the next at once; now only the end of an open stream does. The line 'control instances chosen' is written once a second at most. The interval of usage reports no longer grows by the time of the acknowledgement.

--- a/crates/flamingo-link/src/feeds.rs
+++ b/crates/flamingo-link/src/feeds.rs
@@ -27,8 +27,11 @@
 pub const UNREACHED_DELAY: Duration = Duration::from_millis(500);
 /// Time after which an instance of another zone that failed is in its place of the order again.
 const FAILURE_MEMORY: Duration = Duration::from_secs(10);
-/// Time between two attempts to follow an instance that no relay reaches.
+/// Time after a failure during which another instance that no relay reaches is tried first.
 const RETRY_INTERVAL: Duration = Duration::from_secs(1);
+/// Time for which an instance counts that a list has named. The lists of two instances differ while the
+/// members of the log change, and streams must not be closed and reopened by turns.
+const LIST_TIMEOUT: Duration = Duration::from_secs(5);
 /// Largest number of streams to other zones, once an instance has served.
 pub const MAX_REMOTE: usize = 2;
 /// Time between two plans from which on this process counts as held up: it has not read what came.
@@ -123,7 +126,8 @@
 /// let controls: Vec<_> = (1..=4).map(|n| format!("10.0.0.{n}:1").parse().unwrap()).collect();
 /// let zones = ["a", "a", "b", "b"].map(str::to_owned).to_vec();
 /// let mut feeds = Feeds::new("entry-1", "b");
-/// feeds.record_peers(&Peers { controls: controls.clone(), zones, ..Peers::default() });
+/// let peers = Peers { controls: controls.clone(), zones, ..Peers::default() };
+/// feeds.record_peers(&peers, now);
 /// let plan = feeds.plan(now);
 /// assert_eq!(plan.values().collect::<Vec<_>>(), [&Role::Relay]);
 /// assert!(plan.keys().all(|control| controls[2..].contains(control)));
@@ -133,8 +137,10 @@
     node: id::Node,
     zone: id::Zone,
     seeds: BTreeSet<SocketAddr>,
-    /// The newest list of the control instances; empty before the first.
+    /// The control instances in a list of the last [`LIST_TIMEOUT`]; empty before the first.
     controls: Vec<SocketAddr>,
+    /// When each instance was last listed, also of those that are not any more.
+    listed_at: BTreeMap<SocketAddr, Instant>,
     /// Last known zone of each.
     zones: BTreeMap<SocketAddr, id::Zone>,
     leader: Option<SocketAddr>,
@@ -155,6 +161,7 @@
             zone: zone.to_owned(),
             seeds: BTreeSet::new(),
             controls: Vec::new(),
+            listed_at: BTreeMap::new(),
             zones: BTreeMap::new(),
             leader: None,
             known: BTreeMap::new(),
@@ -169,11 +176,15 @@
     }
 
     /// Records a list of the control instances. An instance that has just started has an empty one.
-    pub fn record_peers(&mut self, peers: &Peers) {
+    pub fn record_peers(&mut self, peers: &Peers, now: Instant) {
         if peers.controls.is_empty() {
             return;
         }
-        self.controls.clone_from(&peers.controls);
+        let listed = peers.controls.iter().map(|control| (*control, now));
+        self.listed_at.extend(listed);
+        let recent = self.listed_at.iter();
+        let recent = recent.filter(|(_, listed_at)| now < **listed_at + LIST_TIMEOUT);
+        self.controls = recent.map(|(control, _)| *control).collect();
         self.leader = peers.leader.or(self.leader);
         let known = peers.controls.iter().zip(&peers.zones);
         let known = known.filter(|(_, zone)| !zone.is_empty());
@@ -220,7 +231,7 @@
         let plan = if self.uses_relays() {
             self.plan_relays(now)
         } else {
-            let all = self.seeds.iter().chain(&self.controls);
+            let all = self.seeds.iter().chain(self.listed_at.keys());
             all.map(|control| (*control, Role::Direct)).collect()
         };
         self.adopt(&plan, now);
@@ -338,13 +349,15 @@
         unreached.retain(|control| {
             let feed = self.feed(*control);
             let since = feed.and_then(|feed| feed.unreached_since);
-            let rests = feed
-                .and_then(|feed| feed.failed_at)
-                .is_some_and(|failed_at| now < failed_at + RETRY_INTERVAL);
+            since.is_some_and(|since| now >= since + UNREACHED_DELAY)
+        });
+        unreached.sort_by_key(|control| {
+            let feed = self.feed(*control);
+            let failed_at = feed.and_then(|feed| feed.failed_at);
+            let rests = failed_at.is_some_and(|failed_at| now < failed_at + RETRY_INTERVAL);
             let is_live = feed.is_some_and(|feed| feed.is_live(now));
-            since.is_some_and(|since| now >= since + UNREACHED_DELAY) && (is_live || !rests)
+            (!is_live, rests, Some(*control) != self.leader)
         });
-        unreached.sort_by_key(|control| Some(*control) != self.leader);
         for control in unreached {
             if self.count(plan).1 < MAX_REMOTE || self.is_own(&control) {
                 plan.entry(control).or_insert(Role::Direct);
--- a/crates/flamingo-link/src/subscription.rs
+++ b/crates/flamingo-link/src/subscription.rs
@@ -32,6 +32,8 @@
 const REDIAL_INTERVAL: Duration = Duration::from_millis(150);
 /// Interval at which an entry reconsiders which control instances it follows.
 const PLANNING_INTERVAL: Duration = Duration::from_millis(100);
+/// Time between two lines about followed instances: while most are down, they change at each planning.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum number of heartbeats that wait to be sent on a stream.
 const MAX_QUEUED_HEARTBEATS: usize = 4;
 
@@ -72,6 +74,8 @@
     /// `None` where every instance is followed.
     feeds: Option<RefCell<Feeds>>,
     plan: RefCell<Plan>,
+    /// The plan that was last logged, and when.
+    logged: RefCell<Option<(Plan, Instant)>>,
     followed: RefCell<BTreeMap<SocketAddr, AbortHandle>>,
     /// Notifies all streams when other routes come into force or an instance is asked for relaying.
     heartbeat_due: watch::Sender<()>,
@@ -113,6 +117,7 @@
             handler,
             feeds,
             plan: RefCell::default(),
+            logged: RefCell::default(),
             followed: RefCell::default(),
             heartbeat_due: watch::channel(()).0,
             log,
@@ -158,17 +163,15 @@
         let Some(feeds) = &self.feeds else {
             return;
         };
-        let plan = feeds.borrow_mut().plan(Instant::now());
+        let now = Instant::now();
+        let plan = feeds.borrow_mut().plan(now);
+        let counts = feeds.borrow().count(&plan);
+        self.log_plan(&plan, counts, now);
         let previous = self.plan.replace(plan.clone());
         if previous == plan {
             return;
         }
-        let (own, other) = feeds.borrow().count(&plan);
-        let relays = plan.iter().filter(|(_, role)| **role == Role::Relay);
-        let relays: Vec<String> = relays.map(|(relay, _)| relay.to_string()).collect();
-        info!(self.log, "control instances chosen"; "own_zone" => own, "other_zones" => other,
-            "relays" => relays.join(","));
-        self.handler.on_followed(own, other);
+        self.handler.on_followed(counts.0, counts.1);
         for closed in previous.keys().filter(|known| !plan.contains_key(known)) {
             if let Some(following) = self.followed.borrow_mut().remove(closed) {
                 following.abort();
@@ -179,23 +182,36 @@
         self.heartbeat_due.send_replace(());
     }
 
-    /// Tells the feeds that an instance can't be followed now.
-    fn record_disconnect(self: &Rc<Self>, address: SocketAddr) {
-        if let Some(feeds) = &self.feeds {
-            feeds.borrow_mut().disconnect(address, Instant::now());
-            self.apply_plan();
+    /// Logs a changed plan, at most once every [`LOG_INTERVAL`].
+    fn log_plan(&self, plan: &Plan, (own, other): (usize, usize), now: Instant) {
+        let mut logged = self.logged.borrow_mut();
+        let is_early = logged
+            .as_ref()
+            .is_some_and(|(last, at)| last == plan || now < *at + LOG_INTERVAL);
+        if is_early {
+            return;
         }
+        *logged = Some((plan.clone(), now));
+        let relays = plan.iter().filter(|(_, role)| **role == Role::Relay);
+        let relays: Vec<String> = relays.map(|(relay, _)| relay.to_string()).collect();
+        info!(self.log, "control instances chosen"; "own_zone" => own, "other_zones" => other,
+            "relays" => relays.join(","));
     }
 
     /// Follows the instance at `address` and reopens the stream whenever it ends.
     async fn keep_following(self: Rc<Self>, address: SocketAddr) {
         loop {
             let reason = self.follow_stream(address).await;
+            if let Some(feeds) = &self.feeds {
+                feeds.borrow_mut().disconnect(address, Instant::now());
+            }
             if let Some(reason) = reason {
                 warn!(self.log, "subscription to control instance ended"; "control" => %address, "why" => reason);
                 self.handler.on_disconnect(address);
+                // A dial that fails waits for the next planning instead, so that instances that are all
+                // down are not dialled one after the other without a pause.
+                self.apply_plan();
             }
-            self.record_disconnect(address);
             tokio::time::sleep(REDIAL_INTERVAL).await;
         }
     }
@@ -278,12 +294,13 @@
             return false;
         };
         let mut feeds = feeds.borrow_mut();
-        feeds.record_push(address, Instant::now());
+        let now = Instant::now();
+        feeds.record_push(address, now);
         match push {
-            Push::Peers(peers) => feeds.record_peers(peers),
+            Push::Peers(peers) => feeds.record_peers(peers, now),
             Push::Reached(reached) => feeds.record_reached(address, reached),
             Push::Relayed(Relayed { push, .. }) => match &**push {
-                Push::Peers(peers) => feeds.record_peers(peers),
+                Push::Peers(peers) => feeds.record_peers(peers, now),
                 _ => return false,
             },
             _ => return false,
--- a/crates/flamingo-link/tests/feeds.rs
+++ b/crates/flamingo-link/tests/feeds.rs
@@ -103,11 +103,12 @@
                 None | Some(Fault::CutOff) => {
                     self.silent_since.insert(control, self.now);
                     self.feeds.record_push(control, self.now);
-                    self.feeds.record_peers(&Peers {
+                    let peers = Peers {
                         controls: self.controls.clone(),
                         zones: self.zones.clone(),
                         ..Peers::default()
-                    });
+                    };
+                    self.feeds.record_peers(&peers, self.now);
                     if role == Role::Relay {
                         let reached = self.reached(control);
                         self.feeds.record_reached(control, &reached);
@@ -287,3 +288,29 @@
     assert!(world.longest_gap <= limit, "{:?}", world.longest_gap);
     assert!(world.followed().1 <= MAX_REMOTE);
 }
+
+/// Guards against streams that are opened and closed by turns while the members of the log change: one
+/// instance already lists a new member, another one does not yet.
+#[test]
+fn lists_that_differ_change_nothing_by_turns() {
+    for zones in [1, 2] {
+        let mut world = World::new("entry", 0, zones, 3, None);
+        world.run(Duration::from_secs(3));
+        let all = world.controls.clone();
+        let plan = world.plan.clone();
+        for turn in 0..40 {
+            world.now += TICK;
+            let listed = all.len() - turn % 2;
+            let peers = Peers {
+                controls: all[..listed].to_vec(),
+                zones: world.zones[..listed].to_vec(),
+                ..Peers::default()
+            };
+            world.feeds.record_peers(&peers, world.now);
+            for control in plan.keys() {
+                world.feeds.record_push(*control, world.now);
+            }
+            assert_eq!(world.feeds.plan(world.now), plan);
+        }
+    }
+}
--- a/crates/flamingo-serve/src/demand.rs
+++ b/crates/flamingo-serve/src/demand.rs
@@ -12,6 +12,7 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use tokio::time::MissedTickBehavior;
 
 /// Interval between two reports.
 const REPORT_INTERVAL: Duration = Duration::from_millis(100);
@@ -130,8 +131,11 @@
 ) {
     let mut reported_at: Option<Instant> = None;
     let mut direct_until: Option<Instant> = None;
+    // The time for which an acknowledgement takes must not add to the age of the next report.
+    let mut interval = tokio::time::interval(REPORT_INTERVAL);
+    interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        tokio::time::sleep(REPORT_INTERVAL).await;
+        interval.tick().await;
         let Some(leader) = topology.peers.borrow().leader else {
             continue;
         };
