Relays send routes at once, and only a leader hands residencies to other control instances

An entry that follows a relay alone had to wait for the backoff of an instance that does not lead: 600 ms and two copies at worst, which for a set of 1 MB is over 2.5 s. A control instance that had led before a partition would have handed its old residencies to the others when they reconnected.

Tested: relay::a_late_follower_gets_the_last_residency_of_each_target.

--- a/crates/flamingo-control/src/registry.rs
+++ b/crates/flamingo-control/src/registry.rs
@@ -111,6 +111,15 @@
     last_heartbeat: Instant,
 }
 
+/// A list of the processes that was published.
+#[derive(Debug)]
+struct PublishedPeers {
+    peers: Peers,
+    /// Whether this instance led.
+    leads: bool,
+    at: Instant,
+}
+
 /// The targets that registered with this instance or with another control instance.
 #[derive(Debug)]
 pub struct Registry {
@@ -127,8 +136,8 @@
     reach: Reach,
     /// The newest residency of each target, for new followers.
     residencies: Residencies,
-    /// The last list of the processes that this instance published, and when.
-    peers: Option<(Peers, Instant)>,
+    /// The last list of the processes that this instance published.
+    peers: Option<PublishedPeers>,
     pushes: Sender<Arc<Broadcast>>,
 }
 
@@ -286,13 +295,17 @@
 
     /// Publishes which models and adapters targets have resident.
     pub fn publish_residency(&mut self, now: Instant, residencies: Vec<Residency>) {
-        self.residencies.record(&residencies, true, now);
+        self.residencies.record(&residencies, now);
         self.publish(Push::Residency(residencies));
     }
 
-    /// Publishes the processes of the system.
-    pub fn publish_peers(&mut self, now: Instant, peers: Peers) {
-        self.peers = Some((peers.clone(), now));
+    /// Publishes the processes of the system. `leads` says whether this instance is the leader.
+    pub fn publish_peers(&mut self, now: Instant, peers: Peers, leads: bool) {
+        self.peers = Some(PublishedPeers {
+            peers: peers.clone(),
+            leads,
+            at: now,
+        });
         self.publish(Push::Peers(peers));
     }
 
@@ -384,14 +397,17 @@
     #[must_use]
     pub fn state_after_targets(&self, relays: bool, now: Instant) -> Vec<Push> {
         let mut state = Vec::new();
-        let residencies = self.residencies.newest(relays, now);
-        if !residencies.is_empty() {
+        let published = self.peers.as_ref();
+        let published = published.filter(|published| now < published.at + PEERS_TIMEOUT);
+        // Another control instance gets the residencies from the leader alone: what an earlier leader
+        // knows must not replace them.
+        let leads = published.is_some_and(|published| published.leads);
+        let residencies = self.residencies.newest(now);
+        if (relays || leads) && !residencies.is_empty() {
             state.push(Push::Residency(residencies));
         }
         if relays {
-            let peers = self.peers.iter();
-            let recent = peers.filter(|(_, published_at)| now < *published_at + PEERS_TIMEOUT);
-            state.extend(recent.map(|(peers, _)| Push::Peers(peers.clone())));
+            state.extend(published.map(|published| Push::Peers(published.peers.clone())));
             state.push(Push::Reached(self.reach.current(now)));
         }
         state
@@ -404,7 +420,7 @@
         match push {
             Push::Targets(registrations) => self.receive_targets(now, origin, registrations),
             Push::Residency(residencies) => {
-                self.residencies.record(&residencies, false, now);
+                self.residencies.record(&residencies, now);
                 self.relay(origin, Push::Residency(residencies));
             }
             Push::Unchanged(_) | Push::Quarantines(_) => {
--- a/crates/flamingo-control/src/registry/relay.rs
+++ b/crates/flamingo-control/src/registry/relay.rs
@@ -55,14 +55,11 @@
 #[derive(Debug, Default)]
 pub(super) struct Residencies {
     newest: BTreeMap<id::Target, (Residency, Instant)>,
-    /// Whether this instance published the last ones.
-    is_own: bool,
 }
 
 impl Residencies {
-    /// Records residencies that this instance (`is_own`) or another one has published.
-    pub(super) fn record(&mut self, residencies: &[Residency], is_own: bool, now: Instant) {
-        self.is_own = is_own;
+    /// Records residencies that this instance or another one has published.
+    pub(super) fn record(&mut self, residencies: &[Residency], now: Instant) {
         for residency in residencies {
             let key = residency.target.clone();
             self.newest.insert(key, (residency.clone(), now));
@@ -82,12 +79,8 @@
         }
     }
 
-    /// Returns the residencies for a new follower. One without relays gets only those that this
-    /// instance published last, so that an older state of another instance never replaces them.
-    pub(super) fn newest(&self, relays: bool, now: Instant) -> Vec<Residency> {
-        if !relays && !self.is_own {
-            return Vec::new();
-        }
+    /// Returns the newest residencies, as they are at `now`.
+    pub(super) fn newest(&self, now: Instant) -> Vec<Residency> {
         let newest = self.newest.values();
         newest
             .map(|(residency, at)| aged(residency, now.saturating_duration_since(*at)))
--- a/crates/flamingo-control/src/watch.rs
+++ b/crates/flamingo-control/src/watch.rs
@@ -119,6 +119,16 @@
     out: Sender<Result<Frame, Status>>,
 }
 
+impl FollowerStream {
+    /// Returns the offer of the instance of `seal` to this follower. A follower that wants relayed pushes
+    /// usually follows no other instance, so it gets routes at once, as from the leader.
+    fn offer(&self, update: &RoutesUpdate, seal: &Seal) -> Offer {
+        let mut offer = update.offer(&self.node, seal.node());
+        offer.leads |= self.relays;
+        offer
+    }
+}
+
 impl Publisher {
     /// Serves one follower until its stream ends or brings no heartbeat for [`STREAM_TIMEOUT`].
     pub async fn serve(
@@ -264,19 +274,21 @@
     /// Schedules newer routes for a follower that follows routes and lacks them.
     fn schedule_routes(&mut self, stream: &mut FollowerStream) {
         let update = self.routes.borrow_and_update();
-        if let (Some(update), Some(transfer)) = (update.as_ref(), &mut stream.routes) {
-            let offer = update.offer(&stream.node, self.seal.node());
+        let offer = update
+            .as_ref()
+            .map(|update| stream.offer(update, &self.seal));
+        if let (Some(offer), Some(transfer)) = (offer, &mut stream.routes) {
             transfer.offer(offer, Instant::now());
         }
     }
 
     /// Records the version of the routes that a follower reported.
     fn record_routes(&self, stream: &mut FollowerStream, version: Option<id::Version>) {
+        let update = self.routes.borrow();
+        let offer = update
+            .as_ref()
+            .map(|update| stream.offer(update, &self.seal));
         if let (Some(version), Some(transfer)) = (version, &mut stream.routes) {
-            let update = self.routes.borrow();
-            let offer = update
-                .as_ref()
-                .map(|update| update.offer(&stream.node, self.seal.node()));
             transfer.report(version, offer, Instant::now());
         }
     }
@@ -285,10 +297,13 @@
     /// `None` where the stream has ended.
     async fn send_routes(&self, stream: &mut FollowerStream) -> Option<()> {
         let update = self.routes.borrow().clone();
-        let (Some(update), Some(transfer)) = (update, &mut stream.routes) else {
+        let offer = update
+            .as_ref()
+            .map(|update| stream.offer(update, &self.seal));
+        let (Some(update), Some(offer), Some(transfer)) = (update, offer, &mut stream.routes)
+        else {
             return Some(());
         };
-        let offer = update.offer(&stream.node, self.seal.node());
         if !transfer.send(offer, Instant::now()) {
             return Some(());
         }
--- a/crates/flamingo-control/tests/relay.rs
+++ b/crates/flamingo-control/tests/relay.rs
@@ -159,8 +159,10 @@
     let state = registry.state_after_targets(true, now + SECOND);
     loads.loading.as_mut().expect("a load").remaining_ms = 500;
     assert_eq!(state[0], Push::Residency(vec![loads]));
-    // A control instance gets it from the leader alone, which knows the newest.
-    assert!(registry.state_after_targets(false, now).is_empty());
+    // A control instance gets it from the leader alone: an earlier leader may know older ones.
     registry.publish_residency(now, vec![residency("loads", "n", false)]);
+    assert!(registry.state_after_targets(false, now).is_empty());
+    registry.publish_peers(now, Peers::default(), true);
     assert_eq!(registry.state_after_targets(false, now).len(), 1);
+    assert!(registry.state_after_targets(false, now + SECOND).is_empty());
 }
