Read-through of the new parts: names, comments, one rule for late requests

Workspace counters have a file of their own. No behaviour changes but for the mark of late requests on routes of rank 9.

--- a/crates/flamingo-control/src/controller/adapter_time.rs
+++ b/crates/flamingo-control/src/controller/adapter_time.rs
@@ -1,8 +1,8 @@
 //! Estimates how long engines take to load an adapter.
 //!
-//! Answers one load: many requests for adapters that are not resident, at engines whose adapters take
-//! a time that nothing states and that grows while many are loaded. A request that is sent too early is
-//! rejected, and most requests may be sent to one target only; one that is sent late has waited in vain.
+//! Engines do not report how long an adapter takes to load, and the time grows with the number of loads
+//! in progress. A request that is sent before its adapter is loaded is rejected, and most requests may
+//! be sent to one target only; a longer wait than needed adds latency.
 
 use flamingo_wire::id;
 use std::collections::BTreeMap;
@@ -14,8 +14,8 @@
 const MAX_DELAY: Duration = Duration::from_millis(250);
 /// Factor by which a request that came too early raises the time.
 const MISS_FACTOR: f64 = 1.5;
-/// Factor by which each further load lowers the time. With `MISS_FACTOR` it lets about one load in
-/// eighty be too early.
+/// Factor by which each further load lowers the time. About 81 loads (ln 1.5 / -ln 0.995) undo one miss,
+/// so about one load in eighty is too early.
 const LOAD_FACTOR: f64 = 0.995;
 
 /// The model of a service whose adapters are loaded.
--- a/crates/flamingo-control/src/controller/mod.rs
+++ b/crates/flamingo-control/src/controller/mod.rs
@@ -174,7 +174,7 @@
     permits: Permits,
     /// Times that the adapters of models take to load.
     adapter_times: AdapterTimes,
-    /// Quotas of workspaces; `None` before the first question of an entry.
+    /// Quotas of workspaces; `None` before the first leadership.
     quotas: Option<Ledger>,
     quotas_logged_at: Option<Instant>,
     /// Models that no engine has resident, by service and model.
--- a/crates/flamingo-control/src/controller/orders.rs
+++ b/crates/flamingo-control/src/controller/orders.rs
@@ -19,10 +19,10 @@
 const MIN_LEADERSHIP_LEFT: Duration = Duration::from_millis(100);
 /// Adapters that are unloaded at most for one load.
 const MAX_EVICTIONS: usize = 2;
-/// Time since its last use after which an adapter that a target lacks is loaded again. One that was used
-/// later is believed to be on its way.
-const ADAPTER_RECENT: Duration = Duration::from_secs(1);
-/// Shortest wait for an adapter that is on its way.
+/// Time since its last use for which an adapter that a target lacks is assumed to be still loading, so
+/// that the request waits. After a longer time the adapter is loaded again.
+const ADAPTER_LOADING_WINDOW: Duration = Duration::from_secs(1);
+/// Shortest wait for an adapter that is assumed to be still loading.
 const MIN_ADAPTER_WAIT: Duration = Duration::from_millis(4);
 
 /// What the controller knew of an engine when it gave an order, for the log.
@@ -186,7 +186,8 @@
         let lock = self.order_lock(&key.target);
         let _turn = lock.lock().await;
         let (times_key, used_at) = self.use_adapter(&key, request)?;
-        let is_recent = used_at.is_some_and(|used_at| clock::now() < used_at + ADAPTER_RECENT);
+        let is_recent =
+            used_at.is_some_and(|used_at| clock::now() < used_at + ADAPTER_LOADING_WINDOW);
         match (used_at, request.missed) {
             (Some(_), false) => return Ok(()),
             (Some(_), true) if is_recent => {
--- a/crates/flamingo-guard/src/quota.rs
+++ b/crates/flamingo-guard/src/quota.rs
@@ -29,9 +29,8 @@
 /// Time without a confirmed answer after which the leader withholds an entry's share. It is shorter
 /// than [`SHARE_DELAY`], so that a share is withheld before it is used.
 pub const SILENCE: Duration = Duration::from_millis(500);
-/// Part of the rate that is leased as shares. A new leader can't give out what an earlier one has leased
-/// until the leases end; with the whole rate leased, no workspace whose entries had restarted was served
-/// for ten seconds.
+/// Part of the rate that is leased as shares. A new leader withholds all that an earlier one may have
+/// leased until [`LEASE`] ends; the remaining part refills the buckets meanwhile.
 pub const SHARED_PART: f64 = 0.3;
 /// Time for which shares save up what they are not used for, in seconds.
 const SHARE_SAVING_S: f64 = 0.4;
--- a/crates/flamingo-guard/src/quota/account.rs
+++ b/crates/flamingo-guard/src/quota/account.rs
@@ -316,7 +316,7 @@
         waiting.into_iter().map(decide).collect()
     }
 
-    /// Decides on a request by the share, if the entry is out of touch and has one that can pay for
+    /// Decides on a request by the share, if no leader has answered for [`SHARE_DELAY`] and the share can pay for
     /// the request.
     fn decide_by_share(
         &mut self,
--- a/crates/flamingo-guard/src/quota/account/purse.rs
+++ b/crates/flamingo-guard/src/quota/account/purse.rs
@@ -26,7 +26,7 @@
     /// The whole rate from which it was taken.
     of_per_s: f64,
     until: Instant,
-    /// What it has saved up since the entry is out of touch, and until when.
+    /// Units saved up since the entry last lost the leader, as of `saved_at`.
     saved: f64,
     saved_at: Instant,
 }
--- a/crates/flamingo-guard/src/quota/ledger/bucket.rs
+++ b/crates/flamingo-guard/src/quota/ledger/bucket.rs
@@ -1,7 +1,7 @@
 //! The token bucket of one workspace.
 
 use super::super::{bucket_size, max_debt, shared_rate};
-use super::holdings::{Holdings, positive};
+use super::holdings::{Holdings, non_negative};
 use super::promises::Promises;
 use super::{Entry, Key, Level};
 use flamingo_wire::quota::{Decision, Grant, Use, Want};
@@ -14,11 +14,11 @@
 const REFRESH_INTERVAL: Duration = Duration::from_millis(20);
 /// Longest time that a request is told to wait.
 const MAX_WAIT: Duration = Duration::from_mins(1);
-/// Part of the bucket that stays full when credit is granted ahead of use, and that credit which is
-/// held leaves free.
+/// Part of the bucket that is not granted as credit ahead of use. Credit that entries hold is renewed
+/// only while all of it is at most this part of the bucket.
 const KEPT_PART: f64 = 0.5;
-/// Requests for which promises leave room in the bucket: with half of the bucket left, 10% of the limit was lost where the bucket holds only
-/// a few requests.
+/// Requests for which the bucket keeps room when units are reserved for promises. In a bucket that holds
+/// only a few requests, half of it would be too little room, and a full bucket loses its refill.
 const ROOM_REQUESTS: f64 = 3.0;
 /// Part of the rate that is taken to refill the bucket, at least, when a wait is computed: withheld
 /// parts come back within seconds.
@@ -149,7 +149,7 @@
 
     /// Decides on a request that lacks credit.
     fn decide(&mut self, want: Want, now: Instant) -> Decision {
-        let cost = positive(want.units);
+        let cost = non_negative(want.units);
         let max_debt = max_debt(&self.quota);
         if cost > bucket_size(&self.quota) + max_debt {
             return Decision::TooLarge;
@@ -190,8 +190,8 @@
         let per_s = self.refill_per_s(now);
         let surplus = self.promises.surplus(self.units, per_s, now);
         let available = (surplus - bucket_size(&self.quota) * KEPT_PART).max(0.0);
-        let credit = positive(usage.ahead).min(available);
-        if credit + positive(usage.held) < positive(usage.mean) {
+        let credit = non_negative(usage.ahead).min(available);
+        if credit + non_negative(usage.held) < non_negative(usage.mean) {
             return 0.0;
         }
         self.units -= credit;
--- a/crates/flamingo-guard/src/quota/ledger/holdings.rs
+++ b/crates/flamingo-guard/src/quota/ledger/holdings.rs
@@ -124,8 +124,8 @@
         } else {
             0.0
         };
-        let held = positive(usage.held);
-        let refund = positive(usage.returned).min(counted - held).max(0.0);
+        let held = non_negative(usage.held);
+        let refund = non_negative(usage.returned).min(counted - held).max(0.0);
         self.sums.credit += held - holding.credit;
         holding.credit = held;
         holding.credit_until = now + CREDIT_LIFETIME;
@@ -133,7 +133,7 @@
         let share = if lease.is_zero() {
             0.0
         } else {
-            positive(usage.share)
+            non_negative(usage.share)
         };
         self.sums.shares += share - holding.share;
         if !known {
@@ -141,9 +141,9 @@
         }
         holding.share = share;
         holding.share_until = now + lease;
-        holding.rate = positive(usage.rate);
+        holding.rate = non_negative(usage.rate);
         holding.rate_until = now + LEASE;
-        holding.mean = positive(usage.mean);
+        holding.mean = non_negative(usage.mean);
         Stated {
             refund,
             share,
@@ -208,8 +208,8 @@
     }
 }
 
-/// Returns a number of a message as it is used here: finite and not negative.
-pub(super) fn positive(number: f64) -> f64 {
+/// Returns a number from a message, with 0 for one that is negative or not finite.
+pub(super) fn non_negative(number: f64) -> f64 {
     if number.is_finite() {
         number.max(0.0)
     } else {
--- a/crates/flamingo-guard/tests/quota/failures.rs
+++ b/crates/flamingo-guard/tests/quota/failures.rs
@@ -141,7 +141,7 @@
     for entry in 0..ENTRIES / 2 {
         load.0.entries[entry].frozen = true;
     }
-    // The shares, half of the limit, end after 10 s. What is promised to callers that don't come
+    // The shares of the frozen entries end after 10 s. What is promised to callers that don't come
     // back makes the bucket vary by half of its size.
     load.run(seconds(11), 4);
     let (sent, _) = load.run(seconds(8), 4);
--- a/crates/flamingo-link/src/subscription.rs
+++ b/crates/flamingo-link/src/subscription.rs
@@ -246,7 +246,9 @@
             match received {
                 // What arrives after the deadline was sent before this process or the connection stood
                 // still, and must neither be taken for current nor relayed.
-                Ok(Ok(Some(_))) if Instant::now() >= stream_deadline => return Some("held up"),
+                Ok(Ok(Some(_))) if Instant::now() >= stream_deadline => {
+                    return Some("no message before the deadline");
+                }
                 Ok(Ok(Some(frame))) => {
                     match self.identity.seal.open(&frame, SystemTime::now()) {
                         Ok(push) => self.handle(address, push),
--- a/crates/flamingo-serve/src/authentication.rs
+++ b/crates/flamingo-serve/src/authentication.rs
@@ -9,9 +9,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Time without a sign of a leader after which an entry does not know whether a newer configuration
-/// is in force. A change must be in force everywhere within 2.5 s, and the leader speaks twice a
-/// second.
+/// Longest time without a push that shows a leader, after which this entry may have missed a newer
+/// configuration. A change must be in force everywhere within 2.5 s, and the leader pushes twice a second.
 pub const MAX_LEADER_SILENCE: Duration = Duration::from_secs(2);
 
 /// First bytes of a digest.
--- a/crates/flamingo-serve/src/choice.rs
+++ b/crates/flamingo-serve/src/choice.rs
@@ -182,6 +182,12 @@
 }
 
 impl Candidate {
+    /// Returns whether the request is sent to be answered late, behind the rank of its route.
+    #[must_use]
+    pub fn is_late(&self, route_rank: Rank) -> bool {
+        self.rank != route_rank
+    }
+
     /// Returns the incarnation of the target.
     #[must_use]
     pub fn life(&self) -> Life {
@@ -272,7 +278,7 @@
         candidates.push(candidate);
     }
     retain_preferred(&mut candidates, |candidate| !candidate.last_resort);
-    retain_spare(&mut candidates, required);
+    remove_busy_foreign(&mut candidates, required);
     let home_remains = candidates
         .iter()
         .any(|candidate| required.is_home(candidate));
@@ -334,7 +340,7 @@
 }
 
 /// Removes targets of other zones that have no spare capacity, if there is one in the home zone.
-fn retain_spare(candidates: &mut Vec<Candidate>, required: &Requirements<'_>) {
+fn remove_busy_foreign(candidates: &mut Vec<Candidate>, required: &Requirements<'_>) {
     let Some(terms) = required.leaving else {
         return;
     };
@@ -343,7 +349,7 @@
         .any(|candidate| required.is_home(candidate))
     {
         candidates.retain(|candidate| {
-            required.is_home(candidate) || terms.is_spare(candidate.queueing_delay)
+            required.is_home(candidate) || terms.has_spare_capacity(candidate.queueing_delay)
         });
     }
 }
--- a/crates/flamingo-serve/src/departure.rs
+++ b/crates/flamingo-serve/src/departure.rs
@@ -15,8 +15,8 @@
 use std::time::Duration;
 use strum::IntoStaticStr;
 
-/// Least cost of leaving at a price above 0. Levels of zones differ by less than this at balanced load,
-/// as state 200 ms old shows them.
+/// Least cost of leaving the zone if the price is above 0. Predicted delays are made from state that is
+/// up to 200 ms old, so zones under equal load appear to differ by up to about this much.
 const MIN_COST: Duration = Duration::from_millis(110);
 /// Highest cost of leaving, as a percentage of the time that a request has left to be on time. Beyond
 /// it, the risk of being late outweighs any price.
@@ -24,10 +24,10 @@
 /// Longest queue of a target in another zone that takes requests of this zone while this zone has
 /// targets, as a percentage of the objective. With a longer one it has no spare capacity.
 const MAX_SPARE_QUEUE_PERCENT: u32 = 50;
-/// Difference between the levels of home and other targets, beyond the cost, at which all requests
-/// leave, in milliseconds. Entries correct the level by state that is up to 200 ms old: with less than
-/// the work of one such interval, more than the difference leaves, and the level oscillates.
-const BAND_MS: f64 = 250.0;
+/// Excess of the home zone's delay over that of other zones, beyond the cost, at which all requests
+/// leave, in milliseconds. Entries act on state that is up to 200 ms old. A smaller value moves more
+/// work per interval than the excess, so the delays oscillate.
+const FULL_DEPARTURE_MS: f64 = 250.0;
 /// Bytes of the heads of a request and its response.
 const HEAD_BYTES: usize = 1_000;
 /// Bytes of an event of a stream, which carries one output token.
@@ -163,7 +163,7 @@
     /// Returns whether a target in another zone has capacity to spare, if it begins with the request
     /// after `queueing_delay`. With a price of 0 there is no distinction between zones.
     #[must_use]
-    pub fn is_spare(&self, queueing_delay: Duration) -> bool {
+    pub fn has_spare_capacity(&self, queueing_delay: Duration) -> bool {
         let longest = self.objective * MAX_SPARE_QUEUE_PERCENT / 100;
         self.is_free() || queueing_delay <= longest
     }
@@ -234,7 +234,7 @@
     }
     for zone in others.into_iter().take(zones - 1) {
         own_ms -= part_ms;
-        pour(places, zone, part_ms, &mut loads);
+        add_work_of_zone(places, zone, part_ms, &mut loads);
     }
     for (load, place) in loads.iter_mut().zip(places) {
         *load += place.offset_ms;
@@ -243,12 +243,12 @@
     if zones == 1 {
         return shares;
     }
-    damp(places, home, &loads, shares)
+    limit_departures(places, home, &loads, shares)
 }
 
-/// Bounds the share that leaves to what the levels differ by, as a part of `BAND_MS`. `shares` are
-/// those of water filling.
-fn damp(places: &[Place<'_>], home: &str, loads: &[f64], shares: Vec<f64>) -> Vec<f64> {
+/// Limits the work that leaves the home zone to the excess of the home delay over that of other zones,
+/// as a fraction of [`FULL_DEPARTURE_MS`]. `shares` are the result of water filling.
+fn limit_departures(places: &[Place<'_>], home: &str, loads: &[f64], shares: Vec<f64>) -> Vec<f64> {
     let work_ms: f64 = shares.iter().sum();
     let is_home: Vec<bool> = places.iter().map(|place| place.zone == home).collect();
     let sum_away = |shares: &[f64]| -> f64 {
@@ -264,14 +264,14 @@
     }
     // If all stay, each home target is filled up to the same level, or is above it.
     let mut staying = loads.to_vec();
-    pour(places, home, work_ms, &mut staying);
+    add_work_of_zone(places, home, work_ms, &mut staying);
     let lowest = |wanted: bool| {
         let loads = staying.iter().zip(&is_home);
         let loads = loads.filter(|(_, home)| **home == wanted);
         loads.map(|(load, _)| *load).fold(f64::INFINITY, f64::min)
     };
     let excess_ms = lowest(true) - lowest(false);
-    let bound_ms = work_ms * (excess_ms / BAND_MS).min(1.0);
+    let bound_ms = work_ms * (excess_ms / FULL_DEPARTURE_MS).min(1.0);
     if leaving_ms <= bound_ms {
         return shares;
     }
@@ -287,7 +287,7 @@
 }
 
 /// Adds the work that the entries of a zone send to the loads of its targets.
-fn pour(places: &[Place<'_>], zone: &str, work_ms: f64, loads: &mut [f64]) {
+fn add_work_of_zone(places: &[Place<'_>], zone: &str, work_ms: f64, loads: &mut [f64]) {
     let indices = (0..places.len()).filter(|index| places[*index].zone == zone);
     let indices: Vec<usize> = indices.collect();
     let of_zone: Vec<f64> = indices.iter().map(|index| loads[*index]).collect();
--- a/crates/flamingo-serve/src/lib.rs
+++ b/crates/flamingo-serve/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! HTTP heads are translated by a [`wire::Codec`], which the users' platform implements. Routing
 //! decisions are made without I/O in [`authentication`], [`table`], [`choice`], [`admission`],
-//! [`outlook`] and [`budget`]. The other modules handle connections and tasks. Everything runs on a single thread.
+//! [`departure`], [`outlook`] and [`budget`], from the estimates of [`speed`], [`pace`] and
+//! [`round_trip`]. The other modules handle connections and tasks. Everything runs on a single thread.
 
 pub mod admission;
 pub mod authentication;
--- a/crates/flamingo-serve/src/metrics.rs
+++ b/crates/flamingo-serve/src/metrics.rs
@@ -1,6 +1,9 @@
 //! Metrics of an entry in the Prometheus format.
 
-use crate::authentication::Decision;
+mod workspace;
+
+pub use workspace::WorkspaceCounters;
+
 use crate::pace::Standing;
 use crate::table::{Table, Target};
 use crate::topology::Topology;
@@ -25,14 +28,6 @@
 /// Label of the zones above `MAX_ZONES`.
 const OTHER_ZONES: &str = "other";
 
-/// Largest number of workspaces that have a time series of their own, over all configurations since the
-/// start, which bounds the size of a scrape.
-const MAX_WORKSPACES: usize = 64;
-/// Label of the workspaces beyond [`MAX_WORKSPACES`].
-const OTHER_WORKSPACES: &str = "(other)";
-/// Label of callers without a workspace.
-const NO_WORKSPACE: &str = "(none)";
-
 /// The metrics of one entry. Labels have values from the configuration and from fixed sets only,
 /// so callers can't increase the number of time series.
 #[derive(Clone, Debug)]
@@ -40,10 +35,8 @@
     registry: Registry,
     /// Requests by route and outcome.
     requests: IntCounterVec,
-    /// Requests by workspace and the decision on their key.
-    authentications: IntCounterVec,
-    /// Workspaces that have a time series of their own.
-    workspaces: Rc<RefCell<BTreeSet<String>>>,
+    /// Requests of workspaces.
+    workspaces: WorkspaceCounters,
     /// Time to the first event or to the complete response, by route.
     first_event: HistogramVec,
     /// Attempts to send a request to a target, by how they ended.
@@ -52,10 +45,6 @@
     pub unaffordable: IntCounterVec,
     /// Connections to targets that requests used, newly dialled or reused.
     pub connections: IntCounterVec,
-    /// Requests of workspaces with a quota, by workspace and outcome.
-    quota_requests: IntCounterVec,
-    /// Cost of the requests that a quota admitted, by workspace.
-    quota_units: IntCounterVec,
     /// Questions to the leader about quotas, by how they ended.
     pub quota_questions: IntCounterVec,
     /// Requests that were sent to be answered late, by route.
@@ -96,38 +85,32 @@
         );
         let first_event =
             HistogramVec::new(first_event.buckets(LATENCY_BUCKETS_S.to_vec()), &["route"])?;
-        let targets = Opts::new("flamingo_targets", "Known targets by standing.");
-        let prefill_rates = Opts::new(
-            "flamingo_prefill_tokens_per_ms",
-            "Fitted prefill rate of a service, and of its slowest and fastest model.",
-        );
-        let target_factors = Opts::new(
-            "flamingo_target_factor",
-            "Fitted time of work at the fastest and the slowest target, relative to others.",
-        );
-        let paces = Opts::new(
-            "flamingo_target_paces",
-            "Known targets by whether they tell their pace and are believed.",
-        );
-        let controls = Opts::new(
-            "flamingo_controls_followed",
-            "Followed control instances in the entry's zone and in others.",
-        );
+        let gauges = |name: &str, help: &str, labels: &[&str]| {
+            registry.add(IntGaugeVec::new(Opts::new(name, help), labels)?)
+        };
+        let rates = |name: &str, help: &str| {
+            registry.add(GaugeVec::new(Opts::new(name, help), &["service", "of"])?)
+        };
         Ok(Self {
-            paces: registry.add(IntGaugeVec::new(paces, &["standing"])?)?,
-            prefill_rates: registry.add(GaugeVec::new(prefill_rates, &["service", "of"])?)?,
-            target_factors: registry.add(GaugeVec::new(target_factors, &["service", "of"])?)?,
+            paces: gauges(
+                "flamingo_target_paces",
+                "Known targets by whether they report their pace and whether it agrees with observed times.",
+                &["standing"],
+            )?,
+            prefill_rates: rates(
+                "flamingo_prefill_tokens_per_ms",
+                "Fitted prefill rate of a service, and of its slowest and fastest model.",
+            )?,
+            target_factors: rates(
+                "flamingo_target_factor",
+                "Fitted time of work at the fastest and the slowest target, relative to others.",
+            )?,
             requests: registry.counters(
                 "flamingo_requests_total",
                 "Requests by route and outcome.",
                 &["route", "outcome"],
             )?,
-            authentications: registry.counters(
-                "flamingo_authentications_total",
-                "Requests by workspace and the decision on their key.",
-                &["workspace", "decision"],
-            )?,
-            workspaces: Rc::default(),
+            workspaces: WorkspaceCounters::new(&registry)?,
             sendings: registry.counters(
                 "flamingo_sendings_total",
                 "Attempts to send a request to a target, by how they ended.",
@@ -138,16 +121,6 @@
                 "Connections to targets that requests used, newly dialled or reused.",
                 &["how"],
             )?,
-            quota_requests: registry.counters(
-                "flamingo_quota_requests_total",
-                "Requests of workspaces with a quota, by workspace and outcome.",
-                &["workspace", "outcome"],
-            )?,
-            quota_units: registry.counters(
-                "flamingo_quota_units_total",
-                "Units that requests have taken of quotas, by workspace.",
-                &["workspace"],
-            )?,
             quota_questions: registry.counters(
                 "flamingo_quota_questions_total",
                 "Questions to the leader about quotas, by how they ended.",
@@ -172,7 +145,11 @@
             version: registry
                 .gauge("flamingo_routes_version", "Version of the routes in force.")?,
             entries: registry.gauge("flamingo_entries", "Entries that control counts.")?,
-            controls: registry.add(IntGaugeVec::new(controls, &["zone"])?)?,
+            controls: gauges(
+                "flamingo_controls_followed",
+                "Followed control instances in the entry's zone and in others.",
+                &["zone"],
+            )?,
             leader_age: registry.gauge(
                 "flamingo_leader_age_ms",
                 "Time since the leader's last push, direct or relayed; -1 before the first.",
@@ -187,7 +164,11 @@
                 &["why"],
             )?,
             first_event: registry.add(first_event)?,
-            targets: registry.add(IntGaugeVec::new(targets, &["standing"])?)?,
+            targets: gauges(
+                "flamingo_targets",
+                "Known targets by standing.",
+                &["standing"],
+            )?,
             registry,
         })
     }
@@ -197,39 +178,10 @@
         self.requests.with_label_values(&[route, outcome]).inc();
     }
 
-    /// Counts a decision on the key of a request of `workspace`.
-    pub fn record_authentication(&self, workspace: Option<&str>, decision: Decision<'_>) {
-        let workspace = workspace.map_or(NO_WORKSPACE, |name| self.workspace_label(name));
-        let decision: &str = decision.into();
-        let labels = [workspace, decision];
-        self.authentications.with_label_values(&labels).inc();
-    }
-
-    /// Counts a request of a workspace with a quota, and its cost if it was admitted.
-    pub fn record_quota(&self, workspace: &str, outcome: &str, units: Option<f64>) {
-        let label = self.workspace_label(workspace);
-        let requests = self.quota_requests.with_label_values(&[label, outcome]);
-        requests.inc();
-        if let Some(units) = units {
-            // A float is cast to the nearest integer; a cost is neither negative nor larger than that.
-            #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-            let units = units.round() as u64;
-            self.quota_units.with_label_values(&[label]).inc_by(units);
-        }
-    }
-
-    /// Returns the label of a workspace, so that new names don't add time series without bound.
+    /// Returns the counters of requests by workspace.
     #[must_use]
-    pub fn workspace_label<'a>(&self, name: &'a str) -> &'a str {
-        let mut workspaces = self.workspaces.borrow_mut();
-        if workspaces.contains(name) {
-            return name;
-        }
-        if workspaces.len() >= MAX_WORKSPACES {
-            return OTHER_WORKSPACES;
-        }
-        workspaces.insert(name.to_owned());
-        name
+    pub fn workspaces(&self) -> &WorkspaceCounters {
+        &self.workspaces
     }
 
     /// Records the time to a first event or to a complete response.
--- a/crates/flamingo-serve/src/pace.rs
+++ b/crates/flamingo-serve/src/pace.rs
@@ -10,15 +10,15 @@
 /// Bounds of a reported pace. Below, a report would attract more requests than an error of the
 /// prediction may; above, it would keep a target without requests, and therefore without reports.
 const BOUNDS: (f64, f64) = (0.5, 4.0);
-/// Time after which the excess of a report over the usual pace is halved: spells last about 600 ms,
-/// and a report is on average in the middle of one.
+/// Time after which the excess of a report over the usual pace is halved. A slow period of a shared
+/// machine lasts about 600 ms, and a report falls on average in the middle of one.
 const HALF_LIFE: Duration = Duration::from_millis(300);
 /// Number of reports that the assumption of a usual pace of 1 counts for.
 const USUAL_PRIOR: f64 = 10.0;
 /// Number of reports that the usual pace is taken from.
 const USUAL_MEMORY: f64 = 200.0;
-/// Sum of squared logarithms that the assumption of true reports counts for: about ten samples of
-/// which one in seven is taken in a spell of 2.5.
+/// Weight of the prior that reports are accurate, as a sum of squared logarithms of the pace. It equals
+/// about ten samples, of which one in seven has a pace of 2.5.
 const TRUST_PRIOR: f64 = 1.3;
 /// Number of samples that the trust is taken from.
 const TRUST_MEMORY: f64 = 200.0;
@@ -40,16 +40,16 @@
     valid.then(|| pace.clamp(min, max))
 }
 
-/// Trust below which a target's reports count as not believed.
+/// Trust below which the reports of a target are shown to operators as inconsistent with observed times.
 const MIN_TRUST: f64 = 0.5;
 
-/// Whether a target tells its pace, for operators.
+/// Whether a target reports its pace, and whether the reports agree with observed times.
 #[derive(
     Clone, Copy, Debug, Eq, PartialEq, strum::Display, strum::EnumIter, strum::IntoStaticStr,
 )]
 #[strum(serialize_all = "snake_case")]
 pub enum Standing {
-    /// It has told none.
+    /// The target has reported no pace.
     Silent,
     /// Its reports explain most of the observed times, or too few times were observed yet.
     Believed,
--- a/crates/flamingo-serve/src/proxy.rs
+++ b/crates/flamingo-serve/src/proxy.rs
@@ -37,6 +37,7 @@
 use crate::sharers::Sharers;
 use crate::topology::Topology;
 use crate::wire::{AttemptId, Cause, Codec, Refusal, RequestHead};
+use bytes::Bytes;
 use flamingo_link::subscription::ControlClient;
 use flamingo_wire::config::LatePolicy;
 use flamingo_wire::id;
@@ -211,13 +212,11 @@
         if self.may_outlast_stop(&route, deadline) {
             return self.refuse_stopping(&route, &request, deadline);
         }
-        let buffer = self.memory.buffer(routes.set.limits.body_bytes);
-        let collected = collect(body, buffer, WhenFull::Refuse);
-        let body = match timeout_at(deadline.into(), collected).await {
-            Ok(Ok(body)) => body,
-            Ok(Err(Cause::NoMemory)) => return self.refuse_for_memory(&route, &request),
-            Ok(Err(cause)) => return self.refuse(Refusal::new(cause), Some(&request)),
-            Err(_) => return self.refuse(Refusal::new(Cause::Unreadable), Some(&request)),
+        let max_bytes = routes.set.limits.body_bytes;
+        let body = match self.receive_body(body, max_bytes, deadline).await {
+            Ok(body) => body,
+            Err(Cause::NoMemory) => return self.refuse_for_memory(&route, &request),
+            Err(cause) => return self.refuse(Refusal::new(cause), Some(&request)),
         };
         let earlier_wait = self.earlier_wait(&route, max_wait);
         let mut software = None;
@@ -270,13 +269,34 @@
             guard,
         };
         self.retries.record_request(&job.service, arrived_at);
-        let earlier_wait = job.earlier_wait;
-        let ratio = self.work_ratio(&job);
-        self.demand
-            .record_arrival(&job.service, &job.request, earlier_wait, ratio);
+        self.record_demand(&job);
         self.run(Rc::new(job)).await
     }
 
+    /// Counts a request in the demand that the leader places models by.
+    fn record_demand(&self, job: &Job) {
+        let ratio = self.work_ratio(job);
+        self.demand
+            .record_arrival(&job.service, &job.request, job.earlier_wait, ratio);
+    }
+
+    /// Returns the body of a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the body was not received whole by `deadline`.
+    async fn receive_body(
+        &self,
+        body: Incoming,
+        max_bytes: usize,
+        deadline: Instant,
+    ) -> Result<Bytes, Cause> {
+        let buffer = self.memory.buffer(max_bytes);
+        let collected = collect(body, buffer, WhenFull::Refuse);
+        let collected = timeout_at(deadline.into(), collected).await;
+        collected.unwrap_or(Err(Cause::Unreadable))
+    }
+
     /// Returns the response of a target, or gives up at the end of the process.
     async fn run(self: Rc<Self>, job: Rc<Job>) -> Response<Body> {
         tokio::select! {
--- a/crates/flamingo-serve/src/proxy/attempt.rs
+++ b/crates/flamingo-serve/src/proxy/attempt.rs
@@ -163,7 +163,7 @@
 
     /// Logs and counts a request that is sent to be answered late.
     fn record_late(&self, job: &Job, candidate: &Candidate) {
-        if candidate.rank == job.route.rank {
+        if !candidate.is_late(job.route.rank) {
             return;
         }
         info!(self.log, "request sent late"; "request" => &job.request.attempt_id,
--- a/crates/flamingo-serve/src/proxy/identity.rs
+++ b/crates/flamingo-serve/src/proxy/identity.rs
@@ -38,7 +38,9 @@
         };
         let name = workspace.as_ref().map(|workspace| workspace.name.as_str());
         self.codec.replace_identity(http_head, name);
-        self.metrics.record_authentication(name, decision);
+        self.metrics
+            .workspaces()
+            .record_authentication(name, decision);
         request.workspace = name.map(str::to_owned);
         let rank = workspace.as_ref().and_then(|workspace| workspace.rank);
         route.rank = rank.unwrap_or(route.rank);
--- a/crates/flamingo-serve/src/proxy/job.rs
+++ b/crates/flamingo-serve/src/proxy/job.rs
@@ -105,7 +105,7 @@
     /// further choices.
     pub fn begin_sending(&self, candidate: &Candidate) {
         self.sent.set(self.sent.get() + 1);
-        self.late.set(candidate.rank == LATE_RANK);
+        self.late.set(candidate.is_late(self.route.rank));
         self.tried.borrow_mut().push(candidate.life());
     }
 
--- a/crates/flamingo-serve/src/proxy/load_guard.rs
+++ b/crates/flamingo-serve/src/proxy/load_guard.rs
@@ -17,9 +17,9 @@
     rank: Rank,
     /// Prompt tokens that count as backlog, at the prefill rate of the service; 0 after the first event.
     backlog_tokens: Cell<u32>,
-    /// Whether the request is to be answered late and waits for its first event. It delays no other one
-    /// until then, so it doesn't count as running.
-    waits: Cell<bool>,
+    /// Whether the request is late and has no first event yet. Until then it delays no other request, so
+    /// it does not count as running.
+    late_and_waiting: Cell<bool>,
     adapter: Option<(id::Model, id::Adapter)>,
 }
 
@@ -30,7 +30,7 @@
         let request = &job.request;
         let adapter = request.model.clone().zip(request.adapter.clone());
         let mut table = topology.table.borrow_mut();
-        let waits = rank != job.route.rank;
+        let waits = candidate.is_late(job.route.rank);
         if let Some(model) = request.model.as_ref().filter(|_| !waits) {
             table.record_prompt_tokens(
                 &job.service,
@@ -52,7 +52,7 @@
             target: candidate.target.clone(),
             rank,
             backlog_tokens: Cell::new(candidate.work_tokens),
-            waits: Cell::new(waits),
+            late_and_waiting: Cell::new(waits),
             adapter,
         }
     }
@@ -62,7 +62,7 @@
         let tokens = self.backlog_tokens.take();
         if let Some(target) = self.topology.table.borrow_mut().get_mut(&self.target) {
             target.own.remove_backlog(self.rank, tokens);
-            target.own.running += u32::from(self.waits.take());
+            target.own.running += u32::from(self.late_and_waiting.take());
         }
     }
 }
--- a/crates/flamingo-serve/src/proxy/quota.rs
+++ b/crates/flamingo-serve/src/proxy/quota.rs
@@ -49,6 +49,7 @@
         match self.quotas.take(name, quota, want).await {
             Ok(ticket) => {
                 self.metrics
+                    .workspaces()
                     .record_quota(name, "admitted", Some(want.units));
                 Ok(Some(ticket))
             }
@@ -130,7 +131,9 @@
         info!(self.log, "not within the quota"; "request" => &request.attempt_id,
             "workspace" => workspace, "cause" => name, "cost" => units.round(),
             "wait_ms" => retry_after.map(|wait| wait.as_millis()), "source" => source);
-        self.metrics.record_quota(workspace, name, None);
+        self.metrics
+            .workspaces()
+            .record_quota(workspace, name, None);
         Refusal { cause, retry_after }
     }
 }
--- a/crates/flamingo-serve/src/quota.rs
+++ b/crates/flamingo-serve/src/quota.rs
@@ -75,16 +75,16 @@
         account.give_back(ticket, clock::now());
     }
 
-    /// Tells requests what was decided.
-    fn tell(&self, decided: Decided) {
+    /// Sends the decisions to the requests that wait for them.
+    fn deliver(&self, decided: Decided) {
         for (id, decision) in decided {
             let sender = self.waiting.borrow_mut().remove(&id);
-            let untold = match sender {
+            let undelivered = match sender {
                 Some(sender) => sender.send(decision).err(),
                 None => Some(decision),
             };
             // The request has given up, so it is not sent.
-            if let Some(Ok(ticket)) = untold {
+            if let Some(Ok(ticket)) = undelivered {
                 self.give_back(&ticket);
             }
         }
@@ -142,6 +142,6 @@
             }
         };
         metrics.quota_questions.with_label_values(&[ended]).inc();
-        quotas.tell(decided);
+        quotas.deliver(decided);
     }
 }
--- a/crates/flamingo-serve/src/speed.rs
+++ b/crates/flamingo-serve/src/speed.rs
@@ -39,8 +39,9 @@
 const OUTLIER_MIN_MS: f64 = 300.0;
 /// Number of outliers in a row from which on the prediction is taken for wrong rather than the samples.
 const OUTLIER_RUN: u8 = 3;
-/// Number of standard deviations by which a model must differ from its service to be told apart. In trials
-/// with unseen waits and one speed, 2.5 made more requests late than one rate for all, 3.5 did not.
+/// Number of standard deviations by which the fit of a model must differ from the rate of its service
+/// before it is used. Lower values mistake queueing that the entry does not know of for a difference
+/// in speed.
 const CERTAIN_DEVIATIONS: f64 = 3.5;
 /// Standard deviation of a prefill time relative to its length.
 const RELATIVE_DEVIATION: f64 = 0.2;
