--- a/crates/flamingo-serve/tests/authentication.rs
+++ b/crates/flamingo-serve/tests/authentication.rs
@@ -120,7 +120,9 @@
 fn the_number_of_exported_workspaces_is_bounded() {
     let metrics = Metrics::new().expect("metrics");
     for number in 0..1_000 {
-        metrics.workspaces().record_authentication(Some(&format!("w{number}")), Decision::Unknown);
+        metrics
+            .workspaces()
+            .record_authentication(Some(&format!("w{number}")), Decision::Unknown);
     }
     let text = metrics.text(&Topology::new(Logger::root(Discard, o!())));
     let series = text.lines().filter(|line| line.contains("workspace="));
