An entry whose relay has old routes follows other control instances too

Their relay reached the others and passed on what these pushed, but its own log lagged after a fault, and routes come from its own log only.

Each list of processes now names the newest committed routes. An entry that lacks them for a second takes its relay for failed and follows others. A case of the choice plays a relay that lags.

--- a/crates/flamingo-control/src/raft_actor/messages.rs
+++ b/crates/flamingo-control/src/raft_actor/messages.rs
@@ -81,6 +81,8 @@
     pub leader: Option<SocketAddr>,
     /// Number of entries that follow the routes on this instance or report their usage to it.
     pub followers: usize,
+    /// Version of the committed routes; 0 before the first.
+    pub routes: id::Version,
     /// Whether the disk failed; if so, this instance acknowledges nothing any more.
     pub disk_failed: bool,
 }
@@ -255,6 +257,7 @@
             zones,
             leader,
             followers,
+            routes: self.state.routes.as_ref().map_or(0, |set| set.version),
             disk_failed: self.raft.disk_failed(),
         })
     }
--- a/crates/flamingo-link/src/feeds.rs
+++ b/crates/flamingo-link/src/feeds.rs
@@ -27,6 +27,9 @@
 pub const UNREACHED_DELAY: Duration = Duration::from_millis(500);
 /// Time after which an instance of another zone that failed is in its place of the order again.
 const FAILURE_MEMORY: Duration = Duration::from_secs(10);
+/// Time for which this entry may lack the newest routes that an instance knows. Then its relay counts as
+/// failed: one that has lost its disk relays the others' pushes, but its own log may lag for seconds.
+pub const ROUTES_DELAY: Duration = Duration::from_secs(1);
 /// Time after a failure during which another instance that no relay reaches is tried first.
 const RETRY_INTERVAL: Duration = Duration::from_secs(1);
 /// Time for which an instance counts that a list has named. The lists of two instances differ while the
@@ -146,6 +149,10 @@
     leader: Option<SocketAddr>,
     /// What is known of each instance, followed or not.
     known: BTreeMap<SocketAddr, Feed>,
+    /// Version of the newest routes that any instance knows.
+    newest_routes: id::Version,
+    /// Since when this entry lacks them.
+    outdated_since: Option<Instant>,
     /// Whether any relay has served: until then, all seeds are kept.
     has_served: bool,
     /// When the last plan was made.
@@ -165,6 +172,8 @@
             zones: BTreeMap::new(),
             leader: None,
             known: BTreeMap::new(),
+            newest_routes: 0,
+            outdated_since: None,
             has_served: false,
             planned_at: None,
         }
@@ -186,12 +195,38 @@
         let recent = recent.filter(|(_, listed_at)| now < **listed_at + LIST_TIMEOUT);
         self.controls = recent.map(|(control, _)| *control).collect();
         self.leader = peers.leader.or(self.leader);
+        self.newest_routes = self.newest_routes.max(peers.routes);
         let known = peers.controls.iter().zip(&peers.zones);
         let known = known.filter(|(_, zone)| !zone.is_empty());
         self.zones
             .extend(known.map(|(control, zone)| (*control, zone.clone())));
     }
 
+    /// Records the version of the routes that this entry has in force. Relays whose entry lacks newer ones
+    /// for [`ROUTES_DELAY`], or at its start for [`START_LIMIT`], count as failed.
+    pub fn record_routes(&mut self, version: id::Version, now: Instant) {
+        if version >= self.newest_routes {
+            self.outdated_since = None;
+            return;
+        }
+        let outdated_since = *self.outdated_since.get_or_insert(now);
+        let delay = if version == 0 {
+            START_LIMIT
+        } else {
+            ROUTES_DELAY
+        };
+        if now < outdated_since + delay {
+            return;
+        }
+        // The next relays get as long to send the routes.
+        self.outdated_since = Some(now);
+        let relays = self.known.values_mut();
+        for relay in relays.filter(|feed| feed.role == Some(Role::Relay)) {
+            relay.good_since = None;
+            relay.failed_at = Some(now);
+        }
+    }
+
     /// Records a push of the instance at `from`.
     pub fn record_push(&mut self, from: SocketAddr, now: Instant) {
         self.known.entry(from).or_default().last_push = Some(now);
--- a/crates/flamingo-link/src/subscription.rs
+++ b/crates/flamingo-link/src/subscription.rs
@@ -164,6 +164,8 @@
             return;
         };
         let now = Instant::now();
+        let routes = self.handler.routes_version();
+        feeds.borrow_mut().record_routes(routes, now);
         let plan = feeds.borrow_mut().plan(now);
         let counts = feeds.borrow().count(&plan);
         self.log_plan(&plan, counts, now);
--- a/crates/flamingo-link/tests/feeds.rs
+++ b/crates/flamingo-link/tests/feeds.rs
@@ -314,3 +314,45 @@
         }
     }
 }
+
+/// Guards against an entry that keeps old routes, since its relay passes on what others push while its
+/// own log lags.
+#[test]
+fn an_entry_whose_relay_has_old_routes_follows_others_too() {
+    let controls: Vec<SocketAddr> = (1..=4)
+        .map(|host| SocketAddr::from(([10, 0, 0, host], 1)))
+        .collect();
+    let zones = ["a", "a", "b", "b"].map(str::to_owned).to_vec();
+    let mut feeds = Feeds::new("entry", "a");
+    feeds.add_seeds(&controls);
+    let start = Instant::now();
+    let mut followed = |seconds: std::ops::Range<u64>, own: u64| {
+        let mut plan = Plan::new();
+        for tick in seconds.start * 10..seconds.end * 10 {
+            let now = start + Duration::from_millis(100) * u32::try_from(tick).expect("few ticks");
+            for control in &controls {
+                let peers = Peers {
+                    controls: controls.clone(),
+                    zones: zones.clone(),
+                    routes: if seconds.start >= 10 { 2 } else { 1 },
+                    ..Peers::default()
+                };
+                feeds.record_push(*control, now);
+                feeds.record_peers(&peers, now);
+                feeds.record_reached(*control, &controls);
+            }
+            feeds.record_routes(own, now);
+            plan = feeds.plan(now);
+        }
+        plan
+    };
+    let before = followed(0..10, 1);
+    assert_eq!(before.len(), 1);
+    let lagging = before.keys().next().copied().expect("a relay");
+    let during = followed(10..12, 1);
+    assert!(
+        during.keys().any(|control| *control != lagging),
+        "{during:?}"
+    );
+    assert_eq!(followed(12..30, 2).len(), 1);
+}
--- a/crates/flamingo-serve/tests/relays.rs
+++ b/crates/flamingo-serve/tests/relays.rs
@@ -24,6 +24,7 @@
         controls: [RELAY, LEADER, OTHER].map(control).to_vec(),
         zones: ["a", "b", "c"].map(str::to_owned).to_vec(),
         entries,
+        routes: 0,
         leader: Some(control(LEADER)),
     })
 }
--- a/crates/flamingo-wire/src/control.rs
+++ b/crates/flamingo-wire/src/control.rs
@@ -175,6 +175,9 @@
     pub entries: u32,
     /// Address of the leader; `None` where no leader is known.
     pub leader: Option<SocketAddr>,
+    /// Version of the newest routes that this instance knows to be committed; 0 before the first.
+    #[serde(default)]
+    pub routes: id::Version,
 }
 
 /// A request for a configuration newer than a known version.
