Loads are published as changes, registrations in batches, addresses by an index

Three costs grew with the number of targets: the leader published all loads ten times a second, each registration was a frame for every follower, and each heartbeat compared its address with all targets.

Loads are published whole once a second and as changes between; new followers of a relay get them with their first state. Registrations that change within 100 ms are published together, before any other push. Records are indexed by address.

--- a/crates/flamingo-control/src/controller/mod.rs
+++ b/crates/flamingo-control/src/controller/mod.rs
@@ -10,6 +10,7 @@
 pub mod engine;
 pub mod engine_api;
 pub mod pace;
+pub mod published_loads;
 pub mod store;
 
 mod evidence;
@@ -28,12 +29,13 @@
 use flamingo_daemon::clock;
 use flamingo_guard::permits::Permits;
 use flamingo_guard::quota::ledger::Ledger;
-use flamingo_wire::control::{Permit, Push, Reply, Request};
+use flamingo_wire::control::{Permit, Reply, Request};
 use flamingo_wire::fault::Reason;
 use flamingo_wire::route::{Engine, Set};
-use flamingo_wire::target::{Load, Usage};
+use flamingo_wire::target::Usage;
 use flamingo_wire::{Fault, id};
 use pace::Pace;
+use published_loads::PublishedLoads;
 use slog::{Logger, info};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
@@ -183,6 +185,7 @@
     /// Loads from the weight store that this leader planned, and that it or earlier ones started.
     store_loads: Loads,
     loads_published_at: Option<Instant>,
+    published_loads: PublishedLoads,
     /// Engines whose residency the entries have to get.
     unpublished: BTreeSet<id::Target>,
 }
@@ -499,7 +502,8 @@
         }
     }
 
-    /// Publishes the summed loads of all entries and the limits that targets name, at most once every `LOADS_INTERVAL`.
+    /// Publishes the summed loads of all entries and the limits that targets name, at most once every
+    /// `LOADS_INTERVAL`.
     fn publish_loads(&self, now: Instant) {
         let mut term = self.term.borrow_mut();
         if term
@@ -509,19 +513,11 @@
             return;
         }
         term.loads_published_at = Some(now);
-        let mut loads = term.demand.total_loads(now);
-        for (target, limit) in term.permits.limits(now) {
-            let known = loads.iter().position(|load| load.target == target);
-            let index = known.unwrap_or_else(|| {
-                loads.push(Load {
-                    target,
-                    ..Load::default()
-                });
-                loads.len() - 1
-            });
-            loads[index].limit = Some(limit);
+        let loads = term.demand.total_loads(now);
+        let limits = term.permits.limits(now);
+        if let Some(push) = term.published_loads.next_push(loads, limits, now) {
+            lock_registry(&self.core.registry).publish_loads(now, push);
         }
-        lock_registry(&self.core.registry).publish(Push::Loads(loads));
     }
 
     /// Has the next round publish to the entries which models and adapters an engine has resident.
--- a/crates/flamingo-control/src/registry.rs
+++ b/crates/flamingo-control/src/registry.rs
@@ -5,6 +5,7 @@
 //! address is reused.
 
 mod dispute;
+mod records;
 mod relay;
 
 use dispute::{Disputes, Hiding};
@@ -14,7 +15,8 @@
 use flamingo_wire::id;
 use flamingo_wire::prompt::{Dossier, Evidence, Quarantine};
 use flamingo_wire::target::{Registration, Residency};
-use relay::{Reach, Residencies};
+use records::{Record, Records};
+use relay::{LoadTotals, Reach, Residencies};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -32,6 +34,9 @@
 const EVIDENCE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Age up to which a new follower gets the last list of the processes, instead of waiting for the next.
 const PEERS_TIMEOUT: Duration = Duration::from_secs(1);
+/// Interval in which changed registrations are published together. Each push costs a frame for every
+/// follower here and at every relay; when all targets of a large fleet start, they change at once.
+pub const TARGETS_INTERVAL: Duration = Duration::from_millis(100);
 
 /// A push for all followers, which is encoded and signed once for those that get it at the same time.
 #[derive(Debug)]
@@ -104,13 +109,6 @@
     }
 }
 
-/// A target's newest registration, with the time of the last heartbeat.
-#[derive(Clone, Debug)]
-struct Record {
-    registration: Registration,
-    last_heartbeat: Instant,
-}
-
 /// A list of the processes that was published.
 #[derive(Debug)]
 struct PublishedPeers {
@@ -123,7 +121,11 @@
 /// The targets that registered with this instance or with another control instance.
 #[derive(Debug)]
 pub struct Registry {
-    targets: BTreeMap<id::Target, Record>,
+    targets: Records,
+    /// Changed registrations that have not been published yet.
+    pending: BTreeMap<id::Target, Registration>,
+    /// Until when changed registrations are collected; `None` before the first.
+    collected_until: Option<Instant>,
     /// Targets whose heartbeats since the last `publish_unchanged` brought nothing new.
     unchanged: BTreeSet<id::Target>,
     /// Targets whose heartbeats are outdated.
@@ -136,6 +138,8 @@
     reach: Reach,
     /// The newest residency of each target, for new followers.
     residencies: Residencies,
+    /// The load of each target as the leader published it, for new followers.
+    loads: LoadTotals,
     /// The last list of the processes that this instance published.
     peers: Option<PublishedPeers>,
     pushes: Sender<Arc<Broadcast>>,
@@ -145,13 +149,16 @@
     fn default() -> Self {
         let (pushes, _) = broadcast::channel(PUSH_QUEUE);
         Self {
-            targets: BTreeMap::new(),
+            targets: Records::default(),
+            pending: BTreeMap::new(),
+            collected_until: None,
             unchanged: BTreeSet::new(),
             disputes: Disputes::default(),
             ledger: Ledger::default(),
             evidence_at: None,
             reach: Reach::default(),
             residencies: Residencies::default(),
+            loads: LoadTotals::default(),
             peers: None,
             pushes,
         }
@@ -160,7 +167,8 @@
 
 impl Registry {
     /// Records a heartbeat of a target. Returns `false` where the registration is outdated and was
-    /// dropped. A changed registration is published at once.
+    /// dropped. A changed registration is published at once, or with others that change within
+    /// [`TARGETS_INTERVAL`].
     pub fn record_heartbeat(&mut self, now: Instant, mut registration: Registration) -> bool {
         registration.revision = self.revision(&registration.id);
         if self.is_outdated(&registration) && !self.settle_dispute(now, &mut registration) {
@@ -172,7 +180,7 @@
         let changed = record.is_none_or(|record| !record.registration.same_state(&registration));
         self.store(now, registration.clone());
         if changed {
-            self.publish(Push::Targets(vec![registration]));
+            self.publish_target(now, registration);
         } else {
             self.unchanged.insert(id);
         }
@@ -188,8 +196,7 @@
             registration,
             last_heartbeat: now,
         };
-        let id = record.registration.id.clone();
-        self.targets.insert(id, record);
+        self.targets.insert(record);
     }
 
     /// Returns whether a newer registration is known, of the same target or of a target that took
@@ -211,10 +218,9 @@
     ) -> impl Iterator<Item = &'a Record> {
         let own = self.targets.get(&registration.id);
         let own = own.filter(|known| !registration.supersedes(&known.registration));
-        let others = self.targets.values().filter(|record| {
+        let others = self.targets.at(registration.address).filter(|record| {
             let other = &record.registration;
             other.id != registration.id
-                && other.address == registration.address
                 && other.incarnation > registration.incarnation
                 && !other.gone
         });
@@ -276,16 +282,36 @@
         record.registration.gone = true;
         record.last_heartbeat = now;
         let gone = record.registration.clone();
-        self.publish(Push::Targets(vec![gone]));
+        self.publish_target(now, gone);
+    }
+
+    /// Publishes a changed registration, at once unless others were published within
+    /// [`TARGETS_INTERVAL`].
+    fn publish_target(&mut self, now: Instant, registration: Registration) {
+        self.pending.insert(registration.id.clone(), registration);
+        if self.collected_until.is_none_or(|until| now >= until) {
+            self.collected_until = Some(now + TARGETS_INTERVAL);
+            self.publish_targets();
+        }
+    }
+
+    /// Publishes the changed registrations that have been collected; called every
+    /// [`TARGETS_INTERVAL`].
+    pub fn publish_targets(&mut self) {
+        if self.pending.is_empty() {
+            return;
+        }
+        let changed = std::mem::take(&mut self.pending);
+        self.send(Push::Targets(changed.into_values().collect()));
     }
 
     /// Publishes which targets sent unchanged heartbeats since the last call, and removes the
     /// targets without a heartbeat for `EXPIRY`.
     pub fn publish_unchanged(&mut self, now: Instant) {
         self.targets
-            .retain(|_, record| now < record.last_heartbeat + EXPIRY);
+            .retain(|record| now < record.last_heartbeat + EXPIRY);
         self.residencies
-            .retain(|target| self.targets.contains_key(target));
+            .retain(|target| self.targets.get(target).is_some());
         self.ledger.remove_expired(now);
         if !self.unchanged.is_empty() {
             let unchanged = std::mem::take(&mut self.unchanged);
@@ -378,8 +404,20 @@
         }
     }
 
-    /// Sends a push to all followers of this instance.
-    pub fn publish(&self, push: Push) {
+    /// Sends a push to all followers of this instance, after the changed registrations that have been
+    /// collected: a push may refer to them.
+    pub fn publish(&mut self, push: Push) {
+        self.publish_targets();
+        self.send(push);
+    }
+
+    /// Publishes loads of targets, summed over all entries.
+    pub fn publish_loads(&mut self, now: Instant, push: Push) {
+        self.loads.record(None, &push, now);
+        self.publish(push);
+    }
+
+    fn send(&self, push: Push) {
         // Sending fails where there is no follower.
         let _ = self.pushes.send(Arc::new(Broadcast::new(push)));
     }
@@ -408,6 +446,7 @@
         }
         if relays {
             state.extend(published.map(|published| Push::Peers(published.peers.clone())));
+            state.extend(self.loads.current(now));
             state.push(Push::Reached(self.reach.current(now)));
         }
         state
@@ -427,7 +466,10 @@
                 self.merge(now, &push);
                 self.relay(origin, push);
             }
-            Push::Loads(_) => self.relay(origin, push),
+            Push::Loads(_) | Push::LoadChanges(_) => {
+                self.loads.record(Some(origin), &push, now);
+                self.relay(origin, push);
+            }
             // Only the leader's count of entries matters to others than its followers.
             Push::Peers(peers) if peers.leader == Some(origin) => {
                 self.relay(origin, Push::Peers(peers));
@@ -451,7 +493,7 @@
         }
     }
 
-    fn relay(&self, origin: SocketAddr, push: Push) {
+    fn relay(&mut self, origin: SocketAddr, push: Push) {
         let push = Box::new(push);
         self.publish(Push::Relayed(Relayed { origin, push }));
     }
--- a/crates/flamingo-control/src/registry/relay.rs
+++ b/crates/flamingo-control/src/registry/relay.rs
@@ -1,8 +1,9 @@
 //! What a control instance keeps to relay the pushes of the others: which of them it reaches, and the
-//! newest residency of each target for followers that subscribe later.
+//! newest residency and load of each target for followers that subscribe later.
 
+use flamingo_wire::control::{Push, Relayed};
 use flamingo_wire::id;
-use flamingo_wire::target::{Registration, Residency};
+use flamingo_wire::target::{Load, Registration, Residency};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -11,6 +12,9 @@
 /// least every half second.
 pub const REACH_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Age from which on loads are not given to a new follower: their leader publishes no more.
+const LOADS_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// The other control instances whose state and pushes arrive here.
 #[derive(Debug, Default)]
 pub(super) struct Reach {
@@ -93,6 +97,50 @@
     }
 }
 
+/// The load of each target, as the leader published it. A new follower would otherwise miss the loads
+/// that stay as they are until all are published again.
+#[derive(Debug, Default)]
+pub(super) struct LoadTotals {
+    /// The leader; `None` where this instance leads.
+    origin: Option<SocketAddr>,
+    recorded_at: Option<Instant>,
+    loads: BTreeMap<id::Target, Load>,
+}
+
+impl LoadTotals {
+    /// Records loads that the leader at `origin` has published.
+    pub(super) fn record(&mut self, origin: Option<SocketAddr>, push: &Push, now: Instant) {
+        let loads = match push {
+            Push::Loads(loads) => {
+                self.loads.clear();
+                loads
+            }
+            // Changes of another leader's loads can't be applied.
+            Push::LoadChanges(loads) if self.origin == origin => loads,
+            _ => return,
+        };
+        self.origin = origin;
+        self.recorded_at = Some(now);
+        for load in loads {
+            self.loads.insert(load.target.clone(), load.clone());
+        }
+    }
+
+    /// Returns the push that gives all loads to a new follower.
+    pub(super) fn current(&self, now: Instant) -> Option<Push> {
+        self.recorded_at.filter(|at| now < *at + LOADS_TIMEOUT)?;
+        let all = Push::Loads(self.loads.values().cloned().collect());
+        let push = match self.origin {
+            Some(origin) => {
+                let push = Box::new(all);
+                Push::Relayed(Relayed { origin, push })
+            }
+            None => all,
+        };
+        Some(push)
+    }
+}
+
 /// Returns a residency with the time that a load still takes after `age`.
 fn aged(residency: &Residency, age: Duration) -> Residency {
     let mut residency = residency.clone();
--- a/crates/flamingo-control/src/suspicions.rs
+++ b/crates/flamingo-control/src/suspicions.rs
@@ -78,14 +78,15 @@
 
     /// Pushes the evidence to the other instances if it has changed by reports to this one.
     fn push(&mut self, now: Instant) {
-        let registry = lock_registry(&self.registry);
+        let mut registry = lock_registry(&self.registry);
         let revision = registry.evidence_revision();
         if revision == self.pushed {
             return;
         }
         self.pushed = revision;
         if registry.gets_evidence(now) {
-            registry.publish(Push::Dossier(registry.dossier(now)));
+            let dossier = registry.dossier(now);
+            registry.publish(Push::Dossier(dossier));
         }
     }
 
--- a/crates/flamingo-control/tests/registry.rs
+++ b/crates/flamingo-control/tests/registry.rs
@@ -226,3 +226,72 @@
     let opened: Result<Push, _> = entry.open(&frame, now);
     assert!(opened.is_ok(), "{opened:?}");
 }
+
+/// Guards against a frame for each target to each follower when a whole fleet starts.
+#[test]
+fn registrations_that_change_together_are_published_together() {
+    let now = Instant::now();
+    let mut registry = Registry::default();
+    let (_, mut pushes) = registry.subscribe();
+    for id in ["a", "b", "c"] {
+        registry.record_heartbeat(now, version(id, 1, 1));
+    }
+    registry.record_heartbeat(now, version("b", 1, 2));
+    registry.record_departure(now, "c", 1);
+    registry.publish_targets();
+    registry.publish_targets();
+    let mut published = Vec::new();
+    while let Ok(broadcast) = pushes.try_recv() {
+        if let Push::Targets(registrations) = broadcast.push() {
+            let targets = registrations
+                .iter()
+                .map(|known| (known.id.clone(), known.gone));
+            published.push(targets.collect::<Vec<_>>());
+        }
+    }
+    let first = vec![("a".to_owned(), false)];
+    let second = vec![("b".to_owned(), false), ("c".to_owned(), true)];
+    assert_eq!(published, [first, second]);
+}
+
+/// Guards against pushes that refer to a registration which the followers do not have yet.
+#[test]
+fn collected_registrations_are_published_before_other_pushes() {
+    let now = Instant::now();
+    let mut registry = Registry::default();
+    let (_, mut pushes) = registry.subscribe();
+    registry.record_heartbeat(now, version("a", 1, 1));
+    registry.record_heartbeat(now, version("b", 1, 1));
+    registry.publish_residency(now, Vec::new());
+    let mut next = || pushes.try_recv().expect("a push");
+    assert!(matches!(next().push(), Push::Targets(_)));
+    assert!(matches!(next().push(), Push::Targets(all) if all[0].id == "b"));
+    assert!(matches!(next().push(), Push::Residency(_)));
+}
+
+/// Guards against an address that stays bound to a target that has moved or has been removed.
+#[test]
+fn an_address_is_free_once_its_target_has_moved_or_expired() {
+    let now = Instant::now();
+    let later = now + Duration::from_mins(1);
+    let mut registry = Registry::default();
+    let address = registration("other").address;
+    let moved = Registration {
+        address: ([10, 0, 0, 99], 1).into(),
+        ..version("t", 9, 2)
+    };
+    registry.record_heartbeat(now, version("t", 9, 1));
+    assert!(registry.is_outdated(&version("u", 1, 1)));
+    registry.record_heartbeat(now, moved);
+    assert!(!registry.is_outdated(&version("u", 1, 1)));
+    registry.record_heartbeat(
+        now,
+        Registration {
+            address,
+            ..version("v", 9, 1)
+        },
+    );
+    assert!(registry.is_outdated(&version("u", 1, 1)));
+    registry.publish_unchanged(later);
+    assert!(!registry.is_outdated(&version("u", 1, 1)));
+}
--- a/crates/flamingo-control/tests/relay.rs
+++ b/crates/flamingo-control/tests/relay.rs
@@ -57,6 +57,7 @@
         Push::Targets(vec![heartbeat("t", 1)]),
         Push::Unchanged(vec!["t".into()]),
         Push::Loads(vec![Load::default()]),
+        Push::LoadChanges(vec![Load::default()]),
         Push::Residency(vec![residency("t", "m", false)]),
         Push::Quarantines(Vec::new()),
         Push::Peers(Peers {
@@ -166,3 +167,28 @@
     assert_eq!(registry.state_after_targets(false, now).len(), 1);
     assert!(registry.state_after_targets(false, now + SECOND).is_empty());
 }
+
+/// Guards against a new follower that takes busy targets for idle ones until all loads are published.
+#[test]
+fn a_new_follower_gets_the_loads_with_their_changes() {
+    let now = Instant::now();
+    let load = |target: &str, running| Load {
+        target: target.into(),
+        running,
+        ..Load::default()
+    };
+    let mut registry = Registry::default();
+    let all = Push::Loads(vec![load("a", 1), load("b", 1)]);
+    registry.receive(now, control(1), all);
+    let changes = Push::LoadChanges(vec![load("b", 5)]);
+    registry.receive(now, control(1), changes);
+    let outdated = Push::LoadChanges(vec![load("a", 9)]);
+    registry.receive(now, control(2), outdated);
+    let expected = Push::Relayed(Relayed {
+        origin: control(1),
+        push: Box::new(Push::Loads(vec![load("a", 1), load("b", 5)])),
+    });
+    assert!(registry.state_after_targets(true, now).contains(&expected));
+    let later = registry.state_after_targets(true, now + 2 * SECOND);
+    assert!(!later.contains(&expected));
+}
--- a/crates/flamingo-serve/src/table.rs
+++ b/crates/flamingo-serve/src/table.rs
@@ -78,36 +78,42 @@
                     self.apply_residency(holding, now);
                 }
             }
-            Push::Loads(loads) => self.apply_loads(loads),
+            Push::Loads(loads) => {
+                for target in self.targets.values_mut() {
+                    target.total = InFlight::default();
+                    target.shared_limit = None;
+                }
+                self.apply_loads(loads);
+            }
+            Push::LoadChanges(loads) => self.apply_loads(loads),
             _ => {}
         }
         obsolete
     }
 
-    /// Applies the total load of all entries. The load of the other entries is the total minus
-    /// what this entry last reported.
+    /// Applies total loads of all entries. The load of the other entries is the total minus what this
+    /// entry last reported.
     fn apply_loads(&mut self, loads: &[target::Load]) {
-        let loads: HashMap<&str, &target::Load> = loads
-            .iter()
-            .map(|load| (load.target.as_str(), load))
-            .collect();
-        for (id, target) in &mut self.targets {
-            let load = loads.get(id.as_str());
-            let total = load.map_or_else(InFlight::default, |load| InFlight {
+        for load in loads {
+            let Some(target) = self.targets.get_mut(&load.target) else {
+                continue;
+            };
+            target.total = InFlight {
                 running: load.running,
                 backlog: load.backlog,
-            });
-            let mut others = InFlight {
-                running: total.running.saturating_sub(target.reported.running),
-                backlog: total.backlog,
             };
+            let incarnation = target.registration.incarnation;
+            let limit = load.limit.as_ref();
+            let limit = limit.filter(|limit| limit.incarnation == incarnation);
+            target.shared_limit = limit.map(|limit| limit.per_s);
+        }
+        for target in self.targets.values_mut() {
+            let mut others = target.total;
+            others.running = others.running.saturating_sub(target.reported.running);
             for (tokens, reported) in others.backlog.iter_mut().zip(target.reported.backlog) {
                 *tokens = tokens.saturating_sub(reported);
             }
             target.others = others;
-            let limit = load.and_then(|load| load.limit);
-            let limit = limit.filter(|limit| limit.incarnation == target.registration.incarnation);
-            target.shared_limit = limit.map(|limit| limit.per_s);
         }
     }
 
--- a/crates/flamingo-wire/src/control.rs
+++ b/crates/flamingo-wire/src/control.rs
@@ -138,8 +138,10 @@
     /// Models resident on targets, as the leader knows them from the orders that it gave.
     #[serde(rename = "Holdings")]
     Residency(Vec<target::Residency>),
-    /// Load of targets, summed over all entries.
+    /// Load of all targets that have any, summed over all entries.
     Loads(Vec<target::Load>),
+    /// Load of the targets whose load has changed since the last push of loads.
+    LoadChanges(Vec<target::Load>),
     /// The other processes of the system that this instance knows.
     Peers(Peers),
     /// Prompt parts that requests must not contain.
