Workspaces in the INI set

The product's own front could not hold callers apart: its set had no workspaces, unlike the users' platform.

The set may hold `[workspace NAME]` sections with digests of keys, a rank and a quota, and models and services may be `anonymous`. `config validate` and the leader name each problem and quote no key: keys or names that two workspaces share, invalid names, figures that are negative or not finite, text that is no digest. `config diff` shows numbers of keys only. Workspaces are part of each version in the log. A set without them has the same bytes as before, so that digests of changes do not depend on the build.

The tests of other crates only name the new fields; the cases of `problems.rs` and the generated sets of the round trip are extended, and no check is removed.

--- a/crates/flamingo-control/src/raft_actor/requests.rs
+++ b/crates/flamingo-control/src/raft_actor/requests.rs
@@ -4,8 +4,10 @@
 use super::{HandleRequest, RaftActor};
 use actix::{Context, ResponseFuture};
 use flamingo_log::raft::Refusal;
+use flamingo_settings::set;
 use flamingo_state::Command;
 use flamingo_wire::admin::{Answer, Follower, Member, Query, Status};
+use flamingo_wire::config::Set;
 use flamingo_wire::control::{Fetch, Reply, Report, Request};
 use flamingo_wire::fault::Reason;
 use flamingo_wire::gossip::Liveness;
@@ -35,6 +37,9 @@
         }
         match message.request {
             Request::Apply(change) => {
+                if let Some(fault) = invalid_set(&change.set) {
+                    return ready(Reply::Refused(fault));
+                }
                 let leader_tasks = self.leader_tasks.iter();
                 let mut objections =
                     leader_tasks.filter_map(|leader_task| leader_task.objection(&change.set, now));
@@ -301,6 +306,17 @@
     }
 }
 
+/// Returns the refusal of a set that no file could hold. `flamingoctl` checks a file before it sends the set;
+/// this guards against other clients.
+fn invalid_set(set: &Set) -> Option<Fault> {
+    let problems = set::problems(set);
+    if problems.is_empty() {
+        return None;
+    }
+    let help = "correct the set: flamingoctl config validate FILE";
+    Some(Fault::not_run(Reason::Invalid, problems.join("; "), help))
+}
+
 fn redirect_fault(leader: id::Node) -> Fault {
     let message = format!("this instance does not lead; the leader is {leader}");
     let mut fault = Fault::not_run(Reason::Redirect, message, "ask the leader");
--- a/crates/flamingo-control/tests/members.rs
+++ b/crates/flamingo-control/tests/members.rs
@@ -5,6 +5,7 @@
 use flamingo_test_support::wait;
 use flamingo_wire::admin::Status;
 use flamingo_wire::id;
+use flamingo_wire::workspace::{KeyDigest, Workspace};
 
 fn operators(cluster: &Cluster) -> Vec<Operator> {
     cluster.controls.iter().map(Operator::new).collect()
@@ -133,3 +134,32 @@
     .await;
     assert!(file.with_file_name("log.corrupt").exists());
 }
+
+/// Guards against sets of other clients than `flamingoctl`, which checks the file itself.
+#[actix_rt::test]
+async fn a_set_with_invalid_workspaces_is_refused_whole() {
+    let cluster = Cluster::start(1, 0);
+    let operator = Operator::new(&cluster.controls[0]);
+    let mut shared = change("shared", 0);
+    for name in ["acme", "a b"] {
+        shared.set.workspaces.push(Workspace {
+            name: name.into(),
+            keys: vec![KeyDigest::of("sk-shared")],
+            ..Workspace::default()
+        });
+    }
+    let refusal = wait::until("a leader", || async {
+        match operator.apply(&shared).await {
+            Applied::Refused(text) if text.contains("invalid") => Some(text),
+            _ => None,
+        }
+    })
+    .await;
+    for part in [
+        "workspaces 'acme' and 'a b' share a key",
+        "workspace 'a b': expected",
+    ] {
+        assert!(refusal.contains(part), "{refusal}");
+    }
+    assert_eq!(accepted(&operator, "sound", 0).await, 1);
+}
--- a/crates/flamingo-ctl/src/command/config_validate.rs
+++ b/crates/flamingo-ctl/src/command/config_validate.rs
@@ -33,8 +33,12 @@
     fn run<'a>(&'a self, _: &'a Client, arguments: &'a [String]) -> CommandFuture<'a> {
         Box::pin(async move {
             let set = set::open(Path::new(&arguments[0]))?;
+            let workspaces = match set.workspaces.len() {
+                0 => String::new(),
+                count => format!(", {count} workspaces"),
+            };
             let text = format!(
-                "valid: {} profiles, {} models, {} services",
+                "valid: {} profiles, {} models, {} services{workspaces}",
                 set.profiles.len(),
                 set.models.len(),
                 set.services.len()
--- a/crates/flamingo-ctl/tests/examples.rs
+++ b/crates/flamingo-ctl/tests/examples.rs
@@ -238,3 +238,24 @@
     let text = cli::run(words.to_vec()).await.unwrap();
     assert!(text.contains("leader control-1"), "{text}");
 }
+
+/// Guards against digests of keys in a terminal, and against a rotated key that a diff leaves out.
+#[test]
+fn a_diff_counts_keys_and_shows_none() {
+    use flamingo_wire::workspace::KeyDigest;
+    let digest = |key| format!("{:x}", KeyDigest::of(key));
+    let parse = |text: String| {
+        flamingo_settings::set::parse(std::path::Path::new("set.ini"), &text).unwrap()
+    };
+    let old = parse(format!("[workspace a]\nkeys = {}\nrate = 1", digest("old")));
+    let new = parse(format!(
+        "[workspace a]\nkeys = {}\nrate = 2\n[workspace b]",
+        digest("new")
+    ));
+    let lines = flamingo_ctl::diff::lines(&old, &new);
+    assert_eq!(lines.len(), 3, "{lines:?}");
+    assert!(lines[0].starts_with("~ workspace a: quota"), "{lines:?}");
+    assert_eq!(lines[1], "+ workspace b");
+    assert_eq!(lines[2], "~ workspace a: keys 1 added, 1 removed");
+    assert!(!lines.join("").contains(&digest("new")), "{lines:?}");
+}
--- a/crates/flamingo-load/examples/slopes.rs
+++ b/crates/flamingo-load/examples/slopes.rs
@@ -101,6 +101,7 @@
 
 fn snapshot(models: usize, adapters: usize) -> Snapshot {
     let model = |n: usize| Model {
+        anonymous: false,
         name: format!("region-model-{n:03}"),
         version: 1,
         weights: 16_000,
--- a/crates/flamingo-member/examples/measure.rs
+++ b/crates/flamingo-member/examples/measure.rs
@@ -169,6 +169,7 @@
 /// configuration from another zone.
 fn restart(seed: u64) {
     let model = |n: u32| Model {
+        anonymous: false,
         name: format!("model-{n}"),
         version: 1,
         weights: 8_000,
--- a/crates/flamingo-place/examples/day.rs
+++ b/crates/flamingo-place/examples/day.rs
@@ -314,6 +314,7 @@
     fn new(shape: &'a Shape, days: &'a [Vec<f64>], policy: Policy, weight: Option<u32>) -> Self {
         let start = Instant::now();
         let models = (0..shape.models).map(|n| Model {
+            anonymous: false,
             name: format!("m{n:03}"),
             version: 1,
             weights: 12_000 + 1_000 * (n as u64 % 9),
--- a/crates/flamingo-place/examples/step.rs
+++ b/crates/flamingo-place/examples/step.rs
@@ -14,6 +14,7 @@
 
 fn set(models: usize, copies: u32) -> Set {
     let models = (0..models).map(|n| Model {
+        anonymous: false,
         name: format!("model-{n}"),
         version: 1,
         weights: 8_000 + 1_000 * (n as u64 % 9),
--- a/crates/flamingo-place/tests/fit.rs
+++ b/crates/flamingo-place/tests/fit.rs
@@ -7,6 +7,7 @@
 fn set(models: &[(u64, u32)]) -> Set {
     let numbered = models.iter().enumerate();
     let models = numbered.map(|(n, (weights, copies))| Model {
+        anonymous: false,
         name: format!("m{n}"),
         version: 1,
         weights: *weights,
--- a/crates/flamingo-place/tests/scenarios.rs
+++ b/crates/flamingo-place/tests/scenarios.rs
@@ -195,6 +195,7 @@
         let mut words = line.split_whitespace();
         let name = words.next().expect("a name").to_owned();
         let mut model = Model {
+            anonymous: false,
             name,
             version: 1,
             weights: words
--- a/crates/flamingo-place/tests/world/mod.rs
+++ b/crates/flamingo-place/tests/world/mod.rs
@@ -60,6 +60,7 @@
 
 pub fn model(name: &str, weights: id::Mebibytes, copies: u32) -> Model {
     Model {
+        anonymous: false,
         name: name.to_owned(),
         version: 1,
         weights,
--- a/crates/flamingo-route/tests/harness/mod.rs
+++ b/crates/flamingo-route/tests/harness/mod.rs
@@ -539,6 +539,7 @@
         })
     });
     let models = (0..MODELS).map(|model| config::Model {
+        anonymous: false,
         name: format!("model-{model}"),
         version: 1,
         weights: 1_000,
@@ -551,9 +552,11 @@
         }],
     });
     Set {
+        workspaces: Vec::new(),
         profiles: profiles.collect(),
         models: models.collect(),
         services: vec![config::Service {
+            anonymous: false,
             name: "rota".into(),
             idempotent: Vec::new(),
             concurrency: 2,
--- a/crates/flamingo-route/tests/scenarios.rs
+++ b/crates/flamingo-route/tests/scenarios.rs
@@ -185,6 +185,7 @@
         late_policy,
     };
     let model = |name: &str, adapters: &[&str]| Model {
+        anonymous: false,
         name: name.into(),
         version: 1,
         weights: 1_000,
--- a/crates/flamingo-settings/src/set.rs
+++ b/crates/flamingo-settings/src/set.rs
@@ -1,7 +1,9 @@
 //! The configuration of profiles, models and services that operators edit, as INI.
 //!
 //! Sections are `[profile NAME]`, `[model NAME]`, `[adapter NAME]` (with the
-//! key `model`), `[service NAME]` and `[placement]`.
+//! key `model`), `[service NAME]`, `[placement]` and `[workspace NAME]`.
+
+mod workspace;
 
 use crate::reader::{NAME, is_name};
 use crate::{Error, Reader};
@@ -14,9 +16,17 @@
 /// Default number of concurrent requests on one replica of a service.
 const CONCURRENCY_DEFAULT: u64 = 8;
 const CONCURRENCY_MAX: u64 = 65_536;
-const PREFIXES: [&str; 4] = ["profile ", "model ", "adapter ", "service "];
+const PREFIXES: [&str; 5] = [
+    "profile ",
+    "model ",
+    "adapter ",
+    "service ",
+    workspace::PREFIX,
+];
 const MILLIS: &str = "a whole number of milliseconds from 1 to 86400000";
 const MEBIBYTES: &str = "a whole number of MiB";
+const RANK: &str = "a whole number from 0 (most urgent) to 255";
+const BOOLEAN: &str = "true or false";
 
 /// Reads the configuration in the file at `path`.
 ///
@@ -70,11 +80,13 @@
         .filter_map(|name| service(reader, name))
         .collect();
     let placement = placement(reader);
+    let workspaces = workspace::read(reader);
     Set {
         profiles,
         models,
         services,
         placement,
+        workspaces,
     }
 }
 
@@ -110,6 +122,23 @@
     }
 }
 
+/// Returns why a configuration that did not come from a file can't be applied; empty where it can.
+/// Covers workspaces only: what else [`parse`] reports can't do harm where an instance checks it later.
+///
+/// ```
+/// use flamingo_settings::set;
+/// use flamingo_wire::config::Set;
+/// use flamingo_wire::workspace::Workspace;
+///
+/// let unnamed = Set { workspaces: vec![Workspace::default()], ..Set::default() };
+/// assert!(set::problems(&Set::default()).is_empty());
+/// assert!(!set::problems(&unnamed).is_empty());
+/// ```
+#[must_use]
+pub fn problems(set: &Set) -> Vec<String> {
+    workspace::problems(&set.workspaces)
+}
+
 /// Formats a configuration as INI text, from which [`parse`] returns an equal configuration.
 ///
 /// ```
@@ -135,6 +164,9 @@
         let _ = write_service(&mut text, service);
     }
     let _ = write_placement(&mut text, &set.placement);
+    for workspace in &set.workspaces {
+        let _ = workspace::write(&mut text, workspace);
+    }
     text
 }
 
@@ -157,7 +189,9 @@
     writeln!(out, "weights = {}", model.weights)?;
     writeln!(out, "cache = {}", model.cache)?;
     writeln!(out, "copies = {}", model.copies)?;
-    writeln!(out, "importance = {}\n", model.importance)?;
+    writeln!(out, "importance = {}", model.importance)?;
+    write_anonymous(out, model.anonymous)?;
+    writeln!(out)?;
     for adapter in &model.adapters {
         writeln!(out, "[adapter {}]", adapter.name)?;
         writeln!(out, "model = {}", model.name)?;
@@ -172,7 +206,16 @@
         writeln!(out, "idempotent = {}", service.idempotent.join(", "))?;
     }
     writeln!(out, "concurrency = {}", service.concurrency)?;
-    writeln!(out, "patience_ms = {}\n", service.max_wait.as_millis())
+    writeln!(out, "patience_ms = {}", service.max_wait.as_millis())?;
+    write_anonymous(out, service.anonymous)?;
+    writeln!(out)
+}
+
+fn write_anonymous(out: &mut String, anonymous: bool) -> std::fmt::Result {
+    if anonymous {
+        writeln!(out, "anonymous = true")?;
+    }
+    Ok(())
 }
 
 fn write_placement(out: &mut String, placement: &Placement) -> std::fmt::Result {
@@ -187,11 +230,7 @@
 
 fn profile(reader: &mut Reader, name: id::Profile) -> Option<Profile> {
     let section = format!("profile {name}");
-    let rank = reader.need(
-        &section,
-        "rank",
-        "a whole number from 0 (most urgent) to 255",
-    );
+    let rank = reader.need(&section, "rank", RANK);
     let first_token = millis(reader, &section, "first_token_ms", None);
     let between_tokens = millis(reader, &section, "between_tokens_ms", None);
     let max_wait = millis(
@@ -218,6 +257,7 @@
     let cache = reader.need(&section, "cache", MEBIBYTES);
     let copies = reader.or(&section, "copies", 1, "a whole number from 1");
     let importance = reader.or(&section, "importance", 1, "a whole number");
+    let anonymous = reader.or(&section, "anonymous", false, BOOLEAN);
     if copies == 0 {
         reader.problem(&section, "copies", "'0'", "a whole number from 1");
     }
@@ -229,6 +269,7 @@
         copies,
         importance,
         adapters: Vec::new(),
+        anonymous,
     })
 }
 
@@ -281,11 +322,13 @@
         "patience_ms",
         Some(Duration::from_secs(30)),
     );
+    let anonymous = reader.or(&section, "anonymous", false, BOOLEAN);
     Some(Service {
         name,
         idempotent,
         concurrency,
         max_wait: max_wait?,
+        anonymous,
     })
 }
 
--- a/crates/flamingo-settings/tests/page.rs
+++ b/crates/flamingo-settings/tests/page.rs
@@ -44,7 +44,7 @@
         check(section, listed_keys(section, entry::Settings::open));
     }
     check("control", listed_keys("control", control::Settings::open));
-    for kind in ["profile", "model", "adapter", "service"] {
+    for kind in ["profile", "model", "adapter", "service", "workspace"] {
         let keys = listed_keys(&format!("{kind} x"), set::open);
         check(&format!("{kind} NAME"), keys);
     }
--- a/crates/flamingo-settings/tests/problems.rs
+++ b/crates/flamingo-settings/tests/problems.rs
@@ -3,6 +3,7 @@
 use flamingo_settings::{Error, Problem, entry, set};
 use flamingo_test_support::{cases, seed};
 use flamingo_wire::config::{Adapter, LatePolicy, Model, Placement, Profile, Service, Set};
+use flamingo_wire::workspace::{KeyDigest, Quota, Unit, Workspace};
 use quickcheck::{Arbitrary, Gen};
 use std::path::Path;
 use std::time::Duration;
@@ -46,6 +47,40 @@
         "profile p", "late");
     relative_path("[service s]\nidempotent = status", "service s", "idempotent");
     no_concurrency("[service s]\nconcurrency = 0", "service s", "concurrency");
+    odd_anonymous("[service s]\nanonymous = maybe", "service s", "anonymous");
+    workspace_twice("[workspace a]\nrank = 1\n[workspace a]\nrank = 2", "workspace a", "");
+    workspace_without_name("[workspace ]\nrank = 1", "workspace", "rank");
+    odd_workspace_name("[workspace a b]\nrank = 1", "workspace a b", "");
+    negative_rate("[workspace a]\nrate = -1", "workspace a", "rate");
+    infinite_burst("[workspace a]\nrate = 1\nburst = inf", "workspace a", "burst");
+    cost_that_is_no_number("[workspace a]\nrate = 1\nplain_cost = NaN", "workspace a", "plain_cost");
+    burst_without_rate("[workspace a]\nburst = 1", "workspace a", "rate");
+    odd_unit("[workspace a]\nrate = 1\nunit = bytes", "workspace a", "unit");
+    odd_workspace_rank("[workspace a]\nrank = 256", "workspace a", "rank");
+    key_in_place_of_digest("[workspace a]\nkeys = sk-secret", "workspace a", "keys");
+}
+
+/// Guards against an operator's key in a terminal or a log, and against a key of two workspaces, whose
+/// requests would count for either.
+#[test]
+fn problems_of_keys_name_workspaces_and_quote_nothing() {
+    let digest = format!("{:x}", KeyDigest::of("sk-shared"));
+    let text = format!(
+        "[workspace a]\nkeys = {digest}, sk-secret\n[workspace b]\nkeys = {}\n",
+        digest.to_uppercase()
+    );
+    let list = problems(set::parse(Path::new("set.ini"), &text));
+    let lines: Vec<_> = list.iter().map(ToString::to_string).collect();
+    let lines = lines.join("\n");
+    assert!(
+        lines.contains("workspaces 'a' and 'b' share a key"),
+        "{lines}"
+    );
+    assert!(lines.contains("number 2: not the 64"), "{lines}");
+    assert!(
+        !lines.contains("sk-secret") && !lines.contains(&digest),
+        "{lines}"
+    );
 }
 
 #[test]
@@ -109,6 +144,7 @@
         });
         let profiles = profiles.collect();
         let models = (0..count(g)).map(|n| Model {
+            anonymous: bool::arbitrary(g),
             name: name("model", n),
             version: u32::arbitrary(g),
             weights: u64::from(u32::arbitrary(g)),
@@ -124,12 +160,31 @@
         });
         let models = models.collect();
         let services = (0..count(g)).map(|n| Service {
+            anonymous: bool::arbitrary(g),
             name: name("service", n),
             idempotent: (0..count(g)).map(|p| format!("/{p}")).collect(),
             concurrency: 1 + u32::from(u8::arbitrary(g)),
             max_wait: millis(g),
         });
         let services = services.collect();
+        let workspaces = (0..count(g)).map(|n| Workspace {
+            name: name("workspace", n),
+            keys: (0..count(g))
+                .map(|key| KeyDigest::of(&name(&name("key", n), key)))
+                .collect(),
+            rank: Option::arbitrary(g),
+            quota: bool::arbitrary(g).then(|| Quota {
+                unit: if bool::arbitrary(g) {
+                    Unit::Tokens
+                } else {
+                    Unit::Requests
+                },
+                per_s: f64::from(u32::arbitrary(g)) / 7.0,
+                burst: f64::from(u32::arbitrary(g)),
+                plain_units: f64::from(u16::arbitrary(g)) / 3.0,
+            }),
+        });
+        let workspaces = workspaces.collect();
         let placement = Placement {
             attainment_weight: u32::from(u16::arbitrary(g)),
             moves_weight: u32::from(u16::arbitrary(g)),
@@ -139,6 +194,7 @@
             tokens_per_copy: 1 + u32::from(u16::arbitrary(g)),
         };
         Self(Set {
+            workspaces,
             profiles,
             models,
             services,
--- a/crates/flamingo-state/src/configuration.rs
+++ b/crates/flamingo-state/src/configuration.rs
@@ -243,6 +243,13 @@
         |item| &item.name,
         &mut parts,
     );
+    compare(
+        "workspace",
+        &old.workspaces,
+        &new.workspaces,
+        |item| &item.name,
+        &mut parts,
+    );
     if parts.is_empty() {
         return "no difference".to_owned();
     }
--- a/crates/flamingo-state/tests/configuration.rs
+++ b/crates/flamingo-state/tests/configuration.rs
@@ -4,8 +4,11 @@
 use flamingo_test_support::operator::change;
 use flamingo_test_support::seed;
 use flamingo_wire::admin::{Answer, Drain};
+use flamingo_wire::config::{Model, Placement, Profile, Service, Set};
 use flamingo_wire::control::Reply;
 use flamingo_wire::fault::Reason;
+use flamingo_wire::workspace::{KeyDigest, Quota, Unit, Workspace};
+use serde::Serialize;
 use std::collections::BTreeMap;
 use std::time::SystemTime;
 
@@ -75,6 +78,69 @@
     assert_eq!(state.configuration.snapshot().drained, ["engine-1"]);
 }
 
+fn workspace() -> Workspace {
+    Workspace {
+        name: "acme".into(),
+        keys: vec![KeyDigest::of("k")],
+        rank: Some(3),
+        quota: Some(Quota {
+            unit: Unit::Tokens,
+            per_s: 0.5,
+            burst: 10.0,
+            plain_units: 200.0,
+        }),
+    }
+}
+
+/// Guards against workspaces that a restart, or the return to an older version, loses.
+#[test]
+fn workspaces_are_kept_with_each_version() {
+    let mut state = State::default();
+    let mut add = change("add", 0);
+    add.set.workspaces.push(workspace());
+    for change in [add, change("remove", 1)] {
+        let stamped = Stamped {
+            at: SystemTime::now(),
+            command: Command::Apply(change),
+        };
+        state.apply(Stamped::decode(&stamped.encode().unwrap()).unwrap());
+    }
+    let state = State::decode(&state.encode().unwrap()).unwrap();
+    let configuration = &state.configuration;
+    assert_eq!(configuration.kept(1).unwrap().set.workspaces, [workspace()]);
+    assert!(configuration.set().workspaces.is_empty());
+    let summaries: Vec<_> = configuration.history().into_iter().rev().collect();
+    assert_eq!(summaries[0].summary, "+workspace acme");
+    assert_eq!(summaries[1].summary, "-workspace acme");
+}
+
+/// A set as it was written before it could have workspaces.
+#[derive(Serialize)]
+struct EarlierSet {
+    profiles: Vec<Profile>,
+    models: Vec<Model>,
+    services: Vec<Service>,
+    placement: Placement,
+}
+
+/// Guards against a change id that is refused as used for another change, since an earlier version of the
+/// software made the digest of the change.
+#[test]
+fn a_set_without_workspaces_is_written_as_before() {
+    let earlier = EarlierSet {
+        profiles: Vec::new(),
+        models: Vec::new(),
+        services: Vec::new(),
+        placement: Placement::default(),
+    };
+    let earlier = rmp_serde::to_vec(&earlier).unwrap();
+    assert_eq!(rmp_serde::to_vec(&Set::default()).unwrap(), earlier);
+    assert_eq!(
+        rmp_serde::from_slice::<Set>(&earlier).unwrap(),
+        Set::default()
+    );
+}
+
 /// Applies changes, resends and restarts from a snapshot. Returns whether every resend got
 /// the first reply, every version was made by one change, and no version went back.
 fn applies_consistently(changes: &[(u8, u8)]) -> bool {
--- a/crates/flamingo-wire/src/config.rs
+++ b/crates/flamingo-wire/src/config.rs
@@ -1,6 +1,7 @@
 //! The configuration that operators edit: profiles, models and services.
 
 use crate::id;
+use crate::workspace::Workspace;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 use strum::{Display, EnumString, IntoStaticStr, VariantNames};
@@ -75,6 +76,9 @@
     pub importance: u32,
     /// Adapters of this model.
     pub adapters: Vec<Adapter>,
+    /// Whether requests need no key where the set has workspaces.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub anonymous: bool,
 }
 
 impl Model {
@@ -91,6 +95,7 @@
     ///     copies: 1,
     ///     importance: 1,
     ///     adapters: Vec::new(),
+    ///     anonymous: false,
     /// };
     /// assert_eq!(model.footprint(), 10_000);
     /// ```
@@ -113,10 +118,20 @@
     /// Longest time that a call may wait before it is abandoned.
     #[serde(rename = "patience")]
     pub max_wait: Duration,
+    /// Whether calls need no key where the set has workspaces.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub anonymous: bool,
+}
+
+/// Returns whether a field is left out when it is written, so that a set that doesn't use it has the
+/// same bytes as one of an earlier version: change ids are compared by digests of these bytes.
+#[allow(clippy::trivially_copy_pass_by_ref)] // serde passes references
+fn is_false(value: &bool) -> bool {
+    !*value
 }
 
 /// The whole configuration that operators edit.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Set {
     /// Profiles.
     pub profiles: Vec<Profile>,
@@ -127,6 +142,9 @@
     /// Weights and rate limits of placement.
     #[serde(default)]
     pub placement: Placement,
+    /// Workspaces. Where there are any, requests need the key of one.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub workspaces: Vec<Workspace>,
 }
 
 /// Weights by which placement trades attained work against moves, and rate limits of loads.
@@ -180,6 +198,13 @@
         self.models.iter().find(|model| model.name == name)
     }
 
+    /// Returns the model that callers name by `name`, which is its own or that of one of its adapters.
+    #[must_use]
+    pub fn model_or_owner(&self, name: &str) -> Option<&Model> {
+        let owns = |model: &&Model| model.adapters.iter().any(|adapter| adapter.name == name);
+        self.model(name).or_else(|| self.models.iter().find(owns))
+    }
+
     /// Returns the service named `name`, if there is one.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<&Service> {
@@ -188,7 +213,7 @@
 }
 
 /// A configuration with the version under which it was accepted.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Snapshot {
     /// Version; 0 where no configuration was accepted yet.
     pub version: id::Version,
@@ -200,7 +225,7 @@
 }
 
 /// An operator's request to replace the configuration.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Change {
     /// Identity of this change; a retry carries the same identity.
     pub id: id::Change,
--- a/crates/flamingo-wire/src/gossip.rs
+++ b/crates/flamingo-wire/src/gossip.rs
@@ -204,7 +204,7 @@
 }
 
 /// A gossip message. The answer to a message has the same type.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Message {
     /// Membership updates. The first update must be about the sender itself.
     #[serde(rename = "rumours")]
--- a/crates/flamingo-wire/src/workspace.rs
+++ b/crates/flamingo-wire/src/workspace.rs
@@ -5,6 +5,9 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest as _, Sha256};
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use std::str::FromStr;
+use strum::{Display, EnumString};
 use subtle::ConstantTimeEq as _;
 
 /// SHA-256 digest of a caller's key. Entries hold digests only, so that a dump of an entry's memory
@@ -46,8 +49,45 @@
     }
 }
 
+/// Writes the digest as 64 hexadecimal digits.
+impl fmt::LowerHex for KeyDigest {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(out, "{byte:02x}"))
+    }
+}
+
+/// Reads the form that [`fmt::LowerHex`] writes, in upper or lower case. The error quotes nothing, since
+/// what is no digest may be a key.
+///
+/// ```
+/// use flamingo_wire::workspace::KeyDigest;
+///
+/// let digest = KeyDigest::of("a");
+/// assert_eq!(format!("{digest:x}").parse(), Ok(digest));
+/// assert!("a key".parse::<KeyDigest>().is_err());
+/// ```
+impl FromStr for KeyDigest {
+    type Err = &'static str;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let invalid = "not the 64 hexadecimal digits of a SHA-256 digest";
+        let mut bytes = [0; 32];
+        if text.len() != 2 * bytes.len() || !text.bytes().all(|digit| digit.is_ascii_hexdigit()) {
+            return Err(invalid);
+        }
+        for (index, byte) in bytes.iter_mut().enumerate() {
+            let digits = &text[2 * index..2 * index + 2];
+            *byte = u8::from_str_radix(digits, 16).map_err(|_| invalid)?;
+        }
+        Ok(Self(bytes))
+    }
+}
+
 /// What a quota counts.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Display, EnumString, Eq, PartialEq, Serialize,
+)]
+#[strum(serialize_all = "kebab-case")]
 pub enum Unit {
     /// Requests.
     #[default]
