Authentication by key moves to flamingo-guard

The product's own front must decide on keys as the platform's does, and its entry shares the index between threads. `flamingo-serve` would bring its whole proxy along.

`authentication` moves to `flamingo-guard`, on which both depend, and holds workspaces in `Arc` in place of `Rc`. No decision changes; the tests only name the new path.

--- a/crates/flamingo-serve/src/authentication.rs
+++ b/crates/flamingo-guard/src/authentication.rs
@@ -6,17 +6,44 @@
 use flamingo_wire::workspace::{KeyDigest, Workspace};
 use smallvec::SmallVec;
 use std::collections::HashMap;
-use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Longest time without a push that shows a leader, after which this entry may have missed a newer
 /// configuration. A change must be in force everywhere within 2.5 s, and the leader pushes twice a second.
 pub const MAX_LEADER_SILENCE: Duration = Duration::from_secs(2);
 
+/// Scheme of the header that holds a key, in any case (RFC 9110, section 11.1).
+const SCHEME: &str = "bearer";
+
 /// First bytes of a digest.
 type Prefix = [u8; 8];
 /// Keys whose digests begin alike, with their workspaces: one, unless someone has searched for more.
-type Bucket = SmallVec<[(KeyDigest, Rc<Workspace>); 1]>;
+type Bucket = SmallVec<[(KeyDigest, Arc<Workspace>); 1]>;
+
+/// Returns the digest of the key that a caller sends, given the values of its `Authorization` headers. A
+/// header that stands twice is ambiguous and holds no key.
+///
+/// ```
+/// use flamingo_guard::authentication::key;
+/// use flamingo_wire::workspace::KeyDigest;
+///
+/// assert_eq!(key([&b"Bearer k"[..]]), Some(KeyDigest::of("k")));
+/// assert_eq!(key([&b"Bearer k"[..], b"Bearer l"]), None);
+/// assert_eq!(key([&b"Basic k"[..]]), None);
+/// ```
+#[must_use]
+pub fn key<'a>(values: impl IntoIterator<Item = &'a [u8]>) -> Option<KeyDigest> {
+    let mut values = values.into_iter();
+    let value = values.next()?;
+    if values.next().is_some() {
+        return None;
+    }
+    let text = std::str::from_utf8(value).ok()?;
+    let (scheme, key) = text.trim().split_once(' ')?;
+    let is_bearer = scheme.eq_ignore_ascii_case(SCHEME);
+    is_bearer.then(|| KeyDigest::of(key.trim_start()))
+}
 
 /// The workspaces of a configuration by the digests of their keys.
 #[derive(Debug)]
@@ -30,10 +57,10 @@
     pub fn new(workspaces: &[Workspace]) -> Self {
         let mut buckets: HashMap<Prefix, Bucket> = HashMap::new();
         for workspace in workspaces {
-            let workspace = Rc::new(workspace.clone());
+            let workspace = Arc::new(workspace.clone());
             for key in &workspace.keys {
                 let bucket = buckets.entry(prefix(key)).or_default();
-                bucket.push((*key, Rc::clone(&workspace)));
+                bucket.push((*key, Arc::clone(&workspace)));
             }
         }
         Self { buckets }
@@ -42,7 +69,7 @@
     /// Returns the workspace that has this key; `None` if no workspace has it.
     ///
     /// ```
-    /// use flamingo_serve::authentication::Index;
+    /// use flamingo_guard::authentication::Index;
     /// use flamingo_wire::workspace::{KeyDigest, Workspace};
     ///
     /// let keys = vec![KeyDigest::of("k")];
@@ -51,7 +78,7 @@
     /// assert!(index.find(&KeyDigest::of("l")).is_none());
     /// ```
     #[must_use]
-    pub fn find(&self, key: &KeyDigest) -> Option<&Rc<Workspace>> {
+    pub fn find(&self, key: &KeyDigest) -> Option<&Arc<Workspace>> {
         let bucket = self.buckets.get(&prefix(key))?;
         let mut found = None;
         for (digest, workspace) in bucket {
@@ -72,7 +99,7 @@
 #[strum(serialize_all = "snake_case")]
 pub enum Decision<'a> {
     /// As a request of this workspace, or without one.
-    Allowed(Option<&'a Rc<Workspace>>),
+    Allowed(Option<&'a Arc<Workspace>>),
     /// No workspace has the key, or the caller has sent none.
     Unknown,
     /// No workspace that this entry knows has the key; a newer configuration may have one.
@@ -83,7 +110,7 @@
 /// `hears_leader` that this entry gets newer configurations.
 ///
 /// ```
-/// use flamingo_serve::authentication::{Decision, Index, decide};
+/// use flamingo_guard::authentication::{Decision, Index, decide};
 ///
 /// let index = Index::new(&[]);
 /// assert_eq!(decide(&index, None, true, true), Decision::Allowed(None));
--- a/crates/flamingo-serve/src/lib.rs
+++ b/crates/flamingo-serve/src/lib.rs
@@ -1,12 +1,11 @@
 //! Accepts callers' requests and routes them to targets that register with control instances.
 //!
 //! HTTP heads are translated by a [`wire::Codec`], which the users' platform implements. Routing
-//! decisions are made without I/O in [`authentication`], [`table`], [`choice`], [`admission`],
+//! decisions are made without I/O in [`flamingo_guard::authentication`], [`table`], [`choice`], [`admission`],
 //! [`departure`], [`outlook`] and [`budget`], from the estimates of [`speed`], [`pace`] and
 //! [`round_trip`]. The other modules handle connections and tasks. Everything runs on a single thread.
 
 pub mod admission;
-pub mod authentication;
 pub mod availability;
 pub mod body;
 pub mod budget;
--- a/crates/flamingo-serve/src/metrics/workspace.rs
+++ b/crates/flamingo-serve/src/metrics/workspace.rs
@@ -1,7 +1,7 @@
 //! Counts the requests of workspaces.
 
-use crate::authentication::Decision;
 use flamingo_daemon::metrics::Registry;
+use flamingo_guard::authentication::Decision;
 use prometheus::IntCounterVec;
 use std::cell::RefCell;
 use std::collections::BTreeSet;
--- a/crates/flamingo-serve/src/proxy/identity.rs
+++ b/crates/flamingo-serve/src/proxy/identity.rs
@@ -2,16 +2,16 @@
 
 use super::Proxy;
 use super::refusal::RETRY_AFTER_MIN;
-use crate::authentication::{Decision, decide};
 use crate::body::Body;
 use crate::topology::Routes;
 use crate::wire::{Cause, Refusal, RequestHead};
 use flamingo_daemon::clock;
+use flamingo_guard::authentication::{Decision, decide};
 use flamingo_wire::route::Route;
 use flamingo_wire::workspace::Workspace;
 use http::{Response, request};
 use slog::info;
-use std::rc::Rc;
+use std::sync::Arc;
 
 impl Proxy {
     /// Returns the workspace that the key of a request belongs to, removes the key from its head, and
@@ -26,7 +26,7 @@
         route: &mut Route,
         http_head: &mut request::Parts,
         request: &mut RequestHead,
-    ) -> Result<Option<Rc<Workspace>>, Cause> {
+    ) -> Result<Option<Arc<Workspace>>, Cause> {
         let Some(index) = &routes.keys else {
             return Ok(None);
         };
--- a/crates/flamingo-serve/src/proxy/job.rs
+++ b/crates/flamingo-serve/src/proxy/job.rs
@@ -19,6 +19,7 @@
 use smallvec::SmallVec;
 use std::cell::{Cell, OnceCell, RefCell};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Gap in a stream after which callers leave, at least.
@@ -43,7 +44,7 @@
     /// Route of the request, with the rank of the workspace where that has one.
     pub route: Route,
     /// Workspace of the caller; `None` for a caller without one, and where requests need no key.
-    pub workspace: Option<Rc<Workspace>>,
+    pub workspace: Option<Arc<Workspace>>,
     /// Service that was chosen by the shares of the route.
     pub service: id::Service,
     /// Routes that were current when the request arrived.
--- a/crates/flamingo-serve/src/topology.rs
+++ b/crates/flamingo-serve/src/topology.rs
@@ -1,12 +1,12 @@
 //! What an entry knows of the system: routes, targets, connections to them, and other processes.
 //! Control instances send this state and its changes.
 
-use crate::authentication::{Index, MAX_LEADER_SILENCE};
 use crate::origins::Origins;
 use crate::pool::Pool;
 use crate::sharers::{COUNT_TIMEOUT, Sharers};
 use crate::table::Table;
 use flamingo_daemon::clock;
+use flamingo_guard::authentication::{Index, MAX_LEADER_SILENCE};
 use flamingo_guard::observer::{Life, Observer};
 use flamingo_guard::quarantine::Finding;
 use flamingo_link::subscription::PushHandler;
--- a/crates/flamingo-serve/tests/authentication.rs
+++ b/crates/flamingo-serve/tests/authentication.rs
@@ -1,7 +1,7 @@
 //! Which requests their keys admit, and how an entry knows whether it can tell.
 
+use flamingo_guard::authentication::{Decision, Index, MAX_LEADER_SILENCE, decide};
 use flamingo_link::subscription::PushHandler;
-use flamingo_serve::authentication::{Decision, Index, MAX_LEADER_SILENCE, decide};
 use flamingo_serve::metrics::Metrics;
 use flamingo_serve::topology::{Routes, Topology};
 use flamingo_test_support::cases;
