Workspaces at the product's own front

flamingo-entry let in everyone who had a key of its file, whatever the set's workspaces.

Where the set has workspaces, the entry authenticates by digest: 401 for an unknown or missing key, 503 with Retry-After where a newer set may have the key, that is without any set or without news of a leader for 2 s. To tell the latter, control instances add the leader that they know to the heartbeats of followers that have the newest set, where it has workspaces. The key reaches no target; `x-flamingo-workspace` names the workspace, whose rank replaces the profile's. Records of the call ledger are kept by workspace, so that none gets another one's answer. Quotas are kept and checked, but not enforced: control instances of this kind don't answer `Request::Quota`; the entry warns.

An entry whose settings name control instances and that has no set yet now answers callers with 503 in place of serving what targets announce: the set may have workspaces. `/readyz` said 503 already.

--- a/crates/flamingo-control/src/watch.rs
+++ b/crates/flamingo-control/src/watch.rs
@@ -7,13 +7,13 @@
 
 use crate::metrics::Metrics;
 use crate::packet::{HEARTBEAT_INTERVAL, STREAM_TIMEOUT};
-use crate::raft_actor::{FollowerHeartbeat, RaftActor};
+use crate::raft_actor::{FollowerHeartbeat, GetMembership, RaftActor};
 use crate::registry::{Broadcast, Registry};
 use crate::transfer::{BACKOFF_SLOTS, Offer, Transfer};
 use actix::Addr;
 use flamingo_daemon::clock;
 use flamingo_wire::config::Snapshot;
-use flamingo_wire::control::{Heartbeat, Push};
+use flamingo_wire::control::{Heartbeat, Peers, Push};
 use flamingo_wire::frame::Seal;
 use flamingo_wire::{Frame, id, route};
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -330,10 +330,28 @@
         if heartbeat {
             let push = Push::Heartbeat(stream.version);
             self.send_push(stream, &push).await?;
+            if stream.version >= newest.version && !newest.set.workspaces.is_empty() {
+                self.send_leader(stream).await?;
+            }
         }
         Some(())
     }
 
+    /// Tells a follower that has the newest configuration whether this instance knows a leader, so that an
+    /// entry can tell an unknown key from one that it may have missed. Followers of routes and targets get
+    /// the processes anyway. Returns `None` where the stream has ended.
+    async fn send_leader(&self, stream: &FollowerStream) -> Option<()> {
+        if stream.routes.is_some() {
+            return Some(());
+        }
+        let membership = self.raft_actor.send(GetMembership).await.ok()?;
+        let peers = Peers {
+            leader: membership.leader,
+            ..Peers::default()
+        };
+        self.send_push(stream, &Push::Peers(peers)).await
+    }
+
     fn seal_frame(&self, to: &str, push: &Push) -> Option<Frame> {
         self.seal.seal(to, push, SystemTime::now()).ok()
     }
--- a/crates/flamingo-entry/src/call.rs
+++ b/crates/flamingo-entry/src/call.rs
@@ -11,6 +11,7 @@
 use crate::handle::Handle;
 use crate::http::{AppState, request_id};
 use crate::path;
+use crate::worker_state::Config;
 use actix_web::http::header::{self, HeaderMap, HeaderName};
 use actix_web::http::{Method, StatusCode};
 use actix_web::web::{Bytes, Data, Path, Payload};
@@ -83,13 +84,22 @@
 ) -> HttpResponse {
     let id = request_id();
     let service = service.into_inner().0;
-    match prepare(&shared, &request, &service, payload, &id).await {
+    let config = shared.worker_state.config();
+    let known = config.snapshot.set.service(&service);
+    let anonymous = known.is_some_and(|service| service.anonymous);
+    let workspace = match shared.authenticate(&config, &request, anonymous) {
+        Ok(workspace) => workspace,
+        Err(fault) => return shared.refuse_key(&config, &fault, &id),
+    };
+    let name = workspace.as_ref().map(|workspace| workspace.name.clone());
+    match prepare(&shared, &config, &request, (&service, name), payload, &id).await {
         Err(fault) => answer::refuse(&fault, &id),
         Ok((outgoing, idempotent, key)) => {
             let routed = flamingo_route::Request {
                 id,
                 pool: Pool::Service(service.clone()),
                 profile: profile(&request),
+                rank: workspace.and_then(|workspace| workspace.rank),
                 prefixes: flamingo_route::request::Prefixes::new(),
                 fingerprint: outgoing.fingerprint(&service),
                 idempotent,
@@ -123,8 +133,9 @@
 /// idempotency key of a call that is not.
 async fn prepare(
     shared: &AppState,
+    config: &Config,
     request: &HttpRequest,
-    service: &str,
+    (service, workspace): (&str, Option<id::Workspace>),
     payload: Payload,
     id: &str,
 ) -> Result<(Outgoing, bool, Option<id::Key>), Fault> {
@@ -132,8 +143,7 @@
         let message = "the path can be read in two ways";
         return Err(invalid(message, "leave out '.', '..', ';' and empty parts"));
     };
-    let config = shared.worker_state.config();
-    let service = config.set.service(service);
+    let service = config.snapshot.set.service(service);
     // A call of an unknown service counts as not idempotent.
     let idempotent = service.is_some_and(|service| path::is_idempotent(service, service_path));
     let key = if idempotent {
@@ -147,11 +157,13 @@
         |query| format!("{service_path}?{query}"),
     );
     let headers = request.headers().iter();
-    let is_secret = |name: &HeaderName| shared.guarded && name == header::AUTHORIZATION;
+    let guarded = shared.guarded || config.keys.is_some();
+    let is_secret = |name: &HeaderName| guarded && name == header::AUTHORIZATION;
     let headers = headers.filter(|(name, _)| is_forwarded(name) && !is_secret(name));
     let headers = headers.map(|(name, value)| (name.clone(), value.clone()));
     let outgoing = Outgoing {
         request: id.to_owned(),
+        workspace,
         method: request.method().clone(),
         path,
         headers: headers.collect(),
@@ -216,7 +228,7 @@
             return None;
         }
         let call = Call {
-            service: self.service.clone(),
+            service: self.ledger_service(),
             key,
             digest: self.digest(),
             request: self.outgoing.request.clone(),
@@ -265,6 +277,16 @@
         }
     }
 
+    /// Returns the service under which the ledger records the call. Each workspace has keys of its own: it
+    /// neither gets the answer to another one's call nor blocks a key for others. No service that targets
+    /// serve has a line break in its name.
+    fn ledger_service(&self) -> id::Service {
+        match &self.outgoing.workspace {
+            Some(workspace) => format!("{}\n{workspace}", self.service),
+            None => self.service.clone(),
+        }
+    }
+
     /// Returns the SHA-256 of method, path and body, each prefixed by its length. The ledger uses
     /// the digest to detect a key that is reused for a different call.
     fn digest(&self) -> Vec<u8> {
@@ -318,7 +340,7 @@
         let content_type = content_type.and_then(|content_type| content_type.to_str().ok());
         let body = response.map(|response| response.body.to_vec());
         Answer {
-            service: self.service.clone(),
+            service: self.ledger_service(),
             key,
             request: self.outgoing.request.clone(),
             verdict,
--- a/crates/flamingo-entry/src/completion.rs
+++ b/crates/flamingo-entry/src/completion.rs
@@ -86,6 +86,14 @@
     payload: Payload,
 ) -> HttpResponse {
     let id = request_id();
+    let config = shared.worker_state.config();
+    let set = &config.snapshot.set;
+    // The model stands in the body, which is read only where some model is open to anyone.
+    let some_open = set.models.iter().any(|model| model.anonymous);
+    let mut workspace = match shared.authenticate(&config, &request, some_open) {
+        Ok(workspace) => workspace,
+        Err(fault) => return shared.refuse_key(&config, &fault, &id),
+    };
     let body = match body::read(&request, payload, shared.serve.body).await {
         Ok(body) => body,
         Err(fault) => return answer::refuse(&fault, &id),
@@ -94,6 +102,13 @@
         Ok(prompt) => prompt,
         Err(fault) => return answer::refuse(&fault, &id),
     };
+    let model = set.model_or_owner(&prompt.model);
+    if workspace.is_none() && !model.is_some_and(|model| model.anonymous) {
+        workspace = match shared.authenticate(&config, &request, false) {
+            Ok(workspace) => workspace,
+            Err(fault) => return shared.refuse_key(&config, &fault, &id),
+        };
+    }
     let mut headers = header::HeaderMap::new();
     let json = HeaderValue::from_static("application/json");
     headers.insert(header::CONTENT_TYPE, json);
@@ -101,6 +116,7 @@
         client: client.get_ref().clone(),
         outgoing: Outgoing {
             request: id.clone(),
+            workspace: workspace.as_ref().map(|workspace| workspace.name.clone()),
             method: request.method().clone(),
             path: request.path().to_owned(),
             headers,
@@ -113,6 +129,7 @@
         fingerprint: engine_request.outgoing.fingerprint(&prompt.model),
         pool: Pool::Model(prompt.model),
         profile: profile(&request),
+        rank: workspace.and_then(|workspace| workspace.rank),
         idempotent: true,
     };
     let handle = Handle::new(shared.dispatcher.clone(), routed);
--- a/crates/flamingo-entry/src/daemon.rs
+++ b/crates/flamingo-entry/src/daemon.rs
@@ -69,6 +69,7 @@
         link,
         metrics,
         serve: serve.clone(),
+        has_controls: !node.controls.is_empty(),
         guarded: node.keys.callers.is_some(),
         log: log.clone(),
     };
--- a/crates/flamingo-entry/src/dispatcher.rs
+++ b/crates/flamingo-entry/src/dispatcher.rs
@@ -7,6 +7,7 @@
     Actor, ActorContext, ActorFutureExt, Addr, AsyncContext, Context, Handler, Message,
     MessageResult,
 };
+use flamingo_daemon::clock;
 use flamingo_guard::observer::Life;
 use flamingo_route::action::{Decision, Dispatch, Input};
 use flamingo_route::{Action, Limit, Request, Router};
@@ -14,7 +15,7 @@
 use flamingo_wire::event::{Event, Sink};
 use flamingo_wire::prompt::Evidence;
 use flamingo_wire::{Fault, id};
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use std::collections::HashMap;
 use std::fmt::Write;
 use std::net::SocketAddr;
@@ -233,6 +234,15 @@
     type Result = ();
 
     fn handle(&mut self, event: LinkEvent, context: &mut Self::Context) {
+        if let Event::Config(snapshot) = &event.0 {
+            let workspaces = snapshot.set.workspaces.iter();
+            let with_quota = workspaces.filter(|workspace| workspace.quota.is_some());
+            match with_quota.count() {
+                0 => {}
+                count => warn!(self.log, "quotas not enforced"; "workspaces" => count,
+                    "version" => snapshot.version),
+            }
+        }
         self.step(Input::Update(event.0), context);
     }
 }
@@ -277,6 +287,9 @@
         if let Event::Config(snapshot) = &event {
             self.state.install(snapshot);
         }
+        if matches!(event, Event::LeaderHeard) {
+            return self.state.record_leader(clock::now());
+        }
         self.dispatcher.do_send(LinkEvent(event));
     }
 }
--- a/crates/flamingo-entry/src/exchange.rs
+++ b/crates/flamingo-entry/src/exchange.rs
@@ -10,9 +10,9 @@
 use awc::{Client, ClientBuilder, ClientResponse, Connector};
 use bytes::{Bytes, BytesMut};
 use flamingo_route::action::{Dispatch, Failure};
-use flamingo_wire::Verdict;
 use flamingo_wire::engine::Lora;
 use flamingo_wire::fingerprint::{Fingerprint, fingerprint};
+use flamingo_wire::{Verdict, id};
 use futures_util::StreamExt;
 use std::time::{Duration, Instant};
 
@@ -33,6 +33,8 @@
 pub const VERDICT: HeaderName = HeaderName::from_static("x-flamingo-verdict");
 /// Header with the rank of the request in the engine's queue.
 pub const PRIORITY: HeaderName = HeaderName::from_static("x-flamingo-priority");
+/// Header with the name of the workspace that the request belongs to.
+pub const WORKSPACE: HeaderName = HeaderName::from_static("x-flamingo-workspace");
 /// Header that asks an engine to resume a stream after this number of events.
 pub const RESUME_FROM: HeaderName = HeaderName::from_static("x-flamingo-resume-from");
 /// Header by which an engine states the number of events after which it resumes a stream.
@@ -60,6 +62,8 @@
     pub request: String,
     /// HTTP method.
     pub method: Method,
+    /// Workspace that the request belongs to, if any.
+    pub workspace: Option<id::Workspace>,
     /// Path and query at the target.
     pub path: String,
     /// Headers of the caller that are forwarded.
@@ -72,12 +76,14 @@
     /// Returns the identity of the request at a service or model, which its repeats share.
     #[must_use]
     pub fn fingerprint(&self, service: &str) -> Fingerprint {
-        let caller = self.headers.get(header::AUTHORIZATION);
+        let key = self.headers.get(header::AUTHORIZATION);
+        let workspace = self.workspace.as_deref().map(str::as_bytes);
+        let caller = workspace.or_else(|| key.map(HeaderValue::as_bytes));
         fingerprint(&[
             service.as_bytes(),
             self.method.as_str().as_bytes(),
             self.path.as_bytes(),
-            caller.map_or(&[], HeaderValue::as_bytes),
+            caller.unwrap_or_default(),
             &self.body,
         ])
     }
@@ -132,6 +138,9 @@
     request = request
         .insert_header((REQUEST_ID, outgoing.request.as_str()))
         .insert_header((PRIORITY, HeaderValue::from(u16::from(dispatch.rank))));
+    if let Some(workspace) = &outgoing.workspace {
+        request = request.insert_header((WORKSPACE, workspace.as_str()));
+    }
     if resume_from > 0 {
         request = request.insert_header((RESUME_FROM, HeaderValue::from(resume_from)));
     }
--- a/crates/flamingo-entry/src/http.rs
+++ b/crates/flamingo-entry/src/http.rs
@@ -42,6 +42,8 @@
     pub metrics: Metrics,
     /// Limits for callers' requests.
     pub serve: Serve,
+    /// Whether the settings name control instances, from which a configuration can come.
+    pub has_controls: bool,
     /// Whether callers authenticate with keys of this system, which must not reach targets.
     pub guarded: bool,
     /// Logger of the entry.
@@ -102,7 +104,7 @@
             "the entry is stopping",
             "use another entry",
         )
-    } else if shared.worker_state.config().version == 0 {
+    } else if shared.worker_state.config().snapshot.version == 0 {
         let message = "no configuration is in force yet";
         Fault::not_run(Reason::Leaderless, message, "retry the request").retry_after(1)
     } else {
@@ -117,9 +119,18 @@
         .body(shared.metrics.text())
 }
 
-async fn models(shared: Data<AppState>) -> HttpResponse {
+async fn models(shared: Data<AppState>, request: HttpRequest) -> HttpResponse {
     let config = shared.worker_state.config();
-    let models = config.set.models.iter();
+    let set = &config.snapshot.set;
+    // A caller without a workspace sees what it may use.
+    let some_open = set.models.iter().any(|model| model.anonymous);
+    let workspace = match shared.authenticate(&config, &request, some_open) {
+        Ok(workspace) => workspace,
+        Err(fault) => return shared.refuse_key(&config, &fault, &request_id()),
+    };
+    let sees_all = config.keys.is_none() || workspace.is_some();
+    let models = set.models.iter();
+    let models = models.filter(|model| sees_all || model.anonymous);
     let names = models.flat_map(|model| {
         let adapters = model.adapters.iter().map(|adapter| &adapter.name);
         std::iter::once(&model.name).chain(adapters)
@@ -167,7 +178,7 @@
 
 async fn show_config(shared: Data<AppState>) -> HttpResponse {
     let config = shared.worker_state.config();
-    HttpResponse::Ok().json(Reply::Config(config.as_ref().clone()))
+    HttpResponse::Ok().json(Reply::Config(config.snapshot.clone()))
 }
 
 async fn apply_config(shared: Data<AppState>, change: Json<Change>) -> HttpResponse {
--- a/crates/flamingo-entry/src/lib.rs
+++ b/crates/flamingo-entry/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`flamingo_route::Router`], owned by the actor [`dispatcher::Dispatcher`], decides when and to
 //! which target a request is sent. This crate carries out the decisions over HTTP.
 
+pub mod authentication;
 pub mod body;
 pub mod call;
 pub mod chunks;
--- a/crates/flamingo-entry/src/metrics.rs
+++ b/crates/flamingo-entry/src/metrics.rs
@@ -20,6 +20,8 @@
     pub failed: IntCounter,
     /// Final refusals by reason.
     pub refused: IntCounterVec,
+    /// Requests of callers where the set has workspaces, by the decision on their key.
+    pub authenticated: IntCounterVec,
     /// Requests that have no final response yet.
     pub live: IntGauge,
     /// Requests that wait in queues.
@@ -54,6 +56,11 @@
                 "Final refusals by reason.",
                 &["reason"],
             )?,
+            authenticated: registry.counters(
+                "flamingo_authenticated_total",
+                "Requests by the decision on their key, where the set has workspaces.",
+                &["decision"],
+            )?,
             live: registry.gauge("flamingo_live", "Requests that have no final response yet.")?,
             queued: registry.gauge("flamingo_queued", "Requests that wait in queues.")?,
             targets: registry.gauge("flamingo_targets", "Targets that the router knows.")?,
--- a/crates/flamingo-link/src/config_stream.rs
+++ b/crates/flamingo-link/src/config_stream.rs
@@ -13,6 +13,7 @@
 use flamingo_wire::Frame;
 use flamingo_wire::config::Snapshot;
 use flamingo_wire::control::{Fetch, Heartbeat, Push, Reply, Request};
+use flamingo_wire::event::Event;
 use flamingo_wire::inner::control_client::ControlClient;
 use slog::warn;
 use std::sync::Arc;
@@ -138,6 +139,12 @@
             install(shared, &snapshot);
             true
         }
+        Ok(Push::Peers(peers)) => {
+            if peers.leader.is_some() {
+                shared.sink.take(Event::LeaderHeard);
+            }
+            true
+        }
         // A heartbeat. Other pushes go only to followers of routes and targets.
         Ok(_) => true,
         Err(error) => {
--- a/crates/flamingo-link/src/shared.rs
+++ b/crates/flamingo-link/src/shared.rs
@@ -77,7 +77,7 @@
             Event::Config(snapshot) => {
                 info!(self.log, "configuration in force"; "version" => snapshot.version);
             }
-            Event::Target(_) | Event::Quarantines(_) => {}
+            Event::Target(_) | Event::Quarantines(_) | Event::LeaderHeard => {}
         }
     }
 
--- a/crates/flamingo-member/tests/properties.rs
+++ b/crates/flamingo-member/tests/properties.rs
@@ -145,7 +145,11 @@
                     && next.availability == Availability::Serving;
                 assert!(!serves_again, "a leaving target serves again: {next:?}");
             }
-            Event::Gone(_) | Event::Suspect(_) | Event::Entries(_) | Event::Quarantines(_) => {}
+            Event::Gone(_)
+            | Event::Suspect(_)
+            | Event::Entries(_)
+            | Event::Quarantines(_)
+            | Event::LeaderHeard => {}
         }
     }
 }
--- a/crates/flamingo-route/examples/decision_cost.rs
+++ b/crates/flamingo-route/examples/decision_cost.rs
@@ -79,6 +79,7 @@
         profile: None,
         prefixes: prefixes.collect(),
         fingerprint: 0,
+        rank: None,
         idempotent: true,
     }
 }
--- a/crates/flamingo-route/examples/goodput.rs
+++ b/crates/flamingo-route/examples/goodput.rs
@@ -208,6 +208,7 @@
             profile: Some(format!("rank-{}", RANKS[class])),
             prefixes: chain.into_iter().collect(),
             fingerprint: 0,
+            rank: None,
             idempotent: true,
         };
         self.step(entry, Input::Arrive(arrival));
--- a/crates/flamingo-route/src/request.rs
+++ b/crates/flamingo-route/src/request.rs
@@ -46,6 +46,8 @@
     pub pool: Pool,
     /// Profile that the caller named; `None` selects the default limits.
     pub profile: Option<id::Profile>,
+    /// Rank of the caller's workspace, in place of the profile's; `None` leaves the profile's.
+    pub rank: Option<u8>,
     /// Prefixes of the prompt; empty for a plain service.
     pub prefixes: Prefixes,
     /// Identity of the whole request, which its repeats share.
--- a/crates/flamingo-route/src/router.rs
+++ b/crates/flamingo-route/src/router.rs
@@ -398,6 +398,7 @@
             Event::Quarantines(quarantines) => {
                 self.crashes.adopt(&quarantines, now);
             }
+            Event::LeaderHeard => {}
             Event::Entries(peers) => self.entries = peers.len().max(1),
         }
     }
--- a/crates/flamingo-route/src/router/admission.rs
+++ b/crates/flamingo-route/src/router/admission.rs
@@ -57,7 +57,7 @@
             prefixes: arrival.prefixes,
             fingerprint: arrival.fingerprint,
             idempotent: arrival.idempotent,
-            rank: profile.rank,
+            rank: arrival.rank.unwrap_or(profile.rank),
             objective: now + profile.first_token,
             deadline: now + max_wait,
             late_policy: profile.late_policy,
--- a/crates/flamingo-route/tests/harness/mod.rs
+++ b/crates/flamingo-route/tests/harness/mod.rs
@@ -269,6 +269,7 @@
             profile,
             prefixes,
             fingerprint: 0,
+            rank: None,
             idempotent,
         }));
     }
--- a/crates/flamingo-route/tests/scenarios.rs
+++ b/crates/flamingo-route/tests/scenarios.rs
@@ -1,7 +1,7 @@
 //! Routing scenarios, written in `tests/scenarios` in a small language.
 //!
 //! `engine NAME [busy=N] [zone=Z] [leaving] [adapter=A]`, `replica NAME`,
-//! `arrive ID model|adapter|service profile`, `begun ID`, `ended ID`,
+//! `arrive ID model|adapter|service [profile] [rank=N]`, `begun ID`, `ended ID`,
 //! `failed ID not-run|may-have-run [rest=MS]`, `gone ID`, `suspect NAME`,
 //! `pass MS` (advances the time). The output of a directive is the router's actions.
 
@@ -85,12 +85,15 @@
             model => Pool::Model(model.into()),
         };
         let idempotent = matches!(pool, Pool::Model(_));
+        let rank = rest.iter().find_map(|word| word.strip_prefix("rank="));
+        let profile = rest.get(1).filter(|word| !word.starts_with("rank="));
         self.step(Input::Arrive(Request {
             id: id.into(),
             pool,
-            profile: rest.get(1).map(|profile| (*profile).into()),
+            profile: profile.map(|profile| (*profile).into()),
             prefixes: flamingo_route::request::Prefixes::new(),
             fingerprint: 0,
+            rank: rank.map(|rank| rank.parse().unwrap()),
             idempotent,
         }))
     }
--- a/crates/flamingo-wire/src/event.rs
+++ b/crates/flamingo-wire/src/event.rs
@@ -20,6 +20,8 @@
     Config(Box<Snapshot>),
     /// Prompt parts that control has in quarantine.
     Quarantines(Vec<Quarantine>),
+    /// A control instance that has sent all of the configuration knows a leader.
+    LeaderHeard,
     /// The live entries of this zone, this one included.
     Entries(Vec<Peer>),
 }
