--- a/crates/flamingo-control/src/watch.rs
+++ b/crates/flamingo-control/src/watch.rs
@@ -325,14 +325,14 @@
             send_frame(&stream.out, frame).await?;
             drop(permit);
             stream.version = newest.version;
-            return Some(());
-        }
-        if heartbeat {
+        } else if heartbeat {
             let push = Push::Heartbeat(stream.version);
             self.send_push(stream, &push).await?;
-            if stream.version >= newest.version && !newest.set.workspaces.is_empty() {
-                self.send_leader(stream).await?;
-            }
+        } else {
+            return Some(());
+        }
+        if stream.version >= newest.version && !newest.set.workspaces.is_empty() {
+            self.send_leader(stream).await?;
         }
         Some(())
     }
--- a/crates/flamingo-control/tests/watch.rs
+++ b/crates/flamingo-control/tests/watch.rs
@@ -7,6 +7,7 @@
 use flamingo_wire::control::{Heartbeat, Push};
 use flamingo_wire::frame::Seal;
 use flamingo_wire::inner::control_client::ControlClient;
+use flamingo_wire::workspace::Workspace;
 use std::time::SystemTime;
 use tokio::sync::mpsc::{Sender, channel};
 use tokio_stream::wrappers::ReceiverStream;
@@ -96,3 +97,37 @@
         .await;
     }
 }
+
+/// Guards against entries that take each unknown key for a new one, and against bytes that followers
+/// without workspaces don't need.
+#[actix_rt::test]
+async fn the_leader_is_named_to_a_follower_of_workspaces_alone() {
+    let cluster = Cluster::start(1, 0);
+    let operator = Operator::new(&cluster.controls[0]);
+    wait::until("a change to be accepted", || async {
+        let applied = operator.apply(&change("first", 0)).await;
+        (applied == Applied::Accepted(1)).then_some(())
+    })
+    .await;
+    let mut follower = Follower::start(&cluster, 0).await;
+    assert_eq!(follower.config().await, 1);
+    for _ in 0..3 {
+        assert_eq!(follower.next().await, Push::Heartbeat(1));
+    }
+    let mut with_workspace = change("second", 1);
+    with_workspace.set.workspaces.push(Workspace {
+        name: "acme".into(),
+        ..Workspace::default()
+    });
+    assert_eq!(operator.apply(&with_workspace).await, Applied::Accepted(2));
+    assert_eq!(follower.config().await, 2);
+    for heartbeat in [None, Some(Push::Heartbeat(2))] {
+        if let Some(heartbeat) = heartbeat {
+            assert_eq!(follower.next().await, heartbeat);
+        }
+        let Push::Peers(peers) = follower.next().await else {
+            panic!("no news of the leader");
+        };
+        assert_eq!(peers.leader, Some(cluster.controls[0].inner()));
+    }
+}
