Lines of refused requests name workspace, limit and version

An operator could not tell from a line which limit had refused a request, nor by which configuration; flamingoctl trace marked refusals by key, quota, memory, quarantine and stop only by the line 'given up', or not at all.

limit::Limit (quota, room, share, key) is derived from the cause; a request that is given up as no target is left counts as refused for room if a target was full. 'share' is written by no line yet.

--- a/crates/flamingo-ctl/src/trace.rs
+++ b/crates/flamingo-ctl/src/trace.rs
@@ -6,10 +6,16 @@
 
 /// Messages of log lines that name the cause of a failed request. If a request has several,
 /// the last one decides.
-const FAILURE_MESSAGES: [&str; 7] = [
+const FAILURE_MESSAGES: [&str; 13] = [
     "adapter not brought",
     "answer replaced",
+    "no memory for a body",
     "no room",
+    "not authenticated",
+    "not within the quota",
+    "prompt refused",
+    "refused while stopping",
+    "request refused",
     "request unreadable",
     "sending failed",
     "stream broken",
--- a/crates/flamingo-ctl/tests/trace.rs
+++ b/crates/flamingo-ctl/tests/trace.rs
@@ -2,7 +2,8 @@
 
 use flamingo_ctl::trace::Trace;
 
-const FILES: [(&str, &str); 3] = [
+const FILES: [(&str, &str); 4] = [
+    ("refused", include_str!("logs/refused.jsonl")),
     ("one", include_str!("../../../samples/logs/entry-1.jsonl")),
     ("two", include_str!("../../../samples/logs/entry-2.jsonl")),
     ("three", include_str!("../../../samples/logs/entry-3.jsonl")),
@@ -34,6 +35,15 @@
 explained_by! {
     a_refused_request_had_no_room: "3f88efd1b9385476" => "no room", "wait_ms=325";
     a_broken_request_lost_its_target: "4ce87e0a187cdb9a" => "sending failed", "failure=broken";
+    a_key_is_not_known: "r-key" => "not authenticated", "limit=key";
+    a_quota_is_used_up: "r-quota" => "not within the quota", "workspace=shop";
+    a_quota_is_unknown_after_a_wait: "r-renewed" => "not within the quota", "cause=quota_unknown";
+    a_workspace_finds_no_room: "r-room" => "no room", "version=7";
+    a_workspace_is_above_its_share: "r-share" => "no room", "limit=share";
+    a_body_finds_no_memory: "r-memory" => "no memory for a body", "limit=room";
+    a_prompt_is_quarantined: "r-prompt" => "prompt refused", "workspace=shop";
+    a_request_is_quarantined: "r-request" => "request refused", "workspace=shop";
+    an_entry_stops: "r-stopping" => "refused while stopping", "version=7";
     a_late_request_had_no_answer_in_time: "28454c8e9055e3f5" => "sending failed", "failure=late";
 }
 
--- a/crates/flamingo-serve/src/lib.rs
+++ b/crates/flamingo-serve/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod events;
 pub mod exchange;
 pub mod lifecycle;
+pub mod limit;
 pub mod memory;
 pub mod metrics;
 pub mod origins;
--- a/crates/flamingo-serve/src/proxy.rs
+++ b/crates/flamingo-serve/src/proxy.rs
@@ -29,6 +29,7 @@
 use crate::choice::{self, Choice, Requirements};
 use crate::demand::Counter;
 use crate::departure::{Price, Terms, expected_bytes};
+use crate::limit::Limit;
 use crate::memory::Memory;
 use crate::metrics::Metrics;
 use crate::quota::Quotas;
@@ -196,6 +197,7 @@
         let Some(mut route) = routes.find(&request.host, &request.path).cloned() else {
             return self.refuse(Refusal::new(Cause::NoRoute), Some(&request));
         };
+        request.configuration = routes.set.version;
         let found = self.authenticate(&routes, &mut route, &mut http_head, &mut request);
         let workspace = match found {
             Ok(workspace) => workspace,
@@ -265,6 +267,7 @@
             late: Cell::new(false),
             unreachable: Cell::new(0),
             may_have_run: Cell::new(false),
+            turned_away: Cell::new(false),
             ticket: RefCell::new(ticket),
             guard,
         };
@@ -321,7 +324,9 @@
                 AttemptError::NoAlternative(cause) => return self.give_up(job, cause),
                 AttemptError::QueueTooLong(delay) => {
                     info!(self.log, "no room"; "request" => &job.request.attempt_id,
-                        "workspace" => &job.request.workspace, "wait_ms" => delay.as_millis());
+                        "workspace" => &job.request.workspace,
+                        "limit" => Limit::name(Cause::NoRoom), "version" => job.request.configuration,
+                        "wait_ms" => delay.as_millis());
                     return self.give_up(job, Cause::NoRoom);
                 }
                 AttemptError::AdapterMissing(candidate) => {
--- a/crates/flamingo-serve/src/proxy/crash.rs
+++ b/crates/flamingo-serve/src/proxy/crash.rs
@@ -5,6 +5,7 @@
 use super::job::Job;
 use crate::body::Body;
 use crate::choice::Candidate;
+use crate::limit::Limit;
 use crate::pool;
 use crate::wire::{Cause, Refusal, RequestHead};
 use flamingo_guard::observer::{Interrupted, Life};
@@ -51,7 +52,8 @@
     ) -> Response<Body> {
         let remaining = until.saturating_duration_since(Instant::now());
         info!(self.log, "prompt refused"; "request" => &request.attempt_id, "route" => &route.name,
-            "workspace" => &request.workspace, "parts" => request.part_names(), "for_ms" => remaining.as_millis());
+            "workspace" => &request.workspace, "limit" => Limit::name(Cause::Quarantined),
+            "version" => request.configuration, "parts" => request.part_names(), "for_ms" => remaining.as_millis());
         self.quarantine_refusal(route, request, remaining)
     }
 
@@ -65,7 +67,8 @@
     ) -> Response<Body> {
         let remaining = until.saturating_duration_since(Instant::now());
         info!(self.log, "request refused"; "request" => &request.attempt_id, "route" => &route.name,
-            "workspace" => &request.workspace, "fingerprint" => format!("{fingerprint:016x}"), "for_ms" => remaining.as_millis());
+            "workspace" => &request.workspace, "limit" => Limit::name(Cause::Quarantined),
+            "version" => request.configuration, "fingerprint" => format!("{fingerprint:016x}"), "for_ms" => remaining.as_millis());
         self.quarantine_refusal(route, request, remaining)
     }
 
--- a/crates/flamingo-serve/src/proxy/identity.rs
+++ b/crates/flamingo-serve/src/proxy/identity.rs
@@ -4,6 +4,7 @@
 use super::refusal::RETRY_AFTER_MIN;
 use crate::authentication::{Decision, decide};
 use crate::body::Body;
+use crate::limit::Limit;
 use crate::topology::Routes;
 use crate::wire::{Cause, Refusal, RequestHead};
 use flamingo_daemon::clock;
@@ -60,7 +61,8 @@
     ) -> Response<Body> {
         let name: &str = cause.into();
         info!(self.log, "not authenticated"; "request" => &request.attempt_id,
-            "route" => &route.name, "cause" => name, "with_key" => request.key.is_some());
+            "route" => &route.name, "workspace" => &request.workspace, "limit" => Limit::name(cause),
+            "version" => request.configuration, "cause" => name, "with_key" => request.key.is_some());
         self.metrics.record_outcome(&route.name, name);
         let retry_after = RETRY_AFTER_MIN + self.retry_spread(request);
         let refusal = match cause {
--- a/crates/flamingo-serve/src/proxy/job.rs
+++ b/crates/flamingo-serve/src/proxy/job.rs
@@ -2,6 +2,7 @@
 
 use crate::admission::LATE_RANK;
 use crate::choice::Candidate;
+use crate::limit::Limit;
 use crate::server::Guard;
 use crate::topology::Routes;
 use crate::wire::{Cause, RequestHead};
@@ -82,6 +83,8 @@
     pub unreachable: Cell<usize>,
     /// Whether a target may have run the request.
     pub may_have_run: Cell<bool>,
+    /// Whether a target has turned the request away as it was full.
+    pub turned_away: Cell<bool>,
     /// What the request has taken of its workspace's quota; `None` if there is none.
     pub ticket: RefCell<Option<Ticket>>,
     /// Counts the request as in flight.
@@ -118,8 +121,19 @@
 
     /// Records how an attempt failed, for the verdict of the request.
     pub fn record_error(&self, error: &AttemptError) {
-        if matches!(error, AttemptError::MayHaveRun(_)) {
-            self.may_have_run.set(true);
+        match error {
+            AttemptError::MayHaveRun(_) => self.may_have_run.set(true),
+            AttemptError::NotRun(Cause::NoRoom) => self.turned_away.set(true),
+            _ => {}
+        }
+    }
+
+    /// Returns the limit that decided if the request is given up for `cause`. Targets that were all full
+    /// leave no target to choose.
+    pub fn limit(&self, cause: Cause) -> Option<Limit> {
+        match cause {
+            Cause::NoTarget if self.turned_away.get() => Some(Limit::Room),
+            cause => Limit::of(cause),
         }
     }
 
--- a/crates/flamingo-serve/src/proxy/quota.rs
+++ b/crates/flamingo-serve/src/proxy/quota.rs
@@ -3,6 +3,7 @@
 use super::job::{AttemptError, Job};
 use super::{Proxy, RETRY_AFTER_MIN};
 use crate::body::Body;
+use crate::limit::Limit;
 use crate::topology::Routes;
 use crate::wire::{Cause, Refusal, RequestHead};
 use flamingo_daemon::clock;
@@ -129,7 +130,8 @@
         let name: &str = cause.into();
         let source: Option<&str> = source.map(Into::into);
         info!(self.log, "not within the quota"; "request" => &request.attempt_id,
-            "workspace" => workspace, "cause" => name, "cost" => units.round(),
+            "workspace" => workspace, "limit" => Limit::name(cause), "version" => request.configuration,
+            "cause" => name, "cost" => units.round(),
             "wait_ms" => retry_after.map(|wait| wait.as_millis()), "source" => source);
         self.metrics
             .workspaces()
--- a/crates/flamingo-serve/src/proxy/refusal.rs
+++ b/crates/flamingo-serve/src/proxy/refusal.rs
@@ -4,6 +4,7 @@
 use super::job::Job;
 use crate::body::Body;
 use crate::choice::Choice;
+use crate::limit::Limit;
 use crate::outlook::Outlook;
 use crate::wire::{Cause, Refusal, RequestHead};
 use bytes::Bytes;
@@ -43,9 +44,11 @@
         }
         let retry_after = not_run.then(|| self.retry_after(job, now));
         let name: &str = cause.into();
+        let limit: Option<&str> = job.limit(cause).map(Into::into);
         let outlook: Option<&str> = self.outlook(job, now).map(Into::into);
         info!(self.log, "given up"; "request" => &job.request.attempt_id, "route" => &job.route.name,
-            "workspace" => &job.request.workspace, "cause" => name, "not_run" => not_run, "sent" => job.sent.get(),
+            "workspace" => &job.request.workspace, "limit" => limit,
+            "version" => job.request.configuration, "cause" => name, "not_run" => not_run, "sent" => job.sent.get(),
             "model" => &job.request.model, "software" => &*job.software.borrow(),
             "outlook" => outlook, "after_ms" => (now - job.arrived_at).as_millis());
         self.metrics.record_outcome(&job.route.name, name);
@@ -94,7 +97,8 @@
     pub(super) fn refuse_for_memory(&self, route: &Route, request: &RequestHead) -> Response<Body> {
         let cause = Cause::NoMemory;
         info!(self.log, "no memory for a body"; "request" => &request.attempt_id,
-            "route" => &route.name, "workspace" => &request.workspace, "held" => self.memory.held());
+            "route" => &route.name, "workspace" => &request.workspace, "limit" => Limit::name(cause),
+            "version" => request.configuration, "held" => self.memory.held());
         self.metrics.record_outcome(&route.name, cause.into());
         let refusal = Refusal {
             cause,
--- a/crates/flamingo-serve/src/proxy/stop.rs
+++ b/crates/flamingo-serve/src/proxy/stop.rs
@@ -6,6 +6,7 @@
 use super::Proxy;
 use super::job::Job;
 use crate::body::Body;
+use crate::limit::Limit;
 use crate::wire::{Cause, Refusal, RequestHead};
 use flamingo_wire::route::Route;
 use http::Response;
@@ -34,6 +35,7 @@
             .map(|at| at.saturating_duration_since(now));
         info!(self.log, "refused while stopping"; "request" => &request.attempt_id,
             "route" => &route.name, "workspace" => &request.workspace,
+            "limit" => Limit::name(Cause::Stopping), "version" => request.configuration,
             "left_ms" => left.map(|left| left.as_millis()),
             "may_last_ms" => deadline.saturating_duration_since(now).as_millis());
         self.metrics
