Metrics by workspace: received, served, over quota, without room

Which workspace is refused, and for what, could be read only from log lines. Zones and workspaces each bounded their labels in their own way, with 32 and 64 names, and passed the names on as they were.

labels::Labels bounds the number (32, in the order seen), the length and the characters of labels; a changed name gets a part of its fingerprint, so that two names are not counted as one. Workspaces and zones use it. MAX_ZONES of round_trip and flamingo-member bound state, not labels, and stay.

--- a/crates/flamingo-daemon/src/lib.rs
+++ b/crates/flamingo-daemon/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod clock;
 pub mod guard;
 pub mod key;
+pub mod labels;
 pub mod log;
 pub mod metrics;
 pub mod reload;
--- a/crates/flamingo-serve/src/metrics.rs
+++ b/crates/flamingo-serve/src/metrics.rs
@@ -2,19 +2,16 @@
 
 mod workspace;
 
-pub use workspace::WorkspaceCounters;
+pub use workspace::{Outcome, WorkspaceCounters};
 
 use crate::pace::Standing;
 use crate::table::{Table, Target};
 use crate::topology::Topology;
+use flamingo_daemon::labels::Labels;
 use flamingo_daemon::metrics::Registry;
-use flamingo_wire::id;
 use prometheus::{
     GaugeVec, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts,
 };
-use std::cell::RefCell;
-use std::collections::BTreeSet;
-use std::rc::Rc;
 use std::time::{Duration, Instant};
 use strum::IntoEnumIterator as _;
 
@@ -22,11 +19,6 @@
 const LATENCY_BUCKETS_S: [f64; 12] = [
     0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0, 30.0,
 ];
-/// Largest number of zones that departures are counted by; others are counted together. Targets state
-/// their zone themselves.
-const MAX_ZONES: usize = 32;
-/// Label of the zones above `MAX_ZONES`.
-const OTHER_ZONES: &str = "other";
 
 /// The metrics of one entry. Labels have values from the configuration and from fixed sets only,
 /// so callers can't increase the number of time series.
@@ -53,8 +45,8 @@
     departures: IntCounterVec,
     /// Bytes of bodies that were exchanged with another zone, by zones, reason and direction.
     departed_bytes: IntCounterVec,
-    /// Zones that departures are counted by.
-    zones: Rc<RefCell<BTreeSet<id::Zone>>>,
+    /// Zones that departures are counted by. Targets state their zone themselves.
+    zones: Labels,
     targets: IntGaugeVec,
     /// Fitted prefill rates, by service: of the service, and of its slowest and fastest model.
     prefill_rates: GaugeVec,
@@ -141,7 +133,7 @@
                 "Bytes of request and response bodies exchanged with another zone.",
                 &["from", "to", "reason", "direction"],
             )?,
-            zones: Rc::default(),
+            zones: Labels::default(),
             version: registry
                 .gauge("flamingo_routes_version", "Version of the routes in force.")?,
             entries: registry.gauge("flamingo_entries", "Entries that control counts.")?,
@@ -197,7 +189,7 @@
 
     /// Counts a request that was sent from the zone `from` to the zone `to`, with the bytes of its body.
     pub fn record_departure(&self, from: &str, to: &str, reason: &str, bytes: usize) {
-        let to = self.zone_label(to);
+        let to = self.zones.label(to);
         let counter = self.departures.with_label_values(&[from, &to, reason]);
         counter.inc();
         self.count_bytes([from, &to, reason, "request"], bytes);
@@ -205,7 +197,7 @@
 
     /// Counts bytes of the answer to a request that was sent from the zone `from` to the zone `to`.
     pub fn record_departed_answer(&self, from: &str, to: &str, reason: &str, bytes: usize) {
-        let to = self.zone_label(to);
+        let to = self.zones.label(to);
         self.count_bytes([from, &to, reason, "response"], bytes);
     }
 
@@ -214,16 +206,6 @@
         counter.inc_by(u64::try_from(bytes).unwrap_or(u64::MAX));
     }
 
-    /// Returns the label of a zone.
-    fn zone_label(&self, zone: &str) -> String {
-        let mut zones = self.zones.borrow_mut();
-        if zones.len() < MAX_ZONES {
-            zones.insert(zone.to_owned());
-        }
-        let known = zones.contains(zone);
-        if known { zone } else { OTHER_ZONES }.to_owned()
-    }
-
     /// Returns the metrics in the text format, with gauges set from the current topology.
     #[must_use]
     pub fn text(&self, topology: &Topology) -> String {
--- a/crates/flamingo-serve/src/metrics/workspace.rs
+++ b/crates/flamingo-serve/src/metrics/workspace.rs
@@ -1,23 +1,59 @@
 //! Counts the requests of workspaces.
 
 use crate::authentication::Decision;
+use crate::limit::Limit;
+use crate::wire::Cause;
+use flamingo_daemon::labels::Labels;
 use flamingo_daemon::metrics::Registry;
 use prometheus::IntCounterVec;
-use std::cell::RefCell;
-use std::collections::BTreeSet;
-use std::rc::Rc;
+use strum::{EnumIter, IntoStaticStr};
 
-/// Largest number of workspaces that have a time series of their own, over all configurations since the
-/// start, which bounds the size of a scrape.
-const MAX_WORKSPACES: usize = 64;
-/// Label of the workspaces beyond [`MAX_WORKSPACES`].
-const OTHER_WORKSPACES: &str = "(other)";
 /// Label of callers without a workspace.
 const NO_WORKSPACE: &str = "(none)";
 
-/// Requests by workspace: the decisions on their keys, and what they take of quotas.
+/// What became of a request of a workspace.
+#[derive(Clone, Copy, Debug, EnumIter, Eq, IntoStaticStr, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+pub enum Outcome {
+    /// It came with a key of the workspace. Each request counts here, and once more by its end.
+    Received,
+    /// A target answered it.
+    Served,
+    /// The workspace had used up its quota.
+    OverQuota,
+    /// There was no room for it, or not within the share of the workspace.
+    NoRoom,
+}
+
+impl Outcome {
+    /// Returns how a request ended that was refused for `cause`, with the limit that decided; `None` for
+    /// other ends.
+    ///
+    /// ```
+    /// use flamingo_serve::limit::Limit;
+    /// use flamingo_serve::metrics::Outcome;
+    /// use flamingo_serve::wire::Cause;
+    ///
+    /// let outcome = Outcome::of_refusal(Cause::Paused, Some(Limit::Room));
+    /// assert_eq!(outcome, Some(Outcome::NoRoom));
+    /// assert_eq!(Outcome::of_refusal(Cause::QuotaUnknown, Some(Limit::Quota)), None);
+    /// ```
+    #[must_use]
+    pub fn of_refusal(cause: Cause, limit: Option<Limit>) -> Option<Self> {
+        match (cause, limit) {
+            (Cause::OverQuota, _) => Some(Self::OverQuota),
+            (_, Some(Limit::Room | Limit::Share)) => Some(Self::NoRoom),
+            _ => None,
+        }
+    }
+}
+
+/// Requests by workspace: what became of them, the decisions on their keys, and what they take of
+/// quotas.
 #[derive(Clone, Debug)]
 pub struct WorkspaceCounters {
+    /// Requests by workspace and what became of them.
+    requests: IntCounterVec,
     /// Requests by workspace and the decision on their key.
     authentications: IntCounterVec,
     /// Requests of workspaces with a quota, by workspace and outcome.
@@ -25,7 +61,7 @@
     /// Cost of the requests that a quota admitted, by workspace.
     quota_units: IntCounterVec,
     /// Workspaces that have a time series of their own.
-    names: Rc<RefCell<BTreeSet<String>>>,
+    names: Labels,
 }
 
 impl WorkspaceCounters {
@@ -36,6 +72,11 @@
     /// Returns an error if the registry has a metric of one of the names.
     pub fn new(registry: &Registry) -> Result<Self, prometheus::Error> {
         Ok(Self {
+            requests: registry.counters(
+                "flamingo_workspace_requests_total",
+                "Requests of workspaces that were received, and how they ended.",
+                &["workspace", "outcome"],
+            )?,
             authentications: registry.counters(
                 "flamingo_authentications_total",
                 "Requests by workspace and the decision on their key.",
@@ -51,21 +92,30 @@
                 "Units that requests have taken of quotas, by workspace.",
                 &["workspace"],
             )?,
-            names: Rc::default(),
+            names: Labels::default(),
         })
     }
 
+    /// Counts what became of a request of `workspace`; those without a workspace are not counted.
+    pub fn record(&self, workspace: Option<&str>, outcome: Outcome) {
+        let Some(workspace) = workspace else {
+            return;
+        };
+        let (label, outcome) = (self.names.label(workspace), outcome.into());
+        self.requests.with_label_values(&[&*label, outcome]).inc();
+    }
+
     /// Counts a decision on the key of a request of `workspace`.
     pub fn record_authentication(&self, workspace: Option<&str>, decision: Decision<'_>) {
-        let workspace = workspace.map_or(NO_WORKSPACE, |name| self.label(name));
+        let label = workspace.map(|name| self.names.label(name));
         let decision: &str = decision.into();
-        let labels = [workspace, decision];
+        let labels = [label.as_deref().unwrap_or(NO_WORKSPACE), decision];
         self.authentications.with_label_values(&labels).inc();
     }
 
     /// Counts a request of a workspace with a quota, and its cost if it was admitted.
     pub fn record_quota(&self, workspace: &str, outcome: &str, units: Option<f64>) {
-        let label = self.label(workspace);
+        let label = &*self.names.label(workspace);
         let requests = self.quota_requests.with_label_values(&[label, outcome]);
         requests.inc();
         if let Some(units) = units {
@@ -75,17 +125,4 @@
             self.quota_units.with_label_values(&[label]).inc_by(units);
         }
     }
-
-    /// Returns the label of a workspace, so that new names don't add time series without bound.
-    fn label<'a>(&self, name: &'a str) -> &'a str {
-        let mut names = self.names.borrow_mut();
-        if names.contains(name) {
-            return name;
-        }
-        if names.len() >= MAX_WORKSPACES {
-            return OTHER_WORKSPACES;
-        }
-        names.insert(name.to_owned());
-        name
-    }
 }
--- a/crates/flamingo-serve/src/proxy/forward.rs
+++ b/crates/flamingo-serve/src/proxy/forward.rs
@@ -189,7 +189,7 @@
         }
         self.metrics
             .observe_first_event(&job.route.name, job.arrived_at.elapsed());
-        self.metrics.record_outcome(&job.route.name, "answered");
+        self.record_served(job);
         let head = self.caller_head(job, &head);
         Ok(Response::from_parts(head, Body::whole(bytes)))
     }
--- a/crates/flamingo-serve/src/proxy/identity.rs
+++ b/crates/flamingo-serve/src/proxy/identity.rs
@@ -5,6 +5,7 @@
 use crate::authentication::{Decision, decide};
 use crate::body::Body;
 use crate::limit::Limit;
+use crate::metrics::Outcome;
 use crate::topology::Routes;
 use crate::wire::{Cause, Refusal, RequestHead};
 use flamingo_daemon::clock;
@@ -42,6 +43,7 @@
         self.metrics
             .workspaces()
             .record_authentication(name, decision);
+        self.metrics.workspaces().record(name, Outcome::Received);
         request.workspace = name.map(str::to_owned);
         let rank = workspace.as_ref().and_then(|workspace| workspace.rank);
         route.rank = rank.unwrap_or(route.rank);
--- a/crates/flamingo-serve/src/proxy/quota.rs
+++ b/crates/flamingo-serve/src/proxy/quota.rs
@@ -108,6 +108,7 @@
         let refusal = self.record_denial(workspace, units, denial, request);
         self.metrics
             .record_outcome(&route.name, refusal.cause.into());
+        self.record_refusal(request, refusal.cause, Limit::of(refusal.cause));
         self.refuse(refusal, Some(request))
     }
 
--- a/crates/flamingo-serve/src/proxy/refusal.rs
+++ b/crates/flamingo-serve/src/proxy/refusal.rs
@@ -5,6 +5,7 @@
 use crate::body::Body;
 use crate::choice::Choice;
 use crate::limit::Limit;
+use crate::metrics::Outcome;
 use crate::outlook::Outlook;
 use crate::wire::{Cause, Refusal, RequestHead};
 use bytes::Bytes;
@@ -52,9 +53,25 @@
             "model" => &job.request.model, "software" => &*job.software.borrow(),
             "outlook" => outlook, "after_ms" => (now - job.arrived_at).as_millis());
         self.metrics.record_outcome(&job.route.name, name);
+        self.record_refusal(&job.request, cause, job.limit(cause));
         self.refuse(Refusal { cause, retry_after }, Some(&job.request))
     }
 
+    /// Counts a request that is refused for `cause` for its workspace, with the limit that decided.
+    pub(super) fn record_refusal(&self, request: &RequestHead, cause: Cause, limit: Option<Limit>) {
+        if let Some(outcome) = Outcome::of_refusal(cause, limit) {
+            let workspace = request.workspace.as_deref();
+            self.metrics.workspaces().record(workspace, outcome);
+        }
+    }
+
+    /// Counts a request that a target has answered whole.
+    pub(super) fn record_served(&self, job: &Job) {
+        self.metrics.record_outcome(&job.route.name, "answered");
+        let workspace = job.request.workspace.as_deref();
+        self.metrics.workspaces().record(workspace, Outcome::Served);
+    }
+
     /// Returns the time after which a refused caller should retry: not before its quarantine or that of
     /// a part of its prompt ends, the first pause where all targets have asked for one, or its model can
     /// be resident.
@@ -100,6 +117,7 @@
             "route" => &route.name, "workspace" => &request.workspace, "limit" => Limit::name(cause),
             "version" => request.configuration, "held" => self.memory.held());
         self.metrics.record_outcome(&route.name, cause.into());
+        self.record_refusal(request, cause, Limit::of(cause));
         let refusal = Refusal {
             cause,
             retry_after: Some(RETRY_AFTER_MIN + self.retry_spread(request)),
--- a/crates/flamingo-serve/src/proxy/stream.rs
+++ b/crates/flamingo-serve/src/proxy/stream.rs
@@ -242,7 +242,7 @@
 
     /// Counts the stream as answered and returns its connection to the pool.
     fn finish(self) {
-        self.record_outcome("answered");
+        self.proxy.record_served(&self.job);
         if let Some(EventStream { response, .. }) = self.source {
             let target = &self.load_guard.target;
             self.proxy
