flamingoctl workspaces: limits, use and who is over

What a workspace uses over all entries was known only to the leader, and shown only as the level of its bucket in a log line every 10 s.

The query goes through the Raft actor, which forwards it to the leader and there to the engine controller, so any control instance answers. The platform's control front takes this one query of flamingoctl at /admin/query; its answers have no key or digest. Control instances of the product's own front run no engine controller and answer that they do not support the query, until a leader task answers it.

--- a/crates/flamingo-control/src/controller/mod.rs
+++ b/crates/flamingo-control/src/controller/mod.rs
@@ -11,6 +11,7 @@
 pub mod engine_api;
 pub mod pace;
 pub mod store;
+pub mod workspaces;
 
 mod evidence;
 mod moves;
@@ -28,6 +29,7 @@
 use flamingo_daemon::clock;
 use flamingo_guard::permits::Permits;
 use flamingo_guard::quota::ledger::Ledger;
+use flamingo_wire::admin::Query;
 use flamingo_wire::control::{Permit, Push, Reply, Request};
 use flamingo_wire::fault::Reason;
 use flamingo_wire::route::{Engine, Set};
@@ -68,9 +70,8 @@
 pub struct EntryRequest {
     /// The entry that sent the request.
     pub from: id::Node,
-    /// The request; the controller handles loads of adapters, reports of usage, permits and
-    /// quotas, and
-    /// refuses all others.
+    /// The request; the controller handles loads of adapters, reports of usage, permits, quotas and
+    /// operators' queries for workspaces, and refuses all others.
     pub request: Request,
     /// Receives the reply.
     pub reply: oneshot::Sender<Reply>,
@@ -311,6 +312,7 @@
             }
             Request::Permit(permit) => self.permit(&permit).await,
             Request::Quota(question) => self.quota(&entry_request.from, &question).await,
+            Request::Admin(Query::Workspaces) => self.workspaces().await,
             _ => Reply::Refused(busy("it does not handle requests of this kind")),
         };
         // The entry may have disconnected.
--- a/crates/flamingo-control/src/controller/quota.rs
+++ b/crates/flamingo-control/src/controller/quota.rs
@@ -1,9 +1,11 @@
 //! Answers the questions of entries about the quotas of workspaces while this instance leads.
 
+use super::workspaces::summarize;
 use super::{Controller, LeaderSnapshot};
 use flamingo_daemon::clock;
 use flamingo_guard::quota::ledger::{Ledger, Level};
 use flamingo_wire::Fault;
+use flamingo_wire::admin::Answer;
 use flamingo_wire::control::Reply;
 use flamingo_wire::fault::Reason;
 use flamingo_wire::quota::Question;
@@ -15,16 +17,17 @@
 /// Largest number of workspaces that are logged at a time.
 const MAX_LINES: usize = 64;
 
+/// Returns the fault for a request that only the leader answers.
+fn not_leading() -> Fault {
+    let message = "this instance does not lead";
+    Fault::not_run(Reason::Leaderless, message, "ask the leader")
+}
+
 impl Controller {
     /// Answers an entry's question, if this instance leads.
     pub(super) async fn quota(&self, node: &str, question: &Question) -> Reply {
         let Some(leader) = self.leader_snapshot().await else {
-            let message = "this instance does not lead";
-            return Reply::Refused(Fault::not_run(
-                Reason::Leaderless,
-                message,
-                "ask the leader",
-            ));
+            return Reply::Refused(not_leading());
         };
         let now = clock::now();
         self.start_term(&leader, now);
@@ -49,6 +52,23 @@
         }
     }
 
+    /// Answers an operator's query for the workspaces, if this instance leads.
+    pub(super) async fn workspaces(&self) -> Reply {
+        let Some(leader) = self.leader_snapshot().await else {
+            return Reply::Refused(not_leading());
+        };
+        let now = clock::now();
+        self.start_term(&leader, now);
+        let mut term = self.term.borrow_mut();
+        let ledger = term
+            .quotas
+            .get_or_insert_with(|| self.new_quotas(&leader, now));
+        let (levels, observed) = (ledger.levels(now), ledger.observed(now));
+        let routes = leader.routes.unwrap_or_default();
+        let summary = summarize(&routes, &levels, observed);
+        Reply::Admin(Answer::Workspaces(summary))
+    }
+
     /// Returns the quotas of a leadership that begins now. Only the first one of all has no shares of
     /// an earlier leader to count; an instance whose lease lapsed is its own predecessor.
     pub(super) fn new_quotas(&self, leader: &LeaderSnapshot, now: Instant) -> Ledger {
--- a/crates/flamingo-control/src/daemon.rs
+++ b/crates/flamingo-control/src/daemon.rs
@@ -370,6 +370,7 @@
         node: setup.node,
         seal: setup.seal,
         leader_tasks: setup.leader_tasks,
+        controller: setup.controller,
         metrics: setup.metrics,
         log: setup.log,
     }))
--- a/crates/flamingo-control/src/raft_actor.rs
+++ b/crates/flamingo-control/src/raft_actor.rs
@@ -12,6 +12,7 @@
 mod proposals;
 mod requests;
 
+use crate::controller::EntryRequest;
 use crate::leader_task::{LeaderTask, Leadership};
 use crate::link::Link;
 use crate::metrics::Metrics;
@@ -38,7 +39,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 
 /// Interval at which the actor advances the log's timers and runs the leader tasks.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
@@ -94,6 +95,9 @@
     pub seal: Seal,
     /// Tasks that run only while this instance leads.
     pub leader_tasks: Vec<Box<dyn LeaderTask>>,
+    /// Receives operators' queries for workspaces while this instance leads; `None` where it runs no
+    /// engine controller.
+    pub controller: Option<mpsc::Sender<EntryRequest>>,
     /// Metrics that the actor updates.
     pub metrics: Metrics,
     /// Logger.
@@ -109,6 +113,7 @@
     node: id::Node,
     seal: Seal,
     leader_tasks: Vec<Box<dyn LeaderTask>>,
+    controller: Option<mpsc::Sender<EntryRequest>>,
     /// Evidence against prompts, from the reports of entries.
     evidence: Ledger,
     metrics: Metrics,
@@ -165,6 +170,7 @@
             node: options.node.clone(),
             seal: options.seal.clone(),
             leader_tasks: options.leader_tasks,
+            controller: options.controller,
             evidence: Ledger::default(),
             metrics: options.metrics,
             log: options.log,
--- a/crates/flamingo-control/src/raft_actor/requests.rs
+++ b/crates/flamingo-control/src/raft_actor/requests.rs
@@ -2,6 +2,7 @@
 
 use super::proposals::verdict;
 use super::{HandleRequest, RaftActor};
+use crate::controller;
 use actix::{Context, ResponseFuture};
 use flamingo_log::raft::Refusal;
 use flamingo_state::Command;
@@ -46,6 +47,7 @@
             Request::Begin(call) => self.commit(now, Command::Begin(call), ctx),
             Request::Finish(answer) => self.commit(now, Command::Finish(answer), ctx),
             Request::Admin(Query::Drain(drain)) => self.commit(now, Command::Drain(drain), ctx),
+            Request::Admin(Query::Workspaces) => self.ask_controller(message),
             Request::Admin(query) => ready(self.read_committed(now, &query)),
             Request::Report(report) => ready(self.report(&report, now)),
             Request::Route(set) => self.commit(now, Command::Route(set), ctx),
@@ -161,6 +163,16 @@
         Reply::Quarantines(quarantines)
     }
 
+    /// Has the engine controller answer a query. Without one, leader tasks are asked.
+    fn ask_controller(&self, message: HandleRequest) -> ResponseFuture<Reply> {
+        let Some(controller) = self.controller.clone() else {
+            return ready(self.answer_from_leader_tasks(&Query::Workspaces));
+        };
+        Box::pin(async move {
+            controller::send_request(&controller, &message.from, message.request).await
+        })
+    }
+
     /// Answers a query from committed state, or refuses it where the read lease has expired.
     fn read_committed(&self, now: Instant, query: &Query) -> Reply {
         if !self.raft.has_read_lease(now) {
--- a/crates/flamingo-control/tests/controller/main.rs
+++ b/crates/flamingo-control/tests/controller/main.rs
@@ -7,6 +7,7 @@
 use engine::{Engine, Script, World};
 use flamingo_control::controller::engine_api::{Operation, Order, Outcome};
 use flamingo_test_support::wait;
+use flamingo_wire::admin::{Answer, Query};
 use flamingo_wire::control::{LoadAdapter, Permit, Push, Reply, Request};
 use flamingo_wire::prompt::{Crash, Evidence, Exposure};
 use flamingo_wire::quota::{Decision, Question, Use, Want};
@@ -389,6 +390,22 @@
         panic!("{other:?}");
     };
     assert!(answer.grants.is_empty());
+    check_workspaces(harness.ask(Request::Admin(Query::Workspaces)).await);
+}
+
+/// Checks what operators are shown after 41 requests, of which the bucket held a few.
+fn check_workspaces(reply: Reply) {
+    let Reply::Admin(Answer::Workspaces(answer)) = reply else {
+        panic!("{reply:?}");
+    };
+    let [shown] = answer.workspaces.as_slice() else {
+        panic!("{answer:?}");
+    };
+    assert_eq!((answer.version, shown.workspace.as_str()), (1, "w"));
+    assert_eq!((shown.per_s, shown.burst), (Some(20.0), 5.0));
+    assert!(shown.over && shown.used < 41.0, "{shown:?}");
+    let text = serde_json::to_string(&answer).expect("JSON");
+    assert!(!text.contains("keys"), "{text}");
 }
 
 /// One engine has room for one of two models, and callers ask for the other one.
--- a/crates/flamingo-ctl/src/command/mod.rs
+++ b/crates/flamingo-ctl/src/command/mod.rs
@@ -19,6 +19,7 @@
 mod target;
 mod trace;
 mod undrain;
+mod workspaces;
 
 use crate::client::Client;
 use crate::fault::Error;
@@ -74,6 +75,7 @@
         Box::new(config_apply::Apply),
         Box::new(config_history::History),
         Box::new(config_rollback::Rollback),
+        Box::new(workspaces::Workspaces),
         Box::new(snapshot::Snapshot),
         Box::new(trace::Trace),
     ]
--- a/crates/flamingo-ctl/tests/examples.rs
+++ b/crates/flamingo-ctl/tests/examples.rs
@@ -5,12 +5,14 @@
 use flamingo_ctl::{cli, command};
 use flamingo_wire::admin::{
     Accepted, Answer, Candidate, Copy, Explanation, Follower, Member, Move, Query, Status, Target,
+    Workspace, Workspaces,
 };
 use flamingo_wire::announce::{Availability, Resident};
 use flamingo_wire::config::{Change, Set, Snapshot};
 use flamingo_wire::control::Reply;
 use flamingo_wire::gossip::Liveness;
 use flamingo_wire::place::{Action, Order, Outcome};
+use flamingo_wire::workspace::Unit;
 use std::ffi::OsString;
 use std::net::SocketAddr;
 use std::time::{Duration, UNIX_EPOCH};
@@ -80,6 +82,28 @@
     }
 }
 
+fn workspaces() -> Workspaces {
+    let limited = Workspace {
+        workspace: "shop".into(),
+        rank: Some(2),
+        unit: Unit::Tokens,
+        per_s: Some(4_200.0),
+        burst: 8_000.0,
+        used: 33_264.0,
+        fraction: 0.99,
+        over: true,
+    };
+    let unlimited = Workspace {
+        workspace: "lab".into(),
+        ..Workspace::default()
+    };
+    Workspaces {
+        version: 7,
+        window_ms: 8_000,
+        workspaces: vec![limited, unlimited],
+    }
+}
+
 fn answer(query: Query) -> Answer {
     match query {
         Query::Status => Answer::Status(status()),
@@ -123,6 +147,7 @@
         Query::Moves | Query::DryRun(_) => Answer::Moves(moves()),
         Query::Drain(request) => Answer::Drained(if request.on { 4 } else { 5 }),
         Query::Snapshot => Answer::Snapshot(9),
+        Query::Workspaces => Answer::Workspaces(workspaces()),
     }
 }
 
@@ -214,6 +239,12 @@
             "moves",
             "5      engine-7  load    care-notes v1  2    done     first copy",
         ),
+        ("workspaces", "version 7, use over the last 8.0 s"),
+        (
+            "workspaces",
+            "shop       2      tokens  4200     8000   33264  99%       over",
+        ),
+        ("workspaces", "lab        route  -"),
         ("drain engine-7", "accepted as version 4"),
         ("config history", "3        7          me"),
         (
--- a/crates/flamingo-guard/src/quota/ledger.rs
+++ b/crates/flamingo-guard/src/quota/ledger.rs
@@ -6,6 +6,7 @@
 mod bucket;
 mod holdings;
 mod promises;
+mod usage;
 
 use super::{CREDIT_LIFETIME, LEASE, SILENCE, limits};
 use bucket::Bucket;
@@ -14,8 +15,10 @@
 use flamingo_wire::workspace::Quota;
 use smallvec::SmallVec;
 use std::collections::{BTreeMap, HashMap};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
+/// Time over which operators are told what was granted: the window of the upper bound.
+pub const WINDOW: Duration = Duration::from_secs(8);
 /// Largest number of answers of which the ledger remembers when they were sent.
 const MAX_ANSWERS: usize = 4;
 
@@ -81,6 +84,11 @@
     pub leased: f64,
     /// Units that have been promised to requests that were rejected.
     pub promised: f64,
+    /// Units that were granted within the last window and did not come back. Credit that has expired
+    /// counts, as its entry may have used it.
+    pub granted: f64,
+    /// Units of requests that were rejected within the last window. One that comes back counts again.
+    pub refused: f64,
 }
 
 /// The quotas of all workspaces during one leadership.
@@ -177,6 +185,12 @@
             .collect()
     }
 
+    /// Returns the time within the last window for which this ledger has granted.
+    #[must_use]
+    pub fn observed(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.start).min(WINDOW)
+    }
+
     /// Fills all buckets while the entry still counts as silent, if it does: until its question
     /// came it may have used its shares.
     fn fill_before(&mut self, key: &Key, now: Instant) {
--- a/crates/flamingo-guard/src/quota/ledger/bucket.rs
+++ b/crates/flamingo-guard/src/quota/ledger/bucket.rs
@@ -3,6 +3,7 @@
 use super::super::{bucket_size, max_debt, shared_rate};
 use super::holdings::{Holdings, non_negative};
 use super::promises::Promises;
+use super::usage::Usage;
 use super::{Entry, Key, Level};
 use flamingo_wire::quota::{Decision, Grant, Use, Want};
 use flamingo_wire::workspace::Quota;
@@ -35,6 +36,7 @@
     refreshed_at: Instant,
     holdings: Holdings,
     promises: Promises,
+    usage: Usage,
     /// Part of the rate that shares of an earlier leader may be using, and until when.
     inherited: f64,
     inherited_until: Instant,
@@ -52,6 +54,7 @@
             refreshed_at: start,
             holdings: Holdings::default(),
             promises: Promises::default(),
+            usage: Usage::new(start),
             inherited: inherited_until.map_or(0.0, |_| shared_rate(&quota)),
             inherited_until: inherited_until.unwrap_or(start),
         }
@@ -71,11 +74,13 @@
         let stated = self.holdings.adopt(key, usage, now);
         self.inherited = (self.inherited - stated.inherited).max(0.0);
         self.units += stated.refund;
+        self.usage.grant(-stated.refund, now);
         self.cap();
         self.promises.expire(now);
         let wants = usage.wants.iter();
-        let decisions = wants.map(|want| self.decide(*want, now)).collect();
+        let decisions = wants.map(|want| self.decide_counted(*want, now)).collect();
         let credit = self.credit(usage, now);
+        self.usage.grant(credit, now);
         self.holdings.add_credit(key, credit, now);
         let share = self.share(key, stated.share, is_silent, now);
         self.holdings.lease(key, share, now);
@@ -93,7 +98,10 @@
     pub fn level(&mut self, entries: &HashMap<Key, Entry>, now: Instant) -> Level {
         self.fill(entries, now);
         self.promises.expire(now);
+        let (granted, refused) = self.usage.sums(now);
         Level {
+            granted,
+            refused,
             units: self.units,
             withheld: self.quota.per_s - self.refill_per_s(now),
             leased: self.holdings.sums.shares,
@@ -147,6 +155,17 @@
         }
     }
 
+    /// Decides on a request that lacks credit, and counts its cost.
+    fn decide_counted(&mut self, want: Want, now: Instant) -> Decision {
+        let decision = self.decide(want, now);
+        let cost = non_negative(want.units);
+        match decision {
+            Decision::Admitted => self.usage.grant(cost, now),
+            Decision::Wait(_) | Decision::TooLarge => self.usage.refuse(cost, now),
+        }
+        decision
+    }
+
     /// Decides on a request that lacks credit.
     fn decide(&mut self, want: Want, now: Instant) -> Decision {
         let cost = non_negative(want.units);
--- a/crates/flamingo-wire/src/admin.rs
+++ b/crates/flamingo-wire/src/admin.rs
@@ -5,6 +5,8 @@
 use crate::gossip::Liveness;
 use crate::id;
 use crate::place;
+use crate::route::Rank;
+use crate::workspace::Unit;
 use serde::{Deserialize, Serialize};
 use std::time::SystemTime;
 
@@ -31,6 +33,8 @@
     DryRun(Box<Set>),
     /// Write a snapshot of the replicated state now.
     Snapshot,
+    /// Return what workspaces use of their quotas.
+    Workspaces,
 }
 
 /// A request to start or end the drain of a target.
@@ -67,6 +71,8 @@
     Drained(id::Version),
     /// Answer to [`Query::Snapshot`]: the last log index that the snapshot covers.
     Snapshot(id::Index),
+    /// Answer to [`Query::Workspaces`].
+    Workspaces(Workspaces),
 }
 
 /// The state of the control instances.
@@ -201,3 +207,36 @@
     /// Time at which the order was committed.
     pub at: SystemTime,
 }
+
+/// The workspaces of the configuration in force, without their keys.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Workspaces {
+    /// Version of the configuration that names them.
+    pub version: id::Version,
+    /// Time over which use is counted, in milliseconds; shorter than the window of the quotas after a
+    /// change of the leader.
+    pub window_ms: u64,
+    /// The workspaces, in the order of the configuration.
+    pub workspaces: Vec<Workspace>,
+}
+
+/// A workspace and what it uses of its quota, as the leader knows it.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Workspace {
+    /// Name of the workspace.
+    pub workspace: id::Workspace,
+    /// Rank of its requests; `None` where that of the route counts.
+    pub rank: Option<Rank>,
+    /// What its quota counts.
+    pub unit: Unit,
+    /// Limit in units a second; `None` without a limit. The figures below are 0 then.
+    pub per_s: Option<f64>,
+    /// Units that may be used at once.
+    pub burst: f64,
+    /// Units that entries were granted over the window.
+    pub used: f64,
+    /// The same as a part of what the limit allows in that time without the burst.
+    pub fraction: f64,
+    /// Whether requests were refused over the window, as the workspace wanted more than its limit.
+    pub over: bool,
+}
