--- a/crates/flamingo-control/src/controller/adapter_time.rs
+++ b/crates/flamingo-control/src/controller/adapter_time.rs
@@ -54,6 +54,30 @@
         estimate.map_or(INITIAL_DELAY, |estimate| estimate.delay)
     }
 
+    /// Returns the shortest and the longest learned time of each service with a miss so far.
+    ///
+    /// ```
+    /// use flamingo_control::controller::adapter_time::AdapterTimes;
+    /// use std::time::Instant;
+    ///
+    /// let mut times = AdapterTimes::default();
+    /// assert!(times.ranges().is_empty());
+    /// let key = ("llm".to_owned(), "m".to_owned());
+    /// times.record_miss(&key, Instant::now());
+    /// assert_eq!(times.ranges()["llm"], (times.delay(&key), times.delay(&key)));
+    /// ```
+    #[must_use]
+    pub fn ranges(&self) -> BTreeMap<&str, (Duration, Duration)> {
+        let mut ranges = BTreeMap::new();
+        for ((service, _), estimate) in &self.estimates {
+            let delay = estimate.delay;
+            let (least, most) = ranges.entry(service.as_str()).or_insert((delay, delay));
+            *least = delay.min(*least);
+            *most = delay.max(*most);
+        }
+        ranges
+    }
+
     /// Records that an engine did not have an adapter after the wait. Requests that were rejected after
     /// the same wait count once.
     pub fn record_miss(&mut self, key: &Key, now: Instant) {
--- a/crates/flamingo-control/src/controller/mod.rs
+++ b/crates/flamingo-control/src/controller/mod.rs
@@ -20,6 +20,7 @@
 mod residents;
 
 use crate::daemon::Core;
+use crate::metrics::Metrics;
 use crate::raft_actor::{EntryReport, ReadState};
 use crate::watch::lock_registry;
 use adapter_time::AdapterTimes;
@@ -133,6 +134,8 @@
     pub requests: mpsc::Receiver<EntryRequest>,
     /// Limits on when and how often orders are given.
     pub bounds: Bounds,
+    /// Metrics of this instance.
+    pub metrics: Metrics,
     /// Logger.
     pub log: Logger,
 }
@@ -256,6 +259,7 @@
     demand_log_limit: RefCell<LogRateLimit>,
     /// When each entry that reports its usage was last counted.
     counted: RefCell<BTreeMap<id::Node, Instant>>,
+    metrics: Metrics,
     log: Logger,
 }
 
@@ -271,6 +275,7 @@
         planning_pace: RefCell::new(Pace::new(PLANNING_TIME_DIVISOR)),
         demand_log_limit: RefCell::default(),
         counted: RefCell::default(),
+        metrics: options.metrics,
         log: options.log,
     });
     let mut requests = options.requests;
@@ -384,6 +389,7 @@
         self.judge_parts();
         let Some(leader) = self.leader_snapshot().await else {
             *self.term.borrow_mut() = TermState::default();
+            self.show_adapter_times();
             return;
         };
         let now = clock::now();
@@ -396,11 +402,18 @@
         self.flush_residencies();
         self.publish_loads(now);
         self.log_quotas(now);
+        self.show_adapter_times();
         if self.may_order(now) {
             self.plan_if_due(&leader, &routes, now).await;
         }
     }
 
+    /// Shows the learned load times of adapters in the metrics; none where this instance does not lead.
+    fn show_adapter_times(&self) {
+        let term = self.term.borrow();
+        self.metrics.show_adapter_times(&term.adapter_times);
+    }
+
     /// Plans moves, unless planning has taken too large a part of the recent time.
     async fn plan_if_due(self: &Rc<Self>, leader: &LeaderSnapshot, routes: &Set, now: Instant) {
         if !self.planning_pace.borrow().is_due(now) {
--- a/crates/flamingo-control/src/controller/orders.rs
+++ b/crates/flamingo-control/src/controller/orders.rs
@@ -257,6 +257,7 @@
             let adapter_times = &mut self.term.borrow_mut().adapter_times;
             let before = adapter_times.delay(times_key);
             adapter_times.record_miss(times_key, clock::now());
+            self.metrics.record_adapter_miss(&times_key.0);
             adapter_times.delay(times_key).saturating_sub(before)
         };
         tokio::time::sleep(wait.max(MIN_ADAPTER_WAIT)).await;
--- a/crates/flamingo-control/src/metrics.rs
+++ b/crates/flamingo-control/src/metrics.rs
@@ -1,8 +1,9 @@
 //! Prometheus metrics of a control instance.
 
+use crate::controller::adapter_time::AdapterTimes;
 use flamingo_daemon::metrics::Registry;
 use flamingo_wire::control::Push;
-use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge};
+use prometheus::{GaugeVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts};
 
 /// Bucket bounds of the histogram of commit latency, in seconds.
 const LATENCY_BUCKETS: [f64; 10] = [
@@ -35,6 +36,10 @@
     pub proposals: IntCounter,
     /// Bytes of pushes to followers, by kind and by whether another instance pushed them first.
     push_bytes: IntCounterVec,
+    /// Learned load times of adapters, by service: of the fastest and of the slowest model.
+    adapter_waits: GaugeVec,
+    /// Requests that came before their adapter, by service.
+    adapter_misses: IntCounterVec,
     /// Time from the proposal of a command to the reply, in seconds.
     pub commit_seconds: Histogram,
 }
@@ -53,6 +58,10 @@
         );
         let commit_seconds =
             Histogram::with_opts(commit_seconds.buckets(LATENCY_BUCKETS.to_vec()))?;
+        let adapter_waits = Opts::new(
+            "flamingo_control_adapter_wait_ms",
+            "learned load time of adapters, of the fastest and the slowest model of a service",
+        );
         Ok(Self {
             leads: registry.gauge("flamingo_control_leads", "1 while this instance leads")?,
             term: registry.gauge("flamingo_control_term", "election term")?,
@@ -89,6 +98,12 @@
                 "bytes of pushes to followers, by kind and by whether they were relayed",
                 &["kind", "relayed"],
             )?,
+            adapter_waits: registry.add(GaugeVec::new(adapter_waits, &["service", "of"])?)?,
+            adapter_misses: registry.counters(
+                "flamingo_control_adapter_misses_total",
+                "requests that came before their adapter was loaded, by service",
+                &["service"],
+            )?,
             commit_seconds: registry.add(commit_seconds)?,
             registry,
         })
@@ -104,6 +119,22 @@
         counter.inc_by(bytes as u64);
     }
 
+    /// Counts a request that came before its adapter was loaded.
+    pub fn record_adapter_miss(&self, service: &str) {
+        self.adapter_misses.with_label_values(&[service]).inc();
+    }
+
+    /// Shows the learned load times of adapters in place of earlier ones. Only a leader has any.
+    pub fn show_adapter_times(&self, times: &AdapterTimes) {
+        self.adapter_waits.reset();
+        for (service, (least, most)) in times.ranges() {
+            for (of, time) in [("fastest", least), ("slowest", most)] {
+                let gauge = self.adapter_waits.with_label_values(&[service, of]);
+                gauge.set(time.as_secs_f64() * 1_000.0);
+            }
+        }
+    }
+
     /// Returns the metrics in the text format of Prometheus.
     #[must_use]
     pub fn text(&self) -> String {
--- a/crates/flamingo-control/tests/adapter_time.rs
+++ b/crates/flamingo-control/tests/adapter_time.rs
@@ -63,3 +63,17 @@
     misses(&mut times, &key("m"), Duration::from_hours(1), 400);
     assert!(times.delay(&key("m")) <= Duration::from_millis(250));
 }
+
+/// Guards against a slow model that is hidden behind the fast ones of its service.
+#[test]
+fn the_range_of_a_service_has_its_slowest_model() {
+    let mut times = AdapterTimes::default();
+    misses(&mut times, &key("slow"), Duration::from_millis(100), 50);
+    misses(&mut times, &key("fast"), Duration::from_millis(15), 50);
+    let (least, most) = times.ranges()["llm"];
+    assert_eq!(
+        (least, most),
+        (times.delay(&key("fast")), times.delay(&key("slow")))
+    );
+    assert!(least < most);
+}
--- a/crates/flamingo-control/tests/controller/harness.rs
+++ b/crates/flamingo-control/tests/controller/harness.rs
@@ -40,6 +40,7 @@
 pub struct Harness {
     requests: mpsc::Sender<EntryRequest>,
     core: Core,
+    pub metrics: Metrics,
     _data: tempfile::TempDir,
 }
 
@@ -48,7 +49,9 @@
     pub async fn start(world: &World) -> Self {
         let data = tempfile::tempdir().unwrap();
         let log = Logger::root(slog::Discard, slog::o!());
-        let core = Core::start(setup(data.path(), &log)).await.unwrap();
+        let setup = setup(data.path(), &log);
+        let metrics = setup.metrics.clone();
+        let core = Core::start(setup).await.unwrap();
         let (requests, received) = mpsc::channel(16);
         put_routes(&core, world).await;
         actix_rt::spawn(send_heartbeats(core.clone(), world.clone()));
@@ -63,11 +66,13 @@
                 load_burst: 3.0,
                 load_window: Duration::from_secs(5),
             },
+            metrics: metrics.clone(),
             log,
         }));
         Self {
             requests,
             core,
+            metrics,
             _data: data,
         }
     }
--- a/crates/flamingo-control/tests/controller/main.rs
+++ b/crates/flamingo-control/tests/controller/main.rs
@@ -168,6 +168,43 @@
     assert!(world.look("e", |engine| !engine.orders.is_empty()));
 }
 
+/// A request is rejected after the leader has said that its adapter is loaded.
+async fn adapter_that_comes_late() {
+    let models = [("a", 70.0)];
+    let engines = [("e", Engine::new(0, &["a"]))];
+    let world = World::new(config(&models, 1), engines, Box::new(|_, _| None));
+    let harness = Harness::start(&world).await;
+    until(&world, "a report", |engine| engine.reports > 0).await;
+    let before = harness.metrics.text();
+    assert!(!before.contains("adapter_wait_ms{"), "{before}");
+    let ask = async |missed| {
+        let request = LoadAdapter {
+            missed,
+            target: "e".into(),
+            incarnation: 1,
+            model: "a".into(),
+            adapter: "x".into(),
+        };
+        harness.ask(Request::LoadAdapter(request)).await
+    };
+    wait::until("the adapter", || async {
+        matches!(ask(false).await, Reply::Acknowledged).then_some(())
+    })
+    .await;
+    assert_eq!(ask(true).await, Reply::Acknowledged);
+    wait::until("the learned time", || async {
+        let text = harness.metrics.text();
+        text.contains("flamingo_control_adapter_wait_ms{of=\"slowest\",service=\"s\"} 18\n")
+            .then_some(())
+    })
+    .await;
+    let text = harness.metrics.text();
+    assert!(
+        text.contains("adapter_misses_total{service=\"s\"} 1"),
+        "{text}"
+    );
+}
+
 /// A move unloads `a` to load `b`. The engine restarts with `b` before the unload is answered, so
 /// that its new incarnation needs no order.
 async fn restart_within_a_move() {
@@ -448,6 +485,7 @@
 cases! {
     a_model_that_is_asked_for_takes_the_place_of_an_idle_one: asked_for_without_a_place(),
     crashes_that_several_entries_saw_quarantine_a_part: crashes_that_several_entries_saw(),
+    a_learned_load_time_is_shown: adapter_that_comes_late(),
     quotas_of_several_entries_come_from_one_bucket: quotas_of_several_entries(),
     permits_of_several_entries_come_from_one_count: permits_of_several_entries(),
     a_late_load_of_an_earlier_incarnation_has_room: late_load_of_an_earlier_incarnation(),
