Requests refused before a target is chosen have a log line

Requests without a route, to an entry without routes or that has stopped listening, with a body that can't be read or is too large, or with a stream of unknown origin ended without a line of their own, so that flamingoctl trace found nothing or no cause.

The line 'not forwarded' names them with workspace, limit, version and cause.

--- a/crates/flamingo-ctl/src/trace.rs
+++ b/crates/flamingo-ctl/src/trace.rs
@@ -6,12 +6,13 @@
 
 /// Messages of log lines that name the cause of a failed request. If a request has several,
 /// the last one decides.
-const FAILURE_MESSAGES: [&str; 13] = [
+const FAILURE_MESSAGES: [&str; 14] = [
     "adapter not brought",
     "answer replaced",
     "no memory for a body",
     "no room",
     "not authenticated",
+    "not forwarded",
     "not within the quota",
     "prompt refused",
     "refused while stopping",
--- a/crates/flamingo-ctl/tests/trace.rs
+++ b/crates/flamingo-ctl/tests/trace.rs
@@ -41,6 +41,7 @@
     a_workspace_finds_no_room: "r-room" => "no room", "version=7";
     a_workspace_is_above_its_share: "r-share" => "no room", "limit=share";
     a_body_finds_no_memory: "r-memory" => "no memory for a body", "limit=room";
+    a_body_is_too_large: "r-large" => "not forwarded", "cause=too_large";
     a_prompt_is_quarantined: "r-prompt" => "prompt refused", "workspace=shop";
     a_request_is_quarantined: "r-request" => "request refused", "workspace=shop";
     an_entry_stops: "r-stopping" => "refused while stopping", "version=7";
--- a/crates/flamingo-guard/tests/usage.rs
+++ b/crates/flamingo-guard/tests/usage.rs
@@ -1,7 +1,7 @@
 //! What the leader tells operators of the use of quotas.
 
 use flamingo_guard::quota::ledger::{Ledger, Level, WINDOW};
-use flamingo_wire::quota::{Question, Use, Want};
+use flamingo_wire::quota::{Decision, Grant, Question, Use, Want};
 use flamingo_wire::workspace::{Quota, Unit};
 use std::time::{Duration, Instant};
 
@@ -27,7 +27,7 @@
     }
 
     /// Asks with this usage after one step.
-    fn ask(&mut self, usage: Use) -> flamingo_wire::quota::Grant {
+    fn ask(&mut self, usage: Use) -> Grant {
         self.now += STEP;
         self.sequence += 1;
         let question = Question {
@@ -61,9 +61,11 @@
             wants: vec![want; requests],
             ..Use::default()
         });
-        let decisions = grant.decisions.iter();
-        let admitted = decisions.filter(|of| **of == flamingo_wire::quota::Decision::Admitted);
-        self.admitted += f64::from(u32::try_from(admitted.count()).expect("few"));
+        let admitted = grant
+            .decisions
+            .iter()
+            .filter(|of| **of == Decision::Admitted);
+        self.admitted += admitted.map(|_| 1.0).sum::<f64>();
     }
 
     fn level(&mut self) -> Level {
--- a/crates/flamingo-serve/src/proxy.rs
+++ b/crates/flamingo-serve/src/proxy.rs
@@ -187,17 +187,17 @@
         };
         if self.drain.stage() >= Stage::Closing {
             let refusal = Refusal::not_run(Cause::Stopping, Duration::ZERO);
-            return self.refuse(refusal, Some(&request));
+            return self.refuse_early(refusal, None, &request);
         }
         let guard = self.drain.track_request();
         let Some(routes) = self.topology.routes.borrow().clone() else {
             let refusal = Refusal::not_run(Cause::NoRoutes, refusal::RETRY_AFTER_MIN);
-            return self.refuse(refusal, Some(&request));
+            return self.refuse_early(refusal, None, &request);
         };
+        request.configuration = routes.set.version;
         let Some(mut route) = routes.find(&request.host, &request.path).cloned() else {
-            return self.refuse(Refusal::new(Cause::NoRoute), Some(&request));
+            return self.refuse_early(Refusal::new(Cause::NoRoute), None, &request);
         };
-        request.configuration = routes.set.version;
         let found = self.authenticate(&routes, &mut route, &mut http_head, &mut request);
         let workspace = match found {
             Ok(workspace) => workspace,
@@ -218,7 +218,7 @@
         let body = match self.receive_body(body, max_bytes, deadline).await {
             Ok(body) => body,
             Err(Cause::NoMemory) => return self.refuse_for_memory(&route, &request),
-            Err(cause) => return self.refuse(Refusal::new(cause), Some(&request)),
+            Err(cause) => return self.refuse_early(Refusal::new(cause), Some(&route), &request),
         };
         let earlier_wait = self.earlier_wait(&route, max_wait);
         let mut software = None;
--- a/crates/flamingo-serve/src/proxy/refusal.rs
+++ b/crates/flamingo-serve/src/proxy/refusal.rs
@@ -99,7 +99,22 @@
         RETRY_AFTER_SPREAD * permille / 1_000
     }
 
-    /// Counts a request that goes on with a stream of unknown origin, and returns the refusal.
+    /// Logs a request that is refused before its target is chosen and that has no other line, and returns
+    /// the refusal. `route` is `None` where none was found.
+    pub(super) fn refuse_early(
+        &self,
+        refusal: Refusal,
+        route: Option<&Route>,
+        request: &RequestHead,
+    ) -> Response<Body> {
+        let name: &str = refusal.cause.into();
+        info!(self.log, "not forwarded"; "request" => &request.attempt_id,
+            "route" => route.map(|route| &route.name), "workspace" => &request.workspace,
+            "limit" => Limit::name(refusal.cause), "version" => request.configuration, "cause" => name);
+        self.refuse(refusal, Some(request))
+    }
+
+    /// Logs and counts a request that goes on with a stream of unknown origin, and returns the refusal.
     pub(super) fn refuse_resumption(&self, route: &Route, request: &RequestHead) -> Response<Body> {
         let cause = Cause::UnknownOrigin;
         self.metrics.record_outcome(&route.name, cause.into());
@@ -107,7 +122,7 @@
             cause,
             retry_after: Some(RETRY_AFTER_MIN),
         };
-        self.refuse(refusal, Some(request))
+        self.refuse_early(refusal, Some(route), request)
     }
 
     /// Logs and counts a request whose body finds no memory, and returns the refusal.
--- a/crates/flamingo-serve/src/wire.rs
+++ b/crates/flamingo-serve/src/wire.rs
@@ -36,7 +36,7 @@
     pub key: Option<KeyDigest>,
     /// Workspace of the caller, which is set once its key was found; `None` before and without one.
     pub workspace: Option<id::Workspace>,
-    /// Version of the configuration that the request came under; 0 before its route was found.
+    /// Version of the configuration that the request came under; 0 at an entry without one.
     pub configuration: id::Version,
     /// Identity of this try, which the target returns in its response; `None` if the caller
     /// sent none.
