--- a/crates/flamingo-control/src/controller/mod.rs
+++ b/crates/flamingo-control/src/controller/mod.rs
@@ -12,6 +12,7 @@
 pub mod pace;
 pub mod published_loads;
 pub mod store;
+pub mod workspaces;
 
 mod evidence;
 mod moves;
@@ -20,6 +21,7 @@
 mod residents;
 
 use crate::daemon::Core;
+use crate::metrics::Metrics;
 use crate::raft_actor::{EntryReport, ReadState};
 use crate::watch::lock_registry;
 use adapter_time::AdapterTimes;
@@ -29,6 +31,7 @@
 use flamingo_daemon::clock;
 use flamingo_guard::permits::Permits;
 use flamingo_guard::quota::ledger::Ledger;
+use flamingo_wire::admin::Query;
 use flamingo_wire::control::{Permit, Reply, Request};
 use flamingo_wire::fault::Reason;
 use flamingo_wire::route::{Engine, Set};
@@ -70,9 +73,8 @@
 pub struct EntryRequest {
     /// The entry that sent the request.
     pub from: id::Node,
-    /// The request; the controller handles loads of adapters, reports of usage, permits and
-    /// quotas, and
-    /// refuses all others.
+    /// The request; the controller handles loads of adapters, reports of usage, permits, quotas and
+    /// operators' queries for workspaces, and refuses all others.
     pub request: Request,
     /// Receives the reply.
     pub reply: oneshot::Sender<Reply>,
@@ -134,6 +136,8 @@
     pub requests: mpsc::Receiver<EntryRequest>,
     /// Limits on when and how often orders are given.
     pub bounds: Bounds,
+    /// Metrics of this instance.
+    pub metrics: Metrics,
     /// Logger.
     pub log: Logger,
 }
@@ -258,6 +262,7 @@
     demand_log_limit: RefCell<LogRateLimit>,
     /// When each entry that reports its usage was last counted.
     counted: RefCell<BTreeMap<id::Node, Instant>>,
+    metrics: Metrics,
     log: Logger,
 }
 
@@ -273,6 +278,7 @@
         planning_pace: RefCell::new(Pace::new(PLANNING_TIME_DIVISOR)),
         demand_log_limit: RefCell::default(),
         counted: RefCell::default(),
+        metrics: options.metrics,
         log: options.log,
     });
     let mut requests = options.requests;
@@ -314,6 +320,7 @@
             }
             Request::Permit(permit) => self.permit(&permit).await,
             Request::Quota(question) => self.quota(&entry_request.from, &question).await,
+            Request::Admin(Query::Workspaces) => self.workspaces().await,
             _ => Reply::Refused(busy("it does not handle requests of this kind")),
         };
         // The entry may have disconnected.
@@ -385,6 +392,7 @@
         self.judge_parts();
         let Some(leader) = self.leader_snapshot().await else {
             *self.term.borrow_mut() = TermState::default();
+            self.show_adapter_times();
             return;
         };
         let now = clock::now();
@@ -397,11 +405,18 @@
         self.flush_residencies();
         self.publish_loads(now);
         self.log_quotas(now);
+        self.show_adapter_times();
         if self.may_order(now) {
             self.plan_if_due(&leader, &routes, now).await;
         }
     }
 
+    /// Shows the learned load times of adapters in the metrics; none where this instance does not lead.
+    fn show_adapter_times(&self) {
+        let term = self.term.borrow();
+        self.metrics.show_adapter_times(&term.adapter_times);
+    }
+
     /// Plans moves, unless planning has taken too large a part of the recent time.
     async fn plan_if_due(self: &Rc<Self>, leader: &LeaderSnapshot, routes: &Set, now: Instant) {
         if !self.planning_pace.borrow().is_due(now) {
--- a/crates/flamingo-serve/src/proxy.rs
+++ b/crates/flamingo-serve/src/proxy.rs
@@ -29,6 +29,7 @@
 use crate::choice::{self, Choice, Requirements};
 use crate::demand::Counter;
 use crate::departure::{Price, Terms, expected_bytes};
+use crate::limit::Limit;
 use crate::memory::Memory;
 use crate::metrics::Metrics;
 use crate::quota::Quotas;
@@ -186,15 +187,16 @@
         };
         if self.drain.stage() >= Stage::Closing {
             let refusal = Refusal::not_run(Cause::Stopping, Duration::ZERO);
-            return self.refuse(refusal, Some(&request));
+            return self.refuse_early(refusal, None, &request);
         }
         let guard = self.drain.track_request();
         let Some(routes) = self.topology.routes.borrow().clone() else {
             let refusal = Refusal::not_run(Cause::NoRoutes, refusal::RETRY_AFTER_MIN);
-            return self.refuse(refusal, Some(&request));
+            return self.refuse_early(refusal, None, &request);
         };
+        request.configuration = routes.set.version;
         let Some(mut route) = routes.find(&request.host, &request.path).cloned() else {
-            return self.refuse(Refusal::new(Cause::NoRoute), Some(&request));
+            return self.refuse_early(Refusal::new(Cause::NoRoute), None, &request);
         };
         let found = self.authenticate(&routes, &mut route, &mut http_head, &mut request);
         let workspace = match found {
@@ -216,7 +218,7 @@
         let body = match self.receive_body(body, max_bytes, deadline).await {
             Ok(body) => body,
             Err(Cause::NoMemory) => return self.refuse_for_memory(&route, &request),
-            Err(cause) => return self.refuse(Refusal::new(cause), Some(&request)),
+            Err(cause) => return self.refuse_early(Refusal::new(cause), Some(&route), &request),
         };
         let earlier_wait = self.earlier_wait(&route, max_wait);
         let mut software = None;
@@ -265,6 +267,7 @@
             late: Cell::new(false),
             unreachable: Cell::new(0),
             may_have_run: Cell::new(false),
+            turned_away: Cell::new(false),
             ticket: RefCell::new(ticket),
             guard,
         };
@@ -321,7 +324,9 @@
                 AttemptError::NoAlternative(cause) => return self.give_up(job, cause),
                 AttemptError::QueueTooLong(delay) => {
                     info!(self.log, "no room"; "request" => &job.request.attempt_id,
-                        "workspace" => &job.request.workspace, "wait_ms" => delay.as_millis());
+                        "workspace" => &job.request.workspace,
+                        "limit" => Limit::name(Cause::NoRoom), "version" => job.request.configuration,
+                        "wait_ms" => delay.as_millis());
                     return self.give_up(job, Cause::NoRoom);
                 }
                 AttemptError::AdapterMissing(candidate) => {
--- a/crates/flamingo-serve/src/proxy/refusal.rs
+++ b/crates/flamingo-serve/src/proxy/refusal.rs
@@ -4,6 +4,8 @@
 use super::job::Job;
 use crate::body::Body;
 use crate::choice::Choice;
+use crate::limit::Limit;
+use crate::metrics::Outcome;
 use crate::outlook::Outlook;
 use crate::wire::{Cause, Refusal, RequestHead};
 use bytes::Bytes;
@@ -43,15 +45,33 @@
         }
         let retry_after = not_run.then(|| self.retry_after(job, now));
         let name: &str = cause.into();
+        let limit: Option<&str> = job.limit(cause).map(Into::into);
         let outlook: Option<&str> = self.outlook(job, now).map(Into::into);
         info!(self.log, "given up"; "request" => &job.request.attempt_id, "route" => &job.route.name,
-            "workspace" => &job.request.workspace, "cause" => name, "not_run" => not_run, "sent" => job.sent.get(),
+            "workspace" => &job.request.workspace, "limit" => limit,
+            "version" => job.request.configuration, "cause" => name, "not_run" => not_run, "sent" => job.sent.get(),
             "model" => &job.request.model, "software" => &*job.software.borrow(),
             "outlook" => outlook, "after_ms" => (now - job.arrived_at).as_millis());
         self.metrics.record_outcome(&job.route.name, name);
+        self.record_refusal(&job.request, cause, job.limit(cause));
         self.refuse(Refusal { cause, retry_after }, Some(&job.request))
     }
 
+    /// Counts a request that is refused for `cause` for its workspace, with the limit that decided.
+    pub(super) fn record_refusal(&self, request: &RequestHead, cause: Cause, limit: Option<Limit>) {
+        if let Some(outcome) = Outcome::of_refusal(cause, limit) {
+            let workspace = request.workspace.as_deref();
+            self.metrics.workspaces().record(workspace, outcome);
+        }
+    }
+
+    /// Counts a request that a target has answered whole.
+    pub(super) fn record_served(&self, job: &Job) {
+        self.metrics.record_outcome(&job.route.name, "answered");
+        let workspace = job.request.workspace.as_deref();
+        self.metrics.workspaces().record(workspace, Outcome::Served);
+    }
+
     /// Returns the time after which a refused caller should retry: not before its quarantine or that of
     /// a part of its prompt ends, the first pause where all targets have asked for one, or its model can
     /// be resident.
@@ -79,7 +99,22 @@
         RETRY_AFTER_SPREAD * permille / 1_000
     }
 
-    /// Counts a request that goes on with a stream of unknown origin, and returns the refusal.
+    /// Logs a request that is refused before its target is chosen and that has no other line, and returns
+    /// the refusal. `route` is `None` where none was found.
+    pub(super) fn refuse_early(
+        &self,
+        refusal: Refusal,
+        route: Option<&Route>,
+        request: &RequestHead,
+    ) -> Response<Body> {
+        let name: &str = refusal.cause.into();
+        info!(self.log, "not forwarded"; "request" => &request.attempt_id,
+            "route" => route.map(|route| &route.name), "workspace" => &request.workspace,
+            "limit" => Limit::name(refusal.cause), "version" => request.configuration, "cause" => name);
+        self.refuse(refusal, Some(request))
+    }
+
+    /// Logs and counts a request that goes on with a stream of unknown origin, and returns the refusal.
     pub(super) fn refuse_resumption(&self, route: &Route, request: &RequestHead) -> Response<Body> {
         let cause = Cause::UnknownOrigin;
         self.metrics.record_outcome(&route.name, cause.into());
@@ -87,15 +122,17 @@
             cause,
             retry_after: Some(RETRY_AFTER_MIN),
         };
-        self.refuse(refusal, Some(request))
+        self.refuse_early(refusal, Some(route), request)
     }
 
     /// Logs and counts a request whose body finds no memory, and returns the refusal.
     pub(super) fn refuse_for_memory(&self, route: &Route, request: &RequestHead) -> Response<Body> {
         let cause = Cause::NoMemory;
         info!(self.log, "no memory for a body"; "request" => &request.attempt_id,
-            "route" => &route.name, "workspace" => &request.workspace, "held" => self.memory.held());
+            "route" => &route.name, "workspace" => &request.workspace, "limit" => Limit::name(cause),
+            "version" => request.configuration, "held" => self.memory.held());
         self.metrics.record_outcome(&route.name, cause.into());
+        self.record_refusal(request, cause, Limit::of(cause));
         let refusal = Refusal {
             cause,
             retry_after: Some(RETRY_AFTER_MIN + self.retry_spread(request)),
