Quotas: window, overage and slack come from the settings

The window of 8 s, the overage of 0.1 and the slack of 17,000 tokens were constants, and so were the times and amounts that rest on them; a deployment with other bounds was held to those of one.

`quota::Allowance` holds the three values and `quota::Terms` what is derived from them: lifetime of credit, times to send, answer timeout, interval of questions, reserve, savings of shares and debt. Bounds under which a request could not be admitted and sent in time are refused at the start.

With the defaults all derived figures are those of before (terms.rs).

--- a/crates/flamingo-control/src/controller/mod.rs
+++ b/crates/flamingo-control/src/controller/mod.rs
@@ -27,6 +27,7 @@
 use engine_api::{EngineClient, Operation, Order, Outcome};
 use flamingo_daemon::clock;
 use flamingo_guard::permits::Permits;
+use flamingo_guard::quota::Terms;
 use flamingo_guard::quota::ledger::Ledger;
 use flamingo_wire::control::{Permit, Push, Reply, Request};
 use flamingo_wire::fault::Reason;
@@ -132,6 +133,8 @@
     pub requests: mpsc::Receiver<EntryRequest>,
     /// Limits on when and how often orders are given.
     pub bounds: Bounds,
+    /// Times and amounts by which quotas of workspaces are kept.
+    pub quota_terms: Terms,
     /// Logger.
     pub log: Logger,
 }
@@ -248,6 +251,7 @@
     core: Core,
     engine_client: Rc<dyn EngineClient>,
     bounds: Bounds,
+    quota_terms: Terms,
     term: RefCell<TermState>,
     /// Whether this process has led before.
     has_led: Cell<bool>,
@@ -265,6 +269,7 @@
         core: options.core,
         engine_client: options.engine_client,
         bounds: options.bounds,
+        quota_terms: options.quota_terms,
         term: RefCell::default(),
         has_led: Cell::new(false),
         planning_pace: RefCell::new(Pace::new(PLANNING_TIME_DIVISOR)),
--- a/crates/flamingo-control/src/controller/quota.rs
+++ b/crates/flamingo-control/src/controller/quota.rs
@@ -53,7 +53,7 @@
     /// an earlier leader to count; an instance whose lease lapsed is its own predecessor.
     pub(super) fn new_quotas(&self, leader: &LeaderSnapshot, now: Instant) -> Ledger {
         let inherits = leader.fence > 1 || self.has_led.replace(true);
-        Ledger::new(now, inherits)
+        Ledger::new(self.quota_terms, now, inherits)
     }
 
     /// Logs the quotas of which entries hold a part or that are used up.
--- a/crates/flamingo-control/tests/controller/harness.rs
+++ b/crates/flamingo-control/tests/controller/harness.rs
@@ -8,6 +8,7 @@
 use flamingo_control::registry::Broadcast;
 use flamingo_control::watch::lock_registry;
 use flamingo_daemon::clock;
+use flamingo_guard::quota::Terms;
 use flamingo_log::Timing;
 use flamingo_log::raft::{MembershipPolicy, Seed};
 use flamingo_test_support::{address, wait};
@@ -63,6 +64,7 @@
                 load_burst: 3.0,
                 load_window: Duration::from_secs(5),
             },
+            quota_terms: Terms::default(),
             log,
         }));
         Self {
--- a/crates/flamingo-guard/src/quota.rs
+++ b/crates/flamingo-guard/src/quota.rs
@@ -2,26 +2,18 @@
 //!
 //! The leader keeps a token bucket for each workspace ([`ledger`]). Entries get credit from it that
 //! expires, and a leased share of the rate that they use while they reach no leader ([`account`]).
-//! `docs/design/quotas.md` says why no window exceeds the quota whatever fails.
+//! `docs/design/quotas.md` says why no window exceeds the quota whatever fails. What a window may hold
+//! beyond the quota is an operator's [`Allowance`], from which the [`Terms`] are derived.
 
 pub mod account;
 pub mod ledger;
+mod terms;
+
+pub use terms::{Allowance, Problem, Terms};
 
 use flamingo_wire::workspace::{Quota, Unit};
 use std::time::Duration;
 
-/// Time from the sending of a question after which the credit of its answer has expired. Rate × time
-/// stays within the overage that the platform allows in a window.
-pub const CREDIT_LIFETIME: Duration = Duration::from_millis(500);
-/// Time from its admission within which a request must be sent. What waits for longer adds to a later
-/// window, and must be admitted anew.
-pub const SEND_TIMEOUT: Duration = Duration::from_millis(500);
-/// The same for a request that a share has paid for: shares also save up.
-pub const SHARE_SEND_TIMEOUT: Duration = Duration::from_millis(100);
-/// Time from the sending of a question after which its answer no longer counts.
-pub const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
-/// Interval of the questions of an entry that uses quotas. Two fit into the lifetime of credit.
-pub const QUESTION_INTERVAL: Duration = Duration::from_millis(200);
 /// Time from the sending of a question for which the share of its answer is leased.
 pub const LEASE: Duration = Duration::from_secs(10);
 /// Time without an answer after which an entry uses its share.
@@ -32,20 +24,6 @@
 /// Part of the rate that is leased as shares. A new leader withholds all that an earlier one may have
 /// leased until [`LEASE`] ends; the remaining part refills the buckets meanwhile.
 pub const SHARED_PART: f64 = 0.3;
-/// Time for which shares save up what they are not used for, in seconds.
-const SHARE_SAVING_S: f64 = 0.4;
-/// Tokens that all shares of a workspace may save up beyond `SHARE_SAVING_S`, so that shares of
-/// small workspaces can pay for a whole request. This, `RESERVE_TOKENS` and `MAX_DEBT_TOKENS` stay
-/// together within the 17,000 that the platform allows above the quota.
-const SHARE_SAVING_TOKENS: f64 = 5_000.0;
-/// Time for which a bucket gains beyond the burst, in seconds. With the lifetime of credit it stays
-/// within the tenth of a window of 8 s that the platform allows above the quota.
-const RESERVE_S: f64 = 0.3;
-/// Tokens that a bucket gains beyond the burst and `RESERVE_S`: a small bucket would often be full
-/// between two requests, and give less than the limit.
-const RESERVE_TOKENS: f64 = 5_000.0;
-/// Largest debt that one request may leave, in tokens.
-const MAX_DEBT_TOKENS: f64 = 6_000.0;
 /// Tokens that a request usually costs. Where requests are counted, this many tokens are one.
 const REQUEST_TOKENS: f64 = 2_500.0;
 
@@ -85,22 +63,7 @@
     }
 }
 
-/// Returns the largest debt that one request may leave.
-fn max_debt(quota: &Quota) -> f64 {
-    in_units(quota, MAX_DEBT_TOKENS)
-}
-
-/// Returns what a bucket holds at most, together with the credit that entries hold.
-fn bucket_size(quota: &Quota) -> f64 {
-    quota.burst + quota.per_s * RESERVE_S + in_units(quota, RESERVE_TOKENS)
-}
-
 /// Returns the units a second that all shares of a workspace are leased together.
 fn shared_rate(quota: &Quota) -> f64 {
     quota.per_s * SHARED_PART
 }
-
-/// Returns the units that all shares of a workspace may save up together.
-fn share_saving(quota: &Quota) -> f64 {
-    quota.per_s * SHARE_SAVING_S + in_units(quota, SHARE_SAVING_TOKENS)
-}
--- a/crates/flamingo-guard/src/quota/account.rs
+++ b/crates/flamingo-guard/src/quota/account.rs
@@ -4,7 +4,7 @@
 
 mod purse;
 
-use super::{ANSWER_TIMEOUT, QUESTION_INTERVAL, SEND_TIMEOUT, SHARE_DELAY, SHARE_SEND_TIMEOUT};
+use super::{SHARE_DELAY, Terms};
 use flamingo_wire::id;
 use flamingo_wire::quota::{Answer, Decision, Question, Want};
 use flamingo_wire::workspace::Quota;
@@ -89,13 +89,14 @@
 /// What one entry holds of all quotas.
 ///
 /// ```
+/// use flamingo_guard::quota::Terms;
 /// use flamingo_guard::quota::account::{Account, Admission};
 /// use flamingo_wire::quota::Want;
 /// use flamingo_wire::workspace::Quota;
 /// use std::time::Instant;
 ///
 /// let now = Instant::now();
-/// let mut account = Account::new(1, now);
+/// let mut account = Account::new(1, Terms::default(), now);
 /// let quota = Quota { per_s: 2.0, burst: 4.0, ..Quota::default() };
 /// let want = Want { units: 1.0, returning: false };
 /// let admission = account.admit("w", quota, want, now);
@@ -105,6 +106,7 @@
 /// ```
 #[derive(Debug)]
 pub struct Account {
+    terms: Terms,
     incarnation: id::Incarnation,
     sequence: id::Sequence,
     /// The last question whose answer was received, and when it was received.
@@ -126,8 +128,9 @@
     /// Returns the account of an entry that begins at `now`. No two starts of an entry may have the
     /// same incarnation.
     #[must_use]
-    pub fn new(incarnation: id::Incarnation, now: Instant) -> Self {
+    pub fn new(incarnation: id::Incarnation, terms: Terms, now: Instant) -> Self {
         Self {
+            terms,
             incarnation,
             sequence: 0,
             heard: 0,
@@ -151,7 +154,7 @@
             None => self
                 .purses
                 .entry(workspace.to_owned())
-                .or_insert_with(|| Purse::new(quota, now)),
+                .or_insert_with(|| Purse::new(quota, self.terms, now)),
         };
         purse.set_quota(quota);
         if purse.take_credit(want.units, now) {
@@ -160,7 +163,7 @@
                 let earliest = self.asked_at.map_or(now, |at| at + TOP_UP_INTERVAL);
                 self.periodic_at = self.periodic_at.min(earliest);
             }
-            let until = now + SEND_TIMEOUT;
+            let until = now + self.terms.send_timeout;
             return Admission::Decided(Ok(ticket(workspace, want.units, until, Source::Credit)));
         }
         if let Some(decision) = self.decide_by_share(workspace, want, now) {
@@ -195,7 +198,7 @@
             uses.push(usage);
         }
         if periodic {
-            self.periodic_at = now + QUESTION_INTERVAL;
+            self.periodic_at = now + self.terms.question_interval;
         }
         self.sequence += 1;
         self.asked_at = Some(now);
@@ -230,8 +233,9 @@
     /// Adopts the answer to the question in flight. Any other answer, and one that comes too late,
     /// changes nothing but that the question is lost.
     pub fn adopt(&mut self, answer: &Answer, now: Instant) -> Decided {
+        let timeout = self.terms.answer_timeout;
         let in_time =
-            |asked: &Asked| asked.sequence == answer.sequence && now <= asked.at + ANSWER_TIMEOUT;
+            |asked: &Asked| asked.sequence == answer.sequence && now <= asked.at + timeout;
         let Some(asked) = self.asked.take_if(|asked| in_time(asked)) else {
             return self.lose(answer.sequence, now);
         };
@@ -264,7 +268,7 @@
                     if let Some(purse) = self.purses.get_mut(&item.workspace) {
                         purse.record_use(item.want.units, now);
                     }
-                    let until = asked.at + SEND_TIMEOUT;
+                    let until = asked.at + self.terms.send_timeout;
                     Ok(ticket(
                         &item.workspace,
                         item.want.units,
@@ -332,7 +336,7 @@
         match purse.take_share(want.units, heard_at, now) {
             FromShare::Taken => {
                 purse.record_use(want.units, now);
-                let until = now + SHARE_SEND_TIMEOUT;
+                let until = now + self.terms.share_send_timeout;
                 Some(Ok(ticket(workspace, want.units, until, Source::Share)))
             }
             FromShare::Wait(delay) => Some(Err(Refusal::Over(delay, Source::Share))),
--- a/crates/flamingo-guard/src/quota/account/purse.rs
+++ b/crates/flamingo-guard/src/quota/account/purse.rs
@@ -1,6 +1,6 @@
 //! What an entry holds of one workspace's quota.
 
-use super::super::{CREDIT_LIFETIME, LEASE, SHARE_DELAY, SHARED_PART, share_saving};
+use super::super::{LEASE, SHARE_DELAY, SHARED_PART, Terms};
 use flamingo_wire::quota::{Grant, Use, Want};
 use flamingo_wire::workspace::Quota;
 use std::time::{Duration, Instant};
@@ -40,16 +40,16 @@
         }
     }
 
-    fn saving(&self, quota: &Quota) -> f64 {
-        share_saving(quota) * self.per_s / (self.of_per_s * SHARED_PART)
+    fn saving(&self, quota: &Quota, terms: &Terms) -> f64 {
+        terms.share_saving(quota) * self.per_s / (self.of_per_s * SHARED_PART)
     }
 
-    fn fill(&mut self, quota: &Quota, usable_from: Instant, now: Instant) {
+    fn fill(&mut self, quota: &Quota, terms: &Terms, usable_from: Instant, now: Instant) {
         let from = self.saved_at.max(usable_from);
         let until = now.min(self.until);
         let elapsed_s = until.saturating_duration_since(from).as_secs_f64();
         let saved = self.saved + self.per_s * elapsed_s;
-        self.saved = saved.min(self.saving(quota));
+        self.saved = saved.min(self.saving(quota, terms));
         self.saved_at = self.saved_at.max(now);
     }
 }
@@ -67,6 +67,7 @@
 /// What an entry holds of one quota, and how it uses it.
 #[derive(Debug)]
 pub(super) struct Purse {
+    terms: Terms,
     quota: Quota,
     credit: f64,
     credit_until: Instant,
@@ -81,8 +82,9 @@
 }
 
 impl Purse {
-    pub fn new(quota: Quota, now: Instant) -> Self {
+    pub fn new(quota: Quota, terms: Terms, now: Instant) -> Self {
         Self {
+            terms,
             quota,
             credit: 0.0,
             credit_until: now,
@@ -129,16 +131,16 @@
     /// `heard_at`.
     pub fn take_share(&mut self, units: f64, heard_at: Instant, now: Instant) -> FromShare {
         let usable_from = heard_at + SHARE_DELAY;
-        let quota = self.quota;
+        let (quota, terms) = (self.quota, self.terms);
         let Some(share) = self.share.as_mut().filter(|share| now < share.until) else {
             return FromShare::Nothing;
         };
-        share.fill(&quota, usable_from, now);
+        share.fill(&quota, &terms, usable_from, now);
         if share.saved >= units {
             share.saved -= units;
             return FromShare::Taken;
         }
-        if units > share.saving(&quota) {
+        if units > share.saving(&quota, &terms) {
             return FromShare::Nothing;
         }
         let wait_s = (units - share.saved) / share.per_s;
@@ -222,7 +224,7 @@
             self.credit = 0.0;
         }
         if grant.renewed || self.credit <= 0.0 {
-            self.credit_until = asked_at + CREDIT_LIFETIME;
+            self.credit_until = asked_at + self.terms.credit_lifetime;
         }
         self.credit += grant.credit;
         let mut share = Share {
--- a/crates/flamingo-guard/src/quota/ledger.rs
+++ b/crates/flamingo-guard/src/quota/ledger.rs
@@ -7,7 +7,7 @@
 mod holdings;
 mod promises;
 
-use super::{CREDIT_LIFETIME, LEASE, SILENCE, limits};
+use super::{LEASE, SILENCE, Terms, limits};
 use bucket::Bucket;
 use flamingo_wire::id;
 use flamingo_wire::quota::{Answer, Grant, Question};
@@ -86,13 +86,14 @@
 /// The quotas of all workspaces during one leadership.
 ///
 /// ```
+/// use flamingo_guard::quota::Terms;
 /// use flamingo_guard::quota::ledger::Ledger;
 /// use flamingo_wire::quota::{Decision, Question, Use, Want};
 /// use flamingo_wire::workspace::Quota;
 /// use std::time::{Duration, Instant};
 ///
 /// let start = Instant::now();
-/// let mut ledger = Ledger::new(start, false);
+/// let mut ledger = Ledger::new(Terms::default(), start, false);
 /// let quota = Quota { per_s: 2.0, burst: 4.0, ..Quota::default() };
 /// let want = Want { units: 1.0, returning: false };
 /// let uses = vec![Use { workspace: "w".into(), wants: vec![want], ..Use::default() }];
@@ -103,6 +104,7 @@
 /// ```
 #[derive(Debug)]
 pub struct Ledger {
+    terms: Terms,
     start: Instant,
     /// Until when shares of an earlier leader may be in use; `None` where there was no leader.
     inherited_until: Option<Instant>,
@@ -114,8 +116,9 @@
     /// Returns the ledger of a leadership that begins at `now`. `inherits` says whether there may
     /// have been an earlier leader, whose shares are then taken to be in use until they expire.
     #[must_use]
-    pub fn new(now: Instant, inherits: bool) -> Self {
+    pub fn new(terms: Terms, now: Instant, inherits: bool) -> Self {
         Self {
+            terms,
             start: now,
             inherited_until: inherits.then(|| now + LEASE),
             entries: HashMap::new(),
@@ -151,8 +154,9 @@
                 continue;
             };
             let bucket = self.buckets.entry(usage.workspace.clone());
-            let (start, inherited_until) = (self.start, self.inherited_until);
-            let bucket = bucket.or_insert_with(|| Bucket::new(quota, start, inherited_until));
+            let (terms, start, inherited_until) = (self.terms, self.start, self.inherited_until);
+            let bucket =
+                bucket.or_insert_with(|| Bucket::new(quota, terms, start, inherited_until));
             bucket.set_quota(quota, &self.entries, now);
             grants.push(Grant {
                 workspace: usage.workspace.clone(),
@@ -191,7 +195,7 @@
 
     /// Drops entries that can hold nothing any more.
     fn forget(&mut self, now: Instant) {
-        let retention = LEASE + CREDIT_LIFETIME;
+        let retention = LEASE + self.terms.credit_lifetime;
         self.entries
             .retain(|_, entry| now < entry.asked_at + retention);
     }
--- a/crates/flamingo-guard/src/quota/ledger/bucket.rs
+++ b/crates/flamingo-guard/src/quota/ledger/bucket.rs
@@ -1,6 +1,6 @@
 //! The token bucket of one workspace.
 
-use super::super::{bucket_size, max_debt, shared_rate};
+use super::super::{Terms, shared_rate};
 use super::holdings::{Holdings, non_negative};
 use super::promises::Promises;
 use super::{Entry, Key, Level};
@@ -29,6 +29,7 @@
 /// The bucket of one workspace, with what entries hold of it.
 #[derive(Debug)]
 pub(super) struct Bucket {
+    terms: Terms,
     quota: Quota,
     units: f64,
     filled_at: Instant,
@@ -44,13 +45,19 @@
     /// Returns the bucket of a leadership that began at `start`. With an earlier leader, whose
     /// bucket may have been in debt, it begins with the largest debt, and all that is leased may be
     /// in use until `inherited_until`.
-    pub fn new(quota: Quota, start: Instant, inherited_until: Option<Instant>) -> Self {
+    pub fn new(
+        quota: Quota,
+        terms: Terms,
+        start: Instant,
+        inherited_until: Option<Instant>,
+    ) -> Self {
         Self {
+            terms,
             quota,
-            units: inherited_until.map_or(0.0, |_| -max_debt(&quota)),
+            units: inherited_until.map_or(0.0, |_| -terms.max_debt(&quota)),
             filled_at: start,
             refreshed_at: start,
-            holdings: Holdings::default(),
+            holdings: Holdings::new(terms),
             promises: Promises::default(),
             inherited: inherited_until.map_or(0.0, |_| shared_rate(&quota)),
             inherited_until: inherited_until.unwrap_or(start),
@@ -81,7 +88,7 @@
         self.holdings.lease(key, share, now);
         Grant {
             credit,
-            renewed: self.holdings.sums.credit <= bucket_size(&self.quota) * KEPT_PART,
+            renewed: self.holdings.sums.credit <= self.terms.bucket_size(&self.quota) * KEPT_PART,
             share,
             per_s: self.quota.per_s,
             decisions,
@@ -130,7 +137,7 @@
     }
 
     fn capacity(&self) -> f64 {
-        (bucket_size(&self.quota) - self.holdings.sums.credit).max(0.0)
+        (self.terms.bucket_size(&self.quota) - self.holdings.sums.credit).max(0.0)
     }
 
     /// Returns the part of the rate that no share may be using.
@@ -150,8 +157,8 @@
     /// Decides on a request that lacks credit.
     fn decide(&mut self, want: Want, now: Instant) -> Decision {
         let cost = non_negative(want.units);
-        let max_debt = max_debt(&self.quota);
-        if cost > bucket_size(&self.quota) + max_debt {
+        let max_debt = self.terms.max_debt(&self.quota);
+        if cost > self.terms.bucket_size(&self.quota) + max_debt {
             return Decision::TooLarge;
         }
         let capacity = self.capacity();
@@ -189,7 +196,7 @@
     fn credit(&mut self, usage: &Use, now: Instant) -> f64 {
         let per_s = self.refill_per_s(now);
         let surplus = self.promises.surplus(self.units, per_s, now);
-        let available = (surplus - bucket_size(&self.quota) * KEPT_PART).max(0.0);
+        let available = (surplus - self.terms.bucket_size(&self.quota) * KEPT_PART).max(0.0);
         let credit = non_negative(usage.ahead).min(available);
         if credit + non_negative(usage.held) < non_negative(usage.mean) {
             return 0.0;
--- a/crates/flamingo-guard/src/quota/ledger/holdings.rs
+++ b/crates/flamingo-guard/src/quota/ledger/holdings.rs
@@ -1,6 +1,6 @@
 //! What entries may hold of one workspace: credit that has not expired, and leased shares.
 
-use super::super::{CREDIT_LIFETIME, LEASE, share_saving, shared_rate};
+use super::super::{LEASE, Terms, shared_rate};
 use super::{Entry, Key};
 use flamingo_wire::quota::Use;
 use flamingo_wire::workspace::Quota;
@@ -71,8 +71,9 @@
 }
 
 /// What all entries may hold.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Holdings {
+    terms: Terms,
     list: HashMap<Key, Holding>,
     pub sums: Sums,
     /// Use in units a second of the entries that get shares.
@@ -94,6 +95,17 @@
 }
 
 impl Holdings {
+    pub fn new(terms: Terms) -> Self {
+        Self {
+            terms,
+            list: HashMap::new(),
+            sums: Sums::default(),
+            used_per_s: 0.0,
+            least_per_s: 0.0,
+            divided_at: None,
+        }
+    }
+
     pub fn is_empty(&self) -> bool {
         self.list.is_empty()
     }
@@ -128,7 +140,7 @@
         let refund = non_negative(usage.returned).min(counted - held).max(0.0);
         self.sums.credit += held - holding.credit;
         holding.credit = held;
-        holding.credit_until = now + CREDIT_LIFETIME;
+        holding.credit_until = now + self.terms.credit_lifetime;
         let lease = Duration::from_millis(usage.share_ms).min(LEASE);
         let share = if lease.is_zero() {
             0.0
@@ -155,7 +167,7 @@
     pub fn add_credit(&mut self, key: &Key, credit: f64, now: Instant) {
         if let Some(holding) = self.list.get_mut(key) {
             holding.credit += credit;
-            holding.credit_until = now + CREDIT_LIFETIME;
+            holding.credit_until = now + self.terms.credit_lifetime;
             self.sums.credit += credit;
         }
     }
@@ -194,7 +206,7 @@
         let used: f64 = rates.iter().sum();
         let costs: f64 = using.map(|holding| holding.mean * holding.rate).sum();
         let mean = costs / used.max(f64::MIN_POSITIVE);
-        let saved = share_saving(quota);
+        let saved = self.terms.share_saving(quota);
         self.used_per_s = rates.first().copied().unwrap_or(0.0);
         self.least_per_s = self.used_per_s;
         let mut sum = 0.0;
--- a/crates/flamingo-guard/tests/quota/failures.rs
+++ b/crates/flamingo-guard/tests/quota/failures.rs
@@ -2,9 +2,9 @@
 
 use super::fleet::{Fleet, Link, allowed, largest_window};
 use super::quota;
-use flamingo_guard::quota::SHARED_PART;
 use flamingo_guard::quota::account::{Refusal, Source};
 use flamingo_guard::quota::ledger::Ledger;
+use flamingo_guard::quota::{SHARED_PART, Terms};
 use flamingo_wire::quota::{Question, Use};
 use rand_chacha::ChaCha8Rng;
 use rand_core::SeedableRng;
@@ -54,8 +54,8 @@
     /// Checks all windows until now.
     fn check(&self) {
         let sent = &self.0.sent[0];
-        let largest = largest_window(sent, sent[0].0);
-        let allowed = allowed(&self.0.quotas[0]);
+        let largest = largest_window(sent, self.0.allowance.window, sent[0].0);
+        let allowed = allowed(&self.0.quotas[0], self.0.allowance);
         assert!(largest <= allowed, "{largest} of {allowed} in a window");
     }
 }
@@ -229,8 +229,8 @@
     }
     let begin = load.0.now;
     load.run(seconds(16), 2);
-    let largest = largest_window(&load.0.sent[0], begin + seconds(8));
-    assert!(largest <= allowed(&lower), "{largest}");
+    let largest = largest_window(&load.0.sent[0], load.0.allowance.window, begin + seconds(8));
+    assert!(largest <= allowed(&lower, load.0.allowance), "{largest}");
 }
 
 /// Guards against a new leader that confirms to each entry a share of a higher limit: together they were
@@ -248,8 +248,8 @@
     load.run(Duration::from_millis(15), 2);
     load.0.leader = None;
     load.run(seconds(18), 2);
-    let largest = largest_window(&load.0.sent[0], begin + seconds(1));
-    assert!(largest <= allowed(&lower), "{largest}");
+    let largest = largest_window(&load.0.sent[0], load.0.allowance.window, begin + seconds(1));
+    assert!(largest <= allowed(&lower, load.0.allowance), "{largest}");
 }
 
 /// Guards against requests that wait for good because no refill can ever pay for them.
@@ -307,7 +307,7 @@
 #[test]
 fn no_more_is_taken_back_than_was_granted() {
     let now = Instant::now();
-    let mut ledger = Ledger::new(now, false);
+    let mut ledger = Ledger::new(Terms::default(), now, false);
     let quota = |_: &str| Some(quota(1_000.0, 1_000.0));
     let usage = Use {
         workspace: "w".into(),
@@ -322,7 +322,7 @@
 #[test]
 fn shares_of_all_workspaces_are_withheld_until_their_holder_is_heard() {
     let now = Instant::now();
-    let mut ledger = Ledger::new(now, false);
+    let mut ledger = Ledger::new(Terms::default(), now, false);
     let quota = |_: &str| Some(quota(1_000.0, 50_000.0));
     let usage = |workspace: &str| Use {
         workspace: workspace.into(),
--- a/crates/flamingo-guard/tests/quota/fleet.rs
+++ b/crates/flamingo-guard/tests/quota/fleet.rs
@@ -2,6 +2,7 @@
 
 use flamingo_guard::quota::account::{Account, Admission, Decided, Refusal, Ticket};
 use flamingo_guard::quota::ledger::Ledger;
+use flamingo_guard::quota::{Allowance, Terms};
 use flamingo_wire::quota::{Answer, Question, Want};
 use flamingo_wire::workspace::Quota;
 use rand_chacha::ChaCha8Rng;
@@ -9,12 +10,10 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
-/// Window in which the quota must hold.
-pub const WINDOW: Duration = Duration::from_secs(8);
-
-/// What the platform allows in a window.
-pub fn allowed(quota: &Quota) -> f64 {
-    (quota.per_s * WINDOW.as_secs_f64() + quota.burst) * 1.1 + 17_000.0
+/// What an operator allows in a window.
+pub fn allowed(quota: &Quota, allowance: Allowance) -> f64 {
+    let in_window = quota.per_s * allowance.window.as_secs_f64() + quota.burst;
+    in_window * (1.0 + allowance.overage) + allowance.slack
 }
 
 /// Returns a number from 0 to 1.
@@ -65,6 +64,8 @@
 
 #[derive(Debug)]
 pub struct Fleet {
+    pub allowance: Allowance,
+    terms: Terms,
     pub now: Instant,
     pub leader: Option<Ledger>,
     pub quotas: Vec<Quota>,
@@ -85,10 +86,22 @@
 
 impl Fleet {
     pub fn new(entries: usize, quotas: &[Quota], rng: ChaCha8Rng) -> Self {
+        Self::with_allowance(entries, quotas, Allowance::default(), rng)
+    }
+
+    pub fn with_allowance(
+        entries: usize,
+        quotas: &[Quota],
+        allowance: Allowance,
+        rng: ChaCha8Rng,
+    ) -> Self {
         let now = Instant::now();
+        let terms = Terms::new(allowance).expect("enforceable");
         let mut fleet = Self {
+            allowance,
+            terms,
             now,
-            leader: Some(Ledger::new(now, false)),
+            leader: Some(Ledger::new(terms, now, false)),
             quotas: quotas.to_vec(),
             entries: Vec::new(),
             delay: |_| Duration::from_millis(1),
@@ -106,7 +119,7 @@
     fn new_entry(&mut self) -> Entry {
         self.next_incarnation += 1;
         Entry {
-            account: Account::new(self.next_incarnation, self.now),
+            account: Account::new(self.next_incarnation, self.terms, self.now),
             quotas: self.quotas.clone(),
             link: Link::Up,
             frozen: false,
@@ -122,7 +135,7 @@
 
     /// Replaces the leader by one that knows nothing.
     pub fn elect(&mut self) {
-        self.leader = Some(Ledger::new(self.now, true));
+        self.leader = Some(Ledger::new(self.terms, self.now, true));
     }
 
     fn post(&mut self, message: Message) {
@@ -189,7 +202,7 @@
             decided.extend(entry.account.adopt(&answer, now));
         }
         if let Some((sequence, at)) = entry.asked_at
-            && now > at + Duration::from_millis(150)
+            && now > at + self.terms.answer_timeout
         {
             entry.asked_at = None;
             decided.extend(entry.account.lose(sequence, now));
@@ -253,14 +266,14 @@
 }
 
 /// Returns the largest amount that was sent in any window that begins from `from` on.
-pub fn largest_window(sent: &[(Instant, f64)], from: Instant) -> f64 {
+pub fn largest_window(sent: &[(Instant, f64)], window: Duration, from: Instant) -> f64 {
     let mut largest: f64 = 0.0;
     let mut sum = 0.0;
     let mut first = 0;
     let sent: Vec<_> = sent.iter().filter(|(at, _)| *at >= from).collect();
     for (at, units) in &sent {
         sum += units;
-        while sent[first].0 + WINDOW <= *at {
+        while sent[first].0 + window <= *at {
             sum -= sent[first].1;
             first += 1;
         }
--- a/crates/flamingo-guard/tests/quota/main.rs
+++ b/crates/flamingo-guard/tests/quota/main.rs
@@ -3,8 +3,10 @@
 
 mod failures;
 mod fleet;
+mod terms;
 mod walk;
 
+use flamingo_guard::quota::Allowance;
 use flamingo_guard::quota::account::Refusal;
 use flamingo_wire::workspace::{Quota, Unit};
 use fleet::{Fleet, allowed, largest_window, uniform};
@@ -65,9 +67,22 @@
 /// Runs 16 workspaces, each of which asks for `load` times its limit. Part of the rejected callers
 /// come back at the time that they were told.
 fn run(entries: usize, skew: Skew, quotas: &[Quota], load: f64, seed: u64) -> Run {
+    run_within(Allowance::default(), entries, skew, quotas, load, seed)
+}
+
+/// The same with what an operator allows in a window.
+fn run_within(
+    allowance: Allowance,
+    entries: usize,
+    skew: Skew,
+    quotas: &[Quota],
+    load: f64,
+    seed: u64,
+) -> Run {
     const SECONDS: u32 = 32;
     const FROM_S: u32 = 8;
-    let mut fleet = Fleet::new(entries, quotas, ChaCha8Rng::seed_from_u64(seed));
+    let mut fleet =
+        Fleet::with_allowance(entries, quotas, allowance, ChaCha8Rng::seed_from_u64(seed));
     fleet.delay = |rng| Duration::from_millis(1 + u64::from(rng.next_u32() % 4));
     let start = fleet.now;
     let mut run = Run {
@@ -119,9 +134,9 @@
     let after = levels(&mut fleet);
     for (workspace, quota) in quotas.iter().enumerate() {
         let sent = &fleet.sent[workspace];
-        let largest = largest_window(sent, start);
+        let largest = largest_window(sent, fleet.allowance.window, start);
         assert!(
-            largest <= allowed(quota),
+            largest <= allowed(quota, fleet.allowance),
             "{largest} in a window, {quota:?}"
         );
         let late = sent.iter().filter(|(at, _)| *at >= from);
@@ -174,6 +189,16 @@
     uneven_callers_of_400_entries_get_the_limit(400, Skew::Zipf);
 }
 
+/// Guards against a bound that holds for the default settings only.
+fn stays_within_other_settings(allowance: Allowance) {
+    run_within(allowance, 65, Skew::Zipf, &quotas(400_000.0), 2.0, 4);
+}
+
+flamingo_test_support::cases! { stays_within_other_settings:
+    a_fleet_stays_within_short_windows(terms::SHORT);
+    a_fleet_stays_within_long_windows_without_slack(terms::LONG);
+}
+
 /// Guards against times of rejections at which the request is rejected again.
 #[test]
 fn callers_that_come_back_when_told_are_served() {
--- a/crates/flamingo-guard/tests/quota/walk.rs
+++ b/crates/flamingo-guard/tests/quota/walk.rs
@@ -1,7 +1,9 @@
 //! Random failures, under which no window may exceed what the platform allows.
 
-use super::fleet::{Fleet, Link, WINDOW, allowed, uniform};
+use super::fleet::{Fleet, Link, allowed, uniform};
 use super::quota;
+use super::terms;
+use flamingo_guard::quota::Allowance;
 use flamingo_wire::workspace::Quota;
 use rand_chacha::ChaCha8Rng;
 use rand_core::{Rng, SeedableRng};
@@ -35,9 +37,9 @@
 }
 
 impl Walk {
-    fn new(mut rng: ChaCha8Rng) -> Self {
+    fn new(allowance: Allowance, mut rng: ChaCha8Rng) -> Self {
         let first = quota(pick(&mut rng, &RATES), pick(&mut rng, &BURSTS));
-        let mut fleet = Fleet::new(ENTRIES, &[first], rng);
+        let mut fleet = Fleet::with_allowance(ENTRIES, &[first], allowance, rng);
         fleet.loss = 0.02;
         fleet.delay = |rng| {
             let slow = rng.next_u32().is_multiple_of(20);
@@ -133,10 +135,12 @@
     /// Compares each window with the largest limit that was in force within it or one window before.
     fn check(&self) -> Result<(), String> {
         let sent = &self.fleet.sent[0];
+        let allowance = self.fleet.allowance;
+        let window = allowance.window;
         let (mut sum, mut first) = (0.0, 0);
         for (at, units) in sent {
             sum += units;
-            while sent[first].0 + WINDOW <= *at {
+            while sent[first].0 + window <= *at {
                 sum -= sent[first].1;
                 first += 1;
             }
@@ -144,9 +148,9 @@
             let in_force = self
                 .limits
                 .iter()
-                .filter(|(_, until)| until.is_none_or(|until| begin < until + WINDOW));
+                .filter(|(_, until)| until.is_none_or(|until| begin < until + window));
             let most = in_force
-                .map(|(limit, _)| allowed(limit))
+                .map(|(limit, _)| allowed(limit, allowance))
                 .fold(0.0, f64::max);
             if sum > most {
                 return Err(format!("{sum} of {most} in the window from {begin:?}"));
@@ -156,8 +160,8 @@
     }
 }
 
-fn no_window_exceeds_the_quota(seed: u64) -> bool {
-    let walk = Walk::new(ChaCha8Rng::seed_from_u64(seed));
+fn no_window_exceeds_the_quota(allowance: Allowance, seed: u64) -> bool {
+    let walk = Walk::new(allowance, ChaCha8Rng::seed_from_u64(seed));
     let result = walk.run();
     if let Err(problem) = &result {
         println!("seed {seed}: {problem}");
@@ -166,8 +170,12 @@
 }
 
 /// Guards against any order of failures in which entries together send more than the quota.
-#[test]
-fn no_order_of_failures_exceeds_a_quota() {
-    let property: fn(u64) -> bool = no_window_exceeds_the_quota;
+fn no_order_of_failures_exceeds_it(property: fn(u64) -> bool) {
     flamingo_test_support::seed::check(1_000, 100, property);
 }
+
+flamingo_test_support::cases! { no_order_of_failures_exceeds_it:
+    no_order_of_failures_exceeds_a_quota(|seed| no_window_exceeds_the_quota(Allowance::default(), seed));
+    no_order_of_failures_exceeds_a_quota_of_short_windows(|seed| no_window_exceeds_the_quota(terms::SHORT, seed));
+    no_order_of_failures_exceeds_a_quota_without_slack(|seed| no_window_exceeds_the_quota(terms::LONG, seed));
+}
--- a/crates/flamingo-serve/src/proxy.rs
+++ b/crates/flamingo-serve/src/proxy.rs
@@ -82,6 +82,8 @@
     pub late_policy: LatePolicy,
     /// Retries that all entries together may send.
     pub allowance: Allowance,
+    /// Times and amounts by which quotas of workspaces are kept.
+    pub quota_terms: flamingo_guard::quota::Terms,
     /// Counts demand for the reports to the leader.
     pub demand: Rc<Counter>,
     /// Memory for the bodies of requests and responses.
@@ -153,7 +155,7 @@
             longest_waits: RefCell::default(),
             waiting: loading::Waiting::default(),
             demand: options.demand,
-            quotas: Rc::default(),
+            quotas: Rc::new(Quotas::new(options.quota_terms)),
             memory: options.memory,
             metrics: options.metrics,
             drain: options.drain,
--- a/crates/flamingo-serve/src/quota.rs
+++ b/crates/flamingo-serve/src/quota.rs
@@ -4,7 +4,7 @@
 use crate::metrics::Metrics;
 use crate::topology::Topology;
 use flamingo_daemon::clock;
-use flamingo_guard::quota::ANSWER_TIMEOUT;
+use flamingo_guard::quota::Terms;
 use flamingo_guard::quota::account::{Account, Admission, Decided, Refusal, Ticket, WantId};
 use flamingo_link::subscription::ControlClient;
 use flamingo_wire::control::{Reply, Request};
@@ -13,7 +13,7 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::{Instant, SystemTime};
+use std::time::{Duration, Instant, SystemTime};
 use tokio::sync::{Notify, oneshot};
 use tokio::time::{sleep_until, timeout};
 
@@ -24,29 +24,32 @@
 #[derive(Debug)]
 pub struct Quotas {
     account: RefCell<Account>,
+    /// Longest time for which a question, or a request that waits for one, waits for the answer.
+    answer_timeout: Duration,
     waiting: RefCell<HashMap<WantId, oneshot::Sender<Decision>>>,
     /// Wakes the task that asks the leader.
     wanted: Notify,
 }
 
-impl Default for Quotas {
-    fn default() -> Self {
+impl Quotas {
+    /// Returns the quotas of an entry that starts now and keeps them by these terms.
+    #[must_use]
+    pub fn new(terms: Terms) -> Self {
         // Two starts of an entry are not in the same nanosecond, unless the wall clock is set back;
         // then the leader refuses the questions of at most one of them.
         let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
         let incarnation = since_epoch.unwrap_or_default().as_nanos();
         let incarnation = u64::try_from(incarnation).unwrap_or(u64::MAX);
         Self {
-            account: RefCell::new(Account::new(incarnation, clock::now())),
+            account: RefCell::new(Account::new(incarnation, terms, clock::now())),
+            answer_timeout: terms.answer_timeout,
             waiting: RefCell::default(),
             wanted: Notify::new(),
         }
     }
-}
 
-impl Quotas {
     /// Decides whether a request may be sent. One without credit waits for the leader's answer, for
-    /// [`ANSWER_TIMEOUT`] at most.
+    /// the answer timeout of the terms at most.
     ///
     /// # Errors
     ///
@@ -62,7 +65,7 @@
         };
         let (sender, decision) = oneshot::channel();
         self.waiting.borrow_mut().insert(id, sender);
-        let decision = timeout(ANSWER_TIMEOUT, decision).await;
+        let decision = timeout(self.answer_timeout, decision).await;
         match decision {
             Ok(Ok(decision)) => decision,
             Ok(Err(_)) | Err(_) => Err(Refusal::Unknown),
@@ -125,7 +128,7 @@
         let leader = topology.peers.borrow().leader;
         let reply = match leader {
             Some(leader) => {
-                let deadline = Instant::now() + ANSWER_TIMEOUT;
+                let deadline = Instant::now() + quotas.answer_timeout;
                 let request = Request::Quota(question);
                 Some(control_client.ask(leader, &request, deadline).await)
             }
