Quotas: promises reserve what callers redeem

A workspace over its limit served fewer first attempts than it should: each rejection reserved its whole cost, although few callers come back. In a bucket of few requests promises held nothing, and callers that came back were refused again. Credit of entries that did not use it also filled small buckets, so that what they gained was lost.

A caller that comes back at its time may leave a debt, and so may a request of which the bucket holds fewer than six. After a rejection such a bucket grants no credit for 10 s.

New test in virtual time (promises.rs), one workspace at 1.3 of its limit, 65 entries.

--- a/crates/flamingo-control/src/controller/quota.rs
+++ b/crates/flamingo-control/src/controller/quota.rs
@@ -72,7 +72,7 @@
         for level in levels.filter(busy).take(MAX_LINES) {
             info!(self.log, "quota"; "workspace" => level.workspace, "units" => level.units.round(),
                 "leased" => level.leased.round(), "withheld" => level.withheld.round(),
-                "promised" => level.promised.round());
+                "promised" => level.promised.round(), "reserved" => level.reserved.round());
         }
     }
 }
--- a/crates/flamingo-guard/src/quota/ledger.rs
+++ b/crates/flamingo-guard/src/quota/ledger.rs
@@ -81,6 +81,8 @@
     pub leased: f64,
     /// Units that have been promised to requests that were rejected.
     pub promised: f64,
+    /// Units that are reserved for those of them that are expected to come back.
+    pub reserved: f64,
 }
 
 /// The quotas of all workspaces during one leadership.
--- a/crates/flamingo-guard/src/quota/ledger/bucket.rs
+++ b/crates/flamingo-guard/src/quota/ledger/bucket.rs
@@ -13,13 +13,15 @@
 /// second after it counts as silent, so that a delay of this length does no harm.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(20);
 /// Longest time that a request is told to wait.
-const MAX_WAIT: Duration = Duration::from_mins(1);
+const MAX_WAIT: Duration = Duration::from_mins(10);
 /// Part of the bucket that is not granted as credit ahead of use. Credit that entries hold is renewed
 /// only while all of it is at most this part of the bucket.
 const KEPT_PART: f64 = 0.5;
-/// Requests for which the bucket keeps room when units are reserved for promises. In a bucket that holds
-/// only a few requests, half of it would be too little room, and a full bucket loses its refill.
-const ROOM_REQUESTS: f64 = 3.0;
+/// Requests that a bucket holds at least, unless it counts as holding few. Such a bucket is often full
+/// between two requests, and what it gains then is lost.
+const FEW_REQUESTS: f64 = 6.0;
+/// Time after a rejection in which the limit counts as reached.
+const REACHED_RETENTION: Duration = Duration::from_secs(10);
 /// Part of the rate that is taken to refill the bucket, at least, when a wait is computed: withheld
 /// parts come back within seconds.
 const MIN_REFILL_PART: f64 = 0.5;
@@ -36,6 +38,8 @@
     refreshed_at: Instant,
     holdings: Holdings,
     promises: Promises,
+    /// Until when the limit counts as reached.
+    reached_until: Instant,
     /// Part of the rate that shares of an earlier leader may be using, and until when.
     inherited: f64,
     inherited_until: Instant,
@@ -59,6 +63,7 @@
             refreshed_at: start,
             holdings: Holdings::new(terms),
             promises: Promises::default(),
+            reached_until: start,
             inherited: inherited_until.map_or(0.0, |_| shared_rate(&quota)),
             inherited_until: inherited_until.unwrap_or(start),
         }
@@ -88,7 +93,7 @@
         self.holdings.lease(key, share, now);
         Grant {
             credit,
-            renewed: self.holdings.sums.credit <= self.terms.bucket_size(&self.quota) * KEPT_PART,
+            renewed: self.holdings.sums.credit <= self.most_credit(usage, now),
             share,
             per_s: self.quota.per_s,
             decisions,
@@ -105,6 +110,7 @@
             withheld: self.quota.per_s - self.refill_per_s(now),
             leased: self.holdings.sums.shares,
             promised: self.promises.total(),
+            reserved: self.promises.reserved(),
             ..Level::default()
         }
     }
@@ -162,26 +168,34 @@
             return Decision::TooLarge;
         }
         let capacity = self.capacity();
-        // A request above the burst leaves a debt.
-        let needed = cost.min(self.quota.burst).max(cost - max_debt);
+        // A request above the burst leaves a debt, and so does one of which the bucket holds few: it
+        // would often be full while the next one is too large for what it holds.
+        let needed = if self.holds_few(cost) {
+            (cost - max_debt).max(0.0)
+        } else {
+            cost.min(self.quota.burst).max(cost - max_debt)
+        };
         let needed = needed.min(capacity) * (1.0 - TOLERANCE);
         let per_s = self.refill_per_s(now);
         let full = self.units >= capacity * (1.0 - TOLERANCE);
         let kept = want.returning && self.promises.redeem(cost, now);
-        let available = if kept || full {
-            self.units
+        let is_enough = if kept {
+            // Less may have been reserved than is redeemed: what is missing is owed.
+            true
+        } else if full {
+            // A full bucket loses what it gains: where promises end without being redeemed, they must
+            // not keep it full.
+            self.units >= needed
         } else {
-            // Most callers may never come back: promises must not keep the bucket full, as what it
-            // gains then is lost.
-            let kept = (capacity - cost * ROOM_REQUESTS).min(capacity * KEPT_PART);
-            let surplus = self.promises.surplus(self.units, per_s, now);
-            surplus.max(self.units - kept.max(0.0))
+            let left = self.units - cost + max_debt;
+            self.units >= needed && self.promises.surplus(left, per_s, now) >= 0.0
         };
-        if available >= needed && self.units - cost >= -max_debt {
+        if is_enough && self.units - cost >= -max_debt {
             self.units -= cost;
             return Decision::Admitted;
         }
-        let missing = (self.promises.total() + needed - self.units).max(0.0);
+        self.reached_until = now + REACHED_RETENTION;
+        let missing = (self.promises.reserved() + needed - self.units).max(0.0);
         let per_s = per_s.max(self.quota.per_s * MIN_REFILL_PART);
         let delay = Duration::try_from_secs_f64(missing / per_s).unwrap_or(MAX_WAIT);
         let delay = delay.min(MAX_WAIT);
@@ -191,9 +205,27 @@
         Decision::Wait(u64::try_from(wait_ms).unwrap_or(u64::MAX))
     }
 
+    /// Returns the credit that all entries may hold of which one has this use.
+    fn most_credit(&self, usage: &Use, now: Instant) -> f64 {
+        if now < self.reached_until && self.holds_few(non_negative(usage.mean)) {
+            // Credit of entries that don't use it would take the room in which the bucket gains what
+            // others need.
+            return 0.0;
+        }
+        self.terms.bucket_size(&self.quota) * (1.0 - KEPT_PART)
+    }
+
+    /// Returns whether the bucket holds only few requests of this cost.
+    fn holds_few(&self, cost: f64) -> bool {
+        self.terms.bucket_size(&self.quota) < cost * FEW_REQUESTS
+    }
+
     /// Takes credit ahead of use, as far as the bucket stays half full. Credit that does not pay for
     /// a request is not granted.
     fn credit(&mut self, usage: &Use, now: Instant) -> f64 {
+        if self.most_credit(usage, now) <= 0.0 {
+            return 0.0;
+        }
         let per_s = self.refill_per_s(now);
         let surplus = self.promises.surplus(self.units, per_s, now);
         let available = (surplus - self.terms.bucket_size(&self.quota) * KEPT_PART).max(0.0);
--- a/crates/flamingo-guard/tests/quota/main.rs
+++ b/crates/flamingo-guard/tests/quota/main.rs
@@ -3,6 +3,7 @@
 
 mod failures;
 mod fleet;
+mod promises;
 mod terms;
 mod walk;
 
