Quotas: periodic questions leave out what the leader knows

An entry that used 16 workspaces named all of them in a question each 200 ms, with the names of fields and nine bytes a number: up to 9.7 KB/s, where the design size allows 3.

A workspace is named when its credit must be renewed (each second interval), has run low, or each fifth interval where the leader grants none. Any question postpones the periodic one, and with many workspaces in use top-ups are put together. Records are rows, and units are whole or sixteenths.

--- a/crates/flamingo-guard/src/quota/account.rs
+++ b/crates/flamingo-guard/src/quota/account.rs
@@ -20,6 +20,9 @@
 /// few requests few have to wait; those with many get credit for several with each question.
 const TOP_UP_INTERVAL: Duration = Duration::from_millis(50);
 
+/// The same for each workspace in use: an entry that uses many asks for several of them together.
+const TOP_UP_INTERVAL_EACH: Duration = Duration::from_millis(12);
+
 /// Number of a request that waits for the leader's answer.
 pub type WantId = u64;
 
@@ -116,6 +119,8 @@
     asked_at: Option<Instant>,
     /// When the next periodic question is due.
     periodic_at: Instant,
+    /// Least time between a question and one that fetches credit for the next request.
+    top_up_interval: Duration,
     purses: BTreeMap<id::Workspace, Purse>,
     waiting: Vec<Waiting>,
     next_id: WantId,
@@ -138,6 +143,7 @@
             asked: None,
             asked_at: None,
             periodic_at: now,
+            top_up_interval: TOP_UP_INTERVAL,
             purses: BTreeMap::new(),
             waiting: Vec::new(),
             next_id: 0,
@@ -160,7 +166,8 @@
         if purse.take_credit(want.units, now) {
             purse.record_use(want.units, now);
             if purse.runs_low() {
-                let earliest = self.asked_at.map_or(now, |at| at + TOP_UP_INTERVAL);
+                let earliest = self.asked_at.map_or(now, |at| at + self.top_up_interval);
+                purse.report_at = purse.report_at.min(earliest);
                 self.periodic_at = self.periodic_at.min(earliest);
             }
             let until = now + self.terms.send_timeout;
@@ -184,22 +191,30 @@
             return None;
         }
         let waiting = std::mem::take(&mut self.waiting);
-        let periodic = now >= self.periodic_at;
         let mut uses = Vec::new();
         let mut stated = BTreeMap::new();
         for (workspace, purse) in &mut self.purses {
             let of_workspace = waiting.iter().filter(|item| item.workspace == *workspace);
             let wants: Vec<_> = of_workspace.map(|item| item.want).collect();
-            if wants.is_empty() && !(periodic && purse.is_active(now)) {
+            let due = purse.is_active(now) && purse.report_at <= now + TOP_UP_INTERVAL;
+            if wants.is_empty() && !due {
                 continue;
             }
             let usage = purse.state(workspace, wants, now);
             stated.insert(workspace.clone(), usage.share);
             uses.push(usage);
         }
-        if periodic {
-            self.periodic_at = now + self.terms.question_interval;
-        }
+        // Any question shows that the entry hears the leader.
+        let active = self.purses.values().filter(|purse| purse.is_active(now));
+        let report_at = active.map(|purse| purse.report_at).min();
+        let periodic_at = now + self.terms.question_interval;
+        self.periodic_at = report_at.map_or(periodic_at, |at| at.min(periodic_at));
+        let active = self.purses.values().filter(|purse| purse.is_active(now));
+        let active = u32::try_from(active.count()).unwrap_or(u32::MAX);
+        self.top_up_interval = (TOP_UP_INTERVAL_EACH.saturating_mul(active)).clamp(
+            TOP_UP_INTERVAL,
+            self.terms.question_interval.max(TOP_UP_INTERVAL),
+        );
         self.sequence += 1;
         self.asked_at = Some(now);
         self.asked = Some(Asked {
--- a/crates/flamingo-guard/src/quota/account/purse.rs
+++ b/crates/flamingo-guard/src/quota/account/purse.rs
@@ -1,7 +1,7 @@
 //! What an entry holds of one workspace's quota.
 
 use super::super::{LEASE, SHARE_DELAY, SHARED_PART, Terms};
-use flamingo_wire::quota::{Grant, Use, Want};
+use flamingo_wire::quota::{Grant, Use, Want, round_down};
 use flamingo_wire::workspace::Quota;
 use std::time::{Duration, Instant};
 
@@ -16,6 +16,11 @@
 /// Time of use for which credit is kept ahead, in seconds: until the answer to the next periodic
 /// question, with a reserve for arrivals in groups.
 const AHEAD_S: f64 = 0.3;
+/// Questions after which the leader hears again of a workspace whose credit is enough. Credit lives for
+/// two and a half intervals of questions.
+const CREDIT_INTERVALS: u32 = 2;
+/// The same for a workspace of which the entry holds no credit. A share is leased for many intervals.
+const SHARE_INTERVALS: u32 = 5;
 /// Credit that is kept, as a multiple of the credit that is wanted: what is above is given back.
 const KEPT_FACTOR: f64 = 1.5;
 
@@ -79,6 +84,8 @@
     used_at: Instant,
     mean: f64,
     largest: f64,
+    /// When the leader next has to hear of this workspace while it is active.
+    pub report_at: Instant,
 }
 
 impl Purse {
@@ -94,6 +101,7 @@
             used_at: now,
             mean: 0.0,
             largest: 0.0,
+            report_at: now,
         }
     }
 
@@ -194,9 +202,16 @@
         } else {
             0.0
         };
-        let held = self.credit.min(target * KEPT_FACTOR);
+        let held = self.credit.min((target * KEPT_FACTOR).ceil());
         let returned = self.credit - held;
         self.credit = held;
+        let holds_credit = held > 0.0 || target > 0.0;
+        let intervals = if holds_credit {
+            CREDIT_INTERVALS
+        } else {
+            SHARE_INTERVALS
+        };
+        self.report_at = now + self.terms.question_interval * intervals;
         let share = self.share.filter(|share| now < share.until);
         let share_ms = share.map_or(0, |share| {
             // Rounded up: the leader must not count it for a shorter time than it is used.
@@ -207,9 +222,9 @@
             workspace: workspace.to_owned(),
             held,
             returned,
-            rate,
-            mean: self.mean,
-            ahead: (target - held).max(0.0),
+            rate: round_down(rate),
+            mean: round_down(self.mean),
+            ahead: (target - held).max(0.0).ceil(),
             share: share.map_or(0.0, |share| share.per_s),
             share_ms,
             wants,
@@ -227,6 +242,10 @@
             self.credit_until = asked_at + self.terms.credit_lifetime;
         }
         self.credit += grant.credit;
+        if self.credit <= 0.0 {
+            // The leader has no credit to grant; asking more often would not help.
+            self.report_at = asked_at + self.terms.question_interval * SHARE_INTERVALS;
+        }
         let mut share = Share {
             per_s: grant.share,
             of_per_s: grant.per_s,
--- a/crates/flamingo-guard/src/quota/ledger/bucket.rs
+++ b/crates/flamingo-guard/src/quota/ledger/bucket.rs
@@ -4,7 +4,7 @@
 use super::holdings::{Holdings, non_negative};
 use super::promises::Promises;
 use super::{Entry, Key, Level};
-use flamingo_wire::quota::{Decision, Grant, Use, Want};
+use flamingo_wire::quota::{Decision, Grant, Use, Want, round_down};
 use flamingo_wire::workspace::Quota;
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -95,7 +95,7 @@
             credit,
             renewed: self.holdings.sums.credit <= self.most_credit(usage, now),
             share,
-            per_s: self.quota.per_s,
+            per_s: if share > 0.0 { self.quota.per_s } else { 0.0 },
             decisions,
             ..Grant::default()
         }
@@ -229,7 +229,7 @@
         let per_s = self.refill_per_s(now);
         let surplus = self.promises.surplus(self.units, per_s, now);
         let available = (surplus - self.terms.bucket_size(&self.quota) * KEPT_PART).max(0.0);
-        let credit = non_negative(usage.ahead).min(available);
+        let credit = round_down(non_negative(usage.ahead).min(available));
         if credit + non_negative(usage.held) < non_negative(usage.mean) {
             return 0.0;
         }
@@ -244,6 +244,6 @@
         let free = shared_rate(&self.quota) - self.inherited_at(now) - others;
         let fair = self.holdings.fair_share(key, &self.quota, now);
         let most = if is_silent { fair.min(stated) } else { fair };
-        most.min(free.max(0.0))
+        round_down(most.min(free.max(0.0)))
     }
 }
--- a/crates/flamingo-guard/tests/quota/fleet.rs
+++ b/crates/flamingo-guard/tests/quota/fleet.rs
@@ -3,12 +3,18 @@
 use flamingo_guard::quota::account::{Account, Admission, Decided, Refusal, Ticket};
 use flamingo_guard::quota::ledger::Ledger;
 use flamingo_guard::quota::{Allowance, Terms};
+use flamingo_wire::control::{Reply, Request};
+use flamingo_wire::frame::Seal;
 use flamingo_wire::quota::{Answer, Question, Want};
 use flamingo_wire::workspace::Quota;
 use rand_chacha::ChaCha8Rng;
 use rand_core::Rng;
 use std::collections::{BTreeMap, VecDeque};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
+
+/// Bytes of a frame beside its body: names of sender and receiver of 10 and 14 bytes, time, tag, and the
+/// prefix of its length.
+const FRAME_BYTES: usize = 77;
 
 /// What an operator allows in a window.
 pub fn allowed(quota: &Quota, allowance: Allowance) -> f64 {
@@ -74,6 +80,12 @@
     pub loss: f64,
     pub rng: ChaCha8Rng,
     pub questions: usize,
+    /// Measures the frames if given.
+    pub seal: Option<Seal>,
+    /// Size of all frames so far.
+    pub bytes: usize,
+    /// The same of questions for which no request waits, and their answers.
+    pub periodic_bytes: usize,
     /// What was sent to targets, by workspace.
     pub sent: Vec<Vec<(Instant, f64)>>,
     messages: Vec<(Instant, Message)>,
@@ -108,6 +120,9 @@
             loss: 0.0,
             rng,
             questions: 0,
+            seal: None,
+            bytes: 0,
+            periodic_bytes: 0,
             sent: vec![Vec::new(); quotas.len()],
             messages: Vec::new(),
             next_incarnation: 0,
@@ -139,6 +154,26 @@
     }
 
     fn post(&mut self, message: Message) {
+        if let Some(seal) = &self.seal {
+            let now = SystemTime::now();
+            let sealed = match &message {
+                Message::Question(_, question) => {
+                    seal.seal("", &Request::Quota(question.clone()), now)
+                }
+                Message::Answer(_, answer) => seal.seal("", &Reply::Quota(answer.clone()), now),
+            };
+            let bytes = sealed.expect("a frame").body.len() + FRAME_BYTES;
+            let periodic = match &message {
+                Message::Question(_, question) => {
+                    question.uses.iter().all(|of| of.wants.is_empty())
+                }
+                Message::Answer(_, answer) => {
+                    answer.grants.iter().all(|of| of.decisions.is_empty())
+                }
+            };
+            self.bytes += bytes;
+            self.periodic_bytes += if periodic { bytes } else { 0 };
+        }
         if uniform(&mut self.rng) >= self.loss {
             let at = self.now + (self.delay)(&mut self.rng);
             self.messages.push((at, message));
--- a/crates/flamingo-guard/tests/quota/main.rs
+++ b/crates/flamingo-guard/tests/quota/main.rs
@@ -1,6 +1,7 @@
 //! Quotas of a fleet in virtual time: no window gets more than the platform allows, whatever fails,
 //! and a workspace that asks for more than its limit gets nearly all of it.
 
+mod cost;
 mod failures;
 mod fleet;
 mod promises;
--- a/crates/flamingo-wire/src/quota.rs
+++ b/crates/flamingo-wire/src/quota.rs
@@ -4,10 +4,51 @@
 //! more than half of a question.
 
 use crate::id;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, Serializer};
+
+/// A number that is written in as few bytes as hold it: units are mostly whole.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq)]
+#[serde(transparent)]
+struct Short(f64);
+
+impl Serialize for Short {
+    #[allow(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the result is used only if it is the same number"
+    )]
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let (whole, short) = (self.0 as u32, self.0 as f32);
+        if f64::from(whole).to_bits() == self.0.to_bits() {
+            serializer.serialize_u32(whole)
+        } else if f64::from(short).to_bits() == self.0.to_bits() {
+            serializer.serialize_f32(short)
+        } else {
+            serializer.serialize_f64(self.0)
+        }
+    }
+}
+
+/// Rounds units down to what is written in few bytes: whole units, or sixteenths of small numbers.
+///
+/// ```
+/// use flamingo_wire::quota::round_down;
+///
+/// assert_eq!(round_down(2_500.7), 2_500.0);
+/// assert_eq!(round_down(0.7), 0.6875);
+/// ```
+#[must_use]
+pub fn round_down(units: f64) -> f64 {
+    if units < 100.0 {
+        (units * 16.0).floor() / 16.0
+    } else {
+        units.floor()
+    }
+}
 
 /// What an entry holds and wants. Each question is a snapshot, so that a lost one changes nothing.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(from = "QuestionRow", into = "QuestionRow")]
 pub struct Question {
     /// The entry's incarnation: credit of an earlier one is not known to this one.
     pub incarnation: id::Incarnation,
@@ -45,7 +86,7 @@
 
 /// A request that lacks credit.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
-#[serde(from = "(f64, bool)", into = "(f64, bool)")]
+#[serde(from = "(Short, bool)", into = "(Short, bool)")]
 pub struct Want {
     /// Cost of the request, in units.
     pub units: f64,
@@ -55,6 +96,10 @@
 
 /// The leader's answer to a question.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(
+    from = "(id::Sequence, Vec<Grant>)",
+    into = "(id::Sequence, Vec<Grant>)"
+)]
 pub struct Answer {
     /// Number of the question.
     pub sequence: id::Sequence,
@@ -91,20 +136,68 @@
     TooLarge,
 }
 
+/// The fields of [`Question`] in their order.
+type QuestionRow = (id::Incarnation, id::Sequence, id::Sequence, Vec<Use>);
+
+impl From<QuestionRow> for Question {
+    fn from((incarnation, sequence, heard, uses): QuestionRow) -> Self {
+        Self {
+            incarnation,
+            sequence,
+            heard,
+            uses,
+        }
+    }
+}
+
+impl From<Question> for QuestionRow {
+    fn from(question: Question) -> Self {
+        let Question {
+            incarnation,
+            sequence,
+            heard,
+            uses,
+        } = question;
+        (incarnation, sequence, heard, uses)
+    }
+}
+
+impl From<(id::Sequence, Vec<Grant>)> for Answer {
+    fn from((sequence, grants): (id::Sequence, Vec<Grant>)) -> Self {
+        Self { sequence, grants }
+    }
+}
+
+impl From<Answer> for (id::Sequence, Vec<Grant>) {
+    fn from(answer: Answer) -> Self {
+        (answer.sequence, answer.grants)
+    }
+}
+
 /// The fields of [`Use`] in their order.
-type UseRow = (id::Workspace, f64, f64, f64, f64, f64, f64, u64, Vec<Want>);
+type UseRow = (
+    id::Workspace,
+    Short,
+    Short,
+    Short,
+    Short,
+    Short,
+    Short,
+    u64,
+    Vec<Want>,
+);
 
 impl From<UseRow> for Use {
     fn from(row: UseRow) -> Self {
         let (workspace, held, returned, rate, mean, ahead, share, share_ms, wants) = row;
         Self {
             workspace,
-            held,
-            returned,
-            rate,
-            mean,
-            ahead,
-            share,
+            held: held.0,
+            returned: returned.0,
+            rate: rate.0,
+            mean: mean.0,
+            ahead: ahead.0,
+            share: share.0,
             share_ms,
             wants,
         }
@@ -125,35 +218,46 @@
             wants,
         } = record;
         (
-            workspace, held, returned, rate, mean, ahead, share, share_ms, wants,
+            workspace,
+            Short(held),
+            Short(returned),
+            Short(rate),
+            Short(mean),
+            Short(ahead),
+            Short(share),
+            share_ms,
+            wants,
         )
     }
 }
 
-impl From<(f64, bool)> for Want {
-    fn from((units, returning): (f64, bool)) -> Self {
-        Self { units, returning }
+impl From<(Short, bool)> for Want {
+    fn from((units, returning): (Short, bool)) -> Self {
+        Self {
+            units: units.0,
+            returning,
+        }
     }
 }
 
-impl From<Want> for (f64, bool) {
+impl From<Want> for (Short, bool) {
     fn from(want: Want) -> Self {
-        (want.units, want.returning)
+        (Short(want.units), want.returning)
     }
 }
 
 /// The fields of [`Grant`] in their order.
-type GrantRow = (id::Workspace, f64, bool, f64, f64, Vec<Decision>);
+type GrantRow = (id::Workspace, Short, bool, Short, Short, Vec<Decision>);
 
 impl From<GrantRow> for Grant {
     fn from(row: GrantRow) -> Self {
         let (workspace, credit, renewed, share, per_s, decisions) = row;
         Self {
             workspace,
-            credit,
+            credit: credit.0,
             renewed,
-            share,
-            per_s,
+            share: share.0,
+            per_s: per_s.0,
             decisions,
         }
     }
@@ -169,6 +273,13 @@
             per_s,
             decisions,
         } = record;
-        (workspace, credit, renewed, share, per_s, decisions)
+        (
+            workspace,
+            Short(credit),
+            renewed,
+            Short(share),
+            Short(per_s),
+            decisions,
+        )
     }
 }
