Quotas: a caller that leaves gets its cost back

A decision that reached a waiting request was lost if its caller left before reading it, and so was the cost of an admitted request whose caller left before anything was sent. Withdrawn requests were asked for all the same.

The wait holds a guard that withdraws the request, or gives back what was decided, when it is dropped; the run of a request holds one that gives back its cost while nothing was sent.

The guard on the run of a request has no test of its own.

--- a/crates/flamingo-guard/src/quota/account.rs
+++ b/crates/flamingo-guard/src/quota/account.rs
@@ -316,6 +316,12 @@
         self.decide_alone(waiting, now)
     }
 
+    /// Withdraws a request that waits for the next question. One that an asked question is about gets
+    /// its decision all the same.
+    pub fn withdraw(&mut self, id: WantId) {
+        self.waiting.retain(|item| item.id != id);
+    }
+
     /// Gives back the cost of a request that was not sent. What a share has paid for is not saved up
     /// again.
     pub fn give_back(&mut self, ticket: &Ticket, now: Instant) {
--- a/crates/flamingo-serve/src/proxy.rs
+++ b/crates/flamingo-serve/src/proxy.rs
@@ -301,6 +301,10 @@
 
     /// Returns the response of a target, or gives up at the end of the process.
     async fn run(self: Rc<Self>, job: Rc<Job>) -> Response<Body> {
+        let _unsent = quota::Unsent {
+            proxy: &self,
+            job: &job,
+        };
         tokio::select! {
             biased;
             response = self.try_targets(&job) => response,
--- a/crates/flamingo-serve/src/proxy/quota.rs
+++ b/crates/flamingo-serve/src/proxy/quota.rs
@@ -21,6 +21,20 @@
 /// Unit of the time after which callers are told to retry: it is written with two decimals.
 const RETRY_AFTER_UNIT_MS: u128 = 10;
 
+/// A request whose cost is given back if its caller leaves before anything was sent.
+pub(super) struct Unsent<'a> {
+    pub proxy: &'a Proxy,
+    pub job: &'a Job,
+}
+
+impl Drop for Unsent<'_> {
+    fn drop(&mut self) {
+        if self.job.sent.get() == 0 {
+            self.proxy.give_back_quota(self.job);
+        }
+    }
+}
+
 impl Proxy {
     /// Takes the cost of a request from the quota of its workspace, if there is one. Returns the
     /// refusal of a request that is over the quota.
--- a/crates/flamingo-serve/src/quota.rs
+++ b/crates/flamingo-serve/src/quota.rs
@@ -31,6 +31,25 @@
     wanted: Notify,
 }
 
+/// A request that waits for a decision. If it is dropped, as its caller has left, its cost is given back.
+struct Waiter<'a> {
+    quotas: &'a Quotas,
+    id: WantId,
+    decision: oneshot::Receiver<Decision>,
+}
+
+impl Drop for Waiter<'_> {
+    fn drop(&mut self) {
+        self.quotas.waiting.borrow_mut().remove(&self.id);
+        self.quotas.account.borrow_mut().withdraw(self.id);
+        // The decision may have been sent and not been read.
+        self.decision.close();
+        if let Ok(Ok(ticket)) = self.decision.try_recv() {
+            self.quotas.give_back(&ticket);
+        }
+    }
+}
+
 impl Quotas {
     /// Returns the quotas of an entry that starts now and keeps them by these terms.
     #[must_use]
@@ -65,7 +84,12 @@
         };
         let (sender, decision) = oneshot::channel();
         self.waiting.borrow_mut().insert(id, sender);
-        let decision = timeout(self.answer_timeout, decision).await;
+        let mut waiter = Waiter {
+            quotas: self,
+            id,
+            decision,
+        };
+        let decision = timeout(self.answer_timeout, &mut waiter.decision).await;
         match decision {
             Ok(Ok(decision)) => decision,
             Ok(Err(_)) | Err(_) => Err(Refusal::Unknown),
