--- a/crates/flamingo-guard/src/quota/account.rs
+++ b/crates/flamingo-guard/src/quota/account.rs
@@ -2,13 +2,13 @@
 //!
 //! Answers one load: requests of all workspaces, most of which must not wait for the leader.
 
-mod purse;
+mod balance;
 
 use super::{SHARE_DELAY, Terms};
+use balance::{Balance, FromShare};
 use flamingo_wire::id;
-use flamingo_wire::quota::{Answer, Decision, Question, Want};
+use flamingo_wire::quota::{Answer, Decision, Grant, Question, Want};
 use flamingo_wire::workspace::Quota;
-use purse::{FromShare, Purse};
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
@@ -121,7 +121,7 @@
     periodic_at: Instant,
     /// Least time between a question and one that fetches credit for the next request.
     top_up_interval: Duration,
-    purses: BTreeMap<id::Workspace, Purse>,
+    balances: BTreeMap<id::Workspace, Balance>,
     waiting: Vec<Waiting>,
     next_id: WantId,
 }
@@ -144,7 +144,7 @@
             asked_at: None,
             periodic_at: now,
             top_up_interval: TOP_UP_INTERVAL,
-            purses: BTreeMap::new(),
+            balances: BTreeMap::new(),
             waiting: Vec::new(),
             next_id: 0,
         }
@@ -155,19 +155,19 @@
         if !super::limits(&quota) {
             return Admission::Decided(Ok(ticket(workspace, want.units, now, Source::Credit)));
         }
-        let purse = match self.purses.get_mut(workspace) {
-            Some(purse) => purse,
+        let balance = match self.balances.get_mut(workspace) {
+            Some(balance) => balance,
             None => self
-                .purses
+                .balances
                 .entry(workspace.to_owned())
-                .or_insert_with(|| Purse::new(quota, self.terms, now)),
+                .or_insert_with(|| Balance::new(quota, self.terms, now)),
         };
-        purse.set_quota(quota);
-        if purse.take_credit(want.units, now) {
-            purse.record_use(want.units, now);
-            if purse.runs_low() {
+        balance.set_quota(quota);
+        if balance.take_credit(want.units, now) {
+            balance.record_use(want.units, now);
+            if balance.runs_low() {
                 let earliest = self.asked_at.map_or(now, |at| at + self.top_up_interval);
-                purse.report_at = purse.report_at.min(earliest);
+                balance.report_at = balance.report_at.min(earliest);
                 self.periodic_at = self.periodic_at.min(earliest);
             }
             let until = now + self.terms.send_timeout;
@@ -193,23 +193,29 @@
         let waiting = std::mem::take(&mut self.waiting);
         let mut uses = Vec::new();
         let mut stated = BTreeMap::new();
-        for (workspace, purse) in &mut self.purses {
+        for (workspace, balance) in &mut self.balances {
             let of_workspace = waiting.iter().filter(|item| item.workspace == *workspace);
             let wants: Vec<_> = of_workspace.map(|item| item.want).collect();
-            let due = purse.is_active(now) && purse.report_at <= now + TOP_UP_INTERVAL;
+            let due = balance.is_active(now) && balance.report_at <= now + TOP_UP_INTERVAL;
             if wants.is_empty() && !due {
                 continue;
             }
-            let usage = purse.state(workspace, wants, now);
+            let usage = balance.state(workspace, wants, now);
             stated.insert(workspace.clone(), usage.share);
             uses.push(usage);
         }
         // Any question shows that the entry hears the leader.
-        let active = self.purses.values().filter(|purse| purse.is_active(now));
-        let report_at = active.map(|purse| purse.report_at).min();
+        let active = self
+            .balances
+            .values()
+            .filter(|balance| balance.is_active(now));
+        let report_at = active.map(|balance| balance.report_at).min();
         let periodic_at = now + self.terms.question_interval;
         self.periodic_at = report_at.map_or(periodic_at, |at| at.min(periodic_at));
-        let active = self.purses.values().filter(|purse| purse.is_active(now));
+        let active = self
+            .balances
+            .values()
+            .filter(|balance| balance.is_active(now));
         let active = u32::try_from(active.count()).unwrap_or(u32::MAX);
         self.top_up_interval = (TOP_UP_INTERVAL_EACH.saturating_mul(active)).clamp(
             TOP_UP_INTERVAL,
@@ -241,7 +247,7 @@
             let earliest = self.asked_at.map(|at| at + MIN_QUESTION_INTERVAL);
             return Some(earliest.unwrap_or(now));
         }
-        let active = self.purses.values().any(|purse| purse.is_active(now));
+        let active = self.balances.values().any(|balance| balance.is_active(now));
         active.then_some(self.periodic_at)
     }
 
@@ -256,40 +262,43 @@
         };
         self.heard = asked.sequence;
         self.heard_at = Some(now);
-        for grant in &answer.grants {
+        self.adopt_grants(&answer.grants, &asked, now);
+        self.decide_by_leader(&answer.grants, asked, now)
+    }
+
+    /// Adopts what the leader grants to a question.
+    fn adopt_grants(&mut self, grants: &[Grant], asked: &Asked, now: Instant) {
+        for grant in grants {
             let stated = asked.stated.get(&grant.workspace);
-            let purse = self.purses.get_mut(&grant.workspace);
-            if let (Some(stated), Some(purse)) = (stated, purse) {
-                purse.adopt(grant, *stated, asked.at, now);
+            let balance = self.balances.get_mut(&grant.workspace);
+            if let (Some(stated), Some(balance)) = (stated, balance) {
+                balance.adopt(grant, *stated, asked.at, now);
             }
         }
         for workspace in asked.stated.keys() {
-            let granted = answer.grants.iter();
-            if granted.clone().all(|grant| grant.workspace != *workspace) {
+            if grants.iter().all(|grant| grant.workspace != *workspace) {
                 // The leader has no quota for it, so it counts nothing of what is held here.
-                self.purses.remove(workspace);
+                self.balances.remove(workspace);
             }
         }
+    }
+
+    /// Decides on the requests that waited for a question, as the leader did.
+    fn decide_by_leader(&mut self, grants: &[Grant], asked: Asked, now: Instant) -> Decided {
         let mut decisions: BTreeMap<&str, std::slice::Iter<'_, Decision>> = BTreeMap::new();
-        for grant in &answer.grants {
+        for grant in grants {
             decisions.insert(&grant.workspace, grant.decisions.iter());
         }
-        let mut decided = Vec::with_capacity(asked.waiting.len());
-        for item in asked.waiting {
+        let until = asked.at + self.terms.send_timeout;
+        let decide = |item: Waiting| {
             let decision = decisions.get_mut(item.workspace.as_str());
-            let decision = decision.and_then(Iterator::next);
-            let result = match decision {
+            let result = match decision.and_then(Iterator::next) {
                 Some(Decision::Admitted) => {
-                    if let Some(purse) = self.purses.get_mut(&item.workspace) {
-                        purse.record_use(item.want.units, now);
+                    let units = item.want.units;
+                    if let Some(balance) = self.balances.get_mut(&item.workspace) {
+                        balance.record_use(units, now);
                     }
-                    let until = asked.at + self.terms.send_timeout;
-                    Ok(ticket(
-                        &item.workspace,
-                        item.want.units,
-                        until,
-                        Source::Leader,
-                    ))
+                    Ok(ticket(&item.workspace, units, until, Source::Leader))
                 }
                 Some(Decision::Wait(wait_ms)) => {
                     let wait = Duration::from_millis(*wait_ms);
@@ -298,9 +307,9 @@
                 Some(Decision::TooLarge) => Err(Refusal::TooLarge),
                 None => Err(Refusal::Unknown),
             };
-            decided.push((item.id, result));
-        }
-        decided
+            (item.id, result)
+        };
+        asked.waiting.into_iter().map(decide).collect()
     }
 
     /// Gives up the question with this number, if it is in flight: its answer does not come.
@@ -328,8 +337,8 @@
         if ticket.source == Source::Share {
             return;
         }
-        if let Some(purse) = self.purses.get_mut(&ticket.workspace) {
-            purse.give_back(ticket.units, ticket.until, now);
+        if let Some(balance) = self.balances.get_mut(&ticket.workspace) {
+            balance.give_back(ticket.units, ticket.until, now);
         }
     }
 
@@ -353,10 +362,10 @@
         if now < heard_at + SHARE_DELAY {
             return None;
         }
-        let purse = self.purses.get_mut(workspace)?;
-        match purse.take_share(want.units, heard_at, now) {
+        let balance = self.balances.get_mut(workspace)?;
+        match balance.take_share(want.units, heard_at, now) {
             FromShare::Taken => {
-                purse.record_use(want.units, now);
+                balance.record_use(want.units, now);
                 let until = now + self.terms.share_send_timeout;
                 Some(Ok(ticket(workspace, want.units, until, Source::Share)))
             }
--- a/crates/flamingo-guard/src/quota/account/purse.rs
+++ b/crates/flamingo-guard/src/quota/account/balance.rs
@@ -71,7 +71,7 @@
 
 /// What an entry holds of one quota, and how it uses it.
 #[derive(Debug)]
-pub(super) struct Purse {
+pub(super) struct Balance {
     terms: Terms,
     quota: Quota,
     credit: f64,
@@ -88,7 +88,7 @@
     pub report_at: Instant,
 }
 
-impl Purse {
+impl Balance {
     pub fn new(quota: Quota, terms: Terms, now: Instant) -> Self {
         Self {
             terms,
