--- a/crates/flamingo-guard/src/quota/account.rs
+++ b/crates/flamingo-guard/src/quota/account.rs
@@ -2,13 +2,13 @@
 //!
 //! Answers one load: requests of all workspaces, most of which must not wait for the leader.
 
-mod purse;
+mod balance;
 
-use super::{ANSWER_TIMEOUT, QUESTION_INTERVAL, SEND_TIMEOUT, SHARE_DELAY, SHARE_SEND_TIMEOUT};
+use super::{SHARE_DELAY, Terms};
+use balance::{Balance, FromShare};
 use flamingo_wire::id;
-use flamingo_wire::quota::{Answer, Decision, Question, Want};
+use flamingo_wire::quota::{Answer, Decision, Grant, Question, Want};
 use flamingo_wire::workspace::Quota;
-use purse::{FromShare, Purse};
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
@@ -20,6 +20,9 @@
 /// few requests few have to wait; those with many get credit for several with each question.
 const TOP_UP_INTERVAL: Duration = Duration::from_millis(50);
 
+/// The same for each workspace in use: an entry that uses many asks for several of them together.
+const TOP_UP_INTERVAL_EACH: Duration = Duration::from_millis(12);
+
 /// Number of a request that waits for the leader's answer.
 pub type WantId = u64;
 
@@ -89,13 +92,14 @@
 /// What one entry holds of all quotas.
 ///
 /// ```
+/// use flamingo_guard::quota::Terms;
 /// use flamingo_guard::quota::account::{Account, Admission};
 /// use flamingo_wire::quota::Want;
 /// use flamingo_wire::workspace::Quota;
 /// use std::time::Instant;
 ///
 /// let now = Instant::now();
-/// let mut account = Account::new(1, now);
+/// let mut account = Account::new(1, Terms::default(), now);
 /// let quota = Quota { per_s: 2.0, burst: 4.0, ..Quota::default() };
 /// let want = Want { units: 1.0, returning: false };
 /// let admission = account.admit("w", quota, want, now);
@@ -105,6 +109,7 @@
 /// ```
 #[derive(Debug)]
 pub struct Account {
+    terms: Terms,
     incarnation: id::Incarnation,
     sequence: id::Sequence,
     /// The last question whose answer was received, and when it was received.
@@ -114,7 +119,9 @@
     asked_at: Option<Instant>,
     /// When the next periodic question is due.
     periodic_at: Instant,
-    purses: BTreeMap<id::Workspace, Purse>,
+    /// Least time between a question and one that fetches credit for the next request.
+    top_up_interval: Duration,
+    balances: BTreeMap<id::Workspace, Balance>,
     waiting: Vec<Waiting>,
     next_id: WantId,
 }
@@ -126,8 +133,9 @@
     /// Returns the account of an entry that begins at `now`. No two starts of an entry may have the
     /// same incarnation.
     #[must_use]
-    pub fn new(incarnation: id::Incarnation, now: Instant) -> Self {
+    pub fn new(incarnation: id::Incarnation, terms: Terms, now: Instant) -> Self {
         Self {
+            terms,
             incarnation,
             sequence: 0,
             heard: 0,
@@ -135,7 +143,8 @@
             asked: None,
             asked_at: None,
             periodic_at: now,
-            purses: BTreeMap::new(),
+            top_up_interval: TOP_UP_INTERVAL,
+            balances: BTreeMap::new(),
             waiting: Vec::new(),
             next_id: 0,
         }
@@ -146,21 +155,22 @@
         if !super::limits(&quota) {
             return Admission::Decided(Ok(ticket(workspace, want.units, now, Source::Credit)));
         }
-        let purse = match self.purses.get_mut(workspace) {
-            Some(purse) => purse,
+        let balance = match self.balances.get_mut(workspace) {
+            Some(balance) => balance,
             None => self
-                .purses
+                .balances
                 .entry(workspace.to_owned())
-                .or_insert_with(|| Purse::new(quota, now)),
+                .or_insert_with(|| Balance::new(quota, self.terms, now)),
         };
-        purse.set_quota(quota);
-        if purse.take_credit(want.units, now) {
-            purse.record_use(want.units, now);
-            if purse.runs_low() {
-                let earliest = self.asked_at.map_or(now, |at| at + TOP_UP_INTERVAL);
+        balance.set_quota(quota);
+        if balance.take_credit(want.units, now) {
+            balance.record_use(want.units, now);
+            if balance.runs_low() {
+                let earliest = self.asked_at.map_or(now, |at| at + self.top_up_interval);
+                balance.report_at = balance.report_at.min(earliest);
                 self.periodic_at = self.periodic_at.min(earliest);
             }
-            let until = now + SEND_TIMEOUT;
+            let until = now + self.terms.send_timeout;
             return Admission::Decided(Ok(ticket(workspace, want.units, until, Source::Credit)));
         }
         if let Some(decision) = self.decide_by_share(workspace, want, now) {
@@ -181,22 +191,36 @@
             return None;
         }
         let waiting = std::mem::take(&mut self.waiting);
-        let periodic = now >= self.periodic_at;
         let mut uses = Vec::new();
         let mut stated = BTreeMap::new();
-        for (workspace, purse) in &mut self.purses {
+        for (workspace, balance) in &mut self.balances {
             let of_workspace = waiting.iter().filter(|item| item.workspace == *workspace);
             let wants: Vec<_> = of_workspace.map(|item| item.want).collect();
-            if wants.is_empty() && !(periodic && purse.is_active(now)) {
+            let due = balance.is_active(now) && balance.report_at <= now + TOP_UP_INTERVAL;
+            if wants.is_empty() && !due {
                 continue;
             }
-            let usage = purse.state(workspace, wants, now);
+            let usage = balance.state(workspace, wants, now);
             stated.insert(workspace.clone(), usage.share);
             uses.push(usage);
         }
-        if periodic {
-            self.periodic_at = now + QUESTION_INTERVAL;
-        }
+        // Any question shows that the entry hears the leader.
+        let active = self
+            .balances
+            .values()
+            .filter(|balance| balance.is_active(now));
+        let report_at = active.map(|balance| balance.report_at).min();
+        let periodic_at = now + self.terms.question_interval;
+        self.periodic_at = report_at.map_or(periodic_at, |at| at.min(periodic_at));
+        let active = self
+            .balances
+            .values()
+            .filter(|balance| balance.is_active(now));
+        let active = u32::try_from(active.count()).unwrap_or(u32::MAX);
+        self.top_up_interval = (TOP_UP_INTERVAL_EACH.saturating_mul(active)).clamp(
+            TOP_UP_INTERVAL,
+            self.terms.question_interval.max(TOP_UP_INTERVAL),
+        );
         self.sequence += 1;
         self.asked_at = Some(now);
         self.asked = Some(Asked {
@@ -223,54 +247,58 @@
             let earliest = self.asked_at.map(|at| at + MIN_QUESTION_INTERVAL);
             return Some(earliest.unwrap_or(now));
         }
-        let active = self.purses.values().any(|purse| purse.is_active(now));
+        let active = self.balances.values().any(|balance| balance.is_active(now));
         active.then_some(self.periodic_at)
     }
 
     /// Adopts the answer to the question in flight. Any other answer, and one that comes too late,
     /// changes nothing but that the question is lost.
     pub fn adopt(&mut self, answer: &Answer, now: Instant) -> Decided {
+        let timeout = self.terms.answer_timeout;
         let in_time =
-            |asked: &Asked| asked.sequence == answer.sequence && now <= asked.at + ANSWER_TIMEOUT;
+            |asked: &Asked| asked.sequence == answer.sequence && now <= asked.at + timeout;
         let Some(asked) = self.asked.take_if(|asked| in_time(asked)) else {
             return self.lose(answer.sequence, now);
         };
         self.heard = asked.sequence;
         self.heard_at = Some(now);
-        for grant in &answer.grants {
+        self.adopt_grants(&answer.grants, &asked, now);
+        self.decide_by_leader(&answer.grants, asked, now)
+    }
+
+    /// Adopts what the leader grants to a question.
+    fn adopt_grants(&mut self, grants: &[Grant], asked: &Asked, now: Instant) {
+        for grant in grants {
             let stated = asked.stated.get(&grant.workspace);
-            let purse = self.purses.get_mut(&grant.workspace);
-            if let (Some(stated), Some(purse)) = (stated, purse) {
-                purse.adopt(grant, *stated, asked.at, now);
+            let balance = self.balances.get_mut(&grant.workspace);
+            if let (Some(stated), Some(balance)) = (stated, balance) {
+                balance.adopt(grant, *stated, asked.at, now);
             }
         }
         for workspace in asked.stated.keys() {
-            let granted = answer.grants.iter();
-            if granted.clone().all(|grant| grant.workspace != *workspace) {
+            if grants.iter().all(|grant| grant.workspace != *workspace) {
                 // The leader has no quota for it, so it counts nothing of what is held here.
-                self.purses.remove(workspace);
+                self.balances.remove(workspace);
             }
         }
+    }
+
+    /// Decides on the requests that waited for a question, as the leader did.
+    fn decide_by_leader(&mut self, grants: &[Grant], asked: Asked, now: Instant) -> Decided {
         let mut decisions: BTreeMap<&str, std::slice::Iter<'_, Decision>> = BTreeMap::new();
-        for grant in &answer.grants {
+        for grant in grants {
             decisions.insert(&grant.workspace, grant.decisions.iter());
         }
-        let mut decided = Vec::with_capacity(asked.waiting.len());
-        for item in asked.waiting {
+        let until = asked.at + self.terms.send_timeout;
+        let decide = |item: Waiting| {
             let decision = decisions.get_mut(item.workspace.as_str());
-            let decision = decision.and_then(Iterator::next);
-            let result = match decision {
+            let result = match decision.and_then(Iterator::next) {
                 Some(Decision::Admitted) => {
-                    if let Some(purse) = self.purses.get_mut(&item.workspace) {
-                        purse.record_use(item.want.units, now);
+                    let units = item.want.units;
+                    if let Some(balance) = self.balances.get_mut(&item.workspace) {
+                        balance.record_use(units, now);
                     }
-                    let until = asked.at + SEND_TIMEOUT;
-                    Ok(ticket(
-                        &item.workspace,
-                        item.want.units,
-                        until,
-                        Source::Leader,
-                    ))
+                    Ok(ticket(&item.workspace, units, until, Source::Leader))
                 }
                 Some(Decision::Wait(wait_ms)) => {
                     let wait = Duration::from_millis(*wait_ms);
@@ -279,9 +307,9 @@
                 Some(Decision::TooLarge) => Err(Refusal::TooLarge),
                 None => Err(Refusal::Unknown),
             };
-            decided.push((item.id, result));
-        }
-        decided
+            (item.id, result)
+        };
+        asked.waiting.into_iter().map(decide).collect()
     }
 
     /// Gives up the question with this number, if it is in flight: its answer does not come.
@@ -297,14 +325,20 @@
         self.decide_alone(waiting, now)
     }
 
+    /// Withdraws a request that waits for the next question. One that an asked question is about gets
+    /// its decision all the same.
+    pub fn withdraw(&mut self, id: WantId) {
+        self.waiting.retain(|item| item.id != id);
+    }
+
     /// Gives back the cost of a request that was not sent. What a share has paid for is not saved up
     /// again.
     pub fn give_back(&mut self, ticket: &Ticket, now: Instant) {
         if ticket.source == Source::Share {
             return;
         }
-        if let Some(purse) = self.purses.get_mut(&ticket.workspace) {
-            purse.give_back(ticket.units, ticket.until, now);
+        if let Some(balance) = self.balances.get_mut(&ticket.workspace) {
+            balance.give_back(ticket.units, ticket.until, now);
         }
     }
 
@@ -328,11 +362,11 @@
         if now < heard_at + SHARE_DELAY {
             return None;
         }
-        let purse = self.purses.get_mut(workspace)?;
-        match purse.take_share(want.units, heard_at, now) {
+        let balance = self.balances.get_mut(workspace)?;
+        match balance.take_share(want.units, heard_at, now) {
             FromShare::Taken => {
-                purse.record_use(want.units, now);
-                let until = now + SHARE_SEND_TIMEOUT;
+                balance.record_use(want.units, now);
+                let until = now + self.terms.share_send_timeout;
                 Some(Ok(ticket(workspace, want.units, until, Source::Share)))
             }
             FromShare::Wait(delay) => Some(Err(Refusal::Over(delay, Source::Share))),
--- a/crates/flamingo-guard/src/quota/account/purse.rs
+++ b/crates/flamingo-guard/src/quota/account/balance.rs
@@ -1,7 +1,7 @@
 //! What an entry holds of one workspace's quota.
 
-use super::super::{CREDIT_LIFETIME, LEASE, SHARE_DELAY, SHARED_PART, share_saving};
-use flamingo_wire::quota::{Grant, Use, Want};
+use super::super::{LEASE, SHARE_DELAY, SHARED_PART, Terms};
+use flamingo_wire::quota::{Grant, Use, Want, round_down};
 use flamingo_wire::workspace::Quota;
 use std::time::{Duration, Instant};
 
@@ -16,6 +16,11 @@
 /// Time of use for which credit is kept ahead, in seconds: until the answer to the next periodic
 /// question, with a reserve for arrivals in groups.
 const AHEAD_S: f64 = 0.3;
+/// Questions after which the leader hears again of a workspace whose credit is enough. Credit lives for
+/// two and a half intervals of questions.
+const CREDIT_INTERVALS: u32 = 2;
+/// The same for a workspace of which the entry holds no credit. A share is leased for many intervals.
+const SHARE_INTERVALS: u32 = 5;
 /// Credit that is kept, as a multiple of the credit that is wanted: what is above is given back.
 const KEPT_FACTOR: f64 = 1.5;
 
@@ -40,16 +45,16 @@
         }
     }
 
-    fn saving(&self, quota: &Quota) -> f64 {
-        share_saving(quota) * self.per_s / (self.of_per_s * SHARED_PART)
+    fn saving(&self, quota: &Quota, terms: &Terms) -> f64 {
+        terms.share_saving(quota) * self.per_s / (self.of_per_s * SHARED_PART)
     }
 
-    fn fill(&mut self, quota: &Quota, usable_from: Instant, now: Instant) {
+    fn fill(&mut self, quota: &Quota, terms: &Terms, usable_from: Instant, now: Instant) {
         let from = self.saved_at.max(usable_from);
         let until = now.min(self.until);
         let elapsed_s = until.saturating_duration_since(from).as_secs_f64();
         let saved = self.saved + self.per_s * elapsed_s;
-        self.saved = saved.min(self.saving(quota));
+        self.saved = saved.min(self.saving(quota, terms));
         self.saved_at = self.saved_at.max(now);
     }
 }
@@ -66,7 +71,8 @@
 
 /// What an entry holds of one quota, and how it uses it.
 #[derive(Debug)]
-pub(super) struct Purse {
+pub(super) struct Balance {
+    terms: Terms,
     quota: Quota,
     credit: f64,
     credit_until: Instant,
@@ -78,11 +84,14 @@
     used_at: Instant,
     mean: f64,
     largest: f64,
+    /// When the leader next has to hear of this workspace while it is active.
+    pub report_at: Instant,
 }
 
-impl Purse {
-    pub fn new(quota: Quota, now: Instant) -> Self {
+impl Balance {
+    pub fn new(quota: Quota, terms: Terms, now: Instant) -> Self {
         Self {
+            terms,
             quota,
             credit: 0.0,
             credit_until: now,
@@ -92,6 +101,7 @@
             used_at: now,
             mean: 0.0,
             largest: 0.0,
+            report_at: now,
         }
     }
 
@@ -129,16 +139,16 @@
     /// `heard_at`.
     pub fn take_share(&mut self, units: f64, heard_at: Instant, now: Instant) -> FromShare {
         let usable_from = heard_at + SHARE_DELAY;
-        let quota = self.quota;
+        let (quota, terms) = (self.quota, self.terms);
         let Some(share) = self.share.as_mut().filter(|share| now < share.until) else {
             return FromShare::Nothing;
         };
-        share.fill(&quota, usable_from, now);
+        share.fill(&quota, &terms, usable_from, now);
         if share.saved >= units {
             share.saved -= units;
             return FromShare::Taken;
         }
-        if units > share.saving(&quota) {
+        if units > share.saving(&quota, &terms) {
             return FromShare::Nothing;
         }
         let wait_s = (units - share.saved) / share.per_s;
@@ -192,9 +202,16 @@
         } else {
             0.0
         };
-        let held = self.credit.min(target * KEPT_FACTOR);
+        let held = self.credit.min((target * KEPT_FACTOR).ceil());
         let returned = self.credit - held;
         self.credit = held;
+        let holds_credit = held > 0.0 || target > 0.0;
+        let intervals = if holds_credit {
+            CREDIT_INTERVALS
+        } else {
+            SHARE_INTERVALS
+        };
+        self.report_at = now + self.terms.question_interval * intervals;
         let share = self.share.filter(|share| now < share.until);
         let share_ms = share.map_or(0, |share| {
             // Rounded up: the leader must not count it for a shorter time than it is used.
@@ -205,9 +222,9 @@
             workspace: workspace.to_owned(),
             held,
             returned,
-            rate,
-            mean: self.mean,
-            ahead: (target - held).max(0.0),
+            rate: round_down(rate),
+            mean: round_down(self.mean),
+            ahead: (target - held).max(0.0).ceil(),
             share: share.map_or(0.0, |share| share.per_s),
             share_ms,
             wants,
@@ -222,9 +239,13 @@
             self.credit = 0.0;
         }
         if grant.renewed || self.credit <= 0.0 {
-            self.credit_until = asked_at + CREDIT_LIFETIME;
+            self.credit_until = asked_at + self.terms.credit_lifetime;
         }
         self.credit += grant.credit;
+        if self.credit <= 0.0 {
+            // The leader has no credit to grant; asking more often would not help.
+            self.report_at = asked_at + self.terms.question_interval * SHARE_INTERVALS;
+        }
         let mut share = Share {
             per_s: grant.share,
             of_per_s: grant.per_s,
--- a/crates/flamingo-guard/src/quota/ledger.rs
+++ b/crates/flamingo-guard/src/quota/ledger.rs
@@ -8,7 +8,7 @@
 mod promises;
 mod usage;
 
-use super::{CREDIT_LIFETIME, LEASE, SILENCE, limits};
+use super::{LEASE, SILENCE, Terms, limits};
 use bucket::Bucket;
 use flamingo_wire::id;
 use flamingo_wire::quota::{Answer, Grant, Question};
@@ -17,8 +17,6 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
-/// Time over which operators are told what was granted: the window of the upper bound.
-pub const WINDOW: Duration = Duration::from_secs(8);
 /// Largest number of answers of which the ledger remembers when they were sent.
 const MAX_ANSWERS: usize = 4;
 
@@ -89,18 +87,21 @@
     pub granted: f64,
     /// Units of requests that were rejected within the last window. One that comes back counts again.
     pub refused: f64,
+    /// Units that are reserved for those of them that are expected to come back.
+    pub reserved: f64,
 }
 
 /// The quotas of all workspaces during one leadership.
 ///
 /// ```
+/// use flamingo_guard::quota::Terms;
 /// use flamingo_guard::quota::ledger::Ledger;
 /// use flamingo_wire::quota::{Decision, Question, Use, Want};
 /// use flamingo_wire::workspace::Quota;
 /// use std::time::{Duration, Instant};
 ///
 /// let start = Instant::now();
-/// let mut ledger = Ledger::new(start, false);
+/// let mut ledger = Ledger::new(Terms::default(), start, false);
 /// let quota = Quota { per_s: 2.0, burst: 4.0, ..Quota::default() };
 /// let want = Want { units: 1.0, returning: false };
 /// let uses = vec![Use { workspace: "w".into(), wants: vec![want], ..Use::default() }];
@@ -111,6 +112,7 @@
 /// ```
 #[derive(Debug)]
 pub struct Ledger {
+    terms: Terms,
     start: Instant,
     /// Until when shares of an earlier leader may be in use; `None` where there was no leader.
     inherited_until: Option<Instant>,
@@ -122,8 +124,9 @@
     /// Returns the ledger of a leadership that begins at `now`. `inherits` says whether there may
     /// have been an earlier leader, whose shares are then taken to be in use until they expire.
     #[must_use]
-    pub fn new(now: Instant, inherits: bool) -> Self {
+    pub fn new(terms: Terms, now: Instant, inherits: bool) -> Self {
         Self {
+            terms,
             start: now,
             inherited_until: inherits.then(|| now + LEASE),
             entries: HashMap::new(),
@@ -159,8 +162,9 @@
                 continue;
             };
             let bucket = self.buckets.entry(usage.workspace.clone());
-            let (start, inherited_until) = (self.start, self.inherited_until);
-            let bucket = bucket.or_insert_with(|| Bucket::new(quota, start, inherited_until));
+            let (terms, start, inherited_until) = (self.terms, self.start, self.inherited_until);
+            let bucket =
+                bucket.or_insert_with(|| Bucket::new(quota, terms, start, inherited_until));
             bucket.set_quota(quota, &self.entries, now);
             grants.push(Grant {
                 workspace: usage.workspace.clone(),
@@ -188,7 +192,8 @@
     /// Returns the time within the last window for which this ledger has granted.
     #[must_use]
     pub fn observed(&self, now: Instant) -> Duration {
-        now.saturating_duration_since(self.start).min(WINDOW)
+        let observed = now.saturating_duration_since(self.start);
+        observed.min(self.terms.window)
     }
 
     /// Fills all buckets while the entry still counts as silent, if it does: until its question
@@ -205,7 +210,7 @@
 
     /// Drops entries that can hold nothing any more.
     fn forget(&mut self, now: Instant) {
-        let retention = LEASE + CREDIT_LIFETIME;
+        let retention = LEASE + self.terms.credit_lifetime;
         self.entries
             .retain(|_, entry| now < entry.asked_at + retention);
     }
--- a/crates/flamingo-guard/src/quota/ledger/bucket.rs
+++ b/crates/flamingo-guard/src/quota/ledger/bucket.rs
@@ -1,11 +1,11 @@
 //! The token bucket of one workspace.
 
-use super::super::{bucket_size, max_debt, shared_rate};
+use super::super::{Terms, shared_rate};
 use super::holdings::{Holdings, non_negative};
 use super::promises::Promises;
 use super::usage::Usage;
 use super::{Entry, Key, Level};
-use flamingo_wire::quota::{Decision, Grant, Use, Want};
+use flamingo_wire::quota::{Decision, Grant, Use, Want, round_down};
 use flamingo_wire::workspace::Quota;
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -14,13 +14,15 @@
 /// second after it counts as silent, so that a delay of this length does no harm.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(20);
 /// Longest time that a request is told to wait.
-const MAX_WAIT: Duration = Duration::from_mins(1);
+const MAX_WAIT: Duration = Duration::from_mins(10);
 /// Part of the bucket that is not granted as credit ahead of use. Credit that entries hold is renewed
 /// only while all of it is at most this part of the bucket.
 const KEPT_PART: f64 = 0.5;
-/// Requests for which the bucket keeps room when units are reserved for promises. In a bucket that holds
-/// only a few requests, half of it would be too little room, and a full bucket loses its refill.
-const ROOM_REQUESTS: f64 = 3.0;
+/// Requests that a bucket holds at least, unless it counts as holding few. Such a bucket is often full
+/// between two requests, and what it gains then is lost.
+const FEW_REQUESTS: f64 = 6.0;
+/// Time after a rejection in which the limit counts as reached.
+const REACHED_RETENTION: Duration = Duration::from_secs(10);
 /// Part of the rate that is taken to refill the bucket, at least, when a wait is computed: withheld
 /// parts come back within seconds.
 const MIN_REFILL_PART: f64 = 0.5;
@@ -30,6 +32,7 @@
 /// The bucket of one workspace, with what entries hold of it.
 #[derive(Debug)]
 pub(super) struct Bucket {
+    terms: Terms,
     quota: Quota,
     units: f64,
     filled_at: Instant,
@@ -37,6 +40,8 @@
     holdings: Holdings,
     promises: Promises,
     usage: Usage,
+    /// Until when the limit counts as reached.
+    reached_until: Instant,
     /// Part of the rate that shares of an earlier leader may be using, and until when.
     inherited: f64,
     inherited_until: Instant,
@@ -46,15 +51,22 @@
     /// Returns the bucket of a leadership that began at `start`. With an earlier leader, whose
     /// bucket may have been in debt, it begins with the largest debt, and all that is leased may be
     /// in use until `inherited_until`.
-    pub fn new(quota: Quota, start: Instant, inherited_until: Option<Instant>) -> Self {
+    pub fn new(
+        quota: Quota,
+        terms: Terms,
+        start: Instant,
+        inherited_until: Option<Instant>,
+    ) -> Self {
         Self {
+            terms,
             quota,
-            units: inherited_until.map_or(0.0, |_| -max_debt(&quota)),
+            units: inherited_until.map_or(0.0, |_| -terms.max_debt(&quota)),
             filled_at: start,
             refreshed_at: start,
-            holdings: Holdings::default(),
+            holdings: Holdings::new(terms),
             promises: Promises::default(),
-            usage: Usage::new(start),
+            usage: Usage::new(terms.window, start),
+            reached_until: start,
             inherited: inherited_until.map_or(0.0, |_| shared_rate(&quota)),
             inherited_until: inherited_until.unwrap_or(start),
         }
@@ -86,9 +98,9 @@
         self.holdings.lease(key, share, now);
         Grant {
             credit,
-            renewed: self.holdings.sums.credit <= bucket_size(&self.quota) * KEPT_PART,
+            renewed: self.holdings.sums.credit <= self.most_credit(usage, now),
             share,
-            per_s: self.quota.per_s,
+            per_s: if share > 0.0 { self.quota.per_s } else { 0.0 },
             decisions,
             ..Grant::default()
         }
@@ -106,6 +118,7 @@
             withheld: self.quota.per_s - self.refill_per_s(now),
             leased: self.holdings.sums.shares,
             promised: self.promises.total(),
+            reserved: self.promises.reserved(),
             ..Level::default()
         }
     }
@@ -138,7 +151,7 @@
     }
 
     fn capacity(&self) -> f64 {
-        (bucket_size(&self.quota) - self.holdings.sums.credit).max(0.0)
+        (self.terms.bucket_size(&self.quota) - self.holdings.sums.credit).max(0.0)
     }
 
     /// Returns the part of the rate that no share may be using.
@@ -169,31 +182,39 @@
     /// Decides on a request that lacks credit.
     fn decide(&mut self, want: Want, now: Instant) -> Decision {
         let cost = non_negative(want.units);
-        let max_debt = max_debt(&self.quota);
-        if cost > bucket_size(&self.quota) + max_debt {
+        let max_debt = self.terms.max_debt(&self.quota);
+        if cost > self.terms.bucket_size(&self.quota) + max_debt {
             return Decision::TooLarge;
         }
         let capacity = self.capacity();
-        // A request above the burst leaves a debt.
-        let needed = cost.min(self.quota.burst).max(cost - max_debt);
+        // A request above the burst leaves a debt, and so does one of which the bucket holds few: it
+        // would often be full while the next one is too large for what it holds.
+        let needed = if self.holds_few(cost) {
+            (cost - max_debt).max(0.0)
+        } else {
+            cost.min(self.quota.burst).max(cost - max_debt)
+        };
         let needed = needed.min(capacity) * (1.0 - TOLERANCE);
         let per_s = self.refill_per_s(now);
         let full = self.units >= capacity * (1.0 - TOLERANCE);
         let kept = want.returning && self.promises.redeem(cost, now);
-        let available = if kept || full {
-            self.units
+        let is_enough = if kept {
+            // Less may have been reserved than is redeemed: what is missing is owed.
+            true
+        } else if full {
+            // A full bucket loses what it gains: where promises end without being redeemed, they must
+            // not keep it full.
+            self.units >= needed
         } else {
-            // Most callers may never come back: promises must not keep the bucket full, as what it
-            // gains then is lost.
-            let kept = (capacity - cost * ROOM_REQUESTS).min(capacity * KEPT_PART);
-            let surplus = self.promises.surplus(self.units, per_s, now);
-            surplus.max(self.units - kept.max(0.0))
+            let left = self.units - cost + max_debt;
+            self.units >= needed && self.promises.surplus(left, per_s, now) >= 0.0
         };
-        if available >= needed && self.units - cost >= -max_debt {
+        if is_enough && self.units - cost >= -max_debt {
             self.units -= cost;
             return Decision::Admitted;
         }
-        let missing = (self.promises.total() + needed - self.units).max(0.0);
+        self.reached_until = now + REACHED_RETENTION;
+        let missing = (self.promises.reserved() + needed - self.units).max(0.0);
         let per_s = per_s.max(self.quota.per_s * MIN_REFILL_PART);
         let delay = Duration::try_from_secs_f64(missing / per_s).unwrap_or(MAX_WAIT);
         let delay = delay.min(MAX_WAIT);
@@ -203,13 +224,31 @@
         Decision::Wait(u64::try_from(wait_ms).unwrap_or(u64::MAX))
     }
 
+    /// Returns the credit that all entries may hold of which one has this use.
+    fn most_credit(&self, usage: &Use, now: Instant) -> f64 {
+        if now < self.reached_until && self.holds_few(non_negative(usage.mean)) {
+            // Credit of entries that don't use it would take the room in which the bucket gains what
+            // others need.
+            return 0.0;
+        }
+        self.terms.bucket_size(&self.quota) * (1.0 - KEPT_PART)
+    }
+
+    /// Returns whether the bucket holds only few requests of this cost.
+    fn holds_few(&self, cost: f64) -> bool {
+        self.terms.bucket_size(&self.quota) < cost * FEW_REQUESTS
+    }
+
     /// Takes credit ahead of use, as far as the bucket stays half full. Credit that does not pay for
     /// a request is not granted.
     fn credit(&mut self, usage: &Use, now: Instant) -> f64 {
+        if self.most_credit(usage, now) <= 0.0 {
+            return 0.0;
+        }
         let per_s = self.refill_per_s(now);
         let surplus = self.promises.surplus(self.units, per_s, now);
-        let available = (surplus - bucket_size(&self.quota) * KEPT_PART).max(0.0);
-        let credit = non_negative(usage.ahead).min(available);
+        let available = (surplus - self.terms.bucket_size(&self.quota) * KEPT_PART).max(0.0);
+        let credit = round_down(non_negative(usage.ahead).min(available));
         if credit + non_negative(usage.held) < non_negative(usage.mean) {
             return 0.0;
         }
@@ -224,6 +263,6 @@
         let free = shared_rate(&self.quota) - self.inherited_at(now) - others;
         let fair = self.holdings.fair_share(key, &self.quota, now);
         let most = if is_silent { fair.min(stated) } else { fair };
-        most.min(free.max(0.0))
+        round_down(most.min(free.max(0.0)))
     }
 }
--- a/crates/flamingo-guard/src/quota/ledger/usage.rs
+++ b/crates/flamingo-guard/src/quota/ledger/usage.rs
@@ -1,7 +1,6 @@
 //! What the leader has granted and refused of one quota within the last window, for operators.
 
-use super::WINDOW;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Parts of the window that are counted apart. The sum lacks at most one of them.
 const SLOTS: u32 = 16;
@@ -16,6 +15,7 @@
 /// Units by the time at which they were granted or refused.
 #[derive(Clone, Debug)]
 pub(super) struct Usage {
+    window: Duration,
     slots: [Slot; SLOTS as usize],
     /// Index of the newest slot.
     newest: usize,
@@ -25,11 +25,12 @@
 
 impl Usage {
     /// Returns the use of a workspace of which nothing is known before `now`.
-    pub fn new(now: Instant) -> Self {
+    pub fn new(window: Duration, now: Instant) -> Self {
         Self {
+            window,
             slots: [Slot::default(); SLOTS as usize],
             newest: 0,
-            until: now + WINDOW / SLOTS,
+            until: now + window / SLOTS,
         }
     }
 
@@ -53,13 +54,13 @@
 
     /// Returns the newest slot, and clears those whose time has passed.
     fn slot(&mut self, now: Instant) -> &mut Slot {
-        if now >= self.until + WINDOW {
-            *self = Self::new(now);
+        if now >= self.until + self.window {
+            *self = Self::new(self.window, now);
         }
         while now >= self.until {
             self.newest = (self.newest + 1) % self.slots.len();
             self.slots[self.newest] = Slot::default();
-            self.until += WINDOW / SLOTS;
+            self.until += self.window / SLOTS;
         }
         &mut self.slots[self.newest]
     }
--- a/crates/flamingo-guard/tests/usage.rs
+++ b/crates/flamingo-guard/tests/usage.rs
@@ -1,11 +1,14 @@
 //! What the leader tells operators of the use of quotas.
 
-use flamingo_guard::quota::ledger::{Ledger, Level, WINDOW};
+use flamingo_guard::quota::Terms;
+use flamingo_guard::quota::ledger::{Ledger, Level};
 use flamingo_wire::quota::{Decision, Grant, Question, Use, Want};
 use flamingo_wire::workspace::{Quota, Unit};
 use std::time::{Duration, Instant};
 
 const STEP: Duration = Duration::from_millis(100);
+/// Window of the default terms.
+const WINDOW: Duration = Duration::from_secs(8);
 
 /// A leader and one entry that asks for requests of a workspace with 10 units a second.
 struct World {
@@ -19,7 +22,7 @@
     fn new() -> Self {
         let now = Instant::now();
         Self {
-            ledger: Ledger::new(now, false),
+            ledger: Ledger::new(Terms::default(), now, false),
             now,
             sequence: 0,
             admitted: 0.0,
