Scarce capacity is shared between workspaces: ledger, limits, admission

Cause: where more is asked than targets can do, who sends most gets most. Change: entries report the work of workspaces; the leader finds by water filling who is above its share; entries let the requests of these join only while the median queue of the targets is short. Taking what was let in for the capacity was too much while queues grew; what targets have begun is taken. Tests that build a Timing name its new field.

--- a/crates/flamingo-control/src/controller/mod.rs
+++ b/crates/flamingo-control/src/controller/mod.rs
@@ -17,6 +17,7 @@
 mod orders;
 mod quota;
 mod residents;
+mod share;
 
 use crate::daemon::Core;
 use crate::raft_actor::{EntryReport, ReadState};
@@ -177,6 +178,9 @@
     /// Quotas of workspaces; `None` before the first leadership.
     quotas: Option<Ledger>,
     quotas_logged_at: Option<Instant>,
+    /// Work of workspaces, for the shares of what is short; `None` before the first report.
+    shares: Option<flamingo_guard::share::ledger::Ledger>,
+    shares_logged_at: Option<Instant>,
     /// Models that no engine has resident, by service and model.
     missing: BTreeMap<(id::Service, id::Model), Missing>,
     routes: Option<Arc<Set>>,
@@ -322,6 +326,7 @@
         let evidence = std::mem::take(&mut usage.evidence);
         self.record_evidence(from, &evidence);
         self.count_reporter(from);
+        self.record_shares(&usage.shares);
         let mut term = self.term.borrow_mut();
         term.demand.record(clock::now(), from, usage);
     }
@@ -393,6 +398,7 @@
         self.refresh_engines(&routes, now);
         self.flush_residencies();
         self.publish_loads(now);
+        self.publish_shares(now);
         self.log_quotas(now);
         if self.may_order(now) {
             self.plan_if_due(&leader, &routes, now).await;
--- a/crates/flamingo-control/src/registry.rs
+++ b/crates/flamingo-control/src/registry.rs
@@ -427,7 +427,7 @@
                 self.merge(now, &push);
                 self.relay(origin, push);
             }
-            Push::Loads(_) => self.relay(origin, push),
+            Push::Loads(_) | Push::Shares(_) => self.relay(origin, push),
             // Only the leader's count of entries matters to others than its followers.
             Push::Peers(peers) if peers.leader == Some(origin) => {
                 self.relay(origin, Push::Peers(peers));
--- a/crates/flamingo-guard/src/lib.rs
+++ b/crates/flamingo-guard/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod permits;
 pub mod quarantine;
 pub mod quota;
+pub mod share;
--- a/crates/flamingo-serve/src/admission.rs
+++ b/crates/flamingo-serve/src/admission.rs
@@ -6,6 +6,7 @@
 //! that it does not make other requests late. All others are rejected at once, or answered late at the
 //! last rank if the entry is set to do so.
 
+use flamingo_guard::share::Standing;
 use flamingo_wire::route::Rank;
 use std::time::Duration;
 
@@ -40,12 +41,15 @@
     /// Predicted time until the target begins with the prompt. The time for the prompt itself
     /// is left out, since large requests would otherwise always be the rejected ones.
     pub queueing_delay: Duration,
+    /// How the request stands to the share of its workspace.
+    pub standing: Standing,
 }
 
 impl Timing {
     /// Returns whether the request is admitted.
     ///
     /// ```
+    /// use flamingo_guard::share::Standing;
     /// use flamingo_serve::admission::Timing;
     /// use std::time::Duration;
     ///
@@ -55,6 +59,7 @@
     ///     remaining: Duration::from_secs(4),
     ///     has_begun: false,
     ///     queueing_delay: Duration::from_millis(500),
+    ///     standing: Standing::Within,
     /// };
     /// assert!(timing.admitted());
     /// let delayed = Timing { queueing_delay: Duration::from_secs(1), ..timing };
@@ -74,6 +79,7 @@
     /// `first_event_delay` is the predicted time to its first event there.
     ///
     /// ```
+    /// use flamingo_guard::share::Standing;
     /// use flamingo_serve::admission::Timing;
     /// use std::time::Duration;
     ///
@@ -83,6 +89,7 @@
     ///     remaining: Duration::from_secs(4),
     ///     has_begun: false,
     ///     queueing_delay: Duration::ZERO,
+    ///     standing: Standing::Within,
     /// };
     /// assert!(timing.admitted_late(Duration::from_millis(1_900)));
     /// assert!(!timing.admitted_late(Duration::from_millis(2_100)));
--- a/crates/flamingo-serve/src/choice.rs
+++ b/crates/flamingo-serve/src/choice.rs
@@ -14,6 +14,7 @@
 use crate::table::{Table, Target};
 use crate::wire::RequestHead;
 use flamingo_guard::observer::Life;
+use flamingo_guard::share::Standing;
 use flamingo_wire::config::LatePolicy;
 use flamingo_wire::id;
 use flamingo_wire::route::{Engine, Rank};
@@ -282,6 +283,9 @@
     let home_remains = candidates
         .iter()
         .any(|candidate| required.is_home(candidate));
+    if let Some(delay) = queue_beyond_share(&candidates, required) {
+        return Choice::QueueTooLong(delay);
+    }
     // A request must not be rejected at the drawn target while another target would admit it.
     retain_preferred(&mut candidates, |candidate| candidate.admits(required));
     let rate = model.map_or(0.0, |model| {
@@ -302,6 +306,22 @@
     }
 }
 
+/// Returns the median queueing delay if it is too long for the share of the request's workspace. A bound
+/// for each target would send all that is left of many entries to the few targets below it, and a mean
+/// would refuse requests for one long queue.
+fn queue_beyond_share(candidates: &[Candidate], required: &Requirements<'_>) -> Option<Duration> {
+    let timing = required.timing.filter(|_| !required.late)?;
+    if timing.has_begun || timing.standing == Standing::Within {
+        return None;
+    }
+    let delays = candidates.iter().map(|candidate| candidate.queueing_delay);
+    let mut delays: SmallVec<[Duration; 16]> = delays.collect();
+    let middle = delays.len().checked_sub(1)? / 2;
+    let (_, median, _) = delays.select_nth_unstable(middle);
+    let is_admitted = timing.standing.admits(*median, timing.objective);
+    (!is_admitted).then_some(*median)
+}
+
 /// The zones of the targets of a service.
 struct Zones<'a> {
     /// The home zone first, then the others.
--- a/crates/flamingo-serve/src/demand.rs
+++ b/crates/flamingo-serve/src/demand.rs
@@ -4,6 +4,8 @@
 use crate::proxy::RETRY_AFTER_MIN;
 use crate::topology::Topology;
 use crate::wire::RequestHead;
+use flamingo_guard::share::Pool;
+use flamingo_guard::share::tally::{Event, Tally};
 use flamingo_link::subscription::ControlClient;
 use flamingo_wire::control::{Reply, Request, UsageReport};
 use flamingo_wire::id;
@@ -37,6 +39,7 @@
 pub struct Counter {
     demand: RefCell<BTreeMap<Key, Demand>>,
     needs: RefCell<BTreeMap<(Key, id::Software), Need>>,
+    shares: RefCell<Tally>,
 }
 
 impl Counter {
@@ -71,6 +74,22 @@
         self.change_need(service, request, software, |need| need.stranded += 1);
     }
 
+    /// Counts a request of a workspace, for the shares of what is short. `ratio` is as for
+    /// [`Self::record_arrival`].
+    pub fn record_share(
+        &self,
+        pool: &Pool,
+        workspace: &str,
+        request: &RequestHead,
+        ratio: f64,
+        event: Event,
+    ) {
+        let work = work_ms(request) * ratio;
+        self.shares
+            .borrow_mut()
+            .record(pool, workspace, work, event);
+    }
+
     fn change_need(
         &self,
         service: &str,
@@ -158,6 +177,7 @@
             loads: topology.table.borrow_mut().report_loads(),
             evidence: evidence.clone(),
             needs: counter.take_needs(),
+            shares: counter.shares.borrow_mut().take(),
         };
         let is_due = reported_at.is_none_or(|last| now >= last + MAX_REPORT_INTERVAL);
         let is_counted = topology.peers.borrow().follows(leader);
--- a/crates/flamingo-serve/src/metrics.rs
+++ b/crates/flamingo-serve/src/metrics.rs
@@ -69,6 +69,8 @@
     /// Age of the leader's last push, in milliseconds; -1 before the first.
     leader_age: IntGauge,
     quarantined: IntGauge,
+    /// Workspaces above their share, by the leader.
+    share_limits: IntGauge,
 }
 
 impl Metrics {
@@ -158,6 +160,10 @@
                 "flamingo_quarantined_parts",
                 "Prompt parts that are kept from targets since they crash them.",
             )?,
+            share_limits: registry.gauge(
+                "flamingo_share_limits",
+                "Workspaces that are held to their share of a model or a service now.",
+            )?,
             unaffordable: registry.counters(
                 "flamingo_repeats_unaffordable_total",
                 "Retries that were not sent because the retry budget was exhausted, by why.",
@@ -280,6 +286,8 @@
         self.leader_age.set(age_ms.unwrap_or(-1));
         let quarantined = topology.crashes.borrow().quarantined(now);
         self.quarantined.set(number(quarantined));
+        let limits = topology.shares.borrow().count(now);
+        self.share_limits.set(number(limits));
     }
 
     /// Sets the gauges of fitted speeds: five for each service, however many models and targets it has.
--- a/crates/flamingo-serve/src/metrics/workspace.rs
+++ b/crates/flamingo-serve/src/metrics/workspace.rs
@@ -24,6 +24,9 @@
     quota_requests: IntCounterVec,
     /// Cost of the requests that a quota admitted, by workspace.
     quota_units: IntCounterVec,
+    /// Requests that the share of their workspace refused, by workspace and by whether they were beyond
+    /// the share or within it.
+    share_refusals: IntCounterVec,
     /// Workspaces that have a time series of their own.
     names: Rc<RefCell<BTreeSet<String>>>,
 }
@@ -51,6 +54,11 @@
                 "Units that requests have taken of quotas, by workspace.",
                 &["workspace"],
             )?,
+            share_refusals: registry.counters(
+                "flamingo_share_refusals_total",
+                "Requests refused since their workspace is above its share of what is short.",
+                &["workspace", "standing"],
+            )?,
             names: Rc::default(),
         })
     }
@@ -76,6 +84,16 @@
         }
     }
 
+    /// Counts a request that was refused since its workspace is above its share.
+    pub fn record_share(&self, workspace: &str, standing: &str) {
+        let label = match workspace {
+            "" => NO_WORKSPACE,
+            name => self.label(name),
+        };
+        let labels = [label, standing];
+        self.share_refusals.with_label_values(&labels).inc();
+    }
+
     /// Returns the label of a workspace, so that new names don't add time series without bound.
     fn label<'a>(&self, name: &'a str) -> &'a str {
         let mut names = self.names.borrow_mut();
--- a/crates/flamingo-serve/src/proxy.rs
+++ b/crates/flamingo-serve/src/proxy.rs
@@ -17,6 +17,7 @@
 mod release;
 mod resumption;
 mod retry;
+mod share;
 mod silence;
 mod stop;
 mod stream;
@@ -266,6 +267,7 @@
             unreachable: Cell::new(0),
             may_have_run: Cell::new(false),
             ticket: RefCell::new(ticket),
+            share: share::Progress::new(self.choices.get()),
             guard,
         };
         self.retries.record_request(&job.service, arrived_at);
@@ -320,9 +322,8 @@
             let cause = match error {
                 AttemptError::NoAlternative(cause) => return self.give_up(job, cause),
                 AttemptError::QueueTooLong(delay) => {
-                    info!(self.log, "no room"; "request" => &job.request.attempt_id,
-                        "workspace" => &job.request.workspace, "wait_ms" => delay.as_millis());
-                    return self.give_up(job, Cause::NoRoom);
+                    let cause = self.record_no_room(job, delay, now);
+                    return self.give_up(job, cause);
                 }
                 AttemptError::AdapterMissing(candidate) => {
                     if !expired && self.may_resend(job, now) {
@@ -375,7 +376,7 @@
             tried: &tried,
             can_load_adapters: self.topology.peers.borrow().leader.is_some(),
             entries: self.entries(),
-            timing: Self::timing(job, now),
+            timing: self.timing(job, now),
             late: false,
         };
         self.choices.set(self.choices.get() + 1);
@@ -391,7 +392,7 @@
 
     /// Returns the times for the admission decision. Returns `None`, which admits the request, if
     /// it was already sent or goes to a plain service.
-    fn timing(job: &Job, now: Instant) -> Option<Timing> {
+    fn timing(&self, job: &Job, now: Instant) -> Option<Timing> {
         if job.request.model.is_none() || job.sent.get() > 0 {
             return None;
         }
@@ -401,6 +402,7 @@
             remaining: job.deadline.saturating_duration_since(now),
             has_begun: job.goes_on(),
             queueing_delay: Duration::ZERO,
+            standing: self.standing(job, now),
         })
     }
 
--- a/crates/flamingo-serve/src/proxy/attempt.rs
+++ b/crates/flamingo-serve/src/proxy/attempt.rs
@@ -38,7 +38,10 @@
     pub(super) async fn find_target(&self, job: &Job) -> Result<Candidate, AttemptError> {
         loop {
             match self.choose_target(job, Instant::now()) {
-                Choice::Send(candidate) => return Ok(candidate),
+                Choice::Send(candidate) => {
+                    self.admit_by_share(job, &candidate)?;
+                    return Ok(candidate);
+                }
                 Choice::Loading(_) | Choice::NoModel if job.goes_on() => {
                     self.wait_for_version(job, Cause::NoModel).await?;
                 }
--- a/crates/flamingo-serve/src/proxy/begin.rs
+++ b/crates/flamingo-serve/src/proxy/begin.rs
@@ -76,6 +76,7 @@
         load_guard.finish_prefill();
         self.record_response(&candidate.target);
         self.record_answered(job);
+        self.record_share_begun(job);
         Ok(Begun {
             candidate,
             load_guard,
--- a/crates/flamingo-serve/src/proxy/forward.rs
+++ b/crates/flamingo-serve/src/proxy/forward.rs
@@ -173,6 +173,7 @@
             Err(_) => return Err(AttemptError::MayHaveRun(Cause::Late)),
         };
         self.record_answered(job);
+        self.record_share_begun(job);
         self.record_response(&candidate.target);
         self.record_departed_answer(&candidate, bytes.len());
         self.return_to_pool(&load_guard.target, connection, &parsed);
--- a/crates/flamingo-serve/src/proxy/job.rs
+++ b/crates/flamingo-serve/src/proxy/job.rs
@@ -1,5 +1,6 @@
 //! State of a caller's request while it is being handled.
 
+use super::share;
 use crate::admission::LATE_RANK;
 use crate::choice::Candidate;
 use crate::server::Guard;
@@ -84,6 +85,8 @@
     pub may_have_run: Cell<bool>,
     /// What the request has taken of its workspace's quota; `None` if there is none.
     pub ticket: RefCell<Option<Ticket>>,
+    /// What was counted of the request for the shares of workspaces.
+    pub share: share::Progress,
     /// Counts the request as in flight.
     #[allow(dead_code, reason = "held for its drop")]
     pub guard: Guard,
--- a/crates/flamingo-serve/src/proxy/loading.rs
+++ b/crates/flamingo-serve/src/proxy/loading.rs
@@ -5,6 +5,7 @@
 use super::job::{AttemptError, Job};
 use crate::admission::Timing;
 use crate::wire::Cause;
+use flamingo_guard::share::Standing;
 use flamingo_wire::id;
 use flamingo_wire::route::Engine;
 use slog::info;
@@ -63,12 +64,12 @@
     ) -> Result<(), AttemptError> {
         let refused = AttemptError::NoAlternative(Cause::NoModel);
         let now = Instant::now();
-        let (Some(timing), Some(model)) = (Self::timing(job, now), job.request.model.clone())
-        else {
+        let (Some(timing), Some(model)) = (self.timing(job, now), job.request.model.clone()) else {
             return Err(refused);
         };
         let key = (job.service.clone(), model);
         let timing = Timing {
+            standing: Standing::Within,
             queueing_delay: ready_at.saturating_duration_since(now) + self.waiting_delay(&key),
             ..timing
         };
--- a/crates/flamingo-serve/src/proxy/refusal.rs
+++ b/crates/flamingo-serve/src/proxy/refusal.rs
@@ -27,6 +27,7 @@
             Cause::NoTarget
             | Cause::NoModel
             | Cause::NoRoom
+            | Cause::OverShare
             | Cause::Paused
             | Cause::Quarantined
                 if !not_run =>
@@ -35,9 +36,12 @@
             }
             other => other,
         };
-        if matches!(cause, Cause::NoModel | Cause::NoRoom) {
+        if matches!(cause, Cause::NoModel | Cause::NoRoom | Cause::OverShare) {
             self.demand.record_refusal(&job.service, &job.request);
         }
+        if cause == Cause::NoRoom {
+            self.record_turned_away(job);
+        }
         if job.sent.get() == 0 {
             self.give_back_quota(job);
         }
@@ -60,6 +64,7 @@
         let until = quarantined_until.or_else(|| match self.choose_target(job, now) {
             Choice::Paused(until) | Choice::Loading(until) => Some(until),
             Choice::NoModel => self.load_time(job).map(|load_time| now + load_time),
+            Choice::QueueTooLong(delay) => self.share_reopens(job, delay, now),
             _ if self.outlook(job, now) == Some(Outlook::NoModel) => {
                 self.load_time(job).map(|load_time| now + load_time)
             }
--- a/crates/flamingo-serve/src/topology.rs
+++ b/crates/flamingo-serve/src/topology.rs
@@ -9,6 +9,7 @@
 use flamingo_daemon::clock;
 use flamingo_guard::observer::{Life, Observer};
 use flamingo_guard::quarantine::Finding;
+use flamingo_guard::share::limits::Limits;
 use flamingo_link::subscription::PushHandler;
 use flamingo_wire::control::{self, Push, Relayed};
 use flamingo_wire::id;
@@ -246,6 +247,8 @@
     pub origins: RefCell<Origins>,
     /// Crashes of targets, and the prompt parts that cause them.
     pub crashes: RefCell<Observer>,
+    /// Workspaces that are above their share of what is short, by the leader.
+    pub shares: RefCell<Limits>,
     /// Wakes those who wait for a change of the targets' models.
     pub models_changed: Notify,
     log: Logger,
@@ -262,6 +265,7 @@
             peers: RefCell::default(),
             origins: RefCell::default(),
             crashes: RefCell::default(),
+            shares: RefCell::default(),
             models_changed: Notify::new(),
             log,
         }
@@ -383,6 +387,7 @@
             Push::Routes(set) => self.replace_routes(set),
             Push::Quarantines(quarantines) => self.adopt_quarantines(&quarantines, now),
             Push::Peers(peers) => self.peers.borrow_mut().record(origin, &peers, now),
+            Push::Shares(limits) => self.shares.borrow_mut().replace(&limits, now),
             _ => {}
         }
     }
--- a/crates/flamingo-serve/src/wire.rs
+++ b/crates/flamingo-serve/src/wire.rs
@@ -192,6 +192,8 @@
     NoModel,
     /// No target has capacity for the request in time.
     NoRoom,
+    /// The workspace is above its share of capacity that is short.
+    OverShare,
     /// All targets that could take the request have asked for a pause, or have got as many requests
     /// as they take.
     Paused,
--- a/crates/flamingo-serve/tests/departure.rs
+++ b/crates/flamingo-serve/tests/departure.rs
@@ -1,6 +1,7 @@
 //! Requests leave their zone for targets in other zones, in virtual time: 4 zones, entries that choose
 //! by state that is up to 200 ms old, and engines that process one prompt after the other.
 
+use flamingo_guard::share::Standing;
 use flamingo_serve::admission::Timing;
 use flamingo_serve::choice::{Candidate, Choice, Requirements, choose};
 use flamingo_serve::departure::{Price, Reason, Terms};
@@ -285,6 +286,7 @@
         can_load_adapters: true,
         entries,
         timing: Some(Timing {
+            standing: Standing::Within,
             elapsed: terms.elapsed,
             objective: terms.objective,
             remaining: Duration::from_secs(15),
--- a/crates/flamingo-serve/tests/herd.rs
+++ b/crates/flamingo-serve/tests/herd.rs
@@ -3,6 +3,7 @@
 //! Without an estimate of unreported requests, all entries send to the target that was least
 //! loaded in the last report, and overload it (the herd effect).
 
+use flamingo_guard::share::Standing;
 use flamingo_serve::admission::Timing;
 use flamingo_serve::choice::{Candidate, Choice, Requirements, choose};
 use flamingo_serve::speed::Sample;
@@ -180,6 +181,7 @@
         table.record_prompt_tokens("s", "m", 2_000, now);
     }
     let timing = Timing {
+        standing: Standing::Within,
         elapsed: Duration::ZERO,
         objective: Duration::from_millis(600),
         remaining: Duration::from_secs(4),
@@ -270,6 +272,7 @@
     let mut random = ChaCha8Rng::seed_from_u64(seed());
     let mut fraction = move || (f64::from(random.next_u32()) + 0.5) / (f64::from(u32::MAX) + 1.0);
     let timing = Timing {
+        standing: Standing::Within,
         elapsed: Duration::ZERO,
         objective: UNEVEN_OBJECTIVE,
         remaining: Duration::from_secs(4),
--- a/crates/flamingo-serve/tests/late.rs
+++ b/crates/flamingo-serve/tests/late.rs
@@ -1,6 +1,7 @@
 //! Requests that can't meet their objective are answered late, in virtual time: entries that choose by
 //! delayed reports, and engines that process the most urgent prompt first.
 
+use flamingo_guard::share::Standing;
 use flamingo_serve::admission::{LATE_RANK, Timing};
 use flamingo_serve::choice::{Candidate, Choice, Requirements, choose_by_policy};
 use flamingo_serve::table::Table;
@@ -44,6 +45,7 @@
         can_load_adapters: true,
         entries: ENTRIES,
         timing: Some(Timing {
+            standing: Standing::Within,
             elapsed: Duration::ZERO,
             objective: Duration::from_millis(OBJECTIVE_MS),
             remaining: Duration::from_millis(remaining_ms),
--- a/crates/flamingo-serve/tests/load.rs
+++ b/crates/flamingo-serve/tests/load.rs
@@ -1,6 +1,7 @@
 //! Admission and choice of targets under load, in virtual time.
 
 use flamingo_guard::observer::Life;
+use flamingo_guard::share::Standing;
 use flamingo_serve::admission::Timing;
 use flamingo_serve::choice::{Candidate, Choice, Requirements, choose};
 use flamingo_serve::table::Table;
@@ -142,6 +143,7 @@
         let pause = (load.pause)(all.requests);
         let candidate = choose_target(&table, &request(tokens), now);
         let timing = Timing {
+            standing: Standing::Within,
             elapsed: Duration::ZERO,
             objective: OBJECTIVE,
             remaining: MAX_WAIT,
--- a/crates/flamingo-serve/tests/urgency.rs
+++ b/crates/flamingo-serve/tests/urgency.rs
@@ -1,6 +1,7 @@
 //! A burst of routine requests beside urgent ones, in virtual time: many entries, engines that process
 //! the most urgent prompt first, and load reports that are late.
 
+use flamingo_guard::share::Standing;
 use flamingo_serve::admission::Timing;
 use flamingo_serve::choice::{Choice, Requirements, choose};
 use flamingo_serve::table::Table;
@@ -146,6 +147,7 @@
             can_load_adapters: true,
             entries: ENTRIES,
             timing: Some(Timing {
+                standing: Standing::Within,
                 elapsed: Duration::ZERO,
                 objective,
                 remaining: max_wait,
--- a/crates/flamingo-wire/src/control.rs
+++ b/crates/flamingo-wire/src/control.rs
@@ -6,7 +6,7 @@
 use crate::fault::Fault;
 use crate::id;
 use crate::outcome::Verdict;
-use crate::{prompt, quota, route, stream, target};
+use crate::{prompt, quota, route, share, stream, target};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -140,6 +140,9 @@
     Residency(Vec<target::Residency>),
     /// Load of targets, summed over all entries.
     Loads(Vec<target::Load>),
+    /// All workspaces that are above their share of a capacity that is short, by the leader. It is sent
+    /// a few times a second while there is any, and once when there is none any more.
+    Shares(Vec<share::Limit>),
     /// The other processes of the system that this instance knows.
     Peers(Peers),
     /// Prompt parts that requests must not contain.
--- a/crates/flamingo-wire/src/lib.rs
+++ b/crates/flamingo-wire/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod prompt;
 pub mod quota;
 pub mod route;
+pub mod share;
 pub mod stream;
 pub mod target;
 pub mod workspace;
--- a/crates/flamingo-wire/src/target.rs
+++ b/crates/flamingo-wire/src/target.rs
@@ -2,6 +2,7 @@
 
 use crate::id;
 use crate::prompt::Evidence;
+use crate::share;
 use serde::ser::{SerializeTuple, Serializer};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -248,4 +249,7 @@
     /// What streams need of models at the versions at which they began, since the last report.
     #[serde(default)]
     pub needs: Vec<Need>,
+    /// Work of workspaces since the last report; empty where requests need no key.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub shares: Vec<share::Use>,
 }
