--- a/crates/flamingo-control/tests/controller/main.rs
+++ b/crates/flamingo-control/tests/controller/main.rs
@@ -11,6 +11,7 @@
 use flamingo_wire::prompt::{Crash, Evidence, Exposure};
 use flamingo_wire::quota::{Decision, Question, Use, Want};
 use flamingo_wire::route;
+use flamingo_wire::share;
 use flamingo_wire::target::{Demand, Usage};
 use harness::Harness;
 use std::collections::BTreeSet;
@@ -428,7 +429,46 @@
     assert!(!world.look("e", |engine| engine.overfull));
 }
 
+/// An entry reports a workspace that has no room beside one that asks for ten times as much.
+async fn workspace_above_its_share() {
+    let world = World::new(
+        config(&[], 0),
+        [("e", Engine::new(0, &[]))],
+        Box::new(|_, _| None),
+    );
+    let harness = Harness::start(&world).await;
+    let mut pushes = harness.pushes();
+    let work = |workspace: &str, admitted, refused| share::Use {
+        workspace: workspace.into(),
+        rank: 1,
+        service: "s".into(),
+        admitted,
+        refused,
+        begun: admitted,
+        ..share::Use::default()
+    };
+    let usage = Usage {
+        shares: vec![work("a", 100, 10), work("b", 400, 600)],
+        ..Usage::default()
+    };
+    let mut limits = Vec::new();
+    while limits.is_empty() {
+        harness.ask(Request::Usage(usage.clone())).await;
+        if let Push::Shares(published) = pushes.recv().await.expect("a push").push() {
+            limits.clone_from(published);
+        }
+    }
+    assert_eq!((limits.len(), limits[0].workspace.as_str()), (1, "b"));
+    assert_eq!(limits[0].permille, 390);
+    while !limits.is_empty() {
+        if let Push::Shares(published) = pushes.recv().await.expect("a push").push() {
+            limits.clone_from(published);
+        }
+    }
+}
+
 cases! {
+    a_workspace_above_its_share_is_published_until_room_is_there: workspace_above_its_share(),
     a_model_that_is_asked_for_takes_the_place_of_an_idle_one: asked_for_without_a_place(),
     crashes_that_several_entries_saw_quarantine_a_part: crashes_that_several_entries_saw(),
     quotas_of_several_entries_come_from_one_bucket: quotas_of_several_entries(),
--- a/crates/flamingo-control/tests/relay.rs
+++ b/crates/flamingo-control/tests/relay.rs
@@ -57,6 +57,7 @@
         Push::Targets(vec![heartbeat("t", 1)]),
         Push::Unchanged(vec!["t".into()]),
         Push::Loads(vec![Load::default()]),
+        Push::Shares(Vec::new()),
         Push::Residency(vec![residency("t", "m", false)]),
         Push::Quarantines(Vec::new()),
         Push::Peers(Peers {
--- a/crates/flamingo-guard/src/share/ledger.rs
+++ b/crates/flamingo-guard/src/share/ledger.rs
@@ -53,6 +53,9 @@
 #[derive(Debug, Default)]
 struct Market {
     works: BTreeMap<id::Workspace, Work>,
+    /// Whether work that lacks room was reported since the last judgement. The figures of a past shortage
+    /// keep their ratio while they decay.
+    lacks_room: bool,
     /// Until when room counts as short; `None` if it was not short so far.
     short_until: Option<Instant>,
 }
@@ -72,7 +75,7 @@
     fn is_short(&mut self, now: Instant) -> bool {
         let asked: f64 = self.works.values().map(Work::asked).sum();
         let lacking: f64 = self.works.values().map(Work::lacking).sum();
-        if lacking > 0.0 && lacking >= asked * SHORT_PART {
+        if std::mem::take(&mut self.lacks_room) && lacking >= asked * SHORT_PART {
             self.short_until = Some(now + SHORT_TIME);
         }
         self.works.len() > 1 && self.short_until.is_some_and(|until| now < until)
@@ -156,6 +159,7 @@
                     rank: record.rank,
                 };
                 let market = self.markets.entry(pool).or_default();
+                market.lacks_room |= record.refused + record.pressed > 0;
                 let work = market.works.entry(record.workspace.clone()).or_default();
                 work.admitted += f64::from(record.admitted);
                 work.refused += f64::from(record.refused);
--- a/crates/flamingo-guard/tests/share.rs
+++ b/crates/flamingo-guard/tests/share.rs
@@ -97,6 +97,9 @@
     assert_eq!(limits, []);
     let (_, count) = play(&mut ledger, &calm, now + INTERVAL * 110, 100);
     assert_eq!(count, 0);
+    play(&mut ledger, &short, now + INTERVAL * 210, 20);
+    let (limits, count) = play(&mut ledger, &[], now + INTERVAL * 230, 15);
+    assert!(limits.is_empty() && count > 0, "{limits:?}");
 }
 
 /// Guards against a new leader that limits nobody, or others, until it has seen as much as the last.
--- a/crates/flamingo-serve/src/demand.rs
+++ b/crates/flamingo-serve/src/demand.rs
@@ -9,6 +9,7 @@
 use flamingo_link::subscription::ControlClient;
 use flamingo_wire::control::{Reply, Request, UsageReport};
 use flamingo_wire::id;
+use flamingo_wire::share::Use;
 use flamingo_wire::target::{Demand, Need, Usage};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -90,6 +91,12 @@
             .record(pool, workspace, work, event);
     }
 
+    /// Returns the work of workspaces since the last call and resets the counts.
+    #[must_use]
+    pub fn take_shares(&self) -> Vec<Use> {
+        self.shares.borrow_mut().take()
+    }
+
     fn change_need(
         &self,
         service: &str,
@@ -177,7 +184,7 @@
             loads: topology.table.borrow_mut().report_loads(),
             evidence: evidence.clone(),
             needs: counter.take_needs(),
-            shares: counter.shares.borrow_mut().take(),
+            shares: counter.take_shares(),
         };
         let is_due = reported_at.is_none_or(|last| now >= last + MAX_REPORT_INTERVAL);
         let is_counted = topology.peers.borrow().follows(leader);
--- a/crates/flamingo-wire/tests/rows.rs
+++ b/crates/flamingo-wire/tests/rows.rs
@@ -2,6 +2,7 @@
 
 use flamingo_wire::control::Push;
 use flamingo_wire::frame::Seal;
+use flamingo_wire::share;
 use flamingo_wire::target::{Backlog, Demand, Limit, Load, Resident, Usage};
 use serde::Serialize;
 use std::time::SystemTime;
@@ -108,6 +109,37 @@
     assert_eq!(seal.open::<Usage>(&frame, now).expect("a usage"), usage());
 }
 
+/// Guards against fields of the work of workspaces that are read in another order than they are written.
+#[test]
+fn shares_are_read_as_they_were_written() {
+    let now = SystemTime::now();
+    let seal = Seal::new("a", b"secret");
+    let usage = Usage {
+        shares: vec![share::Use {
+            workspace: "w".into(),
+            rank: 1,
+            service: "s".into(),
+            model: Some("m".into()),
+            admitted: 2,
+            refused: 3,
+            pressed: 4,
+            begun: 5,
+        }],
+        ..usage()
+    };
+    let frame = seal.seal("a", &usage, now).expect("a frame");
+    assert_eq!(seal.open::<Usage>(&frame, now).expect("a usage"), usage);
+    let push = Push::Shares(vec![share::Limit {
+        workspace: "w".into(),
+        rank: 1,
+        service: "s".into(),
+        model: None,
+        permille: 417,
+    }]);
+    let frame = seal.seal("a", &push, now).expect("a frame");
+    assert_eq!(seal.open::<Push>(&frame, now).expect("a push"), push);
+}
+
 /// Guards against field names that return to the messages that are sent most often.
 #[test]
 fn a_row_takes_less_than_half_of_a_record_with_field_names() {
