A refusal's time for a retry is as before where no share applies

The new arm for a queue that is too long came before the one for a model without a target of the version. It now takes only requests of workspaces above their share. Not shown to be the cause.

--- a/crates/flamingo-serve/src/proxy/refusal.rs
+++ b/crates/flamingo-serve/src/proxy/refusal.rs
@@ -7,6 +7,7 @@
 use crate::outlook::Outlook;
 use crate::wire::{Cause, Refusal, RequestHead};
 use bytes::Bytes;
+use flamingo_guard::share::Standing;
 use flamingo_wire::route::Route;
 use http::Response;
 use slog::info;
@@ -64,7 +65,9 @@
         let until = quarantined_until.or_else(|| match self.choose_target(job, now) {
             Choice::Paused(until) | Choice::Loading(until) => Some(until),
             Choice::NoModel => self.load_time(job).map(|load_time| now + load_time),
-            Choice::QueueTooLong(delay) => self.share_reopens(job, delay, now),
+            Choice::QueueTooLong(delay) if self.standing(job, now) != Standing::Within => {
+                self.share_reopens(job, delay, now)
+            }
             _ if self.outlook(job, now) == Some(Outlook::NoModel) => {
                 self.load_time(job).map(|load_time| now + load_time)
             }
