--- a/crates/flamingo-control/src/registry.rs
+++ b/crates/flamingo-control/src/registry.rs
@@ -470,6 +470,7 @@
                 self.loads.record(Some(origin), &push, now);
                 self.relay(origin, push);
             }
+            Push::Shares(_) => self.relay(origin, push),
             // Only the leader's count of entries matters to others than its followers.
             Push::Peers(peers) if peers.leader == Some(origin) => {
                 self.relay(origin, Push::Peers(peers));
--- a/crates/flamingo-serve/src/limit.rs
+++ b/crates/flamingo-serve/src/limit.rs
@@ -33,6 +33,7 @@
         match cause {
             Cause::OverQuota | Cause::QuotaUnknown => Some(Self::Quota),
             Cause::NoRoom | Cause::Paused | Cause::NoMemory => Some(Self::Room),
+            Cause::OverShare => Some(Self::Share),
             Cause::Unauthenticated | Cause::UnsureKey => Some(Self::Key),
             Cause::Unreadable
             | Cause::TooLarge
--- a/crates/flamingo-serve/src/metrics/workspace.rs
+++ b/crates/flamingo-serve/src/metrics/workspace.rs
@@ -60,6 +60,9 @@
     quota_requests: IntCounterVec,
     /// Cost of the requests that a quota admitted, by workspace.
     quota_units: IntCounterVec,
+    /// Requests that the share of their workspace refused, by workspace and by whether they were beyond
+    /// the share or within it.
+    share_refusals: IntCounterVec,
     /// Workspaces that have a time series of their own.
     names: Labels,
 }
@@ -92,6 +95,11 @@
                 "Units that requests have taken of quotas, by workspace.",
                 &["workspace"],
             )?,
+            share_refusals: registry.counters(
+                "flamingo_share_refusals_total",
+                "Requests refused since their workspace is above its share of what is short.",
+                &["workspace", "standing"],
+            )?,
             names: Labels::default(),
         })
     }
@@ -125,4 +133,11 @@
             self.quota_units.with_label_values(&[label]).inc_by(units);
         }
     }
+
+    /// Counts a request that was refused since its workspace is above its share.
+    pub fn record_share(&self, workspace: &str, standing: &str) {
+        let label = (!workspace.is_empty()).then(|| self.names.label(workspace));
+        let labels = [label.as_deref().unwrap_or(NO_WORKSPACE), standing];
+        self.share_refusals.with_label_values(&labels).inc();
+    }
 }
--- a/crates/flamingo-serve/src/proxy.rs
+++ b/crates/flamingo-serve/src/proxy.rs
@@ -17,6 +17,7 @@
 mod release;
 mod resumption;
 mod retry;
+mod share;
 mod silence;
 mod stop;
 mod stream;
@@ -29,7 +30,6 @@
 use crate::choice::{self, Choice, Requirements};
 use crate::demand::Counter;
 use crate::departure::{Price, Terms, expected_bytes};
-use crate::limit::Limit;
 use crate::memory::Memory;
 use crate::metrics::Metrics;
 use crate::quota::Quotas;
@@ -42,6 +42,7 @@
 use flamingo_link::subscription::ControlClient;
 use flamingo_wire::config::LatePolicy;
 use flamingo_wire::id;
+use flamingo_wire::prompt::PartId;
 use flamingo_wire::route::{self, Route};
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
@@ -207,14 +208,11 @@
         };
         let mut service = choose_service(&route, &request);
         let parts = request.shared_parts();
-        if let Some(until) = self.quarantined_until(&service, &parts) {
-            return self.refuse_quarantined(&route, &request, until);
-        }
         let max_wait = request.max_wait.unwrap_or(DEFAULT_MAX_WAIT);
         let timeout = Duration::from_millis(route.timeout_ms) + RESPONSE_GRACE;
         let deadline = arrived_at + max_wait.min(timeout);
-        if self.may_outlast_stop(&route, deadline) {
-            return self.refuse_stopping(&route, &request, deadline);
+        if let Some(refused) = self.refuse_unread(&route, &request, &service, &parts, deadline) {
+            return refused;
         }
         let max_bytes = routes.set.limits.body_bytes;
         let body = match self.receive_body(body, max_bytes, deadline).await {
@@ -271,6 +269,7 @@
             may_have_run: Cell::new(false),
             turned_away: Cell::new(false),
             ticket: RefCell::new(ticket),
+            share: share::Progress::new(self.choices.get()),
             guard,
         };
         self.retries.record_request(&job.service, arrived_at);
@@ -278,6 +277,23 @@
         self.run(Rc::new(job)).await
     }
 
+    /// Refuses a request before its body is read, if its prompt is quarantined or it may outlast the stop
+    /// of this process.
+    fn refuse_unread(
+        &self,
+        route: &Route,
+        request: &RequestHead,
+        service: &str,
+        parts: &[PartId],
+        deadline: Instant,
+    ) -> Option<Response<Body>> {
+        if let Some(until) = self.quarantined_until(service, parts) {
+            return Some(self.refuse_quarantined(route, request, until));
+        }
+        let outlasts = self.may_outlast_stop(route, deadline);
+        outlasts.then(|| self.refuse_stopping(route, request, deadline))
+    }
+
     /// Counts a request in the demand that the leader places models by.
     fn record_demand(&self, job: &Job) {
         let ratio = self.work_ratio(job);
@@ -329,11 +345,8 @@
             let cause = match error {
                 AttemptError::NoAlternative(cause) => return self.give_up(job, cause),
                 AttemptError::QueueTooLong(delay) => {
-                    info!(self.log, "no room"; "request" => &job.request.attempt_id,
-                        "workspace" => &job.request.workspace,
-                        "limit" => Limit::name(Cause::NoRoom), "version" => job.request.configuration,
-                        "wait_ms" => delay.as_millis());
-                    return self.give_up(job, Cause::NoRoom);
+                    let cause = self.record_no_room(job, delay, now);
+                    return self.give_up(job, cause);
                 }
                 AttemptError::AdapterMissing(candidate) => {
                     if !expired && self.may_resend(job, now) {
@@ -386,7 +399,7 @@
             tried: &tried,
             can_load_adapters: self.topology.peers.borrow().leader.is_some(),
             entries: self.entries(),
-            timing: Self::timing(job, now),
+            timing: self.timing(job, now),
             late: false,
         };
         self.choices.set(self.choices.get() + 1);
@@ -402,7 +415,7 @@
 
     /// Returns the times for the admission decision. Returns `None`, which admits the request, if
     /// it was already sent or goes to a plain service.
-    fn timing(job: &Job, now: Instant) -> Option<Timing> {
+    fn timing(&self, job: &Job, now: Instant) -> Option<Timing> {
         if job.request.model.is_none() || job.sent.get() > 0 {
             return None;
         }
@@ -412,6 +425,7 @@
             remaining: job.deadline.saturating_duration_since(now),
             has_begun: job.goes_on(),
             queueing_delay: Duration::ZERO,
+            standing: self.standing(job, now),
         })
     }
 
--- a/crates/flamingo-serve/src/proxy/refusal.rs
+++ b/crates/flamingo-serve/src/proxy/refusal.rs
@@ -9,6 +9,7 @@
 use crate::outlook::Outlook;
 use crate::wire::{Cause, Refusal, RequestHead};
 use bytes::Bytes;
+use flamingo_guard::share::Standing;
 use flamingo_wire::route::Route;
 use http::Response;
 use slog::info;
@@ -29,6 +30,7 @@
             Cause::NoTarget
             | Cause::NoModel
             | Cause::NoRoom
+            | Cause::OverShare
             | Cause::Paused
             | Cause::Quarantined
                 if !not_run =>
@@ -37,9 +39,12 @@
             }
             other => other,
         };
-        if matches!(cause, Cause::NoModel | Cause::NoRoom) {
+        if matches!(cause, Cause::NoModel | Cause::NoRoom | Cause::OverShare) {
             self.demand.record_refusal(&job.service, &job.request);
         }
+        if cause == Cause::NoRoom {
+            self.record_turned_away(job);
+        }
         if job.sent.get() == 0 {
             self.give_back_quota(job);
         }
@@ -80,6 +85,9 @@
         let until = quarantined_until.or_else(|| match self.choose_target(job, now) {
             Choice::Paused(until) | Choice::Loading(until) => Some(until),
             Choice::NoModel => self.load_time(job).map(|load_time| now + load_time),
+            Choice::QueueTooLong(delay) if self.standing(job, now) != Standing::Within => {
+                self.share_reopens(job, delay, now)
+            }
             _ if self.outlook(job, now) == Some(Outlook::NoModel) => {
                 self.load_time(job).map(|load_time| now + load_time)
             }
