--- a/crates/flamingo-ctl/src/trace.rs
+++ b/crates/flamingo-ctl/src/trace.rs
@@ -6,7 +6,8 @@
 
 /// Messages of log lines that name the cause of a failed request. If a request has several,
 /// the last one decides.
-const FAILURE_MESSAGES: [&str; 14] = [
+const FAILURE_MESSAGES: [&str; 15] = [
+    "above its share",
     "adapter not brought",
     "answer replaced",
     "no memory for a body",
--- a/crates/flamingo-guard/src/quota/ledger/bucket.rs
+++ b/crates/flamingo-guard/src/quota/ledger/bucket.rs
@@ -174,7 +174,9 @@
         let cost = non_negative(want.units);
         match decision {
             Decision::Admitted => self.usage.grant(cost, now),
-            Decision::Wait(_) | Decision::TooLarge => self.usage.refuse(cost, now),
+            Decision::Wait(_) => self.usage.refuse(cost, now),
+            // It costs more than the quota ever allows: the workspace is not over its limit.
+            Decision::TooLarge => {}
         }
         decision
     }
--- a/crates/flamingo-guard/src/quota/ledger/promises.rs
+++ b/crates/flamingo-guard/src/quota/ledger/promises.rs
@@ -143,8 +143,13 @@
     }
 
     /// Takes `units` of the promises that have fallen due, for a request that comes back. Returns
-    /// whether there were as many.
+    /// `false`, and takes nothing, if there are not as many.
     pub fn redeem(&mut self, units: f64, now: Instant) -> bool {
+        let due = self.list.iter().take_while(|promise| promise.due <= now);
+        let promised: f64 = due.map(|promise| promise.amount.units).sum();
+        if promised < units * (1.0 - REDEEM_TOLERANCE) {
+            return false;
+        }
         let mut missing = units;
         while let Some(first) = self.list.front_mut().filter(|first| first.due <= now) {
             let taken = first.amount.take(missing.min(first.amount.units));
@@ -154,10 +159,10 @@
             self.learn(taken, 1.0);
             missing -= taken.units;
             if missing <= 0.0 {
-                return true;
+                break;
             }
         }
-        missing <= units * REDEEM_TOLERANCE
+        true
     }
 
     /// Reserves units for a request that is told to come back at `due`, as far as that is possible.
--- a/crates/flamingo-guard/src/quota/terms.rs
+++ b/crates/flamingo-guard/src/quota/terms.rs
@@ -125,8 +125,8 @@
             overage,
             slack,
         } = allowance;
-        let tolerance_s = window.as_secs_f64() * overage;
-        if !tolerance_s.is_finite() || tolerance_s < MIN_TOLERANCE.as_secs_f64() {
+        let tolerance_s = window.as_secs_f64() * overage.min(MAX_TOLERANCE_PART);
+        if !overage.is_finite() || tolerance_s < MIN_TOLERANCE.as_secs_f64() {
             return Err(Problem::Tolerance(tolerance_s));
         }
         if !slack.is_finite() || slack < 0.0 {
--- a/crates/flamingo-guard/src/share.rs
+++ b/crates/flamingo-guard/src/share.rs
@@ -17,21 +17,22 @@
 /// Time after its receipt for which an entry uses what the leader has published.
 pub const LIMITS_LIFETIME: Duration = Duration::from_secs(1);
 
-/// Queueing delay that a request of a workspace above its share may join, as a percentage of the
-/// objective, if it belongs to the part of the work that is within the share.
-const OVER_QUEUE_PERCENT: u32 = 45;
+/// Longest queueing delay at which a request of a workspace above its share is admitted, as a percentage
+/// of the objective, if it belongs to the part of the work that is within the share.
+const WITHIN_QUEUE_PERCENT: u32 = 45;
 /// The same if it belongs to the part that is next to the share. These requests fill the room that the
 /// leader does not know of.
-const EXCESS_QUEUE_PERCENT: u32 = 35;
-/// The same for all others. They come in only where the queue is about to run empty: all entries let
-/// them in at once, and see 200 ms later what that has made of the queue.
-const BEYOND_QUEUE_PERCENT: u32 = 20;
-/// Least values: loads are known 200 ms late, and a shorter queue may run empty before that is known.
-const OVER_QUEUE_MIN: Duration = Duration::from_millis(250);
-const EXCESS_QUEUE_MIN: Duration = Duration::from_millis(150);
-const BEYOND_QUEUE_MIN: Duration = Duration::from_millis(40);
+const NEAR_QUEUE_PERCENT: u32 = 35;
+/// The same for all others. They are admitted only where the queue is about to run empty, since all
+/// entries admit them at once by loads that are up to 200 ms old.
+const ABOVE_QUEUE_PERCENT: u32 = 20;
+/// Least value of the delay for work within the share: loads are up to 200 ms old, and a shorter queue may
+/// run empty before that is known. Work next to the share and above it comes after, with less.
+const WITHIN_QUEUE_MIN: Duration = Duration::from_millis(250);
+const NEAR_QUEUE_MIN: Duration = Duration::from_millis(150);
+const ABOVE_QUEUE_MIN: Duration = Duration::from_millis(40);
 /// Size of the part that is next to the share, relative to the share.
-const EXCESS_PART: f64 = 0.25;
+const NEAR_PART: f64 = 0.25;
 /// Queueing delay, as a percentage of the objective, from which on room counts as short.
 const PRESSED_QUEUE_PERCENT: u32 = 25;
 
@@ -52,13 +53,13 @@
 pub enum Standing {
     /// The workspace is not above its share, or nothing is short.
     #[default]
-    Within,
+    Unlimited,
     /// The workspace is above its share, and the request is in the part of its work that is within it.
-    Over,
+    WithinShare,
     /// The workspace is above its share, and the request is in the part next to it.
-    Excess,
+    NearShare,
     /// The workspace is above its share, and the request is in the part beyond that.
-    Beyond,
+    AboveShare,
 }
 
 impl Standing {
@@ -66,11 +67,11 @@
     /// `draw` is evenly distributed from 0 to 1 over the requests.
     fn of(draw: f64, part: f64) -> Self {
         if draw < part {
-            Self::Over
-        } else if draw < part * (1.0 + EXCESS_PART) {
-            Self::Excess
+            Self::WithinShare
+        } else if draw < part * (1.0 + NEAR_PART) {
+            Self::NearShare
         } else {
-            Self::Beyond
+            Self::AboveShare
         }
     }
 
@@ -81,18 +82,18 @@
     /// use std::time::Duration;
     ///
     /// let objective = Duration::from_secs(1);
-    /// assert_eq!(Standing::Within.max_queue(objective), None);
-    /// let over = Standing::Over.max_queue(objective);
-    /// assert_eq!(over, Some(Duration::from_millis(450)));
-    /// assert!(Standing::Excess.max_queue(objective) < over);
+    /// assert_eq!(Standing::Unlimited.max_queue(objective), None);
+    /// let within = Standing::WithinShare.max_queue(objective);
+    /// assert_eq!(within, Some(Duration::from_millis(450)));
+    /// assert!(Standing::NearShare.max_queue(objective) < within);
     /// ```
     #[must_use]
     pub fn max_queue(self, objective: Duration) -> Option<Duration> {
         let (percent, min) = match self {
-            Self::Within => return None,
-            Self::Over => (OVER_QUEUE_PERCENT, OVER_QUEUE_MIN),
-            Self::Excess => (EXCESS_QUEUE_PERCENT, EXCESS_QUEUE_MIN),
-            Self::Beyond => (BEYOND_QUEUE_PERCENT, BEYOND_QUEUE_MIN),
+            Self::Unlimited => return None,
+            Self::WithinShare => (WITHIN_QUEUE_PERCENT, WITHIN_QUEUE_MIN),
+            Self::NearShare => (NEAR_QUEUE_PERCENT, NEAR_QUEUE_MIN),
+            Self::AboveShare => (ABOVE_QUEUE_PERCENT, ABOVE_QUEUE_MIN),
         };
         Some((objective * percent / 100).max(min))
     }
@@ -117,6 +118,6 @@
 /// ```
 #[must_use]
 pub fn is_pressed(queueing_delay: Duration, objective: Duration) -> bool {
-    let pressed_from = (objective * PRESSED_QUEUE_PERCENT / 100).max(EXCESS_QUEUE_MIN);
+    let pressed_from = (objective * PRESSED_QUEUE_PERCENT / 100).max(NEAR_QUEUE_MIN);
     queueing_delay > pressed_from
 }
--- a/crates/flamingo-guard/src/share/ledger.rs
+++ b/crates/flamingo-guard/src/share/ledger.rs
@@ -51,7 +51,7 @@
 
 /// The workspaces that compete for one capacity.
 #[derive(Debug, Default)]
-struct Market {
+struct Contention {
     works: BTreeMap<id::Workspace, Work>,
     /// Whether work that lacks room was reported since the last judgement. The figures of a past shortage
     /// keep their ratio while they decay.
@@ -60,7 +60,7 @@
     short_until: Option<Instant>,
 }
 
-impl Market {
+impl Contention {
     fn decay(&mut self, factor: f64) {
         self.works.retain(|_, work| {
             work.admitted *= factor;
@@ -125,7 +125,7 @@
 /// ```
 #[derive(Debug)]
 pub struct Ledger {
-    markets: BTreeMap<Pool, Market>,
+    pools: BTreeMap<Pool, Contention>,
     decayed_at: Instant,
     /// What was published last, and when; empty before the first.
     published: Vec<Limit>,
@@ -138,7 +138,7 @@
     #[must_use]
     pub fn new(now: Instant) -> Self {
         Self {
-            markets: BTreeMap::new(),
+            pools: BTreeMap::new(),
             decayed_at: now,
             published: Vec::new(),
             published_at: None,
@@ -158,9 +158,12 @@
                     model,
                     rank: record.rank,
                 };
-                let market = self.markets.entry(pool).or_default();
-                market.lacks_room |= record.refused + record.pressed > 0;
-                let work = market.works.entry(record.workspace.clone()).or_default();
+                let contention = self.pools.entry(pool).or_default();
+                contention.lacks_room |= record.refused > 0 || record.pressed > 0;
+                let work = contention
+                    .works
+                    .entry(record.workspace.clone())
+                    .or_default();
                 work.admitted += f64::from(record.admitted);
                 work.refused += f64::from(record.refused);
                 work.pressed += f64::from(record.pressed);
@@ -203,23 +206,23 @@
         let age = now.saturating_duration_since(self.decayed_at);
         self.decayed_at = now;
         let factor = (-age.as_secs_f64() / WINDOW.as_secs_f64()).exp();
-        self.markets.retain(|_, market| {
-            market.decay(factor);
-            !market.works.is_empty()
+        self.pools.retain(|_, contention| {
+            contention.decay(factor);
+            !contention.works.is_empty()
         });
     }
 
     /// Returns the workspaces above their share, in the order of pools and names.
     fn find_excesses(&mut self, now: Instant) -> Vec<Excess> {
         let mut excesses = Vec::new();
-        for (pool, market) in &mut self.markets {
-            if !market.is_short(now) {
+        for (pool, contention) in &mut self.pools {
+            if !contention.is_short(now) {
                 continue;
             }
-            let Some(level) = market.level() else {
+            let Some(level) = contention.level() else {
                 continue;
             };
-            let works = market.works.iter();
+            let works = contention.works.iter();
             let above = works.filter(|(_, work)| work.asked() > level * (1.0 + TOLERANCE));
             excesses.extend(above.map(|(workspace, work)| excess(pool, workspace, work, level)));
         }
--- a/crates/flamingo-guard/src/share/limits.rs
+++ b/crates/flamingo-guard/src/share/limits.rs
@@ -26,12 +26,12 @@
 /// let pool = Pool { service: "s".into(), model: Some("m".into()), rank: 1 };
 /// let mut limits = Limits::default();
 /// limits.replace(&[limit], now);
-/// assert_eq!(limits.standing(&pool, "a", 0.3, now), Standing::Over);
-/// assert_eq!(limits.standing(&pool, "a", 0.45, now), Standing::Excess);
-/// assert_eq!(limits.standing(&pool, "a", 0.6, now), Standing::Beyond);
-/// assert_eq!(limits.standing(&pool, "b", 0.5, now), Standing::Within);
+/// assert_eq!(limits.standing(&pool, "a", 0.3, now), Standing::WithinShare);
+/// assert_eq!(limits.standing(&pool, "a", 0.45, now), Standing::NearShare);
+/// assert_eq!(limits.standing(&pool, "a", 0.6, now), Standing::AboveShare);
+/// assert_eq!(limits.standing(&pool, "b", 0.5, now), Standing::Unlimited);
 /// let later = now + LIMITS_LIFETIME;
-/// assert_eq!(limits.standing(&pool, "a", 0.6, later), Standing::Within);
+/// assert_eq!(limits.standing(&pool, "a", 0.6, later), Standing::Unlimited);
 /// ```
 #[derive(Debug, Default)]
 pub struct Limits {
@@ -61,7 +61,7 @@
     #[must_use]
     pub fn standing(&self, pool: &Pool, workspace: &str, draw: f64, now: Instant) -> Standing {
         if self.parts.is_empty() || self.until.is_none_or(|until| now >= until) {
-            return Standing::Within;
+            return Standing::Unlimited;
         }
         let whole = Pool {
             model: None,
@@ -69,7 +69,7 @@
         };
         let part = |pool: Pool| self.parts.get(&(pool, workspace.to_owned()));
         match part(pool.clone()).into_iter().chain(part(whole)).min() {
-            None => Standing::Within,
+            None => Standing::Unlimited,
             Some(permille) => Standing::of(draw, f64::from(*permille) / 1_000.0),
         }
     }
--- a/crates/flamingo-guard/tests/quota/terms.rs
+++ b/crates/flamingo-guard/tests/quota/terms.rs
@@ -64,5 +64,6 @@
     no_window_is_refused(Allowance { window: Duration::ZERO, ..SHORT }, Problem::Tolerance(0.0));
     no_overage_is_refused(Allowance { overage: 0.0, ..SHORT }, Problem::Tolerance(0.0));
     too_little_overage_is_refused(Allowance { overage: 0.01, ..SHORT }, Problem::Tolerance(0.04));
+    more_overage_than_counts_is_refused(Allowance { window: Duration::from_millis(100), overage: 1.0, ..SHORT }, Problem::Tolerance(0.05));
     a_negative_slack_is_refused(Allowance { slack: -1.0, ..SHORT }, Problem::Slack(-1.0));
 }
--- a/crates/flamingo-guard/tests/share.rs
+++ b/crates/flamingo-guard/tests/share.rs
@@ -129,8 +129,8 @@
     };
     let mut entry = Limits::default();
     entry.replace(&limits, now);
-    assert_eq!(entry.standing(&pool, "b", 0.9, now), Standing::Beyond);
+    assert_eq!(entry.standing(&pool, "b", 0.9, now), Standing::AboveShare);
     let later = now + LIMITS_LIFETIME;
-    assert_eq!(entry.standing(&pool, "b", 0.9, later), Standing::Within);
+    assert_eq!(entry.standing(&pool, "b", 0.9, later), Standing::Unlimited);
     assert_eq!(entry.count(later), 0);
 }
--- a/crates/flamingo-serve/src/admission.rs
+++ b/crates/flamingo-serve/src/admission.rs
@@ -59,7 +59,7 @@
     ///     remaining: Duration::from_secs(4),
     ///     has_begun: false,
     ///     queueing_delay: Duration::from_millis(500),
-    ///     standing: Standing::Within,
+    ///     standing: Standing::Unlimited,
     /// };
     /// assert!(timing.admitted());
     /// let delayed = Timing { queueing_delay: Duration::from_secs(1), ..timing };
@@ -89,7 +89,7 @@
     ///     remaining: Duration::from_secs(4),
     ///     has_begun: false,
     ///     queueing_delay: Duration::ZERO,
-    ///     standing: Standing::Within,
+    ///     standing: Standing::Unlimited,
     /// };
     /// assert!(timing.admitted_late(Duration::from_millis(1_900)));
     /// assert!(!timing.admitted_late(Duration::from_millis(2_100)));
--- a/crates/flamingo-serve/src/choice.rs
+++ b/crates/flamingo-serve/src/choice.rs
@@ -311,7 +311,7 @@
 /// would refuse requests for one long queue.
 fn queue_beyond_share(candidates: &[Candidate], required: &Requirements<'_>) -> Option<Duration> {
     let timing = required.timing.filter(|_| !required.late)?;
-    if timing.has_begun || timing.standing == Standing::Within {
+    if timing.has_begun || timing.standing == Standing::Unlimited {
         return None;
     }
     let delays = candidates.iter().map(|candidate| candidate.queueing_delay);
--- a/crates/flamingo-serve/src/metrics/workspace.rs
+++ b/crates/flamingo-serve/src/metrics/workspace.rs
@@ -15,7 +15,8 @@
 #[derive(Clone, Copy, Debug, EnumIter, Eq, IntoStaticStr, PartialEq)]
 #[strum(serialize_all = "snake_case")]
 pub enum Outcome {
-    /// It came with a key of the workspace. Each request counts here, and once more by its end.
+    /// It came with a key of the workspace. Each request counts here; one that ends otherwise than below,
+    /// such as by a caller who leaves, has no further outcome.
     Received,
     /// A target answered it.
     Served,
--- a/crates/flamingo-serve/src/proxy/loading.rs
+++ b/crates/flamingo-serve/src/proxy/loading.rs
@@ -69,7 +69,7 @@
         };
         let key = (job.service.clone(), model);
         let timing = Timing {
-            standing: Standing::Within,
+            standing: Standing::Unlimited,
             queueing_delay: ready_at.saturating_duration_since(now) + self.waiting_delay(&key),
             ..timing
         };
--- a/crates/flamingo-serve/src/proxy/quota.rs
+++ b/crates/flamingo-serve/src/proxy/quota.rs
@@ -23,12 +23,12 @@
 const RETRY_AFTER_UNIT_MS: u128 = 10;
 
 /// A request whose cost is given back if its caller leaves before anything was sent.
-pub(super) struct Unsent<'a> {
+pub(super) struct Refund<'a> {
     pub proxy: &'a Proxy,
     pub job: &'a Job,
 }
 
-impl Drop for Unsent<'_> {
+impl Drop for Refund<'_> {
     fn drop(&mut self) {
         if self.job.sent.get() == 0 {
             self.proxy.give_back_quota(self.job);
--- a/crates/flamingo-serve/src/proxy/refusal.rs
+++ b/crates/flamingo-serve/src/proxy/refusal.rs
@@ -42,7 +42,7 @@
         if matches!(cause, Cause::NoModel | Cause::NoRoom | Cause::OverShare) {
             self.demand.record_refusal(&job.service, &job.request);
         }
-        if cause == Cause::NoRoom {
+        if job.turned_away.get() && job.limit(cause) == Some(Limit::Room) {
             self.record_turned_away(job);
         }
         if job.sent.get() == 0 {
@@ -85,7 +85,7 @@
         let until = quarantined_until.or_else(|| match self.choose_target(job, now) {
             Choice::Paused(until) | Choice::Loading(until) => Some(until),
             Choice::NoModel => self.load_time(job).map(|load_time| now + load_time),
-            Choice::QueueTooLong(delay) if self.standing(job, now) != Standing::Within => {
+            Choice::QueueTooLong(delay) if self.standing(job, now) != Standing::Unlimited => {
                 self.share_reopens(job, delay, now)
             }
             _ if self.outlook(job, now) == Some(Outlook::NoModel) => {
--- a/crates/flamingo-serve/src/proxy/share.rs
+++ b/crates/flamingo-serve/src/proxy/share.rs
@@ -1,4 +1,4 @@
-//! Holds requests of workspaces above their share of what is short to shorter queues.
+//! Limits the queueing delay of requests from workspaces that exceed their fair share.
 
 use super::Proxy;
 use super::job::{AttemptError, Job};
@@ -20,7 +20,9 @@
     /// the request belongs to.
     draw: f64,
     /// Whether it was counted as let in.
-    let_in: Cell<bool>,
+    admitted: Cell<bool>,
+    /// Whether it was counted as lacking room after it had been let in.
+    pressed: Cell<bool>,
     /// Whether it was counted as begun.
     begun: Cell<bool>,
 }
@@ -34,7 +36,8 @@
         let bits = u32::try_from(hasher.finish() >> 32).unwrap_or(u32::MAX);
         Self {
             draw: f64::from(bits) / f64::from(u32::MAX),
-            let_in: Cell::new(false),
+            admitted: Cell::new(false),
+            pressed: Cell::new(false),
             begun: Cell::new(false),
         }
     }
@@ -44,11 +47,11 @@
     /// Returns how a request stands to the share of its workspace. Once it was let in, or goes on with a
     /// stream, it is not limited any more.
     pub(super) fn standing(&self, job: &Job, now: Instant) -> Standing {
-        if job.sent.get() > 0 || job.goes_on() || job.share.let_in.get() {
-            return Standing::Within;
+        if job.sent.get() > 0 || job.goes_on() || job.share.admitted.get() {
+            return Standing::Unlimited;
         }
         let Some(workspace) = sharer(job) else {
-            return Standing::Within;
+            return Standing::Unlimited;
         };
         let shares = self.topology.shares.borrow();
         shares.standing(&pool(job), workspace, job.share.draw, now)
@@ -61,7 +64,8 @@
         job: &Job,
         candidate: &Candidate,
     ) -> Result<(), AttemptError> {
-        if sharer(job).is_none() || job.sent.get() > 0 || job.goes_on() || job.share.let_in.get() {
+        if sharer(job).is_none() || job.sent.get() > 0 || job.goes_on() || job.share.admitted.get()
+        {
             return Ok(());
         }
         let objective = objective(job);
@@ -81,7 +85,8 @@
         } else {
             Event::Admitted
         };
-        job.share.let_in.set(true);
+        job.share.admitted.set(true);
+        job.share.pressed.set(is_pressed);
         self.record_share(job, event);
         Ok(())
     }
@@ -90,11 +95,11 @@
     /// had been let in without that.
     pub(super) fn record_no_room(&self, job: &Job, delay: Duration, now: Instant) -> Cause {
         let standing = self.standing(job, now);
-        if !job.share.let_in.get() {
+        if !job.share.admitted.get() {
             self.record_share(job, Event::Refused);
         }
         let request = &job.request;
-        if standing == Standing::Within || !self.is_room_without_share(job, delay, now) {
+        if standing == Standing::Unlimited || !self.is_room_without_share(job, delay, now) {
             info!(self.log, "no room"; "request" => &request.attempt_id,
                 "workspace" => &request.workspace, "limit" => Limit::name(Cause::NoRoom),
                 "version" => request.configuration, "wait_ms" => delay.as_millis());
@@ -112,14 +117,14 @@
 
     /// Counts a request that a target has begun to answer: from these, the leader knows the capacity.
     pub(super) fn record_share_begun(&self, job: &Job) {
-        if job.share.let_in.get() && !job.share.begun.replace(true) {
+        if job.share.admitted.get() && !job.share.begun.replace(true) {
             self.record_share(job, Event::Begun);
         }
     }
 
     /// Counts a request that was let in and that targets have turned away.
     pub(super) fn record_turned_away(&self, job: &Job) {
-        if job.share.let_in.get() {
+        if job.share.admitted.get() && !job.share.pressed.replace(true) {
             self.record_share(job, Event::TurnedAway);
         }
     }
@@ -139,7 +144,7 @@
     /// Returns whether a request that finds this queue would be let in if there were no shares.
     fn is_room_without_share(&self, job: &Job, delay: Duration, now: Instant) -> bool {
         let timing = self.timing(job, now).map(|timing| Timing {
-            standing: Standing::Within,
+            standing: Standing::Unlimited,
             queueing_delay: delay,
             ..timing
         });
--- a/crates/flamingo-serve/src/table.rs
+++ b/crates/flamingo-serve/src/table.rs
@@ -41,6 +41,8 @@
 #[derive(Debug, Default)]
 pub struct Table {
     targets: BTreeMap<id::Target, Target>,
+    /// Loads of all entries, as the leader published them; also of targets that are not known yet.
+    loads: HashMap<id::Target, target::Load>,
     /// What removed targets said that still holds if they register again, and until when it is kept.
     departed: HashMap<(id::Target, id::Incarnation), (Availability, Instant)>,
     speeds: HashMap<id::Service, Speed>,
@@ -79,10 +81,7 @@
                 }
             }
             Push::Loads(loads) => {
-                for target in self.targets.values_mut() {
-                    target.total = InFlight::default();
-                    target.shared_limit = None;
-                }
+                self.loads.clear();
                 self.apply_loads(loads);
             }
             Push::LoadChanges(loads) => self.apply_loads(loads),
@@ -95,20 +94,18 @@
     /// entry last reported.
     fn apply_loads(&mut self, loads: &[target::Load]) {
         for load in loads {
-            let Some(target) = self.targets.get_mut(&load.target) else {
-                continue;
-            };
-            target.total = InFlight {
-                running: load.running,
-                backlog: load.backlog,
-            };
+            self.loads.insert(load.target.clone(), load.clone());
+        }
+        for (id, target) in &mut self.targets {
+            let load = self.loads.get(id);
+            let limit = load.and_then(|load| load.limit.as_ref());
             let incarnation = target.registration.incarnation;
-            let limit = load.limit.as_ref();
             let limit = limit.filter(|limit| limit.incarnation == incarnation);
             target.shared_limit = limit.map(|limit| limit.per_s);
-        }
-        for target in self.targets.values_mut() {
-            let mut others = target.total;
+            let mut others = load.map_or_else(InFlight::default, |load| InFlight {
+                running: load.running,
+                backlog: load.backlog,
+            });
             others.running = others.running.saturating_sub(target.reported.running);
             for (tokens, reported) in others.backlog.iter_mut().zip(target.reported.backlog) {
                 *tokens = tokens.saturating_sub(reported);
--- a/crates/flamingo-serve/src/table/state.rs
+++ b/crates/flamingo-serve/src/table/state.rs
@@ -84,8 +84,6 @@
     pub(super) adapters_in_use: BTreeMap<(id::Model, id::Adapter), u32>,
     /// Requests of this entry, as last reported to the leader.
     pub(super) reported: InFlight,
-    /// Requests of all entries, as the leader last published them.
-    pub(super) total: InFlight,
     /// How long work takes now, relative to the usual time.
     pub pace: Pace,
     /// Time of work relative to other targets.
@@ -123,7 +121,6 @@
             loading: None,
             adapters_in_use: BTreeMap::new(),
             reported: InFlight::default(),
-            total: InFlight::default(),
             pace: Pace::default(),
             factor: Ratio::default(),
             availability: Availability::default(),
--- a/crates/flamingo-serve/tests/departure.rs
+++ b/crates/flamingo-serve/tests/departure.rs
@@ -286,7 +286,7 @@
         can_load_adapters: true,
         entries,
         timing: Some(Timing {
-            standing: Standing::Within,
+            standing: Standing::Unlimited,
             elapsed: terms.elapsed,
             objective: terms.objective,
             remaining: Duration::from_secs(15),
--- a/crates/flamingo-serve/tests/herd.rs
+++ b/crates/flamingo-serve/tests/herd.rs
@@ -181,7 +181,7 @@
         table.record_prompt_tokens("s", "m", 2_000, now);
     }
     let timing = Timing {
-        standing: Standing::Within,
+        standing: Standing::Unlimited,
         elapsed: Duration::ZERO,
         objective: Duration::from_millis(600),
         remaining: Duration::from_secs(4),
@@ -272,7 +272,7 @@
     let mut random = ChaCha8Rng::seed_from_u64(seed());
     let mut fraction = move || (f64::from(random.next_u32()) + 0.5) / (f64::from(u32::MAX) + 1.0);
     let timing = Timing {
-        standing: Standing::Within,
+        standing: Standing::Unlimited,
         elapsed: Duration::ZERO,
         objective: UNEVEN_OBJECTIVE,
         remaining: Duration::from_secs(4),
--- a/crates/flamingo-serve/tests/late.rs
+++ b/crates/flamingo-serve/tests/late.rs
@@ -45,7 +45,7 @@
         can_load_adapters: true,
         entries: ENTRIES,
         timing: Some(Timing {
-            standing: Standing::Within,
+            standing: Standing::Unlimited,
             elapsed: Duration::ZERO,
             objective: Duration::from_millis(OBJECTIVE_MS),
             remaining: Duration::from_millis(remaining_ms),
--- a/crates/flamingo-serve/tests/load.rs
+++ b/crates/flamingo-serve/tests/load.rs
@@ -143,7 +143,7 @@
         let pause = (load.pause)(all.requests);
         let candidate = choose_target(&table, &request(tokens), now);
         let timing = Timing {
-            standing: Standing::Within,
+            standing: Standing::Unlimited,
             elapsed: Duration::ZERO,
             objective: OBJECTIVE,
             remaining: MAX_WAIT,
--- a/crates/flamingo-serve/tests/published_loads.rs
+++ b/crates/flamingo-serve/tests/published_loads.rs
@@ -25,3 +25,19 @@
     table.apply(now, &Push::Loads(vec![load("b", 1)]));
     assert_eq!(others(&table), [0, 1]);
 }
+
+/// Guards against a busy target that counts as idle because its load came before its registration.
+#[test]
+fn the_load_of_a_target_that_registers_later_is_kept() {
+    let now = Instant::now();
+    let mut table = Table::default();
+    let load = Load {
+        target: "a".into(),
+        running: 3,
+        ..Load::default()
+    };
+    table.apply(now, &Push::LoadChanges(vec![load]));
+    table.apply(now, &Push::Targets(vec![registration("a")]));
+    table.apply(now, &Push::LoadChanges(Vec::new()));
+    assert_eq!(table.get("a").expect("known").others.running, 3);
+}
--- a/crates/flamingo-serve/tests/urgency.rs
+++ b/crates/flamingo-serve/tests/urgency.rs
@@ -147,7 +147,7 @@
             can_load_adapters: true,
             entries: ENTRIES,
             timing: Some(Timing {
-                standing: Standing::Within,
+                standing: Standing::Unlimited,
                 elapsed: Duration::ZERO,
                 objective,
                 remaining: max_wait,
--- a/crates/flamingo-settings/src/set/workspace.rs
+++ b/crates/flamingo-settings/src/set/workspace.rs
@@ -44,8 +44,8 @@
     let per_s = figure(reader, &section, "rate");
     let burst = figure(reader, &section, "burst");
     let plain_units = figure(reader, &section, "plain_cost");
-    let has_unit = reader.raw(&section, "unit").is_some();
-    if per_s.is_none() && (has_unit || burst.is_some() || plain_units.is_some()) {
+    let mut has = |key| reader.raw(&section, key).is_some();
+    if !has("rate") && ["unit", "burst", "plain_cost"].into_iter().any(has) {
         reader.problem(&section, "rate", "missing", FIGURE);
     }
     let quota = per_s.map(|per_s| Quota {
--- a/crates/flamingo-wire/src/quota.rs
+++ b/crates/flamingo-wire/src/quota.rs
@@ -29,21 +29,24 @@
     }
 }
 
-/// Rounds units down to what is written in few bytes: whole units, or sixteenths of small numbers.
+/// Rounds units down to what is written in few bytes: whole units, sixteenths of numbers below 100, or
+/// 4,096ths below 1: a rate of a request in some seconds must not become 0.
 ///
 /// ```
 /// use flamingo_wire::quota::round_down;
 ///
 /// assert_eq!(round_down(2_500.7), 2_500.0);
-/// assert_eq!(round_down(0.7), 0.6875);
+/// assert_eq!(round_down(2.7), 2.6875);
+/// assert_eq!(round_down(0.015_7), 0.015_625);
 /// ```
 #[must_use]
 pub fn round_down(units: f64) -> f64 {
-    if units < 100.0 {
-        (units * 16.0).floor() / 16.0
-    } else {
-        units.floor()
-    }
+    let parts = match units {
+        units if units < 1.0 => 4_096.0,
+        units if units < 100.0 => 16.0,
+        _ => 1.0,
+    };
+    (units * parts).floor() / parts
 }
 
 /// What an entry holds and wants. Each question is a snapshot, so that a lost one changes nothing.
--- a/crates/flamingo-wire/src/share.rs
+++ b/crates/flamingo-wire/src/share.rs
@@ -23,7 +23,8 @@
     pub admitted: u32,
     /// Work that was rejected for lack of room or by a limit.
     pub refused: u32,
-    /// Part of `admitted` that had to join a long queue, or that targets turned away.
+    /// Work that had to join a long queue, or that targets turned away; it may have been let in before an
+    /// earlier report.
     pub pressed: u32,
     /// Work that targets have begun to answer; requests of earlier reports are among it.
     pub begun: u32,
