--- a/crates/flamingo-serve/src/proxy.rs
+++ b/crates/flamingo-serve/src/proxy.rs
@@ -320,7 +320,7 @@
 
     /// Returns the response of a target, or gives up at the end of the process.
     async fn run(self: Rc<Self>, job: Rc<Job>) -> Response<Body> {
-        let _unsent = quota::Refund {
+        let _refund = quota::Refund {
             proxy: &self,
             job: &job,
         };
