--- a/crates/flamingo-place/src/fit.rs
+++ b/crates/flamingo-place/src/fit.rs
@@ -62,6 +62,7 @@
 ///     copies: 2,
 ///     importance: 1,
 ///     adapters: Vec::new(),
+///     anonymous: false,
 /// };
 /// let set = Set { models: vec![model], ..Set::default() };
 /// assert!(fit::check(&set, &[16_000, 16_000]).is_ok());
