--- a/crates/flamingo-test-support/src/group.rs
+++ b/crates/flamingo-test-support/src/group.rs
@@ -76,7 +76,8 @@
     committed: BTreeMap<id::Index, Entry>,
     leaders: BTreeMap<id::Term, id::Node>,
     wiped: BTreeMap<id::Node, u64>,
-    seeded: usize,
+    /// Members that the settings of the next member to start name as seeds.
+    seeds: Vec<usize>,
     membership: MembershipPolicy,
 }
 
@@ -105,7 +106,7 @@
 
     fn build(count: usize, seeded: usize, membership: MembershipPolicy, seed: u64) -> Self {
         let mut group = Self {
-            seeded,
+            seeds: (0..seeded).collect(),
             membership,
             now: Instant::now(),
             nodes: Vec::new(),
@@ -119,22 +120,8 @@
             leaders: BTreeMap::new(),
             wiped: BTreeMap::new(),
         };
-        for n in 0..count {
-            let storage = group.storage();
-            group.nodes.push(Node {
-                name: name(n),
-                raft: None,
-                applied: Vec::new(),
-                frozen: false,
-                full: false,
-                no_room: false,
-                stored: Stored {
-                    storage,
-                    ..Stored::default()
-                },
-                pending: Vec::new(),
-                synced: 0,
-            });
+        for _ in 0..count {
+            group.add_node();
         }
         for n in 0..count {
             group.start(n);
@@ -142,6 +129,66 @@
         group
     }
 
+    /// Adds a member with an empty disk, which does not run yet.
+    fn add_node(&mut self) -> usize {
+        let n = self.nodes.len();
+        let storage = self.storage();
+        self.nodes.push(Node {
+            name: name(n),
+            raft: None,
+            applied: Vec::new(),
+            frozen: false,
+            full: false,
+            no_room: false,
+            stored: Stored {
+                storage,
+                ..Stored::default()
+            },
+            pending: Vec::new(),
+            synced: 0,
+        });
+        n
+    }
+
+    /// Names the seeds in the settings of members that start from now on.
+    pub fn set_seeds(&mut self, seeds: &[usize]) {
+        self.seeds = seeds.to_vec();
+    }
+
+    /// Names other seeds in the settings of a running member, which reads them again.
+    pub fn rename_seeds(&mut self, n: usize, seeds: &[usize]) {
+        self.set_seeds(seeds);
+        let seeds = self.seed_list();
+        self.with_raft(n, |raft, _| raft.update_seeds(seeds));
+    }
+
+    fn seed_list(&self) -> Vec<Seed> {
+        let seeds = self.seeds.iter().map(|n| Seed {
+            node: name(*n),
+            address: address(*n),
+        });
+        seeds.collect()
+    }
+
+    /// Starts a new member with an empty disk, whose settings name `seeds`. Returns its number.
+    pub fn join(&mut self, seeds: &[usize]) -> usize {
+        self.set_seeds(seeds);
+        let n = self.add_node();
+        self.start(n);
+        n
+    }
+
+    /// Starts a member that was killed, with an empty disk, as after a loss of its disk.
+    pub fn restart_empty(&mut self, n: usize) {
+        self.crash(n);
+        let storage = self.storage();
+        self.nodes[n].stored = Stored {
+            storage,
+            ..Stored::default()
+        };
+        self.start(n);
+    }
+
     fn storage(&mut self) -> u64 {
         self.storages += 1;
         self.storages
@@ -163,11 +210,7 @@
         if self.nodes[n].raft.is_some() {
             return;
         }
-        let seeds = (0..self.seeded).map(|n| Seed {
-            node: name(n),
-            address: address(n),
-        });
-        let seeds = seeds.collect();
+        let seeds = self.seed_list();
         let seed = self.random();
         let node = &mut self.nodes[n];
         let options = Options {
