Control says who is listed, who votes, and how many voters the leader reaches

Each instance now writes a line `members` for each change of its list and `no vote`, after 2 s, 4 s, 8 s and so on, while it has none; three gauges tell the same. No decision changes.

--- a/crates/flamingo-control/src/metrics.rs
+++ b/crates/flamingo-control/src/metrics.rs
@@ -32,6 +32,12 @@
     pub disk_failed: IntGauge,
     /// 1 while the disk has no room.
     pub disk_full: IntGauge,
+    /// 1 while this instance votes.
+    pub votes: IntGauge,
+    /// Voters in the member list of this instance.
+    pub voters: IntGauge,
+    /// Voters that the leader reaches, itself included; -1 where this instance does not lead.
+    pub voters_reached: IntGauge,
     /// Commands proposed to the log by this instance.
     pub proposals: IntCounter,
     /// Bytes of pushes to followers, by kind and by whether another instance pushed them first.
@@ -89,6 +95,12 @@
                 .gauge("flamingo_control_disk_failed", "1 once the disk has failed")?,
             disk_full: registry
                 .gauge("flamingo_control_disk_full", "1 while the disk has no room")?,
+            votes: registry.gauge("flamingo_control_votes", "1 while this instance votes")?,
+            voters: registry.gauge("flamingo_control_voters", "voters in the member list")?,
+            voters_reached: registry.gauge(
+                "flamingo_control_voters_reached",
+                "voters that the leader reaches, itself included; -1 elsewhere",
+            )?,
             proposals: registry.counter(
                 "flamingo_control_proposals_total",
                 "commands proposed by this instance",
--- a/crates/flamingo-control/src/raft_actor.rs
+++ b/crates/flamingo-control/src/raft_actor.rs
@@ -8,6 +8,7 @@
 
 mod actions;
 mod forward;
+mod membership;
 mod messages;
 mod proposals;
 mod requests;
@@ -141,6 +142,7 @@
     /// Bytes of commands applied since the last snapshot.
     bytes_since_snapshot: usize,
     ticks: Ticks,
+    observer: membership::Observer,
 }
 
 impl std::fmt::Debug for RaftActor {
@@ -189,6 +191,7 @@
             stopping: false,
             bytes_since_snapshot: 0,
             ticks: Ticks::default(),
+            observer: membership::Observer::default(),
         }
     }
 
@@ -258,6 +261,7 @@
         self.update_links();
         self.run_leader_tasks(now, ctx);
         self.update_metrics(now);
+        self.observe_membership(now);
     }
 
     /// Runs the leader tasks while this instance leads, and proposes the commands they return.
--- a/crates/flamingo-log/src/raft/election.rs
+++ b/crates/flamingo-log/src/raft/election.rs
@@ -118,7 +118,8 @@
 
     /// Returns whether the member list names this member, with this data folder, as a
     /// voter.
-    fn is_voter(&self) -> bool {
+    #[must_use]
+    pub fn is_voter(&self) -> bool {
         let member = self.member(&self.node);
         member.is_some_and(|member| member.votes && member.storage == self.storage)
     }
--- a/crates/flamingo-log/src/raft/leader.rs
+++ b/crates/flamingo-log/src/raft/leader.rs
@@ -195,6 +195,13 @@
         contacts.get(others.checked_sub(1)?).copied().flatten()
     }
 
+    /// Returns the number of other voters that have answered a heartbeat sent at `since` or later.
+    pub fn voters_heard_since(&self, since: Instant) -> usize {
+        let voters = self.peers.values().filter(|peer| peer.votes);
+        let heard = voters.filter(|peer| peer.last_contact.is_some_and(|at| at >= since));
+        heard.count()
+    }
+
     /// Returns until when the leader may answer reads; `None` before a majority answered.
     pub fn lease_end(&self, timing: &Timing) -> Option<Instant> {
         self.majority_contact().map(|at| at + timing.lease)
--- a/crates/flamingo-log/src/raft/view.rs
+++ b/crates/flamingo-log/src/raft/view.rs
@@ -28,6 +28,17 @@
         }
     }
 
+    /// Returns the number of voters, this member included, that have answered within the election timeout;
+    /// `None` where this member does not lead.
+    #[must_use]
+    pub fn reached_voters(&self, now: Instant) -> Option<usize> {
+        let RoleState::Leader(leader) = &self.role_state else {
+            return None;
+        };
+        let since = now.checked_sub(self.timing.election)?;
+        Some(leader.voters_heard_since(since) + usize::from(self.is_voter()))
+    }
+
     /// Returns whether this member may answer reads from the committed state at `now`.
     ///
     /// This holds for a leader whose lease has not ended, so that no other member can have
