An instance joins the log though none of its seeds leads

Callers of the large deployment were refused with routes that an acknowledged change had added, and the configuration could not be read back, after control instances had been replaced.

Cause: an instance without a place in the member list asks its seeds, three of five there, to be listed. Only a leader acts on that. A follower dropped the request, and a message to an unlisted instance found no stream. An instance none of whose seeds led was never listed, the one that it replaced kept its place among the five voters, and after two such losses one more left no majority for good. Small deployments have as many seeds as control instances.

Change: a follower that is asked names the leader to the instance (Body::Referral), which then asks the leader. A member that was removed while it was away, and still votes by its own list, follows a referral as well.

Control instances have to be upgraded together: the message is new.

--- a/crates/flamingo-control/src/raft_actor/actions.rs
+++ b/crates/flamingo-control/src/raft_actor/actions.rs
@@ -186,7 +186,7 @@
         self.raft.snapshot_index()
     }
 
-    /// Opens a stream to each other member and seed, and drops the streams to all others.
+    /// Opens a stream to each other member, seed and contact, and drops the streams to all others.
     pub(super) fn update_links(&mut self) {
         let others = self.others();
         self.links
@@ -200,19 +200,17 @@
         }
     }
 
-    /// Returns the members other than this instance, and the seeds that are not members.
+    /// Returns the members other than this instance, and the seeds and contacts that are not members.
     fn others(&self) -> Vec<(id::Node, SocketAddr)> {
         let members = self.raft.members().iter();
         let members = members.map(|member| (member.node.clone(), member.address));
-        let seeds = self
-            .raft
-            .seeds()
-            .iter()
-            .map(|seed| (seed.node.clone(), seed.address));
+        let seeds = self.raft.seeds().iter().cloned();
+        let unlisted = seeds.chain(self.raft.contacts());
+        let unlisted = unlisted.map(|seed| (seed.node, seed.address));
         let listed = |node: &str| self.raft.members().iter().any(|member| member.node == node);
-        let seeds = seeds.filter(|(node, _)| !listed(node));
+        let unlisted = unlisted.filter(|(node, _)| !listed(node));
         members
-            .chain(seeds)
+            .chain(unlisted)
             .filter(|(node, _)| node != &self.node)
             .collect()
     }
--- a/crates/flamingo-log/src/message.rs
+++ b/crates/flamingo-log/src/message.rs
@@ -80,6 +80,13 @@
         /// Address at which it accepts messages of other instances.
         address: SocketAddr,
     },
+    /// Replies to [`Body::Join`] of an instance that the sender can't add: names the leader, which can.
+    Referral {
+        /// Name of the leader.
+        leader: id::Node,
+        /// Address at which it accepts messages of other instances.
+        address: SocketAddr,
+    },
     /// A leader that steps down asks the receiver to start an election at once.
     #[serde(rename = "Transfer")]
     TimeoutNow,
--- a/crates/flamingo-log/src/raft.rs
+++ b/crates/flamingo-log/src/raft.rs
@@ -6,6 +6,7 @@
 //! caller counts the [`Action::Write`]s that it received and reports with [`Raft::synced`]
 //! how many of them are synced.
 
+mod contacts;
 mod election;
 mod formation;
 mod journal;
@@ -18,6 +19,7 @@
 use crate::entry::{Entry, Payload, Record, Snapshot, Storage, Vote};
 use crate::message::{Body, Message};
 use crate::timing::Timing;
+use contacts::Contacts;
 use flamingo_wire::id;
 use journal::Journal;
 use leader::Leader;
@@ -190,6 +192,7 @@
     /// When the next election, heartbeat or request to join is due.
     next_action_at: Instant,
     unformed_seeds: BTreeMap<id::Node, Storage>,
+    contacts: Contacts,
     partial_snapshot: Option<PartialSnapshot>,
     unsynced_messages: VecDeque<PendingMessage>,
     issued_writes: u64,
@@ -224,6 +227,7 @@
             vote_blocked_until: now + options.timing.election,
             next_action_at: now,
             unformed_seeds: BTreeMap::new(),
+            contacts: Contacts::default(),
             partial_snapshot: None,
             unsynced_messages: VecDeque::new(),
             issued_writes: 0,
@@ -264,6 +268,7 @@
     pub fn tick(&mut self, now: Instant) {
         self.step_down_if_expired(now);
         self.record_commit();
+        self.contacts.expire(now);
         if now < self.next_action_at {
             return;
         }
@@ -323,6 +328,9 @@
                 self.install_initial_members(now, cluster, members);
             }
             Body::Join { address } => self.handle_join(now, &from, from_storage, address),
+            Body::Referral { leader, address } if addressed => {
+                self.handle_referral(now, &leader, address);
+            }
             Body::TimeoutNow if addressed && term == self.vote.term => {
                 self.campaign(now, false, true);
             }
--- a/crates/flamingo-log/src/raft/election.rs
+++ b/crates/flamingo-log/src/raft/election.rs
@@ -67,9 +67,11 @@
         let keeps_term = match &message.body {
             Body::RequestVote(request) => request.pre,
             Body::VoteReply { pre, granted } => *pre && *granted,
-            Body::QueryUnformed | Body::Unformed | Body::InitialMembers(_) | Body::Join { .. } => {
-                true
-            }
+            Body::QueryUnformed
+            | Body::Unformed
+            | Body::InitialMembers(_)
+            | Body::Join { .. }
+            | Body::Referral { .. } => true,
             _ => false,
         };
         if keeps_term || message.term <= self.vote.term {
--- a/crates/flamingo-log/src/raft/formation.rs
+++ b/crates/flamingo-log/src/raft/formation.rs
@@ -35,12 +35,14 @@
         }
     }
 
-    /// Returns the names of the other members, from the member list and from the settings.
+    /// Returns the names of the other members, from the member list and from the settings, and those of
+    /// leaders that others have named.
     fn others(&self) -> BTreeSet<id::Node> {
-        let seeds = self.seeds.iter().map(|seed| &seed.node);
-        let peers = self.peers().map(|peer| &peer.node);
-        let others = seeds.chain(peers).filter(|node| **node != self.node);
-        others.cloned().collect()
+        let seeds = self.seeds.iter().map(|seed| seed.node.clone());
+        let peers = self.peers().map(|peer| peer.node.clone());
+        let contacts = self.contacts.iter().map(|contact| contact.node);
+        let others = seeds.chain(peers).chain(contacts);
+        others.filter(|node| *node != self.node).collect()
     }
 
     /// Returns whether this member may make the first list: the seed with the lowest name
--- a/crates/flamingo-log/src/raft/membership.rs
+++ b/crates/flamingo-log/src/raft/membership.rs
@@ -88,17 +88,58 @@
         if !self.has_member_list() {
             return;
         }
-        let Some(member) = self.member(from).cloned() else {
-            self.add_learner(now, from, storage, address);
-            return;
-        };
-        if member.storage == storage {
+        let member = self.member(from);
+        let listed = member.is_some();
+        if member.is_some_and(|member| member.storage == storage) {
             self.send_initial_members(from, storage);
             return;
         }
-        if self.check_leadership().is_err() || !self.can_change_members() {
+        let automatic = matches!(self.membership, MembershipPolicy::Automatic { .. });
+        if !listed && !automatic {
+            return;
+        }
+        if self.check_leadership().is_err() {
+            self.refer_to_leader(now, from, storage, address);
+            return;
+        }
+        if !self.can_change_members() {
+            return;
+        }
+        if listed {
+            self.relist(now, from, storage, address);
+        } else {
+            self.add_learner(now, from, storage, address);
+        }
+    }
+
+    /// Names the leader to an instance that asked this member to be listed.
+    fn refer_to_leader(&mut self, now: Instant, from: &str, storage: Storage, address: SocketAddr) {
+        let leader = self.leader.clone().filter(|leader| *leader != self.node);
+        let Some(leader) = leader.and_then(|leader| self.member(&leader).cloned()) else {
+            return;
+        };
+        self.contacts.record(now, from, address);
+        let body = Body::Referral {
+            leader: leader.node,
+            address: leader.address,
+        };
+        self.send(from, storage, body);
+    }
+
+    /// Asks the leader, which another member has named, to be listed. A member that hears a leader is listed;
+    /// one that votes by its own list may have been removed while it was away.
+    pub(super) fn handle_referral(&mut self, now: Instant, leader: &str, address: SocketAddr) {
+        if self.leader.is_some() || leader == self.node {
             return;
         }
+        self.contacts.record(now, leader, address);
+        let address = self.address;
+        self.send(leader, 0, Body::Join { address });
+    }
+
+    /// Replaces the storage identity of a member whose data folder is new. It is a learner until it has
+    /// caught up.
+    fn relist(&mut self, now: Instant, from: &str, storage: Storage, address: SocketAddr) {
         let mut members = self.journal.members().to_vec();
         for member in members.iter_mut().filter(|member| member.node == from) {
             member.storage = storage;
@@ -108,12 +149,8 @@
         self.append_members(now, members);
     }
 
-    /// Adds an unlisted instance as a learner, where the membership policy is automatic.
+    /// Adds an unlisted instance as a learner.
     fn add_learner(&mut self, now: Instant, from: &str, storage: Storage, address: SocketAddr) {
-        let automatic = matches!(self.membership, MembershipPolicy::Automatic { .. });
-        if !automatic || self.check_leadership().is_err() || !self.can_change_members() {
-            return;
-        }
         let mut members = self.journal.members().to_vec();
         members.push(Member {
             node: from.to_owned(),
--- a/crates/flamingo-log/src/raft/view.rs
+++ b/crates/flamingo-log/src/raft/view.rs
@@ -1,6 +1,6 @@
 //! Read access to the state of a member.
 
-use super::{Raft, Role, RoleState};
+use super::{Raft, Role, RoleState, Seed};
 use crate::entry::{Cluster, Member, Storage};
 use flamingo_wire::id;
 use std::time::Instant;
@@ -104,6 +104,12 @@
         self.journal.members()
     }
 
+    /// Returns the instances outside the member list with which messages are exchanged: those that ask to
+    /// join, and leaders that others have named to this member.
+    pub fn contacts(&self) -> impl Iterator<Item = Seed> {
+        self.contacts.iter()
+    }
+
     /// Returns the last index that `node` has acknowledged, 0 where this member does not
     /// lead; for this member itself, the last index of its log.
     #[must_use]
--- a/crates/flamingo-log/tests/replaced.rs
+++ b/crates/flamingo-log/tests/replaced.rs
@@ -164,7 +164,8 @@
             assert!(group.until(RECOVERY, |group| group.leader().is_some()));
             let seeds = live(&group);
             let new = group.join(&seeds);
-            assert!(group.until(RECOVERY, |group| votes(group, new)));
+            group.advance(CATCH_UP);
+            assert!(votes(&group, new));
         }
         let seeds = seeds_that_do_not_lead(&group);
         group.set_seeds(&seeds);
