A new leader goes on counting for how long a voter has been silent

Callers of the large deployment could be left without a leader for good after two series of losses, each of which the group tolerates.

Cause: a voter that is gone leaves the member list 4 s after its last answer, as soon as its successor votes. Each leader counted from its own election where it had not heard the voter, so that each change of leader began the time again; the gone and the new one both counted for the majority meanwhile, and the next series took more than the rest could bear.

Change: heartbeats name the voters that have not answered for an election timeout, with the time; whoever leads next counts on from there, and from its last message of the leader before it. It asks for an election timeout itself before it removes one. The time is 2 s in place of 4 s: a sound process stands still for a second at most, and a successor has 4 to 6 s before the next may be lost. Learners that are silent for as long are removed too, since a successor that is lost before it votes kept its place for good.

--- a/crates/flamingo-log/src/message.rs
+++ b/crates/flamingo-log/src/message.rs
@@ -119,6 +119,18 @@
     pub commit: id::Index,
     /// Number of the heartbeat.
     pub round: Round,
+    /// Voters that the leader has not heard for a time. A successor goes on counting from there.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub silences: Vec<Silence>,
+}
+
+/// A voter that does not answer its leader.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Silence {
+    /// Name of the voter.
+    pub node: id::Node,
+    /// Time since the leader sent the newest heartbeat that the voter answered, in milliseconds.
+    pub age_ms: u64,
 }
 
 /// Whether a follower's log matches the leader's.
--- a/crates/flamingo-log/src/raft.rs
+++ b/crates/flamingo-log/src/raft.rs
@@ -193,6 +193,8 @@
     next_action_at: Instant,
     unformed_seeds: BTreeMap<id::Node, Storage>,
     contacts: Contacts,
+    /// Since when members have not answered the leader, by its last message; holds the leader as well.
+    silences: BTreeMap<id::Node, Instant>,
     partial_snapshot: Option<PartialSnapshot>,
     unsynced_messages: VecDeque<PendingMessage>,
     issued_writes: u64,
@@ -228,6 +230,7 @@
             next_action_at: now,
             unformed_seeds: BTreeMap::new(),
             contacts: Contacts::default(),
+            silences: BTreeMap::new(),
             partial_snapshot: None,
             unsynced_messages: VecDeque::new(),
             issued_writes: 0,
--- a/crates/flamingo-log/src/raft/election.rs
+++ b/crates/flamingo-log/src/raft/election.rs
@@ -283,7 +283,9 @@
     fn become_leader(&mut self, now: Instant) {
         let next = self.journal.last_index() + 1;
         let peers: Vec<_> = self.peers().cloned().collect();
-        self.role_state = RoleState::Leader(Box::new(Leader::new(now, next, &peers)));
+        let silences = std::mem::take(&mut self.silences);
+        let leader = Leader::new(now, next, &peers, &silences);
+        self.role_state = RoleState::Leader(Box::new(leader));
         self.leader = Some(self.node.clone());
         self.actions.push(Action::Became(Role::Leader));
         self.append_entry(Payload::Empty);
--- a/crates/flamingo-log/src/raft/leader.rs
+++ b/crates/flamingo-log/src/raft/leader.rs
@@ -1,11 +1,11 @@
 //! Replication state that a leader keeps for the other members.
 
 use crate::entry::{Member, Storage};
-use crate::message::Round;
+use crate::message::{Round, Silence};
 use crate::timing::Timing;
 use flamingo_wire::id;
 use std::collections::{BTreeMap, VecDeque};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Batches of entries that may be sent to one follower before it acknowledges the first.
 pub const MAX_INFLIGHT_BATCHES: usize = 8;
@@ -31,6 +31,8 @@
     /// Sending time of the newest heartbeat that the member answered; `None` before the
     /// first.
     pub last_contact: Option<Instant>,
+    /// Time since which the member has been silent, as far as this leader or the one before it knows.
+    silent_since: Instant,
     /// Number of bytes of the snapshot that the member has.
     pub snapshot_offset: u64,
     /// Index of the snapshot that is being sent.
@@ -38,9 +40,9 @@
 }
 
 impl Progress {
-    /// Creates the state of a member of whose log nothing is known; sending starts at
-    /// `next_index`.
-    pub fn new(member: &Member, next_index: id::Index) -> Self {
+    /// Creates the state of a member of whose log nothing is known, and which was last heard at
+    /// `silent_since`; sending starts at `next_index`.
+    pub fn new(member: &Member, next_index: id::Index, silent_since: Instant) -> Self {
         Self {
             storage: member.storage,
             votes: member.votes,
@@ -50,6 +52,7 @@
             paused: false,
             inflight: VecDeque::new(),
             last_contact: None,
+            silent_since,
             snapshot_offset: 0,
             sending_snapshot: 0,
         }
@@ -93,6 +96,8 @@
     /// Last index that is synced on the leader's own disk.
     pub durable: id::Index,
     elected_at: Instant,
+    /// Voters that had been silent for an election timeout when the last heartbeat was sent.
+    silences: Vec<Silence>,
     sole_voter_at: Option<Instant>,
     sent_heartbeats: VecDeque<SentHeartbeat>,
     writes: VecDeque<Write>,
@@ -102,17 +107,28 @@
     /// Number of the last heartbeats for which a reply still counts.
     const MAX_TRACKED_HEARTBEATS: usize = 64;
 
-    /// Starts a leadership that was won at `now`.
-    pub fn new(now: Instant, next_index: id::Index, peers: &[Member]) -> Self {
+    /// Starts a leadership that was won at `now`. `silences` holds since when members have not answered the
+    /// leader before it.
+    pub fn new(
+        now: Instant,
+        next_index: id::Index,
+        peers: &[Member],
+        silences: &BTreeMap<id::Node, Instant>,
+    ) -> Self {
+        let progress = |peer: &Member| {
+            let silent_since = silences.get(&peer.node).copied().unwrap_or(now);
+            Progress::new(peer, next_index, silent_since)
+        };
         let peers = peers
             .iter()
-            .map(|peer| (peer.node.clone(), Progress::new(peer, next_index)))
+            .map(|peer| (peer.node.clone(), progress(peer)))
             .collect();
         Self {
             peers,
             round: 0,
             durable: 0,
             elected_at: now,
+            silences: Vec::new(),
             sole_voter_at: None,
             sent_heartbeats: VecDeque::new(),
             writes: VecDeque::new(),
@@ -137,8 +153,10 @@
         }
     }
 
-    /// Numbers a new heartbeat and records its sending time.
-    pub fn start_heartbeat(&mut self, now: Instant) {
+    /// Numbers a new heartbeat and records its sending time, and the voters that have been silent for
+    /// `timeout`.
+    pub fn start_heartbeat(&mut self, now: Instant, timeout: Duration) {
+        self.silences = self.find_silences(now, timeout);
         self.round += 1;
         let round = self.round;
         self.sent_heartbeats
@@ -159,6 +177,7 @@
         };
         if let Some(peer) = self.peers.get_mut(node) {
             peer.last_contact = peer.last_contact.max(Some(at));
+            peer.silent_since = peer.silent_since.max(at);
         }
     }
 
@@ -167,18 +186,37 @@
         self.peers.get(node).map_or(0, |peer| peer.match_index)
     }
 
-    /// Returns the voter whose last contact is the oldest, if that is at least `timeout`
-    /// ago.
-    pub fn unresponsive_voter(
+    fn find_silences(&self, now: Instant, timeout: Duration) -> Vec<Silence> {
+        let voters = self.peers.iter().filter(|(_, peer)| peer.votes);
+        let ages = voters.map(|(node, peer)| (node, now.duration_since(peer.silent_since)));
+        let silent = ages.filter(|(_, age)| *age >= timeout);
+        let silences = silent.map(|(node, age)| Silence {
+            node: node.clone(),
+            age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+        });
+        silences.collect()
+    }
+
+    /// Returns the voters that have not answered for an election timeout.
+    pub fn silences(&self) -> &[Silence] {
+        &self.silences
+    }
+
+    /// Returns the member, a voter or with `votes` unset a learner, that has been silent for the longest time,
+    /// if that is the voter timeout or more. A leader asks for an election timeout itself before it says so.
+    pub fn unresponsive_member(
         &self,
         now: Instant,
-        timeout: std::time::Duration,
+        timing: &Timing,
+        votes: bool,
     ) -> Option<id::Node> {
-        let voters = self.peers.iter().filter(|(_, peer)| peer.votes);
-        let contacts =
-            voters.map(|(node, peer)| (peer.last_contact.unwrap_or(self.elected_at), node));
-        let (last_contact, node) = contacts.min()?;
-        (now >= last_contact + timeout).then(|| node.clone())
+        if now < self.elected_at + timing.election {
+            return None;
+        }
+        let members = self.peers.iter().filter(|(_, peer)| peer.votes == votes);
+        let contacts = members.map(|(node, peer)| (peer.silent_since, node));
+        let (silent_since, node) = contacts.min()?;
+        (now >= silent_since + timing.voter_timeout).then(|| node.clone())
     }
 
     /// Returns the sending time of the newest heartbeat that a majority answered; `None`
--- a/crates/flamingo-log/src/raft/membership.rs
+++ b/crates/flamingo-log/src/raft/membership.rs
@@ -163,9 +163,9 @@
     }
 
     /// Removes a voter that has not answered for
-    /// [`voter_timeout`](crate::Timing::voter_timeout), while more than the minimum vote.
+    /// [`voter_timeout`](crate::Timing::voter_timeout), while more than the minimum vote, or such a learner.
     /// It was either replaced, or asks to join again once it is reachable.
-    fn remove_unresponsive_voter(&mut self, now: Instant) {
+    fn remove_unresponsive_member(&mut self, now: Instant) {
         let MembershipPolicy::Automatic { min_voters, .. } = self.membership else {
             return;
         };
@@ -174,10 +174,10 @@
         };
         let mut members = self.journal.members().to_vec();
         let voters = members.iter().filter(|member| member.votes).count();
-        if voters <= min_voters {
-            return;
-        }
-        if let Some(unresponsive) = leader.unresponsive_voter(now, self.timing.voter_timeout) {
+        let voter = leader.unresponsive_member(now, &self.timing, true);
+        let voter = voter.filter(|_| voters > min_voters);
+        let learner = || leader.unresponsive_member(now, &self.timing, false);
+        if let Some(unresponsive) = voter.or_else(learner) {
             members.retain(|member| member.node != unresponsive);
             self.append_members(now, members);
         }
@@ -208,7 +208,7 @@
                 .peers
                 .retain(|node, _| peers.iter().any(|peer| &peer.node == node));
             for peer in &peers {
-                let new_progress = || Progress::new(peer, next);
+                let new_progress = || Progress::new(peer, next, now);
                 let progress = leader
                     .peers
                     .entry(peer.node.clone())
@@ -224,7 +224,7 @@
     }
 
     /// Takes the next step of a change of members: gives a learner its vote, removes a
-    /// replaced member, or removes an unresponsive voter. Runs at each heartbeat.
+    /// replaced member, or removes an unresponsive one. Runs at each heartbeat.
     pub(super) fn advance_membership(&mut self, now: Instant) {
         if self.check_leadership().is_err() || !self.can_change_members() {
             return;
@@ -246,7 +246,7 @@
             self.append_members(now, members);
             return;
         }
-        self.remove_unresponsive_voter(now);
+        self.remove_unresponsive_member(now);
     }
 
     /// Returns a learner that has acknowledged all committed entries.
--- a/crates/flamingo-log/src/raft/replication.rs
+++ b/crates/flamingo-log/src/raft/replication.rs
@@ -3,10 +3,10 @@
 
 use super::{Action, PartialSnapshot, Raft, RoleState};
 use crate::entry::{Cluster, Record, Snapshot, Storage};
-use crate::message::{Append, Body, LogMatch, Round, SnapshotChunk};
+use crate::message::{Append, Body, LogMatch, Round, Silence, SnapshotChunk};
 use flamingo_wire::id;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Size of the entries in one message, in bytes; a single larger entry goes alone.
 const BATCH_BYTES: usize = 256 * 1024;
@@ -20,7 +20,7 @@
     pub(super) fn send_heartbeats(&mut self, now: Instant) {
         self.next_action_at = now + self.timing.heartbeat;
         if let RoleState::Leader(leader) = &mut self.role_state {
-            leader.start_heartbeat(now);
+            leader.start_heartbeat(now, self.timing.election);
         }
         self.replicate(true);
         self.advance_commit(now);
@@ -47,6 +47,7 @@
             return;
         };
         let round = leader.round;
+        let silences = leader.silences().to_vec();
         let Some(peer) = leader.peers.get_mut(node) else {
             return;
         };
@@ -86,6 +87,7 @@
             entries,
             commit: self.commit_index,
             round,
+            silences,
         };
         self.send(node, storage, Body::Append(append));
         if more {
@@ -144,6 +146,7 @@
             return;
         }
         self.record_leader_contact(now, from);
+        self.record_silences(now, from, &append.silences);
         if let Some(retry_after_index) = self.conflict_hint(append.prev_index, append.prev_term) {
             let log_match = LogMatch::Mismatch(retry_after_index);
             self.send_after_sync(from, storage, Body::Appended { round, log_match });
@@ -178,6 +181,16 @@
         self.vote_blocked_until = now + self.timing.election;
     }
 
+    /// Records since when voters have not answered the leader, and when the leader itself was last heard.
+    fn record_silences(&mut self, now: Instant, leader: &str, silences: &[Silence]) {
+        let since = |silence: &Silence| {
+            let since = now.checked_sub(Duration::from_millis(silence.age_ms))?;
+            Some((silence.node.clone(), since))
+        };
+        self.silences = silences.iter().filter_map(since).collect();
+        self.silences.insert(leader.to_owned(), now);
+    }
+
     /// Compares the term of the entry at `index` with the leader's. Returns `None` if they
     /// are the same or a snapshot covers the entry, otherwise the index after which the
     /// leader should send.
--- a/crates/flamingo-log/src/timing.rs
+++ b/crates/flamingo-log/src/timing.rs
@@ -17,8 +17,11 @@
     /// It is shorter than [`Timing::election`] by the largest drift of clocks that is
     /// tolerated.
     pub lease: Duration,
-    /// Time without an answer after which a voter may be removed, where the membership
+    /// Time without an answer after which a member may be removed, where the membership
     /// policy is automatic.
+    ///
+    /// It is longer than the second for which a sound process may stand still, and short against the time
+    /// that a new member has before the next one may be lost.
     pub voter_timeout: Duration,
 }
 
@@ -48,7 +51,7 @@
             heartbeat: Duration::from_millis(100),
             election: Duration::from_secs(1),
             lease: Duration::from_millis(800),
-            voter_timeout: Duration::from_secs(4),
+            voter_timeout: Duration::from_secs(2),
         }
     }
 }
--- a/crates/flamingo-log/tests/losses.rs
+++ b/crates/flamingo-log/tests/losses.rs
@@ -64,6 +64,9 @@
     lost: Vec<Lost>,
     /// Members that were not lost for good.
     members: Vec<usize>,
+    started_at: Instant,
+    /// What happened, for the message of a failure.
+    events: Vec<String>,
 }
 
 impl History {
@@ -76,9 +79,22 @@
             group,
             lost: Vec::new(),
             members: (0..MEMBERS).collect(),
+            started_at: Instant::now(),
+            events: Vec::new(),
         }
     }
 
+    fn note(&mut self, event: &str) {
+        let at = self.group.now.duration_since(self.started_at);
+        let voters = self.group.voters();
+        let voters: Vec<_> = voters.iter().map(|voter| voter.node.as_str()).collect();
+        let leader = self.group.leader();
+        self.events.push(format!(
+            "{:.2} {event}; voters {voters:?}, leader {leader:?}",
+            at.as_secs_f64()
+        ));
+    }
+
     fn draw(&mut self, count: usize) -> usize {
         usize::try_from(self.group.random()).expect("64 bits") % count
     }
@@ -100,6 +116,7 @@
                 continue;
             }
             self.lost[n].back = true;
+            self.note(&format!("{member} back from {loss:?}"));
             match loss {
                 Loss::Gone => self.replace(),
                 Loss::Wiped => {
@@ -179,6 +196,7 @@
             _ => self.group.crash(member),
         }
         let back_at = self.group.now + away;
+        self.note(&format!("{member} {loss:?}"));
         self.lost.push(Lost {
             member,
             loss,
@@ -188,6 +206,7 @@
     }
 
     fn kill_all(&mut self) {
+        self.note("all killed");
         let running = self.members.clone().into_iter();
         let running: Vec<_> = running
             .filter(|n| self.group.nodes[*n].raft.is_some() && !self.group.nodes[*n].frozen)
@@ -208,6 +227,7 @@
             self.pass(Duration::from_millis(50));
         }
         let committed = self.group.last_committed();
+        self.note("the end");
         let mut wiped = self.members.clone();
         while wiped.len() > TOLERATED {
             let drawn = self.draw(wiped.len());
@@ -244,7 +264,10 @@
             .iter()
             .filter_map(|node| node.raft.as_ref());
         let terms: Vec<_> = terms.map(Raft::term).collect();
-        format!("voters {voters:?}, members {running:?}, terms {terms:?}")
+        format!(
+            "voters {voters:?}, members {running:?}, terms {terms:?}: {:#?}",
+            self.events
+        )
     }
 }
 
