--- a/crates/flamingo-log/src/raft/election.rs
+++ b/crates/flamingo-log/src/raft/election.rs
@@ -67,9 +67,11 @@
         let keeps_term = match &message.body {
             Body::RequestVote(request) => request.pre,
             Body::VoteReply { pre, granted } => *pre && *granted,
-            Body::QueryUnformed | Body::Unformed | Body::InitialMembers(_) | Body::Join { .. } => {
-                true
-            }
+            Body::QueryUnformed
+            | Body::Unformed
+            | Body::InitialMembers(_)
+            | Body::Join { .. }
+            | Body::Referral { .. } => true,
             _ => false,
         };
         if keeps_term || message.term <= self.vote.term {
@@ -118,7 +120,8 @@
 
     /// Returns whether the member list names this member, with this data folder, as a
     /// voter.
-    fn is_voter(&self) -> bool {
+    #[must_use]
+    pub fn is_voter(&self) -> bool {
         let member = self.member(&self.node);
         member.is_some_and(|member| member.votes && member.storage == self.storage)
     }
@@ -280,7 +283,9 @@
     fn become_leader(&mut self, now: Instant) {
         let next = self.journal.last_index() + 1;
         let peers: Vec<_> = self.peers().cloned().collect();
-        self.role_state = RoleState::Leader(Box::new(Leader::new(now, next, &peers)));
+        let silences = std::mem::take(&mut self.silences);
+        let leader = Leader::new(now, next, &peers, &silences);
+        self.role_state = RoleState::Leader(Box::new(leader));
         self.leader = Some(self.node.clone());
         self.actions.push(Action::Became(Role::Leader));
         self.append_entry(Payload::Empty);
--- a/crates/flamingo-log/src/raft/membership.rs
+++ b/crates/flamingo-log/src/raft/membership.rs
@@ -88,17 +88,58 @@
         if !self.has_member_list() {
             return;
         }
-        let Some(member) = self.member(from).cloned() else {
-            self.add_learner(now, from, storage, address);
-            return;
-        };
-        if member.storage == storage {
+        let member = self.member(from);
+        let listed = member.is_some();
+        if member.is_some_and(|member| member.storage == storage) {
             self.send_initial_members(from, storage);
             return;
         }
-        if self.check_leadership().is_err() || !self.can_change_members() {
+        let automatic = matches!(self.membership, MembershipPolicy::Automatic { .. });
+        if !listed && !automatic {
+            return;
+        }
+        if self.check_leadership().is_err() {
+            self.refer_to_leader(now, from, storage, address);
+            return;
+        }
+        if !self.can_change_members() {
+            return;
+        }
+        if listed {
+            self.relist(now, from, storage, address);
+        } else {
+            self.add_learner(now, from, storage, address);
+        }
+    }
+
+    /// Names the leader to an instance that asked this member to be listed.
+    fn refer_to_leader(&mut self, now: Instant, from: &str, storage: Storage, address: SocketAddr) {
+        let leader = self.leader.clone().filter(|leader| *leader != self.node);
+        let Some(leader) = leader.and_then(|leader| self.member(&leader).cloned()) else {
+            return;
+        };
+        self.contacts.record(now, from, address);
+        let body = Body::Referral {
+            leader: leader.node,
+            address: leader.address,
+        };
+        self.send(from, storage, body);
+    }
+
+    /// Asks the leader, which another member has named, to be listed. A member that hears a leader is listed;
+    /// one that votes by its own list may have been removed while it was away.
+    pub(super) fn handle_referral(&mut self, now: Instant, leader: &str, address: SocketAddr) {
+        if self.leader.is_some() || leader == self.node {
             return;
         }
+        self.contacts.record(now, leader, address);
+        let address = self.address;
+        self.send(leader, 0, Body::Join { address });
+    }
+
+    /// Replaces the storage identity of a member whose data folder is new. It is a learner until it has
+    /// caught up.
+    fn relist(&mut self, now: Instant, from: &str, storage: Storage, address: SocketAddr) {
         let mut members = self.journal.members().to_vec();
         for member in members.iter_mut().filter(|member| member.node == from) {
             member.storage = storage;
@@ -108,12 +149,8 @@
         self.append_members(now, members);
     }
 
-    /// Adds an unlisted instance as a learner, where the membership policy is automatic.
+    /// Adds an unlisted instance as a learner.
     fn add_learner(&mut self, now: Instant, from: &str, storage: Storage, address: SocketAddr) {
-        let automatic = matches!(self.membership, MembershipPolicy::Automatic { .. });
-        if !automatic || self.check_leadership().is_err() || !self.can_change_members() {
-            return;
-        }
         let mut members = self.journal.members().to_vec();
         members.push(Member {
             node: from.to_owned(),
@@ -126,9 +163,9 @@
     }
 
     /// Removes a voter that has not answered for
-    /// [`voter_timeout`](crate::Timing::voter_timeout), while more than the minimum vote.
+    /// [`voter_timeout`](crate::Timing::voter_timeout), while more than the minimum vote, or such a learner.
     /// It was either replaced, or asks to join again once it is reachable.
-    fn remove_unresponsive_voter(&mut self, now: Instant) {
+    fn remove_unresponsive_member(&mut self, now: Instant) {
         let MembershipPolicy::Automatic { min_voters, .. } = self.membership else {
             return;
         };
@@ -137,10 +174,10 @@
         };
         let mut members = self.journal.members().to_vec();
         let voters = members.iter().filter(|member| member.votes).count();
-        if voters <= min_voters {
-            return;
-        }
-        if let Some(unresponsive) = leader.unresponsive_voter(now, self.timing.voter_timeout) {
+        let voter = leader.unresponsive_member(now, &self.timing, true);
+        let voter = voter.filter(|_| voters > min_voters);
+        let learner = || leader.unresponsive_member(now, &self.timing, false);
+        if let Some(unresponsive) = voter.or_else(learner) {
             members.retain(|member| member.node != unresponsive);
             self.append_members(now, members);
         }
@@ -171,7 +208,7 @@
                 .peers
                 .retain(|node, _| peers.iter().any(|peer| &peer.node == node));
             for peer in &peers {
-                let new_progress = || Progress::new(peer, next);
+                let new_progress = || Progress::new(peer, next, now);
                 let progress = leader
                     .peers
                     .entry(peer.node.clone())
@@ -187,7 +224,7 @@
     }
 
     /// Takes the next step of a change of members: gives a learner its vote, removes a
-    /// replaced member, or removes an unresponsive voter. Runs at each heartbeat.
+    /// replaced member, or removes an unresponsive one. Runs at each heartbeat.
     pub(super) fn advance_membership(&mut self, now: Instant) {
         if self.check_leadership().is_err() || !self.can_change_members() {
             return;
@@ -209,7 +246,7 @@
             self.append_members(now, members);
             return;
         }
-        self.remove_unresponsive_voter(now);
+        self.remove_unresponsive_member(now);
     }
 
     /// Returns a learner that has acknowledged all committed entries.
--- a/crates/flamingo-log/src/raft/view.rs
+++ b/crates/flamingo-log/src/raft/view.rs
@@ -1,6 +1,6 @@
 //! Read access to the state of a member.
 
-use super::{Raft, Role, RoleState};
+use super::{Raft, Role, RoleState, Seed};
 use crate::entry::{Cluster, Member, Storage};
 use flamingo_wire::id;
 use std::time::Instant;
@@ -28,6 +28,17 @@
         }
     }
 
+    /// Returns the number of voters, this member included, that have answered within the election timeout;
+    /// `None` where this member does not lead.
+    #[must_use]
+    pub fn reached_voters(&self, now: Instant) -> Option<usize> {
+        let RoleState::Leader(leader) = &self.role_state else {
+            return None;
+        };
+        let since = now.checked_sub(self.timing.election)?;
+        Some(leader.voters_heard_since(since) + usize::from(self.is_voter()))
+    }
+
     /// Returns whether this member may answer reads from the committed state at `now`.
     ///
     /// This holds for a leader whose lease has not ended, so that no other member can have
@@ -93,6 +104,12 @@
         self.journal.members()
     }
 
+    /// Returns the instances outside the member list with which messages are exchanged: those that ask to
+    /// join, and leaders that others have named to this member.
+    pub fn contacts(&self) -> impl Iterator<Item = Seed> {
+        self.contacts.iter()
+    }
+
     /// Returns the last index that `node` has acknowledged, 0 where this member does not
     /// lead; for this member itself, the last index of its log.
     #[must_use]
