Entries that hear no leader don't say that a route doesn't exist

Cause: an entry answered 404 for a request that no route matches, also where it could not know whether its configuration is still the newest. For keys it answered 503 already.

--- a/crates/flamingo-serve/src/limit.rs
+++ b/crates/flamingo-serve/src/limit.rs
@@ -38,6 +38,7 @@
             Cause::Unreadable
             | Cause::TooLarge
             | Cause::NoRoute
+            | Cause::UnsureRoute
             | Cause::NoRoutes
             | Cause::NoTarget
             | Cause::NoModel
--- a/crates/flamingo-serve/src/proxy.rs
+++ b/crates/flamingo-serve/src/proxy.rs
@@ -199,7 +199,7 @@
         };
         request.configuration = routes.set.version;
         let Some(mut route) = routes.find(&request.host, &request.path).cloned() else {
-            return self.refuse_early(Refusal::new(Cause::NoRoute), None, &request);
+            return self.refuse_unrouted(&request);
         };
         let found = self.authenticate(&routes, &mut route, &mut http_head, &mut request);
         let workspace = match found {
--- a/crates/flamingo-serve/src/proxy/refusal.rs
+++ b/crates/flamingo-serve/src/proxy/refusal.rs
@@ -9,6 +9,7 @@
 use crate::outlook::Outlook;
 use crate::wire::{Cause, Refusal, RequestHead};
 use bytes::Bytes;
+use flamingo_daemon::clock;
 use flamingo_guard::share::Standing;
 use flamingo_wire::route::Route;
 use http::Response;
@@ -122,6 +123,17 @@
         self.refuse(refusal, Some(request))
     }
 
+    /// Refuses a request that no route matches. For as long as no leader is heard, a newer configuration may
+    /// hold a route for it, and the caller is asked to come back.
+    pub(super) fn refuse_unrouted(&self, request: &RequestHead) -> Response<Body> {
+        if self.topology.hears_leader(clock::now()) {
+            return self.refuse_early(Refusal::new(Cause::NoRoute), None, request);
+        }
+        let retry_after = RETRY_AFTER_MIN + self.retry_spread(request);
+        let refusal = Refusal::not_run(Cause::UnsureRoute, retry_after);
+        self.refuse_early(refusal, None, request)
+    }
+
     /// Logs and counts a request that goes on with a stream of unknown origin, and returns the refusal.
     pub(super) fn refuse_resumption(&self, route: &Route, request: &RequestHead) -> Response<Body> {
         let cause = Cause::UnknownOrigin;
--- a/crates/flamingo-serve/src/wire.rs
+++ b/crates/flamingo-serve/src/wire.rs
@@ -182,6 +182,8 @@
     NoMemory,
     /// No route matches the host and path.
     NoRoute,
+    /// A newer configuration, of which this entry would not know, may contain a route that matches.
+    UnsureRoute,
     /// The route needs a key, and the caller has sent none, or one that no workspace has.
     Unauthenticated,
     /// A newer configuration, of which this entry would not know, may contain the caller's key.
