A member that loses its leader forgets it, and follows a referral at any time

A learner that was cut off named its last leader for good, which entries take for a sign that they are current.

Change: an instance that asks to join knows no leader, and a referral is followed whatever the instance believes.

--- a/crates/flamingo-log/src/message.rs
+++ b/crates/flamingo-log/src/message.rs
@@ -80,7 +80,8 @@
         /// Address at which it accepts messages of other instances.
         address: SocketAddr,
     },
-    /// Replies to [`Body::Join`] of an instance that the sender can't add: names the leader, which can.
+    /// Replies to [`Body::Join`] where the sender does not lead and knows who does: names the leader, which can
+    /// list the instance.
     Referral {
         /// Name of the leader.
         leader: id::Node,
--- a/crates/flamingo-log/src/raft/election.rs
+++ b/crates/flamingo-log/src/raft/election.rs
@@ -130,6 +130,7 @@
     pub(super) fn campaign(&mut self, now: Instant, pre: bool, transfer: bool) {
         self.reset_election_deadline(now);
         if !self.is_voter() {
+            self.leader = None;
             // The leader may not know the storage identity of this data folder.
             self.request_join();
             return;
--- a/crates/flamingo-log/src/raft/formation.rs
+++ b/crates/flamingo-log/src/raft/formation.rs
@@ -18,6 +18,7 @@
     /// while this member has no list.
     pub(super) fn request_members(&mut self, now: Instant) {
         self.next_action_at = now + self.timing.heartbeat * 2;
+        self.leader = None;
         self.request_join();
         if self.may_bootstrap() {
             for node in self.others() {
--- a/crates/flamingo-log/src/raft/membership.rs
+++ b/crates/flamingo-log/src/raft/membership.rs
@@ -126,10 +126,10 @@
         self.send(from, storage, body);
     }
 
-    /// Asks the leader, which another member has named, to be listed. A member that hears a leader is listed;
-    /// one that votes by its own list may have been removed while it was away.
+    /// Asks the leader, which another member has named, to be listed. Members that vote by their own list do so
+    /// too: they may have been removed while they were away.
     pub(super) fn handle_referral(&mut self, now: Instant, leader: &str, address: SocketAddr) {
-        if self.leader.is_some() || leader == self.node {
+        if leader == self.node {
             return;
         }
         self.contacts.record(now, leader, address);
