--- a/crates/flamingo-log/src/raft.rs
+++ b/crates/flamingo-log/src/raft.rs
@@ -193,7 +193,8 @@
     next_action_at: Instant,
     unformed_seeds: BTreeMap<id::Node, Storage>,
     contacts: Contacts,
-    /// Since when members have not answered the leader, by its last message; holds the leader as well.
+    /// Since when voters have not answered the leader, by its last message, and when that came from the leader
+    /// itself: where this member leads next, it goes on counting from there.
     silences: BTreeMap<id::Node, Instant>,
     partial_snapshot: Option<PartialSnapshot>,
     unsynced_messages: VecDeque<PendingMessage>,
--- a/crates/flamingo-log/src/raft/election.rs
+++ b/crates/flamingo-log/src/raft/election.rs
@@ -46,6 +46,12 @@
     /// Becomes a follower; `leader` is `None` where the leader of the term is not known.
     pub(super) fn become_follower(&mut self, now: Instant, leader: Option<id::Node>) {
         let previous = self.role();
+        if let RoleState::Leader(leader) = &self.role_state {
+            let silences = leader.silent_since();
+            self.silences = silences
+                .map(|(node, since)| (node.clone(), since))
+                .collect();
+        }
         self.role_state = RoleState::Follower;
         self.leader = leader;
         if previous == Role::Unformed {
