Silent learners stay listed, and a new leader waits a second for each voter

Found by the review: since silent learners were removed, one without room on its disk, or with syncs of over 2 s, was listed and removed without end, 34 entries a minute; it now stays listed as before. A new leader gave a voter that its predecessor had not heard one election timeout, 600 ms in the platform's timing; a sound process may stand still for a second.

--- a/crates/flamingo-log/src/raft/leader.rs
+++ b/crates/flamingo-log/src/raft/leader.rs
@@ -10,6 +10,10 @@
 /// Batches of entries that may be sent to one follower before it acknowledges the first.
 pub const MAX_INFLIGHT_BATCHES: usize = 8;
 
+/// Time for which a leader waits for an answer itself before it removes a voter that its predecessor had not
+/// heard: a sound process may stand still for as long, and opening a connection may take as long.
+const MIN_OBSERVATION: Duration = Duration::from_secs(1);
+
 /// Replication state of one other member.
 #[derive(Debug)]
 pub struct Progress {
@@ -31,7 +35,8 @@
     /// Sending time of the newest heartbeat that the member answered; `None` before the
     /// first.
     pub last_contact: Option<Instant>,
-    /// Time since which the member has been silent, as far as this leader or the one before it knows.
+    /// When the member last answered, as far as this leader or the one before it knows; the time of the election
+    /// or of its listing where neither has heard it.
     silent_since: Instant,
     /// Number of bytes of the snapshot that the member has.
     pub snapshot_offset: u64,
@@ -202,23 +207,24 @@
         &self.silences
     }
 
-    /// Returns the member, a voter or with `votes` unset a learner, that has been silent for the longest time,
-    /// if that is the voter timeout or more. A leader asks for an election timeout itself before it says so.
-    pub fn unresponsive_member(
-        &self,
-        now: Instant,
-        timing: &Timing,
-        votes: bool,
-    ) -> Option<id::Node> {
-        if now < self.elected_at + timing.election {
+    /// Returns the voter that has been silent for the longest time, if that is the voter timeout or more. A
+    /// leader asks for [`MIN_OBSERVATION`] itself before it says so.
+    pub fn unresponsive_voter(&self, now: Instant, timing: &Timing) -> Option<id::Node> {
+        if now < self.elected_at + MIN_OBSERVATION {
             return None;
         }
-        let members = self.peers.iter().filter(|(_, peer)| peer.votes == votes);
-        let contacts = members.map(|(node, peer)| (peer.silent_since, node));
-        let (silent_since, node) = contacts.min()?;
+        let voters = self.peers.iter().filter(|(_, peer)| peer.votes);
+        let silent = voters.map(|(node, peer)| (peer.silent_since, node));
+        let (silent_since, node) = silent.min()?;
         (now >= silent_since + timing.voter_timeout).then(|| node.clone())
     }
 
+    /// Returns since when each other member has been silent.
+    pub fn silent_since(&self) -> impl Iterator<Item = (&id::Node, Instant)> {
+        let peers = self.peers.iter();
+        peers.map(|(node, peer)| (node, peer.silent_since))
+    }
+
     /// Returns the sending time of the newest heartbeat that a majority answered; `None`
     /// before the first. A sole voter answers its own heartbeats.
     fn majority_contact(&self) -> Option<Instant> {
--- a/crates/flamingo-log/src/raft/membership.rs
+++ b/crates/flamingo-log/src/raft/membership.rs
@@ -137,6 +137,18 @@
         self.send(leader, 0, Body::Join { address });
     }
 
+    /// Replaces the address of a member that has come back elsewhere with its data folder.
+    fn change_address(&mut self, now: Instant, node: &str, address: SocketAddr) {
+        if self.check_leadership().is_err() || !self.can_change_members() {
+            return;
+        }
+        let mut members = self.journal.members().to_vec();
+        for member in members.iter_mut().filter(|member| member.node == node) {
+            member.address = address;
+        }
+        self.append_members(now, members);
+    }
+
     /// Replaces the storage identity of a member whose data folder is new. It is a learner until it has
     /// caught up.
     fn relist(&mut self, now: Instant, from: &str, storage: Storage, address: SocketAddr) {
@@ -163,9 +175,9 @@
     }
 
     /// Removes a voter that has not answered for
-    /// [`voter_timeout`](crate::Timing::voter_timeout), while more than the minimum vote, or such a learner.
+    /// [`voter_timeout`](crate::Timing::voter_timeout), while more than the minimum vote.
     /// It was either replaced, or asks to join again once it is reachable.
-    fn remove_unresponsive_member(&mut self, now: Instant) {
+    fn remove_unresponsive_voter(&mut self, now: Instant) {
         let MembershipPolicy::Automatic { min_voters, .. } = self.membership else {
             return;
         };
@@ -174,10 +186,10 @@
         };
         let mut members = self.journal.members().to_vec();
         let voters = members.iter().filter(|member| member.votes).count();
-        let voter = leader.unresponsive_member(now, &self.timing, true);
-        let voter = voter.filter(|_| voters > min_voters);
-        let learner = || leader.unresponsive_member(now, &self.timing, false);
-        if let Some(unresponsive) = voter.or_else(learner) {
+        if voters <= min_voters {
+            return;
+        }
+        if let Some(unresponsive) = leader.unresponsive_voter(now, &self.timing) {
             members.retain(|member| member.node != unresponsive);
             self.append_members(now, members);
         }
@@ -224,7 +236,7 @@
     }
 
     /// Takes the next step of a change of members: gives a learner its vote, removes a
-    /// replaced member, or removes an unresponsive one. Runs at each heartbeat.
+    /// replaced member, or removes an unresponsive voter. Runs at each heartbeat.
     pub(super) fn advance_membership(&mut self, now: Instant) {
         if self.check_leadership().is_err() || !self.can_change_members() {
             return;
--- a/crates/flamingo-log/src/timing.rs
+++ b/crates/flamingo-log/src/timing.rs
@@ -17,7 +17,7 @@
     /// It is shorter than [`Timing::election`] by the largest drift of clocks that is
     /// tolerated.
     pub lease: Duration,
-    /// Time without an answer after which a member may be removed, where the membership
+    /// Time without an answer after which a voter may be removed, where the membership
     /// policy is automatic.
     ///
     /// It is longer than the second for which a sound process may stand still, and short against the time
