--- a/crates/flamingo-log/src/raft/membership.rs
+++ b/crates/flamingo-log/src/raft/membership.rs
@@ -90,8 +90,12 @@
         }
         let member = self.member(from);
         let listed = member.is_some();
-        if member.is_some_and(|member| member.storage == storage) {
+        if let Some(member) = member.filter(|member| member.storage == storage) {
+            let moved = member.address != address;
             self.send_initial_members(from, storage);
+            if moved {
+                self.change_address(now, from, address);
+            }
             return;
         }
         let automatic = matches!(self.membership, MembershipPolicy::Automatic { .. });
@@ -258,7 +262,7 @@
             self.append_members(now, members);
             return;
         }
-        self.remove_unresponsive_member(now);
+        self.remove_unresponsive_voter(now);
     }
 
     /// Returns a learner that has acknowledged all committed entries.
