Neighbours: entries that take others' requests, remembered for 30 s

Pure: record, choose, put_aside. The own zone's go first, the salt draws by highest random weight. At most 32 are known; the zone with the most forgets its oldest, so that no zone pushes out another. Nothing fills it yet.

15 cases in tests/neighbours.rs and two doc examples pass.

--- a/crates/flamingo-serve/src/lib.rs
+++ b/crates/flamingo-serve/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod limit;
 pub mod memory;
 pub mod metrics;
+pub mod neighbours;
 pub mod origins;
 pub mod outlook;
 pub mod pace;
--- a/crates/flamingo-serve/src/topology.rs
+++ b/crates/flamingo-serve/src/topology.rs
@@ -1,6 +1,7 @@
 //! What an entry knows of the system: routes, targets, connections to them, and other processes.
 //! Control instances send this state and its changes.
 
+use crate::neighbours::Neighbours;
 use crate::origins::Origins;
 use crate::pool::Pool;
 use crate::sharers::{COUNT_TIMEOUT, Sharers};
@@ -243,6 +244,8 @@
     pub pool: RefCell<Pool>,
     /// The other processes.
     pub peers: RefCell<Peers>,
+    /// Entries that take requests from this one.
+    pub neighbours: RefCell<Neighbours>,
     /// Streams that began at this entry.
     pub origins: RefCell<Origins>,
     /// Crashes of targets, and the prompt parts that cause them.
@@ -263,6 +266,7 @@
             table: RefCell::default(),
             pool: RefCell::default(),
             peers: RefCell::default(),
+            neighbours: RefCell::default(),
             origins: RefCell::default(),
             crashes: RefCell::default(),
             shares: RefCell::default(),
