Control names entries that take others' requests, a few at a time

An entry that reaches no target has to know entries that do. A heartbeat names the address at which a follower takes requests (Heartbeat.neighbour, none while it takes none; a change is sent within the planning interval of 100 ms). Control keeps it with the follower's record, and one list of the processes in four names two of them, other ones each time and in another order at each instance (Peers.neighbours). Between zones: an instance takes the names out of the others' lists and names them in every second naming of its own, marked as relayed; such a naming is not relayed again, and the leader's list is relayed without its names. Where entries follow all instances, each instance names more seldom.

--- a/crates/flamingo-control/src/raft_actor/messages.rs
+++ b/crates/flamingo-control/src/raft_actor/messages.rs
@@ -83,6 +83,8 @@
     pub followers: usize,
     /// Version of the committed routes; 0 before the first.
     pub routes: id::Version,
+    /// Zones and addresses of the entries that follow this instance and take requests from others.
+    pub neighbours: Vec<(id::Zone, SocketAddr)>,
     /// Whether the disk failed; if so, this instance acknowledges nothing any more.
     pub disk_failed: bool,
 }
@@ -252,11 +254,18 @@
         let entries = followers.map(|(node, _)| node).chain(self.reporters.keys());
         let entries: BTreeSet<_> = entries.filter(|node| !listed(node)).collect();
         let followers = entries.len();
+        let heartbeats = self.followers.values().map(|known| &known.heartbeat);
+        let neighbours = heartbeats.filter_map(|heartbeat| {
+            let address = heartbeat.neighbour?;
+            Some((heartbeat.zone.clone(), address))
+        });
+        let neighbours = neighbours.collect();
         MessageResult(Membership {
             addresses,
             zones,
             leader,
             followers,
+            neighbours,
             routes: self.state.routes.as_ref().map_or(0, |set| set.version),
             disk_failed: self.raft.disk_failed(),
         })
--- a/crates/flamingo-control/src/registry.rs
+++ b/crates/flamingo-control/src/registry.rs
@@ -5,6 +5,7 @@
 //! address is reused.
 
 mod dispute;
+mod naming;
 mod records;
 mod relay;
 
@@ -15,6 +16,7 @@
 use flamingo_wire::id;
 use flamingo_wire::prompt::{Dossier, Evidence, Quarantine};
 use flamingo_wire::target::{Registration, Residency};
+use naming::Rotation;
 use records::{Record, Records};
 use relay::{LoadTotals, Reach, Residencies};
 use std::collections::{BTreeMap, BTreeSet};
@@ -142,6 +144,8 @@
     loads: LoadTotals,
     /// The last list of the processes that this instance published.
     peers: Option<PublishedPeers>,
+    /// The entries that lists of the processes name as taking requests of others.
+    naming: Rotation,
     pushes: Sender<Arc<Broadcast>>,
 }
 
@@ -160,6 +164,7 @@
             residencies: Residencies::default(),
             loads: LoadTotals::default(),
             peers: None,
+            naming: Rotation::default(),
             pushes,
         }
     }
@@ -325,6 +330,18 @@
         self.publish(Push::Residency(residencies));
     }
 
+    /// Sets which entries the next list of the processes names as taking requests of others, a few in one
+    /// of some lists. This instance is at `instance`, and its followers `own` take requests.
+    pub fn name_neighbours(
+        &mut self,
+        now: Instant,
+        instance: SocketAddr,
+        own: &[(id::Zone, SocketAddr)],
+        peers: &mut Peers,
+    ) {
+        self.naming.name(peers, instance, own, now);
+    }
+
     /// Publishes the processes of the system. `leads` says whether this instance is the leader.
     pub fn publish_peers(&mut self, now: Instant, peers: Peers, leads: bool) {
         self.peers = Some(PublishedPeers {
@@ -445,13 +462,22 @@
             state.push(Push::Residency(residencies));
         }
         if relays {
-            state.extend(published.map(|published| Push::Peers(published.peers.clone())));
+            state.extend(published.map(|published| self.peers_for_new(published)));
             state.extend(self.loads.current(now));
             state.push(Push::Reached(self.reach.current(now)));
         }
         state
     }
 
+    /// Returns the last list of the processes with the last names, for which a new follower would wait.
+    fn peers_for_new(&self, published: &PublishedPeers) -> Push {
+        let neighbours = self.naming.latest();
+        Push::Peers(Peers {
+            neighbours,
+            ..published.peers.clone()
+        })
+    }
+
     /// Handles a push of the control instance at `origin`: merges it, and relays it to the followers
     /// that do not follow that instance.
     pub fn receive(&mut self, now: Instant, origin: SocketAddr, push: Push) {
@@ -471,9 +497,12 @@
                 self.relay(origin, push);
             }
             Push::Shares(_) => self.relay(origin, push),
-            // Only the leader's count of entries matters to others than its followers.
-            Push::Peers(peers) if peers.leader == Some(origin) => {
-                self.relay(origin, Push::Peers(peers));
+            Push::Peers(mut peers) => {
+                self.naming.hear(&mut peers, now);
+                // Only the leader's count of entries matters to others than its followers.
+                if peers.leader == Some(origin) {
+                    self.relay(origin, Push::Peers(peers));
+                }
             }
             other => self.merge(now, &other),
         }
--- a/crates/flamingo-control/tests/watch.rs
+++ b/crates/flamingo-control/tests/watch.rs
@@ -64,6 +64,7 @@
         routes: None,
         keeps_evidence: false,
         relays: false,
+        neighbour: None,
     };
     seal.seal(to, &heartbeat, SystemTime::now()).unwrap()
 }
--- a/crates/flamingo-link/src/config_stream.rs
+++ b/crates/flamingo-link/src/config_stream.rs
@@ -126,6 +126,7 @@
         routes: None,
         keeps_evidence: false,
         relays: false,
+        neighbour: None,
     };
     if let Ok(frame) = shared.seal.seal(&peer.node, &heartbeat, SystemTime::now()) {
         let _ = heartbeats.try_send(frame);
--- a/crates/flamingo-link/src/subscription.rs
+++ b/crates/flamingo-link/src/subscription.rs
@@ -12,7 +12,7 @@
 use flamingo_wire::inner::control_client;
 use flamingo_wire::{Fault, id};
 use slog::{Logger, info, warn};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -30,7 +30,8 @@
 const DIAL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time between the end of a stream and the next attempt to open one.
 const REDIAL_INTERVAL: Duration = Duration::from_millis(150);
-/// Interval at which an entry reconsiders which control instances it follows.
+/// Interval at which an entry reconsiders which control instances it follows, and whether it takes
+/// requests from other entries.
 const PLANNING_INTERVAL: Duration = Duration::from_millis(100);
 /// Time between two lines about followed instances: while most are down, they change at each planning.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
@@ -46,6 +47,11 @@
     fn keeps_evidence(&self) -> bool {
         false
     }
+    /// Returns the address at which this process takes requests from other entries; `None` where it
+    /// takes none, or reaches no target itself at this time.
+    fn neighbour(&self) -> Option<SocketAddr> {
+        None
+    }
     /// Handles a push of the instance at `from`.
     fn on_push(&self, from: SocketAddr, push: Push);
     /// Handles the end of the stream from the instance at `from`.
@@ -77,7 +83,10 @@
     /// The plan that was last logged, and when.
     logged: RefCell<Option<(Plan, Instant)>>,
     followed: RefCell<BTreeMap<SocketAddr, AbortHandle>>,
-    /// Notifies all streams when other routes come into force or an instance is asked for relaying.
+    /// What the handler last answered for [`PushHandler::neighbour`].
+    neighbour: Cell<Option<SocketAddr>>,
+    /// Notifies all streams when other routes come into force, an instance is asked for relaying, or this
+    /// process begins or ceases to take requests from other entries.
     heartbeat_due: watch::Sender<()>,
     log: Logger,
 }
@@ -119,6 +128,7 @@
             plan: RefCell::default(),
             logged: RefCell::default(),
             followed: RefCell::default(),
+            neighbour: Cell::default(),
             heartbeat_due: watch::channel(()).0,
             log,
         })
@@ -150,11 +160,21 @@
         }
     }
 
-    /// Reconsiders periodically which instances are followed. Never returns.
+    /// Reconsiders periodically which instances are followed and what they are to know. Never returns.
     async fn keep_planning(self: Rc<Self>) {
         loop {
             tokio::time::sleep(PLANNING_INTERVAL).await;
             self.apply_plan();
+            self.tell_neighbour();
+        }
+    }
+
+    /// Sends a heartbeat to every followed instance if this process begins or ceases to take requests from
+    /// other entries.
+    fn tell_neighbour(&self) {
+        let neighbour = self.handler.neighbour();
+        if self.neighbour.replace(neighbour) != neighbour {
+            self.heartbeat_due.send_replace(());
         }
     }
 
@@ -327,6 +347,7 @@
             routes: Some(self.handler.routes_version()),
             keeps_evidence: self.handler.keeps_evidence(),
             relays: self.wants_relays(address),
+            neighbour: self.handler.neighbour(),
         };
         let seal = &self.identity.seal;
         if let Ok(frame) = seal.seal(&address.to_string(), &heartbeat, SystemTime::now()) {
--- a/crates/flamingo-serve/src/topology.rs
+++ b/crates/flamingo-serve/src/topology.rs
@@ -18,7 +18,7 @@
 use flamingo_wire::route::{Route, Service, Set};
 use flamingo_wire::target::Registration;
 use slog::{Logger, info};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -246,6 +246,8 @@
     pub peers: RefCell<Peers>,
     /// Entries that take requests from this one.
     pub neighbours: RefCell<Neighbours>,
+    /// Address at which this entry takes requests from others; `None` while it takes none.
+    neighbour: Cell<Option<SocketAddr>>,
     /// Streams that began at this entry.
     pub origins: RefCell<Origins>,
     /// Crashes of targets, and the prompt parts that cause them.
@@ -267,6 +269,7 @@
             pool: RefCell::default(),
             peers: RefCell::default(),
             neighbours: RefCell::default(),
+            neighbour: Cell::default(),
             origins: RefCell::default(),
             crashes: RefCell::default(),
             shares: RefCell::default(),
@@ -275,6 +278,32 @@
         }
     }
 
+    /// Sets the address at which this entry takes requests from others; `None` while it reaches no target
+    /// itself. The control instances hear it with the next heartbeat, which a change brings at once.
+    ///
+    /// ```
+    /// use flamingo_link::subscription::PushHandler;
+    /// use flamingo_serve::topology::Topology;
+    /// use slog::{Discard, Logger, o};
+    ///
+    /// let topology = Topology::new(Logger::root(Discard, o!()));
+    /// assert_eq!(topology.neighbour(), None);
+    /// let address = "10.0.1.1:4000".parse().ok();
+    /// topology.set_neighbour(address);
+    /// assert_eq!(topology.neighbour(), address);
+    /// ```
+    pub fn set_neighbour(&self, address: Option<SocketAddr>) {
+        self.neighbour.set(address);
+    }
+
+    /// Records the entries that a list of the processes names.
+    fn record_neighbours(&self, peers: &control::Peers, now: Instant) {
+        if let Some(named) = &peers.neighbours {
+            let mut neighbours = self.neighbours.borrow_mut();
+            neighbours.record(&named.zone, &named.addresses, now);
+        }
+    }
+
     /// Returns whether a leader was heard so recently that this entry gets newer configurations. `now` is
     /// a time of [`clock::now`], which counts suspensions.
     #[must_use]
@@ -390,7 +419,10 @@
         match push {
             Push::Routes(set) => self.replace_routes(set),
             Push::Quarantines(quarantines) => self.adopt_quarantines(&quarantines, now),
-            Push::Peers(peers) => self.peers.borrow_mut().record(origin, &peers, now),
+            Push::Peers(peers) => {
+                self.record_neighbours(&peers, now);
+                self.peers.borrow_mut().record(origin, &peers, now);
+            }
             Push::Shares(limits) => self.shares.borrow_mut().replace(&limits, now),
             _ => {}
         }
@@ -412,6 +444,10 @@
         routes.as_ref().map_or(0, |routes| routes.set.version)
     }
 
+    fn neighbour(&self) -> Option<SocketAddr> {
+        self.neighbour.get()
+    }
+
     fn on_push(&self, from: SocketAddr, push: Push) {
         let now = Instant::now();
         self.peers.borrow_mut().connected.insert(from);
--- a/crates/flamingo-serve/tests/relays.rs
+++ b/crates/flamingo-serve/tests/relays.rs
@@ -26,6 +26,7 @@
         entries,
         routes: 0,
         leader: Some(control(LEADER)),
+        neighbours: None,
     })
 }
 
--- a/crates/flamingo-wire/src/control.rs
+++ b/crates/flamingo-wire/src/control.rs
@@ -117,6 +117,10 @@
     /// Whether the follower wants what the other control instances push relayed to it.
     #[serde(default)]
     pub relays: bool,
+    /// Address at which the follower, an entry, takes requests from other entries. `None` while it
+    /// reaches no target itself.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub neighbour: Option<SocketAddr>,
 }
 
 /// A message from a control instance to its followers, sent at least once a second.
@@ -183,6 +187,21 @@
     /// Version of the newest routes that this instance knows to be committed; 0 before the first.
     #[serde(default)]
     pub routes: id::Version,
+    /// Some of the entries that take requests from others; other ones in each list that names any.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub neighbours: Option<Naming>,
+}
+
+/// Entries of one zone that take requests from others.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Naming {
+    /// Availability zone of the entries.
+    pub zone: id::Zone,
+    /// Addresses at which they take requests.
+    pub addresses: Vec<SocketAddr>,
+    /// Whether another control instance has named them. Such a naming is not relayed again.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub relayed: bool,
 }
 
 /// A request for a configuration newer than a known version.
