--- a/crates/flamingo-serve/tests/neighbours.rs
+++ b/crates/flamingo-serve/tests/neighbours.rs
@@ -1,6 +1,10 @@
 //! An entry that reaches no target passes requests to entries that were named lately, near ones first.
 
+use flamingo_link::subscription::PushHandler;
 use flamingo_serve::neighbours::{MAX_KNOWN, MEMORY, Neighbours};
+use flamingo_serve::topology::Topology;
+use flamingo_wire::control::{Naming, Peers, Push, Relayed};
+use slog::{Discard, Logger, o};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -56,6 +60,18 @@
     tried.into_iter().filter(of_zone).collect()
 }
 
+/// Returns a list of the processes that names an entry.
+fn list(of: u8, entry: u8, relayed: bool) -> Push {
+    Push::Peers(Peers {
+        neighbours: Some(Naming {
+            zone: zone(of),
+            addresses: vec![address(of, entry)],
+            relayed,
+        }),
+        ..Peers::default()
+    })
+}
+
 cases! {
     nobody_is_chosen_where_nobody_was_named: |now| {
         let neighbours = Neighbours::default();
@@ -158,4 +174,25 @@
         neighbours.record(&zone(1), &all, now);
         assert_eq!(neighbours.count(now), MAX_KNOWN);
     };
+    an_entry_learns_of_others_from_the_lists_of_control: |_| {
+        let topology = Topology::new(Logger::root(Discard, o!()));
+        let control = SocketAddr::from(([10, 200, 0, 1], 1));
+        topology.on_push(control, list(1, 1, false));
+        topology.on_push(control, list(2, 2, true));
+        let push = Box::new(list(3, 3, false));
+        topology.on_push(control, Push::Relayed(Relayed { origin: control, push }));
+        topology.on_push(control, Push::Peers(Peers::default()));
+        let now = Instant::now();
+        let neighbours = topology.neighbours.borrow();
+        for of in 1..=3 {
+            assert_eq!(known_of(&neighbours, of, now), BTreeSet::from([address(of, of)]));
+        }
+    };
+    what_was_heard_outlives_the_streams_of_control: |_| {
+        let topology = Topology::new(Logger::root(Discard, o!()));
+        let control = SocketAddr::from(([10, 200, 0, 1], 1));
+        topology.on_push(control, list(1, 1, false));
+        topology.on_disconnect(control);
+        assert_eq!(topology.neighbours.borrow().count(Instant::now()), 1);
+    };
 }
