Isolation of an entry from its targets: a pure state machine, and the proof of a request that is passed on

An entry that is cut off from all targets answered nearly every request with 503 though neighbours served.

--- a/crates/flamingo-serve/src/lib.rs
+++ b/crates/flamingo-serve/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod event_stream;
 pub mod events;
 pub mod exchange;
+pub mod isolation;
 pub mod lifecycle;
 pub mod limit;
 pub mod memory;
--- a/crates/flamingo-wire/src/lib.rs
+++ b/crates/flamingo-wire/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod fingerprint;
 pub mod frame;
 pub mod gossip;
+pub mod handover;
 pub mod id;
 pub mod lint;
 pub mod outcome;
