An entry that reaches no target passes its callers' requests on to a neighbour

Isolation decides from connections and answers, and from probes that it asks for, whether this entry reaches targets. While it does not, a request goes over the inner port to a neighbour before quota, demand and budget are counted here, and as a last resort one that has found no target here and has not run. A neighbour takes only what carries a seal over receiver, try, method, host, path and time, treats it as its own caller's, and never passes it on. What was sent and not answered goes to another neighbour only if it may be repeated and the budget pays; streams that break off have no end mark. Idle connections are closed when the entry is isolated, unless targets still answer on others.

The way from a head to the first attempt is in proxy/arrival.rs now.

--- a/crates/flamingo-serve/src/budget.rs
+++ b/crates/flamingo-serve/src/budget.rs
@@ -75,6 +75,26 @@
         self.step(now).requests += 1;
     }
 
+    /// Takes back a request that was counted at `counted_at`, since another entry counts it.
+    ///
+    /// ```
+    /// use flamingo_serve::budget::{Allowance, Budget};
+    /// use std::time::{Duration, Instant};
+    ///
+    /// let window = Duration::from_secs(10);
+    /// let mut budget = Budget::new(Allowance { ratio: 0.2, slack: 10.0, window });
+    /// let now = Instant::now();
+    /// budget.record_request(now);
+    /// budget.forget_request(now);
+    /// assert_eq!(budget.counts(now), (0, 0));
+    /// ```
+    pub fn forget_request(&mut self, counted_at: Instant) {
+        let mut steps = self.steps.iter_mut().rev();
+        if let Some(step) = steps.find(|step| step.started_at <= counted_at) {
+            step.requests = step.requests.saturating_sub(1);
+        }
+    }
+
     /// Spends one retry if the budget allows it, where `sharers` share the slack; `None` while no
     /// part of the slack is proved.
     ///
--- a/crates/flamingo-serve/src/isolation.rs
+++ b/crates/flamingo-serve/src/isolation.rs
@@ -86,20 +86,23 @@
 /// What is known of one target.
 #[derive(Clone, Copy, Debug, Default)]
 struct Record {
-    /// The last failure, if it failed since any target accepted a connection.
+    /// The last failure; `None` if it has not failed.
     failure: Option<Failure>,
-    /// When it last answered on an open connection.
+    /// When it last answered on an open connection; `None` if it has not.
     answered_at: Option<Instant>,
 }
 
 /// The outcomes at all targets.
 #[derive(Debug)]
 pub struct Isolation {
+    /// What came since a target last accepted a connection.
     records: HashMap<id::Target, Record>,
     /// When a target last accepted a connection, or the entry started.
     connected_at: Instant,
     /// When a target was last reached in any way, or the entry started.
     reached_at: Instant,
+    /// Whether any target was reached since the start.
+    has_reached: bool,
     /// The first and the last failure since a target accepted a connection.
     failures: Option<(Instant, Instant)>,
     isolated_since: Option<Instant>,
@@ -115,6 +118,7 @@
             records: HashMap::new(),
             connected_at: now,
             reached_at: now,
+            has_reached: false,
             failures: None,
             isolated_since: None,
             probed_at: None,
@@ -143,25 +147,32 @@
         now: Instant,
     ) -> Option<Change> {
         self.reached_at = now;
+        self.has_reached = true;
         match success {
             Success::Connected => self.record_connected(now),
             Success::Answered => {
-                let record = self.records.entry(target.to_owned()).or_default();
-                record.answered_at = Some(now);
-                // That it refuses new connections is not refuted by an open one.
-                let refuses = record.failure == Some(Failure::Unreached);
-                record.failure = record.failure.filter(|_| refuses);
+                self.record_answered(target, now);
                 None
             }
         }
     }
 
+    /// Records an answer on an open connection. It says nothing while no target has failed.
+    fn record_answered(&mut self, target: &str, now: Instant) {
+        if self.failures.is_none() {
+            return;
+        }
+        let record = self.records.entry(target.to_owned()).or_default();
+        record.answered_at = Some(now);
+        // That it refuses new connections is not refuted by an open one.
+        let refuses = record.failure == Some(Failure::Unreached);
+        record.failure = record.failure.filter(|_| refuses);
+    }
+
     fn record_connected(&mut self, now: Instant) -> Option<Change> {
         self.connected_at = now;
         self.failures = None;
-        for record in self.records.values_mut() {
-            record.failure = None;
-        }
+        self.records.clear();
         let since = self.isolated_since.take()?;
         Some(Change::Reaching {
             lasted: now.saturating_duration_since(since),
@@ -184,7 +195,7 @@
             record.failure = Some(failure);
         }
         let lasts = now.saturating_duration_since(first) >= MIN_FAILURE_SPAN;
-        if self.isolated_since.is_some() || !lasts || !self.is_suspected(known) {
+        if self.is_isolated() || !lasts || !self.is_suspected(known) {
             return None;
         }
         self.isolated_since = Some(now);
@@ -195,10 +206,16 @@
         })
     }
 
+    /// Returns whether no target is reached.
+    #[must_use]
+    pub fn is_isolated(&self) -> bool {
+        self.isolated_since.is_some()
+    }
+
     /// Returns whether targets are reached, where this entry knows `known` of them.
     #[must_use]
     pub fn reach(&self, known: usize) -> Reach {
-        if self.isolated_since.is_some() {
+        if self.is_isolated() {
             Reach::Isolated
         } else if self.is_suspected(known) {
             Reach::Suspected
@@ -207,6 +224,13 @@
         }
     }
 
+    /// Returns whether this entry reaches targets for others: it has reached one since it started, and is
+    /// not isolated.
+    #[must_use]
+    pub fn serves_others(&self) -> bool {
+        self.has_reached && !self.is_isolated()
+    }
+
     /// Forgets the targets that are not known any more.
     pub fn retain(&mut self, is_known: impl Fn(&str) -> bool) {
         self.records.retain(|target, _| is_known(target));
@@ -225,7 +249,7 @@
     /// assert!(isolation.begin_probes(now + Duration::from_secs(1)) > 0);
     /// ```
     pub fn begin_probes(&mut self, now: Instant) -> usize {
-        let suspects = self.isolated_since.is_some() || self.failures.is_some();
+        let suspects = self.is_isolated() || self.failures.is_some();
         let quiet = now.saturating_duration_since(self.reached_at) >= MAX_QUIET;
         let waits = self.probed_at.is_some_and(|at| now < at + PROBE_INTERVAL);
         if waits || !(suspects || quiet) {
--- a/crates/flamingo-serve/src/lib.rs
+++ b/crates/flamingo-serve/src/lib.rs
@@ -3,7 +3,8 @@
 //! HTTP heads are translated by a [`wire::Codec`], which the users' platform implements. Routing
 //! decisions are made without I/O in [`flamingo_guard::authentication`], [`table`], [`choice`], [`admission`],
 //! [`departure`], [`outlook`] and [`budget`], from the estimates of [`speed`], [`pace`] and
-//! [`round_trip`]. The other modules handle connections and tasks. Everything runs on a single thread.
+//! [`round_trip`]; [`isolation`] decides whether targets are reached at all, and [`handover`] passes requests on to
+//! another entry while they aren't. The other modules handle connections and tasks. Everything runs on a single thread.
 
 pub mod admission;
 pub mod availability;
@@ -15,6 +16,7 @@
 pub mod event_stream;
 pub mod events;
 pub mod exchange;
+pub mod handover;
 pub mod isolation;
 pub mod lifecycle;
 pub mod limit;
--- a/crates/flamingo-serve/src/lifecycle.rs
+++ b/crates/flamingo-serve/src/lifecycle.rs
@@ -11,6 +11,8 @@
 
 /// Interval of the maintenance task.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval at which it is checked whether a round of probes is due.
+const PROBE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Delay of a timer from which on the process counts as held up.
 const HELD_UP_THRESHOLD: Duration = Duration::from_millis(200);
 /// Time after the start of the shutdown during which new callers are still accepted: long enough
@@ -44,6 +46,14 @@
     }
 }
 
+/// Probes targets while it is in doubt whether this entry reaches any. Never returns.
+pub async fn probe(proxy: Rc<Proxy>) {
+    loop {
+        proxy.probe_targets().await;
+        tokio::time::sleep(PROBE_CHECK_INTERVAL).await;
+    }
+}
+
 /// Periodically removes expired connections and targets, and applies the connection limits of
 /// the current routes. Logs when the timers of the process are late. Never returns.
 pub async fn maintain(proxy: Rc<Proxy>, limits: Rc<Cell<ConnectionLimits>>, log: Logger) {
--- a/crates/flamingo-serve/src/metrics.rs
+++ b/crates/flamingo-serve/src/metrics.rs
@@ -1,7 +1,9 @@
 //! Metrics of an entry in the Prometheus format.
 
+mod handover;
 mod workspace;
 
+pub use handover::Handovers;
 pub use workspace::{Outcome, WorkspaceCounters};
 
 use crate::pace::Standing;
@@ -60,6 +62,7 @@
     controls: IntGaugeVec,
     /// Age of the leader's last push, in milliseconds; -1 before the first.
     leader_age: IntGauge,
+    handovers: Handovers,
     quarantined: IntGauge,
     /// Workspaces above their share, by the leader.
     share_limits: IntGauge,
@@ -148,6 +151,7 @@
                 "flamingo_leader_age_ms",
                 "Time since the leader's last push, direct or relayed; -1 before the first.",
             )?,
+            handovers: Handovers::new(&registry)?,
             quarantined: registry.gauge(
                 "flamingo_quarantined_parts",
                 "Prompt parts that are kept from targets since they crash them.",
@@ -182,6 +186,12 @@
         &self.workspaces
     }
 
+    /// Returns the metrics of requests that entries pass on to each other.
+    #[must_use]
+    pub fn handovers(&self) -> &Handovers {
+        &self.handovers
+    }
+
     /// Records the time to a first event or to a complete response.
     pub fn observe_first_event(&self, route: &str, time: Duration) {
         let first_event = self.first_event.with_label_values(&[route]);
--- a/crates/flamingo-serve/src/pool.rs
+++ b/crates/flamingo-serve/src/pool.rs
@@ -187,6 +187,11 @@
         self.idle.remove(target);
     }
 
+    /// Closes all idle connections.
+    pub fn clear(&mut self) {
+        self.idle.clear();
+    }
+
     /// Removes the connections that have expired or were closed by the target.
     pub fn remove_expired(&mut self, now: Instant) {
         for connections in self.idle.values_mut() {
--- a/crates/flamingo-serve/src/proxy.rs
+++ b/crates/flamingo-serve/src/proxy.rs
@@ -1,11 +1,13 @@
 //! Handles a caller's request from finding its route to the response.
 
 mod adapter;
+mod arrival;
 mod attempt;
 mod begin;
 mod crash;
 mod departure;
 mod forward;
+mod handover;
 mod identity;
 mod job;
 mod load_guard;
@@ -13,6 +15,7 @@
 mod permit;
 mod proof;
 mod quota;
+mod reach;
 mod refusal;
 mod release;
 mod resumption;
@@ -25,11 +28,12 @@
 mod version;
 
 use crate::admission::Timing;
-use crate::body::{Body, WhenFull, collect};
+use crate::body::Body;
 use crate::budget::Allowance;
 use crate::choice::{self, Choice, Requirements};
 use crate::demand::Counter;
 use crate::departure::{Price, Terms, expected_bytes};
+use crate::isolation::Isolation;
 use crate::memory::Memory;
 use crate::metrics::Metrics;
 use crate::quota::Quotas;
@@ -37,12 +41,12 @@
 use crate::server::{Drain, Handler, Stage};
 use crate::sharers::Sharers;
 use crate::topology::Topology;
-use crate::wire::{AttemptId, Cause, Codec, Refusal, RequestHead};
-use bytes::Bytes;
+use crate::wire::{Cause, Codec};
+use arrival::Sender;
 use flamingo_link::subscription::ControlClient;
 use flamingo_wire::config::LatePolicy;
+use flamingo_wire::frame::Seal;
 use flamingo_wire::id;
-use flamingo_wire::prompt::PartId;
 use flamingo_wire::route::{self, Route};
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
@@ -51,18 +55,13 @@
 use job::{AttemptError, Job};
 pub use loading::LATE_LOAD_TIMEOUT;
 pub use refusal::RETRY_AFTER_MIN;
-use slog::{Logger, info};
-use std::cell::{Cell, OnceCell, RefCell};
+use slog::Logger;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::hash::{DefaultHasher, Hash, Hasher};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::time::timeout_at;
 
-/// Time after a route's timeout by which a request must have its final response.
-const RESPONSE_GRACE: Duration = Duration::from_millis(60);
-/// Time that a caller is assumed to wait if it states none.
-const DEFAULT_MAX_WAIT: Duration = Duration::from_secs(30);
 /// Number of unreachable targets after which a request is given up.
 const MAX_UNREACHABLE: usize = 4;
 /// Number of entries that is assumed until a control instance has sent it.
@@ -76,6 +75,10 @@
     pub topology: Rc<Topology>,
     /// Sends requests to control instances.
     pub control_client: Rc<ControlClient>,
+    /// Proves requests that are passed on to other entries.
+    pub seal: Seal,
+    /// Address at which other entries reach this one; `None` if it takes no requests of theirs.
+    pub inner_address: Option<SocketAddr>,
     /// Zone of this entry.
     pub zone: id::Zone,
     /// Price of traffic to other zones.
@@ -103,6 +106,10 @@
     codec: Rc<dyn Codec>,
     topology: Rc<Topology>,
     control_client: Rc<ControlClient>,
+    seal: Seal,
+    inner_address: Option<SocketAddr>,
+    /// Whether this entry reaches targets.
+    isolation: RefCell<Isolation>,
     zone: id::Zone,
     leaving_price: Price,
     late_policy: LatePolicy,
@@ -135,7 +142,7 @@
         self: Rc<Self>,
         request: Request<Incoming>,
     ) -> LocalBoxFuture<'static, Response<Body>> {
-        async move { self.respond(request).await }.boxed_local()
+        async move { self.respond(request, Sender::Caller).await }.boxed_local()
     }
 }
 
@@ -149,6 +156,9 @@
             codec: options.codec,
             topology: options.topology,
             control_client: options.control_client,
+            seal: options.seal,
+            inner_address: options.inner_address,
+            isolation: RefCell::new(Isolation::new(Instant::now())),
             zone: options.zone,
             leaving_price: options.leaving_price,
             late_policy: options.late_policy,
@@ -178,120 +188,28 @@
         &self.quotas
     }
 
-    async fn respond(self: Rc<Self>, request: Request<Incoming>) -> Response<Body> {
-        let arrived_at = Instant::now();
-        let (mut http_head, body) = request.into_parts();
-        let mut request = match self.codec.parse_request(&http_head) {
-            Ok(request) => request,
-            Err(problem) => {
-                info!(self.log, "request unreadable"; "problem" => problem);
-                return self.refuse(Refusal::new(Cause::Unreadable), None);
-            }
-        };
-        if self.drain.stage() >= Stage::Closing {
-            let refusal = Refusal::not_run(Cause::Stopping, Duration::ZERO);
-            return self.refuse_early(refusal, None, &request);
-        }
-        let guard = self.drain.track_request();
-        let Some(routes) = self.topology.routes.borrow().clone() else {
-            let refusal = Refusal::not_run(Cause::NoRoutes, refusal::RETRY_AFTER_MIN);
-            return self.refuse_early(refusal, None, &request);
-        };
-        request.configuration = routes.set.version;
-        let Some(mut route) = routes.find(&request.host, &request.path).cloned() else {
-            return self.refuse_early(Refusal::new(Cause::NoRoute), None, &request);
-        };
-        let found = self.authenticate(&routes, &mut route, &mut http_head, &mut request);
-        let workspace = match found {
-            Ok(workspace) => workspace,
-            Err(cause) => return self.refuse_key(&route, &request, cause),
-        };
-        let mut service = choose_service(&route, &request);
-        let parts = request.shared_parts();
-        let max_wait = request.max_wait.unwrap_or(DEFAULT_MAX_WAIT);
-        let timeout = Duration::from_millis(route.timeout_ms) + RESPONSE_GRACE;
-        let deadline = arrived_at + max_wait.min(timeout);
-        if let Some(refused) = self.refuse_unread(&route, &request, &service, &parts, deadline) {
-            return refused;
-        }
-        let max_bytes = routes.set.limits.body_bytes;
-        let body = match self.receive_body(body, max_bytes, deadline).await {
-            Ok(body) => body,
-            Err(Cause::NoMemory) => return self.refuse_for_memory(&route, &request),
-            Err(cause) => return self.refuse_early(Refusal::new(cause), Some(&route), &request),
-        };
-        let earlier_wait = self.earlier_wait(&route, max_wait);
-        let mut software = None;
-        if route.resumable && request.last_event_id.is_some() {
-            let scope = job::scope(&routes, workspace.as_deref());
-            let origin = self.find_origin(&route, &request, scope, deadline).await;
-            let Some(origin) = origin else {
-                return self.refuse_resumption(&route, &request);
-            };
-            service = origin.service;
-            software = Some(origin.software);
-        }
-        let fingerprint = job::identify(&http_head, &request, &body);
-        if let Some(until) = self.quarantined_until(&service, &[fingerprint]) {
-            return self.refuse_deadly(&route, &request, fingerprint, until);
-        }
-        let taken = self.take_quota(workspace.as_deref(), &route, &request, earlier_wait);
-        let ticket = match taken.await {
-            Ok(ticket) => ticket,
-            Err(response) => return response,
-        };
-        let job = Job {
-            http_head,
-            body,
-            service,
-            route,
-            workspace,
-            routes,
-            arrived_at,
-            earlier_wait,
-            deadline,
-            request,
-            parts,
-            fingerprint,
-            software: RefCell::new(software),
-            content_type: OnceCell::new(),
-            said_to_end: Cell::new(false),
-            tried: RefCell::default(),
-            lost: RefCell::default(),
-            lost_at: Cell::new(None),
-            progress_at: Cell::new(arrived_at),
-            waits: Cell::new(false),
-            stranded_since: Cell::new(None),
-            resent: Cell::new(false),
-            sent: Cell::new(0),
-            late: Cell::new(false),
-            unreachable: Cell::new(0),
-            may_have_run: Cell::new(false),
-            turned_away: Cell::new(false),
-            ticket: RefCell::new(ticket),
-            share: share::Progress::new(self.choices.get()),
-            guard,
-        };
-        self.retries.record_request(&job.service, arrived_at);
-        self.record_demand(&job);
-        self.run(Rc::new(job)).await
+    /// Returns the translation of HTTP heads.
+    #[must_use]
+    pub fn codec(&self) -> &dyn Codec {
+        self.codec.as_ref()
     }
 
-    /// Refuses a request before its body is read, if its prompt is quarantined or it may outlast the stop
-    /// of this process.
-    fn refuse_unread(
-        &self,
-        route: &Route,
-        request: &RequestHead,
-        service: &str,
-        parts: &[PartId],
-        deadline: Instant,
-    ) -> Option<Response<Body>> {
-        if let Some(until) = self.quarantined_until(service, parts) {
-            return Some(self.refuse_quarantined(route, request, until));
-        }
-        let outlasts = self.may_outlast_stop(route, deadline);
-        outlasts.then(|| self.refuse_stopping(route, request, deadline))
+    /// Returns the metrics of this entry.
+    #[must_use]
+    pub fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
+    /// Returns the stage of the shutdown.
+    #[must_use]
+    pub fn stage(&self) -> Stage {
+        self.drain.stage()
+    }
+
+    /// Serves a request that another entry has passed on, as if its caller had come here. It is not passed
+    /// on again.
+    pub async fn serve_passed_on(self: Rc<Self>, request: Request<Incoming>) -> Response<Body> {
+        self.respond(request, Sender::Neighbour).await
     }
 
     /// Counts a request in the demand that the leader places models by.
@@ -301,23 +219,6 @@
             .record_arrival(&job.service, &job.request, job.earlier_wait, ratio);
     }
 
-    /// Returns the body of a request.
-    ///
-    /// # Errors
-    ///
-    /// Returns why the body was not received whole by `deadline`.
-    async fn receive_body(
-        &self,
-        body: Incoming,
-        max_bytes: usize,
-        deadline: Instant,
-    ) -> Result<Bytes, Cause> {
-        let buffer = self.memory.buffer(max_bytes);
-        let collected = collect(body, buffer, WhenFull::Refuse);
-        let collected = timeout_at(deadline.into(), collected).await;
-        collected.unwrap_or(Err(Cause::Unreadable))
-    }
-
     /// Returns the response of a target, or gives up at the end of the process.
     async fn run(self: Rc<Self>, job: Rc<Job>) -> Response<Body> {
         let _refund = quota::Refund {
@@ -343,7 +244,9 @@
             let now = Instant::now();
             let expired = now >= job.deadline;
             let cause = match error {
-                AttemptError::NoAlternative(cause) => return self.give_up(job, cause),
+                AttemptError::NoAlternative(cause) => {
+                    return self.pass_on_or_give_up(job, cause).await;
+                }
                 AttemptError::QueueTooLong(delay) => {
                     let cause = self.record_no_room(job, delay, now);
                     return self.give_up(job, cause);
@@ -358,8 +261,9 @@
                 AttemptError::NotRun(cause) | AttemptError::MayHaveRun(cause) => cause,
             };
             let repeatable = !job.may_have_run.get() || job.route.repeatable();
-            if expired || !repeatable || !self.try_retry(job, now) {
-                return self.give_up(job, cause);
+            let passes_on = self.is_isolated() && self.may_pass_on(job, cause);
+            if expired || !repeatable || passes_on || !self.try_retry(job, now) {
+                return self.pass_on_or_give_up(job, cause).await;
             }
         }
     }
@@ -438,25 +342,3 @@
         longest.saturating_sub(max_wait)
     }
 }
-
-/// Chooses the service for a request by the weights of the route's shares. The choice depends only
-/// on the attempt id, so the same try always goes to the same service.
-fn choose_service(route: &Route, request: &RequestHead) -> id::Service {
-    let total: u64 = route
-        .shares
-        .iter()
-        .map(|share| u64::from(share.weight))
-        .sum();
-    let mut hasher = DefaultHasher::new();
-    let attempt_id: Option<&AttemptId> = request.attempt_id.as_ref();
-    attempt_id.hash(&mut hasher);
-    let mut offset = hasher.finish() % total.max(1);
-    for share in &route.shares {
-        let weight = u64::from(share.weight);
-        if offset < weight {
-            return share.service.clone();
-        }
-        offset -= weight;
-    }
-    id::Service::new()
-}
--- a/crates/flamingo-serve/src/proxy/attempt.rs
+++ b/crates/flamingo-serve/src/proxy/attempt.rs
@@ -8,6 +8,7 @@
 use crate::body::Body;
 use crate::choice::{self, Candidate, Choice};
 use crate::exchange::{self, Expected, Failure, PendingResponse};
+use crate::isolation::{self, Success};
 use crate::wire::{Attempt, AttemptId, Cause, Pause, ResponseHead};
 use http::{Request, Response, Uri};
 use http_body_util::Full;
@@ -149,6 +150,7 @@
         .await;
         match result {
             Ok(response) => {
+                job.caller_head.take();
                 let mut table = self.topology.table.borrow_mut();
                 self.metrics.sendings.with_label_values(&["answered"]).inc();
                 table.record_sign_of_life(&candidate.target);
@@ -157,6 +159,12 @@
                 }
                 drop(table);
                 self.record_connection(candidate, &response.connection, now);
+                let success = if response.connection.newly_dialled {
+                    Success::Connected
+                } else {
+                    Success::Answered
+                };
+                self.record_reached(&candidate.target, success);
                 self.record_availability(job, candidate, &response.parsed);
                 Ok(response)
             }
@@ -219,6 +227,7 @@
         if failure != Failure::Late {
             job.record_lost(candidate);
         }
+        self.record_reach_of_failure(job, candidate, failure, now);
         match failure {
             Failure::Restarted => {
                 // It is not known yet what it is now: it can't be chosen before it has registered.
@@ -248,6 +257,23 @@
         }
     }
 
+    /// Records what a failed attempt says of the reach of this entry. A connection that the deadline of
+    /// the request cut short says nothing.
+    fn record_reach_of_failure(
+        &self,
+        job: &Job,
+        candidate: &Candidate,
+        failure: Failure,
+        now: Instant,
+    ) {
+        let failure = match failure {
+            Failure::Unreached if now < job.deadline => isolation::Failure::Unreached,
+            Failure::Unsent | Failure::Broken | Failure::Late => isolation::Failure::Unanswered,
+            Failure::Unreached | Failure::Restarted | Failure::Foreign | Failure::Flooded => return,
+        };
+        self.record_out_of_reach(&candidate.target, failure);
+    }
+
     /// Gives a target a connection for each request for a time, since the answers on a kept one may
     /// belong to earlier requests.
     fn distrust(&self, job: &Job, target: &str, now: Instant) {
@@ -280,7 +306,7 @@
 }
 
 /// Returns a request target in origin form: path and query only (RFC 9112, section 3.2.1).
-fn origin_form(uri: &Uri) -> Uri {
+pub(super) fn origin_form(uri: &Uri) -> Uri {
     let path = uri.path_and_query().cloned();
     path.map_or_else(|| uri.clone(), Uri::from)
 }
--- a/crates/flamingo-serve/src/proxy/begin.rs
+++ b/crates/flamingo-serve/src/proxy/begin.rs
@@ -21,7 +21,7 @@
 use std::time::Instant;
 
 /// Largest stream that is buffered for a caller that can't receive chunks, in bytes.
-const MAX_BUFFERED_STREAM_BYTES: usize = 1024 * 1024;
+pub(super) const MAX_BUFFERED_STREAM_BYTES: usize = 1024 * 1024;
 
 /// A stream whose first event has been received.
 pub(super) struct Begun {
--- a/crates/flamingo-serve/src/proxy/forward.rs
+++ b/crates/flamingo-serve/src/proxy/forward.rs
@@ -19,7 +19,7 @@
 use tokio::time::timeout_at;
 
 /// Largest response body that is buffered before it is returned, in bytes.
-const MAX_BUFFERED_BYTES: usize = 256 * 1024;
+pub(super) const MAX_BUFFERED_BYTES: usize = 256 * 1024;
 
 /// An attempt whose response head has been received.
 pub(super) struct Answered {
@@ -163,7 +163,9 @@
         let buffer = self.memory.buffer(MAX_BUFFERED_BYTES);
         let collected = collect(body, buffer, WhenFull::Wait);
         let bytes = match timeout_at(job.deadline.into(), collected).await {
-            Ok(Ok(bytes)) if !bytes.is_empty() || states_empty_body(job, &head) => bytes,
+            Ok(Ok(bytes)) if !bytes.is_empty() || may_be_empty(&job.http_head.method, &head) => {
+                bytes
+            }
             Ok(_) => {
                 self.record_break(job, &candidate, sent_at, Progress::Head);
                 let request = job.request.attempt_id.as_ref();
@@ -215,10 +217,15 @@
     /// Returns the head of the caller's response for a target's response. How the target delimited
     /// its body is not passed on: the server delimits the body that it sends.
     pub(super) fn caller_head(&self, job: &Job, head: &response::Parts) -> response::Parts {
+        self.head_for(&job.http_head.method, head)
+    }
+
+    /// As [`Self::caller_head`], for a request with this method.
+    pub(super) fn head_for(&self, method: &Method, head: &response::Parts) -> response::Parts {
         let mut head = clone_head(head);
         self.codec.strip_hop_by_hop(&mut head);
         // The response to HEAD has no body, and states the length that GET would return.
-        if job.http_head.method != Method::HEAD {
+        if *method != Method::HEAD {
             head.headers.remove(header::CONTENT_LENGTH);
         }
         head
@@ -233,11 +240,11 @@
 
 /// Returns whether an answer with this head is whole without a body. A success that states no end may
 /// have broken off after its head.
-fn states_empty_body(job: &Job, head: &response::Parts) -> bool {
+pub(super) fn may_be_empty(method: &Method, head: &response::Parts) -> bool {
     let no_content = [StatusCode::NO_CONTENT, StatusCode::RESET_CONTENT];
     let has_body = head.status.is_success() && !no_content.contains(&head.status);
     let stated = Framing::of(head) != Framing::Connection;
-    !has_body || stated || job.http_head.method == Method::HEAD
+    !has_body || stated || *method == Method::HEAD
 }
 
 /// Clones the status and headers of a response head.
--- a/crates/flamingo-serve/src/proxy/job.rs
+++ b/crates/flamingo-serve/src/proxy/job.rs
@@ -33,8 +33,11 @@
 
 /// A caller's request with the state of its attempts.
 pub struct Job {
-    /// HTTP head as received from the caller.
+    /// HTTP head as received from the caller, without its key where keys are known.
     pub http_head: request::Parts,
+    /// HTTP head as received, with the caller's key; `None` where the request may not be passed on: another
+    /// entry has passed it on, or a target has answered. So keys are not held as long as streams last.
+    pub caller_head: RefCell<Option<request::Parts>>,
     /// Complete request body.
     pub body: Bytes,
     /// The head as parsed by the codec.
--- /dev/null
+++ b/crates/flamingo-serve/src/proxy/reach.rs
@@ -0,0 +1,154 @@
+//! Records whether targets are reached, and probes them while that is in doubt.
+
+use super::Proxy;
+use crate::isolation::{Change, Failure, Reach, Success};
+use crate::server::Stage;
+use crate::table::Table;
+use flamingo_wire::id;
+use futures_util::future::join_all;
+use slog::info;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// Longest time in which a target must accept the connection of a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time for which the connection must then stay open. A target says nothing before it is asked, so one
+/// that ends at once was not accepted by the target.
+const SETTLE_TIME: Duration = Duration::from_millis(20);
+
+impl Proxy {
+    /// Returns whether this entry reaches no target.
+    #[must_use]
+    pub fn is_isolated(&self) -> bool {
+        self.isolation.borrow().is_isolated()
+    }
+
+    /// Returns whether this entry reaches targets.
+    pub(super) fn reach(&self) -> Reach {
+        self.isolation.borrow().reach(self.known_targets())
+    }
+
+    fn known_targets(&self) -> usize {
+        self.topology.table.borrow().iter().count()
+    }
+
+    /// Records that a target was reached.
+    pub(super) fn record_reached(&self, target: &str, success: Success) {
+        let now = Instant::now();
+        let change = self
+            .isolation
+            .borrow_mut()
+            .record_success(target, success, now);
+        if let Some(change) = change {
+            self.record_change(target, change);
+        }
+    }
+
+    /// Records that a target may not be reached.
+    pub(super) fn record_out_of_reach(&self, target: &str, failure: Failure) {
+        let (known, now) = (self.known_targets(), Instant::now());
+        let change = self
+            .isolation
+            .borrow_mut()
+            .record_failure(target, failure, known, now);
+        if let Some(change) = change {
+            self.record_change(target, change);
+        }
+    }
+
+    /// Logs that this entry is isolated or reaches targets again. Idle connections of an isolated entry
+    /// may hang, and a request on one would be lost; they are kept only if others of them answer.
+    fn record_change(&self, target: &str, change: Change) {
+        match change {
+            Change::Isolated {
+                failed,
+                answering,
+                quiet,
+            } => {
+                info!(self.log, "isolated from targets"; "target" => target, "failed" => failed,
+                    "answering" => answering, "known" => self.known_targets(),
+                    "quiet_ms" => quiet.as_millis());
+                if answering == 0 {
+                    self.topology.pool.borrow_mut().clear();
+                }
+                self.metrics.handovers().isolated.set(1);
+            }
+            Change::Reaching { lasted } => {
+                info!(self.log, "reaches targets again"; "target" => target,
+                    "after_ms" => lasted.as_millis());
+                self.metrics.handovers().isolated.set(0);
+            }
+        }
+    }
+
+    /// Has the heartbeats of this entry say whether it takes requests of others.
+    fn announce(&self) {
+        let has_routes = self.topology.routes.borrow().is_some();
+        let serves = has_routes
+            && self.drain.stage() == Stage::Serving
+            && self.isolation.borrow().serves_others();
+        let address = self.inner_address.filter(|_| serves);
+        self.topology.set_neighbour(address);
+    }
+
+    /// Says whether this entry takes requests of others, and probes a few targets if it is in doubt whether any is reached.
+    pub async fn probe_targets(&self) {
+        self.announce();
+        let now = Instant::now();
+        let count = {
+            let table = self.topology.table.borrow();
+            let mut isolation = self.isolation.borrow_mut();
+            isolation.retain(|target| table.get(target).is_some());
+            isolation.begin_probes(now)
+        };
+        if count == 0 {
+            return;
+        }
+        let targets = self.targets_to_probe(count, now);
+        join_all(targets.into_iter().map(async |(target, address)| {
+            if accepts_connection(address).await {
+                self.record_reached(&target, Success::Connected);
+            } else {
+                self.record_out_of_reach(&target, Failure::Unreached);
+            }
+        }))
+        .await;
+        self.announce();
+    }
+
+    /// Returns the targets whose answer may refute most, in an order that changes with the time.
+    fn targets_to_probe(&self, count: usize, now: Instant) -> Vec<(id::Target, SocketAddr)> {
+        let table: &Table = &self.topology.table.borrow();
+        let isolation = self.isolation.borrow();
+        let mut targets: Vec<_> = table.iter().collect();
+        targets.sort_by_cached_key(|target| {
+            let id = &target.registration.id;
+            let may_be_gone = table.heartbeat_overdue(target) || !target.accepts_requests();
+            let mut hasher = DefaultHasher::new();
+            (now, id).hash(&mut hasher);
+            (may_be_gone, isolation.probe_rank(id), hasher.finish())
+        });
+        let probed = targets.into_iter().take(count);
+        probed
+            .map(|target| {
+                let registration = &target.registration;
+                (registration.id.clone(), registration.address)
+            })
+            .collect()
+    }
+}
+
+/// Returns whether a target accepts a connection and keeps it. The connection is closed at once.
+async fn accepts_connection(address: SocketAddr) -> bool {
+    let connected = timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await;
+    let Ok(Ok(stream)) = connected else {
+        return false;
+    };
+    let mut byte = [0];
+    let ended = timeout(SETTLE_TIME, stream.peek(&mut byte)).await;
+    // An error or no byte: it has ended.
+    !matches!(ended, Ok(Err(_) | Ok(0)))
+}
--- a/crates/flamingo-serve/src/proxy/retry.rs
+++ b/crates/flamingo-serve/src/proxy/retry.rs
@@ -46,6 +46,11 @@
         }
     }
 
+    /// Takes back a request that [`Self::record_request`] has counted and that another entry serves.
+    pub(super) fn forget_request(&self, service: &str, arrived_at: Instant) {
+        self.with(service, |account| account.budget.forget_request(arrived_at));
+    }
+
     fn with<T>(&self, service: &str, action: impl FnOnce(&mut Account) -> T) -> T {
         let mut accounts = self.accounts.borrow_mut();
         let account = accounts
@@ -79,7 +84,7 @@
         if job.sent.get() >= job.route.attempts.max(1) {
             return false;
         }
-        self.pay_retry(job, now)
+        self.pay_retry(&job.service, now)
     }
 
     /// Returns whether a request that a target rejected for lack of an adapter is sent to this target
@@ -87,17 +92,17 @@
     /// attempts does not count.
     pub(super) fn may_resend(&self, job: &Job, now: Instant) -> bool {
         let first = !job.resent.replace(true);
-        first && !job.may_have_run.get() && self.pay_retry(job, now)
+        first && !job.may_have_run.get() && self.pay_retry(&job.service, now)
     }
 
     /// Spends a retry of the budget. Returns `false` if there is none.
-    fn pay_retry(&self, job: &Job, now: Instant) -> bool {
+    pub(super) fn pay_retry(&self, service: &str, now: Instant) -> bool {
         let sharers = self.topology.peers.borrow().sharers.count(now);
-        let paid = self.retries.with(&job.service, |account| {
-            account.budget.try_retry(now, sharers)
-        });
+        let paid = self
+            .retries
+            .with(service, |account| account.budget.try_retry(now, sharers));
         if let Err(refusal) = paid {
-            self.record_unpaid(&job.service, refusal, now);
+            self.record_unpaid(service, refusal, now);
         }
         paid.is_ok()
     }
--- a/crates/flamingo-serve/src/proxy/silence.rs
+++ b/crates/flamingo-serve/src/proxy/silence.rs
@@ -11,6 +11,7 @@
 use super::{MAX_UNREACHABLE, Proxy};
 use crate::choice::{Candidate, Choice};
 use crate::exchange::PendingResponse;
+use crate::isolation::{Failure, Success};
 use flamingo_wire::route::Kind;
 use futures_util::future::{Either, select};
 use slog::info;
@@ -129,11 +130,14 @@
     pub(super) fn record_silence(&self, target: &str) {
         let mut table = self.topology.table.borrow_mut();
         table.record_silence(target, Instant::now());
+        drop(table);
+        self.record_out_of_reach(target, Failure::Unanswered);
     }
 
     /// Records that a silent target has gone on.
     pub(super) fn record_sign_of_life(&self, target: &str) {
         self.topology.table.borrow_mut().record_sign_of_life(target);
+        self.record_reached(target, Success::Answered);
     }
 
     /// Sends a request to other targets until one answers: with the first event, if it is a stream.
--- a/crates/flamingo-serve/src/wire.rs
+++ b/crates/flamingo-serve/src/wire.rs
@@ -263,6 +263,14 @@
     /// Returns the headers for sending a caller's request to a target.
     fn request_headers(&self, head: &request::Parts, attempt: &Attempt<'_>) -> http::HeaderMap;
 
+    /// Returns the headers for passing a caller's request on to another entry, which treats it as the
+    /// caller's own. `max_wait` is what is left of the time that the caller has stated.
+    fn passed_on_headers(
+        &self,
+        head: &request::Parts,
+        max_wait: Option<Duration>,
+    ) -> http::HeaderMap;
+
     /// Returns the head of a request that asks an engine for its incarnation.
     fn incarnation_request(&self, target: &id::Target) -> request::Parts;
 
--- a/crates/flamingo-serve/tests/isolation.rs
+++ b/crates/flamingo-serve/tests/isolation.rs
@@ -151,7 +151,11 @@
             entry.refuse(&format!("crashed-{crashed}"), round * 100);
         }
         for sound in 0..10 {
-            entry.succeed(&format!("sound-{sound}"), Success::Answered, round * 100 + 1);
+            entry.succeed(
+                &format!("sound-{sound}"),
+                Success::Answered,
+                round * 100 + 1,
+            );
         }
     }
     assert_eq!(entry.reach(), Reach::Reaching);
