Tests: answers whose status is of no final response are passed to callers

Reported from other systems: a replica in trouble answered with status 000, and the caller got that as its answer. Here 000 and other statuses that can't be read are broken answers on all paths (tests that pass show it). 600, 700, 799, 999 and 101 are not: callers get them as answers, with the target's seal or without it, on the platform's path and on the product's own front. That front also passes on 100, 103, 104 and 199 that come in place of an answer.

--- a/crates/flamingo-entry/tests/outer/main.rs
+++ b/crates/flamingo-entry/tests/outer/main.rs
@@ -7,4 +7,5 @@
 mod harness;
 mod input;
 mod leaving;
+mod statuses;
 mod upstream;
