An answer whose status is of no final response is no answer

Callers got an answer with status 600, 700, 799, 999 or 101 as it came from a target, sealed or not, on both fronts; at the product's own front also 100, 103, 104 and 199. One that said that it had not run the request was believed, and what may run only once was sent again. Beside a silent target such an answer was taken in place of a sound one. The target stayed in the rotation.

Cause: the checks asked for the classes that have a meaning here, a success or a server error, and let all others through; the HTTP libraries read every number from 100 to 999 as a status.

Now one function says which statuses a final response may have (200 to 599), and each front asks it at the one place that all its sendings pass, before it reads anything else of the head: before the answers of two targets race, and before load, leaving, pauses and refusals are believed. Any other answer counts as broken: it may have run, goes on only where it may be repeated, and its target is left for a time. Where the own front's library gives an interim response for the answer, the call is "may have run" and no longer "ran".

Statuses that can't be read, such as the reported 000, were broken answers before.

--- a/crates/flamingo-entry/src/exchange.rs
+++ b/crates/flamingo-entry/src/exchange.rs
@@ -12,7 +12,7 @@
 use flamingo_route::action::{Dispatch, Failure};
 use flamingo_wire::engine::Lora;
 use flamingo_wire::fingerprint::{Fingerprint, fingerprint};
-use flamingo_wire::{Verdict, id};
+use flamingo_wire::{Verdict, id, status};
 use futures_util::StreamExt;
 use std::time::{Duration, Instant};
 
@@ -148,6 +148,11 @@
     let response = tokio::time::timeout_at(dispatch.first_byte_deadline.into(), sent).await;
     let name = &dispatch.target;
     match response {
+        Ok(Ok(response)) if !status::is_final(response.status().as_u16()) => {
+            let status = response.status().as_u16();
+            let message = format!("target '{name}' sent {status}, the status of no final response");
+            Err(failure(dispatch, Verdict::MayHaveRun, message))
+        }
         Ok(Ok(response)) => {
             let leaving = response.headers().get(LEAVING);
             if leaving.is_some_and(|leaving| leaving == "1") {
--- a/crates/flamingo-serve/src/proxy/attempt.rs
+++ b/crates/flamingo-serve/src/proxy/attempt.rs
@@ -9,6 +9,7 @@
 use crate::choice::{self, Candidate, Choice};
 use crate::exchange::{self, Expected, Failure, PendingResponse};
 use crate::wire::{Attempt, AttemptId, Cause, Pause, ResponseHead};
+use flamingo_wire::status;
 use http::{Request, Response, Uri};
 use http_body_util::Full;
 use slog::info;
@@ -71,8 +72,8 @@
         Ok(load_guard)
     }
 
-    /// Sends a request to the chosen target and waits for the response head. `last_event_id` is
-    /// the last event that the caller has received, if the request resumes a stream.
+    /// Sends a request to the chosen target and waits for the head of a final response. `last_event_id`
+    /// is the last event that the caller has received, if the request resumes a stream.
     pub(super) async fn send(
         self: &Rc<Self>,
         job: &Job,
@@ -149,8 +150,13 @@
         .await;
         match result {
             Ok(response) => {
-                let mut table = self.topology.table.borrow_mut();
                 self.metrics.sendings.with_label_values(&["answered"]).inc();
+                if !status::is_final(response.head.status.as_u16()) {
+                    let request = job.request.attempt_id.as_ref();
+                    self.record_broken_answer(request, &candidate.target, "status");
+                    return Err(AttemptError::MayHaveRun(Cause::Broken));
+                }
+                let mut table = self.topology.table.borrow_mut();
                 table.record_sign_of_life(&candidate.target);
                 if let Some(load) = response.parsed.load {
                     table.record_load(&candidate.target, load, Instant::now());
--- a/crates/flamingo-wire/src/lib.rs
+++ b/crates/flamingo-wire/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod quota;
 pub mod route;
 pub mod share;
+pub mod status;
 pub mod stream;
 pub mod target;
 pub mod workspace;
