--- a/crates/flamingo-log/tests/joining.rs
+++ b/crates/flamingo-log/tests/joining.rs
@@ -64,7 +64,7 @@
     group.isolate(new);
     group.advance(Duration::from_secs(8));
     group.heal();
-    let voted = group.until(Duration::from_secs(60), |group| votes(group, new));
+    let voted = group.until(Duration::from_mins(1), |group| votes(group, new));
     assert!(
         voted,
         "leader known to it: {:?}",
@@ -126,7 +126,7 @@
     };
     assert!(group.until(CATCH_UP, listed));
     group.isolate(new);
-    group.advance(Duration::from_secs(60));
+    group.advance(Duration::from_mins(1));
     assert!(!raft(&group, new).is_voter());
     assert_eq!(raft(&group, new).leader(), None);
 }
@@ -138,7 +138,7 @@
     let new = group.join(&seeds);
     group.nodes[new].no_room = true;
     let before = group.last_committed();
-    group.advance(Duration::from_secs(60));
+    group.advance(Duration::from_mins(1));
     let entries = group.last_committed() - before;
     assert!(
         entries <= 4,
@@ -198,7 +198,7 @@
     let new = group.join(&seeds);
     group.nodes[new].full = true;
     let before = group.last_committed();
-    group.advance(Duration::from_secs(60));
+    group.advance(Duration::from_mins(1));
     let entries = group.last_committed() - before;
     assert!(
         entries <= 4,
--- a/crates/flamingo-serve/src/proxy/reach.rs
+++ b/crates/flamingo-serve/src/proxy/reach.rs
@@ -2,18 +2,29 @@
 
 use super::Proxy;
 use crate::isolation::{Change, Failure, Reach, Success};
+use crate::pool;
 use crate::server::Stage;
 use crate::table::Table;
 use flamingo_wire::id;
 use futures_util::future::join_all;
+use http::Request;
+use http_body_util::Full;
 use slog::info;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{timeout, timeout_at};
 
-/// Longest time in which a target must accept the connection of a probe.
+/// A target that is probed.
+struct Probe {
+    target: id::Target,
+    address: SocketAddr,
+    /// Whether it answers the question for its incarnation.
+    is_engine: bool,
+}
+
+/// Longest time in which a target must accept the connection of a probe, and answer it.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time for which the connection must then stay open. A target says nothing before it is asked, so one
 /// that ends at once was not accepted by the target.
@@ -108,22 +119,49 @@
             return;
         }
         let targets = self.targets_to_probe(count, now);
-        join_all(targets.into_iter().map(async |(target, address)| {
-            if accepts_connection(address).await {
-                self.record_reached(&target, Success::Connected);
+        join_all(targets.into_iter().map(async |probe| {
+            if self.is_answered(&probe).await {
+                self.record_reached(&probe.target, Success::Connected);
             } else {
-                self.record_out_of_reach(&target, Failure::Unreached);
+                self.record_out_of_reach(&probe.target, Failure::Unreached);
             }
         }))
         .await;
         self.announce();
     }
 
-    /// Returns the targets whose answer may refute most, in an order that changes with the time.
-    fn targets_to_probe(&self, count: usize, now: Instant) -> Vec<(id::Target, SocketAddr)> {
+    /// Returns whether a target is reached. An accepted connection proves it only of a plain service, which
+    /// might run what it is asked.
+    async fn is_answered(&self, probe: &Probe) -> bool {
+        if !probe.is_engine {
+            return accepts_connection(probe.address).await;
+        }
+        let deadline = Instant::now() + PROBE_TIMEOUT;
+        let Some(mut connection) = pool::dial(probe.address, deadline).await else {
+            return false;
+        };
+        let question = self.codec.incarnation_request(&probe.target);
+        let question = Request::from_parts(question, Full::default());
+        let answered = timeout_at(deadline.into(), connection.send(question)).await;
+        matches!(answered, Ok(Ok(_)))
+    }
+
+    fn is_engine(&self, service: &str) -> bool {
+        let routes = self.topology.routes.borrow();
+        let service = routes.as_ref().and_then(|routes| routes.service(service));
+        service.is_some_and(|service| service.engine.is_some())
+    }
+
+    /// Returns the targets whose answer may refute most, in an order that changes with the time: engines only,
+    /// where there are any.
+    fn targets_to_probe(&self, count: usize, now: Instant) -> Vec<Probe> {
         let table: &Table = &self.topology.table.borrow();
         let isolation = self.isolation.borrow();
-        let mut targets: Vec<_> = table.iter().collect();
+        let (engines, others): (Vec<_>, Vec<_>) = table
+            .iter()
+            .partition(|target| self.is_engine(&target.registration.service));
+        let is_engine = !engines.is_empty();
+        let mut targets = if is_engine { engines } else { others };
         targets.sort_by_cached_key(|target| {
             let id = &target.registration.id;
             let may_be_gone = table.heartbeat_overdue(target) || !target.accepts_requests();
@@ -135,7 +173,11 @@
         probed
             .map(|target| {
                 let registration = &target.registration;
-                (registration.id.clone(), registration.address)
+                Probe {
+                    target: registration.id.clone(),
+                    address: registration.address,
+                    is_engine,
+                }
             })
             .collect()
     }
