An empty list of control instances is none

A control instance that is not listed itself, as one that waits to join, sends a list of none. An entry took it for the newest one, so that a question for the origin of a stream counted as answered by all when nobody had answered, just as control came back. The new case of tests/relays.rs failed before.

--- a/crates/flamingo-serve/src/topology.rs
+++ b/crates/flamingo-serve/src/topology.rs
@@ -94,7 +94,7 @@
     leader_known_at: Option<Instant>,
     /// Number of entries that each control instance counts, and when it was heard.
     entries: HashMap<SocketAddr, (usize, Instant)>,
-    /// Number of control instances in the newest list of any of them; `None` before the first.
+    /// Number of control instances in the newest list of any of them that has one; `None` before the first.
     controls: Option<usize>,
     /// Control instances whose pushes are being received.
     connected: BTreeSet<SocketAddr>,
@@ -193,7 +193,10 @@
             self.sharers.set_relayed(may_be_relayed);
             self.sharers.record(entries, now);
         }
-        self.controls = Some(peers.controls.len());
+        // An instance that is not listed knows of no other.
+        if !peers.controls.is_empty() {
+            self.controls = Some(peers.controls.len());
+        }
     }
 
     /// Records which others a relay reaches. Returns those that are not connected any more.
--- a/crates/flamingo-serve/tests/relays.rs
+++ b/crates/flamingo-serve/tests/relays.rs
@@ -119,3 +119,14 @@
     topology.on_disconnect(control(RELAY));
     assert_eq!(topology.peers.borrow().leader, None);
 }
+
+/// Guards against a question that counts as answered by all since an instance without a list names none.
+#[test]
+fn a_control_instance_that_knows_no_others_does_not_change_how_many_there_are() {
+    let topology = topology();
+    let unlisted = Push::Peers(Peers::default());
+    topology.on_push(control(OTHER), unlisted);
+    let peers = topology.peers.borrow();
+    assert!(!peers.are_all(0) && !peers.are_all(2));
+    assert!(peers.are_all(3));
+}
