--- a/crates/flamingo-control/src/daemon.rs
+++ b/crates/flamingo-control/src/daemon.rs
@@ -51,8 +51,6 @@
 const DISK_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Time for a transient failure of the disk to pass before the log may be opened again.
 const DISK_RECOVERY_GRACE: Duration = Duration::from_secs(2);
-/// Time between two attempts to have a software version committed.
-const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(100);
 /// Folder within the data folder for the origins of streams.
 const ORIGINS_FOLDER: &str = "origins";
 /// Upper bound on the bytes of a frame in addition to the body.
@@ -284,6 +282,7 @@
 
     /// Has a software version committed; tries again while a target waits for it.
     async fn confirm(self, origin: Origin) {
+        let mut delays = software::confirmation_delays();
         loop {
             let request = Request::Confirm(origin.clone());
             let from = id::Node::new();
@@ -291,7 +290,7 @@
             if !matches!(reply, Ok(Reply::Acknowledged)) {
                 info!(self.log, "software version not confirmed"; "service" => &origin.service,
                     "software" => &origin.software, "why" => format!("{reply:?}"));
-                actix_rt::time::sleep(CONFIRMATION_INTERVAL).await;
+                actix_rt::time::sleep(delays.next().unwrap_or_default()).await;
             }
             let mut gate = self.lock_gate();
             if matches!(reply, Ok(Reply::Acknowledged)) || !gate.holds(&origin, clock::now()) {
--- a/crates/flamingo-control/src/software.rs
+++ b/crates/flamingo-control/src/software.rs
@@ -27,6 +27,25 @@
     Held,
 }
 
+/// Time after which a version that could not be committed is proposed again for the first time.
+const FIRST_CONFIRMATION_DELAY: Duration = Duration::from_millis(100);
+/// Longest such time: targets wait for the version once there is a leader again.
+const MAX_CONFIRMATION_DELAY: Duration = Duration::from_millis(800);
+
+/// Returns the times between attempts to have a version committed: each is twice as long as the last, up to a
+/// bound.
+///
+/// ```
+/// use flamingo_control::software::confirmation_delays;
+///
+/// let delays: Vec<_> = confirmation_delays().take(6).map(|delay| delay.as_millis()).collect();
+/// assert_eq!(delays, [100, 200, 400, 800, 800, 800]);
+/// ```
+pub fn confirmation_delays() -> impl Iterator<Item = Duration> {
+    let next = |delay: &Duration| Some((*delay * 2).min(MAX_CONFIRMATION_DELAY));
+    std::iter::successors(Some(FIRST_CONFIRMATION_DELAY), next)
+}
+
 /// A registration that waits, and until when.
 #[derive(Clone, Debug)]
 struct Held {
