--- a/crates/flamingo-serve/src/proxy/crash.rs
+++ b/crates/flamingo-serve/src/proxy/crash.rs
@@ -5,7 +5,7 @@
 use super::job::Job;
 use crate::body::Body;
 use crate::choice::Candidate;
-use crate::isolation::{Failure, Reach};
+use crate::isolation::Failure;
 use crate::limit::Limit;
 use crate::pool;
 use crate::wire::{Cause, Refusal, RequestHead};
@@ -138,12 +138,9 @@
             return self.topology.record_crash(&life);
         };
         let Some(connection) = pool::dial(address, Instant::now() + PROBE_TIMEOUT).await else {
+            self.topology.record_crash(&life);
             self.record_failure(&life.0, Instant::now());
             self.record_out_of_reach(&life.0, Failure::Unreached);
-            // An entry that may be cut off can't tell its own loss from a crash of the target.
-            if self.reach() == Reach::Reaching {
-                self.topology.record_crash(&life);
-            }
             // Streams wait for its return.
             return self.topology.models_changed.notify_waiters();
         };
