An isolated entry whose targets answer probes late serves by itself again

Callers of an entry whose partition had ended were served by its neighbours for as long as targets took more than 300 ms to answer a new connection: each probe was given up then, and only an answered one ends an isolation.

There the stand-ins took a median of 0.6 to 0.9 s to serve a new connection.

A probe that has no answer after 300 ms counts as a failure as before, and is waited for up to 2 s: a late answer shows as well that targets are reached. Rounds of probes don't wait for the rounds before.

an_entry_whose_targets_answer_probes_late_does_not_stay_isolated failed before (isolated for the 20 s of the test) and passes; the other 30 tests of neighbours hold.

--- a/crates/flamingo-serve/src/lifecycle.rs
+++ b/crates/flamingo-serve/src/lifecycle.rs
@@ -49,7 +49,7 @@
 /// Probes targets while it is in doubt whether this entry reaches any. Never returns.
 pub async fn probe(proxy: Rc<Proxy>) {
     loop {
-        proxy.probe_targets().await;
+        proxy.probe_targets();
         tokio::time::sleep(PROBE_CHECK_INTERVAL).await;
     }
 }
--- a/crates/flamingo-serve/src/proxy/reach.rs
+++ b/crates/flamingo-serve/src/proxy/reach.rs
@@ -6,12 +6,13 @@
 use crate::server::Stage;
 use crate::table::Table;
 use flamingo_wire::id;
-use futures_util::future::join_all;
 use http::Request;
 use http_body_util::Full;
 use slog::info;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
+use std::pin::pin;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 use tokio::time::{timeout, timeout_at};
@@ -24,8 +25,10 @@
     is_engine: bool,
 }
 
-/// Longest time in which a target must accept the connection of a probe, and answer it.
+/// Time after which a target that has not answered a probe may be out of reach.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time for which an answer to a probe is waited for: a late one shows as well that the target is reached.
+const LATE_PROBE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time for which the connection must then stay open. A target says nothing before it is asked, so one
 /// that ends at once was not accepted by the target.
 const SETTLE_TIME: Duration = Duration::from_millis(20);
@@ -105,8 +108,9 @@
         self.topology.set_neighbour(address);
     }
 
-    /// Says whether this entry takes requests of others, and probes a few targets if it is in doubt whether any is reached.
-    pub async fn probe_targets(&self) {
+    /// Says whether this entry takes requests of others, and probes a few targets if it is in doubt whether
+    /// any is reached.
+    pub fn probe_targets(self: &Rc<Self>) {
         self.announce();
         let now = Instant::now();
         let count = {
@@ -118,15 +122,26 @@
         if count == 0 {
             return;
         }
-        let targets = self.targets_to_probe(count, now);
-        join_all(targets.into_iter().map(async |probe| {
-            if self.is_answered(&probe).await {
-                self.record_reached(&probe.target, Success::Connected);
-            } else {
-                self.record_out_of_reach(&probe.target, Failure::Unreached);
-            }
-        }))
-        .await;
+        for probe in self.targets_to_probe(count, now) {
+            let proxy = Rc::clone(self);
+            tokio::task::spawn_local(async move { proxy.probe_target(&probe).await });
+        }
+    }
+
+    /// Probes a target and records the outcome: of a late answer, first that there was none in time.
+    async fn probe_target(&self, probe: &Probe) {
+        let mut answer = pin!(self.is_answered(probe));
+        let in_time = timeout(PROBE_TIMEOUT, &mut answer).await.ok();
+        if in_time != Some(true) {
+            self.record_out_of_reach(&probe.target, Failure::Unreached);
+        }
+        let is_reached = match in_time {
+            Some(is_reached) => is_reached,
+            None => answer.await,
+        };
+        if is_reached {
+            self.record_reached(&probe.target, Success::Connected);
+        }
         self.announce();
     }
 
@@ -136,7 +151,7 @@
         if !probe.is_engine {
             return accepts_connection(probe.address).await;
         }
-        let deadline = Instant::now() + PROBE_TIMEOUT;
+        let deadline = Instant::now() + LATE_PROBE_TIMEOUT;
         let Some(mut connection) = pool::dial(probe.address, deadline).await else {
             return false;
         };
