Targets that answered once and then broke no longer hide an isolation

Callers at an entry that had lost its targets were refused for 10 s (205 of 332 first tries served, 347 of 347 at the others), once in 12 process runs side by side: its log says 'isolated' only then, with 10 of 10 targets failed, 2 'answering', at the moment when one of these two was seen to refuse a connection.

An answer on an open connection, given in the first moments of the cut, spoke against isolation until a target accepted a new connection, though the connections had broken since. A connection that breaks or stays silent now takes the answer back.

targets_that_answered_and_then_broke_do_not_hide_an_isolation failed before ('Reaching') and passes, as do the other 17 cases of isolation and the 31 of neighbours.

--- a/crates/flamingo-serve/src/isolation.rs
+++ b/crates/flamingo-serve/src/isolation.rs
@@ -88,7 +88,7 @@
 struct Record {
     /// The last failure; `None` if it has not failed.
     failure: Option<Failure>,
-    /// When it last answered on an open connection; `None` if it has not.
+    /// When it last answered on an open connection; `None` if it has not, or was silent since.
     answered_at: Option<Instant>,
 }
 
@@ -194,6 +194,9 @@
         if record.failure != Some(Failure::Unreached) {
             record.failure = Some(failure);
         }
+        if failure == Failure::Unanswered {
+            record.answered_at = None;
+        }
         let lasts = now.saturating_duration_since(first) >= MIN_FAILURE_SPAN;
         if self.is_isolated() || !lasts || !self.is_suspected(known) {
             return None;
--- a/crates/flamingo-serve/tests/isolation.rs
+++ b/crates/flamingo-serve/tests/isolation.rs
@@ -272,3 +272,18 @@
     entry.refuse("c", 600);
     assert_eq!(entry.reach(), Reach::Reaching);
 }
+
+#[test]
+fn targets_that_answered_and_then_broke_do_not_hide_an_isolation() {
+    let mut entry = Entry::new(KNOWN);
+    entry.refuse("a", 0);
+    // The last answers on connections that the partition ends.
+    entry.succeed("d", Success::Answered, 100);
+    entry.succeed("e", Success::Answered, 100);
+    for (target, ms) in [("d", 300), ("e", 400)] {
+        entry.fail(target, Failure::Unanswered, ms);
+    }
+    entry.refuse("b", 600);
+    entry.refuse("c", 900);
+    assert_eq!(entry.reach(), Reach::Isolated);
+}
