A partition is not taken for crashes of the targets behind it

An entry that can't connect to a target after its connections broke took that for a crash. It is one only if the entry is not cut off. Such a crash is now reported once another target has accepted a connection since; if the entry was isolated, once control says that the incarnation has ended; and it is withdrawn where heartbeats of the same incarnation come for 5 s longer.

--- a/crates/flamingo-guard/src/observer.rs
+++ b/crates/flamingo-guard/src/observer.rs
@@ -6,12 +6,17 @@
 //! [`Ledger`] holds what control has quarantined, and judges by this entry's requests alone, which
 //! is all there is while control is out of reach.
 
+mod sightings;
+
+pub use sightings::Fate;
+
 use crate::quarantine::{Finding, Key, Ledger};
 use flamingo_wire::fingerprint::Fingerprint;
 use flamingo_wire::id;
 use flamingo_wire::prompt::{
     Answered, AnsweredRequests, Crash, Evidence, Exposure, PartId, Quarantine,
 };
+use sightings::Sightings;
 use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
@@ -19,8 +24,6 @@
 const POINT_OF_WRITING: Duration = Duration::from_millis(100);
 /// Time for which a broken connection waits for the news that its target has crashed.
 const BREAK_RETENTION: Duration = Duration::from_secs(10);
-/// Time for which a crash is reported to a leader that has not acknowledged it.
-const CRASH_RETENTION: Duration = Duration::from_mins(1);
 /// Largest number of parts whose answers wait to be reported.
 pub const MAX_ANSWERED_PARTS: usize = 4_096;
 /// Largest number of answered requests that wait to be reported; the oldest are dropped.
@@ -64,15 +67,6 @@
     reachable: bool,
 }
 
-/// A crash that this entry has seen.
-#[derive(Debug)]
-struct Seen {
-    crash: Crash,
-    at: Instant,
-    /// The leader that has acknowledged it.
-    acknowledged_by: Option<Leader>,
-}
-
 /// What this entry has seen.
 #[derive(Debug, Default)]
 pub struct Observer {
@@ -83,7 +77,7 @@
     breaks: HashMap<Life, Break>,
     /// Requests under which connections to targets broke, with the time of each, in order.
     broken: VecDeque<(Fingerprint, Instant)>,
-    crashes: Vec<Seen>,
+    crashes: Sightings,
     /// The leader that has acknowledged the quarantines known here.
     informed: Option<Leader>,
 }
@@ -187,6 +181,39 @@
     /// Records that an incarnation of a target has ended, if connections to it broke. Returns whether
     /// they did.
     pub fn record_crash(&mut self, life: &Life, now: Instant) -> bool {
+        self.record(life, now, true)
+    }
+
+    /// Records that a target whose connections broke accepts none, if they did. That is a crash unless this
+    /// entry is cut off from the target: it is reported once that is known, see [`Self::confirm_likely`],
+    /// [`Self::doubt_likely`] and [`Self::settle`]. Returns whether connections to the target broke.
+    ///
+    /// ```
+    /// use flamingo_guard::observer::{Fate, Interrupted, Observer};
+    /// use std::time::Instant;
+    ///
+    /// let now = Instant::now();
+    /// let life = ("t".to_owned(), 1);
+    /// let request = Interrupted {
+    ///     service: "s",
+    ///     parts: &[],
+    ///     request: 7,
+    ///     sent_at: now,
+    ///     headless: false,
+    ///     answered_at: None,
+    /// };
+    /// let mut observer = Observer::default();
+    /// observer.record_break(&life, &request, now);
+    /// assert!(observer.record_unreached(&life, now));
+    /// assert!(observer.take_evidence("leader", now).crashes.is_empty());
+    /// observer.confirm_likely();
+    /// assert_eq!(observer.take_evidence("leader", now).crashes.len(), 1);
+    /// ```
+    pub fn record_unreached(&mut self, life: &Life, now: Instant) -> bool {
+        self.record(life, now, false)
+    }
+
+    fn record(&mut self, life: &Life, now: Instant, is_certain: bool) -> bool {
         let Some(broken) = self.breaks.remove(life) else {
             return false;
         };
@@ -199,17 +226,30 @@
             exposures: broken.exposures,
         };
         self.ledger.record_crash("", &crash, now);
-        if self.crashes.len() >= MAX_TARGETS {
-            self.crashes.remove(0);
-        }
-        self.crashes.push(Seen {
-            crash,
-            at: broken.at,
-            acknowledged_by: None,
-        });
+        self.crashes.add(crash, broken.at, is_certain);
         true
     }
 
+    /// Takes likely crashes for certain, since this entry reaches other targets.
+    pub fn confirm_likely(&mut self) {
+        self.crashes.confirm_likely();
+    }
+
+    /// Doubts likely crashes, since this entry is or was isolated from targets.
+    pub fn doubt_likely(&mut self) {
+        self.crashes.doubt_likely();
+    }
+
+    /// Settles the crashes that are not certain by what has become of each incarnation since the given time.
+    /// Returns those that went on: these were no crashes.
+    pub fn settle(&mut self, fate: impl Fn(&Life, Instant) -> Fate) -> Vec<Life> {
+        let alive = self.crashes.settle(fate);
+        for (target, incarnation) in &alive {
+            self.ledger.withdraw(target, *incarnation);
+        }
+        alive
+    }
+
     /// Quarantines the parts against which this entry's own evidence suffices, and returns them.
     pub fn judge(&mut self, now: Instant) -> Vec<Finding> {
         let findings = self.ledger.judge(now);
@@ -254,8 +294,6 @@
             answered_requests.entry(service).or_default().push(request);
         }
         let answered_requests = answered_requests.into_iter();
-        let crashes = self.crashes.iter();
-        let unknown = crashes.filter(|seen| seen.acknowledged_by.as_deref() != Some(leader));
         Evidence {
             quarantines,
             answered: answered
@@ -264,25 +302,14 @@
             answered_requests: answered_requests
                 .map(|(service, requests)| AnsweredRequests { service, requests })
                 .collect(),
-            crashes: unknown
-                .map(|seen| Crash {
-                    age_ms: age_ms(seen.at, now),
-                    ..seen.crash.clone()
-                })
-                .collect(),
+            crashes: self.crashes.unreported(leader, now),
         }
     }
 
     /// Records that the leader has acknowledged this evidence.
     pub fn acknowledge(&mut self, leader: &str, evidence: &Evidence) {
         self.informed = Some(leader.to_owned());
-        for seen in &mut self.crashes {
-            let life = (&seen.crash.target, seen.crash.incarnation);
-            let mut reported = evidence.crashes.iter();
-            if reported.any(|crash| (&crash.target, crash.incarnation) == life) {
-                seen.acknowledged_by = Some(leader.to_owned());
-            }
-        }
+        self.crashes.acknowledge(leader, &evidence.crashes);
     }
 
     /// Counts the answers in this evidence as not reported again, since its report was lost.
@@ -317,7 +344,7 @@
         self.breaks
             .retain(|_, broken| now < broken.at + BREAK_RETENTION);
         self.broken.retain(|(_, at)| now < *at + BREAK_RETENTION);
-        self.crashes.retain(|seen| now < seen.at + CRASH_RETENTION);
+        self.crashes.remove_expired(now);
     }
 }
 
--- a/crates/flamingo-guard/src/quarantine/retention.rs
+++ b/crates/flamingo-guard/src/quarantine/retention.rs
@@ -3,6 +3,7 @@
 use super::suspect::Record;
 use super::{CRASH_RETENTION, Key, Ledger, MAX_CRASHES, MAX_TERMS};
 use flamingo_wire::fingerprint::Fingerprint;
+use flamingo_wire::id;
 use flamingo_wire::prompt::PartId;
 use std::collections::HashSet;
 use std::time::{Duration, Instant};
@@ -33,6 +34,17 @@
         }
     }
 
+    /// Removes a crash that was none.
+    pub fn withdraw(&mut self, target: &str, incarnation: id::Incarnation) {
+        let before = self.crashes.len();
+        self.crashes
+            .retain(|crash| crash.target != target || crash.incarnation != incarnation);
+        if self.crashes.len() < before {
+            self.revision += 1;
+            self.remove_answers();
+        }
+    }
+
     /// Removes the quarantines whose probation has ended, with the crashes that they explained.
     fn remove_ended_terms(&mut self, now: Instant) {
         let ended = self
--- a/crates/flamingo-guard/tests/request.rs
+++ b/crates/flamingo-guard/tests/request.rs
@@ -1,6 +1,6 @@
 //! Single rules of the quarantine of whole requests.
 
-use flamingo_guard::observer::{Interrupted, Observer};
+use flamingo_guard::observer::{Fate, Interrupted, Observer};
 use flamingo_guard::quarantine::{Kind, Ledger, SETTLING_TIME};
 use flamingo_wire::fingerprint::Fingerprint;
 use flamingo_wire::prompt::{Crash, Evidence, Exposure, PartId, Parts};
@@ -304,6 +304,42 @@
     assert_eq!(again.answered_requests[0].requests, [SOUND]);
 }
 
+/// An entry that was isolated when three targets, which it took for crashed, broke off under one request.
+fn isolated(now: Instant) -> Observer {
+    let mut observer = Observer::default();
+    for (target, number) in ["t", "u", "v"].into_iter().zip(0..) {
+        let life = (target.to_owned(), 1);
+        let broken_at = now + SECOND * number;
+        observer.record_break(&life, &interrupted(DEADLY, broken_at), broken_at);
+        observer.record_unreached(&life, broken_at);
+        observer.doubt_likely();
+    }
+    // Connections are accepted again.
+    observer.confirm_likely();
+    observer
+}
+
+#[test]
+fn a_partition_quarantines_no_request_once_its_targets_are_known_to_have_gone_on() {
+    let now = Instant::now();
+    let mut observer = isolated(now);
+    assert_eq!(observer.settle(|_, _| Fate::Alive).len(), 3);
+    let later = now + 4 * SECOND;
+    assert!(observer.judge(later).is_empty());
+    assert!(observer.take_evidence("leader", later).crashes.is_empty());
+}
+
+#[test]
+fn crashes_during_a_partition_are_reported_once_their_targets_are_known_to_have_ended() {
+    let now = Instant::now();
+    let mut observer = isolated(now);
+    let later = now + 4 * SECOND;
+    observer.settle(|_, _| Fate::Unknown);
+    assert!(observer.take_evidence("leader", later).crashes.is_empty());
+    observer.settle(|_, _| Fate::Ended);
+    assert_eq!(observer.take_evidence("leader", later).crashes.len(), 3);
+}
+
 #[test]
 fn a_try_that_was_sent_after_a_broken_connection_says_so() {
     let mut observer = Observer::default();
--- a/crates/flamingo-serve/src/lifecycle.rs
+++ b/crates/flamingo-serve/src/lifecycle.rs
@@ -69,6 +69,7 @@
         topology.pool.borrow_mut().remove_expired(now);
         topology.table.borrow_mut().remove_expired(now);
         topology.origins.borrow_mut().remove_expired(now);
+        topology.settle_crashes();
         topology.crashes.borrow_mut().remove_expired(now);
         let routes = topology.routes.borrow().clone();
         if let Some(routes) = routes {
--- a/crates/flamingo-serve/src/proxy/crash.rs
+++ b/crates/flamingo-serve/src/proxy/crash.rs
@@ -125,7 +125,8 @@
         }
     }
 
-    /// Connects to a target whose connection broke. If it accepts none, it has crashed.
+    /// Connects to a target whose connection broke. If it accepts none, it has crashed, unless this entry is
+    /// cut off from it.
     async fn probe(&self, life: Life) {
         tokio::time::sleep(PROBE_DELAY).await;
         let address = {
@@ -138,7 +139,7 @@
             return self.topology.record_crash(&life);
         };
         let Some(connection) = pool::dial(address, Instant::now() + PROBE_TIMEOUT).await else {
-            self.topology.record_crash(&life);
+            self.topology.record_unreached(&life);
             self.record_failure(&life.0, Instant::now());
             self.record_out_of_reach(&life.0, Failure::Unreached);
             // Streams wait for its return.
--- a/crates/flamingo-serve/src/proxy/reach.rs
+++ b/crates/flamingo-serve/src/proxy/reach.rs
@@ -58,6 +58,8 @@
             .record_success(target, success, now);
         if let Some(change) = change {
             self.record_change(target, change);
+        } else if success == Success::Connected {
+            self.topology.crashes.borrow_mut().confirm_likely();
         }
     }
 
@@ -73,9 +75,11 @@
         }
     }
 
-    /// Logs that this entry is isolated or reaches targets again. Idle connections of an isolated entry
-    /// may hang, and a request on one would be lost; they are kept only if others of them answer.
+    /// Logs that this entry is isolated or reaches targets again. What it took for crashes may have been the
+    /// partition. Idle connections of an isolated entry may hang, and a request on one would be lost; they
+    /// are kept only if others of them answer.
     fn record_change(&self, target: &str, change: Change) {
+        self.topology.crashes.borrow_mut().doubt_likely();
         match change {
             Change::Isolated {
                 failed,
--- a/crates/flamingo-serve/src/table.rs
+++ b/crates/flamingo-serve/src/table.rs
@@ -9,6 +9,7 @@
 use crate::prefill::Estimator;
 use crate::speed::{Sample, Speed};
 use crate::wire::{Limit, Load, Pause};
+use flamingo_guard::observer::{Fate, Life};
 use flamingo_place::rate::Rate;
 use flamingo_wire::control::Push;
 use flamingo_wire::id;
@@ -19,6 +20,8 @@
 /// Time without a heartbeat after which a target is used only if there is no other; several
 /// heartbeat intervals.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(4);
+/// Longest time that a heartbeat of a target is on its way: the target may have restarted since.
+pub(crate) const MAX_HEARTBEAT_DELAY: Duration = Duration::from_secs(5);
 /// Time without a heartbeat after which a target is removed.
 const TARGET_RETENTION: Duration = Duration::from_secs(30);
 /// Time for which what a target said is kept after the target was removed; the longest pause.
@@ -196,6 +199,22 @@
             .is_some_and(|last_push| last_push > target.last_heartbeat + HEARTBEAT_TIMEOUT)
     }
 
+    /// Returns what has become of an incarnation since `at`, by what control says of its target.
+    #[must_use]
+    pub fn fate(&self, (target, incarnation): &Life, at: Instant) -> Fate {
+        let Some(target) = self.targets.get(target) else {
+            return Fate::Ended;
+        };
+        let is_current = target.registration.incarnation == *incarnation;
+        if !is_current || target.registration.gone || self.heartbeat_overdue(target) {
+            Fate::Ended
+        } else if target.last_heartbeat > at + MAX_HEARTBEAT_DELAY {
+            Fate::Alive
+        } else {
+            Fate::Unknown
+        }
+    }
+
     /// Removes targets that had no heartbeat for `TARGET_RETENTION` before the last message of a
     /// control instance. A target that has gone and has no request of this entry is removed
     /// `TARGET_RETENTION` after its last heartbeat, whether or not control is reachable. That a target
--- a/crates/flamingo-serve/src/topology.rs
+++ b/crates/flamingo-serve/src/topology.rs
@@ -5,7 +5,7 @@
 use crate::origins::Origins;
 use crate::pool::Pool;
 use crate::sharers::{COUNT_TIMEOUT, Sharers};
-use crate::table::Table;
+use crate::table::{MAX_HEARTBEAT_DELAY, Table};
 use flamingo_daemon::clock;
 use flamingo_guard::authentication::{Index, MAX_LEADER_SILENCE};
 use flamingo_guard::observer::{Life, Observer};
@@ -29,8 +29,6 @@
 /// Time for which a count of entries that a control instance sent is used. A new leader counts all that
 /// report to it long before.
 const ENTRIES_TIMEOUT: Duration = Duration::from_secs(10);
-/// Longest time that a heartbeat of a target is on its way: the target may have restarted since.
-const MAX_HEARTBEAT_DELAY: Duration = Duration::from_secs(5);
 
 /// The current routes, indexed by host and service name.
 #[derive(Debug)]
@@ -341,6 +339,27 @@
         }
     }
 
+    /// Records that a target accepts no connection after those of requests of this entry broke.
+    pub fn record_unreached(&self, life: &Life) {
+        let now = Instant::now();
+        if self.crashes.borrow_mut().record_unreached(life, now) {
+            let (target, incarnation) = life;
+            info!(self.log, "target crashed"; "target" => target, "incarnation" => incarnation);
+        }
+    }
+
+    /// Withdraws the crashes that were none, by what control says of the targets since.
+    pub fn settle_crashes(&self) {
+        let table = self.table.borrow();
+        let alive = self
+            .crashes
+            .borrow_mut()
+            .settle(|life, at| table.fate(life, at));
+        for (target, incarnation) in alive {
+            info!(self.log, "no crash"; "target" => target, "incarnation" => incarnation);
+        }
+    }
+
     /// Returns when the last quarantine of these parts and whole requests ends; `None` if there is none. While no
     /// leader is known, which judges by the requests of all entries, judges by this entry's own first.
     pub fn quarantined_until(
