Answers count against a crash although its report came later

Callers of one request were refused as 'quarantined' for 5 minutes after three restarts of targets under it within 1.3 s, though others were served with the same request meanwhile: one of 24 process runs (load average 48, six of each of four cases side by side), 'no request on Once is served after the last fault'.

Control counts the answers to a request only once a crash has made it suspect, and reports of crashes come later than those of answers: 0.4 to 1.4 s there. So the answers that were given after a crash and reported before it were forgotten, and the crash spoke against a sound request.

answers_that_are_reported_before_a_late_report_of_earlier_crashes_count failed before (3 events, 0 answered) and passes; that earlier answers do not speak for a request is held by a second test.

--- a/crates/flamingo-guard/src/quarantine.rs
+++ b/crates/flamingo-guard/src/quarantine.rs
@@ -19,6 +19,7 @@
 mod dossier;
 mod event;
 mod part;
+mod recent;
 mod request;
 mod retention;
 mod suspect;
@@ -26,6 +27,7 @@
 use flamingo_wire::fingerprint::Fingerprint;
 use flamingo_wire::id;
 use flamingo_wire::prompt::{Answered, Crash, Evidence, Exposure, PartId, Parts, Quarantine};
+use recent::Recent;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::{Duration, Instant};
 use strum::IntoStaticStr;
@@ -117,6 +119,10 @@
     answered: HashMap<Key, u32>,
     /// Answers to the whole requests of `crashes`, counted likewise.
     answered_requests: HashMap<Key, u32>,
+    /// Answers to parts that were reported lately.
+    recent: Recent,
+    /// Answers to whole requests that were reported lately.
+    recent_requests: Recent,
     terms: BTreeMap<Key, Term>,
     /// When the next crash counts; `None` if all have been judged.
     judge_at: Option<Instant>,
@@ -160,10 +166,16 @@
     pub fn record(&mut self, from: &str, evidence: &Evidence, now: Instant) -> Vec<Key> {
         for answered in &evidence.answered {
             self.record_answered(answered);
+            self.keep_answered(answered, now);
         }
         for answered in &evidence.answered_requests {
             for request in &answered.requests {
                 self.record_answered_request(&answered.service, *request);
+                let key = Key {
+                    service: answered.service.clone(),
+                    part: *request,
+                };
+                self.recent_requests.add(key, 1, now);
             }
         }
         for crash in &evidence.crashes {
@@ -172,6 +184,16 @@
         self.adopt(&evidence.quarantines, now)
     }
 
+    fn keep_answered(&mut self, answered: &Answered, now: Instant) {
+        for (part, count) in &answered.parts {
+            let key = Key {
+                service: answered.service.clone(),
+                part: *part,
+            };
+            self.recent.add(key, *count, now);
+        }
+    }
+
     /// Records a crash that the entry `from` has seen. A second report of the same entry about the
     /// same incarnation changes nothing.
     ///
@@ -229,7 +251,8 @@
                     service: crash.service.clone(),
                     part: *part,
                 };
-                let answered = *self.answered.entry(key).or_default();
+                let since = self.recent.since(&key, record.at);
+                let answered = count_since(&mut self.answered, key, since);
                 record.answered_before.entry(*part).or_insert(answered);
             }
             if let Some(request) = exposure.request.filter(|_| !exposure.answered) {
@@ -237,7 +260,8 @@
                     service: crash.service.clone(),
                     part: request,
                 };
-                let answered = *self.answered_requests.entry(key).or_default();
+                let since = self.recent_requests.since(&key, record.at);
+                let answered = count_since(&mut self.answered_requests, key, since);
                 let unanswered = Unanswered {
                     answered_before: answered,
                     waited_ms: exposure.waited_ms,
@@ -366,3 +390,10 @@
             .collect()
     }
 }
+
+/// Enters answers that were counted since a crash, and returns how many had been counted before it.
+fn count_since(answered: &mut HashMap<Key, u32>, key: Key, since: u32) -> u32 {
+    let total = answered.entry(key).or_default();
+    *total = (*total).max(since);
+    *total - since
+}
--- a/crates/flamingo-guard/src/quarantine/retention.rs
+++ b/crates/flamingo-guard/src/quarantine/retention.rs
@@ -17,6 +17,8 @@
 impl Ledger {
     /// Removes crashes, answers and quarantines that no longer count.
     pub fn remove_expired(&mut self, now: Instant) {
+        self.recent.remove_expired(now);
+        self.recent_requests.remove_expired(now);
         self.remove_ended_terms(now);
         self.remove_cleared();
         let before = self.crashes.len();
--- a/crates/flamingo-guard/tests/request.rs
+++ b/crates/flamingo-guard/tests/request.rs
@@ -3,7 +3,7 @@
 use flamingo_guard::observer::{Fate, Interrupted, Observer};
 use flamingo_guard::quarantine::{Kind, Ledger, SETTLING_TIME};
 use flamingo_wire::fingerprint::Fingerprint;
-use flamingo_wire::prompt::{Crash, Evidence, Exposure, PartId, Parts};
+use flamingo_wire::prompt::{AnsweredRequests, Crash, Evidence, Exposure, PartId, Parts};
 use std::time::{Duration, Instant};
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -340,6 +340,60 @@
     assert_eq!(observer.take_evidence("leader", later).crashes.len(), 3);
 }
 
+/// A report of crashes under one request, with the age of each in milliseconds.
+fn crashes(ages_ms: &[u64]) -> Evidence {
+    let crashes = ages_ms.iter().zip(1..).map(|(age_ms, incarnation)| Crash {
+        service: "s".into(),
+        target: "t".into(),
+        incarnation,
+        age_ms: *age_ms,
+        exposures: vec![Exposure {
+            request: Some(SOUND),
+            waited_ms: 40,
+            ..Exposure::default()
+        }],
+    });
+    Evidence {
+        crashes: crashes.collect(),
+        ..Evidence::default()
+    }
+}
+
+/// A report of an answer to that request.
+fn answer() -> Evidence {
+    let answered = AnsweredRequests {
+        service: "s".into(),
+        requests: vec![SOUND],
+    };
+    Evidence {
+        answered_requests: vec![answered],
+        ..Evidence::default()
+    }
+}
+
+#[test]
+fn answers_that_are_reported_before_a_late_report_of_earlier_crashes_count() {
+    let mut ledger = Ledger::default();
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    for ms in [500, 900] {
+        ledger.record("entry-2", &answer(), at(ms));
+    }
+    // The crashes were at 0, 300 and 600 ms.
+    ledger.record("entry-1", &crashes(&[1_000, 700, 400]), at(1_000));
+    assert_eq!(ledger.judge(at(1_500)), []);
+}
+
+#[test]
+fn answers_before_a_crash_do_not_speak_for_a_request() {
+    let mut ledger = Ledger::default();
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    ledger.record("entry-2", &answer(), at(100));
+    ledger.record("entry-1", &crashes(&[800, 500, 200]), at(1_000));
+    assert_eq!(ledger.judge(at(1_500)).len(), 1);
+}
+
 #[test]
 fn a_try_that_was_sent_after_a_broken_connection_says_so() {
     let mut observer = Observer::default();
