Log: a voter whose disk is late is not taken for one that is gone

Cause: a follower answers heartbeats only after its disk has synced what came before, and the leader counts the time without an answer as silence. A member that hears each heartbeat was removed like one that is gone.

Change: a follower that has waited for its disk for a heartbeat or more tells the leader at once that it heard (`heard_only`); the reply still follows after the sync. Hearing ends the silence only; commits, the lease and the leadership count what they counted before. After 3 s without a sync the follower says nothing more, so a stuck or full disk costs a voter beyond the minimum its vote after 5 s, in place of 2 s; one whose sync failed says nothing at once. The leader keeps no new state, and a new leader needs none.

New in tests/joining.rs: a voter whose every sync takes 2.2 s keeps its vote (failed before), one whose disk has no room for good loses it once, one whose disk has failed loses it after the voter timeout, and what followers only heard is not committed and keeps no leader (the last three also pass before). tests/earlier_terms.rs builds its reply with `Body::appended`, as the reply has a field more.

--- a/crates/flamingo-log/src/message.rs
+++ b/crates/flamingo-log/src/message.rs
@@ -53,6 +53,10 @@
         /// Whether the follower's log matches the leader's.
         #[serde(rename = "fit")]
         log_match: LogMatch,
+        /// Whether the follower has only heard the heartbeat, because its disk is late: `log_match` then claims
+        /// nothing, and the real reply follows after the sync.
+        #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+        heard_only: bool,
     },
     /// One chunk of a snapshot for a member that misses compacted entries.
     Install(SnapshotChunk),
@@ -93,6 +97,18 @@
     TimeoutNow,
 }
 
+impl Body {
+    /// Returns the reply of a follower whose records are synced.
+    #[must_use]
+    pub fn appended(round: Round, log_match: LogMatch) -> Self {
+        Self::Appended {
+            round,
+            log_match,
+            heard_only: false,
+        }
+    }
+}
+
 /// A candidate's request for a vote.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct VoteRequest {
--- a/crates/flamingo-log/src/raft.rs
+++ b/crates/flamingo-log/src/raft.rs
@@ -200,6 +200,8 @@
     unsynced_messages: VecDeque<PendingMessage>,
     issued_writes: u64,
     synced_writes: u64,
+    /// When a message of the leader first found records that were not synced; `None` after each sync.
+    unsynced_since: Option<Instant>,
     disk_failed: bool,
     /// Whether the disk has no room for what was issued.
     disk_full: bool,
@@ -236,6 +238,7 @@
             unsynced_messages: VecDeque::new(),
             issued_writes: 0,
             synced_writes: 0,
+            unsynced_since: None,
             disk_failed: false,
             disk_full: false,
             actions: Vec::new(),
@@ -317,9 +320,14 @@
             Body::Install(chunk) if addressed => {
                 self.handle_snapshot_chunk(now, &from, from_storage, cluster, term, chunk);
             }
-            Body::Appended { round, log_match } => {
-                self.handle_appended(now, &from, from_storage, term, round, log_match);
-            }
+            Body::Appended {
+                round,
+                heard_only: true,
+                ..
+            } => self.handle_heard(&from, from_storage, term, round),
+            Body::Appended {
+                round, log_match, ..
+            } => self.handle_appended(now, &from, from_storage, term, round, log_match),
             Body::Installed {
                 round,
                 index,
@@ -349,6 +357,7 @@
         self.step_down_if_expired(now);
         self.disk_full = false;
         self.synced_writes = self.synced_writes.max(count);
+        self.unsynced_since = None;
         while self
             .unsynced_messages
             .front()
--- a/crates/flamingo-log/src/raft/leader.rs
+++ b/crates/flamingo-log/src/raft/leader.rs
@@ -35,7 +35,7 @@
     /// Sending time of the newest heartbeat that the member answered; `None` before the
     /// first.
     pub last_contact: Option<Instant>,
-    /// When the member last answered, as far as this leader or the one before it knows; the time of the election
+    /// When the member was last heard, as far as this leader or the one before it knows; the time of the election
     /// or of its listing where neither has heard it.
     silent_since: Instant,
     /// Number of bytes of the snapshot that the member has.
@@ -176,16 +176,29 @@
     /// Records that `node` answered heartbeat `round`; the time of contact is when the
     /// heartbeat was sent, which is safe for the lease.
     pub fn record_heartbeat_reply(&mut self, node: &str, round: Round) {
-        let sent = self.sent_heartbeats.iter().find(|sent| sent.round == round);
-        let Some(at) = sent.map(|sent| sent.at) else {
+        self.record_heard(node, round);
+        let at = self.heartbeat_sent_at(round);
+        if let Some(peer) = self.peers.get_mut(node) {
+            peer.last_contact = peer.last_contact.max(at);
+        }
+    }
+
+    /// Records that `node` heard heartbeat `round`, which ends its silence and says nothing of its disk.
+    pub fn record_heard(&mut self, node: &str, round: Round) {
+        let Some(at) = self.heartbeat_sent_at(round) else {
             return;
         };
         if let Some(peer) = self.peers.get_mut(node) {
-            peer.last_contact = peer.last_contact.max(Some(at));
             peer.silent_since = peer.silent_since.max(at);
         }
     }
 
+    fn heartbeat_sent_at(&self, round: Round) -> Option<Instant> {
+        let mut sent = self.sent_heartbeats.iter();
+        let heartbeat = sent.find(|sent| sent.round == round)?;
+        Some(heartbeat.at)
+    }
+
     /// Returns the last index that `node` acknowledged, 0 where it is not listed.
     pub fn match_index(&self, node: &str) -> id::Index {
         self.peers.get(node).map_or(0, |peer| peer.match_index)
--- a/crates/flamingo-log/src/raft/replication.rs
+++ b/crates/flamingo-log/src/raft/replication.rs
@@ -14,6 +14,9 @@
 const CHUNK_BYTES: usize = 256 * 1024;
 /// Largest snapshot that a member accepts, in bytes.
 const MAX_SNAPSHOT_BYTES: u64 = 256 * 1024 * 1024;
+/// Time without a sync for which a member tells the leader that it hears it. A disk that takes longer counts as
+/// broken: the member falls silent, and may lose its vote after another [`voter_timeout`](crate::Timing).
+const MAX_SYNC_TIME: Duration = Duration::from_secs(3);
 
 impl Raft {
     /// Sends a heartbeat to every other member.
@@ -137,19 +140,20 @@
         if term < self.vote.term {
             // The reply carries the higher term to the deposed leader.
             let log_match = LogMatch::Mismatch(self.journal.last_index());
-            self.send(from, storage, Body::Appended { round, log_match });
+            self.send(from, storage, Body::appended(round, log_match));
             return;
         }
         if !self.has_member_list() {
             let log_match = LogMatch::Mismatch(0);
-            self.send(from, storage, Body::Appended { round, log_match });
+            self.send(from, storage, Body::appended(round, log_match));
             return;
         }
         self.record_leader_contact(now, from);
         self.record_silences(now, from, &append.silences);
+        self.report_late_sync(now, from, storage, round);
         if let Some(retry_after_index) = self.conflict_hint(append.prev_index, append.prev_term) {
             let log_match = LogMatch::Mismatch(retry_after_index);
-            self.send_after_sync(from, storage, Body::Appended { round, log_match });
+            self.send_after_sync(from, storage, Body::appended(round, log_match));
             return;
         }
         let matched = append.prev_index + append.entries.len() as u64;
@@ -166,7 +170,7 @@
         }
         self.commit_to(append.commit.min(matched));
         let log_match = LogMatch::Matched(matched);
-        self.send_after_sync(from, storage, Body::Appended { round, log_match });
+        self.send_after_sync(from, storage, Body::appended(round, log_match));
     }
 
     /// Follows the leader that sent a message, and blocks votes for an election timeout.
@@ -181,6 +185,25 @@
         self.vote_blocked_until = now + self.timing.election;
     }
 
+    /// Tells the leader at once that this member hears it, where the reply must wait for a disk that is late by a
+    /// heartbeat or more.
+    fn report_late_sync(&mut self, now: Instant, leader: &str, storage: Storage, round: Round) {
+        if self.disk_failed || self.synced_writes >= self.issued_writes {
+            return;
+        }
+        let since = *self.unsynced_since.get_or_insert(now);
+        let late = now.duration_since(since);
+        if late < self.timing.heartbeat || late >= MAX_SYNC_TIME {
+            return;
+        }
+        let heard = Body::Appended {
+            round,
+            log_match: LogMatch::Matched(0),
+            heard_only: true,
+        };
+        self.send(leader, storage, heard);
+    }
+
     /// Records since when voters have not answered the leader, and when the leader itself was last heard.
     fn record_silences(&mut self, now: Instant, leader: &str, silences: &[Silence]) {
         let since = |silence: &Silence| {
@@ -230,6 +253,7 @@
         }
         self.record_leader_contact(now, from);
         let (round, index) = (chunk.round, chunk.index);
+        self.report_late_sync(now, from, storage, round);
         let offset = self.add_snapshot_chunk(cluster, chunk);
         let done = self.journal.snapshot_index() >= index && self.has_member_list();
         let body = Body::Installed {
@@ -281,6 +305,23 @@
         received
     }
 
+    /// Handles the report of a follower that it hears this leader while its disk is late. It ends the member's
+    /// silence, and counts neither for a commit nor for the lease.
+    pub(super) fn handle_heard(
+        &mut self,
+        from: &str,
+        storage: Storage,
+        term: id::Term,
+        round: Round,
+    ) {
+        if term != self.vote.term {
+            return;
+        }
+        if let Some(leader) = self.leader_of_peer(from, storage) {
+            leader.record_heard(from, round);
+        }
+    }
+
     /// Handles the reply of a follower to a heartbeat.
     pub(super) fn handle_appended(
         &mut self,
--- a/crates/flamingo-log/tests/earlier_terms.rs
+++ b/crates/flamingo-log/tests/earlier_terms.rs
@@ -105,10 +105,7 @@
         (raft.role(), raft.term(), raft.last_index()),
         (Role::Leader, 3, 3)
     );
-    let log_match = |index| Body::Appended {
-        round: 1,
-        log_match: LogMatch::Matched(index),
-    };
+    let log_match = |index| Body::appended(1, LogMatch::Matched(index));
     receive(&mut raft, now, log_match(2));
     assert_eq!(
         raft.commit_index(),
--- a/crates/flamingo-log/tests/joining.rs
+++ b/crates/flamingo-log/tests/joining.rs
@@ -222,3 +222,71 @@
     }
     panic!("no vote in 67 s");
 }
+
+/// Forms a group of six voters, of which five must stay. Returns it with a follower that the leader may remove.
+fn formed_with_one_to_spare(seed: u64) -> (Group, usize) {
+    let mut group = Group::open(6, SEEDS, MEMBERS, seed);
+    assert!(group.until(FORMATION, |group| group.voters().len() == 6));
+    group.advance(Duration::from_secs(1));
+    let leader = group.leader().expect("a leader");
+    let follower = live(&group).into_iter().find(|n| *n != leader);
+    (group, follower.expect("a follower"))
+}
+
+fn propose(group: &mut Group) {
+    if let Some(leader) = group.leader() {
+        group.propose(leader, b"a change");
+    }
+}
+
+#[test]
+fn a_voter_whose_every_sync_takes_longer_than_the_voter_timeout_keeps_its_vote() {
+    let (mut group, slow) = formed_with_one_to_spare(8);
+    for _ in 0..30 {
+        propose(&mut group);
+        group.nodes[slow].no_room = true;
+        group.advance(Duration::from_millis(2_200));
+        group.nodes[slow].no_room = false;
+        group.advance(Duration::from_millis(30));
+        assert!(votes(&group, slow));
+    }
+}
+
+#[test]
+fn a_voter_whose_disk_has_no_room_for_good_loses_its_vote_once() {
+    let (mut group, full) = formed_with_one_to_spare(9);
+    group.nodes[full].no_room = true;
+    propose(&mut group);
+    assert!(group.until(CATCH_UP, |group| !votes(group, full)));
+    let before = group.last_committed();
+    group.advance(Duration::from_mins(1));
+    assert!(!votes(&group, full));
+    assert!(
+        group.last_committed() <= before + 2,
+        "it is listed by turns"
+    );
+}
+
+#[test]
+fn a_voter_whose_disk_has_failed_loses_its_vote_after_the_voter_timeout() {
+    let (mut group, broken) = formed_with_one_to_spare(10);
+    group.nodes[broken].full = true;
+    propose(&mut group);
+    let limit = Duration::from_millis(2_500);
+    assert!(group.until(limit, |group| !votes(group, broken)));
+}
+
+#[test]
+fn what_followers_have_only_heard_is_not_committed_and_keeps_no_leader() {
+    let mut group = Group::new(3, 11);
+    assert!(group.until(FORMATION, |group| group.leader().is_some()));
+    group.advance(Duration::from_secs(1));
+    let leader = group.leader().expect("a leader");
+    for n in (0..3).filter(|n| *n != leader) {
+        group.nodes[n].no_room = true;
+    }
+    let before = group.last_committed();
+    propose(&mut group);
+    group.advance(Duration::from_secs(2));
+    assert_eq!((group.last_committed(), group.leader()), (before, None));
+}
