Log: silence counts from the last leader where nobody remembers it

Callers of control: no leader, for good, after a loss that is tolerated: all members were killed twice within 3 s beside a voter that was gone, and 3 s later two disks were lost (histories 164 and 780 of tests/losses.rs).

Cause: silence is known in memory only. After a restart of all members, a leader counted the silence of a voter from its own election, so that one that is gone kept its vote for 2 s of each leadership; no leader led for so long.

Change: a leader to which no silence was handed on counts from when it last heard a leader, or started: nobody is known to have heard the voter later. It still asks for a second itself before it removes a voter, and only while more than the minimum vote. Removals stay changes of one member.

--- a/crates/flamingo-log/src/raft/election.rs
+++ b/crates/flamingo-log/src/raft/election.rs
@@ -287,11 +287,17 @@
         members.filter(|member| member.votes).count() / 2 + 1
     }
 
+    /// Returns when this member last heard a leader, or started.
+    fn last_contact(&self) -> Option<Instant> {
+        self.vote_blocked_until.checked_sub(self.timing.election)
+    }
+
     fn become_leader(&mut self, now: Instant) {
         let next = self.journal.last_index() + 1;
         let peers: Vec<_> = self.peers().cloned().collect();
         let silences = std::mem::take(&mut self.silences);
-        let leader = Leader::new(now, next, &peers, &silences);
+        let last_contact = self.last_contact().unwrap_or(now);
+        let leader = Leader::new(now, next, &peers, &silences, last_contact);
         self.role_state = RoleState::Leader(Box::new(leader));
         self.leader = Some(self.node.clone());
         self.actions.push(Action::Became(Role::Leader));
--- a/crates/flamingo-log/src/raft/leader.rs
+++ b/crates/flamingo-log/src/raft/leader.rs
@@ -113,15 +113,17 @@
     const MAX_TRACKED_HEARTBEATS: usize = 64;
 
     /// Starts a leadership that was won at `now`. `silences` holds since when members have not answered the
-    /// leader before it.
+    /// leader before it; of the others it is known only that they may have answered until `last_contact`, when
+    /// this member last heard a leader, or started.
     pub fn new(
         now: Instant,
         next_index: id::Index,
         peers: &[Member],
         silences: &BTreeMap<id::Node, Instant>,
+        last_contact: Instant,
     ) -> Self {
         let progress = |peer: &Member| {
-            let silent_since = silences.get(&peer.node).copied().unwrap_or(now);
+            let silent_since = silences.get(&peer.node).copied().unwrap_or(last_contact);
             Progress::new(peer, next_index, silent_since)
         };
         let peers = peers
--- a/crates/flamingo-log/tests/joining.rs
+++ b/crates/flamingo-log/tests/joining.rs
@@ -109,6 +109,37 @@
     assert!(same.clone().all(|time| time <= limit));
 }
 
+/// Loses one of six voters, of which five must stay, and kills all others at once, so that nobody remembers its
+/// silence. Returns the time from the next election to the removal of the lost one.
+fn removal_after_all_were_killed(seed: u64) -> Duration {
+    let (mut group, gone) = formed_with_one_to_spare(seed);
+    group.crash(gone);
+    group.advance(Duration::from_millis(500));
+    let others = live(&group);
+    for n in &others {
+        group.crash(*n);
+    }
+    group.advance(Duration::from_millis(500));
+    for n in others {
+        group.start(n);
+    }
+    assert!(group.until(Duration::from_secs(20), |group| group.leader().is_some()));
+    let elected_at = group.now;
+    assert!(group.until(Duration::from_secs(10), |group| !votes(group, gone)));
+    group.now - elected_at
+}
+
+#[test]
+fn a_voter_that_is_gone_stops_counting_soon_though_all_others_were_killed() {
+    let times = (0..40).map(removal_after_all_were_killed);
+
+    // A leader asks for an election timeout of 1 s itself before it removes a voter.
+    let late: Vec<_> = times
+        .filter(|time| *time > Duration::from_millis(1_500))
+        .collect();
+    assert!(late.is_empty(), "it counts for {late:?}");
+}
+
 #[test]
 fn a_learner_that_is_cut_off_knows_no_leader() {
     let mut group = formed(3);
