Log: a member that was removed while away asks for its place at once

Callers of control: no leader, for good, after losses that are tolerated: a member was removed while it was down, came back beside one that was gone, all were killed twice, and two disks were lost (history 656 of tests/losses.rs).

Cause: a member that votes by its own list asked to be listed only when its election timeout ended, 1 to 2 s after its start or the last try. Until it counts, the group is at its minimum of voters and keeps one that is gone.

Change: under the automatic policy a member that knows no leader asks at its start and every 200 ms, as one without a list does. It asks nothing while it hears a leader.

What the requests cost while no leader is known, with 21 control instances, was not measured.

--- a/crates/flamingo-log/src/raft.rs
+++ b/crates/flamingo-log/src/raft.rs
@@ -191,6 +191,8 @@
     vote_blocked_until: Instant,
     /// When the next election, heartbeat or request to join is due.
     next_action_at: Instant,
+    /// When this member asks to be listed again, if it then knows no leader.
+    next_join_at: Instant,
     unformed_seeds: BTreeMap<id::Node, Storage>,
     contacts: Contacts,
     /// Since when voters have not answered the leader, by its last message, and when that came from the leader
@@ -231,6 +233,7 @@
             // The member may have received a message of a leader just before it restarted.
             vote_blocked_until: now + options.timing.election,
             next_action_at: now,
+            next_join_at: now,
             unformed_seeds: BTreeMap::new(),
             contacts: Contacts::default(),
             silences: BTreeMap::new(),
@@ -276,6 +279,7 @@
         self.step_down_if_expired(now);
         self.record_commit();
         self.contacts.expire(now);
+        self.request_join_without_leader(now);
         if now < self.next_action_at {
             return;
         }
--- a/crates/flamingo-log/src/raft/election.rs
+++ b/crates/flamingo-log/src/raft/election.rs
@@ -141,10 +141,6 @@
             self.request_join();
             return;
         }
-        if pre && matches!(self.membership, super::MembershipPolicy::Automatic { .. }) {
-            // The leader may have removed this member while it was unreachable.
-            self.request_join();
-        }
         if self.disk_failed || self.disk_full {
             return;
         }
--- a/crates/flamingo-log/src/raft/formation.rs
+++ b/crates/flamingo-log/src/raft/formation.rs
@@ -28,6 +28,17 @@
         }
     }
 
+    /// Asks to be listed, in case that the leader has removed this member while it was away: without it the group
+    /// may be at its minimum of voters, and keep one that is gone.
+    pub(super) fn request_join_without_leader(&mut self, now: Instant) {
+        let automatic = matches!(self.membership, MembershipPolicy::Automatic { .. });
+        let leaderless = self.has_member_list() && self.leader.is_none();
+        if automatic && leaderless && now >= self.next_join_at {
+            self.next_join_at = now + self.timing.heartbeat * 2;
+            self.request_join();
+        }
+    }
+
     /// Asks every known member to be added under the identity of this data folder.
     pub(super) fn request_join(&mut self) {
         for node in self.others() {
--- a/crates/flamingo-log/tests/joining.rs
+++ b/crates/flamingo-log/tests/joining.rs
@@ -140,6 +140,35 @@
     assert!(late.is_empty(), "it counts for {late:?}");
 }
 
+/// Returns whether a voter that was removed while it was away counts again an election timeout after its return.
+fn counts_soon_after_return(
+    seed: u64,
+    leave: fn(&mut Group, usize),
+    back: fn(&mut Group, usize),
+) -> bool {
+    let (mut group, away) = formed_with_one_to_spare(seed);
+    leave(&mut group, away);
+    assert!(group.until(CATCH_UP, |group| !votes(group, away)));
+    group.advance(Duration::from_secs(2));
+    back(&mut group, away);
+    group.until(Duration::from_secs(1), |group| votes(group, away))
+}
+
+#[test]
+fn a_voter_that_was_removed_while_it_was_down_counts_soon_after_its_return() {
+    let counts = |seed: &u64| counts_soon_after_return(*seed, Group::crash, Group::start);
+    let late: Vec<_> = (0..40).filter(|seed| !counts(seed)).collect();
+    assert!(late.is_empty(), "no vote with seeds {late:?}");
+}
+
+#[test]
+fn a_voter_that_was_removed_while_it_was_cut_off_counts_soon_after_its_return() {
+    let heal = |group: &mut Group, _| group.heal();
+    let counts = |seed: &u64| counts_soon_after_return(*seed, Group::isolate, heal);
+    let late: Vec<_> = (0..40).filter(|seed| !counts(seed)).collect();
+    assert!(late.is_empty(), "no vote with seeds {late:?}");
+}
+
 #[test]
 fn a_learner_that_is_cut_off_knows_no_leader() {
     let mut group = formed(3);
--- a/crates/flamingo-log/tests/replaced.rs
+++ b/crates/flamingo-log/tests/replaced.rs
@@ -125,6 +125,48 @@
     group.until(RECOVERY, |group| group.leader().is_some())
 }
 
+fn restart_all(group: &mut Group) {
+    let all = live(group);
+    for n in &all {
+        group.crash(*n);
+    }
+    group.advance(RESTART);
+    for n in all {
+        group.start(n);
+    }
+}
+
+/// Loses a member for good while another one is down, which comes back after the successor has its vote; then all
+/// are killed twice. Once the returned one has had its time too, two disks are lost while all others are killed. Returns
+/// whether there is a leader in the end.
+fn recovers_beside_a_returning_member(seed: u64) -> bool {
+    let mut group = formed(seed);
+    let leader = group.leader();
+    let mut followers = live(&group).into_iter().filter(|n| Some(*n) != leader);
+    let (down, gone) = (followers.next(), followers.next());
+    let (down, gone) = (down.expect("a follower"), gone.expect("another one"));
+    group.crash(down);
+    group.advance(Duration::from_millis(1_750));
+    group.crash(gone);
+    group.advance(REPLACEMENT);
+    let seeds = drawn_seeds(&mut group);
+    group.join(&seeds);
+    group.advance(Duration::from_millis(600));
+    group.start(down);
+    let all_count = group.now + CATCH_UP;
+    group.advance(Duration::from_millis(1_500));
+    restart_all(&mut group);
+    group.advance(Duration::from_millis(1_650));
+    restart_all(&mut group);
+    group.advance(all_count - group.now);
+    let wiped: Vec<_> = live(&group).into_iter().rev().take(2).collect();
+    restart_all(&mut group);
+    for n in wiped {
+        group.restart_empty(n);
+    }
+    group.until(RECOVERY, |group| group.leader().is_some())
+}
+
 fn failing_seeds(seeds: std::ops::Range<u64>, recovers: impl Fn(u64) -> bool) -> Vec<u64> {
     seeds.filter(|seed| !recovers(*seed)).collect()
 }
@@ -188,4 +230,8 @@
         let failed = failing_seeds(0..20, |seed| recovers_from_two_series(seed, 2));
         assert!(failed.is_empty(), "no leader with seeds {failed:?}");
     };
+    losses_beside_a_returning_member_and_two_restarts_of_all_leave_a_leader => || {
+        let failed = failing_seeds(0..20, recovers_beside_a_returning_member);
+        assert!(failed.is_empty(), "no leader with seeds {failed:?}");
+    };
 }
