--- a/crates/flamingo-log/src/message.rs
+++ b/crates/flamingo-log/src/message.rs
@@ -146,7 +146,8 @@
 pub struct Silence {
     /// Name of the voter.
     pub node: id::Node,
-    /// Time since the leader sent the newest heartbeat that the voter answered, in milliseconds.
+    /// Time since the leader sent the newest heartbeat that the voter answered or reported as heard, in
+    /// milliseconds.
     pub age_ms: u64,
 }
 
--- a/crates/flamingo-log/src/timing.rs
+++ b/crates/flamingo-log/src/timing.rs
@@ -17,8 +17,8 @@
     /// It is shorter than [`Timing::election`] by the largest drift of clocks that is
     /// tolerated.
     pub lease: Duration,
-    /// Time without an answer after which a voter may be removed, where the membership
-    /// policy is automatic.
+    /// Time without a sign of life after which a voter may be removed, where the membership
+    /// policy is automatic. A heartbeat that was only heard counts as one.
     ///
     /// It is longer than the second for which a sound process may stand still, and short against the time
     /// that a new member has before the next one may be lost.
