The leader counts the requests at brittle targets

Callers saw: a target that falls over when it rejects more than N requests a second gets as many as to others. Cause: entries send by loads that are 100 ms old, and all see the same free slot. Change: the question Room for one request, and Rejected; flamingo_guard::room counts at the leader what all entries have there, by their questions and reports, and raises the room a little while none is rejected. flamingo_guard::places says what an entry sends without a leader. Entries don't ask yet.

--- a/crates/flamingo-control/src/controller/mod.rs
+++ b/crates/flamingo-control/src/controller/mod.rs
@@ -33,8 +33,9 @@
 use flamingo_guard::permits::Permits;
 use flamingo_guard::quota::Terms;
 use flamingo_guard::quota::ledger::Ledger;
+use flamingo_guard::room::Ledger as RoomLedger;
 use flamingo_wire::admin::Query;
-use flamingo_wire::control::{Permit, Reply, Request};
+use flamingo_wire::control::{Permit, Reply, Request, Room};
 use flamingo_wire::fault::Reason;
 use flamingo_wire::route::{Engine, Set};
 use flamingo_wire::target::Usage;
@@ -182,6 +183,8 @@
     demand: Tracker,
     /// Permits to send requests to targets that name a limit.
     permits: Permits,
+    /// Requests of all entries at targets that are brittle.
+    rooms: RoomLedger,
     /// Times that the adapters of models take to load.
     adapter_times: AdapterTimes,
     /// Quotas of workspaces; `None` before the first leadership.
@@ -328,6 +331,13 @@
                 Reply::Acknowledged
             }
             Request::Permit(permit) => self.permit(&permit).await,
+            Request::Room(asked) => self.room(&entry_request.from, &asked).await,
+            Request::Rejected(rejected) => {
+                let now = clock::now();
+                let rooms = &mut self.term.borrow_mut().rooms;
+                rooms.record_rejection(&rejected, now);
+                Reply::Acknowledged
+            }
             Request::Quota(question) => self.quota(&entry_request.from, &question).await,
             Request::Admin(Query::Workspaces) => self.workspaces().await,
             _ => Reply::Refused(busy("it does not handle requests of this kind")),
@@ -342,8 +352,10 @@
         self.record_evidence(from, &evidence);
         self.count_reporter(from);
         self.record_shares(&usage.shares);
+        let now = clock::now();
         let mut term = self.term.borrow_mut();
-        term.demand.record(clock::now(), from, usage);
+        term.rooms.record_report(from, &usage.loads, now);
+        term.demand.record(now, from, usage);
     }
 
     /// Has an entry counted among those that share the retry budget, before its report is
@@ -364,22 +376,22 @@
     /// Takes a permit to send a request to a target, if this instance leads.
     async fn permit(&self, permit: &Permit) -> Reply {
         if self.leader_snapshot().await.is_none() {
-            let message = "this instance does not lead";
-            return Reply::Refused(Fault::not_run(
-                Reason::Leaderless,
-                message,
-                "ask the leader",
-            ));
+            return Reply::Refused(not_leading());
         }
         let now = clock::now();
         let permits = &mut self.term.borrow_mut().permits;
-        match permits.try_take(&permit.target, permit.incarnation, permit.named, now) {
-            Ok(()) => Reply::Acknowledged,
-            Err(until) => {
-                let wait = until.saturating_duration_since(now).as_millis();
-                Reply::NoPermit(u64::try_from(wait).unwrap_or(u64::MAX))
-            }
+        let taken = permits.try_take(&permit.target, permit.incarnation, permit.named, now);
+        permit_reply(taken, now)
+    }
+
+    /// Takes room for a request at a brittle target, if this instance leads.
+    async fn room(&self, from: &str, asked: &Room) -> Reply {
+        if self.leader_snapshot().await.is_none() {
+            return Reply::Refused(not_leading());
         }
+        let now = clock::now();
+        let rooms = &mut self.term.borrow_mut().rooms;
+        permit_reply(rooms.try_take(from, asked, now), now)
     }
 
     /// Returns the leadership and the state, or `None` where this instance does not lead now.
@@ -567,6 +579,20 @@
     }
 }
 
+/// Returns the reply to a request for a permit or for room.
+fn permit_reply(taken: Result<(), Instant>, now: Instant) -> Reply {
+    let Err(until) = taken else {
+        return Reply::Acknowledged;
+    };
+    let wait = until.saturating_duration_since(now).as_millis();
+    Reply::NoPermit(u64::try_from(wait).unwrap_or(u64::MAX))
+}
+
+fn not_leading() -> Fault {
+    let message = "this instance does not lead";
+    Fault::not_run(Reason::Leaderless, message, "ask the leader")
+}
+
 /// Returns the engine settings of a service; `None` where the service is unknown or plain.
 fn engine_config<'a>(routes: &'a Set, service: &str) -> Option<&'a Engine> {
     let mut services = routes.services.iter();
--- a/crates/flamingo-control/src/inner.rs
+++ b/crates/flamingo-control/src/inner.rs
@@ -90,6 +90,8 @@
                 | Request::Usages(_)
                 | Request::LoadAdapter(_)
                 | Request::Permit(_)
+                | Request::Room(_)
+                | Request::Rejected(_)
                 | Request::Quota(_)),
             ) => controller::send_request(controller, &from, request).await,
             (Some(_), Request::PassUsage(report)) => self.usage_relay.pass(&from, report).await,
--- a/crates/flamingo-control/src/raft_actor/requests.rs
+++ b/crates/flamingo-control/src/raft_actor/requests.rs
@@ -71,6 +71,8 @@
             | Request::PassUsage(_)
             | Request::Usages(_)
             | Request::Permit(_)
+            | Request::Room(_)
+            | Request::Rejected(_)
             | Request::Quota(_)
             | Request::LoadAdapter(_)
             | Request::Begun(_)
--- a/crates/flamingo-control/tests/controller/main.rs
+++ b/crates/flamingo-control/tests/controller/main.rs
@@ -8,12 +8,12 @@
 use flamingo_control::controller::engine_api::{Operation, Order, Outcome};
 use flamingo_test_support::wait;
 use flamingo_wire::admin::{Answer, Query};
-use flamingo_wire::control::{LoadAdapter, Permit, Push, Reply, Request};
+use flamingo_wire::control::{LoadAdapter, Permit, Push, Reply, Request, Room};
 use flamingo_wire::prompt::{Crash, Evidence, Exposure};
 use flamingo_wire::quota::{Decision, Question, Use, Want};
 use flamingo_wire::route;
 use flamingo_wire::share;
-use flamingo_wire::target::{Demand, Usage};
+use flamingo_wire::target::{Demand, Load, Usage};
 use harness::Harness;
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
@@ -380,6 +380,54 @@
     assert!((1.0..=allowed).contains(&f64::from(granted)), "{granted}");
 }
 
+/// Six entries ask for room at a target with three slots, and none of their requests ends.
+async fn room_of_several_entries() {
+    let engines = [("e", Engine::new(0, &[]))];
+    let world = World::new(config(&[], 0), engines, Box::new(|_, _| None));
+    let harness = Harness::start(&world).await;
+    let room = || {
+        Request::Room(Room {
+            target: "e".into(),
+            incarnation: 1,
+            rejections_per_s: 0.0,
+            slots: 3,
+            running: 1,
+        })
+    };
+    let until_room = || async {
+        let reply = harness.ask_as("entry-0", room()).await;
+        (reply == Reply::Acknowledged).then_some(())
+    };
+    wait::until("room", until_room).await;
+    let begun = Instant::now();
+    let mut granted = BTreeSet::from([0]);
+    while begun.elapsed() < Duration::from_millis(500) {
+        for number in 0..6 {
+            if granted.contains(&number) {
+                let load = Load {
+                    target: "e".into(),
+                    running: 1,
+                    ..Load::default()
+                };
+                let usage = Usage {
+                    loads: vec![load],
+                    ..Usage::default()
+                };
+                let entry = format!("entry-{number}");
+                harness.ask_as(&entry, Request::Usage(usage)).await;
+            } else {
+                let reply = harness.ask_as(&format!("entry-{number}"), room()).await;
+                if reply == Reply::Acknowledged {
+                    granted.insert(number);
+                }
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    // A target that bears no rejection keeps one of its three slots free.
+    assert_eq!(granted.len(), 2);
+}
+
 /// Two entries ask for requests of one workspace; a question of one comes again late.
 async fn quotas_of_several_entries() {
     let engines = [("e", Engine::new(0, &[]))];
@@ -528,6 +576,7 @@
     a_learned_load_time_is_shown: adapter_that_comes_late(),
     quotas_of_several_entries_come_from_one_bucket: quotas_of_several_entries(),
     permits_of_several_entries_come_from_one_count: permits_of_several_entries(),
+    room_of_several_entries_comes_from_one_count: room_of_several_entries(),
     a_late_load_of_an_earlier_incarnation_has_room: late_load_of_an_earlier_incarnation(),
     a_retried_load_does_not_overfill_an_engine: retry_after_an_earlier_load(),
     a_load_is_not_sent_to_an_engine_that_executes_another: load_beside_an_earlier_one(),
--- a/crates/flamingo-guard/src/lib.rs
+++ b/crates/flamingo-guard/src/lib.rs
@@ -7,6 +7,8 @@
 pub mod authentication;
 pub mod observer;
 pub mod permits;
+pub mod places;
 pub mod quarantine;
 pub mod quota;
+pub mod room;
 pub mod share;
--- a/crates/flamingo-wire/src/control.rs
+++ b/crates/flamingo-wire/src/control.rs
@@ -45,6 +45,10 @@
     LoadAdapter(LoadAdapter),
     /// Permit to send one request to a target that names a limit.
     Permit(Permit),
+    /// Room for one more request at a target that is brittle.
+    Room(Room),
+    /// A brittle target has rejected a request of the entry for want of room.
+    Rejected(Room),
     /// Streams that began at an entry, for any control instance to keep.
     Begun(Vec<stream::Begun>),
     /// Return where a stream began, as far as the instance knows.
@@ -96,6 +100,22 @@
     pub named: Option<f64>,
 }
 
+/// What an entry says of a target that is brittle: it falls over when it rejects too many requests a second
+/// for want of room.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Room {
+    /// The target.
+    pub target: id::Target,
+    /// The target's incarnation, as the entry knows it.
+    pub incarnation: id::Incarnation,
+    /// Rejections a second that the target bears, as it says.
+    pub rejections_per_s: f64,
+    /// Requests that run at the target at the same time.
+    pub slots: u32,
+    /// Requests of the entry at the target, with the one that it asks for.
+    pub running: u32,
+}
+
 /// Heartbeat of a follower, that is a process that subscribes to pushes.
 ///
 /// Followers send it at least once a second.
@@ -309,7 +329,8 @@
     Origin(stream::Knowledge),
     /// Software versions of a service.
     Versions(Vec<id::Software>),
-    /// There is no permit for a request to the target for this time, in milliseconds.
+    /// There is no permit for a request to the target, or no room for it there, for this time, in
+    /// milliseconds.
     NoPermit(u64),
     /// The report was received; these prompt parts are in quarantine.
     Quarantines(Vec<prompt::Quarantine>),
