--- a/crates/flamingo-serve/tests/availability.rs
+++ b/crates/flamingo-serve/tests/availability.rs
@@ -3,7 +3,7 @@
 use flamingo_guard::observer::Life;
 use flamingo_serve::choice::{Choice, Requirements, choose};
 use flamingo_serve::table::Table;
-use flamingo_serve::wire::{Pause, RequestHead};
+use flamingo_serve::wire::{Pause, RequestHead, Tolerance};
 use flamingo_test_support::registration::registration;
 use flamingo_wire::control::Push;
 use flamingo_wire::target::Registration;
@@ -231,3 +231,57 @@
     let choice = choose(&table, &required(&request, &[]), 1, later + second);
     assert!(matches!(choice, Choice::Send(_)), "{choice:?}");
 }
+
+/// Returns a table with two targets of which the first has just said that it bears three rejections.
+fn table_with_brittle(now: Instant) -> Table {
+    let mut table = Table::default();
+    let targets = vec![registration("i-0"), registration("i-1")];
+    let incarnation = targets[0].incarnation;
+    table.apply(now, &Push::Targets(targets));
+    let bears = Some(Tolerance::PerSecond(3.0));
+    assert!(table.record_tolerance("i-0", incarnation, bears, now));
+    table
+}
+
+fn tolerance(table: &Table, id: &str, now: Instant) -> Option<f64> {
+    table.tolerance(table.get(id).expect("known"), now)
+}
+
+#[test]
+fn a_target_that_was_not_heard_is_not_taken_for_brittle() {
+    let now = Instant::now();
+    let table = table_with_brittle(now);
+    assert_eq!(tolerance(&table, "i-1", now), Some(3.0));
+    let later = now + Duration::from_secs(2);
+    assert_eq!(tolerance(&table, "i-1", later), None);
+    assert_eq!(tolerance(&table, "i-0", later), Some(3.0));
+}
+
+#[test]
+fn a_sound_target_is_taken_for_brittle() {
+    let now = Instant::now();
+    let mut table = table_with_brittle(now);
+    let incarnation = registration("i-1").incarnation;
+    assert!(!table.record_tolerance("i-1", incarnation, None, now));
+    assert_eq!(tolerance(&table, "i-1", now), None);
+    assert!(table.record_tolerance("i-0", incarnation, None, now));
+    assert_eq!(tolerance(&table, "i-0", now), None);
+}
+
+#[test]
+fn a_full_brittle_target_gets_requests() {
+    let now = Instant::now();
+    let mut table = table_with_brittle(now);
+    let until = now + Duration::from_secs(1);
+    for id in ["i-0", "i-1"] {
+        let target = table.get_mut(id).expect("known");
+        target.availability.record_full(until);
+    }
+    let request = RequestHead::default();
+    let choice = choose(&table, &required(&request, &[]), 1, now);
+    assert_eq!(choice, Choice::Paused(until));
+    let incarnation = registration("i-0").incarnation;
+    table.record_tolerance("i-0", incarnation, None, now);
+    let choice = choose(&table, &required(&request, &[]), 1, now);
+    assert!(matches!(choice, Choice::Send(_)), "{choice:?}");
+}
