--- a/crates/flamingo-guard/tests/brittle.rs
+++ b/crates/flamingo-guard/tests/brittle.rs
@@ -66,7 +66,7 @@
     work_steps: 40,
     steps_a_leader: STEPS + 1,
     steps_without: 0,
-    used: 2.0 / 3.0,
+    used: 0.75,
 };
 
 /// As [`STEADY`], but no leader answers for two of seven seconds.
