Log: a voter that has just voted is not removed in place of the dead leader

The new leader gave the voters of which it knew nothing the same time as the dead leader, and the name decided which went first. A granted vote is a sign of life now, and a voter that the leader before has not named has spoken a heartbeat later than that leader.

--- a/crates/flamingo-log/src/raft/election.rs
+++ b/crates/flamingo-log/src/raft/election.rs
@@ -289,11 +289,20 @@
     }
 
     fn become_leader(&mut self, now: Instant) {
+        let voted = match &mut self.role_state {
+            RoleState::Candidate { granted, .. } => std::mem::take(granted),
+            _ => BTreeSet::new(),
+        };
         let next = self.journal.last_index() + 1;
         let peers: Vec<_> = self.peers().cloned().collect();
         let silences = std::mem::take(&mut self.silences);
-        let last_contact = self.last_contact().unwrap_or(now);
-        let leader = Leader::new(now, next, &peers, &silences, last_contact);
+        // The leader before would have named a voter that was silent then, so this one spoke a heartbeat later.
+        let last_contact = self.last_contact().map(|at| at + self.timing.heartbeat);
+        let last_contact = last_contact.unwrap_or(now).min(now);
+        let mut leader = Leader::new(now, next, &peers, &silences, last_contact);
+        for node in &voted {
+            leader.record_vote(node, now);
+        }
         self.role_state = RoleState::Leader(Box::new(leader));
         self.leader = Some(self.node.clone());
         self.actions.push(Action::Became(Role::Leader));
--- a/crates/flamingo-log/src/raft/leader.rs
+++ b/crates/flamingo-log/src/raft/leader.rs
@@ -195,6 +195,13 @@
         }
     }
 
+    /// Records that `node` has voted for this leader, which ends its silence.
+    pub fn record_vote(&mut self, node: &str, now: Instant) {
+        if let Some(peer) = self.peers.get_mut(node) {
+            peer.silent_since = peer.silent_since.max(now);
+        }
+    }
+
     fn heartbeat_sent_at(&self, round: Round) -> Option<Instant> {
         let mut sent = self.sent_heartbeats.iter();
         let heartbeat = sent.find(|sent| sent.round == round)?;
--- a/crates/flamingo-log/tests/joining.rs
+++ b/crates/flamingo-log/tests/joining.rs
@@ -350,3 +350,37 @@
     group.advance(Duration::from_secs(2));
     assert_eq!((group.last_committed(), group.leader()), (before, None));
 }
+
+/// Kills the leader of six voters for good, and cuts a live follower off from the next election on for `pause`.
+/// Returns whether that one lost its vote while the dead one kept it.
+fn is_removed_in_place_of_the_dead_leader(seed: u64, pause: Duration) -> bool {
+    let (mut group, _) = formed_with_one_to_spare(seed);
+    let dead = group.leader().expect("a leader");
+    group.crash(dead);
+    let another = |group: &Group| group.leader().filter(|n| *n != dead);
+    assert!(group.until(FORMATION, |group| another(group).is_some()));
+    let leader = another(&group);
+    let others = live(&group);
+    let mut others = others.into_iter().filter(|n| Some(*n) != leader);
+    let paused = others
+        .nth(usize::try_from(seed % 4).expect("small"))
+        .expect("a follower");
+    group.isolate(paused);
+    let mut removed = group.until(pause, |group| !votes(group, paused));
+    removed &= votes(&group, dead);
+    group.heal();
+    let lost = group.until(Duration::from_secs(2), |group| {
+        !votes(group, paused) && votes(group, dead)
+    });
+    removed || lost
+}
+
+#[test]
+fn a_live_voter_that_pauses_after_an_election_is_not_removed_in_place_of_the_dead_leader() {
+    for pause_ms in [1_100, 1_300, 1_800] {
+        let pause = Duration::from_millis(pause_ms);
+        let removed = |seed: &u64| is_removed_in_place_of_the_dead_leader(*seed, pause);
+        let removed: Vec<_> = (0..60).filter(removed).collect();
+        assert!(removed.is_empty(), "after {pause:?} with seeds {removed:?}");
+    }
+}
