--- a/crates/flamingo-guard/src/observer.rs
+++ b/crates/flamingo-guard/src/observer.rs
@@ -206,7 +206,7 @@
     /// observer.record_break(&life, &request, now);
     /// assert!(observer.record_unreached(&life, now));
     /// assert!(observer.take_evidence("leader", now).crashes.is_empty());
-    /// observer.confirm_likely();
+    /// observer.confirm_likely("u", now);
     /// assert_eq!(observer.take_evidence("leader", now).crashes.len(), 1);
     /// ```
     pub fn record_unreached(&mut self, life: &Life, now: Instant) -> bool {
@@ -230,9 +230,10 @@
         true
     }
 
-    /// Takes likely crashes for certain, since this entry reaches other targets.
-    pub fn confirm_likely(&mut self) {
-        self.crashes.confirm_likely();
+    /// Takes likely crashes for certain, since this entry reaches another target: `target` has accepted a
+    /// connection that was dialled at `dialled_at`.
+    pub fn confirm_likely(&mut self, target: &str, dialled_at: Instant) {
+        self.crashes.confirm_likely(target, dialled_at);
     }
 
     /// Doubts likely crashes, since this entry is or was isolated from targets.
--- a/crates/flamingo-guard/src/observer/sightings.rs
+++ b/crates/flamingo-guard/src/observer/sightings.rs
@@ -6,6 +6,7 @@
 //! it would put requests in quarantine that a partition has interrupted.
 
 use super::{Leader, Life, MAX_TARGETS, age_ms};
+use flamingo_wire::id;
 use flamingo_wire::prompt::Crash;
 use std::time::{Duration, Instant};
 
@@ -45,7 +46,7 @@
 }
 
 impl Sighting {
-    fn is_of(&self, target: &str, incarnation: flamingo_wire::id::Incarnation) -> bool {
+    fn is_of(&self, target: &str, incarnation: id::Incarnation) -> bool {
         self.crash.target == target && self.crash.incarnation == incarnation
     }
 }
@@ -76,21 +77,26 @@
         });
     }
 
-    /// Takes what is likely for certain: this entry reaches other targets.
-    pub fn confirm_likely(&mut self) {
-        self.replace(Certainty::Likely, Certainty::Confirmed);
+    /// Takes what is likely for certain of other targets than the one that has accepted a connection, which was
+    /// dialled after theirs broke.
+    pub fn confirm_likely(&mut self, accepted_by: &str, dialled_at: Instant) {
+        for sighting in self.likely_mut() {
+            if sighting.crash.target != accepted_by && sighting.at <= dialled_at {
+                sighting.certainty = Certainty::Confirmed;
+            }
+        }
     }
 
     /// Doubts what is likely: this entry is, or was, isolated from targets.
     pub fn doubt_likely(&mut self) {
-        self.replace(Certainty::Likely, Certainty::Doubtful);
+        for sighting in self.likely_mut() {
+            sighting.certainty = Certainty::Doubtful;
+        }
     }
 
-    fn replace(&mut self, before: Certainty, after: Certainty) {
+    fn likely_mut(&mut self) -> impl Iterator<Item = &mut Sighting> {
         let sightings = self.sightings.iter_mut();
-        for sighting in sightings.filter(|sighting| sighting.certainty == before) {
-            sighting.certainty = after;
-        }
+        sightings.filter(|sighting| sighting.certainty == Certainty::Likely)
     }
 
     /// Settles what is not certain by what has become of each incarnation since its connections broke.
--- a/crates/flamingo-guard/tests/request.rs
+++ b/crates/flamingo-guard/tests/request.rs
@@ -315,7 +315,7 @@
         observer.doubt_likely();
     }
     // Connections are accepted again.
-    observer.confirm_likely();
+    observer.confirm_likely("w", now + 3 * SECOND);
     observer
 }
 
@@ -384,6 +384,61 @@
     assert_eq!(ledger.judge(at(1_500)), []);
 }
 
+#[test]
+fn answers_count_against_crashes_that_become_certain_seconds_later() {
+    let mut ledger = Ledger::default();
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    ledger.record("entry-2", &answer(), at(900));
+    ledger.record("entry-1", &crashes(&[5_000, 4_700, 4_400]), at(5_000));
+    assert_eq!(ledger.judge(at(5_500)), []);
+}
+
+#[test]
+fn answers_to_other_requests_do_not_displace_those_that_count() {
+    let mut ledger = Ledger::default();
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    ledger.record("entry-2", &answer(), at(900));
+    for number in 0..600 {
+        let mut others = answer();
+        let first = 10_000 + number * 14;
+        others.answered_requests[0].requests = (first..first + 14).collect();
+        ledger.record("entry-2", &others, at(950 + number));
+    }
+    ledger.record("entry-1", &crashes(&[1_600, 1_300, 1_000]), at(1_600));
+    assert_eq!(ledger.judge(at(2_100)), []);
+}
+
+#[test]
+fn a_target_that_accepts_a_connection_confirms_no_crash_of_its_own() {
+    let now = Instant::now();
+    let life = ("t".to_owned(), 1);
+    let mut observer = Observer::default();
+    observer.record_break(&life, &interrupted(DEADLY, now), now);
+    observer.record_unreached(&life, now);
+    observer.confirm_likely("t", now + SECOND);
+    assert!(observer.take_evidence("leader", now).crashes.is_empty());
+    observer.confirm_likely("u", now + SECOND);
+    assert_eq!(observer.take_evidence("leader", now).crashes.len(), 1);
+}
+
+#[test]
+fn a_connection_from_before_the_break_confirms_no_crash() {
+    let now = Instant::now();
+    let life = ("t".to_owned(), 1);
+    let mut observer = Observer::default();
+    observer.record_break(&life, &interrupted(DEADLY, now), now + SECOND);
+    observer.record_unreached(&life, now + SECOND);
+    observer.confirm_likely("u", now);
+    assert!(
+        observer
+            .take_evidence("leader", now + SECOND)
+            .crashes
+            .is_empty()
+    );
+}
+
 #[test]
 fn answers_before_a_crash_do_not_speak_for_a_request() {
     let mut ledger = Ledger::default();
--- a/crates/flamingo-serve/src/proxy/attempt.rs
+++ b/crates/flamingo-serve/src/proxy/attempt.rs
@@ -171,7 +171,7 @@
                 } else {
                     Success::Answered
                 };
-                self.record_reached(&candidate.target, success);
+                self.record_reached(&candidate.target, success, now);
                 self.record_statements(job, candidate, &response.parsed);
                 Ok(response)
             }
--- a/crates/flamingo-serve/src/proxy/reach.rs
+++ b/crates/flamingo-serve/src/proxy/reach.rs
@@ -49,8 +49,8 @@
         self.topology.table.borrow().iter().count()
     }
 
-    /// Records that a target was reached.
-    pub(super) fn record_reached(&self, target: &str, success: Success) {
+    /// Records that a target was reached by a connection or request that began at `begun_at`.
+    pub(super) fn record_reached(&self, target: &str, success: Success, begun_at: Instant) {
         let now = Instant::now();
         let change = self
             .isolation
@@ -59,7 +59,8 @@
         if let Some(change) = change {
             self.record_change(target, change);
         } else if success == Success::Connected {
-            self.topology.crashes.borrow_mut().confirm_likely();
+            let mut crashes = self.topology.crashes.borrow_mut();
+            crashes.confirm_likely(target, begun_at);
         }
     }
 
@@ -134,6 +135,7 @@
 
     /// Probes a target and records the outcome: of a late answer, first that there was none in time.
     async fn probe_target(&self, probe: &Probe) {
+        let begun_at = Instant::now();
         let mut answer = pin!(self.is_answered(probe));
         let in_time = timeout(PROBE_TIMEOUT, &mut answer).await.ok();
         if in_time != Some(true) {
@@ -144,7 +146,7 @@
             None => answer.await,
         };
         if is_reached {
-            self.record_reached(&probe.target, Success::Connected);
+            self.record_reached(&probe.target, Success::Connected, begun_at);
         }
         self.announce();
     }
--- a/crates/flamingo-serve/src/proxy/silence.rs
+++ b/crates/flamingo-serve/src/proxy/silence.rs
@@ -141,7 +141,7 @@
     /// Records that a silent target has gone on.
     pub(super) fn record_sign_of_life(&self, target: &str) {
         self.topology.table.borrow_mut().record_sign_of_life(target);
-        self.record_reached(target, Success::Answered);
+        self.record_reached(target, Success::Answered, Instant::now());
     }
 
     /// Sends a request to other targets until one answers: with the first event, if it is a stream.
--- a/crates/flamingo-serve/src/table.rs
+++ b/crates/flamingo-serve/src/table.rs
@@ -20,6 +20,8 @@
 /// Time without a heartbeat after which a target is used only if there is no other; several
 /// heartbeat intervals.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(4);
+/// Time between two messages of control instances from which on heartbeats may have been missed.
+const MAX_PUSH_GAP: Duration = Duration::from_secs(2);
 /// Longest time that a heartbeat of a target is on its way: the target may have restarted since.
 pub(crate) const MAX_HEARTBEAT_DELAY: Duration = Duration::from_secs(5);
 /// Time without a heartbeat after which a target is removed.
@@ -63,12 +65,18 @@
     prompt_rates: HashMap<id::Service, HashMap<id::Model, Rate>>,
     /// When a message of any control instance was last received.
     last_push: Option<Instant>,
+    /// Since when messages of control instances have come without a gap.
+    hears_control_since: Option<Instant>,
 }
 
 impl Table {
     /// Applies a message of a control instance. Returns the targets whose pooled connections are
     /// obsolete because the target restarted or has gone.
     pub fn apply(&mut self, now: Instant, push: &Push) -> Vec<id::Target> {
+        let gap = self.last_push.map(|last| now.duration_since(last));
+        if gap.is_none_or(|gap| gap > MAX_PUSH_GAP) {
+            self.hears_control_since = Some(now);
+        }
         self.last_push = Some(now);
         let mut obsolete = Vec::new();
         match push {
@@ -81,6 +89,7 @@
                 for id in ids {
                     if let Some(target) = self.targets.get_mut(id) {
                         target.last_heartbeat = now;
+                        target.went_on_at = Some(now);
                     }
                 }
             }
@@ -212,15 +221,23 @@
             return Fate::Ended;
         };
         let is_current = target.registration.incarnation == *incarnation;
-        if !is_current || target.registration.gone || self.heartbeat_overdue(target) {
+        let went_on = |now: &Instant| *now > at + MAX_HEARTBEAT_DELAY;
+        if !is_current || target.registration.gone || self.is_missed(target) {
             Fate::Ended
-        } else if target.last_heartbeat > at + MAX_HEARTBEAT_DELAY {
+        } else if target.went_on_at.as_ref().is_some_and(went_on) {
             Fate::Alive
         } else {
             Fate::Unknown
         }
     }
 
+    /// Returns whether the heartbeat of a target is overdue though this entry would have heard it.
+    fn is_missed(&self, target: &Target) -> bool {
+        let heard = self.hears_control_since.zip(self.last_push);
+        let heard_long = heard.is_some_and(|(since, last)| last > since + HEARTBEAT_TIMEOUT);
+        heard_long && self.heartbeat_overdue(target)
+    }
+
     /// Removes targets that had no heartbeat for `TARGET_RETENTION` before the last message of a
     /// control instance. A target that has gone and has no request of this entry is removed
     /// `TARGET_RETENTION` after its last heartbeat, whether or not control is reachable. That a target
--- a/crates/flamingo-serve/src/table/state.rs
+++ b/crates/flamingo-serve/src/table/state.rs
@@ -102,6 +102,9 @@
     /// When the target last answered a request of this entry.
     pub(super) answered_at: Option<Instant>,
     pub(super) last_heartbeat: Instant,
+    /// When control last said that the target goes on unchanged. A registration says less: a new stream lists
+    /// targets that may have ended.
+    pub(super) went_on_at: Option<Instant>,
     /// Until when others are preferred after a failure.
     pub(super) avoid_until: Option<Instant>,
     /// Until when others are preferred because of silence.
@@ -137,6 +140,7 @@
             stated_slots: None,
             answered_at: None,
             last_heartbeat: now,
+            went_on_at: None,
             avoid_until: None,
             silent_until: None,
             failures: 0,
--- a/crates/flamingo-serve/src/topology.rs
+++ b/crates/flamingo-serve/src/topology.rs
@@ -432,6 +432,9 @@
             }
         }
         let obsolete = self.table.borrow_mut().apply(now, &push);
+        if matches!(push, Push::Targets(_)) {
+            self.settle_crashes();
+        }
         for target in obsolete {
             self.pool.borrow_mut().remove(&target);
         }
