Records of brittle targets end though no other target is asked about

After a target had stopped saying that it is brittle, the leader kept its record until another target's first question: each report of load (400 entries, ten a second) looked each record up, without end. A report removes the records that nobody has asked about for 10 s.

--- a/crates/flamingo-guard/src/room.rs
+++ b/crates/flamingo-guard/src/room.rs
@@ -227,6 +227,8 @@
 
     /// Applies the loads that the entry `from` reports, which are all that it has.
     pub fn record_report(&mut self, from: &str, loads: &[Load], now: Instant) {
+        self.records
+            .retain(|_, record| now < record.asked_at + RECORD_RETENTION);
         if self.records.is_empty() {
             return;
         }
--- a/crates/flamingo-guard/tests/brittle.rs
+++ b/crates/flamingo-guard/tests/brittle.rs
@@ -388,3 +388,19 @@
     assert!(ledger.try_take("e", &asked(MAX_RECORDS), later).is_err());
     assert_eq!(ledger.try_take("e", &asked(0), later), Ok(()));
 }
+
+#[test]
+fn the_records_of_targets_that_nobody_asks_about_are_kept() {
+    let now = Instant::now();
+    let asked = Room {
+        target: "t".into(),
+        incarnation: 1,
+        rejections_per_s: 1.0,
+        slots: 4,
+        running: 1,
+    };
+    let mut ledger = Ledger::default();
+    assert!(ledger.try_take("e", &asked, now).is_err());
+    ledger.record_report("e", &[], now + 11 * WINDOW);
+    assert_eq!(format!("{ledger:?}"), format!("{:?}", Ledger::default()));
+}
