--- a/crates/flamingo-entry/tests/outer/statuses.rs
+++ b/crates/flamingo-entry/tests/outer/statuses.rs
@@ -27,7 +27,7 @@
     Rest,
 }
 
-/// What was seen of one request.
+/// The outcome of one request.
 #[derive(Debug)]
 struct Seen {
     reply: Reply,
--- a/crates/flamingo-serve/src/neighbours.rs
+++ b/crates/flamingo-serve/src/neighbours.rs
@@ -27,7 +27,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Neighbours {
     known: BTreeMap<SocketAddr, Known>,
-    /// Until when entries that failed or had no room are not chosen.
+    /// When each entry that failed or had no room may be chosen again.
     aside: BTreeMap<SocketAddr, Instant>,
 }
 
