Entries and control instances log which routes they know, have and miss

'routes in force' and 'not forwarded' now say so, 'newer routes known' and 'routes applied' are new, and a gauge shows for how long an entry is outdated. No decision changes.

--- a/crates/flamingo-control/src/raft_actor.rs
+++ b/crates/flamingo-control/src/raft_actor.rs
@@ -237,6 +237,7 @@
             && Some(set.version) != published
         {
             let leads = self.raft.role() == Role::Leader;
+            info!(self.log, "routes applied"; "version" => set.version, "leads" => leads);
             self.routes.send_replace(Some(routes_update(set, leads)));
         }
         self.software.send_if_modified(|published| {
--- a/crates/flamingo-link/src/lib.rs
+++ b/crates/flamingo-link/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod ask;
 pub mod feeds;
+pub mod freshness;
 pub mod link;
 pub mod report;
 pub mod status;
--- a/crates/flamingo-serve/src/metrics.rs
+++ b/crates/flamingo-serve/src/metrics.rs
@@ -9,6 +9,7 @@
 use crate::pace::Standing;
 use crate::table::{Table, Target};
 use crate::topology::Topology;
+use flamingo_daemon::clock;
 use flamingo_daemon::labels::Labels;
 use flamingo_daemon::metrics::Registry;
 use prometheus::{
@@ -59,6 +60,8 @@
     /// Targets by whether they tell their pace.
     paces: IntGaugeVec,
     version: IntGauge,
+    /// Time for which newer routes than those in force have been known, in milliseconds.
+    outdated: IntGauge,
     entries: IntGauge,
     /// Followed control instances in the own zone and in others.
     controls: IntGaugeVec,
@@ -142,6 +145,10 @@
             zones: Labels::default(),
             version: registry
                 .gauge("flamingo_routes_version", "Version of the routes in force.")?,
+            outdated: registry.gauge(
+                "flamingo_routes_outdated_ms",
+                "Time for which newer routes than those in force have been known; 0 if none are.",
+            )?,
             entries: registry.gauge("flamingo_entries", "Entries that control counts.")?,
             controls: gauges(
                 "flamingo_controls_followed",
@@ -267,6 +274,10 @@
         let routes = topology.routes.borrow();
         let version = routes.as_ref().map_or(0, |routes| routes.set.version);
         self.version.set(i64::try_from(version).unwrap_or(i64::MAX));
+        let outdated = topology.freshness.borrow().outdated_for(clock::now());
+        let outdated = outdated.unwrap_or_default().as_millis();
+        self.outdated
+            .set(i64::try_from(outdated).unwrap_or(i64::MAX));
         let entries = topology.peers.borrow().entries().unwrap_or(0);
         self.entries.set(number(entries));
         let (own, other) = topology.peers.borrow().followed;
--- a/crates/flamingo-serve/src/proxy/refusal.rs
+++ b/crates/flamingo-serve/src/proxy/refusal.rs
@@ -117,20 +117,25 @@
         request: &RequestHead,
     ) -> Response<Body> {
         let name: &str = refusal.cause.into();
+        let freshness = self.topology.freshness.borrow();
+        let outdated_for = freshness.outdated_for(clock::now());
         info!(self.log, "not forwarded"; "request" => &request.attempt_id,
             "route" => route.map(|route| &route.name), "workspace" => &request.workspace,
-            "limit" => Limit::name(refusal.cause), "version" => request.configuration, "cause" => name);
+            "limit" => Limit::name(refusal.cause), "version" => request.configuration,
+            "newest" => freshness.newest(), "outdated_ms" => outdated_for.map(|age| age.as_millis()),
+            "cause" => name);
         self.refuse(refusal, Some(request))
     }
 
     /// Refuses a request that no route matches. For as long as no leader is heard, a newer configuration may
     /// hold a route for it, and the caller is asked to come back.
     pub(super) fn refuse_unrouted(&self, request: &RequestHead) -> Response<Body> {
-        if self.topology.hears_leader(clock::now()) {
-            return self.refuse_early(Refusal::new(Cause::NoRoute), None, request);
-        }
-        let retry_after = RETRY_AFTER_MIN + self.retry_spread(request);
-        let refusal = Refusal::not_run(Cause::UnsureRoute, retry_after);
+        let refusal = if self.topology.hears_leader(clock::now()) {
+            Refusal::new(Cause::NoRoute)
+        } else {
+            let retry_after = RETRY_AFTER_MIN + self.retry_spread(request);
+            Refusal::not_run(Cause::UnsureRoute, retry_after)
+        };
         self.refuse_early(refusal, None, request)
     }
 
--- a/crates/flamingo-serve/src/topology.rs
+++ b/crates/flamingo-serve/src/topology.rs
@@ -11,6 +11,7 @@
 use flamingo_guard::observer::{Life, Observer};
 use flamingo_guard::quarantine::Finding;
 use flamingo_guard::share::limits::Limits;
+use flamingo_link::freshness::Freshness;
 use flamingo_link::subscription::PushHandler;
 use flamingo_wire::control::{self, Push, Relayed};
 use flamingo_wire::id;
@@ -239,6 +240,8 @@
 pub struct Topology {
     /// The current routes; `None` until the first were received.
     pub routes: RefCell<Option<Rc<Routes>>>,
+    /// Whether these routes are the newest ones. Times are of [`clock::now`], which counts suspensions.
+    pub freshness: RefCell<Freshness>,
     /// The targets.
     pub table: RefCell<Table>,
     /// Idle connections to the targets.
@@ -266,6 +269,7 @@
     pub fn new(log: Logger) -> Self {
         Self {
             routes: RefCell::default(),
+            freshness: RefCell::default(),
             table: RefCell::default(),
             pool: RefCell::default(),
             peers: RefCell::default(),
@@ -297,6 +301,18 @@
         self.neighbour.set(address);
     }
 
+    /// Records the newest routes that the control instance at `origin` knows to be committed.
+    fn record_committed(&self, origin: SocketAddr, version: id::Version) {
+        let is_news = self
+            .freshness
+            .borrow_mut()
+            .record_committed(version, clock::now());
+        if is_news {
+            info!(self.log, "newer routes known"; "version" => version, "control" => %origin,
+                "in_force" => self.routes_version());
+        }
+    }
+
     /// Records the entries that a list of the processes names.
     fn record_neighbours(&self, peers: &control::Peers, now: Instant) {
         if let Some(named) = &peers.neighbours {
@@ -400,13 +416,18 @@
         }
     }
 
-    /// Replaces the routes if `set` has a higher version than the current ones.
-    fn replace_routes(&self, set: Arc<Set>) {
+    /// Replaces the routes by those that the control instance at `origin` sent, if they have a higher version.
+    fn replace_routes(&self, origin: SocketAddr, set: Arc<Set>) {
         let current = self.routes_version();
         if current != 0 && set.version <= current {
             return;
         }
-        info!(self.log, "routes in force"; "version" => set.version, "routes" => set.routes.len());
+        let now = clock::now();
+        let mut freshness = self.freshness.borrow_mut();
+        info!(self.log, "routes in force"; "version" => set.version, "routes" => set.routes.len(),
+            "control" => %origin, "newest" => freshness.newest().max(set.version),
+            "outdated_ms" => freshness.outdated_for(now).map(|age| age.as_millis()));
+        freshness.record_in_force(set.version, now);
         *self.routes.borrow_mut() = Some(Rc::new(Routes::new(set)));
     }
 }
@@ -442,9 +463,10 @@
             self.models_changed.notify_waiters();
         }
         match push {
-            Push::Routes(set) => self.replace_routes(set),
+            Push::Routes(set) => self.replace_routes(origin, set),
             Push::Quarantines(quarantines) => self.adopt_quarantines(&quarantines, now),
             Push::Peers(peers) => {
+                self.record_committed(origin, peers.routes);
                 self.record_neighbours(&peers, now);
                 self.peers.borrow_mut().record(origin, &peers, now);
             }
