Entries refuse for good only by routes that the leader confirms

Cause: an entry was sure of its routes while it heard that a leader exists. That shows nothing about them: routes come from the log of its relay, the sign of a leader from any instance that names one. It was sure even when it had been told of newer routes.

Change: twice a second, with the usage report that goes to the leader anyway, an entry asks for the newest routes. A leader with a read lease answers with their version; the answer holds for two seconds from when the question was sent, by a clock that counts suspension, and only while no newer routes are known. Otherwise the caller gets 503 with Retry-After.

Why it is safe beside older builds: the question is an optional field that they skip, and only who asks gets the new reply; a relay gives others the old one. Without an answer an entry is unsure, which refuses nobody for good.

The case any_push_of_the_leader_counts is replaced: it asked for the fault. check_newest has its place, with more and stricter cases.

--- a/crates/flamingo-control/src/controller/mod.rs
+++ b/crates/flamingo-control/src/controller/mod.rs
@@ -23,7 +23,7 @@
 
 use crate::daemon::Core;
 use crate::metrics::Metrics;
-use crate::raft_actor::{EntryReport, ReadState};
+use crate::raft_actor::{EntryReport, GetNewestRoutes, ReadState};
 use crate::watch::lock_registry;
 use adapter_time::AdapterTimes;
 use demand::Tracker;
@@ -321,14 +321,16 @@
                 }
             },
             Request::Usage(usage) => {
+                let asks_routes = usage.asks_routes;
                 self.record_usage(&entry_request.from, usage);
-                Reply::Acknowledged
+                self.acknowledge(asks_routes).await
             }
             Request::Usages(reports) => {
+                let asks_routes = reports.iter().any(|(_, usage)| usage.asks_routes);
                 for (entry, usage) in reports {
                     self.record_usage(&entry, usage);
                 }
-                Reply::Acknowledged
+                self.acknowledge(asks_routes).await
             }
             Request::Permit(permit) => self.permit(&permit).await,
             Request::Room(asked) => self.room(&entry_request.from, &asked).await,
@@ -346,6 +348,18 @@
         let _ = entry_request.reply.send(reply);
     }
 
+    /// Acknowledges reports; one that asks for it, with the newest routes where this instance knows them.
+    async fn acknowledge(&self, asks_routes: bool) -> Reply {
+        if !asks_routes {
+            return Reply::Acknowledged;
+        }
+        let newest = self.core.raft_actor.send(GetNewestRoutes).await;
+        newest
+            .ok()
+            .flatten()
+            .map_or(Reply::Acknowledged, Reply::NewestRoutes)
+    }
+
     /// Records what the entry `from` reports.
     fn record_usage(&self, from: &str, mut usage: Usage) {
         let evidence = std::mem::take(&mut usage.evidence);
--- a/crates/flamingo-control/src/raft_actor.rs
+++ b/crates/flamingo-control/src/raft_actor.rs
@@ -31,8 +31,8 @@
 use flamingo_wire::{id, route};
 pub(crate) use forward::Forwarder;
 pub use messages::{
-    ChangeMembers, EntryReport, FollowerHeartbeat, GetMembership, HandleRequest, IsReady,
-    Membership, PeerMessage, Propose, ReadState, StateReader, Stop, UpdateSeeds,
+    ChangeMembers, EntryReport, FollowerHeartbeat, GetMembership, GetNewestRoutes, HandleRequest,
+    IsReady, Membership, PeerMessage, Propose, ReadState, StateReader, Stop, UpdateSeeds,
 };
 use messages::{Flush, WriterReport};
 use proposals::Proposals;
--- a/crates/flamingo-control/src/raft_actor/messages.rs
+++ b/crates/flamingo-control/src/raft_actor/messages.rs
@@ -7,7 +7,7 @@
 use flamingo_daemon::clock;
 use flamingo_log::raft::{Change, Refusal, Seed};
 use flamingo_state::{Command, State};
-use flamingo_wire::control::{Heartbeat, Reply, Request};
+use flamingo_wire::control::{Heartbeat, NewestRoutes, Reply, Request};
 use flamingo_wire::{Fault, id};
 use slog::{error, info, warn};
 use std::collections::BTreeSet;
@@ -61,6 +61,12 @@
 #[rtype(result = "Result<(), Fault>")]
 pub struct ChangeMembers(pub Change);
 
+/// Returns the newest routes; `None` where this instance does not surely lead, so that another one may have
+/// newer ones.
+#[derive(Debug, Message)]
+#[rtype(result = "Option<NewestRoutes>")]
+pub struct GetNewestRoutes;
+
 /// Calls a function with the committed state and this instance's leadership.
 #[derive(Message)]
 #[rtype(result = "T")]
@@ -224,6 +230,21 @@
     }
 }
 
+impl Handler<GetNewestRoutes> for RaftActor {
+    type Result = Option<NewestRoutes>;
+
+    fn handle(&mut self, _: GetNewestRoutes, _: &mut Self::Context) -> Self::Result {
+        let knows = self.raft.has_read_lease(clock::now());
+        let routes = self.state.routes.as_ref();
+        knows.then(|| {
+            routes.map_or_else(NewestRoutes::default, |set| NewestRoutes {
+                version: set.version,
+                bytes: set.text.len() as u64,
+            })
+        })
+    }
+}
+
 impl Handler<IsReady> for RaftActor {
     type Result = bool;
 
--- a/crates/flamingo-control/src/usage_relay.rs
+++ b/crates/flamingo-control/src/usage_relay.rs
@@ -1,7 +1,8 @@
 //! Passes the usage reports of entries in this zone to the leader, together.
 //!
 //! Each report keeps the name of its entry, and the entry gets the leader's reply: it counts only what
-//! the leader has acknowledged as reported.
+//! the leader has acknowledged as reported. Where one of them asks for the newest routes, the leader's answer
+//! holds for all, but only those that ask can read it.
 
 use crate::raft_actor::Forwarder;
 use flamingo_wire::control::{Reply, Request, UsageReport};
@@ -87,18 +88,40 @@
     }
 }
 
+/// An entry that waits for the leader's reply.
+#[derive(Debug)]
+struct Waiting {
+    asks_routes: bool,
+    reply: oneshot::Sender<Reply>,
+}
+
+impl Waiting {
+    /// Returns the leader's reply in a form that the entry can read.
+    fn translate(&self, reply: &Reply) -> Reply {
+        match reply {
+            Reply::NewestRoutes(_) if !self.asks_routes => Reply::Acknowledged,
+            reply => reply.clone(),
+        }
+    }
+}
+
 /// Returns the reports of a batch, and whom to answer.
-fn split(batch: Vec<Pending>) -> (Vec<(id::Node, Usage)>, Vec<oneshot::Sender<Reply>>) {
-    let parts = batch.into_iter();
-    parts
-        .map(|pending| ((pending.from, pending.report.usage), pending.reply))
-        .unzip()
+fn split(batch: Vec<Pending>) -> (Vec<(id::Node, Usage)>, Vec<Waiting>) {
+    let parts = batch.into_iter().map(|pending| {
+        let usage = pending.report.usage;
+        let waiting = Waiting {
+            asks_routes: usage.asks_routes,
+            reply: pending.reply,
+        };
+        ((pending.from, usage), waiting)
+    });
+    parts.unzip()
 }
 
 /// Gives the leader's reply to all whose reports were sent together.
 async fn answer(
     sent: impl Future<Output = Reply>,
-    replies: Vec<oneshot::Sender<Reply>>,
+    replies: Vec<Waiting>,
     leader: SocketAddr,
     log: Logger,
 ) {
@@ -109,7 +132,8 @@
             "why" => %fault);
     }
     for waiting in replies {
+        let translated = waiting.translate(&reply);
         // The entry may have stopped waiting.
-        let _ = waiting.send(reply.clone());
+        let _ = waiting.reply.send(translated);
     }
 }
--- a/crates/flamingo-control/tests/controller/main.rs
+++ b/crates/flamingo-control/tests/controller/main.rs
@@ -569,7 +569,34 @@
     }
 }
 
+/// Guards against entries that refuse for good by old routes: only the leader can tell them that theirs are the
+/// newest.
+async fn entries_ask_for_the_newest_routes() {
+    let world = World::new(
+        config(&[], 0),
+        [("e", Engine::new(0, &[]))],
+        Box::new(|_, _| None),
+    );
+    let harness = Harness::start(&world).await;
+    let report = |asks_routes| Usage {
+        asks_routes,
+        ..Usage::default()
+    };
+    let reports = |asks| {
+        let of = |asks_routes| ("entry".to_owned(), report(asks_routes));
+        Request::Usages(vec![of(false), of(asks)])
+    };
+    for request in [Request::Usage(report(true)), reports(true)] {
+        let reply = harness.ask(request).await;
+        assert!(matches!(reply, Reply::NewestRoutes(newest) if newest.version > 0));
+    }
+    for request in [Request::Usage(report(false)), reports(false)] {
+        assert_eq!(harness.ask(request).await, Reply::Acknowledged);
+    }
+}
+
 cases! {
+    the_leader_tells_those_who_ask_its_newest_routes: entries_ask_for_the_newest_routes(),
     a_workspace_above_its_share_is_published_until_room_is_there: workspace_above_its_share(),
     a_model_that_is_asked_for_takes_the_place_of_an_idle_one: asked_for_without_a_place(),
     crashes_that_several_entries_saw_quarantine_a_part: crashes_that_several_entries_saw(),
--- a/crates/flamingo-guard/src/authentication.rs
+++ b/crates/flamingo-guard/src/authentication.rs
@@ -107,7 +107,7 @@
 }
 
 /// Decides on a request with this key. `anonymous` says that its route needs none, and
-/// `hears_leader` that this entry gets newer configurations.
+/// `is_current` that no newer configuration is in force elsewhere.
 ///
 /// ```
 /// use flamingo_guard::authentication::{Decision, Index, decide};
@@ -121,14 +121,14 @@
     index: &'a Index,
     key: Option<&KeyDigest>,
     anonymous: bool,
-    hears_leader: bool,
+    is_current: bool,
 ) -> Decision<'a> {
     let workspace = key.and_then(|key| index.find(key));
     if workspace.is_some() || anonymous {
         return Decision::Allowed(workspace);
     }
     // No configuration has a workspace for a request without a key.
-    if key.is_none() || hears_leader {
+    if key.is_none() || is_current {
         Decision::Unknown
     } else {
         Decision::Unsure
--- a/crates/flamingo-link/src/freshness.rs
+++ b/crates/flamingo-link/src/freshness.rs
@@ -1,8 +1,14 @@
 //! Whether the routes in force at an entry are the newest ones.
+//!
+//! That a leader exists, or sends anything, doesn't show it: routes come another way. What shows it is a
+//! question that was answered, by a leader that surely leads: the answer holds for the time of the question.
 
 use flamingo_wire::id;
 use std::time::{Duration, Instant};
 
+/// Age of the last answered question up to which the routes count as the newest. Entries ask each half second.
+pub const MAX_PROOF_AGE: Duration = Duration::from_secs(2);
+
 /// What an entry knows of the newest routes. All times are of one clock, which the caller chooses.
 #[derive(Debug, Default)]
 pub struct Freshness {
@@ -12,6 +18,8 @@
     newest: id::Version,
     /// Since when newer routes than those in force are known.
     outdated_since: Option<Instant>,
+    /// When the last question was sent that the leader has answered.
+    asked_at: Option<Instant>,
 }
 
 impl Freshness {
@@ -39,6 +47,35 @@
         true
     }
 
+    /// Records that the leader has answered a question sent at `asked_at`: these routes were then the newest, if
+    /// no newer ones are known since. Returns whether they are newer than any known before.
+    pub fn record_answer(&mut self, version: id::Version, asked_at: Instant, now: Instant) -> bool {
+        self.asked_at = self.asked_at.max(Some(asked_at));
+        self.record_committed(version, now)
+    }
+
+    /// Returns whether the routes in force are surely the newest ones, but for those of the last
+    /// [`MAX_PROOF_AGE`].
+    ///
+    /// ```
+    /// use flamingo_link::freshness::{Freshness, MAX_PROOF_AGE};
+    /// use std::time::{Duration, Instant};
+    ///
+    /// let (mut freshness, asked_at) = (Freshness::default(), Instant::now());
+    /// freshness.record_in_force(4, asked_at);
+    /// assert!(!freshness.is_sure(asked_at));
+    /// freshness.record_answer(4, asked_at, asked_at);
+    /// assert!(freshness.is_sure(asked_at + MAX_PROOF_AGE));
+    /// assert!(!freshness.is_sure(asked_at + MAX_PROOF_AGE + Duration::from_nanos(1)));
+    /// freshness.record_committed(5, asked_at);
+    /// assert!(!freshness.is_sure(asked_at));
+    /// ```
+    #[must_use]
+    pub fn is_sure(&self, now: Instant) -> bool {
+        let age = self.asked_at.map(|at| now.saturating_duration_since(at));
+        self.in_force >= self.newest && age.is_some_and(|age| age <= MAX_PROOF_AGE)
+    }
+
     /// Records the version of the routes that are in force from now on.
     pub fn record_in_force(&mut self, version: id::Version, now: Instant) {
         self.in_force = version;
--- a/crates/flamingo-serve/src/demand.rs
+++ b/crates/flamingo-serve/src/demand.rs
@@ -1,9 +1,11 @@
 //! Counts the demand for models and reports it to the leader, together with this entry's load on
-//! targets. The leader uses the reports to place models and informs all entries of the total load.
+//! targets. The leader uses the reports to place models and informs all entries of the total load. Twice a
+//! second a report also asks for the newest routes.
 
 use crate::proxy::RETRY_AFTER_MIN;
 use crate::topology::Topology;
 use crate::wire::RequestHead;
+use flamingo_daemon::clock;
 use flamingo_guard::share::Pool;
 use flamingo_guard::share::tally::{Event, Tally};
 use flamingo_link::subscription::ControlClient;
@@ -19,8 +21,8 @@
 
 /// Interval between two reports.
 const REPORT_INTERVAL: Duration = Duration::from_millis(100);
-/// Longest time between two reports to a leader that this entry does not follow: the leader counts the
-/// entries by their reports, and this entry needs a recent acknowledgement.
+/// Longest time between two reports: the leader counts the entries by their reports, and this entry needs a
+/// recent acknowledgement. It also needs to know whether its routes are the newest ones.
 const MAX_REPORT_INTERVAL: Duration = Duration::from_millis(500);
 /// Time within which the leader must acknowledge a report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -163,7 +165,7 @@
     counter: Rc<Counter>,
     control_client: Rc<ControlClient>,
 ) {
-    let mut reported_at: Option<Instant> = None;
+    let mut routes_asked_at: Option<Instant> = None;
     let mut direct_until: Option<Instant> = None;
     // The time for which an acknowledgement takes must not add to the age of the next report.
     let mut interval = tokio::time::interval(REPORT_INTERVAL);
@@ -179,19 +181,22 @@
             let mut crashes = topology.crashes.borrow_mut();
             crashes.take_evidence(&leader_name, now)
         };
+        let asks_routes = routes_asked_at.is_none_or(|last| now >= last + MAX_REPORT_INTERVAL);
         let usage = Usage {
             demand: counter.take(),
             loads: topology.table.borrow_mut().report_loads(),
             evidence: evidence.clone(),
             needs: counter.take_needs(),
             shares: counter.take_shares(),
+            asks_routes,
         };
-        let is_due = reported_at.is_none_or(|last| now >= last + MAX_REPORT_INTERVAL);
-        let is_counted = topology.peers.borrow().follows(leader);
-        if usage == Usage::default() && (is_counted || !is_due) {
+        if usage == Usage::default() {
             continue;
         }
-        reported_at = Some(now);
+        if asks_routes {
+            routes_asked_at = Some(now);
+        }
+        let sent_at = clock::now();
         let deadline = now + REPORT_TIMEOUT;
         let relay = topology.peers.borrow().relay_to(leader);
         let relay = relay.filter(|_| direct_until.is_none_or(|until| now >= until));
@@ -200,16 +205,21 @@
             None => (leader, Request::Usage(usage)),
         };
         let reply = control_client.ask(receiver, &request, deadline).await;
-        if relay.is_some() && reply != Reply::Acknowledged {
+        let is_acknowledged = matches!(reply, Reply::Acknowledged | Reply::NewestRoutes(_));
+        if relay.is_some() && !is_acknowledged {
             direct_until = Some(Instant::now() + DIRECT_TIME);
         }
         // Of a lost report only the evidence is resent: the next report has the current load.
         let mut crashes = topology.crashes.borrow_mut();
-        if reply == Reply::Acknowledged {
+        if is_acknowledged {
             crashes.acknowledge(&leader_name, &evidence);
             topology.peers.borrow_mut().record_acknowledged(leader, now);
         } else {
             crashes.return_answered(evidence);
         }
+        drop(crashes);
+        if let Reply::NewestRoutes(newest) = reply {
+            topology.record_newest(leader, newest.version, sent_at);
+        }
     }
 }
--- a/crates/flamingo-serve/src/metrics.rs
+++ b/crates/flamingo-serve/src/metrics.rs
@@ -147,7 +147,7 @@
                 .gauge("flamingo_routes_version", "Version of the routes in force.")?,
             outdated: registry.gauge(
                 "flamingo_routes_outdated_ms",
-                "Time for which newer routes than those in force have been known; 0 if none are.",
+                "Time of knowing newer routes.",
             )?,
             entries: registry.gauge("flamingo_entries", "Entries that control counts.")?,
             controls: gauges(
--- a/crates/flamingo-serve/src/proxy/identity.rs
+++ b/crates/flamingo-serve/src/proxy/identity.rs
@@ -32,8 +32,8 @@
         let Some(index) = &routes.keys else {
             return Ok(None);
         };
-        let hears_leader = self.topology.hears_leader(clock::now());
-        let decision = decide(index, request.key.as_ref(), route.anonymous, hears_leader);
+        let is_current = self.topology.has_newest_routes(clock::now());
+        let decision = decide(index, request.key.as_ref(), route.anonymous, is_current);
         let workspace = match decision {
             Decision::Allowed(workspace) => workspace.cloned(),
             Decision::Unknown | Decision::Unsure => None,
--- a/crates/flamingo-serve/src/proxy/refusal.rs
+++ b/crates/flamingo-serve/src/proxy/refusal.rs
@@ -127,10 +127,10 @@
         self.refuse(refusal, Some(request))
     }
 
-    /// Refuses a request that no route matches. For as long as no leader is heard, a newer configuration may
-    /// hold a route for it, and the caller is asked to come back.
+    /// Refuses a request that no route matches. Where the leader has not confirmed these routes as the newest, a
+    /// newer configuration may hold a route for it, and the caller is asked to come back.
     pub(super) fn refuse_unrouted(&self, request: &RequestHead) -> Response<Body> {
-        let refusal = if self.topology.hears_leader(clock::now()) {
+        let refusal = if self.topology.has_newest_routes(clock::now()) {
             Refusal::new(Cause::NoRoute)
         } else {
             let retry_after = RETRY_AFTER_MIN + self.retry_spread(request);
--- a/crates/flamingo-serve/src/topology.rs
+++ b/crates/flamingo-serve/src/topology.rs
@@ -7,7 +7,7 @@
 use crate::sharers::{COUNT_TIMEOUT, Sharers};
 use crate::table::{MAX_HEARTBEAT_DELAY, Table};
 use flamingo_daemon::clock;
-use flamingo_guard::authentication::{Index, MAX_LEADER_SILENCE};
+use flamingo_guard::authentication::Index;
 use flamingo_guard::observer::{Life, Observer};
 use flamingo_guard::quarantine::Finding;
 use flamingo_guard::share::limits::Limits;
@@ -88,9 +88,6 @@
 pub struct Peers {
     /// Control instance that leads; `None` while no leader is known.
     pub leader: Option<SocketAddr>,
-    /// When a control instance last named a leader, or the leader sent anything; a time of
-    /// [`clock::now`], which counts suspensions.
-    leader_known_at: Option<Instant>,
     /// Number of entries that each control instance counts, and when it was heard.
     entries: HashMap<SocketAddr, (usize, Instant)>,
     /// Number of control instances in the newest list of any of them that has one; `None` before the first.
@@ -115,14 +112,6 @@
         self.leader = self.leader.filter(|leader| *leader != control);
     }
 
-    /// Records when a push shows that there is a leader.
-    fn record_leader(&mut self, from: SocketAddr, push: &Push, now: Instant) {
-        let names_leader = matches!(push, Push::Peers(peers) if peers.leader.is_some());
-        if names_leader || self.leader == Some(from) {
-            self.leader_known_at = Some(now);
-        }
-    }
-
     /// Returns the control instances whose pushes are being received, directly or through a relay.
     #[must_use]
     pub fn connected(&self) -> Vec<SocketAddr> {
@@ -303,11 +292,14 @@
 
     /// Records the newest routes that the control instance at `origin` knows to be committed.
     fn record_committed(&self, origin: SocketAddr, version: id::Version) {
-        let is_news = self
-            .freshness
-            .borrow_mut()
-            .record_committed(version, clock::now());
-        if is_news {
+        let mut freshness = self.freshness.borrow_mut();
+        let is_news = freshness.record_committed(version, clock::now());
+        drop(freshness);
+        self.log_newer(is_news, origin, version);
+    }
+
+    fn log_newer(&self, is_news: bool, origin: SocketAddr, version: id::Version) {
+        if is_news && version > self.routes_version() {
             info!(self.log, "newer routes known"; "version" => version, "control" => %origin,
                 "in_force" => self.routes_version());
         }
@@ -321,12 +313,20 @@
         }
     }
 
-    /// Returns whether a leader was heard so recently that this entry gets newer configurations. `now` is
-    /// a time of [`clock::now`], which counts suspensions.
+    /// Records the leader's answer to a question for the newest routes, sent at `asked_at`, a time of
+    /// [`clock::now`].
+    pub fn record_newest(&self, leader: SocketAddr, version: id::Version, asked_at: Instant) {
+        let mut freshness = self.freshness.borrow_mut();
+        let is_news = freshness.record_answer(version, asked_at, clock::now());
+        drop(freshness);
+        self.log_newer(is_news, leader, version);
+    }
+
+    /// Returns whether the routes in force are surely the newest ones, so that a caller may be refused for good
+    /// by them. `now` is a time of [`clock::now`], which counts suspensions.
     #[must_use]
-    pub fn hears_leader(&self, now: Instant) -> bool {
-        let known_at = self.peers.borrow().leader_known_at;
-        known_at.is_some_and(|at| now.saturating_duration_since(at) <= MAX_LEADER_SILENCE)
+    pub fn has_newest_routes(&self, now: Instant) -> bool {
+        self.freshness.borrow().is_sure(now)
     }
 
     /// Makes the origin of the streams uncertain that a target began after it sent its last known
@@ -436,7 +436,6 @@
     /// Handles a push that the control instance at `origin` sent, directly or through a relay.
     fn apply(&self, origin: SocketAddr, push: Push, now: Instant) {
         let mut peers = self.peers.borrow_mut();
-        peers.record_leader(origin, &push, clock::now());
         if peers.leader == Some(origin) {
             peers.leader_heard_at = Some(now);
         }
--- a/crates/flamingo-serve/tests/authentication.rs
+++ b/crates/flamingo-serve/tests/authentication.rs
@@ -1,11 +1,13 @@
 //! Which requests their keys admit, and how an entry knows whether it can tell.
 
-use flamingo_guard::authentication::{Decision, Index, MAX_LEADER_SILENCE, decide};
+use flamingo_guard::authentication::{Decision, Index, decide};
+use flamingo_link::freshness::MAX_PROOF_AGE;
 use flamingo_link::subscription::PushHandler;
 use flamingo_serve::metrics::Metrics;
 use flamingo_serve::topology::{Routes, Topology};
 use flamingo_test_support::cases;
 use flamingo_wire::control::{Peers, Push};
+use flamingo_wire::id;
 use flamingo_wire::route::Set;
 use flamingo_wire::workspace::{KeyDigest, Workspace};
 use slog::{Discard, Logger, o};
@@ -81,38 +83,67 @@
     })
 }
 
-/// Guards against 401 for a new key at an entry that is cut off, and against 503 for wrong keys at one
-/// that isn't. Each case is a series of pushes; a leader is heard or not after it.
-fn check_leader(pushes: &[(SocketAddr, Push)], expected: bool) {
-    let topology = Topology::new(Logger::root(Discard, o!()));
-    for (from, push) in pushes {
-        topology.on_push(*from, push.clone());
-    }
-    let now = flamingo_daemon::clock::now();
-    assert_eq!(topology.hears_leader(now), expected);
-    let later = now + MAX_LEADER_SILENCE + Duration::from_millis(1);
-    assert!(!topology.hears_leader(later));
+/// What an entry is told.
+enum Told {
+    /// A push of the control instance at this port.
+    Push(u16, Push),
+    /// The leader's answer that routes of this version were the newest when it was asked, so long ago.
+    Newest(id::Version, Duration),
 }
+use Told::{Newest, Push as Pushed};
 
-cases! { check_leader:
-    nothing_was_heard(&[], false);
-    the_leader_names_itself(&[(control(1), peers(Some(control(1))))], true);
-    another_control_instance_names_the_leader(&[(control(2), peers(Some(control(1))))], true);
-    a_control_instance_that_knows_no_leader(&[(control(2), peers(None))], false);
-    other_pushes_of_a_control_instance(&[(control(2), Push::Heartbeat(0))], false);
+fn routes(version: id::Version) -> Push {
+    Push::Routes(Arc::new(Set {
+        version,
+        ..Set::default()
+    }))
 }
 
-/// Guards against a leader that is taken for silent between two lists of the control instances.
-#[test]
-fn any_push_of_the_leader_counts() {
+fn known_routes(version: id::Version) -> Push {
+    Push::Peers(Peers {
+        leader: Some(control(1)),
+        routes: version,
+        ..Peers::default()
+    })
+}
+
+/// Guards against 401 for a new key, and 404 for a new route, at an entry that lacks the newest routes; and
+/// against 503 for what no configuration has at one that lacks nothing. The entry is told a series of things,
+/// and may refuse for good after it or not. It never may once the answer is old.
+fn check_newest(told: &[Told], expected: bool) {
     let topology = Topology::new(Logger::root(Discard, o!()));
-    topology.on_push(control(1), peers(Some(control(1))));
-    let named_at = flamingo_daemon::clock::now();
-    while flamingo_daemon::clock::now() == named_at {}
-    topology.on_push(control(2), Push::Heartbeat(0));
-    assert!(!topology.hears_leader(named_at + MAX_LEADER_SILENCE + Duration::from_nanos(1)));
-    topology.on_push(control(1), Push::Heartbeat(0));
-    assert!(topology.hears_leader(named_at + MAX_LEADER_SILENCE + Duration::from_nanos(1)));
+    let now = flamingo_daemon::clock::now();
+    for told in told {
+        match told {
+            Told::Push(from, push) => topology.on_push(control(*from), push.clone()),
+            Told::Newest(version, age) => {
+                let asked_at = now
+                    .checked_sub(*age)
+                    .expect("the machine has run for longer");
+                topology.record_newest(control(1), *version, asked_at);
+            }
+        }
+    }
+    assert_eq!(topology.has_newest_routes(now), expected);
+    let later = now + MAX_PROOF_AGE + Duration::from_millis(1);
+    assert!(!topology.has_newest_routes(later));
+}
+
+const NOW: Duration = Duration::ZERO;
+
+cases! { check_newest:
+    nothing_was_heard(&[], false);
+    the_leader_has_confirmed_the_routes(&[Pushed(2, routes(4)), Newest(4, NOW)], true);
+    the_leader_names_itself_and_pushes(&[Pushed(1, routes(4)), Pushed(1, known_routes(4)), Pushed(1, Push::Heartbeat(0))], false);
+    a_relay_names_the_leader(&[Pushed(2, routes(4)), Pushed(2, known_routes(4))], false);
+    a_control_instance_that_knows_no_leader(&[Pushed(2, routes(4)), Pushed(2, peers(None))], false);
+    the_leader_has_newer_routes(&[Pushed(2, routes(4)), Newest(5, NOW)], false);
+    newer_routes_become_known_after_the_answer(&[Pushed(2, routes(4)), Newest(4, NOW), Pushed(2, known_routes(5))], false);
+    newer_routes_arrive_after_the_answer(&[Pushed(2, routes(4)), Newest(4, NOW), Pushed(2, routes(5))], true);
+    missing_routes_arrive(&[Pushed(2, routes(4)), Newest(5, NOW), Pushed(2, routes(5))], true);
+    the_answer_is_as_old_as_may_be(&[Pushed(2, routes(4)), Newest(4, MAX_PROOF_AGE)], true);
+    the_answer_is_to_an_old_question(&[Pushed(2, routes(4)), Newest(4, MAX_PROOF_AGE + Duration::from_nanos(1))], false);
+    answers_overtake_each_other(&[Pushed(2, routes(4)), Newest(4, NOW), Newest(4, MAX_PROOF_AGE + Duration::from_nanos(1))], true);
 }
 
 /// Guards against time series without bound where an operator renames workspaces again and again.
--- a/crates/flamingo-wire/src/control.rs
+++ b/crates/flamingo-wire/src/control.rs
@@ -336,4 +336,16 @@
     Quarantines(Vec<prompt::Quarantine>),
     /// What an entry gets of the quotas of workspaces.
     Quota(quota::Answer),
+    /// The usage report was received, by an instance that surely leads and has the newest routes. Builds that
+    /// ask for it in a report can read it.
+    NewestRoutes(NewestRoutes),
+}
+
+/// The newest routes that are committed.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct NewestRoutes {
+    /// Version of the routes; 0 where no set was ever accepted.
+    pub version: id::Version,
+    /// Approximate size of one copy, in bytes.
+    pub bytes: u64,
 }
--- a/crates/flamingo-wire/src/target.rs
+++ b/crates/flamingo-wire/src/target.rs
@@ -252,4 +252,8 @@
     /// Work of workspaces since the last report; empty where requests need no key.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub shares: Vec<share::Use>,
+    /// Whether this entry wants to be told the newest routes with the acknowledgement. A leader that surely
+    /// knows them answers such a report with [`Reply::NewestRoutes`](crate::control::Reply::NewestRoutes).
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub asks_routes: bool,
 }
