--- a/crates/flamingo-serve/src/metrics.rs
+++ b/crates/flamingo-serve/src/metrics.rs
@@ -18,6 +18,10 @@
 use std::time::{Duration, Instant};
 use strum::IntoEnumIterator as _;
 
+/// What `flamingo_routes_outdated_ms` shows.
+const OUTDATED_HELP: &str =
+    "Time for which newer routes than those in force have been known; 0 if none are.";
+
 /// Bucket bounds of the latency histograms, in seconds.
 const LATENCY_BUCKETS_S: [f64; 12] = [
     0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0, 30.0,
@@ -145,10 +149,7 @@
             zones: Labels::default(),
             version: registry
                 .gauge("flamingo_routes_version", "Version of the routes in force.")?,
-            outdated: registry.gauge(
-                "flamingo_routes_outdated_ms",
-                "Time of knowing newer routes.",
-            )?,
+            outdated: registry.gauge("flamingo_routes_outdated_ms", OUTDATED_HELP)?,
             entries: registry.gauge("flamingo_entries", "Entries that control counts.")?,
             controls: gauges(
                 "flamingo_controls_followed",
