Relays that keep up with a series of changes are not taken for failed

Cause: the time for which an entry lacked 'the newest routes' was measured over all changes together; it never ended while each had another one behind it. Change: each version is waited for by itself (flamingo_link::freshness, which the feeds now use as well). The new test failed before: 1 instance in 30 s of changes each 0.2 s, before all 4.

--- a/crates/flamingo-link/src/feeds.rs
+++ b/crates/flamingo-link/src/feeds.rs
@@ -4,6 +4,7 @@
 //! zone, which relays what the others push. Others are followed only while no instance of the zone
 //! serves, or while one is not reached by the relay. `docs/design/zone-relays.md` has the reasons.
 
+use crate::freshness::Freshness;
 use flamingo_wire::control::Peers;
 use flamingo_wire::id;
 use std::collections::{BTreeMap, BTreeSet};
@@ -149,10 +150,10 @@
     leader: Option<SocketAddr>,
     /// What is known of each instance, followed or not.
     known: BTreeMap<SocketAddr, Feed>,
-    /// Version of the newest routes that any instance knows.
-    newest_routes: id::Version,
-    /// Since when this entry lacks them.
-    outdated_since: Option<Instant>,
+    /// Whether this entry has the newest routes that any instance knows.
+    freshness: Freshness,
+    /// When the relays last counted as failed since it had not.
+    outdated_relays_at: Option<Instant>,
     /// Whether any relay has served: until then, all seeds are kept.
     has_served: bool,
     /// When the last plan was made.
@@ -172,8 +173,8 @@
             zones: BTreeMap::new(),
             leader: None,
             known: BTreeMap::new(),
-            newest_routes: 0,
-            outdated_since: None,
+            freshness: Freshness::default(),
+            outdated_relays_at: None,
             has_served: false,
             planned_at: None,
         }
@@ -195,7 +196,7 @@
         let recent = recent.filter(|(_, listed_at)| now < **listed_at + LIST_TIMEOUT);
         self.controls = recent.map(|(control, _)| *control).collect();
         self.leader = peers.leader.or(self.leader);
-        self.newest_routes = self.newest_routes.max(peers.routes);
+        self.freshness.record_committed(peers.routes, now);
         let known = peers.controls.iter().zip(&peers.zones);
         let known = known.filter(|(_, zone)| !zone.is_empty());
         self.zones
@@ -205,21 +206,22 @@
     /// Records the version of the routes that this entry has in force. Relays whose entry lacks newer ones
     /// for [`ROUTES_DELAY`], or at its start for [`START_LIMIT`], count as failed.
     pub fn record_routes(&mut self, version: id::Version, now: Instant) {
-        if version >= self.newest_routes {
-            self.outdated_since = None;
+        self.freshness.record_in_force(version, now);
+        let Some(outdated_since) = self.freshness.outdated_since() else {
             return;
-        }
-        let outdated_since = *self.outdated_since.get_or_insert(now);
+        };
+        // The next relays get as long to send the routes.
+        let relays_at = self.outdated_relays_at.unwrap_or(outdated_since);
+        let waits_since = outdated_since.max(relays_at);
         let delay = if version == 0 {
             START_LIMIT
         } else {
             ROUTES_DELAY
         };
-        if now < outdated_since + delay {
+        if now < waits_since + delay {
             return;
         }
-        // The next relays get as long to send the routes.
-        self.outdated_since = Some(now);
+        self.outdated_relays_at = Some(now);
         let relays = self.known.values_mut();
         for relay in relays.filter(|feed| feed.role == Some(Role::Relay)) {
             relay.good_since = None;
--- a/crates/flamingo-link/src/freshness.rs
+++ b/crates/flamingo-link/src/freshness.rs
@@ -10,14 +10,15 @@
 pub const MAX_PROOF_AGE: Duration = Duration::from_secs(2);
 
 /// What an entry knows of the newest routes. All times are of one clock, which the caller chooses.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Freshness {
     /// Version of the routes in force; 0 before the first.
     in_force: id::Version,
     /// Version of the newest routes that any control instance knows to be committed.
     newest: id::Version,
-    /// Since when newer routes than those in force are known.
-    outdated_since: Option<Instant>,
+    /// The newest version when this entry began to lack one, and since when; `None` while it lacks none. Each
+    /// of a series of changes is waited for by itself.
+    awaited: Option<(id::Version, Instant)>,
     /// When the last question was sent that the leader has answered.
     asked_at: Option<Instant>,
 }
@@ -84,11 +85,9 @@
     }
 
     fn update(&mut self, now: Instant) {
-        self.outdated_since = if self.in_force >= self.newest {
-            None
-        } else {
-            self.outdated_since.or(Some(now))
-        };
+        let awaited = self.awaited.filter(|(version, _)| self.in_force < *version);
+        let lacks_newest = self.in_force < self.newest;
+        self.awaited = lacks_newest.then(|| awaited.unwrap_or((self.newest, now)));
     }
 
     /// Returns the version of the newest routes that are known to be committed; 0 before the first.
@@ -97,10 +96,16 @@
         self.newest
     }
 
-    /// Returns for how long newer routes than those in force have been known; `None` if there are none.
+    /// Returns since when this entry has lacked routes that are known; `None` if it lacks none.
+    #[must_use]
+    pub fn outdated_since(&self) -> Option<Instant> {
+        self.awaited.map(|(_, since)| since)
+    }
+
+    /// Returns for how long this entry has lacked routes that are known; `None` if it lacks none.
     #[must_use]
     pub fn outdated_for(&self, now: Instant) -> Option<Duration> {
-        let since = self.outdated_since?;
+        let since = self.outdated_since()?;
         Some(now.saturating_duration_since(since))
     }
 }
--- a/crates/flamingo-link/tests/feeds.rs
+++ b/crates/flamingo-link/tests/feeds.rs
@@ -356,3 +356,38 @@
     );
     assert_eq!(followed(12..30, 2).len(), 1);
 }
+
+/// Guards against relays that count as failed by turns while configurations come in quick succession, though
+/// each is in force soon: every change of the relay sends all registrations again (issue 66).
+#[test]
+fn a_relay_that_keeps_up_with_a_series_of_changes_is_kept() {
+    let controls = [1, 2, 3, 4].map(|host| SocketAddr::from(([10, 0, 0, host], 1)));
+    let zones = ["a", "a", "b", "b"].map(str::to_owned).to_vec();
+    let mut feeds = Feeds::new("entry", "a");
+    let start = Instant::now();
+    let mut plans = BTreeSet::new();
+    for tick in 0..300 {
+        let now = start + TICK * tick;
+        // A change each 0.2 s, in force at the entry 0.3 s later.
+        let newest = 10 + u64::from(tick / 2);
+        let in_force = 10 + u64::from(tick.saturating_sub(3) / 2);
+        let peers = Peers {
+            controls: controls.to_vec(),
+            zones: zones.clone(),
+            routes: newest,
+            ..Peers::default()
+        };
+        for control in controls {
+            feeds.record_push(control, now);
+            feeds.record_reached(control, &controls);
+        }
+        feeds.record_peers(&peers, now);
+        feeds.record_routes(in_force, now);
+        let plan = feeds.plan(now);
+        if tick >= 100 {
+            plans.insert(plan.into_keys().collect::<Vec<_>>());
+        }
+    }
+    assert_eq!(plans.len(), 1, "{plans:?}");
+    assert!(plans.iter().all(|plan| plan.len() == 1), "{plans:?}");
+}
