Entries fetch routes that the leader has named and nobody pushed in time

Change: the leader's answer to the question of an entry holds the size of the newest routes too. Routes that are 0.3 s and the time of a copy overdue are fetched from the instance through which the answer came, which therefore reaches the leader and reads the request. Nothing is fetched while a push is on its way: links have no room for two copies. Entries get no operator's text, which holds keys of callers.

--- a/crates/flamingo-control/src/raft_actor.rs
+++ b/crates/flamingo-control/src/raft_actor.rs
@@ -320,15 +320,19 @@
 fn routes_update(set: &route::Set, from_leader: bool) -> RoutesUpdate {
     // The operator's text is about as long as the encoded routes.
     let bytes = set.text.len() as u64;
-    let set = route::Set {
+    RoutesUpdate::new(without_text(set), from_leader, bytes)
+}
+
+/// Returns what followers get of a set of routes: the operator's text holds keys of callers.
+fn without_text(set: &route::Set) -> route::Set {
+    route::Set {
         version: set.version,
         routes: set.routes.clone(),
         services: set.services.clone(),
         limits: set.limits,
         workspaces: set.workspaces.clone(),
         text: String::new(),
-    };
-    RoutesUpdate::new(set, from_leader, bytes)
+    }
 }
 
 impl Actor for RaftActor {
--- a/crates/flamingo-control/src/raft_actor/requests.rs
+++ b/crates/flamingo-control/src/raft_actor/requests.rs
@@ -1,7 +1,7 @@
 //! Handles requests of entries, operators and other control instances.
 
 use super::proposals::verdict;
-use super::{HandleRequest, RaftActor};
+use super::{HandleRequest, RaftActor, without_text};
 use crate::controller;
 use actix::{Context, ResponseFuture};
 use flamingo_log::raft::Refusal;
@@ -14,6 +14,7 @@
 use flamingo_wire::gossip::Liveness;
 use flamingo_wire::{Fault, Verdict, id};
 use slog::info;
+use std::sync::Arc;
 use std::time::Instant;
 use tokio::sync::oneshot;
 
@@ -59,6 +60,10 @@
             Request::Routes if self.raft.has_read_lease(now) => {
                 ready(Reply::Routes(self.state.routes.clone()))
             }
+            Request::PushedRoutes if self.raft.has_read_lease(now) => {
+                let pushed = self.state.routes.as_deref().map(without_text);
+                ready(Reply::Routes(pushed.map(Arc::new)))
+            }
             Request::Confirm(origin) => self.commit(now, Command::Confirm(origin), ctx),
             Request::Versions(service) if self.raft.has_read_lease(now) => {
                 ready(Reply::Versions(self.state.software.versions(&service)))
@@ -66,6 +71,7 @@
             // Requests to the engine controller arrive here only where the instance runs none, and
             // those about streams are answered before.
             Request::Routes
+            | Request::PushedRoutes
             | Request::Versions(_)
             | Request::Usage(_)
             | Request::PassUsage(_)
--- a/crates/flamingo-control/tests/controller/harness.rs
+++ b/crates/flamingo-control/tests/controller/harness.rs
@@ -94,6 +94,13 @@
         self.ask_as("entry", request).await
     }
 
+    /// Asks the actor of the log on behalf of an entry.
+    pub async fn ask_log(&self, request: Request) -> Reply {
+        let from = "entry".into();
+        let reply = self.core.raft_actor.send(HandleRequest { request, from });
+        reply.await.expect("the actor runs")
+    }
+
     /// Asks the controller on behalf of the entry named `from`.
     pub async fn ask_as(&self, from: &str, request: Request) -> Reply {
         send_request(&self.requests, from, request).await
@@ -136,6 +143,7 @@
             quota: Some(QUOTA),
             ..Workspace::default()
         }]),
+        text: "the text of an operator, with keys".into(),
         ..Set::default()
     });
     wait::until("the routes to be accepted", || async {
--- a/crates/flamingo-control/tests/controller/main.rs
+++ b/crates/flamingo-control/tests/controller/main.rs
@@ -593,10 +593,15 @@
     for request in [Request::Usage(report(false)), reports(false)] {
         assert_eq!(harness.ask(request).await, Reply::Acknowledged);
     }
+    // Entries get no key of a caller.
+    let Reply::Routes(Some(routes)) = harness.ask_log(Request::PushedRoutes).await else {
+        panic!("the leader gives the routes");
+    };
+    assert!(routes.version > 0 && routes.text.is_empty());
 }
 
 cases! {
-    the_leader_tells_those_who_ask_its_newest_routes: entries_ask_for_the_newest_routes(),
+    the_leader_gives_those_who_ask_its_newest_routes_without_keys: entries_ask_for_the_newest_routes(),
     a_workspace_above_its_share_is_published_until_room_is_there: workspace_above_its_share(),
     a_model_that_is_asked_for_takes_the_place_of_an_idle_one: asked_for_without_a_place(),
     crashes_that_several_entries_saw_quarantine_a_part: crashes_that_several_entries_saw(),
--- a/crates/flamingo-link/src/freshness.rs
+++ b/crates/flamingo-link/src/freshness.rs
@@ -3,12 +3,20 @@
 //! That a leader exists, or sends anything, doesn't show it: routes come another way. What shows it is a
 //! question that was answered, by a leader that surely leads: the answer holds for the time of the question.
 
+use flamingo_wire::control::NewestRoutes;
 use flamingo_wire::id;
 use std::time::{Duration, Instant};
 
 /// Age of the last answered question up to which the routes count as the newest. Entries ask each half second.
 pub const MAX_PROOF_AGE: Duration = Duration::from_secs(2);
 
+/// Time within which routes that are known are pushed, besides the time of a copy.
+pub const PUSH_DELAY: Duration = Duration::from_millis(300);
+/// The same at the start of an entry, which begins with all registrations.
+const START_DELAY: Duration = Duration::from_secs(2);
+/// Rate at which a copy is pushed at least, in bytes a millisecond: a link of 7 Mbit/s that is a quarter free.
+const PUSH_BYTES_PER_MS: u64 = 250;
+
 /// What an entry knows of the newest routes. All times are of one clock, which the caller chooses.
 #[derive(Clone, Debug, Default)]
 pub struct Freshness {
@@ -21,6 +29,8 @@
     awaited: Option<(id::Version, Instant)>,
     /// When the last question was sent that the leader has answered.
     asked_at: Option<Instant>,
+    /// The newest of its answers.
+    answer: NewestRoutes,
 }
 
 impl Freshness {
@@ -50,9 +60,42 @@
 
     /// Records that the leader has answered a question sent at `asked_at`: these routes were then the newest, if
     /// no newer ones are known since. Returns whether they are newer than any known before.
-    pub fn record_answer(&mut self, version: id::Version, asked_at: Instant, now: Instant) -> bool {
+    pub fn record_answer(&mut self, answer: NewestRoutes, asked_at: Instant, now: Instant) -> bool {
         self.asked_at = self.asked_at.max(Some(asked_at));
-        self.record_committed(version, now)
+        if answer.version > self.answer.version {
+            self.answer = answer;
+        }
+        self.record_committed(answer.version, now)
+    }
+
+    /// Returns whether routes that the leader has named should have been pushed by now, so that something
+    /// between it and this entry lags.
+    ///
+    /// ```
+    /// use flamingo_link::freshness::{Freshness, PUSH_DELAY};
+    /// use flamingo_wire::control::NewestRoutes;
+    /// use std::time::{Duration, Instant};
+    ///
+    /// let (mut freshness, now) = (Freshness::default(), Instant::now());
+    /// freshness.record_in_force(4, now);
+    /// freshness.record_answer(NewestRoutes { version: 5, bytes: 250_000 }, now, now);
+    /// let copy_time = Duration::from_secs(1);
+    /// assert!(!freshness.are_overdue(now + PUSH_DELAY));
+    /// assert!(freshness.are_overdue(now + PUSH_DELAY + copy_time));
+    /// freshness.record_in_force(5, now);
+    /// assert!(!freshness.are_overdue(now + PUSH_DELAY + copy_time));
+    /// ```
+    #[must_use]
+    pub fn are_overdue(&self, now: Instant) -> bool {
+        let delay = if self.in_force == 0 {
+            START_DELAY
+        } else {
+            PUSH_DELAY
+        };
+        let copy_time = Duration::from_millis(self.answer.bytes / PUSH_BYTES_PER_MS);
+        let is_missing = self.answer.version > self.in_force;
+        let outdated_for = self.outdated_for(now).unwrap_or_default();
+        is_missing && outdated_for >= delay + copy_time
     }
 
     /// Returns whether the routes in force are surely the newest ones, but for those of the last
@@ -60,12 +103,14 @@
     ///
     /// ```
     /// use flamingo_link::freshness::{Freshness, MAX_PROOF_AGE};
+    /// use flamingo_wire::control::NewestRoutes;
     /// use std::time::{Duration, Instant};
     ///
     /// let (mut freshness, asked_at) = (Freshness::default(), Instant::now());
     /// freshness.record_in_force(4, asked_at);
     /// assert!(!freshness.is_sure(asked_at));
-    /// freshness.record_answer(4, asked_at, asked_at);
+    /// let answer = NewestRoutes { version: 4, bytes: 0 };
+    /// freshness.record_answer(answer, asked_at, asked_at);
     /// assert!(freshness.is_sure(asked_at + MAX_PROOF_AGE));
     /// assert!(!freshness.is_sure(asked_at + MAX_PROOF_AGE + Duration::from_nanos(1)));
     /// freshness.record_committed(5, asked_at);
--- a/crates/flamingo-serve/src/demand.rs
+++ b/crates/flamingo-serve/src/demand.rs
@@ -219,7 +219,7 @@
         }
         drop(crashes);
         if let Reply::NewestRoutes(newest) = reply {
-            topology.record_newest(leader, newest.version, sent_at);
+            topology.record_newest(receiver, newest, sent_at);
         }
     }
 }
--- a/crates/flamingo-serve/src/lib.rs
+++ b/crates/flamingo-serve/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod availability;
 pub mod body;
 pub mod budget;
+pub mod catch_up;
 pub mod choice;
 pub mod demand;
 pub mod departure;
--- a/crates/flamingo-serve/src/topology.rs
+++ b/crates/flamingo-serve/src/topology.rs
@@ -13,7 +13,7 @@
 use flamingo_guard::share::limits::Limits;
 use flamingo_link::freshness::Freshness;
 use flamingo_link::subscription::PushHandler;
-use flamingo_wire::control::{self, Push, Relayed};
+use flamingo_wire::control::{self, NewestRoutes, Push, Relayed};
 use flamingo_wire::id;
 use flamingo_wire::prompt::{PartId, Quarantine};
 use flamingo_wire::route::{Route, Service, Set};
@@ -231,6 +231,8 @@
     pub routes: RefCell<Option<Rc<Routes>>>,
     /// Whether these routes are the newest ones. Times are of [`clock::now`], which counts suspensions.
     pub freshness: RefCell<Freshness>,
+    /// Control instance that last passed on what the newest routes are; `None` before the first answer.
+    pub answered_by: Cell<Option<SocketAddr>>,
     /// The targets.
     pub table: RefCell<Table>,
     /// Idle connections to the targets.
@@ -259,6 +261,7 @@
         Self {
             routes: RefCell::default(),
             freshness: RefCell::default(),
+            answered_by: Cell::default(),
             table: RefCell::default(),
             pool: RefCell::default(),
             peers: RefCell::default(),
@@ -314,12 +317,13 @@
     }
 
     /// Records the leader's answer to a question for the newest routes, sent at `asked_at`, a time of
-    /// [`clock::now`].
-    pub fn record_newest(&self, leader: SocketAddr, version: id::Version, asked_at: Instant) {
+    /// [`clock::now`], to the control instance `asked`.
+    pub fn record_newest(&self, asked: SocketAddr, answer: NewestRoutes, asked_at: Instant) {
         let mut freshness = self.freshness.borrow_mut();
-        let is_news = freshness.record_answer(version, asked_at, clock::now());
+        let is_news = freshness.record_answer(answer, asked_at, clock::now());
         drop(freshness);
-        self.log_newer(is_news, leader, version);
+        self.answered_by.set(Some(asked));
+        self.log_newer(is_news, asked, answer.version);
     }
 
     /// Returns whether the routes in force are surely the newest ones, so that a caller may be refused for good
@@ -417,7 +421,7 @@
     }
 
     /// Replaces the routes by those that the control instance at `origin` sent, if they have a higher version.
-    fn replace_routes(&self, origin: SocketAddr, set: Arc<Set>) {
+    pub(crate) fn replace_routes(&self, origin: SocketAddr, set: Arc<Set>) {
         let current = self.routes_version();
         if current != 0 && set.version <= current {
             return;
--- a/crates/flamingo-serve/tests/authentication.rs
+++ b/crates/flamingo-serve/tests/authentication.rs
@@ -6,7 +6,7 @@
 use flamingo_serve::metrics::Metrics;
 use flamingo_serve::topology::{Routes, Topology};
 use flamingo_test_support::cases;
-use flamingo_wire::control::{Peers, Push};
+use flamingo_wire::control::{NewestRoutes, Peers, Push};
 use flamingo_wire::id;
 use flamingo_wire::route::Set;
 use flamingo_wire::workspace::{KeyDigest, Workspace};
@@ -120,7 +120,11 @@
                 let asked_at = now
                     .checked_sub(*age)
                     .expect("the machine has run for longer");
-                topology.record_newest(control(1), *version, asked_at);
+                let newest = NewestRoutes {
+                    version: *version,
+                    bytes: 0,
+                };
+                topology.record_newest(control(1), newest, asked_at);
             }
         }
     }
--- a/crates/flamingo-wire/src/control.rs
+++ b/crates/flamingo-wire/src/control.rs
@@ -32,6 +32,10 @@
     /// Return the routes in force. Only a leader whose lease is valid answers, so that the answer
     /// is never outdated.
     Routes,
+    /// Return the routes in force as followers get them, without the operator's text. As for [`Self::Routes`],
+    /// only a leader whose lease is valid answers. Sent only to an instance that gave [`Reply::NewestRoutes`]:
+    /// builds that can't read this request don't give that reply.
+    PushedRoutes,
     /// Demand at one entry and the load that it puts on targets.
     #[serde(rename = "Tally")]
     Usage(target::Usage),
