A push that this build does not know does not end its stream

The tag of such a frame is valid, so its sender belongs to the system, and builds read what older ones send: the frame is skipped. Failed before: 1 disconnect at the first such push, none now. This helps from this build on; builds before it still need pushes that they can read.

--- a/crates/flamingo-link/src/config_stream.rs
+++ b/crates/flamingo-link/src/config_stream.rs
@@ -148,6 +148,7 @@
         }
         // A heartbeat. Other pushes go only to followers of routes and targets.
         Ok(_) => true,
+        Err(error) if error.is_of_later_build() => true,
         Err(error) => {
             warn!(shared.log, "push rejected"; "error" => %error);
             false
--- a/crates/flamingo-link/src/subscription.rs
+++ b/crates/flamingo-link/src/subscription.rs
@@ -11,7 +11,7 @@
 use flamingo_wire::frame::Seal;
 use flamingo_wire::inner::control_client;
 use flamingo_wire::{Fault, id};
-use slog::{Logger, info, warn};
+use slog::{Logger, debug, info, warn};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -274,6 +274,9 @@
                 Ok(Ok(Some(frame))) => {
                     match self.identity.seal.open(&frame, SystemTime::now()) {
                         Ok(push) => self.handle(address, push),
+                        Err(error) if error.is_of_later_build() => {
+                            debug!(self.log, "push of a later build skipped"; "control" => %address, "error" => %error);
+                        }
                         Err(error) => {
                             warn!(self.log, "push rejected"; "error" => %error);
                             return Some("invalid frame");
--- a/crates/flamingo-link/tests/heartbeats.rs
+++ b/crates/flamingo-link/tests/heartbeats.rs
@@ -6,6 +6,7 @@
 use flamingo_wire::frame::Seal;
 use flamingo_wire::id;
 use flamingo_wire::inner::control_server::{Control, ControlServer};
+use serde::Serialize;
 use slog::{Discard, Logger, o};
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -63,10 +64,20 @@
     }
 }
 
-/// Pushes until the stream ends.
+/// A push that only later builds know.
+#[derive(Serialize)]
+enum LaterPush {
+    Unheard(u32),
+}
+
+/// Pushes until the stream ends; every second push is one of a later build.
 async fn push(seal: Seal, pushes: Sender<Result<Frame, Status>>) {
-    loop {
-        let frame = seal.seal("", &Push::Heartbeat(0), SystemTime::now());
+    for number in 0.. {
+        let frame = if number % 2 == 0 {
+            seal.seal("", &LaterPush::Unheard(number), SystemTime::now())
+        } else {
+            seal.seal("", &Push::Heartbeat(0), SystemTime::now())
+        };
         if pushes.send(Ok(frame.expect("a frame"))).await.is_err() {
             return;
         }
@@ -92,6 +103,8 @@
 #[derive(Default)]
 struct Entry {
     neighbour: Cell<Option<SocketAddr>>,
+    pushes: Cell<u32>,
+    disconnects: Cell<u32>,
 }
 
 impl PushHandler for Entry {
@@ -103,9 +116,13 @@
         self.neighbour.get()
     }
 
-    fn on_push(&self, _: SocketAddr, _: Push) {}
+    fn on_push(&self, _: SocketAddr, _: Push) {
+        self.pushes.set(self.pushes.get() + 1);
+    }
 
-    fn on_disconnect(&self, _: SocketAddr) {}
+    fn on_disconnect(&self, _: SocketAddr) {
+        self.disconnects.set(self.disconnects.get() + 1);
+    }
 }
 
 /// Waits for a heartbeat that names this address.
@@ -119,21 +136,45 @@
     }
 }
 
+/// Starts an entry that follows `control`.
+fn follow(control: SocketAddr) -> Rc<Entry> {
+    let entry = Rc::new(Entry::default());
+    let identity = Identity {
+        node: "entry".into(),
+        zone: "a".into(),
+        seal: Seal::new("entry", KEY),
+    };
+    let handler = Rc::<Entry>::clone(&entry);
+    let log = Logger::root(Discard, o!());
+    let subscriber = Subscriber::relayed(identity, handler, log);
+    subscriber.follow(&[control]);
+    entry
+}
+
+/// Guards against a stream that ends again and again while a control instance runs a later build: the entry
+/// would get all registrations each time, and no routes.
+#[tokio::test]
+async fn a_push_of_a_later_build_does_not_end_the_stream() {
+    let scenario = async {
+        let (control, _heartbeats) = listen().await;
+        let entry = follow(control);
+        let pushes = async {
+            while entry.pushes.get() < 3 && entry.disconnects.get() == 0 {
+                tokio::time::sleep(PUSH_INTERVAL).await;
+            }
+        };
+        timeout(TIMEOUT, pushes).await.expect("in time");
+        assert_eq!(entry.disconnects.get(), 0);
+    };
+    LocalSet::new().run_until(scenario).await;
+}
+
 /// Guards against entries to which others pass requests although they reach no target.
 #[tokio::test]
 async fn heartbeats_say_whether_an_entry_takes_requests() {
     let scenario = async {
         let (control, mut heartbeats) = listen().await;
-        let entry = Rc::new(Entry::default());
-        let identity = Identity {
-            node: "entry".into(),
-            zone: "a".into(),
-            seal: Seal::new("entry", KEY),
-        };
-        let handler = Rc::<Entry>::clone(&entry);
-        let log = Logger::root(Discard, o!());
-        let subscriber = Subscriber::relayed(identity, handler, log);
-        subscriber.follow(&[control]);
+        let entry = follow(control);
         hear(&mut heartbeats, None).await;
         for neighbour in ["10.0.0.1:4000", "10.0.0.2:4000"] {
             let address = neighbour.parse().ok();
--- a/crates/flamingo-wire/src/frame.rs
+++ b/crates/flamingo-wire/src/frame.rs
@@ -59,6 +59,16 @@
     }
 }
 
+impl Error {
+    /// Returns whether the frame is valid, but holds what this build does not know. Its sender is a process of
+    /// the system, of a later build, and reads what this one sends: the frame is skipped, and nothing that the
+    /// two have is given up.
+    #[must_use]
+    pub fn is_of_later_build(&self) -> bool {
+        matches!(self, Self::Decode(_))
+    }
+}
+
 /// Creates and verifies the frames of one process under the inner key.
 #[derive(Clone)]
 pub struct Seal {
