A request that a control instance does not know is refused as not run

An entry of a later build that sends such a request got the status of a wrong key. Its client then dropped the connection with all that others had in progress on it, each time. Now the reply is a refusal, not run, by which it asks another instance. Failed before: Unauthenticated, "unknown variant".

--- a/crates/flamingo-control/src/inner.rs
+++ b/crates/flamingo-control/src/inner.rs
@@ -7,11 +7,12 @@
 use crate::usage_relay::UsageRelay;
 use crate::watch::Publisher;
 use actix::Addr;
-use flamingo_wire::Frame;
 use flamingo_wire::control::{Reply, Request};
+use flamingo_wire::fault::Reason;
 use flamingo_wire::frame::Seal;
 use flamingo_wire::inner::control_server::Control;
 use flamingo_wire::inner::log_server::Log;
+use flamingo_wire::{Fault, Frame};
 use std::sync::Arc;
 use std::time::{Instant, SystemTime};
 use tokio::sync::mpsc::{self, Sender, channel};
@@ -73,11 +74,24 @@
 
     async fn ask(&self, frame: tonic::Request<Frame>) -> Result<Response<Frame>, Status> {
         let frame = frame.into_inner();
-        let request: Request = self
-            .seal
-            .open(&frame, SystemTime::now())
-            .map_err(|error| Status::unauthenticated(error.to_string()))?;
+        let opened = self.seal.open(&frame, SystemTime::now());
         let from = frame.from;
+        let reply = match opened {
+            Ok(request) => self.answer(&from, request).await?,
+            Err(error) if error.is_of_later_build() => Reply::Refused(unknown_request()),
+            Err(error) => return Err(Status::unauthenticated(error.to_string())),
+        };
+        let frame = self
+            .seal
+            .seal(&from, &reply, SystemTime::now())
+            .map_err(|error| Status::internal(error.to_string()))?;
+        Ok(Response::new(frame))
+    }
+}
+
+impl InnerService {
+    /// Answers a request of the process `from`.
+    async fn answer(&self, from: &str, request: Request) -> Result<Reply, Status> {
         let reply = match (&self.controller, request) {
             (_, Request::Begun(begun)) => {
                 self.origins.record(begun).await;
@@ -93,25 +107,28 @@
                 | Request::Room(_)
                 | Request::Rejected(_)
                 | Request::Quota(_)),
-            ) => controller::send_request(controller, &from, request).await,
-            (Some(_), Request::PassUsage(report)) => self.usage_relay.pass(&from, report).await,
+            ) => controller::send_request(controller, from, request).await,
+            (Some(_), Request::PassUsage(report)) => self.usage_relay.pass(from, report).await,
             (_, request) => self
                 .raft_actor
                 .send(HandleRequest {
                     request,
-                    from: from.clone(),
+                    from: from.to_owned(),
                 })
                 .await
                 .map_err(|error| Status::unavailable(error.to_string()))?,
         };
-        let frame = self
-            .seal
-            .seal(&from, &reply, SystemTime::now())
-            .map_err(|error| Status::internal(error.to_string()))?;
-        Ok(Response::new(frame))
+        Ok(reply)
     }
 }
 
+/// Returns the refusal of a request that only later builds know.
+fn unknown_request() -> Fault {
+    let message = "this control instance runs an earlier build, which does not know the request";
+    let help = "send it to another control instance, or wait until this one is upgraded";
+    Fault::not_run(Reason::Leaderless, message, help).retry_after(1)
+}
+
 #[tonic::async_trait]
 impl Log for InnerService {
     type SendStream = FrameStream;
