A log message that a member does not know does not end the sender's stream

Two members of different builds lost their stream at the first message that the older one can't read, and with it the heartbeats of the log beside it: the follower lagged for the time of a redial, each time. The message now counts as lost, which the log bears. Failed before: Unauthenticated, "unknown variant".

--- a/crates/flamingo-control/src/inner.rs
+++ b/crates/flamingo-control/src/inner.rs
@@ -158,6 +158,8 @@
                     };
                     let packet = match self.seal.open::<Packet>(&frame, SystemTime::now()) {
                         Ok(packet) => packet,
+                        // As if it had been lost on its way, which the log bears.
+                        Err(error) if error.is_of_later_build() => Packet::Heartbeat,
                         Err(error) => {
                             let refusal = Status::unauthenticated(error.to_string());
                             // The sender may have disconnected.
