--- a/crates/flamingo-link/tests/feeds.rs
+++ b/crates/flamingo-link/tests/feeds.rs
@@ -357,8 +357,7 @@
     assert_eq!(followed(12..30, 2).len(), 1);
 }
 
-/// Guards against relays that count as failed by turns while configurations come in quick succession, though
-/// each is in force soon: every change of the relay sends all registrations again (issue 66).
+/// Guards against relays that count as failed by turns while each of many changes is in force soon.
 #[test]
 fn a_relay_that_keeps_up_with_a_series_of_changes_is_kept() {
     let controls = [1, 2, 3, 4].map(|host| SocketAddr::from(([10, 0, 0, host], 1)));
--- a/crates/flamingo-link/tests/heartbeats.rs
+++ b/crates/flamingo-link/tests/heartbeats.rs
@@ -151,8 +151,7 @@
     entry
 }
 
-/// Guards against a stream that ends again and again while a control instance runs a later build: the entry
-/// would get all registrations each time, and no routes.
+/// Guards against streams that end again and again beside a control instance of a later build.
 #[tokio::test]
 async fn a_push_of_a_later_build_does_not_end_the_stream() {
     let scenario = async {
--- a/crates/flamingolink/tests/later_build.rs
+++ b/crates/flamingolink/tests/later_build.rs
@@ -30,8 +30,7 @@
     Seal::new("later", KEY.as_bytes())
 }
 
-/// Guards against a connection that is dropped, with what others wait for on it, for a request that an older
-/// build doesn't know.
+/// Guards against connections that are dropped for a request that an older build doesn't know.
 #[actix_rt::test]
 async fn a_request_of_a_later_build_is_refused_as_not_run() {
     let cluster = Cluster::start(1, 0);
